--- /dev/null
+++ b/core/include/banyan/core/configuration_json.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "banyan/core/configuration.h"
+
+#include <string>
+#include <string_view>
+
+namespace banyan {
+
+/// Reads and checks a whole configuration: types, unknown fields, references and limits.
+///
+/// The JSON form, also of a patch (see applyPatch()):
+/// @code
+/// {"callers":   {"niebla": {"key_hashes": ["<sha256 hex>"], "requests_per_second": 100}},
+///  "operators": {"ana": {"key_hashes": ["..."], "role": "editor"}},
+///  "services":  {"advisory": {"kind": "model", "version": 1, "pool": "advisory", "models": ["advisor"],
+///                             "access": [{"caller": "niebla", "urgency": "online"}], "repeatable": true,
+///                             "durable": false, "resumable": false, "checks_fencing": false,
+///                             "default_deadline_ms": 60000, "requests_per_second": 500}}}
+/// @endcode
+/// @throws configuration_error
+[[nodiscard]] configuration parseConfiguration(std::string_view json, configuration_version version);
+
+/// The form that parseConfiguration() reads, without the version.
+[[nodiscard]] std::string toJson(const configuration &value);
+
+/// Applies a JSON merge patch (RFC 7396) to @p base and checks the whole result, whose version is the next one.
+/// @throws configuration_error
+[[nodiscard]] configuration applyPatch(const configuration &base, std::string_view mergePatch);
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/dispatcher.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "banyan/core/attempt_result.h"
+#include "banyan/core/cell_load.h"
+#include "banyan/core/dispatch_action.h"
+#include "banyan/core/dispatch_request.h"
+#include "banyan/core/dispatcher_options.h"
+#include "banyan/core/upstream_info.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace banyan {
+
+/// Decides what enters the upstreams of one cell, when, and what happens when an attempt goes wrong.
+///
+/// A cell is a group of up to about 16 upstreams of one pool in one failure domain, owned by one node at a time. The
+/// dispatcher holds the only queue before them. Events go in by the member functions; each returns the actions that
+/// the host has to carry out, in order. The host calls tick() at nextWakeUp().
+///
+/// @code
+/// dispatcher cell({.initialSlots = 4});
+/// cell.setUpstreams(upstreams, now);
+/// perform(cell.submit(request, now));
+/// // when bytes arrive from an upstream:
+/// perform(cell.firstByte(attempt, now));
+/// // when the attempt is over:
+/// perform(cell.attemptEnded(attempt, {.outcome = attempt_outcome::Succeeded}, now));
+/// @endcode
+///
+/// Promises: online work is never queued while batch work holds a slot that it could use; a request that is not
+/// repeatable is sent at most once; NotRun is reported only for a request of which no byte was sent or which each
+/// upstream refused; each submitted request gets exactly one finish_request.
+class dispatcher
+{
+public:
+    explicit dispatcher(const dispatcher_options &options);
+    ~dispatcher();
+    dispatcher(dispatcher &&) noexcept;
+    dispatcher &operator=(dispatcher &&) noexcept;
+
+    /// Replaces the cell's upstreams. Attempts in flight to upstreams that are gone or leaving go on.
+    [[nodiscard]] dispatch_actions setUpstreams(std::span<const upstream_info> upstreams, time_point now);
+
+    /// Takes a request in, or finishes it at once.
+    [[nodiscard]] dispatch_actions submit(const dispatch_request &request, time_point now);
+
+    /// Reports the first byte of an attempt's answer.
+    [[nodiscard]] dispatch_actions firstByte(attempt_id attempt, time_point now);
+
+    /// Reports an attempt's end. An attempt that is not known any more is ignored.
+    [[nodiscard]] dispatch_actions attemptEnded(attempt_id attempt, const attempt_result &result, time_point now);
+
+    /// Ends a request on its caller's wish; waiting work is dropped, attempts in flight are cancelled.
+    [[nodiscard]] dispatch_actions cancel(const request_id &request, time_point now);
+
+    /// Takes in an upstream's own load report, which may be old.
+    void loadReported(const upstream_id &upstream, std::uint32_t running, std::uint32_t waiting, time_point reportedAt, time_point now);
+
+    /// Stops taking work in: what waits is finished as NotRun with Draining, what is in flight goes on.
+    [[nodiscard]] dispatch_actions drain(time_point now);
+
+    /// Does what has come due: deadlines, hedges, probes, delayed retries.
+    [[nodiscard]] dispatch_actions tick(time_point now);
+
+    /// When tick() is next needed, if at all.
+    [[nodiscard]] std::optional<time_point> nextWakeUp() const;
+
+    /// How busy the cell is.
+    [[nodiscard]] cell_load load(time_point now) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/http_client.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "banyan/core/endpoint.h"
+#include "banyan/core/time.h"
+#include "banyan/io/asio_types.h"
+#include "banyan/io/http_message.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace banyan {
+
+/// Options of an http_client.
+struct http_client_options
+{
+    duration connectTimeout = std::chrono::seconds(2);
+    duration idleTimeout = std::chrono::seconds(20); ///< After which an unused connection is closed.
+    std::size_t idleConnectionsPerEndpoint = 32;
+    std::size_t maximumBody = std::size_t(64) << 20; ///< Bytes; a longer answer is an error.
+};
+
+/// Stops an exchange in progress: its connection is closed and the exchange fails with http_error.
+class http_cancellation
+{
+public:
+    /// Cancels the exchange that this belongs to, or at once the next one it is given to.
+    void cancel();
+
+    [[nodiscard]] bool cancelled() const
+    {
+        return m_cancelled;
+    }
+
+private:
+    friend class http_client;
+    bool m_cancelled = false;
+    std::function<void()> m_close;
+};
+
+/// HTTP/1.1 towards outside systems, with reused connections.
+class http_client
+{
+public:
+    http_client(asio::io_context &context, const http_client_options &options);
+    ~http_client();
+
+    /// Sends @p request and reads the whole answer. @p timeout is the longest time for all of it.
+    /// A request that fails on a reused connection before any byte of an answer came is NOT sent again here.
+    /// @throws http_error
+    [[nodiscard]] task<http_response> exchange(endpoint to, http_request request, duration timeout);
+
+    /// What a streamed answer is passed to, piece by piece.
+    struct stream_handler
+    {
+        std::function<task<>(unsigned status, const std::vector<http_field> &fields)> onHead;
+        std::function<task<>(std::string_view piece)> onPiece; ///< Valid until the task ends.
+    };
+
+    /// Sends @p request and passes its answer on as it comes. @p silence is the longest time without a byte.
+    /// @throws http_error also if the answer is cut before its end
+    [[nodiscard]] task<>
+    stream(endpoint to, http_request request, duration silence, stream_handler handler, std::shared_ptr<http_cancellation> cancellation);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/http_message.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace banyan {
+
+/// A header field of an HTTP message.
+struct http_field
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const http_field &) const = default;
+};
+
+/// A request to be sent to an outside system.
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<http_field> fields; ///< Host and Content-Length are added.
+    std::string body;
+
+    auto operator<=>(const http_request &) const = default;
+};
+
+/// A whole answer.
+struct http_response
+{
+    unsigned status = 200;
+    std::vector<http_field> fields;
+    std::string body;
+
+    /// The value of the first field of that name, without regard to case; empty if there is none.
+    [[nodiscard]] std::string field(const std::string &name) const;
+
+    auto operator<=>(const http_response &) const = default;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
