--- a/io/include/banyan/io/asio_types.h
+++ b/io/include/banyan/io/asio_types.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace banyan {
--- a/io/include/banyan/io/http_server.h
+++ b/io/include/banyan/io/http_server.h
@@ -16,6 +16,7 @@
 struct http_server_options
 {
     endpoint listen; ///< Port 0 takes a free one.
+    duration idleTimeout = std::chrono::seconds(75); ///< For the first byte of the next request on an open connection.
     duration headTimeout = std::chrono::seconds(10); ///< For a request's head to arrive.
     duration bodyTimeout = std::chrono::seconds(30); ///< Longest silence within a body.
     std::size_t maximumHead = std::size_t(16) << 10; ///< Bytes; a longer head is answered with 431.
--- /dev/null
+++ b/io/src/http_client.cpp
@@ -0,0 +1,263 @@
+#include "banyan/io/http_client.h"
+
+#include "banyan/io/http_error.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <map>
+
+namespace banyan {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t pieceBytes = std::size_t(16) << 10;
+constexpr unsigned maximumStatusCode = 999;
+
+/// One connection to an outside system and the bytes read ahead on it.
+struct client_connection
+{
+    explicit client_connection(asio::io_context &context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+using connection_pointer = std::shared_ptr<client_connection>;
+
+struct idle_connection
+{
+    connection_pointer connection;
+    std::chrono::steady_clock::time_point since;
+};
+
+tcp::endpoint toAsio(const endpoint &value)
+{
+    return {asio::ip::make_address(value.address), value.port};
+}
+
+/// Whether the peer has left an idle connection alone: neither closed it nor sent anything.
+bool isQuiet(client_connection &connection)
+{
+    if (connection.buffer.size() != 0) {
+        return false;
+    }
+    tcp::socket &socket = connection.stream.socket();
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+[[noreturn]] void fail(sent_state sent, const boost::system::error_code &error, const char *step)
+{
+    throw http_error(sent, error == beast::error::timeout, std::string(step) + ": " + error.message());
+}
+
+http::request<http::string_body> toBeast(const endpoint &to, http_request request)
+{
+    http::request<http::string_body> result;
+    result.method_string(request.method);
+    result.target(request.target);
+    result.version(11);
+    result.set(http::field::host, to.toString());
+    for (const http_field &field : request.fields) {
+        result.insert(field.name, field.value);
+    }
+    result.body() = std::move(request.body);
+    result.prepare_payload();
+    return result;
+}
+
+template<typename Fields>
+std::vector<http_field> fromBeast(const Fields &fields)
+{
+    std::vector<http_field> result;
+    for (const auto &field : fields) {
+        result.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+    }
+    return result;
+}
+
+} // namespace
+
+void http_cancellation::cancel()
+{
+    m_cancelled = true;
+    if (m_close) {
+        m_close();
+    }
+}
+
+class http_client::implementation
+{
+public:
+    implementation(asio::io_context &context, const http_client_options &options)
+        : m_context(context)
+        , m_options(options)
+    {
+    }
+
+    [[nodiscard]] const http_client_options &options() const
+    {
+        return m_options;
+    }
+
+    /// An idle connection, or a new one. @throws http_error with NotSent
+    task<connection_pointer> connect(endpoint to)
+    {
+        if (connection_pointer reused = takeIdle(to)) {
+            co_return reused;
+        }
+        auto connection = std::make_shared<client_connection>(m_context);
+        connection->stream.expires_after(m_options.connectTimeout);
+        boost::system::error_code error;
+        co_await connection->stream.async_connect(toAsio(to), asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            fail(sent_state::NotSent, error, "connect");
+        }
+        connection->stream.socket().set_option(tcp::no_delay(true), error);
+        co_return connection;
+    }
+
+    void giveBack(const endpoint &to, connection_pointer connection)
+    {
+        auto &idle = m_idle[to];
+        closeOld(idle);
+        if (idle.size() < m_options.idleConnectionsPerEndpoint) {
+            connection->stream.expires_never();
+            idle.push_back({.connection = std::move(connection), .since = std::chrono::steady_clock::now()});
+        }
+    }
+
+private:
+    connection_pointer takeIdle(const endpoint &to)
+    {
+        const auto found = m_idle.find(to);
+        if (found == m_idle.end()) {
+            return nullptr;
+        }
+        closeOld(found->second);
+        while (!found->second.empty()) {
+            connection_pointer candidate = std::move(found->second.back().connection);
+            found->second.pop_back();
+            if (isQuiet(*candidate)) {
+                return candidate;
+            }
+        }
+        m_idle.erase(found);
+        return nullptr;
+    }
+
+    void closeOld(std::deque<idle_connection> &idle) const
+    {
+        const auto oldest = std::chrono::steady_clock::now() - m_options.idleTimeout;
+        while (!idle.empty() && idle.front().since < oldest) {
+            idle.pop_front();
+        }
+    }
+
+    asio::io_context &m_context;
+    http_client_options m_options;
+    std::map<endpoint, std::deque<idle_connection>> m_idle;
+};
+
+http_client::http_client(asio::io_context &context, const http_client_options &options)
+    : m_implementation(std::make_unique<implementation>(context, options))
+{
+}
+
+http_client::~http_client() = default;
+
+task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
+{
+    const connection_pointer connection = co_await m_implementation->connect(to);
+    const auto message = toBeast(to, std::move(request));
+    connection->stream.expires_after(timeout);
+    boost::system::error_code error;
+    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "write");
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(m_implementation->options().maximumBody);
+    co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "read");
+    }
+    auto answer = parser.release();
+    http_response result{.status = answer.result_int(), .fields = fromBeast(answer.base()), .body = std::move(answer.body())};
+    if (answer.keep_alive()) {
+        m_implementation->giveBack(to, connection);
+    }
+    co_return result;
+}
+
+task<> http_client::stream(endpoint to,
+                           http_request request,
+                           duration silence,
+                           stream_handler handler,
+                           std::shared_ptr<http_cancellation> cancellation)
+{
+    if (cancellation && cancellation->cancelled()) {
+        throw http_error(sent_state::NotSent, false, "cancelled before it was sent");
+    }
+    const connection_pointer connection = co_await m_implementation->connect(to);
+    if (cancellation) {
+        if (cancellation->cancelled()) {
+            throw http_error(sent_state::NotSent, false, "cancelled before it was sent");
+        }
+        cancellation->m_close = [weak = std::weak_ptr(connection)] {
+            if (const auto open = weak.lock()) {
+                open->stream.close();
+            }
+        };
+    }
+    const auto message = toBeast(to, std::move(request));
+    connection->stream.expires_after(silence);
+    boost::system::error_code error;
+    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "write");
+    }
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "read head");
+    }
+    co_await handler.onHead(std::min(parser.get().result_int(), maximumStatusCode), fromBeast(parser.get().base()));
+    std::string piece(pieceBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        parser.get().body().more = true;
+        connection->stream.expires_after(silence);
+        co_await http::async_read_some(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            fail(sent_state::MaybeSent, error, "read body");
+        }
+        const std::size_t length = piece.size() - parser.get().body().size;
+        if (length != 0) {
+            co_await handler.onPiece(std::string_view(piece).substr(0, length));
+        }
+    }
+    if (cancellation) {
+        cancellation->m_close = nullptr;
+    }
+    if (parser.get().keep_alive()) {
+        m_implementation->giveBack(to, connection);
+    }
+}
+
+} // namespace banyan
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,203 @@
+#include "banyan/io/http_server.h"
+
+#include "banyan/io/http_body_error.h"
+#include "banyan/io/http_client.h"
+#include "banyan/io/http_error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr duration generousTimeout = std::chrono::seconds(30);
+constexpr std::size_t bodyLimit = 100;
+
+/// A server with an echo route and a client in one thread.
+struct server_fixture
+{
+    asio::io_context context;
+    http_server server{context, {.listen = endpoint::parse("127.0.0.1:0"), .maximumHead = 2048}};
+    http_client client{context, {}};
+    bool disconnected = false;
+
+    server_fixture()
+    {
+        server.route("POST", "/echo/{}", [](http_exchange &exchange) -> task<> {
+            const std::string body = co_await exchange.body(bodyLimit);
+            http_response answer{.body = exchange.pathArguments().front() + ":" + body};
+            co_await exchange.respond(std::move(answer));
+        });
+        server.route("GET", "/stream", [](http_exchange &exchange) -> task<> {
+            co_await exchange.begin(200, {});
+            co_await exchange.write("one ");
+            co_await exchange.write("two");
+            co_await exchange.finish();
+        });
+        server.route("GET", "/cut", [](http_exchange &exchange) -> task<> {
+            co_await exchange.begin(200, {});
+            co_await exchange.write("one ");
+            throw std::runtime_error("cut on purpose");
+        });
+        server.route("GET", "/wait", [this](http_exchange &exchange) -> task<> {
+            asio::steady_timer timer(context, generousTimeout);
+            exchange.onDisconnect([this, &timer] {
+                disconnected = true;
+                timer.cancel();
+            });
+            boost::system::error_code error;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            throw std::runtime_error("peer has gone");
+        });
+        server.start();
+    }
+
+    /// Runs @p work to its end and passes its exception on.
+    template<typename Work>
+    void run(Work work)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(context, std::move(work), [&](std::exception_ptr error) {
+            failure = std::move(error);
+            context.stop();
+        });
+        context.run();
+        context.restart();
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    }
+
+    http_response exchange(http_request request)
+    {
+        http_response answer;
+        run([&]() -> task<> {
+            answer = co_await client.exchange(server.address(), request, generousTimeout);
+        });
+        return answer;
+    }
+
+    /// Sends bytes as they are and returns all that the server sends until it closes.
+    std::string raw(const std::string &bytes)
+    {
+        std::string answer;
+        run([&]() -> task<> {
+            tcp::socket socket(context);
+            co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), server.address().port}, asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+            boost::system::error_code error;
+            co_await asio::async_read(socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+        });
+        return answer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("http_server passes path arguments and bodies to the handler")
+{
+    server_fixture fixture;
+    CHECK(fixture.exchange({.method = "POST", .target = "/echo/a%20b", .body = "text"}).body == "a b:text");
+}
+
+TEST_CASE("http_server keeps the caller's request id")
+{
+    server_fixture fixture;
+    const http_request request{.target = "/stream", .fields = {{"X-Request-Id", "mine-1"}}};
+    CHECK(fixture.exchange(request).field("x-request-id") == "mine-1");
+}
+
+TEST_CASE("http_server answers 404 for an unknown path and 405 for an unknown method")
+{
+    server_fixture fixture;
+    CHECK(fixture.exchange({.target = "/nowhere"}).status == 404);
+    CHECK(fixture.exchange({.method = "DELETE", .target = "/stream"}).status == 405);
+}
+
+TEST_CASE("http_server answers 413 for a body over the limit, announced or not")
+{
+    server_fixture fixture;
+    CHECK(fixture.exchange({.method = "POST", .target = "/echo/a", .body = std::string(bodyLimit + 1, 'x')}).status == 413);
+    const std::string chunk = "65\r\n" + std::string(bodyLimit + 1, 'x') + "\r\n0\r\n\r\n";
+    CHECK(fixture.raw("POST /echo/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk).find("413") != std::string::npos);
+}
+
+TEST_CASE("http_server answers 431 for a head over the limit and 400 for one that is not HTTP")
+{
+    server_fixture fixture;
+    CHECK(fixture.raw("GET /stream HTTP/1.1\r\nX: " + std::string(4096, 'x') + "\r\n\r\n").find("431") != std::string::npos);
+    CHECK(fixture.raw("nonsense\r\n\r\n").find("400") != std::string::npos);
+}
+
+TEST_CASE("http_client streams an answer to its end")
+{
+    server_fixture fixture;
+    std::string text;
+    fixture.run([&]() -> task<> {
+        http_client::stream_handler handler;
+        handler.onHead = [](unsigned, const std::vector<http_field> &) -> task<> {
+            co_return;
+        };
+        handler.onPiece = [&](std::string_view piece) -> task<> {
+            text += piece;
+            co_return;
+        };
+        http_request request{.target = "/stream"};
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeout, handler, nullptr);
+    });
+    CHECK(text == "one two");
+}
+
+TEST_CASE("http_client reports a cut answer as an error after sending")
+{
+    server_fixture fixture;
+    try {
+        fixture.exchange({.target = "/cut"});
+        FAIL("expected http_error, found a whole answer");
+    } catch (const http_error &error) {
+        CHECK(error.sent() == sent_state::MaybeSent);
+    }
+}
+
+TEST_CASE("http_client reports a refused connection as not sent")
+{
+    server_fixture fixture;
+    fixture.server.stopAccepting();
+    const endpoint closed{.address = "127.0.0.1", .port = 1};
+    try {
+        fixture.run([&]() -> task<> {
+            http_request request;
+            co_await fixture.client.exchange(closed, std::move(request), generousTimeout);
+        });
+        FAIL("expected http_error, found an answer");
+    } catch (const http_error &error) {
+        CHECK(error.sent() == sent_state::NotSent);
+    }
+}
+
+TEST_CASE("http_server tells a handler that its peer has gone")
+{
+    server_fixture fixture;
+    auto cancellation = std::make_shared<http_cancellation>();
+    CHECK_THROWS_AS(fixture.run([&]() -> task<> {
+        asio::steady_timer soon(fixture.context, std::chrono::milliseconds(20));
+        soon.async_wait([&](boost::system::error_code) {
+            cancellation->cancel();
+        });
+        http_request request{.target = "/wait"};
+        http_client::stream_handler handler;
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeout, handler, cancellation);
+    }),
+                    http_error);
+    fixture.context.restart();
+    while (!fixture.disconnected) {
+        fixture.context.run_one();
+    }
+    CHECK(fixture.disconnected);
+}
