Add a first dispatcher and cell router

The thin path of the daemon needs something correct to run on; preemption, adaptive limits and the other policies follow one by one.

--- /dev/null
+++ b/core/src/cell_router.cpp
@@ -0,0 +1,151 @@
+#include "banyan/core/cell_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace banyan {
+
+namespace {
+
+/// What is known of one cell.
+struct cell_state
+{
+    cell_load load;
+    time_point reportedAt;
+    double sentSince = 0; ///< Requests that this node has sent since the last report.
+    time_point avoidedUntil;
+};
+
+constexpr double LocalDomainAdvantage = 0.25; ///< In units of busyness: how much busier a local cell may be and still win.
+
+/// 2^(-age / half-life).
+double weightOfAge(duration age, duration halfLife)
+{
+    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
+}
+
+} // namespace
+
+class cell_router::implementation
+{
+public:
+    explicit implementation(const cell_router_options &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+    }
+
+    void setCells(std::span<const cell_id> cells)
+    {
+        std::map<cell_id, cell_state> kept;
+        for (const cell_id &cell : cells) {
+            const auto known = m_cells.find(cell);
+            kept[cell] = known == m_cells.end() ? cell_state() : known->second;
+        }
+        m_cells = std::move(kept);
+    }
+
+    std::optional<cell_id> choose(const pool_name &pool, const dispatch_request &request, std::span<const cell_id> excluded, time_point now)
+    {
+        const std::vector<cell_id> candidates = candidatesOf(pool, excluded, now);
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        const cell_id first = pick(candidates, true);
+        const cell_id second = pick(candidates, false);
+        const cell_id &chosen = score(first, request.workClass, now) <= score(second, request.workClass, now) ? first : second;
+        m_cells[chosen].sentSince += 1;
+        return chosen;
+    }
+
+    void loadReported(const cell_id &cell, const cell_load &load, time_point now)
+    {
+        const auto entry = m_cells.find(cell);
+        if (entry != m_cells.end()) {
+            entry->second = {.load = load, .reportedAt = now, .sentSince = 0, .avoidedUntil = {}};
+        }
+    }
+
+    void unreachable(const cell_id &cell, time_point now)
+    {
+        const auto entry = m_cells.find(cell);
+        if (entry != m_cells.end()) {
+            entry->second.avoidedUntil = now + m_options.penalty;
+        }
+    }
+
+private:
+    /// The cells of @p pool that are not excluded; those being avoided only if there are no others.
+    [[nodiscard]] std::vector<cell_id> candidatesOf(const pool_name &pool, std::span<const cell_id> excluded, time_point now) const
+    {
+        std::vector<cell_id> preferred;
+        std::vector<cell_id> avoided;
+        for (const auto &[cell, state] : m_cells) {
+            if (cell.pool == pool && std::find(excluded.begin(), excluded.end(), cell) == excluded.end()) {
+                (state.avoidedUntil > now ? avoided : preferred).push_back(cell);
+            }
+        }
+        return preferred.empty() ? avoided : preferred;
+    }
+
+    /// A random cell of @p candidates; of the local failure domain if wished and if there is one.
+    [[nodiscard]] cell_id pick(const std::vector<cell_id> &candidates, bool local)
+    {
+        std::vector<cell_id> pool;
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(pool), [&](const cell_id &cell) {
+            return !local || cell.domain == m_options.localDomain;
+        });
+        const std::vector<cell_id> &from = pool.empty() ? candidates : pool;
+        std::uniform_int_distribution<std::size_t> index(0, from.size() - 1);
+        return from[index(m_random)];
+    }
+
+    /// Busyness as a share of the cell's slots; lower is better. Batch work counts for batch requests only.
+    [[nodiscard]] double score(const cell_id &cell, work_class value, time_point now) const
+    {
+        const cell_state &state = m_cells.at(cell);
+        double work = state.load.onlineQueued + state.load.onlineInFlight;
+        if (value == work_class::Batch) {
+            work += state.load.batchQueued + state.load.batchInFlight;
+        }
+        const double weight = weightOfAge(now - state.reportedAt, m_options.loadHalfLife);
+        const double slots = std::max(1U, state.load.slots);
+        const double remote = cell.domain == m_options.localDomain ? 0 : LocalDomainAdvantage;
+        return (weight * work + state.sentSince) / slots + remote;
+    }
+
+    cell_router_options m_options;
+    std::mt19937_64 m_random;
+    std::map<cell_id, cell_state> m_cells;
+};
+
+cell_router::cell_router(const cell_router_options &options)
+    : m_implementation(std::make_unique<implementation>(options))
+{
+}
+
+cell_router::~cell_router() = default;
+
+void cell_router::setCells(std::span<const cell_id> cells)
+{
+    m_implementation->setCells(cells);
+}
+
+std::optional<cell_id>
+cell_router::choose(const pool_name &pool, const dispatch_request &request, std::span<const cell_id> excluded, time_point now)
+{
+    return m_implementation->choose(pool, request, excluded, now);
+}
+
+void cell_router::loadReported(const cell_id &cell, const cell_load &load, time_point now)
+{
+    m_implementation->loadReported(cell, load, now);
+}
+
+void cell_router::unreachable(const cell_id &cell, time_point now)
+{
+    m_implementation->unreachable(cell, now);
+}
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/dispatcher_state.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "banyan/core/attempt_id.h"
+#include "banyan/core/dispatch_request.h"
+#include "banyan/core/time.h"
+#include "banyan/core/upstream_info.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace banyan {
+
+/// Where a request stands in a dispatcher.
+enum class request_phase {
+    Queued,
+    BackingOff, ///< Waits for its retry time.
+    InFlight,
+};
+
+/// A request between submit and finish.
+struct request_state
+{
+    dispatch_request request;
+    time_point submittedAt;
+    request_phase phase = request_phase::Queued;
+    std::vector<attempt_id> attempts; ///< In flight.
+    std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
+    std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
+    bool mayHaveRun = false; ///< Some attempt may have reached an upstream.
+    std::set<upstream_id> tried; ///< Upstreams where an attempt failed.
+    std::optional<time_point> retryAt;
+};
+
+/// An attempt between start and end.
+struct attempt_state
+{
+    request_id request;
+    upstream_id upstream;
+    time_point startedAt;
+    std::optional<time_point> firstByteAt;
+    bool hedge = false;
+};
+
+/// An upstream of the cell, or one that has left it and still runs attempts.
+struct upstream_state
+{
+    upstream_info info;
+    std::uint32_t onlineInFlight = 0;
+    std::uint32_t batchInFlight = 0;
+    std::uint32_t limit = 0; ///< Requests that it may hold at once.
+};
+
+} // namespace banyan
