--- /dev/null
+++ b/core/src/json_object_reader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyan {
+
+/// Reads a JSON object strictly: each field has the expected type and range, and none is unknown.
+///
+/// Errors name the field by its path, what was expected and what was found.
+/// @code
+/// json_object_reader reader(value, "services.advisory");
+/// const bool durable = reader.boolean("durable", false);
+/// reader.finish(); // refuses fields that were not asked for
+/// @endcode
+/// All functions throw configuration_error.
+class json_object_reader
+{
+public:
+    /// @param value must be an object and outlive the reader
+    json_object_reader(const boost::json::value &value, std::string path);
+
+    /// A field of any type; null if it is absent.
+    [[nodiscard]] const boost::json::value *find(std::string_view name);
+    [[nodiscard]] std::string text(std::string_view name);
+    [[nodiscard]] std::string text(std::string_view name, std::string_view fallback);
+    [[nodiscard]] bool boolean(std::string_view name, bool fallback);
+    [[nodiscard]] std::uint64_t integer(std::string_view name, std::uint64_t least, std::uint64_t most, std::uint64_t fallback);
+    /// A positive number up to @p most.
+    [[nodiscard]] std::optional<double> positiveNumber(std::string_view name, double most);
+    /// The elements of an array of at most @p most elements; none if the field is absent.
+    [[nodiscard]] std::vector<const boost::json::value *> array(std::string_view name, std::size_t most);
+
+    /// The path of a field, for error messages.
+    [[nodiscard]] std::string pathOf(std::string_view name) const;
+
+    /// Refuses the object if it has a field that was not asked for.
+    void finish() const;
+
+private:
+    const boost::json::object *m_object;
+    std::string m_path;
+    std::vector<std::string_view> m_known;
+};
+
+/// Throws a configuration_error in the house form.
+[[noreturn]] void refuseField(const std::string &path, std::string_view expected, std::string_view found);
+
+/// The value as an error message shows it: shortened JSON.
+[[nodiscard]] std::string describe(const boost::json::value &value);
+
+} // namespace banyan
