--- a/io/include/banyan/io/run_request.h
+++ b/io/include/banyan/io/run_request.h
@@ -16,6 +16,8 @@
     pool_name pool; ///< Upstreams that may run it.
     http_request message; ///< As it is sent to the upstream.
     std::string recordKey; ///< Row of its durable record, whose start is committed before a request not to be repeated is sent; else empty.
+    bool startRecorded =
+        false; ///< Its start is committed already and nothing has been sent since, so that it may be sent without another commit.
     std::uint64_t fencingNumber = 0; ///< Sent to upstreams as X-Fencing-Number where it is not 0.
 
     auto operator<=>(const run_request &) const = default;
--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -42,6 +42,7 @@
   body @14 :Data;
   recordKey @15 :Text;
   fencingNumber @16 :UInt64;
+  startRecorded @17 :Bool;
 }
 
 struct RunResult {
@@ -50,6 +51,7 @@
   retryAfterMicros @2 :Int64;     # Negative: none.
   load @3 :CellLoad;
   trace @4 :Text;                 # What was decided, for the explain call.
+  startRecorded @5 :Bool;
 }
 
 interface AnswerSink {
--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -732,6 +732,8 @@
 
   inline  ::uint64_t getFencingNumber() const;
 
+  inline bool getStartRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -847,6 +849,9 @@
   inline  ::uint64_t getFencingNumber();
   inline void setFencingNumber( ::uint64_t value);
 
+  inline bool getStartRecorded();
+  inline void setStartRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -903,6 +908,8 @@
   inline bool hasTrace() const;
   inline  ::capnp::Text::Reader getTrace() const;
 
+  inline bool getStartRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -954,6 +961,9 @@
   inline void adoptTrace(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTrace();
 
+  inline bool getStartRecorded();
+  inline void setStartRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2962,6 +2972,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunRequest::Reader::getStartRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunRequest::Builder::getStartRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RunRequest::Builder::setStartRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t RunResult::Reader::getDisposition() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3077,6 +3101,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RunResult::Reader::getStartRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunResult::Builder::getStartRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void RunResult::Builder::setStartRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/io/src/upstream_attempt.cpp
@@ -0,0 +1,137 @@
+#include "upstream_attempt.h"
+
+#include "banyan/io/http_error.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <charconv>
+
+namespace banyan {
+
+namespace {
+
+constexpr std::size_t highWaterBytes = std::size_t(256) << 10; // Buffered for a slow reader before the upstream is slowed down.
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned serviceUnavailable = 503;
+constexpr unsigned firstErrorStatus = 400;
+constexpr unsigned firstServerErrorStatus = 500;
+constexpr std::int64_t longestRetryAfterSeconds = 3600;
+
+bool isRefusal(unsigned status)
+{
+    return status == tooManyRequests || status == serviceUnavailable;
+}
+
+bool isForCaller(unsigned status)
+{
+    return status < firstServerErrorStatus && !isRefusal(status);
+}
+
+std::optional<duration> retryAfterOf(const std::vector<http_field> &fields)
+{
+    for (const http_field &field : fields) {
+        std::int64_t seconds = 0;
+        const char *const end = field.value.data() + field.value.size();
+        if (boost::beast::iequals(field.name, "Retry-After") && std::from_chars(field.value.data(), end, seconds).ptr == end
+            && seconds >= 0) {
+            return std::chrono::seconds(std::min(seconds, longestRetryAfterSeconds));
+        }
+    }
+    return std::nullopt;
+}
+
+attempt_outcome outcomeOf(const http_error &error)
+{
+    if (error.sent() == sent_state::NotSent) {
+        return attempt_outcome::NotSent;
+    }
+    return error.timedOut() ? attempt_outcome::TimedOut : attempt_outcome::Lost;
+}
+
+} // namespace
+
+upstream_attempt::upstream_attempt(asio::io_context &context, const start_attempt &order, endpoint address)
+    : m_order(order)
+    , m_address(std::move(address))
+    , m_drained(context)
+{
+}
+
+http_client::stream_handler upstream_attempt::makeHandler(std::size_t maximumBuffered, observer watcher)
+{
+    http_client::stream_handler handler;
+    handler.onHead = [this, watcher](unsigned status, const std::vector<http_field> &fields) -> task<> {
+        m_status = status;
+        m_fields = fields;
+        if (isForCaller(status)) {
+            m_headSeen = true;
+            watcher.onFirstByte();
+        }
+        co_return;
+    };
+    handler.onPiece = [this, watcher, maximumBuffered](std::string_view piece) -> task<> {
+        if (!m_headSeen || m_cancelled) {
+            co_return;
+        }
+        m_pieces += piece;
+        if (m_pieces.size() > maximumBuffered) {
+            throw http_error(sent_state::MaybeSent, false, "answer is larger than may be buffered");
+        }
+        watcher.onData();
+        while (m_chosen && !m_cancelled && m_pieces.size() > highWaterBytes) {
+            co_await m_drained.wait();
+        }
+    };
+    return handler;
+}
+
+attempt_result upstream_attempt::resultOfAnswer() const
+{
+    if (isRefusal(m_status)) {
+        return {.outcome = attempt_outcome::Refused, .retryAfter = retryAfterOf(m_fields)};
+    }
+    if (m_status >= firstServerErrorStatus) {
+        return {.outcome = attempt_outcome::Failed};
+    }
+    return {.outcome = m_status >= firstErrorStatus ? attempt_outcome::Answered : attempt_outcome::Succeeded};
+}
+
+task<attempt_result> upstream_attempt::send(http_client &client, http_request request, std::size_t maximumBuffered, observer watcher)
+{
+    attempt_result result;
+    try {
+        http_client::stream_handler handler = makeHandler(maximumBuffered, std::move(watcher));
+        co_await client.stream(m_address, std::move(request), m_order.timeout, std::move(handler), m_cancellation);
+        result = resultOfAnswer();
+    } catch (const http_error &error) {
+        result.outcome = outcomeOf(error);
+    } catch (const std::exception &) {
+        result.outcome = attempt_outcome::Lost;
+    }
+    if (m_cancelled && result.outcome == attempt_outcome::Lost) {
+        result.outcome = attempt_outcome::Cancelled;
+    }
+    co_return result;
+}
+
+void upstream_attempt::cancel()
+{
+    m_cancelled = true;
+    m_pieces.clear();
+    m_drained.notify();
+    m_cancellation->cancel();
+}
+
+void upstream_attempt::choose()
+{
+    m_chosen = true;
+}
+
+std::string upstream_attempt::takePieces()
+{
+    std::string pieces = std::exchange(m_pieces, {});
+    m_drained.notify();
+    return pieces;
+}
+
+} // namespace banyan
