--- a/core/src/cell_router.cpp
+++ b/core/src/cell_router.cpp
@@ -17,7 +17,7 @@
     time_point avoidedUntil;
 };
 
-constexpr double LocalDomainAdvantage = 0.25; ///< In units of busyness: how much busier a local cell may be and still win.
+constexpr double localDomainAdvantage = 0.25; ///< In units of busyness: how much busier a local cell may be and still win.
 
 /// 2^(-age / half-life).
 double weightOfAge(duration age, duration halfLife)
@@ -111,7 +111,7 @@
         }
         const double weight = weightOfAge(now - state.reportedAt, m_options.loadHalfLife);
         const double slots = std::max(1U, state.load.slots);
-        const double remote = cell.domain == m_options.localDomain ? 0 : LocalDomainAdvantage;
+        const double remote = cell.domain == m_options.localDomain ? 0 : localDomainAdvantage;
         return (weight * work + state.sentSince) / slots + remote;
     }
 
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr duration FirstRetryDelay = std::chrono::milliseconds(20);
-constexpr duration OverloadRetryAfter = std::chrono::seconds(1);
-constexpr duration NoUpstreamRetryAfter = std::chrono::seconds(2);
-constexpr duration DrainRetryAfter = std::chrono::milliseconds(0);
+constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
+constexpr duration overloadRetryAfter = std::chrono::seconds(1);
+constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
+constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
 /// Whether an attempt that ended so has certainly not run.
 bool certainlyNotRun(attempt_outcome outcome)
@@ -108,7 +108,7 @@
         return upstream.info.leaving && upstream.onlineInFlight + upstream.batchInFlight == 0;
     });
     if (!hasUsableUpstream()) {
-        finishQueued(end_reason::NoUpstream, NoUpstreamRetryAfter);
+        finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
     return takeActions();
@@ -126,13 +126,13 @@
     const bool online = request.workClass == work_class::Online;
     const std::size_t queueLimit = online ? m_options.onlineQueueLimit : m_options.batchQueueLimit;
     if (m_draining) {
-        finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = DrainRetryAfter});
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
     } else if (!hasUsableUpstream()) {
-        finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = NoUpstreamRetryAfter});
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
-        finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = OverloadRetryAfter});
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
     } else {
         m_timers.add({.due = request.deadline, .kind = timer_kind::Deadline, .request = request.id});
         queueOf(request.workClass).push(request);
@@ -320,9 +320,9 @@
     } else if (!request.attempts.empty()) {
         return;
     } else if (!hasUsableUpstream()) {
-        finishWithoutAnswer(request, end_reason::NoUpstream, NoUpstreamRetryAfter);
+        finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
     } else if (request.failedAttempts >= m_options.maximumAttempts) {
-        finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(OverloadRetryAfter));
+        finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
     } else {
         retryLater(request, now);
     }
@@ -331,7 +331,7 @@
 void dispatcher::implementation::retryLater(request_state &request, time_point now)
 {
     request.phase = request_phase::BackingOff;
-    request.retryAt = now + FirstRetryDelay * (1U << std::min(request.failedAttempts - 1, 6U));
+    request.retryAt = now + firstRetryDelay * (1U << std::min(request.failedAttempts - 1, 6U));
     m_timers.add({.due = *request.retryAt, .kind = timer_kind::Retry, .request = request.request.id});
 }
 
@@ -349,7 +349,7 @@
 dispatch_actions dispatcher::implementation::drain(time_point)
 {
     m_draining = true;
-    finishQueued(end_reason::Draining, DrainRetryAfter);
+    finishQueued(end_reason::Draining, drainRetryAfter);
     return takeActions();
 }
 
