Add group commit under a lease, with fencing numbers and read-back

One row is lease, heartbeat and commit sequence: each transaction of a holder requires the version that its last one left and writes its own id there. Weighed: a separate commit-sequence row (one more row for each transaction, and a window between lease and sequence), and conditions on the lease row without writing it (a renewal would fail transactions in flight, and a lost answer could not be settled). Lapse is judged by an unchanged version on the observer's own clock, so clocks of VMs need not agree.

--- /dev/null
+++ b/core/include/banyan/core/lease_observer.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "banyan/core/time.h"
+#include "banyan/core/transaction.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace banyan {
+
+/// Tells when a lease has lapsed, without comparing clocks of two VMs: its row must have kept the same version for the
+/// whole lease duration on the observer's own clock.
+///
+/// @code
+/// lease_observer observer(std::chrono::seconds(10));
+/// observer.observe(row, now);         // at each reading
+/// if (observer.lapsed(row.key, now))  // then acquire it, conditional on row.version
+/// @endcode
+class lease_observer
+{
+public:
+    explicit lease_observer(duration leaseDuration)
+        : m_leaseDuration(leaseDuration)
+    {
+    }
+
+    /// Takes in the row as just read. @p now is the time before the read was sent.
+    void observe(const row &lease, time_point now);
+
+    /// Forgets a row that is gone or needs no watching.
+    void forget(const std::string &key);
+
+    /// Whether the row has been seen with one version for the lease duration.
+    [[nodiscard]] bool lapsed(const std::string &key, time_point now) const;
+
+    /// Rows being watched.
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_seen.size();
+    }
+
+private:
+    struct sighting
+    {
+        row_version version = 0;
+        time_point firstSeen;
+        time_point lastSeen;
+    };
+
+    duration m_leaseDuration;
+    std::map<std::string, sighting> m_seen;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/group_committer.cpp
@@ -0,0 +1,461 @@
+#include "banyan/core/group_committer.h"
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+/// Share of the lease duration after which it is renewed.
+constexpr int renewalsPerDuration = 3;
+constexpr unsigned maximumDoublings = 10;
+
+std::size_t bytesOf(const commit_item &item)
+{
+    std::size_t bytes = item.owns.size();
+    for (const row_condition &condition : item.conditions) {
+        bytes += condition.key.size();
+    }
+    for (const row_write &write : item.writes) {
+        bytes += write.key.size() + write.value.value_or("").size();
+    }
+    return bytes;
+}
+
+/// Adds the item's keys to @p keys; false if one of them was there before.
+bool addKeys(const commit_item &item, std::set<std::string> &keys)
+{
+    std::set<std::string> own;
+    for (const row_condition &condition : item.conditions) {
+        own.insert(condition.key);
+    }
+    for (const row_write &write : item.writes) {
+        own.insert(write.key);
+    }
+    const bool clash = std::any_of(own.begin(), own.end(), [&keys](const std::string &key) {
+        return keys.contains(key);
+    });
+    keys.merge(own);
+    return !clash;
+}
+
+/// The lease that a row holds; none if it is absent or not a lease.
+std::optional<lease_row> leaseIn(const std::optional<row> &source)
+{
+    if (!source) {
+        return std::nullopt;
+    }
+    try {
+        return parseLeaseRow(source->value);
+    } catch (const std::invalid_argument &) {
+        return std::nullopt;
+    }
+}
+
+bool hasFailed(const commit_item &item, const std::vector<std::string> &failedKeys)
+{
+    return std::any_of(item.conditions.begin(), item.conditions.end(), [&failedKeys](const row_condition &condition) {
+        return std::find(failedKeys.begin(), failedKeys.end(), condition.key) != failedKeys.end();
+    });
+}
+
+} // namespace
+
+group_committer::group_committer(group_committer_options options)
+    : m_options(std::move(options))
+    , m_bucket(m_options.commitsPerSecond, m_options.burst)
+    , m_index(m_options.ownedPrefix)
+{
+}
+
+commit_ticket group_committer::acquire(const std::optional<row> &seen, commit_item first, time_point now)
+{
+    m_version = seen ? seen->version : 0;
+    m_lease = leaseIn(seen).value_or(lease_row{});
+    m_status = lease_status::Acquiring;
+    m_releaseWanted = false;
+    m_renewedAt = time_point{};
+    const commit_ticket ticket{m_nextTicket++};
+    std::vector<pending_item> items;
+    items.push_back({.ticket = ticket, .item = std::move(first)});
+    addContent(std::move(items), now);
+    return ticket;
+}
+
+void group_committer::release()
+{
+    if (m_status == lease_status::Held) {
+        m_status = lease_status::Releasing;
+    }
+    m_releaseWanted = true;
+}
+
+commit_ticket group_committer::submit(commit_item item)
+{
+    if (bytesOf(item) > m_options.maximumBytes || item.writes.size() > m_options.maximumWrites) {
+        throw std::invalid_argument("commit item: expected at most " + std::to_string(m_options.maximumBytes) + " bytes in "
+                                    + std::to_string(m_options.maximumWrites) + " rows, found " + std::to_string(bytesOf(item)) + " in "
+                                    + std::to_string(item.writes.size()));
+    }
+    pending_item pending{.ticket = {m_nextTicket++}, .item = std::move(item)};
+    const commit_ticket ticket = pending.ticket;
+    if (m_status == lease_status::Lost || m_status == lease_status::NotHeld) {
+        finish(pending, commit_status::LeaseLost);
+    } else if (pending.item.refuseWhenUnavailable && !storeAvailable()) {
+        finish(pending, commit_status::Unavailable);
+    } else {
+        m_queue.push_back(std::move(pending));
+    }
+    return ticket;
+}
+
+bool group_committer::renewalDue(time_point now) const
+{
+    const bool needed = m_options.keepAlive || m_index.size() > 0;
+    return m_status == lease_status::Held && needed && now - m_renewedAt >= m_options.leaseDuration / renewalsPerDuration;
+}
+
+bool group_committer::hasReason(time_point now) const
+{
+    if (m_status != lease_status::Held && m_status != lease_status::Releasing) {
+        return false;
+    }
+    return !m_queue.empty() || m_status == lease_status::Releasing || renewalDue(now);
+}
+
+std::optional<store_call> group_committer::nextCall(time_point now)
+{
+    if (m_call != call_state::None || now < m_retryAt || m_status == lease_status::Lost) {
+        return std::nullopt;
+    }
+    if (m_readBack) {
+        m_call = call_state::Reading;
+        return read_call{m_options.leaseKey};
+    }
+    if (m_tried.empty()) {
+        if (!hasReason(now) || !m_bucket.take(now)) {
+            return std::nullopt;
+        }
+        addContent(takeBatch(), now);
+    }
+    m_call = call_state::Committing;
+    return commit_call{transactionOf(m_tried.back())};
+}
+
+std::vector<group_committer::pending_item> group_committer::takeBatch()
+{
+    std::vector<pending_item> batch;
+    std::set<std::string> keys;
+    std::size_t bytes = 0;
+    std::size_t rows = 0;
+    while (!m_queue.empty()) {
+        const commit_item &next = m_queue.front().item;
+        bytes += bytesOf(next);
+        rows += next.writes.size();
+        const bool fits = batch.empty() || (bytes <= m_options.maximumBytes && rows <= m_options.maximumWrites);
+        if (!addKeys(next, keys) || !fits) {
+            break;
+        }
+        batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+void group_committer::addContent(std::vector<pending_item> items, time_point now)
+{
+    const bool acquiring = m_status == lease_status::Acquiring;
+    content next{.sequence = ++m_sequence, .items = std::move(items), .firstSent = now};
+    next.release = m_status == lease_status::Releasing && m_queue.empty();
+    next.lease.number = m_lease.number + (acquiring ? 1 : 0);
+    next.lease.holder = next.release ? std::string() : m_options.holder;
+    next.lease.previousTransaction = acquiring ? m_lease.transaction : m_lease.previousTransaction;
+    next.lease.transaction = m_options.holder + "-" + std::to_string(next.lease.number) + "-" + std::to_string(next.sequence);
+    m_tried.push_back(std::move(next));
+}
+
+namespace {
+
+template<typename Items>
+std::vector<std::string> namesOf(const Items &items, std::string commit_item::*member)
+{
+    std::vector<std::string> names;
+    for (const auto &pending : items) {
+        if (!(pending.item.*member).empty()) {
+            names.push_back(pending.item.*member);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+transaction group_committer::transactionOf(const content &tried) const
+{
+    const std::vector<std::string> owned = namesOf(tried.items, &commit_item::owns);
+    const std::vector<std::string> disowned = namesOf(tried.items, &commit_item::disowns);
+    lease_row lease = tried.lease;
+    lease.idle = !m_options.keepAlive && m_index.emptyAfter(owned, disowned);
+    transaction change{.id = lease.transaction, .conditions = {{.key = m_options.leaseKey, .version = m_version}}};
+    const bool remove = tried.release && m_options.removeOnRelease;
+    change.writes.push_back({.key = m_options.leaseKey, .value = remove ? std::nullopt : std::optional(encodeLeaseRow(lease))});
+    for (const row_write &write : m_index.writesFor(tried.sequence, owned, disowned)) {
+        change.writes.push_back(write);
+    }
+    for (const pending_item &pending : tried.items) {
+        change.conditions.insert(change.conditions.end(), pending.item.conditions.begin(), pending.item.conditions.end());
+        change.writes.insert(change.writes.end(), pending.item.writes.begin(), pending.item.writes.end());
+    }
+    return change;
+}
+
+bool group_committer::maybeApplied() const
+{
+    return std::any_of(m_tried.begin(), m_tried.end(), [](const content &tried) {
+        return tried.maybeApplied;
+    });
+}
+
+void group_committer::commitAnswered(const commit_result &result, time_point now)
+{
+    m_call = call_state::None;
+    m_failures = 0;
+    if (result.committed) {
+        applied(content(m_tried.back()), result.version);
+        return;
+    }
+    const auto &failed = result.failedKeys;
+    if (maybeApplied() || std::find(failed.begin(), failed.end(), m_options.leaseKey) != failed.end()) {
+        m_conflicts = failed;
+        m_readBack = true;
+        return;
+    }
+    dropConflicting(failed, now);
+}
+
+void group_committer::commitFailed(commit_failure failure, time_point now)
+{
+    m_call = call_state::None;
+    if (failure == commit_failure::OutcomeUnknown) {
+        m_retryAt = maybeApplied() ? now + m_options.retryDelay : m_retryAt;
+        m_tried.back().maybeApplied = true;
+        m_readBack = true;
+        return;
+    }
+    failed(now);
+    if (maybeApplied()) {
+        m_readBack = true;
+    } else if (m_status != lease_status::Acquiring) {
+        std::vector<pending_item> items = std::move(m_tried.back().items);
+        m_tried.clear();
+        returnToQueue(std::move(items));
+    }
+    refuseWaiting();
+}
+
+void group_committer::readFailed(time_point now)
+{
+    m_call = call_state::None;
+    failed(now);
+    refuseWaiting();
+}
+
+void group_committer::readAnswered(const std::optional<row> &answer, time_point now)
+{
+    m_call = call_state::None;
+    m_failures = 0;
+    m_readBack = false;
+    const row_version version = answer ? answer->version : 0;
+    if (version == m_version) {
+        const std::vector<std::string> conflicts = std::exchange(m_conflicts, {});
+        dropConflicting(conflicts, now);
+        return;
+    }
+    m_conflicts.clear();
+    const std::optional<lease_row> found = leaseIn(answer);
+    for (const content &tried : m_tried) {
+        if (found && found->transaction == tried.lease.transaction) {
+            applied(content(tried), version);
+            return;
+        }
+        if (found && found->previousTransaction == tried.lease.transaction) {
+            applied(content(tried), version);
+            lost(true);
+            return;
+        }
+        if (!answer && tried.release && m_options.removeOnRelease) {
+            applied(content(tried), version);
+            return;
+        }
+    }
+    lost(certainlyNotApplied(found));
+}
+
+bool group_committer::certainlyNotApplied(const std::optional<lease_row> &found) const
+{
+    if (!maybeApplied()) {
+        return true;
+    }
+    const std::uint64_t successor = m_lease.number + 1;
+    return found && found->number <= successor;
+}
+
+void group_committer::dropConflicting(const std::vector<std::string> &failedKeys, time_point now)
+{
+    if (failedKeys.empty()) {
+        return;
+    }
+    const bool undecided = maybeApplied();
+    std::vector<pending_item> kept;
+    for (const pending_item &pending : m_tried.back().items) {
+        if (!hasFailed(pending.item, failedKeys)) {
+            kept.push_back(pending);
+        } else if (!undecided) {
+            finish(pending, commit_status::Conflict);
+        }
+    }
+    if (undecided) {
+        addContent(std::move(kept), now);
+        return;
+    }
+    m_tried.clear();
+    if (m_status == lease_status::Acquiring) {
+        m_status = lease_status::NotHeld;
+        endQueue();
+        return;
+    }
+    returnToQueue(std::move(kept));
+}
+
+void group_committer::applied(const content &tried, row_version version)
+{
+    for (const pending_item &pending : tried.items) {
+        finish(pending, commit_status::Committed, version);
+    }
+    finishOthers(tried);
+    m_index.applied(tried.sequence, namesOf(tried.items, &commit_item::owns), namesOf(tried.items, &commit_item::disowns));
+    m_tried.clear();
+    m_version = version;
+    m_lease = tried.lease;
+    m_renewedAt = tried.firstSent;
+    if (tried.release) {
+        m_status = lease_status::NotHeld;
+        endQueue();
+    } else {
+        m_status = m_releaseWanted ? lease_status::Releasing : lease_status::Held;
+    }
+}
+
+void group_committer::finishOthers(const content &tried)
+{
+    std::set<commit_ticket> finished;
+    for (const pending_item &pending : tried.items) {
+        finished.insert(pending.ticket);
+    }
+    for (const pending_item &pending : m_tried.front().items) {
+        if (!finished.contains(pending.ticket)) {
+            finish(pending, commit_status::Conflict);
+        }
+    }
+}
+
+void group_committer::lost(bool notAppliedForSure)
+{
+    if (!m_tried.empty()) {
+        for (const pending_item &pending : m_tried.front().items) {
+            finish(pending, notAppliedForSure ? commit_status::LeaseLost : commit_status::Unknown);
+        }
+    }
+    endQueue();
+    m_tried.clear();
+    m_index = ownership_index(m_options.ownedPrefix);
+    m_status = lease_status::Lost;
+}
+
+void group_committer::endQueue()
+{
+    for (const pending_item &pending : m_queue) {
+        finish(pending, commit_status::LeaseLost);
+    }
+    m_queue.clear();
+}
+
+void group_committer::refuseWaiting()
+{
+    std::deque<pending_item> kept;
+    for (pending_item &pending : m_queue) {
+        if (pending.item.refuseWhenUnavailable) {
+            finish(pending, commit_status::Unavailable);
+        } else {
+            kept.push_back(std::move(pending));
+        }
+    }
+    m_queue = std::move(kept);
+}
+
+void group_committer::returnToQueue(std::vector<pending_item> items)
+{
+    for (auto item = items.rbegin(); item != items.rend(); ++item) {
+        m_queue.push_front(std::move(*item));
+    }
+}
+
+void group_committer::failed(time_point now)
+{
+    m_retryAt = now + retryAfter();
+    ++m_failures;
+}
+
+duration group_committer::retryAfter() const
+{
+    const duration delay = m_options.retryDelay * (1U << std::min(m_failures, maximumDoublings));
+    return std::min(delay, m_options.maximumRetryDelay);
+}
+
+void group_committer::finish(const pending_item &item, commit_status status, row_version version)
+{
+    m_outcomes.push_back({.ticket = item.ticket, .status = status, .version = version});
+}
+
+std::vector<commit_outcome> group_committer::takeOutcomes()
+{
+    return std::exchange(m_outcomes, {});
+}
+
+std::optional<time_point> group_committer::nextWakeUp(time_point now) const
+{
+    if (m_call != call_state::None || m_status == lease_status::Lost || m_status == lease_status::NotHeld) {
+        return std::nullopt;
+    }
+    if (m_readBack || !m_tried.empty()) {
+        return std::max(m_retryAt, now);
+    }
+    if (hasReason(now)) {
+        return std::max(m_retryAt, m_bucket.nextToken(now));
+    }
+    if (m_options.keepAlive || m_index.size() > 0) {
+        return m_renewedAt + m_options.leaseDuration / renewalsPerDuration;
+    }
+    return std::nullopt;
+}
+
+void group_committer::setCommitsPerSecond(double rate, time_point now)
+{
+    m_bucket.setRate(rate, now);
+}
+
+bool group_committer::held(time_point now) const
+{
+    const bool mine = m_status == lease_status::Held || m_status == lease_status::Releasing;
+    return mine && now - m_renewedAt < m_options.leaseDuration;
+}
+
+std::size_t group_committer::waiting() const
+{
+    return m_queue.size() + (m_tried.empty() ? 0 : m_tried.front().items.size());
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/lease_session.cpp
@@ -0,0 +1,268 @@
+#include "banyan/io/lease_session.h"
+
+#include "banyan/io/log.h"
+#include "banyan/io/platform_error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+using never_timer = asio::steady_timer;
+
+/// One who waits for an item's outcome.
+struct outcome_waiter
+{
+    explicit outcome_waiter(asio::io_context &context)
+        : ready(context, never_timer::time_point::max())
+    {
+    }
+
+    never_timer ready;
+    std::optional<commit_outcome> outcome;
+};
+
+void notify(never_timer &timer)
+{
+    timer.expires_at(never_timer::time_point::min());
+}
+
+task<> waitFor(std::shared_ptr<outcome_waiter> waiter)
+{
+    while (!waiter->outcome) {
+        boost::system::error_code ignored;
+        co_await waiter->ready.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace
+
+class lease_session::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context &context, store_port port, group_committer_options options)
+        : m_context(context)
+        , m_port(std::move(port))
+        , m_leaseKey(options.leaseKey)
+        , m_committer(std::move(options))
+    {
+    }
+
+    std::shared_ptr<outcome_waiter> acquire(const std::optional<row> &seen, commit_item first)
+    {
+        const commit_ticket ticket = m_committer.acquire(seen, std::move(first), m_port.now());
+        return track(ticket);
+    }
+
+    std::shared_ptr<outcome_waiter> submit(commit_item item)
+    {
+        return track(m_committer.submit(std::move(item)));
+    }
+
+    void release()
+    {
+        m_committer.release();
+        step();
+    }
+
+    void setCommitsPerSecond(double rate)
+    {
+        m_committer.setCommitsPerSecond(rate, m_port.now());
+        step();
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_lostHandler = nullptr;
+    }
+
+    /// Starts the next call if one is due, else sees to it that this is called again in time.
+    void step()
+    {
+        if (m_stopped) {
+            return;
+        }
+        const std::optional<store_call> call = m_committer.nextCall(m_port.now());
+        if (call) {
+            asio::co_spawn(m_context, perform(shared_from_this(), *call), asio::detached);
+        }
+        deliver();
+        scheduleWakeUp();
+    }
+
+    asio::io_context &m_context;
+    store_port m_port;
+    std::string m_leaseKey;
+    group_committer m_committer;
+    std::function<void()> m_lostHandler;
+
+private:
+    std::shared_ptr<outcome_waiter> track(commit_ticket ticket)
+    {
+        auto waiter = std::make_shared<outcome_waiter>(m_context);
+        m_waiters.emplace(ticket, waiter);
+        step();
+        return waiter;
+    }
+
+    static task<> perform(std::shared_ptr<implementation> self, store_call call)
+    {
+        if (const auto *commit = std::get_if<commit_call>(&call)) {
+            co_await performCommit(self, commit->change);
+        } else {
+            co_await performRead(self, std::get<read_call>(call).key);
+        }
+        self->step();
+    }
+
+    static task<> performCommit(std::shared_ptr<implementation> self, transaction change)
+    {
+        std::optional<commit_failure> failure;
+        try {
+            const commit_result result = co_await self->m_port.commit(std::move(change));
+            self->m_committer.commitAnswered(result, self->m_port.now());
+        } catch (const platform_unavailable &error) {
+            failure = commit_failure::Unavailable;
+            self->logFailure("lease_commit_unavailable", error);
+        } catch (const platform_outcome_unknown &error) {
+            failure = commit_failure::OutcomeUnknown;
+            self->logFailure("lease_commit_unknown", error);
+        }
+        if (failure) {
+            self->m_committer.commitFailed(*failure, self->m_port.now());
+        }
+    }
+
+    static task<> performRead(std::shared_ptr<implementation> self, std::string key)
+    {
+        bool answered = false;
+        try {
+            const std::optional<row> answer = co_await self->m_port.read(std::move(key));
+            answered = true;
+            self->m_committer.readAnswered(answer, self->m_port.now());
+        } catch (const platform_unavailable &error) {
+            self->logFailure("lease_read_unavailable", error);
+        }
+        if (!answered) {
+            self->m_committer.readFailed(self->m_port.now());
+        }
+    }
+
+    void logFailure(std::string_view event, const std::exception &error) const
+    {
+        logEvent(log_level::Warning, event, {{"lease", m_leaseKey}, {"error", error.what()}});
+    }
+
+    void deliver()
+    {
+        for (const commit_outcome &outcome : m_committer.takeOutcomes()) {
+            const auto found = m_waiters.find(outcome.ticket);
+            if (found != m_waiters.end()) {
+                found->second->outcome = outcome;
+                notify(found->second->ready);
+                m_waiters.erase(found);
+            }
+        }
+        if (m_committer.status() == lease_status::Lost && m_lostHandler) {
+            logEvent(log_level::Warning, "lease_lost", {{"lease", m_leaseKey}});
+            std::exchange(m_lostHandler, nullptr)();
+        }
+    }
+
+    void scheduleWakeUp()
+    {
+        const time_point now = m_port.now();
+        const std::optional<time_point> wanted = m_committer.nextWakeUp(now);
+        if (!wanted || (m_wakeUp && *m_wakeUp <= *wanted)) {
+            return;
+        }
+        m_wakeUp = wanted;
+        m_port.callAt(*wanted, [weak = weak_from_this(), when = *wanted] {
+            if (const auto self = weak.lock()) {
+                self->wokenUp(when);
+            }
+        });
+    }
+
+    void wokenUp(time_point when)
+    {
+        if (m_wakeUp == when) {
+            m_wakeUp.reset();
+        }
+        step();
+    }
+
+    std::map<commit_ticket, std::shared_ptr<outcome_waiter>> m_waiters;
+    std::optional<time_point> m_wakeUp;
+    bool m_stopped = false;
+};
+
+lease_session::lease_session(asio::io_context &context, store_port port, group_committer_options options)
+    : m_implementation(std::make_shared<implementation>(context, std::move(port), std::move(options)))
+{
+}
+
+lease_session::~lease_session()
+{
+    m_implementation->stop();
+}
+
+task<bool> lease_session::acquire(std::optional<row> seen, commit_item first)
+{
+    const auto state = m_implementation;
+    const auto waiter = state->acquire(seen, std::move(first));
+    co_await waitFor(waiter);
+    const lease_status status = state->m_committer.status();
+    co_return status == lease_status::Held || status == lease_status::Releasing;
+}
+
+task<commit_outcome> lease_session::commit(commit_item item)
+{
+    const auto waiter = m_implementation->submit(std::move(item));
+    co_await waitFor(waiter);
+    co_return *waiter->outcome;
+}
+
+task<> lease_session::release(time_point until)
+{
+    constexpr duration pollInterval = std::chrono::milliseconds(20);
+    const auto state = m_implementation;
+    state->release();
+    while (state->m_committer.status() == lease_status::Releasing || state->m_committer.status() == lease_status::Acquiring) {
+        if (state->m_port.now() >= until) {
+            co_return;
+        }
+        co_await sleepUntil(state->m_port, std::min(until, state->m_port.now() + pollInterval));
+    }
+}
+
+void lease_session::setCommitsPerSecond(double rate)
+{
+    m_implementation->setCommitsPerSecond(rate);
+}
+
+void lease_session::onLost(std::function<void()> handler)
+{
+    m_implementation->m_lostHandler = std::move(handler);
+}
+
+bool lease_session::held() const
+{
+    return m_implementation->m_committer.held(m_implementation->m_port.now());
+}
+
+const group_committer &lease_session::committer() const
+{
+    return m_implementation->m_committer;
+}
+
+} // namespace banyan
