Add Cap'n Proto RPC between nodes

The library's event loop runs in one thread; calls in both directions are joined to the Asio thread.

--- /dev/null
+++ b/io/include/banyan/io/peer_handlers.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "banyan/core/cell_id.h"
+#include "banyan/core/configuration_update.h"
+#include "banyan/io/answer_sink.h"
+#include "banyan/io/asio_types.h"
+#include "banyan/io/run_cancellation.h"
+#include "banyan/io/run_outcome.h"
+#include "banyan/io/run_request.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace banyan {
+
+/// Runs a request in a cell to its end; never throws. cell_host::run() and peer_rpc::run() have this shape.
+using cell_runner = std::function<task<run_outcome>(cell_id, run_request, answer_sink, std::shared_ptr<run_cancellation>)>;
+
+/// What a node does for others. All are called on the Asio thread.
+struct peer_handlers
+{
+    cell_runner run;
+    std::function<configuration_update(configuration_version)> configurationSince;
+    std::function<void(std::string recordKey, std::string result)> keepResult;
+    std::function<void(std::string recordKey)> forgetResult;
+    std::function<void()> onRefused; ///< A call came with a wrong secret.
+};
+
+} // namespace banyan
--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -58,6 +58,7 @@
   # Receives an answer as it comes from the upstream.
   head @0 (status :UInt16, fields :List(HttpField)) -> ();
   piece @1 (bytes :Data) -> stream;
+  end @2 () -> ();                # Returns when all pieces have been taken.
 }
 
 struct ConfigurationPatch {
--- a/io/schema/peer.capnp.c++
+++ b/io/schema/peer.capnp.c++
@@ -700,7 +700,7 @@
   1, 6, i_91043b7e63e84953, nullptr, nullptr, { &s_91043b7e63e84953, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_d84de2f35c36d341 = {
+static const ::capnp::_::AlignedData<48> b_d84de2f35c36d341 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      65, 211,  54,  92, 243, 226,  77, 216,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -710,48 +710,60 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  65, 110, 115, 119, 101,
     114,  83, 105, 110, 107,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,  80, 185, 160, 226,   3,  32, 172,
     104, 183, 135, 205, 141,   3,  55, 156,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      14, 109, 213, 198,  87, 112, 193, 234,
     110, 177, 192, 119,  51, 154,  95, 153,
-     25,   0,   0,   0,  50,   0,   0,   0,
+     57,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   7,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    204, 231,  30, 192, 193, 110, 217, 153,
+     77,   9, 183,  56, 105, 210, 120, 179,
+     33,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 100,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 105, 101,  99, 101,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d84de2f35c36d341 = b_d84de2f35c36d341.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d84de2f35c36d341[] = {
   &s_995f9a3377c0b16e,
+  &s_99d96ec1c01ee7cc,
   &s_9c37038dcd87b768,
   &s_ac2003e2a0b95015,
+  &s_b378d26938b7094d,
   &s_eac17057c6d56d0e,
 };
-static const uint16_t m_d84de2f35c36d341[] = {0, 1};
+static const uint16_t m_d84de2f35c36d341[] = {2, 0, 1};
 const ::capnp::_::RawSchema s_d84de2f35c36d341 = {
-  0xd84de2f35c36d341, b_d84de2f35c36d341.words, 38, d_d84de2f35c36d341, m_d84de2f35c36d341,
-  4, 2, nullptr, nullptr, nullptr, { &s_d84de2f35c36d341, nullptr, nullptr, 0, 0, nullptr }
+  0xd84de2f35c36d341, b_d84de2f35c36d341.words, 48, d_d84de2f35c36d341, m_d84de2f35c36d341,
+  6, 3, nullptr, nullptr, nullptr, { &s_d84de2f35c36d341, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_ac2003e2a0b95015 = {
@@ -890,6 +902,58 @@
   0, 1, i_eac17057c6d56d0e, nullptr, nullptr, { &s_eac17057c6d56d0e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_99d96ec1c01ee7cc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    204, 231,  30, 192, 193, 110, 217, 153,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  65, 110, 115, 119, 101,
+    114,  83, 105, 110, 107,  46, 101, 110,
+    100,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_99d96ec1c01ee7cc = b_99d96ec1c01ee7cc.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_99d96ec1c01ee7cc = {
+  0x99d96ec1c01ee7cc, b_99d96ec1c01ee7cc.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_99d96ec1c01ee7cc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_b378d26938b7094d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     77,   9, 183,  56, 105, 210, 120, 179,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  65, 110, 115, 119, 101,
+    114,  83, 105, 110, 107,  46, 101, 110,
+    100,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b378d26938b7094d = b_b378d26938b7094d.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_b378d26938b7094d = {
+  0xb378d26938b7094d, b_b378d26938b7094d.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_b378d26938b7094d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_b7610a0ea739e499 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     153, 228,  57, 167,  14,  10,  97, 183,
@@ -1640,6 +1704,16 @@
       "peer.capnp:AnswerSink", "piece",
       0xd84de2f35c36d341ull, 1);
 }
+::capnp::Request< ::banyan::schema::AnswerSink::EndParams,  ::banyan::schema::AnswerSink::EndResults>
+AnswerSink::Client::endRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::banyan::schema::AnswerSink::EndParams,  ::banyan::schema::AnswerSink::EndResults>(
+      0xd84de2f35c36d341ull, 2, sizeHint);
+}
+::kj::Promise<void> AnswerSink::Server::end(EndContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:AnswerSink", "end",
+      0xd84de2f35c36d341ull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult AnswerSink::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1668,6 +1742,12 @@
         }),
         true
       };
+    case 2:
+      return {
+        end(::capnp::Capability::Server::internalGetTypedContext<
+             ::banyan::schema::AnswerSink::EndParams,  ::banyan::schema::AnswerSink::EndResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1707,6 +1787,22 @@
 constexpr ::capnp::_::RawSchema const* AnswerSink::PieceParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// AnswerSink::EndParams
+constexpr uint16_t AnswerSink::EndParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t AnswerSink::EndParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind AnswerSink::EndParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AnswerSink::EndParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// AnswerSink::EndResults
+constexpr uint16_t AnswerSink::EndResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t AnswerSink::EndResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind AnswerSink::EndResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AnswerSink::EndResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // ConfigurationPatch
 constexpr uint16_t ConfigurationPatch::_capnpPrivate::dataWordSize;
 constexpr uint16_t ConfigurationPatch::_capnpPrivate::pointerCount;
--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(ac2003e2a0b95015);
 CAPNP_DECLARE_SCHEMA(9c37038dcd87b768);
 CAPNP_DECLARE_SCHEMA(eac17057c6d56d0e);
+CAPNP_DECLARE_SCHEMA(99d96ec1c01ee7cc);
+CAPNP_DECLARE_SCHEMA(b378d26938b7094d);
 CAPNP_DECLARE_SCHEMA(b7610a0ea739e499);
 CAPNP_DECLARE_SCHEMA(a2106e893b3485b2);
 CAPNP_DECLARE_SCHEMA(c434a9bbace9e976);
@@ -133,6 +135,8 @@
   struct HeadParams;
   struct HeadResults;
   struct PieceParams;
+  struct EndParams;
+  struct EndResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -187,6 +191,36 @@
   };
 };
 
+struct AnswerSink::EndParams {
+  EndParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99d96ec1c01ee7cc, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AnswerSink::EndResults {
+  EndResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b378d26938b7094d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigurationPatch {
   ConfigurationPatch() = delete;
 
@@ -1014,6 +1048,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::StreamingRequest< ::banyan::schema::AnswerSink::PieceParams> pieceRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::banyan::schema::AnswerSink::EndParams,  ::banyan::schema::AnswerSink::EndResults> endRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1037,6 +1073,10 @@
   typedef  ::banyan::schema::AnswerSink::PieceParams PieceParams;
   typedef ::capnp::StreamingCallContext<PieceParams> PieceContext;
   virtual ::kj::Promise<void> piece(PieceContext context);
+  typedef  ::banyan::schema::AnswerSink::EndParams EndParams;
+  typedef  ::banyan::schema::AnswerSink::EndResults EndResults;
+  typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
+  virtual ::kj::Promise<void> end(EndContext context);
 
   inline  ::banyan::schema::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1287,6 +1327,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class AnswerSink::EndParams::Reader {
+public:
+  typedef EndParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerSink::EndParams::Builder {
+public:
+  typedef EndParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerSink::EndParams::Pipeline {
+public:
+  typedef EndParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnswerSink::EndResults::Reader {
+public:
+  typedef EndResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerSink::EndResults::Builder {
+public:
+  typedef EndResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerSink::EndResults::Pipeline {
+public:
+  typedef EndResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigurationPatch::Reader {
 public:
   typedef ConfigurationPatch Reads;
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -172,7 +172,7 @@
         if (found != m_cells.end()) {
             return found->second;
         }
-        const auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
+        auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
         m_cells.emplace(id, cell);
         updateUpstreams(cell);
         if (m_draining) {
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -57,7 +57,7 @@
 {
 }
 
-http_client::stream_handler upstream_attempt::makeHandler(std::size_t maximumBuffered, observer watcher)
+http_client::stream_handler upstream_attempt::makeHandler(std::size_t maximumBuffered, const observer &watcher)
 {
     http_client::stream_handler handler;
     handler.onHead = [this, watcher](unsigned status, const std::vector<http_field> &fields) -> task<> {
@@ -100,7 +100,7 @@
 {
     attempt_result result;
     try {
-        http_client::stream_handler handler = makeHandler(maximumBuffered, std::move(watcher));
+        http_client::stream_handler handler = makeHandler(maximumBuffered, watcher);
         co_await client.stream(m_address, std::move(request), m_order.timeout, std::move(handler), m_cancellation);
         result = resultOfAnswer();
     } catch (const http_error &error) {
--- a/io/src/upstream_attempt.h
+++ b/io/src/upstream_attempt.h
@@ -71,7 +71,7 @@
     }
 
 private:
-    [[nodiscard]] http_client::stream_handler makeHandler(std::size_t maximumBuffered, observer watcher);
+    [[nodiscard]] http_client::stream_handler makeHandler(std::size_t maximumBuffered, const observer &watcher);
     [[nodiscard]] attempt_result resultOfAnswer() const;
 
     start_attempt m_order;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -35,13 +35,15 @@
             co_await exchange.respond(std::move(answer));
         });
         server.route("GET", "/stream", [](http_exchange &exchange) -> task<> {
-            co_await exchange.begin(200, {});
+            std::vector<http_field> noFields;
+            co_await exchange.begin(200, noFields);
             co_await exchange.write("one ");
             co_await exchange.write("two");
             co_await exchange.finish();
         });
         server.route("GET", "/cut", [](http_exchange &exchange) -> task<> {
-            co_await exchange.begin(200, {});
+            std::vector<http_field> noFields;
+            co_await exchange.begin(200, noFields);
             co_await exchange.write("one ");
             throw std::runtime_error("cut on purpose");
         });
@@ -89,7 +91,8 @@
         std::string answer;
         run([&]() -> task<> {
             tcp::socket socket(context);
-            co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), server.address().port}, asio::use_awaitable);
+            const tcp::endpoint address(asio::ip::make_address("127.0.0.1"), server.address().port);
+            co_await socket.async_connect(address, asio::use_awaitable);
             co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
             boost::system::error_code error;
             co_await asio::async_read(socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, error));
