Preempt batch attempts for online work and report each upstream's state

An online arrival starts wherever online work alone leaves a slot, up to 1.5 times the limit (the engine batches, so a short overcommit costs less than queueing), and takes back the youngest repeatable batch attempt that was preempted least. Batch work that is not repeatable cannot be taken back; it holds at most half of the limit and no slot of online work. Headers: dispatcher gains upstreams() and counters() (new upstream_status.h, dispatcher_counters.h), submit() documents std::invalid_argument for a known id. Ruled out: counting all batch work against online slots, since one booking that may not be cancelled would then make a stock check wait.

--- a/core/include/banyan/core/dispatcher.h
+++ b/core/include/banyan/core/dispatcher.h
@@ -4,12 +4,15 @@
 #include "banyan/core/cell_load.h"
 #include "banyan/core/dispatch_action.h"
 #include "banyan/core/dispatch_request.h"
+#include "banyan/core/dispatcher_counters.h"
 #include "banyan/core/dispatcher_options.h"
 #include "banyan/core/upstream_info.h"
+#include "banyan/core/upstream_status.h"
 
 #include <memory>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace banyan {
 
@@ -29,7 +32,8 @@
 /// perform(cell.attemptEnded(attempt, {.outcome = attempt_outcome::Succeeded}, now));
 /// @endcode
 ///
-/// Promises: online work is never queued while batch work holds a slot that it could use; a request that is not
+/// Promises: online work is never queued while batch work holds a slot that it could use (batch work that is not
+/// repeatable cannot be taken back and has slots of its own beside those of online work); a request that is not
 /// repeatable is sent at most once; NotRun is reported only for a request of which no byte was sent or which each
 /// upstream refused; each submitted request gets exactly one finish_request.
 class dispatcher
@@ -44,6 +48,7 @@
     [[nodiscard]] dispatch_actions setUpstreams(std::span<const upstream_info> upstreams, time_point now);
 
     /// Takes a request in, or finishes it at once.
+    /// @throws std::invalid_argument if a request with this id is in the dispatcher already.
     [[nodiscard]] dispatch_actions submit(const dispatch_request &request, time_point now);
 
     /// Reports the first byte of an attempt's answer.
@@ -70,6 +75,12 @@
     /// How busy the cell is.
     [[nodiscard]] cell_load load(time_point now) const;
 
+    /// The upstreams of the cell and those that have left it with work in progress.
+    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
+
+    /// What has been done so far.
+    [[nodiscard]] const dispatcher_counters &counters() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -16,6 +16,11 @@
 constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
 constexpr duration overloadRetryAfter = std::chrono::seconds(1);
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
+constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
+constexpr double busyWithBatchScore = 0.25; ///< What a full share of batch work counts when placing online work.
+constexpr double preemptionScore = 0.5; ///< What having to preempt counts when placing online work.
+constexpr std::uint32_t preemptionsBeforeFirst = 3; ///< A batch item preempted as often goes before the others.
+constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
 /// Whether an attempt that ended so has certainly not run.
@@ -48,20 +53,32 @@
     dispatch_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] cell_load load(time_point now) const;
+    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
+    [[nodiscard]] const dispatcher_counters &counters() const
+    {
+        return m_counters;
+    }
 
 private:
     request_queue &queueOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream() const;
-    upstream_state *freeUpstreamFor(const request_state &request);
+    [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
+    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
+    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
+    upstream_state *upstreamFor(const request_state &request);
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
+    void makeRoom(const upstream_state &upstream);
+    [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
+    void preempt(attempt_id attempt);
     void startAttempt(request_state &request, upstream_state &upstream, time_point now);
-    void releaseSlot(const attempt_state &attempt, work_class value);
+    void changeInFlight(upstream_state &upstream, const dispatch_request &request, int change);
+    void releaseSlot(const attempt_state &attempt, const dispatch_request &request);
     void choose(request_state &request, attempt_id attempt);
     void finish(request_state &request, const final_result &result, std::optional<attempt_id> attempt = std::nullopt);
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
     void finishQueued(end_reason reason, std::optional<duration> retryAfter);
-    void cancelAttempt(attempt_id attempt, work_class value);
+    void cancelAttempt(attempt_id attempt);
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
     void retryLater(request_state &request, time_point now);
     void timerDue(const request_timer &timer, time_point now);
@@ -75,6 +92,7 @@
     request_queue m_batchQueue;
     timer_queue m_timers;
     dispatch_actions m_actions;
+    dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
     bool m_draining = false;
 };
@@ -105,7 +123,7 @@
     }
     std::erase_if(m_upstreams, [&](const auto &entry) {
         const upstream_state &upstream = entry.second;
-        return upstream.info.leaving && upstream.onlineInFlight + upstream.batchInFlight == 0;
+        return upstream.info.leaving && upstream.inFlight() == 0;
     });
     if (!hasUsableUpstream()) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
@@ -141,20 +159,50 @@
     return takeActions();
 }
 
-upstream_state *dispatcher::implementation::freeUpstreamFor(const request_state &request)
+std::uint32_t dispatcher::implementation::onlineLimitOf(const upstream_state &upstream) const
+{
+    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit * onlineOvercommit);
+    return std::min(m_options.maximumSlots, overcommitted);
+}
+
+bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request) const
+{
+    if (upstream.info.leaving) {
+        return false;
+    }
+    if (request.request.workClass == work_class::Online) {
+        return upstream.onlineInFlight < onlineLimitOf(upstream);
+    }
+    const std::uint32_t pinnedLimit = std::max(1U, upstream.limit / pinnedDivisor);
+    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < pinnedLimit;
+    return pinnable && upstream.inFlight() < upstream.limit;
+}
+
+double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
+{
+    const double limit = std::max(1U, upstream.limit);
+    if (request.request.workClass == work_class::Batch) {
+        return upstream.inFlight() / limit;
+    }
+    const double preemption = upstream.inFlight() >= upstream.limit ? preemptionScore : 0;
+    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
+}
+
+upstream_state *dispatcher::implementation::upstreamFor(const request_state &request)
 {
     upstream_state *best = nullptr;
     bool bestTried = false;
+    double bestBusyness = 0;
     for (auto &[id, upstream] : m_upstreams) {
-        const std::uint32_t inFlight = upstream.onlineInFlight + upstream.batchInFlight;
-        if (upstream.info.leaving || inFlight >= upstream.limit) {
+        if (!accepts(upstream, request)) {
             continue;
         }
         const bool tried = request.tried.contains(id);
-        const bool lessBusy = best == nullptr || inFlight < best->onlineInFlight + best->batchInFlight;
-        if (best == nullptr || (bestTried && !tried) || (bestTried == tried && lessBusy)) {
+        const double candidate = busyness(upstream, request);
+        if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
             best = &upstream;
             bestTried = tried;
+            bestBusyness = candidate;
         }
     }
     return best;
@@ -175,13 +223,60 @@
         return true;
     })) {
         request_state &request = m_requests.at(next->id);
-        upstream_state *const upstream = freeUpstreamFor(request);
+        upstream_state *const upstream = upstreamFor(request);
         if (upstream == nullptr) {
             return;
         }
         queue.remove(request.request.id);
         startAttempt(request, *upstream, now);
+        makeRoom(*upstream);
+    }
+}
+
+/// Preempts batch attempts until the upstream holds no more than its limit, or only what cannot be preempted.
+void dispatcher::implementation::makeRoom(const upstream_state &upstream)
+{
+    while (upstream.inFlight() > upstream.limit) {
+        const std::optional<attempt_id> victim = preemptionVictim(upstream.info.id);
+        if (!victim) {
+            return;
+        }
+        preempt(*victim);
+    }
+}
+
+/// The repeatable batch attempt that was preempted least often and, among those, has lost least: the youngest.
+std::optional<attempt_id> dispatcher::implementation::preemptionVictim(const upstream_id &upstream) const
+{
+    std::optional<attempt_id> victim;
+    std::uint32_t fewest = 0;
+    for (const auto &[id, attempt] : m_attempts) {
+        const request_state &request = m_requests.at(attempt.request);
+        const bool batch = request.request.workClass == work_class::Batch;
+        if (attempt.upstream != upstream || !batch || !request.request.repeatable) {
+            continue;
+        }
+        if (!victim || request.preemptions <= fewest) {
+            victim = id;
+            fewest = request.preemptions;
+        }
     }
+    return victim;
+}
+
+void dispatcher::implementation::preempt(attempt_id attempt)
+{
+    request_state &request = m_requests.at(m_attempts.at(attempt).request);
+    cancelAttempt(attempt);
+    ++request.preemptions;
+    ++m_counters.preempted;
+    m_counters.preemptedResumable += request.request.resumable ? 1 : 0;
+    if (m_draining) {
+        finishWithoutAnswer(request, end_reason::Draining, drainRetryAfter);
+        return;
+    }
+    request.phase = request_phase::Queued;
+    m_batchQueue.pushFront(request.request);
 }
 
 void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now)
@@ -190,7 +285,7 @@
     m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
-    ++(request.request.workClass == work_class::Online ? upstream.onlineInFlight : upstream.batchInFlight);
+    changeInFlight(upstream, request.request, +1);
     m_actions.emplace_back(start_attempt{
         .request = request.request.id,
         .attempt = attempt,
@@ -199,12 +294,22 @@
     });
 }
 
-void dispatcher::implementation::releaseSlot(const attempt_state &attempt, work_class value)
+void dispatcher::implementation::changeInFlight(upstream_state &upstream, const dispatch_request &request, int change)
+{
+    if (request.workClass == work_class::Online) {
+        upstream.onlineInFlight += change;
+        return;
+    }
+    upstream.batchInFlight += change;
+    upstream.pinnedInFlight += request.repeatable ? 0 : change;
+}
+
+void dispatcher::implementation::releaseSlot(const attempt_state &attempt, const dispatch_request &request)
 {
     const auto entry = m_upstreams.find(attempt.upstream);
     upstream_state &upstream = entry->second;
-    --(value == work_class::Online ? upstream.onlineInFlight : upstream.batchInFlight);
-    if (upstream.info.leaving && upstream.onlineInFlight + upstream.batchInFlight == 0) {
+    changeInFlight(upstream, request, -1);
+    if (upstream.info.leaving && upstream.inFlight() == 0) {
         m_upstreams.erase(entry);
     }
 }
@@ -216,16 +321,16 @@
     const std::vector<attempt_id> attempts = request.attempts;
     for (const attempt_id other : attempts) {
         if (other != attempt) {
-            cancelAttempt(other, request.request.workClass);
+            cancelAttempt(other);
         }
     }
 }
 
-void dispatcher::implementation::cancelAttempt(attempt_id attempt, work_class value)
+void dispatcher::implementation::cancelAttempt(attempt_id attempt)
 {
     const auto entry = m_attempts.find(attempt);
-    releaseSlot(entry->second, value);
     request_state &request = m_requests.at(entry->second.request);
+    releaseSlot(entry->second, request.request);
     std::erase(request.attempts, attempt);
     request.mayHaveRun = true;
     m_attempts.erase(entry);
@@ -237,7 +342,7 @@
     const request_id id = request.request.id;
     const std::vector<attempt_id> attempts = request.attempts;
     for (const attempt_id other : attempts) {
-        cancelAttempt(other, request.request.workClass);
+        cancelAttempt(other);
     }
     queueOf(request.request.workClass).remove(id);
     m_timers.remove({.due = request.request.deadline, .kind = timer_kind::Deadline, .request = id});
@@ -297,7 +402,7 @@
     request_state &request = m_requests.at(ended.request);
     m_attempts.erase(entry);
     std::erase(request.attempts, attempt);
-    releaseSlot(ended, request.request.workClass);
+    releaseSlot(ended, request.request);
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
         if (!request.chosen) {
@@ -397,6 +502,22 @@
     return result;
 }
 
+std::vector<upstream_status> dispatcher::implementation::upstreams(time_point) const
+{
+    std::vector<upstream_status> result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        result.push_back({
+            .id = id,
+            .condition = upstream.info.leaving ? upstream_condition::Leaving : upstream_condition::Good,
+            .onlineInFlight = upstream.onlineInFlight,
+            .batchInFlight = upstream.batchInFlight,
+            .limit = upstream.limit,
+            .onlineLimit = onlineLimitOf(upstream),
+        });
+    }
+    return result;
+}
+
 dispatch_actions dispatcher::implementation::takeActions()
 {
     dispatch_actions result;
@@ -462,4 +583,14 @@
     return m_implementation->load(now);
 }
 
+std::vector<upstream_status> dispatcher::upstreams(time_point now) const
+{
+    return m_implementation->upstreams(now);
+}
+
+const dispatcher_counters &dispatcher::counters() const
+{
+    return m_implementation->counters();
+}
+
 } // namespace banyan
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -28,6 +28,7 @@
     std::vector<attempt_id> attempts; ///< In flight.
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
+    std::uint32_t preemptions = 0;
     bool mayHaveRun = false; ///< Some attempt may have reached an upstream.
     std::set<upstream_id> tried; ///< Upstreams where an attempt failed.
     std::optional<time_point> retryAt;
@@ -49,7 +50,13 @@
     upstream_info info;
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
-    std::uint32_t limit = 0; ///< Requests that it may hold at once.
+    std::uint32_t pinnedInFlight = 0; ///< Batch attempts that are not repeatable and so cannot be preempted.
+    std::uint32_t limit = 0; ///< Requests that it may hold before batch work has to yield.
+
+    [[nodiscard]] std::uint32_t inFlight() const
+    {
+        return onlineInFlight + batchInFlight;
+    }
 };
 
 } // namespace banyan
--- a/tests/property/dispatcher_harness.cpp
+++ b/tests/property/dispatcher_harness.cpp
@@ -75,6 +75,7 @@
         perform(m_dispatcher.drain(m_now));
     }
     checkDeadlines();
+    checkPriority();
 }
 
 void dispatcher_harness::tickDue()
@@ -214,6 +215,35 @@
     }
 }
 
+/// Whether an online request that has met no failure is waiting; after a failure it may wait for its retry time instead.
+bool dispatcher_harness::onlineWaitsForSlot() const
+{
+    for (const auto &[id, request] : m_requests) {
+        const bool waiting = !request.result && request.inFlight.empty() && request.failures == 0;
+        if (waiting && request.request.workClass == work_class::Online) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void dispatcher_harness::checkPriority() const
+{
+    if (!onlineWaitsForSlot()) {
+        return;
+    }
+    for (const upstream_status &upstream : m_dispatcher.upstreams(m_now)) {
+        if (upstream.condition == upstream_condition::Good) {
+            require(upstream.onlineInFlight >= upstream.onlineLimit, "online work waits only where online work holds all slots");
+        }
+    }
+    for (const auto &[id, attempt] : m_attempts) {
+        const dispatch_request &request = m_requests.at(attempt.request).request;
+        const bool preemptible = request.workClass == work_class::Batch && request.repeatable;
+        require(!preemptible || !m_usable.contains(attempt.upstream), "online work does not wait while batch work holds a slot");
+    }
+}
+
 void dispatcher_harness::settle()
 {
     for (int round = 0; round < 1000 && !m_attempts.empty(); ++round) {
--- a/tests/property/dispatcher_harness.h
+++ b/tests/property/dispatcher_harness.h
@@ -96,6 +96,8 @@
     void carryOut(const choose_attempt &action);
     void carryOut(const finish_request &action);
     void checkDeadlines() const;
+    void checkPriority() const;
+    [[nodiscard]] bool onlineWaitsForSlot() const;
     void submit(const dispatcher_event &event, work_class value);
     void endAttempt(const dispatcher_event &event, attempt_outcome outcome);
     void changeUpstreams(std::uint32_t pick);
