Adapt each upstream's limit to the pace of its attempts

The fixed slots leave capacity idle on one engine and overfill another. The limit follows the time per token against the best pace seen; what would let it drift (raising the baseline under load) is left out.

--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -23,6 +23,13 @@
 constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
+constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
+
+double toSeconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
 /// Whether an attempt that ended so has certainly not run.
 bool certainlyNotRun(attempt_outcome outcome)
 {
@@ -60,6 +67,7 @@
     }
 
 private:
+    [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
     request_queue &queueOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream() const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
@@ -79,6 +87,7 @@
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
     void finishQueued(end_reason reason, std::optional<duration> retryAfter);
     void cancelAttempt(attempt_id attempt);
+    void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
     void retryLater(request_state &request, time_point now);
     void timerDue(const request_timer &timer, time_point now);
@@ -115,10 +124,11 @@
         upstream.info.leaving = true;
     }
     for (const upstream_info &info : upstreams) {
-        const auto [entry, inserted] = m_upstreams.try_emplace(info.id);
-        entry->second.info = info;
-        if (inserted) {
-            entry->second.limit = m_options.initialSlots;
+        const auto known = m_upstreams.find(info.id);
+        if (known == m_upstreams.end()) {
+            m_upstreams.emplace(info.id, makeUpstream(info));
+        } else {
+            known->second.info = info;
         }
     }
     std::erase_if(m_upstreams, [&](const auto &entry) {
@@ -132,6 +142,12 @@
     return takeActions();
 }
 
+upstream_state dispatcher::implementation::makeUpstream(const upstream_info &info) const
+{
+    const concurrency_limit_options limit{.initial = m_options.initialSlots, .maximum = m_options.maximumSlots};
+    return {.info = info, .limit = concurrency_limit(limit)};
+}
+
 dispatch_actions dispatcher::implementation::submit(const dispatch_request &request, time_point now)
 {
     const auto [entry, inserted] = m_requests.try_emplace(request.id);
@@ -161,7 +177,7 @@
 
 std::uint32_t dispatcher::implementation::onlineLimitOf(const upstream_state &upstream) const
 {
-    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit * onlineOvercommit);
+    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit.value() * onlineOvercommit);
     return std::min(m_options.maximumSlots, overcommitted);
 }
 
@@ -173,18 +189,18 @@
     if (request.request.workClass == work_class::Online) {
         return upstream.onlineInFlight < onlineLimitOf(upstream);
     }
-    const std::uint32_t pinnedLimit = std::max(1U, upstream.limit / pinnedDivisor);
+    const std::uint32_t pinnedLimit = std::max(1U, upstream.limit.value() / pinnedDivisor);
     const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < pinnedLimit;
-    return pinnable && upstream.inFlight() < upstream.limit;
+    return pinnable && upstream.inFlight() < upstream.limit.value();
 }
 
 double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
 {
-    const double limit = std::max(1U, upstream.limit);
+    const double limit = std::max(1U, upstream.limit.value());
     if (request.request.workClass == work_class::Batch) {
         return upstream.inFlight() / limit;
     }
-    const double preemption = upstream.inFlight() >= upstream.limit ? preemptionScore : 0;
+    const double preemption = upstream.inFlight() >= upstream.limit.value() ? preemptionScore : 0;
     return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
 }
 
@@ -236,7 +252,7 @@
 /// Preempts batch attempts until the upstream holds no more than its limit, or only what cannot be preempted.
 void dispatcher::implementation::makeRoom(const upstream_state &upstream)
 {
-    while (upstream.inFlight() > upstream.limit) {
+    while (upstream.inFlight() > upstream.limit.value()) {
         const std::optional<attempt_id> victim = preemptionVictim(upstream.info.id);
         if (!victim) {
             return;
@@ -402,6 +418,7 @@
     request_state &request = m_requests.at(ended.request);
     m_attempts.erase(entry);
     std::erase(request.attempts, attempt);
+    observePace(ended, result, now);
     releaseSlot(ended, request.request);
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
@@ -417,6 +434,25 @@
     return takeActions();
 }
 
+/// Lets the upstream's limit learn from an attempt that has ended but still counts as in flight.
+void dispatcher::implementation::observePace(const attempt_state &attempt, const attempt_result &result, time_point now)
+{
+    upstream_state &upstream = m_upstreams.at(attempt.upstream);
+    if (result.outcome == attempt_outcome::Refused) {
+        upstream.limit.refused(upstream.inFlight());
+    }
+    if (result.outcome != attempt_outcome::Succeeded) {
+        return;
+    }
+    upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
+    if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
+        const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
+        upstream.limit.paceObserved(perToken, upstream.inFlight(), now);
+    } else if (!upstream.streamsTokens) {
+        upstream.limit.paceObserved(toSeconds(now - attempt.startedAt), upstream.inFlight(), now);
+    }
+}
+
 void dispatcher::implementation::attemptFailed(request_state &request, const attempt_result &result, time_point now)
 {
     ++request.failedAttempts;
@@ -497,7 +533,7 @@
     for (const auto &[id, upstream] : m_upstreams) {
         result.onlineInFlight += upstream.onlineInFlight;
         result.batchInFlight += upstream.batchInFlight;
-        result.slots += upstream.info.leaving ? 0 : upstream.limit;
+        result.slots += upstream.info.leaving ? 0 : upstream.limit.value();
     }
     return result;
 }
@@ -511,7 +547,7 @@
             .condition = upstream.info.leaving ? upstream_condition::Leaving : upstream_condition::Good,
             .onlineInFlight = upstream.onlineInFlight,
             .batchInFlight = upstream.batchInFlight,
-            .limit = upstream.limit,
+            .limit = upstream.limit.value(),
             .onlineLimit = onlineLimitOf(upstream),
         });
     }
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -4,6 +4,7 @@
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/time.h"
 #include "banyan/core/upstream_info.h"
+#include "concurrency_limit.h"
 
 #include <cstdint>
 #include <optional>
@@ -48,10 +49,11 @@
 struct upstream_state
 {
     upstream_info info;
+    concurrency_limit limit; ///< Requests that it may hold before batch work has to yield.
+    bool streamsTokens = false; ///< Some answer has counted its tokens.
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
     std::uint32_t pinnedInFlight = 0; ///< Batch attempts that are not repeatable and so cannot be preempted.
-    std::uint32_t limit = 0; ///< Requests that it may hold before batch work has to yield.
 
     [[nodiscard]] std::uint32_t inFlight() const
     {
