Leave headroom for online arrivals above batch work

Cause of the lost throughput: batch work filled up to the limit, each online arrival then cancelled a batch attempt (8148 in 70 s) and its tokens were generated twice. Batch work now starts only below the limit less headroom and keeps its slots up to the limit.

--- a/core/src/concurrency_limit.h
+++ b/core/src/concurrency_limit.h
@@ -13,7 +13,7 @@
     std::uint32_t initial = 8;
     std::uint32_t minimum = 2;
     std::uint32_t maximum = 64;
-    double tolerance = 1.08; ///< Pace over baseline up to which the limit grows.
+    double tolerance = 1.07; ///< Pace over baseline up to which the limit grows.
     double overcommittedTolerance = 1.65; ///< The same while more is in flight than the limit.
     duration window = std::chrono::milliseconds(500); ///< Samples of this time are taken together.
     std::uint32_t minimumSamples = 6; ///< A window goes on until it has as many.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "timer_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <stdexcept>
 #include <unordered_map>
@@ -71,6 +72,7 @@
     request_queue &queueOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream() const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
+    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
     [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
     upstream_state *upstreamFor(const request_state &request);
@@ -191,7 +193,15 @@
     }
     const std::uint32_t pinnedLimit = std::max(1U, upstream.limit.value() / pinnedDivisor);
     const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < pinnedLimit;
-    return pinnable && upstream.inFlight() < upstream.limit.value();
+    return pinnable && upstream.inFlight() < batchLimitOf(upstream);
+}
+
+/// Batch work starts only below this; between it and the limit it keeps its slots while online work comes in.
+std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream) const
+{
+    const std::uint32_t limit = upstream.limit.value();
+    const auto headroom = static_cast<std::uint32_t>(std::ceil(limit * m_options.onlineHeadroom));
+    return std::max(1U, limit - std::min(limit, headroom));
 }
 
 double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
