Share each class fairly between callers and order batch work by deadline

Start-time fair queuing on expected tokens between callers; within a caller batch work goes by deadline, and a deadline farther than ten minutes counts as ten minutes from arrival, so that none starves. Near deadlines may set a caller at most 4000 tokens ahead of its share. Ruled out: deadlines across callers without a bound (a caller would buy capacity by naming near deadlines), and a fair queue without deadlines (nothing would order a caller's own jobs). Preempted and retried requests are charged once. An item preempted three times goes before all others of its class.

--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -22,6 +22,10 @@
 constexpr double preemptionScore = 0.5; ///< What having to preempt counts when placing online work.
 constexpr std::uint32_t preemptionsBeforeFirst = 3; ///< A batch item preempted as often goes before the others.
 constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
+constexpr double assumedTokens = 100; ///< Cost of a request that does not say what it expects.
+constexpr duration agingHorizon =
+    std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
+constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
 constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
@@ -69,6 +73,7 @@
 
 private:
     [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
+    void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream() const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
@@ -99,8 +104,8 @@
     std::map<upstream_id, upstream_state> m_upstreams;
     std::unordered_map<request_id, request_state> m_requests;
     std::map<attempt_id, attempt_state> m_attempts;
-    request_queue m_onlineQueue;
-    request_queue m_batchQueue;
+    request_queue m_onlineQueue{0};
+    request_queue m_batchQueue{deadlineAllowance};
     timer_queue m_timers;
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
@@ -113,6 +118,26 @@
     return value == work_class::Online ? m_onlineQueue : m_batchQueue;
 }
 
+/// Puts a request in its queue: online work in the order of arrival, batch work in that of deadlines. A far deadline
+/// counts as the time after which the request would otherwise starve.
+void dispatcher::implementation::enqueue(request_state &request)
+{
+    const dispatch_request &asked = request.request;
+    const bool online = asked.workClass == work_class::Online;
+    request.phase = request_phase::Queued;
+    const double tokens = asked.expectedTokens > 0 ? asked.expectedTokens : assumedTokens;
+    const time_point latestOrder = request.submittedAt + agingHorizon;
+    queueOf(asked.workClass)
+        .push({
+            .id = asked.id,
+            .caller = asked.caller,
+            .lane = !online && !asked.repeatable ? work_lane::Pinned : work_lane::Short,
+            .cost = request.charged ? 0 : tokens,
+            .order = online ? request.submittedAt : std::min(asked.deadline, latestOrder),
+            .promoted = request.preemptions >= preemptionsBeforeFirst,
+        });
+}
+
 bool dispatcher::implementation::hasUsableUpstream() const
 {
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
@@ -171,7 +196,7 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
     } else {
         m_timers.add({.due = request.deadline, .kind = timer_kind::Deadline, .request = request.id});
-        queueOf(request.workClass).push(request);
+        enqueue(state);
         startWaiting(now);
     }
     return takeActions();
@@ -245,15 +270,16 @@
 void dispatcher::implementation::startClass(work_class value, time_point now)
 {
     request_queue &queue = queueOf(value);
-    while (const dispatch_request *next = queue.next([](const dispatch_request &) {
-        return true;
-    })) {
+    lane_set blocked;
+    while (const std::optional<waiting_request> next = queue.next(blocked)) {
         request_state &request = m_requests.at(next->id);
         upstream_state *const upstream = upstreamFor(request);
         if (upstream == nullptr) {
-            return;
+            blocked.insert(next->lane);
+            continue;
         }
-        queue.remove(request.request.id);
+        queue.take(next->id);
+        request.charged = true;
         startAttempt(request, *upstream, now);
         makeRoom(*upstream);
     }
@@ -301,8 +327,7 @@
         finishWithoutAnswer(request, end_reason::Draining, drainRetryAfter);
         return;
     }
-    request.phase = request_phase::Queued;
-    m_batchQueue.pushFront(request.request);
+    enqueue(request);
 }
 
 void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now)
@@ -522,8 +547,7 @@
         break;
     case timer_kind::Retry:
         request.retryAt.reset();
-        request.phase = request_phase::Queued;
-        queueOf(request.request.workClass).pushFront(request.request);
+        enqueue(request);
         break;
     case timer_kind::Hedge:
         break;
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -30,6 +30,7 @@
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
     std::uint32_t preemptions = 0;
+    bool charged = false; ///< Its caller's share has paid for it.
     bool mayHaveRun = false; ///< Some attempt may have reached an upstream.
     std::set<upstream_id> tried; ///< Upstreams where an attempt failed.
     std::optional<time_point> retryAt;
--- a/core/src/request_queue.cpp
+++ b/core/src/request_queue.cpp
@@ -4,26 +4,123 @@
 
 namespace banyan {
 
-void request_queue::push(const dispatch_request &request)
+namespace {
+
+std::size_t indexOf(work_lane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
+
+} // namespace
+
+bool request_queue::caller_state::idle() const
+{
+    return std::all_of(lanes.begin(), lanes.end(), [](const std::set<position> &lane) {
+        return lane.empty();
+    });
+}
+
+request_queue::request_queue(double allowance)
+    : m_allowance(allowance)
 {
-    m_requests.push_back(request);
 }
 
-void request_queue::pushFront(const dispatch_request &request)
+request_queue::lane_positions &request_queue::lanesOf(const waiting_request &request)
 {
-    m_requests.push_front(request);
+    return request.promoted ? m_promoted : m_callers[request.caller].lanes;
+}
+
+void request_queue::push(const waiting_request &request)
+{
+    caller_state &caller = m_callers[request.caller];
+    if (caller.idle()) {
+        caller.served = std::max(caller.served, m_virtualTime);
+    }
+    const position where{.order = request.order, .number = ++m_lastNumber, .id = request.id};
+    lanesOf(request)[indexOf(request.lane)].insert(where);
+    m_places[request.id] = {.request = request, .where = where};
 }
 
 bool request_queue::remove(const request_id &request)
 {
-    const auto found = std::find_if(m_requests.begin(), m_requests.end(), [&](const dispatch_request &waiting) {
-        return waiting.id == request;
-    });
-    if (found == m_requests.end()) {
+    const auto entry = m_places.find(request);
+    if (entry == m_places.end()) {
         return false;
     }
-    m_requests.erase(found);
+    const place removed = std::move(entry->second);
+    m_places.erase(entry);
+    lanesOf(removed.request)[indexOf(removed.request.lane)].erase(removed.where);
+    forgetIdleCaller(removed.request.caller);
     return true;
 }
 
+void request_queue::take(const request_id &request)
+{
+    const waiting_request taken = m_places.at(request).request;
+    caller_state &caller = m_callers[taken.caller];
+    if (!taken.promoted) {
+        m_virtualTime = std::max(m_virtualTime, caller.served);
+    }
+    caller.served += taken.cost;
+    remove(request);
+}
+
+/// A caller without waiting work whose share lies in the past is like a new one.
+void request_queue::forgetIdleCaller(const caller_id &caller)
+{
+    const auto entry = m_callers.find(caller);
+    if (entry != m_callers.end() && entry->second.idle() && entry->second.served <= m_virtualTime) {
+        m_callers.erase(entry);
+    }
+    if (m_places.empty()) {
+        m_callers.clear();
+        m_virtualTime = 0;
+    }
+}
+
+const request_queue::position *request_queue::earliest(const lane_positions &lanes, const lane_set &blocked)
+{
+    const position *result = nullptr;
+    for (std::size_t i = 0; i < workLanes; ++i) {
+        if (lanes[i].empty() || blocked.contains(static_cast<work_lane>(i))) {
+            continue;
+        }
+        const position &head = *lanes[i].begin();
+        if (result == nullptr || head < *result) {
+            result = &head;
+        }
+    }
+    return result;
+}
+
+std::optional<double> request_queue::leastServed(const lane_set &blocked) const
+{
+    std::optional<double> result;
+    for (const auto &[id, caller] : m_callers) {
+        if (earliest(caller.lanes, blocked) != nullptr && (!result || caller.served < *result)) {
+            result = caller.served;
+        }
+    }
+    return result;
+}
+
+std::optional<waiting_request> request_queue::next(const lane_set &blocked) const
+{
+    const position *best = earliest(m_promoted, blocked);
+    const std::optional<double> least = leastServed(blocked);
+    if (best == nullptr && least) {
+        for (const auto &[id, caller] : m_callers) {
+            const position *const head = earliest(caller.lanes, blocked);
+            const bool withinAllowance = caller.served <= *least + m_allowance;
+            if (head != nullptr && withinAllowance && (best == nullptr || *head < *best)) {
+                best = head;
+            }
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return m_places.at(best->id).request;
+}
+
 } // namespace banyan
--- a/core/src/request_queue.h
+++ b/core/src/request_queue.h
@@ -1,45 +1,118 @@
 #pragma once
 
-#include "banyan/core/dispatch_request.h"
+#include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
 
+#include <array>
+#include <compare>
 #include <cstddef>
-#include <deque>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 
 namespace banyan {
 
-/// The waiting requests of one class, first in, first out.
+/// Kinds of waiting work that may be blocked apart from each other.
+enum class work_lane : std::uint8_t {
+    Short,
+    Long, ///< Expected to run much longer than most.
+    Pinned, ///< Batch work that cannot be preempted.
+};
+
+/// How many lanes there are.
+inline constexpr std::size_t workLanes = 3;
+
+/// A set of lanes.
+class lane_set
+{
+public:
+    void insert(work_lane lane)
+    {
+        m_bits[static_cast<std::size_t>(lane)] = true;
+    }
+
+    [[nodiscard]] bool contains(work_lane lane) const
+    {
+        return m_bits[static_cast<std::size_t>(lane)];
+    }
+
+private:
+    std::array<bool, workLanes> m_bits{};
+};
+
+/// A request in a request_queue.
+struct waiting_request
+{
+    request_id id;
+    caller_id caller;
+    work_lane lane = work_lane::Short;
+    double cost = 1; ///< What it takes of its caller's share.
+    time_point order; ///< The earlier one of a caller goes first.
+    bool promoted = false; ///< Goes before all that are not, whatever its caller's share.
+};
+
+/// The waiting requests of one class.
+///
+/// Callers share by start-time fair queuing: the one that has been served least, by cost, goes next. A caller that is
+/// ahead of the least served one by no more than the allowance may still go before it if its request is earlier in order,
+/// so that near deadlines count without letting a caller buy capacity by naming near deadlines.
 class request_queue
 {
 public:
-    /// Appends @p request.
-    void push(const dispatch_request &request);
+    /// @param allowance How far, in cost, an earlier order may override an even share.
+    explicit request_queue(double allowance);
 
-    /// Puts @p request before all others.
-    void pushFront(const dispatch_request &request);
+    void push(const waiting_request &request);
 
-    /// Takes out a request; returns whether it was there.
+    /// Takes out a request without charging its caller; returns whether it was there.
     bool remove(const request_id &request);
 
-    /// The request to start next for which @p accepts returns true; it stays in the queue.
-    template<typename Predicate>
-    [[nodiscard]] const dispatch_request *next(Predicate accepts) const
-    {
-        for (const dispatch_request &request : m_requests) {
-            if (accepts(request)) {
-                return &request;
-            }
-        }
-        return nullptr;
-    }
+    /// Takes out a request that starts and charges its caller.
+    void take(const request_id &request);
+
+    /// The request to start next outside of the @p blocked lanes; it stays in the queue.
+    [[nodiscard]] std::optional<waiting_request> next(const lane_set &blocked) const;
 
     [[nodiscard]] std::size_t size() const
     {
-        return m_requests.size();
+        return m_places.size();
     }
 
 private:
-    std::deque<dispatch_request> m_requests;
+    struct position
+    {
+        time_point order;
+        std::uint64_t number = 0; ///< Of arrival; breaks ties.
+        request_id id;
+        auto operator<=>(const position &) const = default;
+    };
+    using lane_positions = std::array<std::set<position>, workLanes>;
+    struct place
+    {
+        waiting_request request;
+        position where;
+    };
+    struct caller_state
+    {
+        lane_positions lanes;
+        double served = 0; ///< Virtual start time of the next request.
+
+        [[nodiscard]] bool idle() const;
+    };
+
+    [[nodiscard]] static const position *earliest(const lane_positions &lanes, const lane_set &blocked);
+    [[nodiscard]] std::optional<double> leastServed(const lane_set &blocked) const;
+    lane_positions &lanesOf(const waiting_request &request);
+    void forgetIdleCaller(const caller_id &caller);
+
+    double m_allowance;
+    double m_virtualTime = 0;
+    std::uint64_t m_lastNumber = 0;
+    std::map<caller_id, caller_state> m_callers;
+    lane_positions m_promoted;
+    std::unordered_map<request_id, place> m_places;
 };
 
 } // namespace banyan
