--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -92,11 +92,11 @@
 {
     for (const bool announced : {true, false}) {
         scenario value = baseScenario(policy, seed);
-        value.work.batchWindow = value.fleet.upstreams * batchWindowPerUpstream;
         value.work.onlineRate = 60;
-        value.work.burstRate = 120;
+        value.work.burstRate = 160;
+        value.work.batchRate = 15;
         const scenario_result without = run(value);
-        value.work.longShare = 0.02;
+        value.work.longShare = 0.04;
         value.work.longAnnounced = announced;
         const scenario_result with = run(value);
         const std::string name = announced ? "stragglers, announced: " : "stragglers, unannounced: ";
@@ -109,7 +109,8 @@
                    policy,
                    quantile(with.batchShort, p99) / quantile(without.batchShort, p99),
                    stragglerTarget);
-        out.figure(name + "batch tokens with over without", policy, with.batchTokens / without.batchTokens);
+        out.figure(name + "batch short p99 without [s]", policy, quantile(without.batchShort, p99));
+        out.figure(name + "online long p50 [s]", policy, quantile(with.onlineLong, p50));
     }
 }
 
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -40,6 +40,9 @@
 {
     m_end = end;
     scheduleOnline();
+    if (m_options.batchRate > 0) {
+        scheduleBatch();
+    }
     for (std::size_t i = 0; i < m_options.batchWindow; ++i) {
         submitBatch();
     }
@@ -67,6 +70,19 @@
     });
 }
 
+void workload::scheduleBatch()
+{
+    std::exponential_distribution<double> gap(m_options.batchRate);
+    const auto next = m_loop.now() + duration(static_cast<std::int64_t>(gap(m_batchRandom) * microsecondsPerSecond));
+    if (next > m_end) {
+        return;
+    }
+    m_loop.at(next, [this] {
+        submitBatch();
+        scheduleBatch();
+    });
+}
+
 simulated_request workload::makeRequest(work_class value, double meanTokens)
 {
     const bool online = value == work_class::Online;
@@ -110,7 +126,7 @@
 void workload::requestEnded(const simulated_result &result)
 {
     const bool batch = result.kind == request_kind::BatchShort || result.kind == request_kind::BatchLong;
-    if (batch && m_loop.now() < m_end) {
+    if (batch && m_options.batchWindow > 0 && m_loop.now() < m_end) {
         m_loop.after(std::chrono::milliseconds(result.result.what == disposition::Completed ? 1 : 100), [this] {
             submitBatch();
         });
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -22,6 +22,7 @@
     double longFactor = 30;
     bool longAnnounced = true; ///< Whether expectedTokens tells long requests from short ones.
     std::size_t batchWindow = 0; ///< Batch items outstanding at any time; 0 for none.
+    double batchRate = 0; ///< Batch items a second that arrive whatever is outstanding.
     std::size_t callers = 8;
     std::size_t prefixes = 200; ///< Distinct prompt prefixes, the popular ones far more frequent.
     std::size_t nodes = 13; ///< Entry nodes; some receive up to three times as much as others.
@@ -45,6 +46,7 @@
 private:
     void scheduleOnline();
     void submitOnline();
+    void scheduleBatch();
     void submitBatch();
     [[nodiscard]] simulated_request makeRequest(work_class value, double meanTokens);
     [[nodiscard]] double rateAt(time_point when) const;
