--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -4,6 +4,7 @@
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/time.h"
 #include "banyan/core/upstream_info.h"
+#include "concurrency_limit.h"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,8 @@
     std::vector<attempt_id> attempts; ///< In flight.
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
+    std::uint32_t preemptions = 0;
+    bool charged = false; ///< Its caller's share has paid for it.
     bool mayHaveRun = false; ///< Some attempt may have reached an upstream.
     std::set<upstream_id> tried; ///< Upstreams where an attempt failed.
     std::optional<time_point> retryAt;
@@ -47,9 +50,16 @@
 struct upstream_state
 {
     upstream_info info;
+    concurrency_limit limit; ///< Requests that it may hold before batch work has to yield.
+    bool streamsTokens = false; ///< Some answer has counted its tokens.
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
-    std::uint32_t limit = 0; ///< Requests that it may hold at once.
+    std::uint32_t pinnedInFlight = 0; ///< Batch attempts that are not repeatable and so cannot be preempted.
+
+    [[nodiscard]] std::uint32_t inFlight() const
+    {
+        return onlineInFlight + batchInFlight;
+    }
 };
 
 } // namespace banyan
