--- a/core/include/banyan/core/group_committer.h
+++ b/core/include/banyan/core/group_committer.h
@@ -68,7 +68,7 @@
     void commitFailed(commit_failure failure, time_point now);
 
     /// Reports the answer to a read_call.
-    void readAnswered(const std::optional<row> &answer, time_point now);
+    void readAnswered(const std::optional<row> &answer);
 
     /// Reports a read_call without an answer.
     void readFailed(time_point now);
@@ -164,7 +164,6 @@
     row_version m_version = 0; ///< Of the lease's row; 0: absent.
     std::deque<pending_item> m_queue;
     std::vector<content> m_tried; ///< All contents sent on top of m_version; each next one is a part of the one before.
-    std::vector<std::string> m_conflicts; ///< Failed keys to be dealt with after reading back.
     std::vector<commit_outcome> m_outcomes;
     call_state m_call = call_state::None;
     bool m_readBack = false; ///< The next call reads the lease's row.
--- a/core/src/group_committer.cpp
+++ b/core/src/group_committer.cpp
@@ -228,8 +228,7 @@
         return;
     }
     const auto &failed = result.failedKeys;
-    if (maybeApplied() || std::find(failed.begin(), failed.end(), m_options.leaseKey) != failed.end()) {
-        m_conflicts = failed;
+    if (std::find(failed.begin(), failed.end(), m_options.leaseKey) != failed.end()) {
         m_readBack = true;
         return;
     }
@@ -263,18 +262,15 @@
     refuseWaiting();
 }
 
-void group_committer::readAnswered(const std::optional<row> &answer, time_point now)
+void group_committer::readAnswered(const std::optional<row> &answer)
 {
     m_call = call_state::None;
     m_failures = 0;
     m_readBack = false;
     const row_version version = answer ? answer->version : 0;
     if (version == m_version) {
-        const std::vector<std::string> conflicts = std::exchange(m_conflicts, {});
-        dropConflicting(conflicts, now);
-        return;
+        return; // Not applied yet; sent again as it is, so that at most one of the two takes effect.
     }
-    m_conflicts.clear();
     const std::optional<lease_row> found = leaseIn(answer);
     for (const content &tried : m_tried) {
         if (found && found->transaction == tried.lease.transaction) {
@@ -305,9 +301,6 @@
 
 void group_committer::dropConflicting(const std::vector<std::string> &failedKeys, time_point now)
 {
-    if (failedKeys.empty()) {
-        return;
-    }
     const bool undecided = maybeApplied();
     std::vector<pending_item> kept;
     for (const pending_item &pending : m_tried.back().items) {
--- a/io/src/lease_session.cpp
+++ b/io/src/lease_session.cpp
@@ -48,41 +48,41 @@
 class lease_session::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(asio::io_context &context, store_port port, group_committer_options options)
-        : m_context(context)
-        , m_port(std::move(port))
-        , m_leaseKey(options.leaseKey)
-        , m_committer(std::move(options))
+    implementation(asio::io_context &ioContext, store_port storePort, group_committer_options options)
+        : context(ioContext)
+        , port(std::move(storePort))
+        , leaseKey(options.leaseKey)
+        , committer(std::move(options))
     {
     }
 
     std::shared_ptr<outcome_waiter> acquire(const std::optional<row> &seen, commit_item first)
     {
-        const commit_ticket ticket = m_committer.acquire(seen, std::move(first), m_port.now());
+        const commit_ticket ticket = committer.acquire(seen, std::move(first), port.now());
         return track(ticket);
     }
 
     std::shared_ptr<outcome_waiter> submit(commit_item item)
     {
-        return track(m_committer.submit(std::move(item)));
+        return track(committer.submit(std::move(item)));
     }
 
     void release()
     {
-        m_committer.release();
+        committer.release();
         step();
     }
 
     void setCommitsPerSecond(double rate)
     {
-        m_committer.setCommitsPerSecond(rate, m_port.now());
+        committer.setCommitsPerSecond(rate, port.now());
         step();
     }
 
     void stop()
     {
         m_stopped = true;
-        m_lostHandler = nullptr;
+        lostHandler = nullptr;
     }
 
     /// Starts the next call if one is due, else sees to it that this is called again in time.
@@ -91,24 +91,24 @@
         if (m_stopped) {
             return;
         }
-        const std::optional<store_call> call = m_committer.nextCall(m_port.now());
+        const std::optional<store_call> call = committer.nextCall(port.now());
         if (call) {
-            asio::co_spawn(m_context, perform(shared_from_this(), *call), asio::detached);
+            asio::co_spawn(context, perform(shared_from_this(), *call), asio::detached);
         }
         deliver();
         scheduleWakeUp();
     }
 
-    asio::io_context &m_context;
-    store_port m_port;
-    std::string m_leaseKey;
-    group_committer m_committer;
-    std::function<void()> m_lostHandler;
+    asio::io_context &context;
+    store_port port;
+    const std::string leaseKey;
+    group_committer committer;
+    std::function<void()> lostHandler;
 
 private:
     std::shared_ptr<outcome_waiter> track(commit_ticket ticket)
     {
-        auto waiter = std::make_shared<outcome_waiter>(m_context);
+        auto waiter = std::make_shared<outcome_waiter>(context);
         m_waiters.emplace(ticket, waiter);
         step();
         return waiter;
@@ -128,8 +128,8 @@
     {
         std::optional<commit_failure> failure;
         try {
-            const commit_result result = co_await self->m_port.commit(std::move(change));
-            self->m_committer.commitAnswered(result, self->m_port.now());
+            const commit_result result = co_await self->port.commit(std::move(change));
+            self->committer.commitAnswered(result, self->port.now());
         } catch (const platform_unavailable &error) {
             failure = commit_failure::Unavailable;
             self->logFailure("lease_commit_unavailable", error);
@@ -138,7 +138,7 @@
             self->logFailure("lease_commit_unknown", error);
         }
         if (failure) {
-            self->m_committer.commitFailed(*failure, self->m_port.now());
+            self->committer.commitFailed(*failure, self->port.now());
         }
     }
 
@@ -146,25 +146,25 @@
     {
         bool answered = false;
         try {
-            const std::optional<row> answer = co_await self->m_port.read(std::move(key));
+            const std::optional<row> answer = co_await self->port.read(std::move(key));
             answered = true;
-            self->m_committer.readAnswered(answer, self->m_port.now());
+            self->committer.readAnswered(answer);
         } catch (const platform_unavailable &error) {
             self->logFailure("lease_read_unavailable", error);
         }
         if (!answered) {
-            self->m_committer.readFailed(self->m_port.now());
+            self->committer.readFailed(self->port.now());
         }
     }
 
     void logFailure(std::string_view event, const std::exception &error) const
     {
-        logEvent(log_level::Warning, event, {{"lease", m_leaseKey}, {"error", error.what()}});
+        logEvent(log_level::Warning, event, {{"lease", leaseKey}, {"error", error.what()}});
     }
 
     void deliver()
     {
-        for (const commit_outcome &outcome : m_committer.takeOutcomes()) {
+        for (const commit_outcome &outcome : committer.takeOutcomes()) {
             const auto found = m_waiters.find(outcome.ticket);
             if (found != m_waiters.end()) {
                 found->second->outcome = outcome;
@@ -172,21 +172,21 @@
                 m_waiters.erase(found);
             }
         }
-        if (m_committer.status() == lease_status::Lost && m_lostHandler) {
-            logEvent(log_level::Warning, "lease_lost", {{"lease", m_leaseKey}});
-            std::exchange(m_lostHandler, nullptr)();
+        if (committer.status() == lease_status::Lost && lostHandler) {
+            logEvent(log_level::Warning, "lease_lost", {{"lease", leaseKey}});
+            std::exchange(lostHandler, nullptr)();
         }
     }
 
     void scheduleWakeUp()
     {
-        const time_point now = m_port.now();
-        const std::optional<time_point> wanted = m_committer.nextWakeUp(now);
+        const time_point now = port.now();
+        const std::optional<time_point> wanted = committer.nextWakeUp(now);
         if (!wanted || (m_wakeUp && *m_wakeUp <= *wanted)) {
             return;
         }
         m_wakeUp = wanted;
-        m_port.callAt(*wanted, [weak = weak_from_this(), when = *wanted] {
+        port.callAt(*wanted, [weak = weak_from_this(), when = *wanted] {
             if (const auto self = weak.lock()) {
                 self->wokenUp(when);
             }
@@ -221,7 +221,7 @@
     const auto state = m_implementation;
     const auto waiter = state->acquire(seen, std::move(first));
     co_await waitFor(waiter);
-    const lease_status status = state->m_committer.status();
+    const lease_status status = state->committer.status();
     co_return status == lease_status::Held || status == lease_status::Releasing;
 }
 
@@ -237,11 +237,11 @@
     constexpr duration pollInterval = std::chrono::milliseconds(20);
     const auto state = m_implementation;
     state->release();
-    while (state->m_committer.status() == lease_status::Releasing || state->m_committer.status() == lease_status::Acquiring) {
-        if (state->m_port.now() >= until) {
+    while (state->committer.status() == lease_status::Releasing || state->committer.status() == lease_status::Acquiring) {
+        if (state->port.now() >= until) {
             co_return;
         }
-        co_await sleepUntil(state->m_port, std::min(until, state->m_port.now() + pollInterval));
+        co_await sleepUntil(state->port, std::min(until, state->port.now() + pollInterval));
     }
 }
 
@@ -252,17 +252,17 @@
 
 void lease_session::onLost(std::function<void()> handler)
 {
-    m_implementation->m_lostHandler = std::move(handler);
+    m_implementation->lostHandler = std::move(handler);
 }
 
 bool lease_session::held() const
 {
-    return m_implementation->m_committer.held(m_implementation->m_port.now());
+    return m_implementation->committer.held(m_implementation->port.now());
 }
 
 const group_committer &lease_session::committer() const
 {
-    return m_implementation->m_committer;
+    return m_implementation->committer;
 }
 
 } // namespace banyan
