Submit patches by one conditional transaction and settle lost answers by reading back

patch_submission is the pure procedure that io carries out step by step: read the patch row of the next version, read the head, check the whole result, commit head, patch row and audit row conditional on the head's row version, and after a lost answer read the patch row back or repeat the same transaction. A submission id makes a resent patch harmless. configuration_history keeps the version in force and a bounded number of patches; it never goes back.

Weighed: a head row with the whole configuration (each patch writes all of it; no history) and a lock row (a paused holder blocks operators).

--- /dev/null
+++ b/tests/property/patch_submission_property_test.cpp
@@ -0,0 +1,309 @@
+#include "banyan/core/configuration_history.h"
+#include "banyan/core/configuration_json.h"
+#include "banyan/core/patch_submission.h"
+#include "fake_table.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <deque>
+#include <set>
+
+using namespace banyan;
+
+namespace {
+
+constexpr time_point start{std::chrono::seconds(1000)};
+
+/// What happens to one call to the table.
+enum class call_fate {
+    Answered,
+    NotSent,
+    LostBefore, ///< The answer is lost and nothing took effect.
+    LostAfter, ///< The answer is lost after the effect.
+    Delayed, ///< The answer is lost and the effect comes later.
+};
+
+call_fate drawFate()
+{
+    return *rc::gen::weightedElement<call_fate>({{6, call_fate::Answered},
+                                                 {1, call_fate::NotSent},
+                                                 {1, call_fate::LostBefore},
+                                                 {2, call_fate::LostAfter},
+                                                 {1, call_fate::Delayed}});
+}
+
+std::string patchOf(const std::string &submission)
+{
+    return R"({"callers":{")" + submission + R"(":{}}})";
+}
+
+/// One operator's submission on a node of its own; calls to the table go wrong at random.
+class submitting_node
+{
+public:
+    submitting_node(fake_table &table, std::deque<transaction> &late, patch_request request)
+        : m_table(table)
+        , m_late(late)
+        , m_history({})
+        , m_submission(std::move(request), start + std::chrono::seconds(20), {.snapshotInterval = 3})
+        , m_step(m_submission.start())
+    {
+        m_history.adopt({.version = 0, .json = "{}"});
+    }
+
+    [[nodiscard]] const patch_result *result() const
+    {
+        const auto *const end = std::get_if<finish_submission>(&m_step.action);
+        return end == nullptr ? nullptr : &end->result;
+    }
+
+    void advance(call_fate fate)
+    {
+        m_now += m_step.delay + std::chrono::milliseconds(10);
+        m_step = std::visit(
+            [&](const auto &action) {
+                return perform(action, fate);
+            },
+            submission_step::action_type(m_step.action));
+    }
+
+private:
+    submission_step perform(const read_head_row &, call_fate fate)
+    {
+        return fate == call_fate::Answered ? m_submission.headRead(m_table.read(std::string(configurationHeadKey)), m_history, m_now)
+                                           : m_submission.unavailable(m_now);
+    }
+
+    submission_step perform(const read_patch_row &action, call_fate fate)
+    {
+        return fate == call_fate::Answered ? m_submission.patchRowRead(m_table.read(action.key), m_now) : m_submission.unavailable(m_now);
+    }
+
+    submission_step perform(const catch_up &, call_fate)
+    {
+        for (const row &stored : m_table.scan(std::string(configurationPatchPrefix))) {
+            const patch_record record = parsePatchRecord(stored.value);
+            m_history.apply({.version = record.version, .mergePatch = record.mergePatch});
+        }
+        return m_submission.caughtUp(m_history, m_now);
+    }
+
+    submission_step perform(const store_snapshot &, call_fate fate)
+    {
+        return m_submission.snapshotStored(fate == call_fate::Answered);
+    }
+
+    submission_step perform(const commit_patch &action, call_fate fate)
+    {
+        if (fate == call_fate::NotSent) {
+            return m_submission.unavailable(m_now);
+        }
+        if (fate == call_fate::Delayed) {
+            m_late.push_back(action.change);
+        }
+        if (fate == call_fate::Delayed || fate == call_fate::LostBefore) {
+            return m_submission.outcomeUnknown(m_now);
+        }
+        const commit_result result = m_table.commit(action.change);
+        return fate == call_fate::LostAfter ? m_submission.outcomeUnknown(m_now) : m_submission.committed(result);
+    }
+
+    submission_step perform(const finish_submission &, call_fate)
+    {
+        return m_step;
+    }
+
+    fake_table &m_table;
+    std::deque<transaction> &m_late;
+    configuration_history m_history;
+    patch_submission m_submission;
+    submission_step m_step;
+    time_point m_now = start;
+};
+
+/// Several operators that race on one table.
+class race
+{
+public:
+    /// @param content racers may well want the same change
+    void submit(const std::string &id, configuration_version base, const std::string &content)
+    {
+        m_nodes.try_emplace(id, m_table, m_late, patch_request{.submissionId = id, .baseVersion = base, .mergePatch = patchOf(content)});
+        m_bases[id] = base;
+        m_contents[id] = content;
+    }
+
+    /// Runs all submissions to their ends in a random order.
+    void run()
+    {
+        while (!unfinished().empty()) {
+            const std::string id = *rc::gen::elementOf(unfinished());
+            m_nodes.at(id).advance(drawFate());
+            if (!m_late.empty() && *rc::gen::arbitrary<bool>()) {
+                takeEffect();
+            }
+        }
+        while (!m_late.empty()) {
+            takeEffect();
+        }
+    }
+
+    /// Submits again, on a platform that works, what ended without a certain outcome.
+    void settle()
+    {
+        for (const auto &[id, base] : m_bases) {
+            if (m_nodes.at(id).result()->outcome == patch_outcome::OutcomeUnknown) {
+                m_nodes.erase(id);
+                submit(id, base, m_contents.at(id));
+                while (m_nodes.at(id).result() == nullptr) {
+                    m_nodes.at(id).advance(call_fate::Answered);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] const std::map<std::string, configuration_version> &bases() const
+    {
+        return m_bases;
+    }
+
+    [[nodiscard]] const patch_result &resultOf(const std::string &id) const
+    {
+        return *m_nodes.at(id).result();
+    }
+
+    [[nodiscard]] const fake_table &table() const
+    {
+        return m_table;
+    }
+
+    [[nodiscard]] configuration_version version() const
+    {
+        return parseHead(m_table.read(std::string(configurationHeadKey))).version;
+    }
+
+private:
+    [[nodiscard]] std::vector<std::string> unfinished() const
+    {
+        std::vector<std::string> result;
+        for (const auto &[id, node] : m_nodes) {
+            if (node.result() == nullptr) {
+                result.push_back(id);
+            }
+        }
+        return result;
+    }
+
+    void takeEffect()
+    {
+        m_table.commit(m_late.front());
+        m_late.pop_front();
+    }
+
+    fake_table m_table;
+    std::deque<transaction> m_late;
+    std::map<std::string, submitting_node> m_nodes;
+    std::map<std::string, configuration_version> m_bases;
+    std::map<std::string, std::string> m_contents;
+};
+
+race randomRace()
+{
+    race result;
+    const int rounds = *rc::gen::inRange(1, 6);
+    for (int round = 0; round < rounds; ++round) {
+        const int racers = *rc::gen::inRange(1, 5);
+        for (int racer = 0; racer < racers; ++racer) {
+            const std::string id = "s" + std::to_string(round) + "-" + std::to_string(racer);
+            result.submit(id, result.version(), *rc::gen::element(id, std::string("same")));
+        }
+        result.run();
+    }
+    result.settle();
+    return result;
+}
+
+/// The submissions in the order in which the table has them.
+std::vector<patch_record> committedPatches(const race &finished)
+{
+    std::vector<patch_record> result;
+    for (const row &stored : finished.table().scan(std::string(configurationPatchPrefix))) {
+        result.push_back(parsePatchRecord(stored.value));
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("racing patches: a submission is accepted exactly if the table has it, at the version it was told")
+{
+    rc::prop("results agree with the table after lost, late and repeated commits", [] {
+        const race finished = randomRace();
+        std::map<std::string, configuration_version> committed;
+        for (const patch_record &record : committedPatches(finished)) {
+            RC_ASSERT(committed.emplace(record.submissionId, record.version).second);
+        }
+        for (const auto &[id, base] : finished.bases()) {
+            const patch_result &result = finished.resultOf(id);
+            RC_ASSERT(((result.outcome == patch_outcome::Accepted) == committed.contains(id)));
+            RC_ASSERT((result.outcome != patch_outcome::Accepted || (result.version == committed.at(id) && result.version == base + 1)));
+            RC_ASSERT(result.outcome != patch_outcome::OutcomeUnknown);
+            RC_ASSERT((result.outcome != patch_outcome::Conflict || (result.version > base && result.version <= finished.version())));
+        }
+    });
+}
+
+TEST_CASE("racing patches: versions have no gap, one winner each, an audit row each, and a readable snapshot version")
+{
+    rc::prop("the rows fold into the same configuration as a naive list", [] {
+        const race finished = randomRace();
+        configuration_history history({});
+        history.adopt({.version = 0, .json = "{}"});
+        std::set<std::string> expected;
+        std::size_t patches = 0;
+        for (const patch_record &record : committedPatches(finished)) {
+            RC_ASSERT(history.apply({.version = record.version, .mergePatch = record.mergePatch}));
+            expected.insert(changedFields(record.mergePatch).front());
+            ++patches;
+        }
+        RC_ASSERT((history.version() == finished.version()));
+        RC_ASSERT(history.current()->callers.size() == expected.size());
+        RC_ASSERT(finished.table().scan(std::string(auditPrefix)).size() == patches);
+        const configuration_head head = parseHead(finished.table().read(std::string(configurationHeadKey)));
+        RC_ASSERT((head.snapshotVersion <= head.version && head.snapshotVersion % 3 == 0));
+    });
+}
+
+TEST_CASE("a history never goes back and stays consecutive, whatever updates come in whatever order")
+{
+    rc::prop("updates from histories of random ages", [] {
+        const configuration_history_options small{.maximumPatches = 5, .maximumPatchBytes = 400};
+        std::vector<configuration_history> ages;
+        configuration_history growing(small);
+        growing.adopt({.version = 0, .json = "{}"});
+        ages.push_back(growing);
+        for (configuration_version version = 1; version <= 20; ++version) {
+            growing.apply({.version = version, .mergePatch = patchOf("c" + std::to_string(version))});
+            RC_ASSERT(growing.patchBytes() <= small.maximumPatchBytes);
+            ages.push_back(growing);
+        }
+        configuration_history learner(small);
+        const auto picks = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, ages.size()));
+        std::optional<configuration_version> highest;
+        for (const std::size_t pick : picks) {
+            learner.take(ages[pick].since(learner.version()));
+            highest = std::max(highest, ages[pick].version());
+            RC_ASSERT((learner.version() == highest));
+            RC_ASSERT((toJson(*learner.current()) == toJson(*ages[*highest].current())));
+        }
+        const configuration_patch other{.version = *rc::gen::inRange<configuration_version>(1, 21), .mergePatch = patchOf("other")};
+        const bool follows = highest && other.version == *highest + 1;
+        RC_ASSERT(learner.apply(other) == follows);
+        // An update made for an older state of the learner must not do harm either.
+        const auto before = learner.version();
+        learner.take(ages[*rc::gen::inRange<std::size_t>(0, ages.size())].since(std::nullopt));
+        RC_ASSERT((learner.version() >= before));
+    });
+}
