Add the operators' HTTP interface and banyanctl

The interface asks the node for what it shows and changes through an options struct of functions, so that it builds and is tested alone; one that is not set answers 501, a store that is down 503, a lost outcome 504. Exit codes: 0, 1 refused, 2 usage, 3 unreachable. timeText() moved out of the log, which had the only copy.

--- /dev/null
+++ b/io/include/banyan/io/upstream_status.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "banyan/core/endpoint.h"
+#include "banyan/core/identifier.h"
+
+#include <compare>
+#include <cstddef>
+
+namespace banyan {
+
+/// What a node knows of an upstream, for operators.
+struct upstream_status
+{
+    upstream_id id;
+    pool_name pool;
+    failure_domain domain;
+    endpoint address;
+    bool leaving = false;
+    bool ejected = false; ///< Receives no work because it was slow or failed.
+    std::size_t inFlight = 0; ///< As far as this node knows.
+
+    auto operator<=>(const upstream_status &) const = default;
+};
+
+} // namespace banyan
--- a/io/src/log.cpp
+++ b/io/src/log.cpp
@@ -1,10 +1,11 @@
 #include "banyan/io/log.h"
 
+#include "banyan/io/time_text.h"
+
 #include <easylogging++.h>
 
 #include <chrono>
 #include <cstdio>
-#include <ctime>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -46,19 +47,6 @@
     return "unknown";
 }
 
-std::string timeText()
-{
-    const auto now = std::chrono::system_clock::now();
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
-    const std::time_t seconds = micros / 1000000;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    char text[48];
-    const std::size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::snprintf(text + length, sizeof(text) - length, ".%06dZ", static_cast<int>(micros % 1000000));
-    return text;
-}
-
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string::npos;
@@ -131,7 +119,7 @@
     if (level < leastLevel()) {
         return;
     }
-    std::string line = "time=" + timeText();
+    std::string line = "time=" + timeText(std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()));
     line.append(" level=").append(levelName(level)).append(" event=").append(event);
     for (const log_field &field : fields) {
         line.append(" ").append(field.name).append("=");
--- /dev/null
+++ b/io/src/operator_tool.cpp
@@ -0,0 +1,80 @@
+#include "banyan/io/operator_tool.h"
+
+#include "banyan/io/http_client.h"
+#include "banyan/io/http_error.h"
+#include "banyan/io/json_text.h"
+#include "operator_command.h"
+#include "usage_error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/json/parse.hpp>
+
+namespace banyan {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration callTimeout = std::chrono::seconds(30);
+constexpr unsigned firstRefusal = 300; ///< HTTP status from which an answer is a refusal or a failure.
+
+/// Runs one exchange to its end. @throws http_error
+http_response exchangeOnce(const operator_command &command)
+{
+    asio::io_context context;
+    http_client client(context, {});
+    auto answer = asio::co_spawn(context, client.exchange(command.node, command.request, callTimeout), asio::use_future);
+    context.run();
+    return answer.get();
+}
+
+/// The message of an error answer, and what else it says.
+std::string refusalText(const http_response &response)
+{
+    boost::system::error_code error;
+    const json::value body = json::parse(response.body, error);
+    const json::object *object = error ? nullptr : body.if_object();
+    const json::value *details = object == nullptr ? nullptr : object->if_contains("error");
+    if (details == nullptr || !details->is_object()) {
+        return "status " + std::to_string(response.status) + ": " + response.body;
+    }
+    json::object rest = *object;
+    rest.erase("error");
+    const std::string text = "status " + std::to_string(response.status) + ", " + toText(json::object(details->as_object()));
+    return rest.empty() ? text : text + toText(rest);
+}
+
+} // namespace
+
+operator_tool::operator_tool(operator_tool_options options, std::ostream &output, std::ostream &errors)
+    : m_options(std::move(options))
+    , m_output(output)
+    , m_errors(errors)
+{
+}
+
+tool_exit operator_tool::run(const std::vector<std::string> &arguments)
+{
+    try {
+        const operator_command command = parseOperatorCommand(arguments, m_options);
+        const http_response response = exchangeOnce(command);
+        if (response.status >= firstRefusal) {
+            m_errors << "banyanctl: " << refusalText(response);
+            return tool_exit::Refused;
+        }
+        m_output << (command.json ? response.body + "\n" : toText(json::parse(response.body)));
+        return tool_exit::Done;
+    } catch (const help_requested &help) {
+        m_output << help.what();
+        return tool_exit::Done;
+    } catch (const usage_error &error) {
+        m_errors << "banyanctl: " << error.what() << "\n";
+        return tool_exit::Usage;
+    } catch (const http_error &error) {
+        m_errors << "banyanctl: no answer from the node: " << error.what() << "\n";
+        return tool_exit::Unreachable;
+    }
+}
+
+} // namespace banyan
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -10,8 +10,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace banyan::process_tests {
 
 namespace {
@@ -21,6 +19,7 @@
 std::vector<char *> argumentVector(std::vector<std::string> &texts)
 {
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string &text : texts) {
         pointers.push_back(text.data());
     }
@@ -84,7 +83,7 @@
         }
     }
     const std::string line = m_output.substr(0, m_output.find('\n'));
-    const std::string value = valueIn(line, name);
+    std::string value = valueIn(line, name);
     if (value.empty()) {
         throw std::runtime_error(m_program + ": expected " + name + "= in the ready line, found: " + line);
     }
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -248,10 +248,10 @@
     }
 }
 
-http_response fleet::chat(std::size_t entry, const std::string &message, json::object more) const
+http_response fleet::chat(std::size_t entry, const std::string &message, const json::object &more) const
 {
     json::object body = chatBody(message);
-    for (const auto &field : more) {
+    for (const json::key_value_pair &field : more) {
         body[field.key()] = field.value();
     }
     return call(callers(entry), postJson("/v1/chat/completions", callerKey, body));
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -71,7 +71,7 @@
     void patch(const boost::json::value &patch);
 
     /// Sends a chat completion of one user message as the caller "niebla".
-    [[nodiscard]] http_response chat(std::size_t entry, const std::string &message, boost::json::object more = {}) const;
+    [[nodiscard]] http_response chat(std::size_t entry, const std::string &message, const boost::json::object &more = {}) const;
     /// Calls the plain service "orders" as the caller "niebla".
     [[nodiscard]] http_response order(std::size_t entry, const http_request &request) const;
     /// Calls the operators' interface with the first operator's key.
