--- a/io/include/banyan/io/cell_host.h
+++ b/io/include/banyan/io/cell_host.h
@@ -9,6 +9,7 @@
 #include "banyan/io/run_cancellation.h"
 #include "banyan/io/run_outcome.h"
 #include "banyan/io/run_request.h"
+#include "banyan/io/upstream_report.h"
 
 #include <cstddef>
 #include <functional>
@@ -33,18 +34,6 @@
     start_recorder recordStart;
 };
 
-/// One line of cell_host::upstreams().
-struct upstream_status
-{
-    upstream_id id;
-    cell_id cell;
-    endpoint address;
-    bool leaving = false;
-    std::size_t inFlight = 0; ///< Attempts from this node.
-
-    auto operator<=>(const upstream_status &) const = default;
-};
-
 /// Runs the dispatchers of the cells that this node owns: sends attempts to upstreams, passes answers on, drives time.
 class cell_host
 {
@@ -66,7 +55,7 @@
     [[nodiscard]] std::size_t inProgress() const;
 
     /// The upstreams of the cells that this node has used, for operators.
-    [[nodiscard]] std::vector<upstream_status> upstreams() const;
+    [[nodiscard]] std::vector<upstream_report> upstreams() const;
 
 private:
     class implementation;
--- a/io/include/banyan/io/upstream_status.h
+++ b/io/include/banyan/io/upstream_report.h
@@ -9,7 +9,7 @@
 namespace banyan {
 
 /// What a node knows of an upstream, for operators.
-struct upstream_status
+struct upstream_report
 {
     upstream_id id;
     pool_name pool;
@@ -19,7 +19,7 @@
     bool ejected = false; ///< Receives no work because it was slow or failed.
     std::size_t inFlight = 0; ///< As far as this node knows.
 
-    auto operator<=>(const upstream_status &) const = default;
+    auto operator<=>(const upstream_report &) const = default;
 };
 
 } // namespace banyan
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -144,26 +144,28 @@
         return m_inProgress;
     }
 
-    [[nodiscard]] std::vector<upstream_status> upstreams() const
+    [[nodiscard]] std::vector<upstream_report> upstreams() const
     {
-        std::vector<upstream_status> result;
+        std::vector<upstream_report> result;
         for (const auto &[id, cell] : m_cells) {
-            for (const auto &[name, info] : cell->upstreams) {
-                result.push_back(
-                    {.id = name, .cell = id, .address = info.address, .leaving = info.leaving, .inFlight = attemptsAt(*cell, name)});
+            for (const upstream_status &status : cell->decisions.upstreams(currentTime())) {
+                result.push_back(reportOf(*cell, status));
             }
         }
         return result;
     }
 
 private:
-    static std::size_t attemptsAt(const hosted_cell &cell, const upstream_id &upstream)
+    static upstream_report reportOf(const hosted_cell &cell, const upstream_status &status)
     {
-        std::size_t count = 0;
-        for (const auto &[id, attempt] : cell.attempts) {
-            count += attempt->order().upstream == upstream ? 1 : 0;
-        }
-        return count;
+        const auto known = cell.upstreams.find(status.id);
+        return {.id = status.id,
+                .pool = cell.id.pool,
+                .domain = cell.id.domain,
+                .address = known == cell.upstreams.end() ? endpoint() : known->second.address,
+                .leaving = status.condition == upstream_condition::Leaving,
+                .ejected = status.condition == upstream_condition::Ejected || status.condition == upstream_condition::Probing,
+                .inFlight = status.onlineInFlight + status.batchInFlight};
     }
 
     cell_pointer cellOf(const cell_id &id)
@@ -433,7 +435,7 @@
     return m_implementation->inProgress();
 }
 
-std::vector<upstream_status> cell_host::upstreams() const
+std::vector<upstream_report> cell_host::upstreams() const
 {
     return m_implementation->upstreams();
 }
--- a/io/src/node_settings.cpp
+++ b/io/src/node_settings.cpp
@@ -138,7 +138,7 @@
 
 std::string readSecret(const settings_reader &reader)
 {
-    const std::string secret = reader.text("fleet_secret");
+    std::string secret = reader.text("fleet_secret");
     if (secret.size() < leastSecretLength) {
         reader.failAt(
             "fleet_secret", "at least " + std::to_string(leastSecretLength) + " characters", std::to_string(secret.size()) + " characters");
@@ -148,7 +148,7 @@
 
 std::string readKeyHash(const settings_reader &reader)
 {
-    const std::string hash = reader.text("bootstrap_operator_key_hash");
+    std::string hash = reader.text("bootstrap_operator_key_hash");
     if (hash.size() != keyHashLength || hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
         reader.failAt("bootstrap_operator_key_hash", "64 lower-case hexadecimal digits", hash);
     }
--- a/io/src/operator_api.cpp
+++ b/io/src/operator_api.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 #include <boost/json/value_to.hpp>
 
 #include <algorithm>
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr std::size_t maximumPatch = std::size_t(4) << 20; ///< Bytes.
+constexpr std::size_t defaultAuditPage = 100; ///< Entries.
 constexpr std::size_t maximumAuditPage = 1000; ///< Entries.
 constexpr std::string_view bearer = "Bearer ";
 
@@ -45,13 +47,17 @@
     return value;
 }
 
-audit_query auditQuery(const http_exchange &exchange)
+audit_filter auditFilter(const http_exchange &exchange)
 {
-    const audit_query defaults;
-    audit_query query{.kind = exchange.query("kind").value_or(""), .author = exchange.query("operator").value_or("")};
-    query.after = numberFrom(exchange.query("after"), "after", defaults.after);
-    query.limit = std::min(numberFrom(exchange.query("limit"), "limit", defaults.limit), maximumAuditPage);
-    return query;
+    audit_filter filter{.kind = exchange.query("kind")};
+    if (const std::optional<std::string> actor = exchange.query("operator")) {
+        filter.actor = operator_id(*actor);
+    }
+    if (const std::optional<std::string> after = exchange.query("after")) {
+        filter.from = time_point(duration(numberFrom<std::int64_t>(after, "after", 0) + 1));
+    }
+    filter.limit = std::min(numberFrom(exchange.query("limit"), "limit", defaultAuditPage), maximumAuditPage);
+    return filter;
 }
 
 /// The field @p name of a submission, of the type that @p expected names.
@@ -75,7 +81,7 @@
     return version;
 }
 
-patch_submission parseSubmission(const std::string &body, const operator_identity &who)
+patch_request parseSubmission(const std::string &body, const operator_identity &who)
 {
     boost::system::error_code error;
     const json::value document = json::parse(body, error);
@@ -87,34 +93,35 @@
     const json::value &patch = requiredField(object, "patch", json::kind::object, "a JSON merge patch, which is an object");
     return {.author = who.id,
             .baseVersion = baseVersionOf(object),
-            .patch = json::serialize(patch),
+            .mergePatch = json::serialize(patch),
             .reason = json::value_to<std::string>(reason)};
 }
 
-http_response conflictAnswer(const patch_answer &answer)
+http_response conflictAnswer(const patch_result &result)
 {
-    http_response response = errorAnswer(409, "version_conflict", answer.text);
+    http_response response = errorAnswer(409, "version_conflict", result.message);
     json::object body = json::parse(response.body).as_object();
-    body["current_version"] = answer.version;
+    body["current_version"] = result.version;
+    body["contested_fields"] = json::value_from(result.contestedFields);
     response.body = json::serialize(body);
     return response;
 }
 
-http_response patchResponse(const patch_answer &answer)
+http_response patchResponse(const patch_result &result)
 {
-    switch (answer.verdict) {
-    case patch_verdict::Applied:
-        return jsonAnswer(200, json::object{{"version", answer.version}});
-    case patch_verdict::VersionConflict:
-        return conflictAnswer(answer);
-    case patch_verdict::Invalid:
-        return errorAnswer(400, "invalid_patch", answer.text);
-    case patch_verdict::StoreUnavailable:
-        return errorAnswer(503, "store_unavailable", answer.text);
-    case patch_verdict::Unknown:
-        return errorAnswer(504, "outcome_unknown", answer.text);
+    switch (result.outcome) {
+    case patch_outcome::Accepted:
+        return jsonAnswer(200, json::object{{"version", result.version}});
+    case patch_outcome::Conflict:
+        return conflictAnswer(result);
+    case patch_outcome::Invalid:
+        return errorAnswer(400, "invalid_patch", result.message);
+    case patch_outcome::Unavailable:
+        return errorAnswer(503, "store_unavailable", result.message);
+    case patch_outcome::OutcomeUnknown:
+        return errorAnswer(504, "outcome_unknown", result.message);
     }
-    return errorAnswer(500, "internal_error", "unknown verdict");
+    return errorAnswer(500, "internal_error", "unknown outcome");
 }
 
 http_response cancelResponse(job_cancel_result result)
@@ -245,15 +252,15 @@
 task<> operator_api::patchConfiguration(http_exchange &exchange, const operator_identity &who)
 {
     const std::string body = co_await exchange.body(maximumPatch);
-    patch_submission submission = parseSubmission(body, who);
-    const patch_answer answer = co_await m_options.hooks.submitPatch(std::move(submission));
-    co_await exchange.respond(patchResponse(answer));
+    patch_request request = parseSubmission(body, who);
+    const patch_result result = co_await m_options.hooks.submitPatch(std::move(request));
+    co_await exchange.respond(patchResponse(result));
 }
 
 task<> operator_api::showAudit(http_exchange &exchange, const operator_identity & /*who*/)
 {
-    const std::vector<audit_entry> entries = co_await m_options.hooks.readAudit(auditQuery(exchange));
-    co_await exchange.respond(jsonAnswer(200, auditJson(entries)));
+    const std::vector<audit_record> records = co_await m_options.hooks.readAudit(auditFilter(exchange));
+    co_await exchange.respond(jsonAnswer(200, auditJson(records)));
 }
 
 task<> operator_api::showServices(http_exchange &exchange, const operator_identity & /*who*/)
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -1,7 +1,7 @@
 #include "operator_json.h"
 
 #include "banyan/core/configuration_json.h"
-#include "banyan/io/time_text.h"
+#include "banyan/core/time_text.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -26,30 +26,14 @@
     return result;
 }
 
-/// The detail of an audit entry as JSON, or as text if it is none.
-json::value detailJson(const std::string &detail)
+json::object recordJson(const audit_record &record)
 {
-    if (detail.empty()) {
-        return nullptr;
-    }
-    boost::system::error_code error;
-    json::value parsed = json::parse(detail, error);
-    return error ? json::value(detail) : parsed;
-}
-
-json::object entryJson(const audit_entry &entry)
-{
-    return {{"number", entry.number},
-            {"time", timeText(entry.time)},
-            {"kind", entry.kind},
-            {"operator", entry.author},
-            {"from_version", entry.fromVersion},
-            {"to_version", entry.toVersion},
-            {"reason", entry.reason},
-            {"detail", detailJson(entry.detail)}};
+    json::object result = json::parse(toJson(record)).as_object();
+    result["number"] = record.time.time_since_epoch().count();
+    return result;
 }
 
-json::object upstreamJson(const upstream_status &upstream)
+json::object upstreamJson(const upstream_report &upstream)
 {
     return {{"id", upstream.id.text()},
             {"pool", upstream.pool.text()},
@@ -62,7 +46,7 @@
 
 json::object stepJson(const explanation_step &step)
 {
-    return {{"time", timeText(step.time)},
+    return {{"time", toIsoText(step.time)},
             {"decision", step.decision},
             {"upstream", step.upstream ? json::value(step.upstream->text()) : json::value()},
             {"reason", step.reason}};
@@ -89,12 +73,12 @@
     return {{"version", value.version}, {"services", std::move(services)}};
 }
 
-json::object auditJson(const std::vector<audit_entry> &entries)
+json::object auditJson(const std::vector<audit_record> &records)
 {
-    return listJson("entries", entries, entryJson);
+    return listJson("entries", records, recordJson);
 }
 
-json::object upstreamsJson(const std::vector<upstream_status> &upstreams)
+json::object upstreamsJson(const std::vector<upstream_report> &upstreams)
 {
     return listJson("upstreams", upstreams, upstreamJson);
 }
@@ -107,7 +91,7 @@
             {"items", job.items},
             {"completed", job.completed},
             {"failed", job.failed},
-            {"created", timeText(job.created)}};
+            {"created", toIsoText(job.created)}};
 }
 
 json::object jobsJson(const std::vector<job_status> &jobs)
--- a/io/src/operator_json.h
+++ b/io/src/operator_json.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "banyan/core/audit_record.h"
 #include "banyan/core/configuration.h"
-#include "banyan/io/audit_entry.h"
 #include "banyan/io/http_message.h"
 #include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
 #include "banyan/io/request_explanation.h"
-#include "banyan/io/upstream_status.h"
+#include "banyan/io/upstream_report.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
@@ -20,8 +20,8 @@
 
 [[nodiscard]] boost::json::object configurationJson(const configuration &value);
 [[nodiscard]] boost::json::object servicesJson(const configuration &value);
-[[nodiscard]] boost::json::object auditJson(const std::vector<audit_entry> &entries);
-[[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_status> &upstreams);
+[[nodiscard]] boost::json::object auditJson(const std::vector<audit_record> &records);
+[[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_report> &upstreams);
 [[nodiscard]] boost::json::object jobJson(const job_status &job);
 [[nodiscard]] boost::json::object jobsJson(const std::vector<job_status> &jobs);
 [[nodiscard]] boost::json::object statusJson(const node_status &status);
