--- a/io/include/banyan/io/http_exchange.h
+++ b/io/include/banyan/io/http_exchange.h
@@ -30,6 +30,8 @@
     [[nodiscard]] const std::string &method() const;
     /// The path without the query, for example "/v1/batches/b-1/cancel".
     [[nodiscard]] const std::string &path() const;
+    /// The path with the query, as received.
+    [[nodiscard]] const std::string &target() const;
     /// The parts of the path that matched "{}" in the route's pattern, in order.
     [[nodiscard]] const std::vector<std::string> &pathArguments() const;
     /// The value of a query parameter, percent-decoded; none if it is absent.
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -69,11 +69,10 @@
     active.trace.append("after_us=").append(std::to_string(elapsed)).append(" step=").append(step).append(details).append("\n");
 }
 
-/// The message for one attempt: with the request's id and, where there is one, its fencing number.
+/// The message for one attempt, with the fencing number of its record where there is one.
 http_request messageFor(const run_request &request)
 {
     http_request message = request.message;
-    message.fields.push_back({.name = "X-Request-Id", .value = request.dispatch.id.text()});
     if (request.fencingNumber != 0) {
         message.fields.push_back({.name = "X-Fencing-Number", .value = std::to_string(request.fencingNumber)});
     }
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -119,7 +119,8 @@
         , m_parser(parser)
         , m_bodyTimeout(bodyTimeout)
         , m_method(parser.get().method_string())
-        , m_target(split_target::parse(parser.get().target()))
+        , m_wholeTarget(parser.get().target())
+        , m_target(split_target::parse(m_wholeTarget))
     {
         const std::string given(parser.get()["X-Request-Id"]);
         m_requestId = isAcceptableRequestId(given) ? given : newRequestId();
@@ -245,6 +246,11 @@
         return m_target;
     }
 
+    [[nodiscard]] const std::string &wholeTarget() const
+    {
+        return m_wholeTarget;
+    }
+
     [[nodiscard]] const std::string &method() const
     {
         return m_method;
@@ -316,6 +322,7 @@
     http::request_parser<http::buffer_body> &m_parser;
     duration m_bodyTimeout;
     std::string m_method;
+    std::string m_wholeTarget;
     split_target m_target;
     std::string m_requestId;
     bool m_continueHandled = false;
@@ -334,6 +341,11 @@
     return m_implementation.target().path;
 }
 
+const std::string &http_exchange::target() const
+{
+    return m_implementation.wholeTarget();
+}
+
 const std::vector<std::string> &http_exchange::pathArguments() const
 {
     return m_implementation.pathArguments;
--- /dev/null
+++ b/tests/unit/rate_limits_test.cpp
@@ -0,0 +1,58 @@
+#include "banyan/core/rate_limits.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+
+namespace {
+
+constexpr time_point start{std::chrono::seconds(1000)};
+
+int admittedWithin(rate_limits &limits, const caller_settings &caller, const service_settings &service, duration time)
+{
+    int admitted = 0;
+    for (duration elapsed{}; elapsed < time; elapsed += std::chrono::milliseconds(1)) {
+        admitted += limits.admit(caller, service, start + elapsed) ? 0 : 1;
+    }
+    return admitted;
+}
+
+} // namespace
+
+TEST_CASE("rate_limits admits everything without a limit")
+{
+    rate_limits limits;
+    CHECK(admittedWithin(limits, {.id = caller_id("a")}, {.name = service_name("s")}, std::chrono::seconds(1)) == 1000);
+}
+
+TEST_CASE("rate_limits holds a caller to its rate and one second's burst")
+{
+    rate_limits limits;
+    const caller_settings caller{.id = caller_id("a"), .requestsPerSecond = 10};
+    const int admitted = admittedWithin(limits, caller, {.name = service_name("s")}, std::chrono::seconds(10));
+    CHECK(admitted >= 100);
+    CHECK(admitted <= 110);
+}
+
+TEST_CASE("rate_limits says when the next request would be admitted")
+{
+    rate_limits limits;
+    const caller_settings caller{.id = caller_id("a"), .requestsPerSecond = 2};
+    const service_settings service{.name = service_name("s")};
+    CHECK_FALSE(limits.admit(caller, service, start));
+    CHECK_FALSE(limits.admit(caller, service, start));
+    const std::optional<duration> wait = limits.admit(caller, service, start);
+    REQUIRE(wait);
+    CHECK(*wait == std::chrono::milliseconds(500));
+    CHECK_FALSE(limits.admit(caller, service, start + *wait));
+}
+
+TEST_CASE("rate_limits does not charge a caller for what the service's limit refused")
+{
+    rate_limits limits;
+    const caller_settings caller{.id = caller_id("a"), .requestsPerSecond = 2};
+    const service_settings narrow{.name = service_name("narrow"), .requestsPerSecond = 1};
+    CHECK_FALSE(limits.admit(caller, narrow, start));
+    CHECK(limits.admit(caller, narrow, start));
+    CHECK_FALSE(limits.admit(caller, {.name = service_name("wide")}, start));
+}
