Keep long work from holding all slots

Work is long when it expects, or has run for, four times the median of its class; it holds at most 0.6 of the slots.

--- a/core/include/banyan/core/upstream_status.h
+++ b/core/include/banyan/core/upstream_status.h
@@ -42,6 +42,8 @@
     std::uint32_t batchInFlight = 0;
     std::uint32_t limit = 0; ///< Requests that it may hold before batch work has to yield.
     std::uint32_t onlineLimit = 0; ///< Online requests that it may hold.
+    std::uint32_t onlineLongInFlight = 0; ///< Online requests that run much longer than most.
+    std::uint32_t onlineLongLimit = 0; ///< How many of them it may hold.
     duration firstByte{}; ///< Moving average of the time to the first byte.
 
     auto operator<=>(const upstream_status &) const = default;
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dispatcher_state.h"
 #include "request_queue.h"
 #include "timer_queue.h"
+#include "work_length.h"
 
 #include <algorithm>
 #include <cmath>
@@ -26,6 +27,7 @@
 constexpr duration agingHorizon =
     std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
+constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
 constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
@@ -73,10 +75,13 @@
 
 private:
     [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
+    [[nodiscard]] static work_lane laneOf(const request_state &request);
     void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
+    work_length &lengthOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream() const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
+    [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
     [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
     [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
@@ -87,8 +92,11 @@
     [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
     void preempt(attempt_id attempt);
     void startAttempt(request_state &request, upstream_state &upstream, time_point now);
-    void changeInFlight(upstream_state &upstream, const dispatch_request &request, int change);
-    void releaseSlot(const attempt_state &attempt, const dispatch_request &request);
+    static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
+    void releaseSlot(const attempt_state &attempt, const request_state &request);
+    void becomeLong(request_state &request);
+    void watchLength(request_state &request, time_point now);
+    void stopWatchingLength(request_state &request);
     void choose(request_state &request, attempt_id attempt);
     void finish(request_state &request, const final_result &result, std::optional<attempt_id> attempt = std::nullopt);
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
@@ -106,6 +114,8 @@
     std::map<attempt_id, attempt_state> m_attempts;
     request_queue m_onlineQueue{0};
     request_queue m_batchQueue{deadlineAllowance};
+    work_length m_onlineLength;
+    work_length m_batchLength;
     timer_queue m_timers;
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
@@ -113,11 +123,24 @@
     bool m_draining = false;
 };
 
+work_length &dispatcher::implementation::lengthOf(work_class value)
+{
+    return value == work_class::Online ? m_onlineLength : m_batchLength;
+}
+
 request_queue &dispatcher::implementation::queueOf(work_class value)
 {
     return value == work_class::Online ? m_onlineQueue : m_batchQueue;
 }
 
+work_lane dispatcher::implementation::laneOf(const request_state &request)
+{
+    if (request.request.workClass == work_class::Batch && !request.request.repeatable) {
+        return work_lane::Pinned;
+    }
+    return request.isLong ? work_lane::Long : work_lane::Short;
+}
+
 /// Puts a request in its queue: online work in the order of arrival, batch work in that of deadlines. A far deadline
 /// counts as the time after which the request would otherwise starve.
 void dispatcher::implementation::enqueue(request_state &request)
@@ -131,7 +154,7 @@
         .push({
             .id = asked.id,
             .caller = asked.caller,
-            .lane = !online && !asked.repeatable ? work_lane::Pinned : work_lane::Short,
+            .lane = laneOf(request),
             .cost = request.charged ? 0 : tokens,
             .order = online ? request.submittedAt : std::min(asked.deadline, latestOrder),
             .promoted = request.preemptions >= preemptionsBeforeFirst,
@@ -184,6 +207,9 @@
     request_state &state = entry->second;
     state.request = request;
     state.submittedAt = now;
+    work_length &length = lengthOf(request.workClass);
+    length.expected(request.expectedTokens);
+    state.isLong = length.isLong(request.expectedTokens);
     const bool online = request.workClass == work_class::Online;
     const std::size_t queueLimit = online ? m_options.onlineQueueLimit : m_options.batchQueueLimit;
     if (m_draining) {
@@ -214,11 +240,20 @@
         return false;
     }
     if (request.request.workClass == work_class::Online) {
-        return upstream.onlineInFlight < onlineLimitOf(upstream);
+        const std::uint32_t limit = onlineLimitOf(upstream);
+        const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
+        return leavesRoom && upstream.onlineInFlight < limit;
     }
-    const std::uint32_t pinnedLimit = std::max(1U, upstream.limit.value() / pinnedDivisor);
-    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < pinnedLimit;
-    return pinnable && upstream.inFlight() < batchLimitOf(upstream);
+    const std::uint32_t limit = batchLimitOf(upstream);
+    const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
+    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
+    return leavesRoom && pinnable && upstream.inFlight() < limit;
+}
+
+/// Long work holds at most this many of @p slots, so that short work always finds some.
+std::uint32_t dispatcher::implementation::longLimit(std::uint32_t slots)
+{
+    return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
 }
 
 /// Batch work starts only below this; between it and the limit it keeps its slots while online work comes in.
@@ -320,6 +355,7 @@
 {
     request_state &request = m_requests.at(m_attempts.at(attempt).request);
     cancelAttempt(attempt);
+    stopWatchingLength(request);
     ++request.preemptions;
     ++m_counters.preempted;
     m_counters.preemptedResumable += request.request.resumable ? 1 : 0;
@@ -336,7 +372,8 @@
     m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
-    changeInFlight(upstream, request.request, +1);
+    changeInFlight(upstream, request, +1);
+    watchLength(request, now);
     m_actions.emplace_back(start_attempt{
         .request = request.request.id,
         .attempt = attempt,
@@ -345,17 +382,54 @@
     });
 }
 
-void dispatcher::implementation::changeInFlight(upstream_state &upstream, const dispatch_request &request, int change)
+void dispatcher::implementation::changeInFlight(upstream_state &upstream, const request_state &request, int change)
 {
-    if (request.workClass == work_class::Online) {
+    const int changeOfLong = request.isLong ? change : 0;
+    if (request.request.workClass == work_class::Online) {
         upstream.onlineInFlight += change;
+        upstream.onlineLongInFlight += changeOfLong;
         return;
     }
     upstream.batchInFlight += change;
-    upstream.pinnedInFlight += request.repeatable ? 0 : change;
+    upstream.batchLongInFlight += changeOfLong;
+    upstream.pinnedInFlight += request.request.repeatable ? 0 : change;
 }
 
-void dispatcher::implementation::releaseSlot(const attempt_state &attempt, const dispatch_request &request)
+/// Counts a request's attempts as long from now on.
+void dispatcher::implementation::becomeLong(request_state &request)
+{
+    if (request.isLong) {
+        return;
+    }
+    for (const attempt_id attempt : request.attempts) {
+        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, -1);
+    }
+    request.isLong = true;
+    for (const attempt_id attempt : request.attempts) {
+        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, +1);
+    }
+}
+
+/// Sets the time at which a running request counts as long, once.
+void dispatcher::implementation::watchLength(request_state &request, time_point now)
+{
+    const std::optional<duration> longRunTime = lengthOf(request.request.workClass).longRunTime();
+    if (!longRunTime || request.isLong || request.longRunAt) {
+        return;
+    }
+    request.longRunAt = now + *longRunTime;
+    m_timers.add({.due = *request.longRunAt, .kind = timer_kind::LongRun, .request = request.request.id});
+}
+
+void dispatcher::implementation::stopWatchingLength(request_state &request)
+{
+    if (request.longRunAt) {
+        m_timers.remove({.due = *request.longRunAt, .kind = timer_kind::LongRun, .request = request.request.id});
+        request.longRunAt.reset();
+    }
+}
+
+void dispatcher::implementation::releaseSlot(const attempt_state &attempt, const request_state &request)
 {
     const auto entry = m_upstreams.find(attempt.upstream);
     upstream_state &upstream = entry->second;
@@ -381,7 +455,7 @@
 {
     const auto entry = m_attempts.find(attempt);
     request_state &request = m_requests.at(entry->second.request);
-    releaseSlot(entry->second, request.request);
+    releaseSlot(entry->second, request);
     std::erase(request.attempts, attempt);
     request.mayHaveRun = true;
     m_attempts.erase(entry);
@@ -400,6 +474,7 @@
     if (request.retryAt) {
         m_timers.remove({.due = *request.retryAt, .kind = timer_kind::Retry, .request = id});
     }
+    stopWatchingLength(request);
     m_actions.emplace_back(finish_request{.request = id, .result = result, .attempt = attempt});
     m_requests.erase(id);
 }
@@ -454,7 +529,10 @@
     m_attempts.erase(entry);
     std::erase(request.attempts, attempt);
     observePace(ended, result, now);
-    releaseSlot(ended, request.request);
+    releaseSlot(ended, request);
+    if (request.attempts.empty()) {
+        stopWatchingLength(request);
+    }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
         if (!request.chosen) {
@@ -479,6 +557,7 @@
     if (result.outcome != attempt_outcome::Succeeded) {
         return;
     }
+    lengthOf(m_requests.at(attempt.request).request.workClass).ran(now - attempt.startedAt);
     upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
     if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
         const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
@@ -551,6 +630,10 @@
         break;
     case timer_kind::Hedge:
         break;
+    case timer_kind::LongRun:
+        request.longRunAt.reset();
+        becomeLong(request);
+        break;
     }
 }
 
@@ -583,6 +666,8 @@
             .batchInFlight = upstream.batchInFlight,
             .limit = upstream.limit.value(),
             .onlineLimit = onlineLimitOf(upstream),
+            .onlineLongInFlight = upstream.onlineLongInFlight,
+            .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
         });
     }
     return result;
--- a/core/src/timer_queue.h
+++ b/core/src/timer_queue.h
@@ -14,6 +14,7 @@
     Deadline,
     Retry,
     Hedge,
+    LongRun, ///< An attempt has run for as long as long work does.
 };
 
 /// One thing to do for a request at a time.
