Find members by SWIM-style probing and spread configuration versions by gossip

gossip_node is pure: messages and time in, messages out. Reports on a node are ordered by incarnation and state, so that their order of arrival does not matter; a report of death counts as a suspicion, so that two sides of a healed cut do not kill each other's nodes with old news.

--- /dev/null
+++ b/core/include/banyan/core/gossip_node.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "banyan/core/configuration_history.h"
+#include "banyan/core/gossip_action.h"
+#include "banyan/core/gossip_counters.h"
+#include "banyan/core/gossip_options.h"
+#include "banyan/core/probe_order.h"
+#include "banyan/core/token_bucket.h"
+#include "banyan/core/update_queue.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace banyan {
+
+/// One node's part in finding out who takes part and which configuration is the newest.
+///
+/// Failure detection follows SWIM: each period one node is probed, directly and then through others; who does not answer
+/// is suspected, and dead unless it refutes that in time. News rides on these messages, so that a node's cost does not
+/// grow with the fleet. A new configuration version and a planned departure are besides sent on at once to a few peers,
+/// and a node that hears of a version that it has not got asks for the patches.
+///
+/// Events go in by the member functions; each returns the actions that the host has to carry out. The host calls tick()
+/// at nextWakeUp().
+///
+/// @code
+/// gossip_node node({.self = self, .seed = seed}, history, now);
+/// node.setListed(addressesOfTheList);
+/// perform(node.receive(message, now));
+/// @endcode
+///
+/// Promises: a stale report neither revives nor kills a node; the configuration version never goes back; no more than one
+/// message of each kind is sent for a message received, and urgent ones are limited in rate.
+class gossip_node
+{
+public:
+    /// @p history must outlive the node.
+    gossip_node(const gossip_options &options, configuration_history &history, time_point now);
+
+    /// Probes, and judges what has not been answered.
+    [[nodiscard]] gossip_actions tick(time_point now);
+
+    /// When tick() is due.
+    [[nodiscard]] time_point nextWakeUp() const;
+
+    /// Takes in an authenticated message.
+    [[nodiscard]] gossip_actions receive(const gossip_message &message, time_point now);
+
+    /// Begins a planned drain of this node.
+    [[nodiscard]] gossip_actions leave(time_point now);
+
+    /// Announces that this node ends now.
+    [[nodiscard]] gossip_actions depart(time_point now);
+
+    /// Announces that the host has advanced the history.
+    [[nodiscard]] gossip_actions configurationChanged(time_point now);
+
+    /// Sets the peer addresses of the platform's list. Where nobody is known to run, a node is looked for now and then:
+    /// that is how a node joins, and how two sides of a cut find each other again.
+    void setListed(std::vector<endpoint> addresses);
+
+    /// Nodes that work may be given to, this one included unless it leaves, in the order of ids.
+    [[nodiscard]] std::vector<node_info> nodes() const;
+
+    /// Nodes that are thought to run, leaving ones included, in the order of ids.
+    [[nodiscard]] std::vector<node_info> reachableNodes() const;
+
+    /// The report of this node on itself.
+    [[nodiscard]] const member_update &self() const
+    {
+        return m_self;
+    }
+
+    [[nodiscard]] const member_table &members() const
+    {
+        return m_members;
+    }
+
+    [[nodiscard]] const gossip_counters &counters() const
+    {
+        return m_counters;
+    }
+
+private:
+    /// A ping that waits for its ack.
+    struct probe
+    {
+        std::uint64_t sequence = 0;
+        node_id target;
+        time_point sent;
+        bool indirect = false; // others have been asked
+    };
+
+    /// A ping on behalf of another node.
+    struct relay
+    {
+        endpoint requester;
+        std::uint64_t sequence = 0; // of the requester
+        node_id target;
+        time_point expires;
+    };
+
+    gossip_actions takeActions();
+    void send(const endpoint &to, gossip_message message);
+    [[nodiscard]] gossip_message makeMessage(gossip_kind kind, const node_id &recipient);
+    [[nodiscard]] const member_update *latestReport(const node_id &id) const;
+    void addNews(gossip_message &message, const node_id &recipient, std::size_t bytes);
+
+    void notePause(time_point now);
+    void probeNext(time_point now);
+    void probeIndirectly();
+    void endProbe(time_point now);
+    void reconnect(time_point now);
+    void expireSuspicions(time_point now);
+    [[nodiscard]] std::vector<endpoint> unknownAddresses();
+
+    void takeReport(const member_update &update, time_point now);
+    void takeReportOnSelf(const member_update &update);
+    void noteChange(member_change change, const member_update &update, time_point now);
+    void answer(const gossip_message &message, time_point now);
+    void answerPing(const gossip_message &message);
+    void answerPingRequest(const gossip_message &message, time_point now);
+    void takeAck(const gossip_message &message, time_point now);
+    void declareDead(const node_id &id, time_point now);
+    void forwardAck(const gossip_message &message);
+    void correctSender(const gossip_message &message, time_point now);
+    void spread(std::size_t fanout, time_point now);
+
+    void requestView(time_point now);
+    void answerViewRequest(const gossip_message &message, time_point now);
+    void takeView(const gossip_message &message, time_point now);
+
+    void takePatches(const gossip_message &message, time_point now);
+    void pullConfiguration(const gossip_message &message, time_point now);
+    void answerPatchRequest(const gossip_message &message, time_point now);
+    void announceConfiguration(time_point now);
+    void fetch(const node_info &peer, time_point now);
+
+    gossip_options m_options;
+    configuration_history &m_history;
+    std::mt19937_64 m_random;
+    member_update m_self;
+    member_table m_members;
+    update_queue m_news;
+    probe_order m_order;
+    gossip_counters m_counters;
+    gossip_actions m_actions;
+    bool m_viewChanged = false;
+    bool m_urgent = false; // the message in hand brought news that cannot wait for a probe
+    bool m_refuted = false; // the message in hand said that this node does not run
+
+    std::uint64_t m_sequence;
+    std::optional<probe> m_probe;
+    std::map<std::uint64_t, relay> m_relays;
+    time_point m_nextProbe;
+    time_point m_nextReconnect;
+    std::vector<endpoint> m_listed;
+    std::vector<endpoint> m_unknownAddresses; // listed, and nobody known to run there
+    bool m_unknownAddressesOutdated = true;
+
+    time_point m_nextView;
+    std::uint64_t m_viewSequence = 0; // of the page asked for; 0: none
+    node_id m_viewCursor;
+    bool m_joining = true;
+
+    std::optional<configuration_version> m_announced;
+    time_point m_nextPull; // no patches are asked for before
+    node_id m_pullPeer;
+    token_bucket m_rumors;
+    token_bucket m_answers;
+};
+
+} // namespace banyan
--- a/core/src/configuration_history.cpp
+++ b/core/src/configuration_history.cpp
@@ -4,6 +4,13 @@
 
 namespace banyan {
 
+namespace {
+
+/// Bytes that a patch takes in a message besides its text.
+constexpr std::size_t patchOverhead = 40;
+
+} // namespace
+
 configuration_history::configuration_history(const configuration_history_options &options)
     : m_options(options)
 {
@@ -55,8 +62,10 @@
     if (!m_current || (version && *version >= m_current->version)) {
         return result;
     }
-    if (version && keepsPatchesAfter(*version)) {
+    if (version) {
         result.patches = patchesAfter(*version, m_options.maximumPatchBytes);
+    }
+    if (!result.patches.empty()) {
         return result;
     }
     result.snapshot = configuration_snapshot{.version = m_current->version, .json = toJson(*m_current)};
@@ -71,10 +80,11 @@
     }
     const auto skipped = static_cast<std::ptrdiff_t>(version + 1 - m_patches.front().version);
     for (auto patch = m_patches.begin() + skipped; patch != m_patches.end(); ++patch) {
-        if (patch->mergePatch.size() > bytes) {
+        const std::size_t size = patch->mergePatch.size() + patchOverhead;
+        if (size > bytes) {
             break;
         }
-        bytes -= patch->mergePatch.size();
+        bytes -= size;
         result.push_back(*patch);
     }
     return result;
--- /dev/null
+++ b/core/src/member_table.cpp
@@ -0,0 +1,226 @@
+#include "banyan/core/member_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <compare>
+
+namespace banyan {
+
+namespace {
+
+/// How often long dead nodes are looked for.
+constexpr duration forgettingInterval = std::chrono::seconds(10);
+
+/// The size at which a suspicion lasts for suspicionScale.
+constexpr double referenceSize = 10;
+
+/// Whether @p update says something that @p known does not.
+bool isNews(const member_update &update, const member_update &known)
+{
+    if (known.state == member_state::Left) {
+        return false;
+    }
+    if (update.state == member_state::Left || (update.leaving && !known.leaving)) {
+        return true;
+    }
+    const auto order = update.incarnation <=> known.incarnation;
+    return order > 0 || (order == 0 && update.state > known.state);
+}
+
+bool takesWork(const member_update &update)
+{
+    return isRunning(update.state) && !update.leaving;
+}
+
+/// The later of both reports: the higher incarnation, then the later state; a departure and leaving are never taken back.
+member_update combined(const member_update &known, const member_update &update)
+{
+    member_update result = known;
+    const auto order = update.incarnation <=> known.incarnation;
+    if (update.state == member_state::Left) {
+        result.state = member_state::Left;
+    } else if (order > 0) {
+        result = update;
+    } else if (order == 0) {
+        result.state = std::max(known.state, update.state);
+    }
+    result.leaving = known.leaving || update.leaving;
+    return result;
+}
+
+} // namespace
+
+member_table::member_table(const member_table_options &options)
+    : m_options(options)
+{
+}
+
+member_change member_table::merge(const member_update &update, time_point now)
+{
+    const auto found = m_members.find(update.node.id);
+    if (found == m_members.end()) {
+        return add(update, now);
+    }
+    member &known = found->second;
+    if (!isNews(update, known.latest)) {
+        return member_change::None;
+    }
+    member_update accepted = combined(known.latest, update);
+    if (accepted.state == member_state::Dead && known.latest.state == member_state::Alive) {
+        accepted.state = member_state::Suspect;
+    }
+    return replace(known, accepted, now);
+}
+
+member_change member_table::declareDead(const node_id &id, time_point now)
+{
+    const auto found = m_members.find(id);
+    if (found == m_members.end() || !isRunning(found->second.latest.state)) {
+        return member_change::None;
+    }
+    member_update update = found->second.latest;
+    update.state = member_state::Dead;
+    return replace(found->second, update, now);
+}
+
+member_change member_table::add(const member_update &update, time_point now)
+{
+    if (m_members.size() >= m_options.maximumMembers) {
+        return member_change::None;
+    }
+    member &added = m_members[update.node.id];
+    added.latest = update;
+    added.changed = now;
+    if (!isRunning(update.state)) {
+        return member_change::None;
+    }
+    setRunning(added, true);
+    trackSuspicion(update, now);
+    return member_change::View;
+}
+
+member_change member_table::replace(member &known, const member_update &update, time_point now)
+{
+    const bool viewChanges = takesWork(known.latest) != takesWork(update) || isRunning(known.latest.state) != isRunning(update.state);
+    const bool suspicionChanges = known.latest.state != update.state || known.latest.incarnation != update.incarnation;
+    if (isRunning(known.latest.state) != isRunning(update.state)) {
+        setRunning(known, isRunning(update.state));
+    }
+    known.latest = update;
+    known.changed = now;
+    if (suspicionChanges) {
+        trackSuspicion(update, now);
+    }
+    return viewChanges ? member_change::View : member_change::Noted;
+}
+
+void member_table::setRunning(member &entry, bool running)
+{
+    if (running) {
+        entry.runningIndex = m_running.size();
+        m_running.push_back(entry.latest.node.id);
+        return;
+    }
+    m_members.at(m_running.back()).runningIndex = entry.runningIndex;
+    m_running[entry.runningIndex] = m_running.back();
+    m_running.pop_back();
+}
+
+void member_table::trackSuspicion(const member_update &update, time_point now)
+{
+    if (update.state == member_state::Suspect) {
+        m_suspicions[update.node.id] = now + suspicionTimeout();
+    } else {
+        m_suspicions.erase(update.node.id);
+    }
+}
+
+std::vector<member_update> member_table::expire(time_point now)
+{
+    std::vector<node_id> due;
+    for (const auto &[id, end] : m_suspicions) {
+        if (end <= now) {
+            due.push_back(id);
+        }
+    }
+    std::vector<member_update> result;
+    for (const node_id &id : due) {
+        declareDead(id, now);
+        result.push_back(m_members.at(id).latest);
+    }
+    forgetLongDead(now);
+    return result;
+}
+
+void member_table::forgetLongDead(time_point now)
+{
+    if (now < m_nextForgetting) {
+        return;
+    }
+    m_nextForgetting = now + forgettingInterval;
+    std::erase_if(m_members, [&](const auto &entry) {
+        const member &known = entry.second;
+        return !isRunning(known.latest.state) && known.changed + m_options.deadRetention <= now;
+    });
+}
+
+std::optional<time_point> member_table::nextExpiry() const
+{
+    std::optional<time_point> result;
+    for (const auto &entry : m_suspicions) {
+        result = result ? std::min(*result, entry.second) : entry.second;
+    }
+    return result;
+}
+
+void member_table::extendSuspicions(duration extra)
+{
+    for (auto &entry : m_suspicions) {
+        entry.second += extra;
+    }
+}
+
+const member_update *member_table::find(const node_id &id) const
+{
+    const auto found = m_members.find(id);
+    return found == m_members.end() ? nullptr : &found->second.latest;
+}
+
+std::vector<member_update> member_table::page(const node_id &after, std::size_t bytes) const
+{
+    std::vector<member_update> result;
+    for (auto entry = m_members.upper_bound(after); entry != m_members.end(); ++entry) {
+        const member_update &update = entry->second.latest;
+        if (!isRunning(update.state)) {
+            continue;
+        }
+        const std::size_t size = encodedSize(update);
+        if (size > bytes) {
+            break;
+        }
+        bytes -= size;
+        result.push_back(update);
+    }
+    return result;
+}
+
+std::vector<member_update> member_table::runningUpdates() const
+{
+    std::vector<member_update> result;
+    result.reserve(m_running.size());
+    for (const auto &entry : m_members) {
+        if (isRunning(entry.second.latest.state)) {
+            result.push_back(entry.second.latest);
+        }
+    }
+    return result;
+}
+
+duration member_table::suspicionTimeout() const
+{
+    const double nodes = static_cast<double>(m_running.size() + 1);
+    const double factor = std::max(1.0, std::log10(nodes) / std::log10(referenceSize));
+    return std::chrono::duration_cast<duration>(m_options.suspicionScale * factor);
+}
+
+} // namespace banyan
