Take the operators' interface over to the core's patch and audit types

patch_submission in io and in core were two types of one name, which the linker would have mixed up: the io types and its copy of the time text are gone. Conflicts now show the missed patches and the contested fields; a patch whose outcome is unknown can be settled by sending its submission id again.

--- a/io/include/banyan/io/operator_api.h
+++ b/io/include/banyan/io/operator_api.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "banyan/core/audit_filter.h"
+#include "banyan/core/audit_record.h"
 #include "banyan/core/configuration.h"
+#include "banyan/core/patch_request.h"
+#include "banyan/core/patch_result.h"
 #include "banyan/io/asio_types.h"
-#include "banyan/io/audit_entry.h"
-#include "banyan/io/audit_query.h"
 #include "banyan/io/job_cancel_result.h"
 #include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
 #include "banyan/io/operator_identity.h"
-#include "banyan/io/patch_answer.h"
-#include "banyan/io/patch_submission.h"
 #include "banyan/io/request_explanation.h"
 #include "banyan/io/upstream_status.h"
 
@@ -29,8 +29,8 @@
 struct operator_api_hooks
 {
     std::function<std::shared_ptr<const configuration>()> currentConfiguration; ///< Null: none yet.
-    std::function<task<patch_answer>(patch_submission)> submitPatch;
-    std::function<task<std::vector<audit_entry>>(audit_query)> readAudit;
+    std::function<task<patch_result>(patch_request)> submitPatch;
+    std::function<task<std::vector<audit_record>>(audit_filter)> readAudit;
     std::function<std::vector<upstream_status>()> upstreams;
     std::function<task<std::vector<job_status>>(std::optional<caller_id>)> listJobs; ///< All callers' jobs if none is named.
     std::function<task<std::optional<job_status>>(job_id)> findJob;
--- a/io/src/log.cpp
+++ b/io/src/log.cpp
@@ -1,6 +1,6 @@
 #include "banyan/io/log.h"
 
-#include "banyan/io/time_text.h"
+#include "banyan/core/time_text.h"
 
 #include <easylogging++.h>
 
@@ -119,7 +119,7 @@
     if (level < leastLevel()) {
         return;
     }
-    std::string line = "time=" + timeText(std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()));
+    std::string line = "time=" + toIsoText(std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()));
     line.append(" level=").append(levelName(level)).append(" event=").append(event);
     for (const log_field &field : fields) {
         line.append(" ").append(field.name).append("=");
--- a/io/src/operator_api.cpp
+++ b/io/src/operator_api.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
+#include <ctime>
 #include <stdexcept>
 
 namespace banyan {
@@ -21,7 +23,7 @@
 namespace {
 
 constexpr std::size_t maximumPatch = std::size_t(4) << 20; ///< Bytes.
-constexpr std::size_t maximumAuditPage = 1000; ///< Entries.
+constexpr std::size_t maximumAuditPage = 1000; ///< Records.
 constexpr std::string_view bearer = "Bearer ";
 
 /// A request that cannot be understood; what() says what was expected.
@@ -45,13 +47,45 @@
     return value;
 }
 
-audit_query auditQuery(const http_exchange &exchange)
+/// Reads a time in the form of toIsoText(); the part after the seconds may be left out.
+std::optional<time_point> timeFrom(const std::optional<std::string> &text, std::string_view name)
 {
-    const audit_query defaults;
-    audit_query query{.kind = exchange.query("kind").value_or(""), .author = exchange.query("operator").value_or("")};
-    query.after = numberFrom(exchange.query("after"), "after", defaults.after);
-    query.limit = std::min(numberFrom(exchange.query("limit"), "limit", defaults.limit), maximumAuditPage);
-    return query;
+    if (!text) {
+        return std::nullopt;
+    }
+    std::tm parts{};
+    const char *const rest = strptime(text->c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
+    unsigned microseconds = 0;
+    const bool sound = rest != nullptr && (std::string_view(rest) == "Z" || std::sscanf(rest, ".%6uZ", &microseconds) == 1);
+    if (!sound) {
+        throw bad_request(std::string(name) + ": expected a time such as 2026-12-04T03:00:00.000000Z, found \"" + *text + "\"");
+    }
+    return time_point(std::chrono::seconds(timegm(&parts)) + std::chrono::microseconds(microseconds));
+}
+
+std::optional<bool> flagFrom(const std::optional<std::string> &text, std::string_view name)
+{
+    if (!text) {
+        return std::nullopt;
+    }
+    if (*text != "true" && *text != "false") {
+        throw bad_request(std::string(name) + ": expected true or false, found \"" + *text + "\"");
+    }
+    return *text == "true";
+}
+
+audit_filter auditFilter(const http_exchange &exchange)
+{
+    audit_filter filter;
+    filter.from = timeFrom(exchange.query("from"), "from");
+    filter.until = timeFrom(exchange.query("until"), "until");
+    filter.kind = exchange.query("kind");
+    if (const std::optional<std::string> actor = exchange.query("operator")) {
+        filter.actor = operator_id(*actor);
+    }
+    filter.accepted = flagFrom(exchange.query("accepted"), "accepted");
+    filter.limit = std::min(numberFrom(exchange.query("limit"), "limit", filter.limit), maximumAuditPage);
+    return filter;
 }
 
 /// The field @p name of a submission, of the type that @p expected names.
@@ -75,7 +109,14 @@
     return version;
 }
 
-patch_submission parseSubmission(const std::string &body, const operator_identity &who)
+/// The id of a submission that is sent again; empty if none is given.
+std::string submissionIdOf(const json::object &object)
+{
+    const json::value *id = object.if_contains("submission_id");
+    return id != nullptr && id->is_string() ? json::value_to<std::string>(*id) : std::string();
+}
+
+patch_request parseSubmission(const std::string &body, const operator_identity &who)
 {
     boost::system::error_code error;
     const json::value document = json::parse(body, error);
@@ -85,36 +126,40 @@
     const json::object &object = document.as_object();
     const json::value &reason = requiredField(object, "reason", json::kind::string, "a text that says why");
     const json::value &patch = requiredField(object, "patch", json::kind::object, "a JSON merge patch, which is an object");
-    return {.author = who.id,
+    return {.submissionId = submissionIdOf(object),
+            .author = who.id,
             .baseVersion = baseVersionOf(object),
-            .patch = json::serialize(patch),
+            .mergePatch = json::serialize(patch),
             .reason = json::value_to<std::string>(reason)};
 }
 
-http_response conflictAnswer(const patch_answer &answer)
+/// A refusal with what the operator needs in order to try again.
+http_response patchRefusal(unsigned status, std::string_view code, const patch_result &result)
 {
-    http_response response = errorAnswer(409, "version_conflict", answer.text);
+    http_response response = errorAnswer(status, code, result.message);
     json::object body = json::parse(response.body).as_object();
-    body["current_version"] = answer.version;
+    for (const json::key_value_pair &field : patchResultJson(result)) {
+        body[field.key()] = field.value();
+    }
     response.body = json::serialize(body);
     return response;
 }
 
-http_response patchResponse(const patch_answer &answer)
-{
-    switch (answer.verdict) {
-    case patch_verdict::Applied:
-        return jsonAnswer(200, json::object{{"version", answer.version}});
-    case patch_verdict::VersionConflict:
-        return conflictAnswer(answer);
-    case patch_verdict::Invalid:
-        return errorAnswer(400, "invalid_patch", answer.text);
-    case patch_verdict::StoreUnavailable:
-        return errorAnswer(503, "store_unavailable", answer.text);
-    case patch_verdict::Unknown:
-        return errorAnswer(504, "outcome_unknown", answer.text);
+http_response patchResponse(const patch_result &result)
+{
+    switch (result.outcome) {
+    case patch_outcome::Accepted:
+        return jsonAnswer(200, patchResultJson(result));
+    case patch_outcome::Conflict:
+        return patchRefusal(409, "version_conflict", result);
+    case patch_outcome::Invalid:
+        return patchRefusal(400, "invalid_patch", result);
+    case patch_outcome::Unavailable:
+        return patchRefusal(503, "store_unavailable", result);
+    case patch_outcome::OutcomeUnknown:
+        return patchRefusal(504, "outcome_unknown", result);
     }
-    return errorAnswer(500, "internal_error", "unknown verdict");
+    return errorAnswer(500, "internal_error", "unknown outcome");
 }
 
 http_response cancelResponse(job_cancel_result result)
@@ -245,15 +290,15 @@
 task<> operator_api::patchConfiguration(http_exchange &exchange, const operator_identity &who)
 {
     const std::string body = co_await exchange.body(maximumPatch);
-    patch_submission submission = parseSubmission(body, who);
-    const patch_answer answer = co_await m_options.hooks.submitPatch(std::move(submission));
-    co_await exchange.respond(patchResponse(answer));
+    patch_request request = parseSubmission(body, who);
+    const patch_result result = co_await m_options.hooks.submitPatch(std::move(request));
+    co_await exchange.respond(patchResponse(result));
 }
 
 task<> operator_api::showAudit(http_exchange &exchange, const operator_identity & /*who*/)
 {
-    const std::vector<audit_entry> entries = co_await m_options.hooks.readAudit(auditQuery(exchange));
-    co_await exchange.respond(jsonAnswer(200, auditJson(entries)));
+    const std::vector<audit_record> records = co_await m_options.hooks.readAudit(auditFilter(exchange));
+    co_await exchange.respond(jsonAnswer(200, auditJson(records)));
 }
 
 task<> operator_api::showServices(http_exchange &exchange, const operator_identity & /*who*/)
--- a/io/src/operator_command.cpp
+++ b/io/src/operator_command.cpp
@@ -199,9 +199,12 @@
 
 http_request patchRequest(const command_arguments &arguments)
 {
-    return post(
-        "/configuration/patches",
-        {{"base_version", baseVersionOf(arguments)}, {"patch", patchOf(arguments)}, {"reason", arguments.option("reason").value_or("")}});
+    json::object submission = {
+        {"base_version", baseVersionOf(arguments)}, {"patch", patchOf(arguments)}, {"reason", arguments.option("reason").value_or("")}};
+    if (const std::optional<std::string> id = arguments.option("submission-id")) {
+        submission["submission_id"] = *id;
+    }
+    return post("/configuration/patches", submission);
 }
 
 void addNothing(command_arguments & /*arguments*/)
@@ -210,6 +213,7 @@
 
 void addPatchOptions(command_arguments &arguments)
 {
+    arguments.addOption("submission-id", "Of a patch whose outcome is unknown, to learn it.", false);
     arguments.addOption("reason", "Why; kept in the audit trail.", true);
     arguments.addOption("file", "File with the patch, a JSON merge patch.", false);
     arguments.addOption("patch", "The patch itself.", false);
@@ -218,10 +222,12 @@
 
 void addAuditOptions(command_arguments &arguments)
 {
-    arguments.addOption("limit", "Most entries to print.", false);
-    arguments.addOption("after", "Only entries with greater numbers.", false);
-    arguments.addOption("operator", "Only entries of this operator.", false);
-    arguments.addOption("kind", "Only entries of this kind.", false);
+    arguments.addOption("limit", "Most records to print.", false);
+    arguments.addOption("until", "Only records before this time, such as 2026-12-04T03:00:00Z.", false);
+    arguments.addOption("from", "Only records of this time and later.", false);
+    arguments.addOption("accepted", "Only what was accepted (true) or refused (false).", false);
+    arguments.addOption("operator", "Only records of this operator.", false);
+    arguments.addOption("kind", "Only records of this kind, such as patch or drain.", false);
 }
 
 void addJob(command_arguments &arguments)
@@ -257,7 +263,7 @@
 command_definition auditCommand()
 {
     const auto request = [](const command_arguments &arguments) {
-        return get("/audit" + queryOf(arguments, {"kind", "operator", "after", "limit"}));
+        return get("/audit" + queryOf(arguments, {"kind", "operator", "accepted", "from", "until", "limit"}));
     };
     return {.words = {"audit"}, .help = "Shows the audit trail.", .addArguments = addAuditOptions, .makeRequest = request};
 }
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -1,11 +1,12 @@
 #include "operator_json.h"
 
 #include "banyan/core/configuration_json.h"
-#include "banyan/io/time_text.h"
+#include "banyan/core/time_text.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 
 namespace banyan {
 
@@ -26,27 +27,18 @@
     return result;
 }
 
-/// The detail of an audit entry as JSON, or as text if it is none.
-json::value detailJson(const std::string &detail)
+json::object recordJson(const audit_record &record)
 {
-    if (detail.empty()) {
-        return nullptr;
-    }
-    boost::system::error_code error;
-    json::value parsed = json::parse(detail, error);
-    return error ? json::value(detail) : parsed;
+    return json::parse(toJson(record)).as_object();
 }
 
-json::object entryJson(const audit_entry &entry)
+json::object missedPatchJson(const patch_record &record)
 {
-    return {{"number", entry.number},
-            {"time", timeText(entry.time)},
-            {"kind", entry.kind},
-            {"operator", entry.author},
-            {"from_version", entry.fromVersion},
-            {"to_version", entry.toVersion},
-            {"reason", entry.reason},
-            {"detail", detailJson(entry.detail)}};
+    return {{"version", record.version},
+            {"operator", record.author.text()},
+            {"time", toIsoText(record.time)},
+            {"reason", record.reason},
+            {"patch", json::parse(record.mergePatch)}};
 }
 
 json::object upstreamJson(const upstream_status &upstream)
@@ -62,7 +54,7 @@
 
 json::object stepJson(const explanation_step &step)
 {
-    return {{"time", timeText(step.time)},
+    return {{"time", toIsoText(step.time)},
             {"decision", step.decision},
             {"upstream", step.upstream ? json::value(step.upstream->text()) : json::value()},
             {"reason", step.reason}};
@@ -89,9 +81,21 @@
     return {{"version", value.version}, {"services", std::move(services)}};
 }
 
-json::object auditJson(const std::vector<audit_entry> &entries)
+json::object auditJson(const std::vector<audit_record> &records)
 {
-    return listJson("entries", entries, entryJson);
+    return listJson("records", records, recordJson);
+}
+
+json::object patchResultJson(const patch_result &result)
+{
+    if (result.outcome == patch_outcome::Accepted) {
+        return {{"version", result.version}, {"submission_id", result.submissionId}};
+    }
+    json::object body = listJson("missed_patches", result.missedPatches, missedPatchJson);
+    body["current_version"] = result.version;
+    body["submission_id"] = result.submissionId;
+    body["contested_fields"] = json::value_from(result.contestedFields);
+    return body;
 }
 
 json::object upstreamsJson(const std::vector<upstream_status> &upstreams)
@@ -107,7 +111,7 @@
             {"items", job.items},
             {"completed", job.completed},
             {"failed", job.failed},
-            {"created", timeText(job.created)}};
+            {"created", toIsoText(job.created)}};
 }
 
 json::object jobsJson(const std::vector<job_status> &jobs)
--- a/io/src/operator_json.h
+++ b/io/src/operator_json.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "banyan/core/audit_record.h"
 #include "banyan/core/configuration.h"
-#include "banyan/io/audit_entry.h"
+#include "banyan/core/patch_result.h"
 #include "banyan/io/http_message.h"
 #include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
@@ -20,7 +21,9 @@
 
 [[nodiscard]] boost::json::object configurationJson(const configuration &value);
 [[nodiscard]] boost::json::object servicesJson(const configuration &value);
-[[nodiscard]] boost::json::object auditJson(const std::vector<audit_entry> &entries);
+[[nodiscard]] boost::json::object auditJson(const std::vector<audit_record> &records);
+/// The version, or for a conflict what was missed and contested.
+[[nodiscard]] boost::json::object patchResultJson(const patch_result &result);
 [[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_status> &upstreams);
 [[nodiscard]] boost::json::object jobJson(const job_status &job);
 [[nodiscard]] boost::json::object jobsJson(const std::vector<job_status> &jobs);
--- a/tests/unit/operator_api_test.cpp
+++ b/tests/unit/operator_api_test.cpp
@@ -32,7 +32,7 @@
 class running_api
 {
 public:
-    explicit running_api(patch_answer answer = {})
+    explicit running_api(patch_result answer = {})
         : m_answer(std::move(answer))
         , m_api({.bootstrapKeyHash = sha256Hex(bootstrapKey), .hooks = hooks()})
         , m_server(m_context, {.listen = {.address = "127.0.0.1", .port = 0}})
@@ -62,8 +62,8 @@
         return code;
     }
 
-    std::optional<patch_submission> submitted;
-    std::optional<audit_query> asked;
+    std::optional<patch_request> submitted;
+    std::optional<audit_filter> asked;
     std::string output;
     std::string errors;
 
@@ -74,13 +74,13 @@
         result.currentConfiguration = [] {
             return std::make_shared<const configuration>(sampleConfiguration());
         };
-        result.submitPatch = [this](patch_submission submission) -> task<patch_answer> {
-            submitted = std::move(submission);
+        result.submitPatch = [this](patch_request request) -> task<patch_result> {
+            submitted = std::move(request);
             co_return m_answer;
         };
-        result.readAudit = [this](audit_query query) -> task<std::vector<audit_entry>> {
-            asked = std::move(query);
-            co_return std::vector<audit_entry>(1);
+        result.readAudit = [this](audit_filter filter) -> task<std::vector<audit_record>> {
+            asked = std::move(filter);
+            co_return std::vector<audit_record>(1);
         };
         result.findJob = [](job_id) -> task<std::optional<job_status>> {
             co_return std::nullopt;
@@ -92,7 +92,7 @@
         return result;
     }
 
-    patch_answer m_answer;
+    patch_result m_answer;
     asio::io_context m_context;
     operator_api m_api;
     http_server m_server;
@@ -108,20 +108,21 @@
 
 TEST_CASE("a patch reaches the hook with its author, base version and reason")
 {
-    running_api api({.verdict = patch_verdict::Applied, .version = 8});
+    running_api api({.outcome = patch_outcome::Accepted, .version = 8, .submissionId = "p-1"});
     CHECK(api.run(patchCommand(), editorKey) == tool_exit::Done);
-    CHECK(api.output == "version: 8\n");
+    CHECK(api.output == "version: 8\nsubmission_id: p-1\n");
     CHECK(api.submitted
-          == patch_submission{
-              .author = operator_id("ana"), .baseVersion = 7, .patch = R"({"callers":{"niebla":null}})", .reason = "left us"});
+          == patch_request{
+              .author = operator_id("ana"), .baseVersion = 7, .mergePatch = R"({"callers":{"niebla":null}})", .reason = "left us"});
 }
 
 TEST_CASE("a patch against another version is refused with the current one")
 {
-    running_api api({.verdict = patch_verdict::VersionConflict, .version = 9, .text = "the base is not current"});
+    running_api api({.outcome = patch_outcome::Conflict, .version = 9, .message = "the base is not current", .contestedFields = {"callers.niebla"}});
     CHECK(api.run(patchCommand(), bootstrapKey) == tool_exit::Refused);
     CHECK(api.errors.find("version_conflict") != std::string::npos);
     CHECK(api.errors.find("current_version: 9") != std::string::npos);
+    CHECK(api.errors.find("callers.niebla") != std::string::npos);
     CHECK(api.output.empty());
 }
 
@@ -145,8 +146,10 @@
 TEST_CASE("audit filters are passed on")
 {
     running_api api;
-    CHECK(api.run({"audit", "--kind", "patch", "--operator", "ana & co", "--after", "5", "--limit", "3"}, viewerKey) == tool_exit::Done);
-    CHECK(api.asked == audit_query{.kind = "patch", .author = "ana & co", .after = 5, .limit = 3});
+    CHECK(api.run({"audit", "--kind", "patch", "--operator", "ana & co", "--from", "1970-01-01T00:00:02.000005Z", "--limit", "3"}, viewerKey)
+          == tool_exit::Done);
+    const time_point from(std::chrono::microseconds(2000005));
+    CHECK(api.asked == audit_filter{.from = from, .kind = "patch", .actor = operator_id("ana & co"), .limit = 3});
 }
 
 TEST_CASE("the operators' interface tells an unknown job, a store that is down and a call it lacks apart")
