--- a/io/include/banyan/io/operator_api.h
+++ b/io/include/banyan/io/operator_api.h
@@ -11,7 +11,7 @@
 #include "banyan/io/node_status.h"
 #include "banyan/io/operator_identity.h"
 #include "banyan/io/request_explanation.h"
-#include "banyan/io/upstream_status.h"
+#include "banyan/io/upstream_listing.h"
 
 #include <functional>
 #include <memory>
@@ -31,7 +31,7 @@
     std::function<std::shared_ptr<const configuration>()> currentConfiguration; ///< Null: none yet.
     std::function<task<patch_result>(patch_request)> submitPatch;
     std::function<task<std::vector<audit_record>>(audit_filter)> readAudit;
-    std::function<std::vector<upstream_status>()> upstreams;
+    std::function<std::vector<upstream_listing>()> upstreams;
     std::function<task<std::vector<job_status>>(std::optional<caller_id>)> listJobs; ///< All callers' jobs if none is named.
     std::function<task<std::optional<job_status>>(job_id)> findJob;
     std::function<task<job_cancel_result>(job_id, operator_id)> cancelJob;
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -41,15 +41,20 @@
             {"patch", json::parse(record.mergePatch)}};
 }
 
-json::object upstreamJson(const upstream_status &upstream)
-{
-    return {{"id", upstream.id.text()},
-            {"pool", upstream.pool.text()},
-            {"failure_domain", upstream.domain.text()},
-            {"address", upstream.address.toString()},
-            {"leaving", upstream.leaving},
-            {"ejected", upstream.ejected},
-            {"in_flight", upstream.inFlight}};
+json::object upstreamJson(const upstream_listing &listing)
+{
+    json::object result = {{"id", listing.vm.id.text()},
+                           {"pool", listing.vm.pool.text()},
+                           {"failure_domain", listing.vm.domain.text()},
+                           {"address", listing.vm.address.toString()},
+                           {"leaving", listing.vm.state == vm_state::Leaving}};
+    if (listing.status) {
+        result["condition"] = json::string_view(toString(listing.status->condition));
+        result["online_in_flight"] = listing.status->onlineInFlight;
+        result["batch_in_flight"] = listing.status->batchInFlight;
+        result["limit"] = listing.status->limit;
+    }
+    return result;
 }
 
 json::object stepJson(const explanation_step &step)
@@ -98,7 +103,7 @@
     return body;
 }
 
-json::object upstreamsJson(const std::vector<upstream_status> &upstreams)
+json::object upstreamsJson(const std::vector<upstream_listing> &upstreams)
 {
     return listJson("upstreams", upstreams, upstreamJson);
 }
--- a/io/src/operator_json.h
+++ b/io/src/operator_json.h
@@ -7,7 +7,7 @@
 #include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
 #include "banyan/io/request_explanation.h"
-#include "banyan/io/upstream_status.h"
+#include "banyan/io/upstream_listing.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
@@ -24,7 +24,7 @@
 [[nodiscard]] boost::json::object auditJson(const std::vector<audit_record> &records);
 /// The version, or for a conflict what was missed and contested.
 [[nodiscard]] boost::json::object patchResultJson(const patch_result &result);
-[[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_status> &upstreams);
+[[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_listing> &upstreams);
 [[nodiscard]] boost::json::object jobJson(const job_status &job);
 [[nodiscard]] boost::json::object jobsJson(const std::vector<job_status> &jobs);
 [[nodiscard]] boost::json::object statusJson(const node_status &status);
--- a/tests/unit/operator_api_test.cpp
+++ b/tests/unit/operator_api_test.cpp
@@ -118,7 +118,8 @@
 
 TEST_CASE("a patch against another version is refused with the current one")
 {
-    running_api api({.outcome = patch_outcome::Conflict, .version = 9, .message = "the base is not current", .contestedFields = {"callers.niebla"}});
+    running_api api(
+        {.outcome = patch_outcome::Conflict, .version = 9, .message = "the base is not current", .contestedFields = {"callers.niebla"}});
     CHECK(api.run(patchCommand(), bootstrapKey) == tool_exit::Refused);
     CHECK(api.errors.find("version_conflict") != std::string::npos);
     CHECK(api.errors.find("current_version: 9") != std::string::npos);
@@ -146,8 +147,9 @@
 TEST_CASE("audit filters are passed on")
 {
     running_api api;
-    CHECK(api.run({"audit", "--kind", "patch", "--operator", "ana & co", "--from", "1970-01-01T00:00:02.000005Z", "--limit", "3"}, viewerKey)
-          == tool_exit::Done);
+    CHECK(
+        api.run({"audit", "--kind", "patch", "--operator", "ana & co", "--from", "1970-01-01T00:00:02.000005Z", "--limit", "3"}, viewerKey)
+        == tool_exit::Done);
     const time_point from(std::chrono::microseconds(2000005));
     CHECK(api.asked == audit_filter{.from = from, .kind = "patch", .actor = operator_id("ana & co"), .limit = 3});
 }
