--- a/io/src/operator_api.cpp
+++ b/io/src/operator_api.cpp
@@ -78,6 +78,9 @@
 {
     audit_filter filter;
     filter.from = timeFrom(exchange.query("from"), "from");
+    if (const std::optional<std::string> after = exchange.query("after")) {
+        filter.from = time_point(duration(numberFrom<std::int64_t>(after, "after", 0) + 1));
+    }
     filter.until = timeFrom(exchange.query("until"), "until");
     filter.kind = exchange.query("kind");
     if (const std::optional<std::string> actor = exchange.query("operator")) {
--- a/io/src/operator_command.cpp
+++ b/io/src/operator_command.cpp
@@ -224,6 +224,7 @@
 {
     arguments.addOption("limit", "Most records to print.", false);
     arguments.addOption("until", "Only records before this time, such as 2026-12-04T03:00:00Z.", false);
+    arguments.addOption("after", "Only records with greater numbers: where to go on.", false);
     arguments.addOption("from", "Only records of this time and later.", false);
     arguments.addOption("accepted", "Only what was accepted (true) or refused (false).", false);
     arguments.addOption("operator", "Only records of this operator.", false);
@@ -263,7 +264,7 @@
 command_definition auditCommand()
 {
     const auto request = [](const command_arguments &arguments) {
-        return get("/audit" + queryOf(arguments, {"kind", "operator", "accepted", "from", "until", "limit"}));
+        return get("/audit" + queryOf(arguments, {"kind", "operator", "accepted", "from", "after", "until", "limit"}));
     };
     return {.words = {"audit"}, .help = "Shows the audit trail.", .addArguments = addAuditOptions, .makeRequest = request};
 }
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -29,7 +29,9 @@
 
 json::object recordJson(const audit_record &record)
 {
-    return json::parse(toJson(record)).as_object();
+    json::object result = json::parse(toJson(record)).as_object();
+    result["number"] = record.time.time_since_epoch().count();
+    return result;
 }
 
 json::object missedPatchJson(const patch_record &record)
@@ -41,20 +43,15 @@
             {"patch", json::parse(record.mergePatch)}};
 }
 
-json::object upstreamJson(const upstream_listing &listing)
+json::object upstreamJson(const upstream_report &upstream)
 {
-    json::object result = {{"id", listing.vm.id.text()},
-                           {"pool", listing.vm.pool.text()},
-                           {"failure_domain", listing.vm.domain.text()},
-                           {"address", listing.vm.address.toString()},
-                           {"leaving", listing.vm.state == vm_state::Leaving}};
-    if (listing.status) {
-        result["condition"] = json::string_view(toString(listing.status->condition));
-        result["online_in_flight"] = listing.status->onlineInFlight;
-        result["batch_in_flight"] = listing.status->batchInFlight;
-        result["limit"] = listing.status->limit;
-    }
-    return result;
+    return {{"id", upstream.id.text()},
+            {"pool", upstream.pool.text()},
+            {"failure_domain", upstream.domain.text()},
+            {"address", upstream.address.toString()},
+            {"leaving", upstream.leaving},
+            {"ejected", upstream.ejected},
+            {"in_flight", upstream.inFlight}};
 }
 
 json::object stepJson(const explanation_step &step)
@@ -103,7 +100,7 @@
     return body;
 }
 
-json::object upstreamsJson(const std::vector<upstream_listing> &upstreams)
+json::object upstreamsJson(const std::vector<upstream_report> &upstreams)
 {
     return listJson("upstreams", upstreams, upstreamJson);
 }
