--- /dev/null
+++ b/core/include/banyan/core/record_error.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace banyan {
+
+/// A row whose value does not have the expected form.
+class record_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/job_coordinator.cpp
@@ -0,0 +1,736 @@
+#include "banyan/core/job_coordinator.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+std::vector<std::uint32_t> firstItemsOf(const std::vector<std::uint32_t> &itemsOfParts)
+{
+    std::vector<std::uint32_t> firstItems;
+    firstItems.reserve(itemsOfParts.size());
+    std::uint32_t first = 0;
+    for (const std::uint32_t items : itemsOfParts) {
+        firstItems.push_back(first);
+        first += items;
+    }
+    return firstItems;
+}
+
+void earliest(std::optional<time_point> &result, std::optional<time_point> candidate)
+{
+    if (candidate && (!result || *candidate < *result)) {
+        result = candidate;
+    }
+}
+
+} // namespace
+
+job_coordinator::job_coordinator(job_record record, row_version version, const job_coordinator_options &options, time_point now)
+    : m_options(options)
+    , m_record(std::move(record))
+    , m_version(version)
+    , m_firstItems(firstItemsOf(m_record.itemsOfParts))
+    , m_lastStartCommit(now - options.startInterval)
+    , m_storeDelay(options.storeRetryDelay)
+    , m_random(static_cast<std::minstd_rand::result_type>(options.seed))
+{
+}
+
+job_actions job_coordinator::start(time_point now)
+{
+    job_actions actions;
+    if (cancelling()) {
+        beginCancel(actions, now);
+    }
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+job_actions job_coordinator::advance(time_point now)
+{
+    job_actions actions;
+    if (m_phase == store_phase::Ended) {
+        return actions;
+    }
+    passDeadline(actions, now);
+    runDueItems(actions, now);
+    startItems(actions, now);
+    useStore(actions, now);
+    return actions;
+}
+
+job_actions job_coordinator::tick(time_point now)
+{
+    return advance(now);
+}
+
+// Items
+
+bool job_coordinator::takesItems() const
+{
+    return m_record.status == job_status::InProgress && !m_releasing;
+}
+
+bool job_coordinator::mayStart() const
+{
+    const bool bufferFull = m_unsettledBytes >= m_options.bufferedBytes || m_unsettled.size() >= m_options.bufferedResults;
+    return takesItems() && !bufferFull && m_running < m_options.itemsInFlight && m_waiting.size() < m_options.itemsWaiting;
+}
+
+void job_coordinator::passDeadline(job_actions &actions, time_point now)
+{
+    if (m_deadlinePassed || now < m_record.deadline || cancelling()) {
+        return;
+    }
+    m_deadlinePassed = true;
+    for (const auto &[item, held] : m_held) {
+        if (held.phase == item_phase::InFlight) {
+            actions.emplace_back(cancel_item{.item = item});
+        }
+    }
+    for (const due_item &due : std::exchange(m_waiting, {})) {
+        giveUp(actions, due.item, give_up_reason::Expired);
+    }
+}
+
+void job_coordinator::runDueItems(job_actions &actions, time_point now)
+{
+    while (takesItems() && !m_waiting.empty() && m_waiting.begin()->due <= now && m_running < m_options.itemsInFlight) {
+        const std::uint32_t item = m_waiting.begin()->item;
+        m_waiting.erase(m_waiting.begin());
+        m_held[item].phase = item_phase::InFlight;
+        ++m_running;
+        actions.emplace_back(run_item{.item = item, .startCommitted = m_ownStarts.contains(item)});
+    }
+}
+
+void job_coordinator::startItems(job_actions &actions, time_point now)
+{
+    if (m_chunkRetryAt && now >= *m_chunkRetryAt) {
+        m_chunkRetryAt.reset();
+    }
+    while (mayStart()) {
+        const auto item = nextItem(now);
+        if (!item) {
+            releaseChunks(actions, 0, m_firstItems.size());
+            return;
+        }
+        const std::size_t chunk = chunkOf(*item);
+        const auto found = m_chunks.find(chunk);
+        if (found == m_chunks.end()) {
+            if (!m_chunkRetryAt) {
+                loadChunk(actions, chunk);
+            }
+            return;
+        }
+        if (found->second == chunk_state::Loading) {
+            return;
+        }
+        startItem(actions, *item, found->second, now);
+        loadAhead(actions, *item, chunk);
+    }
+}
+
+void job_coordinator::startItem(job_actions &actions, std::uint32_t item, chunk_state state, time_point now)
+{
+    m_cursor = item + 1;
+    const bool ownStart = m_ownStarts.contains(item);
+    if (m_record.started.contains(item) && !ownStart) {
+        giveUp(actions, item, give_up_reason::OutcomeUnknown);
+    } else if (state == chunk_state::Missing) {
+        giveUp(actions, item, give_up_reason::InputMissing);
+    } else if (now >= m_record.deadline) {
+        giveUp(actions, item, give_up_reason::Expired);
+    } else {
+        m_held[item] = {};
+        ++m_running;
+        actions.emplace_back(run_item{.item = item, .startCommitted = ownStart});
+    }
+}
+
+void job_coordinator::giveUp(job_actions &actions, std::uint32_t item, give_up_reason reason)
+{
+    m_held[item].phase = item_phase::InFlight;
+    ++m_running;
+    m_expiredAny = m_expiredAny || reason == give_up_reason::Expired;
+    actions.emplace_back(give_up_item{.item = item, .reason = reason});
+}
+
+void job_coordinator::putBack(job_actions &actions, std::uint32_t item)
+{
+    m_held.erase(item);
+    actions.emplace_back(put_back_item{.item = item});
+}
+
+job_actions job_coordinator::startNeeded(std::uint32_t item, time_point now)
+{
+    const auto found = m_held.find(item);
+    if (found == m_held.end() || found->second.phase != item_phase::InFlight) {
+        return {};
+    }
+    job_actions actions;
+    if (takesItems()) {
+        found->second.phase = item_phase::NeedsStart;
+        m_needStart.push_back(item);
+    } else {
+        --m_running;
+        putBack(actions, item);
+    }
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+job_actions job_coordinator::itemEnded(std::uint32_t item, const item_end &end, time_point now)
+{
+    const auto found = m_held.find(item);
+    if (m_phase == store_phase::Ended || found == m_held.end() || found->second.phase != item_phase::InFlight) {
+        return {};
+    }
+    --m_running;
+    job_actions actions;
+    if (end.outcome == item_outcome::Answered || end.outcome == item_outcome::Rejected) {
+        finish(item, end, now);
+    } else if (!takesItems()) {
+        putBack(actions, item);
+    } else {
+        retry(actions, item, end, now);
+    }
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+void job_coordinator::finish(std::uint32_t item, const item_end &end, time_point now)
+{
+    m_held.erase(item);
+    m_finished.push_back({.item = item, .bytes = end.bytes, .error = end.outcome == item_outcome::Rejected});
+    m_finishedBytes += end.bytes;
+    m_unsettled.insert(item);
+    m_unsettledBytes += end.bytes;
+    ++m_finishedCount;
+    if (!m_oldestFinished) {
+        m_oldestFinished = now;
+    }
+}
+
+void job_coordinator::retry(job_actions &actions, std::uint32_t item, const item_end &end, time_point now)
+{
+    held_item &held = m_held[item];
+    if (now >= m_record.deadline) {
+        giveUp(actions, item, give_up_reason::Expired);
+        return;
+    }
+    if (end.outcome == item_outcome::Lost) {
+        ++held.efforts;
+        if (!effortAllowed(held)) {
+            giveUp(actions, item, give_up_reason::EffortExhausted);
+            return;
+        }
+        ++m_effortSpent;
+    } else {
+        ++held.tries;
+        if (held.tries >= m_options.triesInMemory && held.efforts == 0) {
+            putBack(actions, item);
+            return;
+        }
+    }
+    held.phase = item_phase::Waiting;
+    m_waiting.insert({.due = now + retryDelay(held, end), .item = item});
+}
+
+bool job_coordinator::effortAllowed(const held_item &held) const
+{
+    const double allowed = m_options.effortReserve + m_options.effortShare * static_cast<double>(m_finishedCount);
+    return held.efforts < m_options.effortPerItem && static_cast<double>(m_effortSpent) < allowed;
+}
+
+duration job_coordinator::retryDelay(const held_item &held, const item_end &end)
+{
+    constexpr std::uint32_t maximumDoublings = 16;
+    const std::uint32_t ends = held.tries + held.efforts;
+    const auto doublings = std::min(ends > 0 ? ends - 1 : 0, maximumDoublings);
+    const duration whole = std::min(m_options.retryDelay * (std::int64_t(1) << doublings), m_options.maximumRetryDelay);
+    std::uniform_int_distribution<std::int64_t> jitter(whole.count() / 2, whole.count());
+    return std::max(duration(jitter(m_random)), end.retryAfter.value_or(duration{}));
+}
+
+std::optional<std::uint32_t> job_coordinator::nextItem(time_point now)
+{
+    const std::uint32_t total = m_record.total();
+    for (;;) {
+        m_cursor = m_record.done.firstAbsent(m_cursor);
+        if (m_cursor < total) {
+            if (!m_held.contains(m_cursor) && !m_unsettled.contains(m_cursor)) {
+                return m_cursor;
+            }
+            ++m_cursor;
+            continue;
+        }
+        if (m_record.done.size() + m_unsettled.size() + m_held.size() >= total) {
+            return std::nullopt;
+        }
+        if (!m_nextPass) {
+            m_nextPass = now + m_options.passDelay;
+        }
+        if (now < *m_nextPass) {
+            return std::nullopt;
+        }
+        m_nextPass.reset();
+        m_cursor = 0;
+    }
+}
+
+// Chunks
+
+std::size_t job_coordinator::chunkOf(std::uint32_t item) const
+{
+    const auto after = std::upper_bound(m_firstItems.begin(), m_firstItems.end(), item);
+    return static_cast<std::size_t>(std::distance(m_firstItems.begin(), after)) - 1;
+}
+
+void job_coordinator::loadChunk(job_actions &actions, std::size_t chunk)
+{
+    releaseChunks(actions, 0, chunk);
+    releaseChunks(actions, chunk + 1, m_firstItems.size());
+    m_chunks[chunk] = chunk_state::Loading;
+    actions.emplace_back(load_chunk{.chunk = chunk});
+}
+
+void job_coordinator::releaseChunks(job_actions &actions, std::size_t from, std::size_t to)
+{
+    const auto begin = m_chunks.lower_bound(from);
+    const auto end = m_chunks.lower_bound(to);
+    for (auto chunk = begin; chunk != end; ++chunk) {
+        actions.emplace_back(release_chunk{.chunk = chunk->first});
+    }
+    m_chunks.erase(begin, end);
+}
+
+void job_coordinator::loadAhead(job_actions &actions, std::uint32_t item, std::size_t chunk)
+{
+    const std::size_t next = chunk + 1;
+    const bool lastHalf = item >= m_firstItems[chunk] + m_record.itemsOfParts[chunk] / 2;
+    if (!lastHalf || next >= m_firstItems.size() || m_chunks.contains(next) || m_chunkRetryAt) {
+        return;
+    }
+    if (m_record.done.firstAbsent(m_firstItems[next]) >= m_firstItems[next] + m_record.itemsOfParts[next]) {
+        return;
+    }
+    releaseChunks(actions, 0, chunk);
+    m_chunks[next] = chunk_state::Loading;
+    actions.emplace_back(load_chunk{.chunk = next});
+}
+
+job_actions job_coordinator::chunkLoaded(std::size_t chunk, time_point now)
+{
+    const auto found = m_chunks.find(chunk);
+    if (found == m_chunks.end()) {
+        return {release_chunk{.chunk = chunk}};
+    }
+    found->second = chunk_state::Loaded;
+    return advance(now);
+}
+
+job_actions job_coordinator::chunkUnavailable(std::size_t chunk, time_point now)
+{
+    if (m_chunks.erase(chunk) > 0) {
+        m_chunkRetryAt = now + m_options.storeRetryDelay;
+    }
+    return advance(now);
+}
+
+job_actions job_coordinator::chunkMissing(std::size_t chunk, time_point now)
+{
+    const auto found = m_chunks.find(chunk);
+    if (found != m_chunks.end()) {
+        found->second = chunk_state::Missing;
+    }
+    return advance(now);
+}
+
+// The job's row
+
+void job_coordinator::useStore(job_actions &actions, time_point now)
+{
+    if (m_storeRetryAt) {
+        if (now >= *m_storeRetryAt) {
+            repeatStoreCall(actions, now);
+        }
+        return;
+    }
+    if (m_phase != store_phase::Idle) {
+        return;
+    }
+    if (m_cancelReported && !cancelling()) {
+        sendRead(actions);
+    } else if (commitDue(now)) {
+        beginChange(actions, now);
+    }
+}
+
+void job_coordinator::repeatStoreCall(job_actions &actions, time_point now)
+{
+    m_storeRetryAt.reset();
+    switch (m_phase) {
+    case store_phase::Storing:
+        sendResults(actions);
+        return;
+    case store_phase::Committing:
+        sendCommit(actions, now);
+        return;
+    case store_phase::Reading:
+        sendRead(actions);
+        return;
+    case store_phase::Idle:
+    case store_phase::Ended:
+        return;
+    }
+}
+
+bool job_coordinator::commitDue(time_point now) const
+{
+    const bool resultsDue = m_finished.size() >= m_options.resultsPerCommit || m_finishedBytes >= m_options.bytesPerCommit
+                            || (m_oldestFinished && now >= *m_oldestFinished + m_options.commitInterval);
+    const bool startsDue = !m_needStart.empty() && now >= m_lastStartCommit + m_options.startInterval;
+    return resultsDue || startsDue || endsNow(now);
+}
+
+void job_coordinator::beginChange(job_actions &actions, time_point now)
+{
+    m_pending.emplace();
+    m_pending->items = std::exchange(m_finished, {});
+    m_pending->starts = std::exchange(m_needStart, {});
+    m_finishedBytes = 0;
+    m_oldestFinished.reset();
+    m_resultsStored = m_pending->items.empty();
+    for (const std::uint32_t item : m_pending->starts) {
+        m_held[item].phase = item_phase::StartPending;
+    }
+    if (!m_pending->starts.empty()) {
+        m_lastStartCommit = now;
+    }
+    if (m_resultsStored) {
+        sendCommit(actions, now);
+        return;
+    }
+    m_pending->segment = job_segment{.fencingNumber = m_record.fencingNumber, .sequence = m_nextSequence++};
+    for (const finished_item &item : m_pending->items) {
+        std::uint32_t &bytes = item.error ? m_pending->segment->errorBytes : m_pending->segment->outputBytes;
+        bytes += static_cast<std::uint32_t>(item.bytes);
+    }
+    sendResults(actions);
+}
+
+void job_coordinator::sendResults(job_actions &actions)
+{
+    m_phase = store_phase::Storing;
+    store_results action{.segment = *m_pending->segment, .answers = {}, .errors = {}};
+    for (const finished_item &item : m_pending->items) {
+        (item.error ? action.errors : action.answers).push_back(item.item);
+    }
+    actions.emplace_back(std::move(action));
+}
+
+void job_coordinator::sendCommit(job_actions &actions, time_point now)
+{
+    m_phase = store_phase::Committing;
+    m_sent = changedRecord(now);
+    actions.emplace_back(commit_progress{.version = m_version, .record = m_sent});
+}
+
+void job_coordinator::sendRead(job_actions &actions)
+{
+    m_phase = store_phase::Reading;
+    actions.emplace_back(read_job{});
+}
+
+job_record job_coordinator::changedRecord(time_point now) const
+{
+    job_record next = m_record;
+    for (const finished_item &item : m_pending->items) {
+        next.done.insert(item.item);
+        next.started.erase(item.item);
+        ++(item.error ? next.failed : next.completed);
+    }
+    if (m_pending->segment) {
+        next.segments.push_back(*m_pending->segment);
+    }
+    for (const std::uint32_t item : m_pending->starts) {
+        next.started.insert(item);
+    }
+    if (!m_finished.empty() || !endsNow(now)) {
+        return next;
+    }
+    // What this coordinator started and does not hold any more was not run, for sure.
+    for (const std::uint32_t item : m_ownStarts) {
+        if (!m_held.contains(item)) {
+            next.started.erase(item);
+        }
+    }
+    if (allDone() || cancelling()) {
+        next.status = finalStatus();
+        next.endedAt = now;
+    } else {
+        next.owner.clear();
+    }
+    return next;
+}
+
+job_actions job_coordinator::resultsStored(time_point now)
+{
+    job_actions actions;
+    if (m_phase == store_phase::Storing) {
+        m_resultsStored = true;
+        m_storeDelay = m_options.storeRetryDelay;
+        sendCommit(actions, now);
+    }
+    return actions;
+}
+
+job_actions job_coordinator::committed(row_version version, time_point now)
+{
+    job_actions actions;
+    if (m_phase != store_phase::Committing) {
+        return actions;
+    }
+    m_record = m_sent;
+    m_version = version;
+    m_storeDelay = m_options.storeRetryDelay;
+    settle(actions, now);
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+job_actions job_coordinator::commitRefused(time_point)
+{
+    job_actions actions;
+    if (m_phase == store_phase::Committing) {
+        sendRead(actions);
+    }
+    return actions;
+}
+
+job_actions job_coordinator::commitUnknown(time_point now)
+{
+    return commitRefused(now);
+}
+
+job_actions job_coordinator::jobRead(std::optional<job_record> record, row_version version, time_point now)
+{
+    job_actions actions;
+    if (m_phase != store_phase::Reading) {
+        return actions;
+    }
+    m_storeDelay = m_options.storeRetryDelay;
+    m_cancelReported = false;
+    if (!record || record->fencingNumber != m_record.fencingNumber) {
+        end(actions, coordination_end::LeaseLost);
+        return actions;
+    }
+    m_record = *std::move(record);
+    m_version = version;
+    const bool applied = m_pending && changeApplied();
+    if (cancelling()) {
+        beginCancel(actions, now);
+    }
+    if (!m_pending) {
+        m_phase = store_phase::Idle;
+        endIfFinal(actions);
+    } else if (applied) {
+        settle(actions, now);
+    } else if (m_resultsStored) {
+        sendCommit(actions, now);
+    } else {
+        sendResults(actions);
+    }
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+job_actions job_coordinator::storeUnavailable(time_point now)
+{
+    if (m_phase != store_phase::Idle && m_phase != store_phase::Ended) {
+        m_storeRetryAt = now + m_storeDelay;
+        m_storeDelay = std::min(m_storeDelay * 2, m_options.maximumStoreRetryDelay);
+    }
+    return advance(now);
+}
+
+bool job_coordinator::changeApplied() const
+{
+    if (m_pending->segment) {
+        return std::find(m_record.segments.begin(), m_record.segments.end(), *m_pending->segment) != m_record.segments.end();
+    }
+    if (!m_pending->starts.empty()) {
+        return std::all_of(m_pending->starts.begin(), m_pending->starts.end(), [this](std::uint32_t item) {
+            return m_record.started.contains(item);
+        });
+    }
+    return isFinal(m_record.status) || m_record.owner != m_sent.owner || m_record == m_sent;
+}
+
+void job_coordinator::settle(job_actions &actions, time_point now)
+{
+    m_phase = store_phase::Idle;
+    const pending_change change = *std::exchange(m_pending, std::nullopt);
+    for (const finished_item &item : change.items) {
+        m_unsettled.erase(item.item);
+        m_unsettledBytes -= item.bytes;
+        m_ownStarts.erase(item.item);
+    }
+    for (const std::uint32_t item : change.starts) {
+        m_ownStarts.insert(item);
+        if (takesItems() && now < m_record.deadline) {
+            m_held[item].phase = item_phase::InFlight;
+            actions.emplace_back(run_item{.item = item, .startCommitted = true});
+        } else if (takesItems()) {
+            --m_running;
+            giveUp(actions, item, give_up_reason::Expired);
+        } else {
+            --m_running;
+            putBack(actions, item);
+        }
+    }
+    endIfFinal(actions);
+}
+
+void job_coordinator::endIfFinal(job_actions &actions)
+{
+    if (isFinal(m_record.status)) {
+        end(actions, coordination_end::Finished);
+    } else if (m_record.owner.empty()) {
+        end(actions, coordination_end::Released);
+    }
+}
+
+void job_coordinator::end(job_actions &actions, coordination_end how)
+{
+    m_phase = store_phase::Ended;
+    m_storeRetryAt.reset();
+    for (const auto &[item, held] : m_held) {
+        if (held.phase == item_phase::InFlight) {
+            actions.emplace_back(cancel_item{.item = item});
+        }
+    }
+    m_held.clear();
+    m_waiting.clear();
+    m_chunks.clear();
+    m_running = 0;
+    actions.emplace_back(end_coordination{.how = how});
+}
+
+job_actions job_coordinator::cancelSeen(time_point now)
+{
+    m_cancelReported = !cancelling();
+    return advance(now);
+}
+
+job_actions job_coordinator::release(time_point now)
+{
+    job_actions actions;
+    m_releasing = true;
+    for (const due_item &due : std::exchange(m_waiting, {})) {
+        putBack(actions, due.item);
+    }
+    for (const std::uint32_t item : std::exchange(m_needStart, {})) {
+        --m_running;
+        putBack(actions, item);
+    }
+    const job_actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+void job_coordinator::beginCancel(job_actions &actions, time_point now)
+{
+    if (m_cancelGraceEnd) {
+        return;
+    }
+    m_cancelGraceEnd = now + m_options.cancelGrace;
+    for (const due_item &due : std::exchange(m_waiting, {})) {
+        putBack(actions, due.item);
+    }
+    for (const std::uint32_t item : std::exchange(m_needStart, {})) {
+        --m_running;
+        putBack(actions, item);
+    }
+    for (const auto &[item, held] : m_held) {
+        if (held.phase == item_phase::InFlight) {
+            actions.emplace_back(cancel_item{.item = item});
+        }
+    }
+    releaseChunks(actions, 0, m_firstItems.size());
+}
+
+bool job_coordinator::cancelling() const
+{
+    return m_record.status == job_status::Cancelling;
+}
+
+bool job_coordinator::allDone() const
+{
+    return m_record.done.size() + m_unsettled.size() >= m_record.total();
+}
+
+bool job_coordinator::endsNow(time_point now) const
+{
+    if (allDone()) {
+        return true;
+    }
+    if (cancelling()) {
+        return m_running == 0 || (m_cancelGraceEnd && now >= *m_cancelGraceEnd);
+    }
+    return m_releasing && m_running == 0;
+}
+
+job_status job_coordinator::finalStatus() const
+{
+    if (cancelling()) {
+        return job_status::Cancelled;
+    }
+    return m_expiredAny ? job_status::Expired : job_status::Completed;
+}
+
+std::optional<time_point> job_coordinator::nextWakeUp() const
+{
+    std::optional<time_point> result;
+    if (m_phase == store_phase::Ended) {
+        return result;
+    }
+    earliest(result, m_storeRetryAt);
+    if (!m_deadlinePassed && !cancelling()) {
+        earliest(result, m_record.deadline);
+    }
+    if (takesItems()) {
+        if (!m_waiting.empty() && m_running < m_options.itemsInFlight) {
+            earliest(result, m_waiting.begin()->due);
+        }
+        if (mayStart()) {
+            earliest(result, m_nextPass);
+            earliest(result, m_chunkRetryAt);
+        }
+    }
+    if (m_phase != store_phase::Idle) {
+        return result;
+    }
+    if (m_oldestFinished) {
+        earliest(result, *m_oldestFinished + m_options.commitInterval);
+    }
+    if (!m_needStart.empty()) {
+        earliest(result, m_lastStartCommit + m_options.startInterval);
+    }
+    if (cancelling()) {
+        earliest(result, m_cancelGraceEnd);
+    }
+    return result;
+}
+
+} // namespace banyan
--- /dev/null
+++ b/tests/property/job_coordinator_test.cpp
@@ -0,0 +1,106 @@
+#include "job_simulation.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace banyan;
+using namespace banyan::test;
+
+namespace {
+
+job_coordinator_options smallOptions()
+{
+    return {.itemsInFlight = 5,
+            .itemsWaiting = 4,
+            .resultsPerCommit = 4,
+            .bytesPerCommit = 60,
+            .bufferedBytes = 200,
+            .bufferedResults = 10,
+            .commitInterval = std::chrono::seconds(2),
+            .triesInMemory = 2,
+            .effortReserve = 1000};
+}
+
+item_script randomScript(bool plain)
+{
+    item_script script;
+    script.error = *rc::gen::weightedElement<bool>({{4, false}, {1, true}});
+    if (plain) {
+        return script;
+    }
+    script.notRun = *rc::gen::weightedElement<std::uint32_t>({{6, 0}, {1, 1}, {1, 5}});
+    script.lost = *rc::gen::weightedElement<std::uint32_t>({{6, 0}, {1, 1}, {1, 2}});
+    script.repeatable = *rc::gen::weightedElement<bool>({{4, true}, {1, false}});
+    return script;
+}
+
+job_simulation::options randomJob()
+{
+    job_simulation::options what;
+    what.itemsOfParts = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 9));
+    std::uint32_t total = 0;
+    for (const std::uint32_t items : what.itemsOfParts) {
+        total += items;
+    }
+    for (std::uint32_t item = 0; item < total; ++item) {
+        what.scripts.push_back(randomScript(false));
+    }
+    constexpr std::size_t mostChoices = 1500;
+    const auto count = *rc::gen::inRange<std::size_t>(0, mostChoices);
+    what.choices = *rc::gen::container<std::vector<std::uint32_t>>(count, rc::gen::inRange<std::uint32_t>(0, 5040));
+    what.coordinator = smallOptions();
+    return what;
+}
+
+void runOrFail(job_simulation &simulation)
+{
+    try {
+        simulation.run();
+    } catch (const violation &problem) {
+        RC_FAIL(problem.what());
+    }
+}
+
+} // namespace
+
+TEST_CASE("job_coordinator gives each item exactly the naive result under lost commits, pauses, kills and takeovers")
+{
+    rc::prop("as the naive version", [] {
+        job_simulation simulation(randomJob());
+        runOrFail(simulation);
+        if (simulation.row().status != job_status::Completed) {
+            RC_FAIL("expected the job to be completed, found " + simulation.row().toJson());
+        }
+        RC_ASSERT(simulation.row().started.size() == 0U);
+        RC_TAG(simulation.takeovers());
+    });
+}
+
+TEST_CASE("job_coordinator ends a cancelled job, starts nothing once it knows, and keeps what was committed")
+{
+    rc::prop("cancel stops", [] {
+        job_simulation::options what = randomJob();
+        what.cancels = true;
+        job_simulation simulation(what);
+        runOrFail(simulation);
+        RC_ASSERT(simulation.startsAfterCancel() == 0U);
+        RC_CLASSIFY(simulation.row().status == job_status::Cancelled);
+    });
+}
+
+TEST_CASE("job_coordinator ends a job at its deadline with an error for each item without an answer")
+{
+    rc::prop("expires", [] {
+        job_simulation::options what = randomJob();
+        what.window = std::chrono::milliseconds(*rc::gen::inRange(1, 5000));
+        for (item_script &script : what.scripts) {
+            script.endless = *rc::gen::weightedElement<bool>({{9, false}, {1, true}});
+        }
+        job_simulation simulation(what);
+        runOrFail(simulation);
+        const job_record &row = simulation.row();
+        RC_ASSERT(row.completed + row.failed == row.total());
+        RC_CLASSIFY(row.status == job_status::Expired);
+    });
+}
