--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(ac2003e2a0b95015);
 CAPNP_DECLARE_SCHEMA(9c37038dcd87b768);
 CAPNP_DECLARE_SCHEMA(eac17057c6d56d0e);
+CAPNP_DECLARE_SCHEMA(99d96ec1c01ee7cc);
+CAPNP_DECLARE_SCHEMA(b378d26938b7094d);
 CAPNP_DECLARE_SCHEMA(b7610a0ea739e499);
 CAPNP_DECLARE_SCHEMA(a2106e893b3485b2);
 CAPNP_DECLARE_SCHEMA(c434a9bbace9e976);
@@ -133,6 +135,8 @@
   struct HeadParams;
   struct HeadResults;
   struct PieceParams;
+  struct EndParams;
+  struct EndResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -187,6 +191,36 @@
   };
 };
 
+struct AnswerSink::EndParams {
+  EndParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99d96ec1c01ee7cc, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AnswerSink::EndResults {
+  EndResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b378d26938b7094d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigurationPatch {
   ConfigurationPatch() = delete;
 
@@ -732,6 +766,8 @@
 
   inline  ::uint64_t getFencingNumber() const;
 
+  inline bool getStartRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -847,6 +883,9 @@
   inline  ::uint64_t getFencingNumber();
   inline void setFencingNumber( ::uint64_t value);
 
+  inline bool getStartRecorded();
+  inline void setStartRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -903,6 +942,8 @@
   inline bool hasTrace() const;
   inline  ::capnp::Text::Reader getTrace() const;
 
+  inline bool getStartRecorded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -954,6 +995,9 @@
   inline void adoptTrace(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTrace();
 
+  inline bool getStartRecorded();
+  inline void setStartRecorded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1004,6 +1048,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::StreamingRequest< ::banyan::schema::AnswerSink::PieceParams> pieceRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::banyan::schema::AnswerSink::EndParams,  ::banyan::schema::AnswerSink::EndResults> endRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1027,6 +1073,10 @@
   typedef  ::banyan::schema::AnswerSink::PieceParams PieceParams;
   typedef ::capnp::StreamingCallContext<PieceParams> PieceContext;
   virtual ::kj::Promise<void> piece(PieceContext context);
+  typedef  ::banyan::schema::AnswerSink::EndParams EndParams;
+  typedef  ::banyan::schema::AnswerSink::EndResults EndResults;
+  typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
+  virtual ::kj::Promise<void> end(EndContext context);
 
   inline  ::banyan::schema::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1277,6 +1327,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class AnswerSink::EndParams::Reader {
+public:
+  typedef EndParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerSink::EndParams::Builder {
+public:
+  typedef EndParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerSink::EndParams::Pipeline {
+public:
+  typedef EndParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnswerSink::EndResults::Reader {
+public:
+  typedef EndResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnswerSink::EndResults::Builder {
+public:
+  typedef EndResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnswerSink::EndResults::Pipeline {
+public:
+  typedef EndResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigurationPatch::Reader {
 public:
   typedef ConfigurationPatch Reads;
@@ -2962,6 +3154,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunRequest::Reader::getStartRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunRequest::Builder::getStartRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RunRequest::Builder::setStartRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t RunResult::Reader::getDisposition() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3077,6 +3283,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RunResult::Reader::getStartRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunResult::Builder::getStartRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void RunResult::Builder::setStartRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
