--- a/io/include/banyan/io/operator_api.h
+++ b/io/include/banyan/io/operator_api.h
@@ -3,11 +3,11 @@
 #include "banyan/core/audit_filter.h"
 #include "banyan/core/audit_record.h"
 #include "banyan/core/configuration.h"
+#include "banyan/core/job_summary.h"
 #include "banyan/core/patch_request.h"
 #include "banyan/core/patch_result.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/job_cancel_result.h"
-#include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
 #include "banyan/io/operator_identity.h"
 #include "banyan/io/request_explanation.h"
@@ -32,8 +32,8 @@
     std::function<task<patch_result>(patch_request)> submitPatch;
     std::function<task<std::vector<audit_record>>(audit_filter)> readAudit;
     std::function<std::vector<upstream_report>()> upstreams;
-    std::function<task<std::vector<job_status>>(std::optional<caller_id>)> listJobs; ///< All callers' jobs if none is named.
-    std::function<task<std::optional<job_status>>(job_id)> findJob;
+    std::function<task<std::vector<job_summary>>(std::optional<caller_id>)> listJobs; ///< All callers' jobs if none is named.
+    std::function<task<std::optional<job_summary>>(job_id)> findJob;
     std::function<task<job_cancel_result>(job_id, operator_id)> cancelJob;
     std::function<node_status()> status;
     std::function<task<>(operator_id)> drain; ///< Begins a planned stop of this node.
--- a/io/src/operator_api.cpp
+++ b/io/src/operator_api.cpp
@@ -320,13 +320,13 @@
     if (const std::optional<std::string> name = exchange.query("caller")) {
         caller = caller_id(*name);
     }
-    const std::vector<job_status> jobs = co_await m_options.hooks.listJobs(std::move(caller));
+    const std::vector<job_summary> jobs = co_await m_options.hooks.listJobs(std::move(caller));
     co_await exchange.respond(jsonAnswer(200, jobsJson(jobs)));
 }
 
 task<> operator_api::showJob(http_exchange &exchange, const operator_identity & /*who*/)
 {
-    const std::optional<job_status> job = co_await m_options.hooks.findJob(job_id(exchange.pathArguments().at(0)));
+    const std::optional<job_summary> job = co_await m_options.hooks.findJob(job_id(exchange.pathArguments().at(0)));
     co_await exchange.respond(foundOrNot(job, jobJson, "job_not_found", "There is no such job."));
 }
 
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -105,18 +105,22 @@
     return listJson("upstreams", upstreams, upstreamJson);
 }
 
-json::object jobJson(const job_status &job)
+json::object jobJson(const job_summary &job)
 {
     return {{"id", job.id.text()},
             {"caller", job.caller.text()},
-            {"state", job.state},
-            {"items", job.items},
+            {"endpoint", job.endpoint},
+            {"state", toString(job.status)},
+            {"owner", job.owner},
+            {"fencing_number", job.fencingNumber},
+            {"items", job.total},
             {"completed", job.completed},
             {"failed", job.failed},
-            {"created", toIsoText(job.created)}};
+            {"created", toIsoText(job.createdAt)},
+            {"deadline", toIsoText(job.deadline)}};
 }
 
-json::object jobsJson(const std::vector<job_status> &jobs)
+json::object jobsJson(const std::vector<job_summary> &jobs)
 {
     return listJson("jobs", jobs, jobJson);
 }
--- a/io/src/operator_json.h
+++ b/io/src/operator_json.h
@@ -2,9 +2,9 @@
 
 #include "banyan/core/audit_record.h"
 #include "banyan/core/configuration.h"
+#include "banyan/core/job_summary.h"
 #include "banyan/core/patch_result.h"
 #include "banyan/io/http_message.h"
-#include "banyan/io/job_status.h"
 #include "banyan/io/node_status.h"
 #include "banyan/io/request_explanation.h"
 #include "banyan/io/upstream_report.h"
@@ -25,8 +25,8 @@
 /// The version, or for a conflict what was missed and contested.
 [[nodiscard]] boost::json::object patchResultJson(const patch_result &result);
 [[nodiscard]] boost::json::object upstreamsJson(const std::vector<upstream_report> &upstreams);
-[[nodiscard]] boost::json::object jobJson(const job_status &job);
-[[nodiscard]] boost::json::object jobsJson(const std::vector<job_status> &jobs);
+[[nodiscard]] boost::json::object jobJson(const job_summary &job);
+[[nodiscard]] boost::json::object jobsJson(const std::vector<job_summary> &jobs);
 [[nodiscard]] boost::json::object statusJson(const node_status &status);
 [[nodiscard]] boost::json::object explanationJson(const request_explanation &explanation);
 
--- a/tests/unit/operator_api_test.cpp
+++ b/tests/unit/operator_api_test.cpp
@@ -82,12 +82,12 @@
             asked = std::move(filter);
             co_return std::vector<audit_record>(1);
         };
-        result.findJob = [](job_id) -> task<std::optional<job_status>> {
+        result.findJob = [](job_id) -> task<std::optional<job_summary>> {
             co_return std::nullopt;
         };
-        result.listJobs = [](std::optional<caller_id>) -> task<std::vector<job_status>> {
+        result.listJobs = [](std::optional<caller_id>) -> task<std::vector<job_summary>> {
             throw platform_unavailable("down");
-            co_return std::vector<job_status>();
+            co_return std::vector<job_summary>();
         };
         return result;
     }
