--- a/io/include/banyan/io/fleet_service.h
+++ b/io/include/banyan/io/fleet_service.h
@@ -22,6 +22,7 @@
 {
     node_info self; ///< peerAddress is where UDP is received; its port must be set, or 0 in tests (see address()).
     std::string secret; ///< Shared by all nodes of the fleet; authenticates their messages.
+    std::vector<endpoint> seeds; ///< Peer addresses to look for besides the list's: how a node starts while the platform is down.
     std::uint64_t seed = 1; ///< For random choices; give each process another one.
     duration minimumListInterval = std::chrono::seconds(2); ///< Between two readings of the platform's list.
     double listReadsPerSecond = 50; ///< Of the whole fleet together: more nodes read the list less often.
@@ -58,7 +59,7 @@
     [[nodiscard]] endpoint address() const;
 
     /// The nodes that work may be given to: alive, not leaving, this one included unless it leaves. In the order of ids.
-    [[nodiscard]] std::vector<node_info> nodes() const;
+    [[nodiscard]] const std::vector<node_info> &nodes() const;
 
     /// All nodes that are thought to run, leaving ones included; for calls that only need an answer.
     [[nodiscard]] std::vector<node_info> reachableNodes() const;
