--- a/tests/property/patch_submission_property_test.cpp
+++ b/tests/property/patch_submission_property_test.cpp
@@ -1,7 +1,7 @@
 #include "banyan/core/configuration_history.h"
 #include "banyan/core/configuration_json.h"
 #include "banyan/core/patch_submission.h"
-#include "fake_table.h"
+#include "property/fake_table.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -11,6 +11,7 @@
 #include <set>
 
 using namespace banyan;
+using banyan::tests::fake_table;
 
 namespace {
 
