--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -1,6 +1,7 @@
 #include "banyan/io/banyan_node.h"
 
 #include "banyan/core/audit_record.h"
+#include "banyan/core/batch_item.h"
 #include "banyan/core/configuration_history.h"
 #include "banyan/core/job_summary.h"
 #include "banyan/core/patch_result.h"
@@ -16,7 +17,6 @@
 #include "banyan/io/fleet_service.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_server.h"
-#include "banyan/io/item_rejected.h"
 #include "banyan/io/job_service.h"
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
@@ -249,7 +249,7 @@
             }
             return resolveRequest(*current, request, currentTime()).run;
         } catch (const request_refused &refusal) {
-            throw item_rejected(refusal.status(), refusal.code(), refusal.what());
+            throw item_rejected(refusal.code(), refusal.what());
         }
     }
 
