Never call a request not run that a lost node may have run; pass over nodes that just failed

Cause: after a node was lost with a repeatable request, another cell's refusal (not run) became the request's end, though the lost node may have run it.

--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -47,6 +47,7 @@
 constexpr std::size_t copiesOfResult = 1; // Other nodes that hold a result which the store does not take.
 constexpr duration balancerLag = std::chrono::seconds(2); // Between readiness going off and the last new connection.
 constexpr duration drainPollInterval = std::chrono::milliseconds(50);
+constexpr duration lastAnswersTime = std::chrono::milliseconds(200); // For answers to other nodes to leave.
 constexpr duration stopReserve = std::chrono::seconds(5); // Of the drain timeout, for committing and giving leases back.
 
 std::uint64_t randomNumber()
@@ -140,6 +141,7 @@
         m_jobs->stop();
         m_configurations->stop();
         m_fleet->stop();
+        co_await pause(lastAnswersTime);
         m_operatorServer.stopAccepting();
         m_peers.stop();
     }
@@ -171,7 +173,7 @@
         m_fleet.emplace(m_context, m_platform, m_history, fleetOptions);
         configuration_service_options options;
         options.seed = randomNumber();
-        options.fetchFromPeer = [this](node_info peer, configuration_version version) {
+        options.fetchFromPeer = [this](const node_info &peer, configuration_version version) {
             return m_peers.configurationSince(peer.peerAddress, version);
         };
         m_configurations.emplace(m_context, m_platform, *m_fleet, m_history, std::move(options));
@@ -185,7 +187,7 @@
     {
         cell_host_options hostOptions;
         hostOptions.dispatcher.seed = randomNumber();
-        hostOptions.recordStart = [this](std::string key, std::uint64_t fencingNumber, std::string attempt) {
+        hostOptions.recordStart = [this](std::string key, std::uint64_t fencingNumber, const std::string &attempt) {
             return m_records->recordStart(std::move(key), fencingNumber, m_self.id.text() + "/" + attempt);
         };
         m_cells.emplace(m_context, m_client, m_metrics, std::move(hostOptions));
@@ -195,10 +197,13 @@
         options.runHere = [this](cell_id cell, run_request request, answer_sink sink, std::shared_ptr<run_cancellation> cancellation) {
             return m_cells->run(std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
         };
-        options.runAt =
-            [this](node_info node, cell_id cell, run_request request, answer_sink sink, std::shared_ptr<run_cancellation> cancellation) {
-                return m_peers.run(node.peerAddress, std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
-            };
+        options.runAt = [this](const node_info &node,
+                               cell_id cell,
+                               run_request request,
+                               answer_sink sink,
+                               std::shared_ptr<run_cancellation> cancellation) {
+            return m_peers.run(node.peerAddress, std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
+        };
         m_router.emplace(m_context, std::move(options));
     }
 
@@ -220,7 +225,6 @@
     job_service_hooks jobHooks()
     {
         job_service_hooks hooks;
-        hooks.leases = m_records->leases();
         hooks.run = m_router->runner();
         hooks.buildRequest = [this](const caller_id &caller, const batch_item &item) {
             return buildItemRequest(caller, item);
--- a/io/src/request_router.cpp
+++ b/io/src/request_router.cpp
@@ -8,6 +8,7 @@
 #include "banyan/io/peer_error.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 
 namespace banyan {
@@ -16,6 +17,7 @@
 
 constexpr std::size_t maximumTries = 4; // Cells or nodes for one request.
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
+constexpr duration suspicionTime = std::chrono::seconds(2); // A node that failed a call is passed over for this long.
 constexpr double repeatsPerSecond = 20; // Requests sent again after a node was lost with them.
 constexpr double repeatBurst = 200;
 
@@ -46,6 +48,7 @@
     std::vector<node_id> triedNodes;
     std::size_t tries = 0;
     bool headPassed = false;
+    bool mayHaveRun = false; ///< A node was lost with the request.
     std::string trace;
     std::optional<run_outcome> outcome; ///< Of the last try that had one.
 };
@@ -102,6 +105,9 @@
         if (isCancelled(state) && !state.outcome) {
             outcome.result = {.what = disposition::Cancelled, .reason = end_reason::CancelledByCaller};
         }
+        if (outcome.result.what == disposition::NotRun && state.mayHaveRun) {
+            outcome.result.what = disposition::Failed;
+        }
         outcome.trace = std::move(state.trace);
         co_return outcome;
     }
@@ -126,7 +132,7 @@
             addToTrace(state, "step=no_cell_left");
             co_return false;
         }
-        const std::optional<node_info> owner = ownerFor(*cell, state.triedNodes);
+        const std::optional<node_info> owner = ownerFor(*cell, state.triedNodes, now);
         if (!owner) {
             addToTrace(state, "step=no_node_left cell=" + cell->toString());
             co_return false;
@@ -135,13 +141,21 @@
         co_return co_await runAt(state, *cell, *owner);
     }
 
-    std::optional<node_info> ownerFor(const cell_id &cell, const std::vector<node_id> &excluded) const
+    /// The cell's owner among the nodes not tried yet; suspected ones only if there is no other.
+    std::optional<node_info> ownerFor(const cell_id &cell, const std::vector<node_id> &tried, time_point now)
     {
-        std::vector<node_info> candidates;
-        std::copy_if(m_nodes.begin(), m_nodes.end(), std::back_inserter(candidates), [&](const node_info &node) {
-            return std::find(excluded.begin(), excluded.end(), node.id) == excluded.end();
+        std::erase_if(m_suspects, [&](const auto &suspect) {
+            return suspect.second <= now;
+        });
+        std::vector<node_info> untried;
+        std::copy_if(m_nodes.begin(), m_nodes.end(), std::back_inserter(untried), [&](const node_info &node) {
+            return std::find(tried.begin(), tried.end(), node.id) == tried.end();
+        });
+        std::vector<node_info> trusted;
+        std::copy_if(untried.begin(), untried.end(), std::back_inserter(trusted), [&](const node_info &node) {
+            return !m_suspects.contains(node.id);
         });
-        return ownerOf(cell, candidates);
+        return ownerOf(cell, trusted.empty() ? untried : trusted);
     }
 
     task<bool> runAt(route_state &state, cell_id cell, node_info owner)
@@ -187,9 +201,11 @@
                  {{"node", owner.id.text()}, {"cell", cell.toString()}, {"arrived", arrived}, {"error", failure.what()}});
         addToTrace(state, "step=node_failed node=" + owner.id.text() + " arrived=" + arrived);
         state.triedNodes.push_back(owner.id);
+        m_suspects.insert_or_assign(owner.id, currentTime() + suspicionTime);
         if (!failure.mayHaveArrived()) {
             return true;
         }
+        state.mayHaveRun = true;
         const bool mayRepeat = state.request.dispatch.repeatable && !state.headPassed && m_repeats.take(currentTime());
         if (mayRepeat) {
             return true;
@@ -203,6 +219,7 @@
     cell_router m_cells;
     token_bucket m_repeats;
     std::vector<node_info> m_nodes;
+    std::map<node_id, time_point> m_suspects; ///< Nodes that failed a call, and until when.
     std::uint64_t m_lastTry = 0;
 };
 
