--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -16,7 +16,7 @@
                                  "operator_listen: 127.0.0.1:0\n"
                                  "peer_listen: 127.0.0.1:0\n"
                                  "platform: 127.0.0.1:1\n"
-                                 "fleet_secret: secret\n";
+                                 "fleet_secret: secret-of-the-test-fleet\n";
 
 /// The end of a banyand that was given settings.
 struct settings_result
@@ -61,6 +61,7 @@
             {replaced(goodSettings, "peer_listen: 127.0.0.1:0", "peer_listen: 127.0.0.1"), 5, "peer_listen"},
             {replaced(goodSettings, "failure_domain: sierra-a\n", ""), 1, "failure_domain"},
             {goodSettings + "log_level: loud\n", 8, "log_level"},
+            {replaced(goodSettings, "secret-of-the-test-fleet", "short"), 7, "fleet_secret"},
             {replaced(goodSettings, "vm: e1", "vm: [e1"), 2, "expected"}};
 }
 
