--- a/core/include/banyan/core/job_coordinator.h
+++ b/core/include/banyan/core/job_coordinator.h
@@ -65,6 +65,9 @@
 
     /// A cancel of this job is said to be committed.
     [[nodiscard]] job_actions cancelSeen(time_point now);
+    /// Whether this node's lease still stands. Without it no item is started; once it stands again the job's row is read
+    /// first, since another coordinator may have taken the job over.
+    [[nodiscard]] job_actions leaseHeld(bool held, time_point now);
     /// Gives the job back once the items in flight have ended and their results are committed.
     [[nodiscard]] job_actions release(time_point now);
 
@@ -162,6 +165,7 @@
     void finish(std::uint32_t item, const item_end &end, time_point now);
     void retry(job_actions &actions, std::uint32_t item, const item_end &end, time_point now);
     [[nodiscard]] bool takesItems() const;
+    [[nodiscard]] bool runsItems() const;
     [[nodiscard]] bool mayStart() const;
     [[nodiscard]] bool effortAllowed(const held_item &held) const;
     [[nodiscard]] duration retryDelay(const held_item &held, const item_end &end);
@@ -190,7 +194,7 @@
     [[nodiscard]] bool cancelling() const;
     [[nodiscard]] bool allDone() const;
     [[nodiscard]] bool endsNow(time_point now) const;
-    [[nodiscard]] job_status finalStatus() const;
+    [[nodiscard]] job_state finalStatus() const;
 
     job_coordinator_options m_options;
     job_record m_record;
@@ -226,7 +230,8 @@
     bool m_resultsStored = false; ///< Of m_pending.
     job_record m_sent; ///< By the last commit_progress.
     std::uint32_t m_nextSequence = 0;
-    bool m_cancelReported = false;
+    bool m_rereadWanted = false;
+    bool m_leaseHeld = true;
     bool m_releasing = false;
     std::optional<time_point> m_cancelGraceEnd;
     std::minstd_rand m_random;
--- a/core/include/banyan/core/job_record.h
+++ b/core/include/banyan/core/job_record.h
@@ -3,7 +3,7 @@
 #include "banyan/core/file_record.h"
 #include "banyan/core/identifier.h"
 #include "banyan/core/index_set.h"
-#include "banyan/core/job_status.h"
+#include "banyan/core/job_state.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -40,11 +40,12 @@
     std::string endpoint; ///< For example "/v1/chat/completions".
     std::string completionWindow; ///< As the caller gave it, for example "24h".
     std::string metadata; ///< JSON object, or empty.
+    std::string createKey; ///< Key of the row that makes a resent job the same job.
     time_point createdAt;
     time_point deadline; ///< End of the completion window.
     time_point expiresAt; ///< When the row and the results may be removed.
 
-    job_status status = job_status::Validating;
+    job_state status = job_state::Validating;
     std::optional<time_point> startedAt;
     std::optional<time_point> cancellingAt;
     std::optional<time_point> endedAt;
--- a/core/include/banyan/core/job_status.h
+++ b/core/include/banyan/core/job_state.h
@@ -6,7 +6,7 @@
 namespace banyan {
 
 /// Where a batch job stands. Names as in the callers' interface.
-enum class job_status {
+enum class job_state {
     Validating,
     InProgress,
     Finalizing,
@@ -18,12 +18,12 @@
 };
 
 /// For example "in_progress".
-[[nodiscard]] std::string_view toString(job_status status);
+[[nodiscard]] std::string_view toString(job_state state);
 
-/// The status of that name; none if there is none.
-[[nodiscard]] std::optional<job_status> parseJobStatus(std::string_view name);
+/// The state of that name; none if there is none.
+[[nodiscard]] std::optional<job_state> parseJobState(std::string_view name);
 
-/// Whether nothing more will happen to a job of this status.
-[[nodiscard]] bool isFinal(job_status status);
+/// Whether nothing more will happen to a job in this state.
+[[nodiscard]] bool isFinal(job_state state);
 
 } // namespace banyan
--- a/core/include/banyan/core/job_summary.h
+++ b/core/include/banyan/core/job_summary.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
-#include "banyan/core/job_status.h"
+#include "banyan/core/job_state.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -16,7 +16,7 @@
     job_id id;
     caller_id caller;
     std::string endpoint;
-    job_status status = job_status::Validating;
+    job_state status = job_state::Validating;
     std::string owner; ///< Lease of the coordinating node; empty: none.
     std::uint64_t fencingNumber = 0;
     std::uint32_t total = 0;
--- a/core/src/job_coordinator.cpp
+++ b/core/src/job_coordinator.cpp
@@ -73,13 +73,18 @@
 
 bool job_coordinator::takesItems() const
 {
-    return m_record.status == job_status::InProgress && !m_releasing;
+    return m_record.status == job_state::InProgress && !m_releasing;
+}
+
+bool job_coordinator::runsItems() const
+{
+    return takesItems() && m_leaseHeld && !m_rereadWanted;
 }
 
 bool job_coordinator::mayStart() const
 {
     const bool bufferFull = m_unsettledBytes >= m_options.bufferedBytes || m_unsettled.size() >= m_options.bufferedResults;
-    return takesItems() && !bufferFull && m_running < m_options.itemsInFlight && m_waiting.size() < m_options.itemsWaiting;
+    return runsItems() && !bufferFull && m_running < m_options.itemsInFlight && m_waiting.size() < m_options.itemsWaiting;
 }
 
 void job_coordinator::passDeadline(job_actions &actions, time_point now)
@@ -100,7 +105,7 @@
 
 void job_coordinator::runDueItems(job_actions &actions, time_point now)
 {
-    while (takesItems() && !m_waiting.empty() && m_waiting.begin()->due <= now && m_running < m_options.itemsInFlight) {
+    while (runsItems() && !m_waiting.empty() && m_waiting.begin()->due <= now && m_running < m_options.itemsInFlight) {
         const std::uint32_t item = m_waiting.begin()->item;
         m_waiting.erase(m_waiting.begin());
         m_held[item].phase = item_phase::InFlight;
@@ -367,7 +372,7 @@
     if (m_phase != store_phase::Idle) {
         return;
     }
-    if (m_cancelReported && !cancelling()) {
+    if (m_rereadWanted) {
         sendRead(actions);
     } else if (commitDue(now)) {
         beginChange(actions, now);
@@ -529,7 +534,7 @@
         return actions;
     }
     m_storeDelay = m_options.storeRetryDelay;
-    m_cancelReported = false;
+    m_rereadWanted = false;
     if (!record || record->fencingNumber != m_record.fencingNumber) {
         end(actions, coordination_end::LeaseLost);
         return actions;
@@ -629,7 +634,17 @@
 
 job_actions job_coordinator::cancelSeen(time_point now)
 {
-    m_cancelReported = !cancelling();
+    m_rereadWanted = m_rereadWanted || !cancelling();
+    return advance(now);
+}
+
+job_actions job_coordinator::leaseHeld(bool held, time_point now)
+{
+    if (held == m_leaseHeld) {
+        return {};
+    }
+    m_leaseHeld = held;
+    m_rereadWanted = m_rereadWanted || held;
     return advance(now);
 }
 
@@ -672,7 +687,7 @@
 
 bool job_coordinator::cancelling() const
 {
-    return m_record.status == job_status::Cancelling;
+    return m_record.status == job_state::Cancelling;
 }
 
 bool job_coordinator::allDone() const
@@ -691,12 +706,12 @@
     return m_releasing && m_running == 0;
 }
 
-job_status job_coordinator::finalStatus() const
+job_state job_coordinator::finalStatus() const
 {
     if (cancelling()) {
-        return job_status::Cancelled;
+        return job_state::Cancelled;
     }
-    return m_expiredAny ? job_status::Expired : job_status::Completed;
+    return m_expiredAny ? job_state::Expired : job_state::Completed;
 }
 
 std::optional<time_point> job_coordinator::nextWakeUp() const
@@ -709,7 +724,7 @@
     if (!m_deadlinePassed && !cancelling()) {
         earliest(result, m_record.deadline);
     }
-    if (takesItems()) {
+    if (runsItems()) {
         if (!m_waiting.empty() && m_running < m_options.itemsInFlight) {
             earliest(result, m_waiting.begin()->due);
         }
--- a/core/src/job_record.cpp
+++ b/core/src/job_record.cpp
@@ -65,9 +65,9 @@
     return *std::move(parsed);
 }
 
-job_status statusOf(const json::object &object)
+job_state statusOf(const json::object &object)
 {
-    const auto status = parseJobStatus(textOf(object, "status"));
+    const auto status = parseJobState(textOf(object, "status"));
     if (!status) {
         throw record_error("job row: unknown status \"" + textOf(object, "status") + "\"");
     }
@@ -135,6 +135,7 @@
     object["endpoint"] = endpoint;
     object["window"] = completionWindow;
     object["metadata"] = metadata;
+    object["create_key"] = createKey;
     object["created"] = timeToRow(createdAt);
     object["deadline"] = timeToRow(deadline);
     object["expires"] = timeToRow(expiresAt);
@@ -162,6 +163,7 @@
                           .endpoint = textOf(object, "endpoint"),
                           .completionWindow = textOf(object, "window"),
                           .metadata = textOf(object, "metadata"),
+                          .createKey = textOf(object, "create_key"),
                           .createdAt = timeFromRow(numberOf<std::int64_t>(object, "created")),
                           .deadline = timeFromRow(numberOf<std::int64_t>(object, "deadline")),
                           .expiresAt = timeFromRow(numberOf<std::int64_t>(object, "expires")),
--- a/io/include/banyan/io/file_service.h
+++ b/io/include/banyan/io/file_service.h
@@ -5,7 +5,7 @@
 #include "banyan/core/part_splitter.h"
 #include "banyan/core/time.h"
 #include "banyan/io/asio_types.h"
-#include "banyan/io/batch_store.h"
+#include "banyan/io/store_port.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,6 +26,7 @@
     duration retention = std::chrono::hours(24 * 30); ///< After which a file may be removed.
     duration uploadLimit = std::chrono::hours(2); ///< After which an upload that broke off may be removed.
     duration retryAfter = std::chrono::seconds(5); ///< Told to callers while the store does not answer.
+    std::uint64_t seed = 1; ///< For ids; must differ between nodes.
 };
 
 /// Where a file's content goes as it is read.
@@ -57,7 +58,7 @@
 class file_service
 {
 public:
-    file_service(const batch_store &store, const file_service_options &options);
+    file_service(const store_port &store, const file_service_options &options);
     ~file_service();
 
     /// Takes a file in. Call write() for each piece, then commit(); a file that is not committed does not exist.
--- a/io/include/banyan/io/job_service.h
+++ b/io/include/banyan/io/job_service.h
@@ -7,11 +7,10 @@
 #include "banyan/core/node_info.h"
 #include "banyan/core/time.h"
 #include "banyan/io/asio_types.h"
-#include "banyan/io/batch_store.h"
 #include "banyan/io/file_service.h"
 #include "banyan/io/item_request_builder.h"
-#include "banyan/io/job_leases.h"
 #include "banyan/io/request_runner.h"
+#include "banyan/io/store_port.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,6 +29,7 @@
     std::size_t maximumJobs = 32; ///< That this node coordinates at once; others wait for a free node.
     std::uint32_t maximumItems = 1'000'000; ///< Of one job.
     duration retention = std::chrono::hours(24 * 30); ///< After which a job and its results may be removed.
+    duration leaseDuration = std::chrono::seconds(6); ///< After which the jobs of a node that is gone are taken over.
     duration scanInterval = std::chrono::seconds(2); ///< Between looks for jobs without a living coordinator.
     duration straySearchInterval = std::chrono::seconds(30); ///< Between looks into an index shard that is not this node's.
     double cancelReadsPerSecond = 100; ///< Of the whole fleet, for polling for cancels; sets each node's interval.
@@ -40,14 +40,12 @@
 /// What a job_service needs from the rest of the process.
 struct job_service_hooks
 {
-    job_leases leases;
     request_runner run;
     item_request_builder buildRequest;
-    std::function<node_id()> self;
+    node_info self;
     std::function<std::vector<node_info>()> nodes; ///< The live view, with this node; a hint.
     std::function<void(const std::string &lease, const job_id &job)>
         pushCancel; ///< Tells the lease's holder that a cancel is committed; may be empty.
-    std::function<time_point()> now;
 };
 
 /// What a caller asks for when creating a job.
@@ -73,7 +71,7 @@
 {
 public:
     job_service(asio::io_context &context,
-                const batch_store &store,
+                const store_port &store,
                 file_service &files,
                 const job_service_hooks &hooks,
                 const job_service_options &options);
--- a/tests/property/job_coordinator_test.cpp
+++ b/tests/property/job_coordinator_test.cpp
@@ -69,7 +69,7 @@
     rc::prop("as the naive version", [] {
         job_simulation simulation(randomJob());
         runOrFail(simulation);
-        if (simulation.row().status != job_status::Completed) {
+        if (simulation.row().status != job_state::Completed) {
             RC_FAIL("expected the job to be completed, found " + simulation.row().toJson());
         }
         RC_ASSERT(simulation.row().started.size() == 0U);
@@ -85,7 +85,7 @@
         job_simulation simulation(what);
         runOrFail(simulation);
         RC_ASSERT(simulation.startsAfterCancel() == 0U);
-        RC_CLASSIFY(simulation.row().status == job_status::Cancelled);
+        RC_CLASSIFY(simulation.row().status == job_state::Cancelled);
     });
 }
 
@@ -101,6 +101,6 @@
         runOrFail(simulation);
         const job_record &row = simulation.row();
         RC_ASSERT(row.completed + row.failed == row.total());
-        RC_CLASSIFY(row.status == job_status::Expired);
+        RC_CLASSIFY(row.status == job_state::Expired);
     });
 }
--- a/tests/property/job_simulation.h
+++ b/tests/property/job_simulation.h
@@ -66,7 +66,7 @@
     {
         m_row.id = job_id("batch_1");
         m_row.itemsOfParts = what.itemsOfParts;
-        m_row.status = job_status::InProgress;
+        m_row.status = job_state::InProgress;
         m_row.deadline = m_now + what.window;
         m_version = 1;
         m_nodes.resize(3);
@@ -107,6 +107,7 @@
         std::map<std::uint32_t, give_up_reason> givenUp;
         std::set<std::uint32_t> cancelled;
         bool knowsCancel = false;
+        bool leaseHeld = true;
     };
 
     /// A commit whose answer is lost and that takes effect later, or never.
@@ -151,6 +152,9 @@
             perform(which, which.coordinator->cancelSeen(m_now));
         } else if (kind == 6 && which.coordinator && !which.paused) {
             perform(which, which.coordinator->release(m_now));
+        } else if (kind == 9 && which.coordinator && !which.paused) {
+            which.leaseHeld = !which.leaseHeld;
+            perform(which, which.coordinator->leaseHeld(which.leaseHeld, m_now));
         } else if (kind == 8) {
             m_storeDown = !m_storeDown;
         } else if (kind == 7) {
@@ -171,6 +175,11 @@
             takeOver(which);
             return;
         }
+        if (!which.leaseHeld) {
+            which.leaseHeld = true;
+            perform(which, which.coordinator->leaseHeld(true, m_now));
+            return;
+        }
         if (!nodeStep(which, false)) {
             const auto wake = which.coordinator->nextWakeUp();
             m_now = std::max(m_now, wake.value_or(m_now + std::chrono::seconds(1)));
@@ -212,14 +221,14 @@
         ++m_version;
         which = node();
         which.coordinator = std::make_unique<job_coordinator>(m_row, m_version, m_options.coordinator, m_now);
-        which.knowsCancel = m_row.status == job_status::Cancelling;
+        which.knowsCancel = m_row.status == job_state::Cancelling;
         perform(which, which.coordinator->start(m_now));
     }
 
     void commitCancel()
     {
-        if (m_row.status == job_status::InProgress) {
-            m_row.status = job_status::Cancelling;
+        if (m_row.status == job_state::InProgress) {
+            m_row.status = job_state::Cancelling;
             ++m_version;
         }
     }
@@ -246,7 +255,7 @@
     void checkTransition(const job_record &next) const
     {
         expect(!isFinal(m_row.status), "a finished job was changed");
-        expect(m_row.status != job_status::Cancelling || next.status != job_status::InProgress, "a committed cancel was undone");
+        expect(m_row.status != job_state::Cancelling || next.status != job_state::InProgress, "a committed cancel was undone");
         expect(next.segments.size() >= m_row.segments.size()
                    && std::equal(m_row.segments.begin(), m_row.segments.end(), next.segments.begin()),
                "committed segments were changed");
@@ -284,7 +293,7 @@
         } else if (const auto *commit = std::get_if<commit_progress>(&call)) {
             answerCommit(which, *commit, fault);
         } else {
-            which.knowsCancel = which.knowsCancel || m_row.status == job_status::Cancelling;
+            which.knowsCancel = which.knowsCancel || m_row.status == job_state::Cancelling;
             perform(which, coordinator.jobRead(m_row, m_version, m_now));
         }
     }
@@ -439,8 +448,8 @@
     {
         const item_script &script = m_options.scripts[item];
         const bool mayBeUnknown = !script.repeatable && m_takeovers > 1;
-        const bool mayBeAbsent = m_row.status == job_status::Cancelled;
-        const bool mayExpire = m_row.status == job_status::Expired;
+        const bool mayBeAbsent = m_row.status == job_state::Cancelled;
+        const bool mayExpire = m_row.status == job_state::Expired;
         const bool right = result == script.naiveResult() || (result.empty() && mayBeAbsent)
                            || (result == "unknown" + std::to_string(static_cast<int>(give_up_reason::OutcomeUnknown)) && mayBeUnknown)
                            || (result == "unknown" + std::to_string(static_cast<int>(give_up_reason::Expired)) && mayExpire);
