--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -6,7 +6,6 @@
 #include "banyan/core/job_summary.h"
 #include "banyan/core/patch_result.h"
 #include "banyan/io/batch_api.h"
-#include "banyan/io/batch_store.h"
 #include "banyan/io/caller_api.h"
 #include "banyan/io/cell_host.h"
 #include "banyan/io/clock.h"
@@ -29,6 +28,7 @@
 #include "banyan/io/record_service.h"
 #include "banyan/io/request_refused.h"
 #include "banyan/io/request_router.h"
+#include "banyan/io/store_port.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -218,8 +218,9 @@
             return forgetCopies(std::move(key));
         };
         m_records.emplace(m_context, m_platform, m_router->runner(), std::move(options));
-        m_files.emplace(batch_store::over(m_platform), file_service_options());
-        m_jobs.emplace(m_context, batch_store::over(m_platform), *m_files, jobHooks(), job_service_options{.seed = randomNumber()});
+        const store_port port = platformPort(m_context, m_platform);
+        m_files.emplace(port, file_service_options());
+        m_jobs.emplace(m_context, port, *m_files, jobHooks(), job_service_options{.seed = randomNumber()});
     }
 
     job_service_hooks jobHooks()
@@ -229,15 +230,10 @@
         hooks.buildRequest = [this](const caller_id &caller, const batch_item &item) {
             return buildItemRequest(caller, item);
         };
-        hooks.self = [this] {
-            return m_self.id;
-        };
+        hooks.self = m_self;
         hooks.nodes = [this] {
             return m_fleet->nodes();
         };
-        hooks.now = [] {
-            return currentTime();
-        };
         return hooks;
     }
 
@@ -389,7 +385,8 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return !m_draining && m_configurations->ready();
+        const std::shared_ptr<const configuration> current = m_configurations->current();
+        return !m_draining && current && current->version > 0 && !m_fleet->vms().empty();
     }
 
     [[nodiscard]] std::size_t inProgress() const
