Answer refused bodies readably; one cell for a pool that fits it; say not run where nothing ran

Cause of the reset that the large-body test saw: a socket closed with unread bytes resets the connection before the peer has read the 413. The server now reads on for a bounded time.

--- a/core/include/banyan/core/placement.h
+++ b/core/include/banyan/core/placement.h
@@ -19,7 +19,9 @@
 /// Cells with their upstreams, leaving ones included.
 using cell_map = std::map<cell_id, std::vector<upstream_info>>;
 
-/// Groups the upstreams of the platform's list into cells. Adding or removing one upstream moves few others.
+/// Groups the upstreams of the platform's list into cells. A pool that fits one cell is one, whatever the failure domains;
+/// a larger one has cells for each failure domain, and one for domains with few upstreams (empty domain in its id).
+/// Adding or removing one upstream moves few others.
 [[nodiscard]] cell_map assignCells(const vm_list &vms);
 
 /// The node that owns @p cell among @p nodes by rendezvous hashing, preferring nodes of the cell's failure domain;
--- a/core/src/placement.cpp
+++ b/core/src/placement.cpp
@@ -13,7 +13,11 @@
 /// Upstreams that a shard has on average where there are several; the rest of maximumCellSize takes up uneven hashing.
 constexpr std::size_t meanShardSize = 12;
 
-/// The upstreams of one pool in one failure domain.
+/// Fewer upstreams of a pool in a failure domain than this do not make a cell of their own: a dispatcher needs others to
+/// compare an upstream with and to send a hedge or a retry to.
+constexpr std::size_t smallestOwnCell = 4;
+
+/// The upstreams of one pool in one failure domain, or in several with few upstreams each (empty domain).
 struct upstream_group
 {
     pool_name pool;
@@ -71,6 +75,44 @@
     return shards;
 }
 
+using group_map = std::map<upstream_group, std::vector<hashed_upstream>>;
+
+group_map groupByDomain(const vm_list &vms)
+{
+    group_map groups;
+    for (const vm_entry &vm : vms) {
+        if (vm.role != vm_role::Upstream) {
+            continue;
+        }
+        const upstream_info upstream{.id = upstream_id(vm.id.text()), .address = vm.address, .leaving = vm.state == vm_state::Leaving};
+        const std::string &id = vm.id.text();
+        groups[{.pool = vm.pool, .domain = vm.domain}].push_back({.hash = XXH3_64bits(id.data(), id.size()), .upstream = upstream});
+    }
+    return groups;
+}
+
+std::map<pool_name, std::size_t> countByPool(const group_map &groups)
+{
+    std::map<pool_name, std::size_t> result;
+    for (const auto &[group, upstreams] : groups) {
+        result[group.pool] += upstreams.size();
+    }
+    return result;
+}
+
+/// Puts a pool that fits one cell into one group, and so the small groups of a larger pool.
+group_map joinSmallGroups(const group_map &groups)
+{
+    const std::map<pool_name, std::size_t> poolSizes = countByPool(groups);
+    group_map result;
+    for (const auto &[group, upstreams] : groups) {
+        const bool ownCell = poolSizes.at(group.pool) > maximumCellSize && upstreams.size() >= smallestOwnCell;
+        std::vector<hashed_upstream> &target = result[{.pool = group.pool, .domain = ownCell ? group.domain : failure_domain()}];
+        target.insert(target.end(), upstreams.begin(), upstreams.end());
+    }
+    return result;
+}
+
 std::optional<node_info> highestWeight(std::string_view key, std::span<const node_info> nodes, const failure_domain *domain)
 {
     const node_info *best = nullptr;
@@ -92,17 +134,8 @@
 
 cell_map assignCells(const vm_list &vms)
 {
-    std::map<upstream_group, std::vector<hashed_upstream>> groups;
-    for (const vm_entry &vm : vms) {
-        if (vm.role != vm_role::Upstream) {
-            continue;
-        }
-        const upstream_info upstream{.id = upstream_id(vm.id.text()), .address = vm.address, .leaving = vm.state == vm_state::Leaving};
-        const std::string &id = vm.id.text();
-        groups[{.pool = vm.pool, .domain = vm.domain}].push_back({.hash = XXH3_64bits(id.data(), id.size()), .upstream = upstream});
-    }
     cell_map result;
-    for (const auto &[group, upstreams] : groups) {
+    for (const auto &[group, upstreams] : joinSmallGroups(groupByDomain(vms))) {
         const shard_list shards = spread(upstreams);
         for (std::size_t shard = 0; shard < shards.size(); ++shard) {
             const cell_id id{.pool = group.pool, .domain = group.domain, .shard = static_cast<std::uint32_t>(shard)};
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/http_server.h"
 
+#include "banyan/io/error_answers.h"
 #include "banyan/io/http_body_error.h"
 #include "banyan/io/log.h"
 #include "http_route_table.h"
@@ -10,8 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 
 #include <random>
 #include <set>
@@ -26,6 +25,8 @@
 namespace {
 
 constexpr std::size_t pieceBytes = std::size_t(64) << 10;
+constexpr duration lingerTime = std::chrono::seconds(2); // For a peer to read the last answer and close.
+constexpr std::size_t lingerBytes = std::size_t(64) << 20; // Of a refused body that is read and dropped.
 constexpr std::size_t firstReadBytes = 4096;
 constexpr duration writeTimeout = std::chrono::seconds(30); // For a slow reader to take one piece.
 constexpr duration acceptPause = std::chrono::milliseconds(50); // After a failed accept, for example with no free descriptor.
@@ -45,17 +46,6 @@
     return text;
 }
 
-std::string errorBody(std::string_view type, std::string_view code, std::string_view message)
-{
-    const boost::json::value body = {{"error", {{"message", message}, {"type", type}, {"param", nullptr}, {"code", code}}}};
-    return boost::json::serialize(body);
-}
-
-http_response errorResponse(unsigned status, std::string_view type, std::string_view code, std::string_view message)
-{
-    return {.status = status, .fields = {{"Content-Type", "application/json"}}, .body = errorBody(type, code, message)};
-}
-
 /// One accepted connection.
 struct server_connection
 {
@@ -305,7 +295,7 @@
             throw http_body_error("expected the rest of the body, found silence until the timeout");
         }
         if (!m_answered && error != http::error::end_of_stream && error != http::error::partial_message) {
-            co_await sendWhole(errorResponse(400, "invalid_request_error", "invalid_body", "The body is malformed: " + error.message()));
+            co_await sendWhole(errorAnswer(400, "invalid_body", "The body is malformed: " + error.message(), run_claim::NotRun));
         }
         throw http_body_error("expected the whole body, found: " + error.message());
     }
@@ -314,7 +304,7 @@
     {
         closeAfterwards();
         const std::string text = "The body is larger than " + std::to_string(limit) + " bytes.";
-        co_await sendWhole(errorResponse(413, "invalid_request_error", "body_too_large", text));
+        co_await sendWhole(errorAnswer(413, "body_too_large", text, run_claim::NotRun));
         throw http_body_error(text);
     }
 
@@ -493,12 +483,25 @@
             logEvent(log_level::Debug, "connection_ended", {{"error", error.what()}});
         }
         reportDisconnect(*connection);
-        boost::system::error_code ignored;
-        connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        connection->stream.close();
+        co_await closeGracefully(connection);
         self->m_connections.erase(connection);
     }
 
+    /// Closes a connection without losing the last answer: a socket closed with unread bytes resets the connection, and the
+    /// peer may never read what was sent. Reads on until the peer closes, within a bound of time and bytes.
+    static task<> closeGracefully(connection_pointer connection)
+    {
+        boost::system::error_code error;
+        connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        std::string discarded(pieceBytes, '\0');
+        std::size_t total = 0;
+        connection->stream.expires_after(lingerTime);
+        while (!error && total < lingerBytes) {
+            total += co_await connection->stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
+        }
+        connection->stream.close();
+    }
+
     /// Reads and answers one request; returns whether another may follow.
     task<bool> serveOne(connection_pointer connection)
     {
@@ -561,9 +564,9 @@
             co_return;
         }
         const bool tooLarge = error == http::error::header_limit || error == http::error::buffer_overflow;
-        const http_response answer =
-            tooLarge ? errorResponse(431, "invalid_request_error", "header_too_large", "The request's head is too large.")
-                     : errorResponse(400, "invalid_request_error", "invalid_request", "The request is not valid HTTP/1.1.");
+        const http_response answer = tooLarge
+                                         ? errorAnswer(431, "header_too_large", "The request's head is too large.", run_claim::NotRun)
+                                         : errorAnswer(400, "invalid_request", "The request is not valid HTTP/1.1.", run_claim::NotRun);
         http::response<http::string_body> message(static_cast<http::status>(answer.status), 11, answer.body);
         message.set(http::field::content_type, "application/json");
         message.set("X-Banyan-Run", "not-run");
@@ -580,8 +583,9 @@
         if (match.handler == nullptr) {
             underlying.closeAfterwards();
             const unsigned status = match.pathKnown ? 405 : 404;
-            co_await exchange.respond(errorResponse(
-                status, "invalid_request_error", "unknown_url", "No such call: " + underlying.method() + " " + underlying.target().path));
+            http_response answer = errorAnswer(
+                status, "unknown_url", "No such call: " + underlying.method() + " " + underlying.target().path, run_claim::NotRun);
+            co_await exchange.respond(std::move(answer));
             co_return;
         }
         underlying.pathArguments = match.arguments;
@@ -599,7 +603,7 @@
                  {{"request_id", underlying.requestId()}, {"path", underlying.target().path}, {"error", failure}});
         if (!underlying.answered()) {
             underlying.closeAfterwards();
-            co_await exchange.respond(errorResponse(500, "server_error", "internal_error", "The request failed inside the server."));
+            co_await exchange.respond(errorAnswer(500, "internal_error", "The request failed inside the server.", run_claim::Unknown));
         }
     }
 
--- a/io/src/request_router.cpp
+++ b/io/src/request_router.cpp
@@ -32,6 +32,7 @@
     case end_reason::DeadlineUnreachable:
     case end_reason::NoUpstream:
     case end_reason::Draining:
+    case end_reason::RetriesExhausted:
         return true;
     default:
         return false;
