Size the headroom by the online work in flight

Cause of the long batch waits: a fixed fifth of each limit stood empty also where no online work was about, and batch work never used what an engine gives beyond the bend. Headroom is now two standard deviations of the cell's online work (root of its mean over 3 s), and without online work batch work fills up to 1.5 times the limit, as online work may.

--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -11,7 +11,7 @@
 {
     std::uint32_t initialSlots = 8; ///< Requests in flight to one upstream before its limit has adapted.
     std::uint32_t maximumSlots = 64; ///< Upper end of the adaptive limit of one upstream.
-    double onlineHeadroom = 0.2; ///< Share of the limit that batch work leaves free, so that single online arrivals preempt nothing.
+    double headroomDeviations = 2; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
     std::uint32_t batchQueueLimit = 512; ///< Waiting batch requests; more are refused as Overloaded.
     duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatcher_state.h"
 #include "request_queue.h"
+#include "time_average.h"
 #include "timer_queue.h"
 #include "work_length.h"
 
@@ -27,6 +28,8 @@
 constexpr duration agingHorizon =
     std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
+constexpr duration onlineActivityTime = std::chrono::seconds(3); ///< Over which online work in flight is averaged.
+constexpr double idleOnlineWork = 0.05; ///< Mean online requests in flight below which a cell counts as without online work.
 constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
@@ -82,10 +85,10 @@
     [[nodiscard]] bool hasUsableUpstream() const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
-    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream) const;
-    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
+    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request, time_point now) const;
     [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
-    upstream_state *upstreamFor(const request_state &request);
+    upstream_state *upstreamFor(const request_state &request, time_point now);
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
     void makeRoom(const upstream_state &upstream);
@@ -93,6 +96,7 @@
     void preempt(attempt_id attempt);
     void startAttempt(request_state &request, upstream_state &upstream, time_point now);
     static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
+    void noteOnlineInFlight(time_point now);
     void releaseSlot(const attempt_state &attempt, const request_state &request);
     void becomeLong(request_state &request);
     void watchLength(request_state &request, time_point now);
@@ -114,6 +118,7 @@
     std::map<attempt_id, attempt_state> m_attempts;
     request_queue m_onlineQueue{0};
     request_queue m_batchQueue{deadlineAllowance};
+    time_average m_onlineInFlight{onlineActivityTime};
     work_length m_onlineLength;
     work_length m_batchLength;
     timer_queue m_timers;
@@ -234,7 +239,7 @@
     return std::min(m_options.maximumSlots, overcommitted);
 }
 
-bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request) const
+bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
 {
     if (upstream.info.leaving) {
         return false;
@@ -244,7 +249,7 @@
         const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
         return leavesRoom && upstream.onlineInFlight < limit;
     }
-    const std::uint32_t limit = batchLimitOf(upstream);
+    const std::uint32_t limit = batchLimitOf(upstream, now);
     const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
     const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
     return leavesRoom && pinnable && upstream.inFlight() < limit;
@@ -256,11 +261,18 @@
     return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
 }
 
-/// Batch work starts only below this; between it and the limit it keeps its slots while online work comes in.
-std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream) const
+/// Batch work starts only below this. Between it and the limit batch work keeps its slots while online work comes in, so
+/// that usual fluctuations preempt nothing. Arrivals are taken as random: the deviation is the root of the mean. Without
+/// any online work batch work may fill the engine as far as online work might.
+std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream, time_point now) const
 {
+    const double online = m_onlineInFlight.at(now);
+    if (online < idleOnlineWork) {
+        return onlineLimitOf(upstream);
+    }
+    const double deviation = std::sqrt(online) / static_cast<double>(m_upstreams.size());
+    const auto headroom = static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
     const std::uint32_t limit = upstream.limit.value();
-    const auto headroom = static_cast<std::uint32_t>(std::ceil(limit * m_options.onlineHeadroom));
     return std::max(1U, limit - std::min(limit, headroom));
 }
 
@@ -274,13 +286,13 @@
     return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
 }
 
-upstream_state *dispatcher::implementation::upstreamFor(const request_state &request)
+upstream_state *dispatcher::implementation::upstreamFor(const request_state &request, time_point now)
 {
     upstream_state *best = nullptr;
     bool bestTried = false;
     double bestBusyness = 0;
     for (auto &[id, upstream] : m_upstreams) {
-        if (!accepts(upstream, request)) {
+        if (!accepts(upstream, request, now)) {
             continue;
         }
         const bool tried = request.tried.contains(id);
@@ -297,6 +309,7 @@
 void dispatcher::implementation::startWaiting(time_point now)
 {
     startClass(work_class::Online, now);
+    noteOnlineInFlight(now);
     if (m_onlineQueue.size() == 0) {
         startClass(work_class::Batch, now);
     }
@@ -308,7 +321,7 @@
     lane_set blocked;
     while (const std::optional<waiting_request> next = queue.next(blocked)) {
         request_state &request = m_requests.at(next->id);
-        upstream_state *const upstream = upstreamFor(request);
+        upstream_state *const upstream = upstreamFor(request, now);
         if (upstream == nullptr) {
             blocked.insert(next->lane);
             continue;
@@ -316,8 +329,19 @@
         queue.take(next->id);
         request.charged = true;
         startAttempt(request, *upstream, now);
-        makeRoom(*upstream);
+        if (value == work_class::Online) {
+            makeRoom(*upstream);
+        }
+    }
+}
+
+void dispatcher::implementation::noteOnlineInFlight(time_point now)
+{
+    double inFlight = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        inFlight += upstream.onlineInFlight;
     }
+    m_onlineInFlight.change(inFlight, now);
 }
 
 /// Preempts batch attempts until the upstream holds no more than its limit, or only what cannot be preempted.
