Eject slow and failing upstreams, bound hedges and retries by budgets

Slowness is judged from the dispatcher's own times to the first byte against three times the cell's upper quartile (the median would call uncached prompts slow when most are cached); three slow or overdue answers in a row eject, at most 0.4 of a cell for slowness, without a cap for failed connections. Ejected upstreams come back by single probes, by batch work where there is some. Overdue online requests that may be repeated get one hedge; retries and hedges are token buckets filled by first attempts; backoff is jittered. Online work out of budget ends, batch work waits. Headers: dispatch_request.streamed (default true: first byte with the first token), dispatcher_options.retryBurst and hedgeBurst. Property tests now also hold retries and hedges to their budgets.

--- a/core/include/banyan/core/dispatch_request.h
+++ b/core/include/banyan/core/dispatch_request.h
@@ -17,6 +17,7 @@
     work_class workClass = work_class::Online;
     bool repeatable = true; ///< False: sent to an upstream at most once, and never hedged.
     bool resumable = false; ///< The engine can continue a cancelled stream.
+    bool streamed = true; ///< The upstream's first byte comes with the first token; false: with the whole answer.
     std::uint64_t fingerprint = 0; ///< Hash of caller and content; finds a request that crashes upstreams when it is sent again.
     std::uint64_t prefixHash = 0; ///< Hash of the prompt's prefix for cache affinity; 0 for none.
     std::uint32_t expectedTokens = 0; ///< Upper estimate of the tokens to generate; 0 if unknown.
--- a/core/include/banyan/core/dispatcher.h
+++ b/core/include/banyan/core/dispatcher.h
@@ -79,7 +79,7 @@
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
 
     /// What has been done so far.
-    [[nodiscard]] const dispatcher_counters &counters() const;
+    [[nodiscard]] dispatcher_counters counters() const;
 
 private:
     class implementation;
--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -17,7 +17,9 @@
     duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt.
     std::uint32_t maximumAttempts = 4; ///< Attempts for one online request, hedges and preempted ones not counted.
     double retryShare = 0.1; ///< Retries allowed as a share of first attempts.
+    double retryBurst = 64; ///< Retries allowed at once beyond that share.
     double hedgeShare = 0.05; ///< Hedges allowed as a share of first attempts.
+    double hedgeBurst = 16; ///< Hedges allowed at once beyond that share.
     std::uint32_t crashLimit = 2; ///< Upstreams that one content may crash before it is stopped.
     duration crashMemory = std::chrono::minutes(10); ///< How long a stopped content stays refused.
     std::uint64_t seed = 1; ///< For jitter.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -1,9 +1,12 @@
 #include "banyan/core/dispatcher.h"
 
 #include "dispatcher_state.h"
+#include "outlier_detector.h"
 #include "request_queue.h"
+#include "retry_backoff.h"
 #include "time_average.h"
 #include "timer_queue.h"
+#include "token_budget.h"
 #include "work_length.h"
 
 #include <algorithm>
@@ -16,7 +19,6 @@
 
 namespace {
 
-constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
 constexpr duration overloadRetryAfter = std::chrono::seconds(1);
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
 constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
@@ -30,6 +32,12 @@
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
 constexpr duration onlineActivityTime = std::chrono::seconds(3); ///< Over which online work in flight is averaged.
 constexpr double idleOnlineWork = 0.05; ///< Mean online requests in flight below which a cell counts as without online work.
+constexpr double retriesPerSecond = 1; ///< Retries that are allowed without any traffic.
+constexpr duration batchRetryDelay = std::chrono::seconds(1); ///< For batch work while the retry budget is used up.
+constexpr duration onlineProbeDelay =
+    std::chrono::seconds(1); ///< Online work probes an upstream that batch work has not probed for so long.
+constexpr double probeScore = -1; ///< Places work on an upstream that is to be probed before all others.
+constexpr double unwelcomeScore = 10; ///< Places work on an upstream only if there is no other.
 constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
@@ -46,6 +54,11 @@
     return outcome == attempt_outcome::NotSent || outcome == attempt_outcome::Refused;
 }
 
+answer_kind kindOf(const request_state &request)
+{
+    return request.request.streamed ? answer_kind::Streamed : answer_kind::Whole;
+}
+
 bool isAnswer(attempt_outcome outcome)
 {
     return outcome == attempt_outcome::Succeeded || outcome == attempt_outcome::Answered;
@@ -58,6 +71,9 @@
 public:
     explicit implementation(const dispatcher_options &options)
         : m_options(options)
+        , m_retryBudget({.share = options.retryShare, .burst = options.retryBurst, .perSecond = retriesPerSecond})
+        , m_hedgeBudget({.share = options.hedgeShare, .burst = options.hedgeBurst})
+        , m_backoff(options.seed)
     {
     }
 
@@ -71,10 +87,7 @@
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] cell_load load(time_point now) const;
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
-    [[nodiscard]] const dispatcher_counters &counters() const
-    {
-        return m_counters;
-    }
+    [[nodiscard]] dispatcher_counters counters() const;
 
 private:
     [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
@@ -82,19 +95,27 @@
     void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
     work_length &lengthOf(work_class value);
-    [[nodiscard]] bool hasUsableUpstream() const;
+    [[nodiscard]] bool hasUsableUpstream(time_point now) const;
+    [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
     [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request, time_point now) const;
-    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
+    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request, time_point now) const;
     upstream_state *upstreamFor(const request_state &request, time_point now);
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
     void makeRoom(const upstream_state &upstream);
     [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
     void preempt(attempt_id attempt);
-    void startAttempt(request_state &request, upstream_state &upstream, time_point now);
+    void countStart(request_state &request);
+    void startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge);
+    void watchFirstByte(request_state &request, time_point now);
+    void stopWatchingFirstByte(request_state &request);
+    void firstByteOverdue(request_state &request, time_point now);
+    void hedge(request_state &request, time_point now);
+    void hedgeAttemptsOf(const upstream_id &upstream, time_point now);
+    void retryDue(request_state &request, time_point now);
     static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
     void noteOnlineInFlight(time_point now);
     void releaseSlot(const attempt_state &attempt, const request_state &request);
@@ -108,7 +129,7 @@
     void cancelAttempt(attempt_id attempt);
     void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
-    void retryLater(request_state &request, time_point now);
+    void retryLater(request_state &request, duration delay, time_point now);
     void timerDue(const request_timer &timer, time_point now);
     dispatch_actions takeActions();
 
@@ -122,9 +143,14 @@
     work_length m_onlineLength;
     work_length m_batchLength;
     timer_queue m_timers;
+    outlier_detector m_outliers{outlier_detector_options()};
+    token_budget m_retryBudget;
+    token_budget m_hedgeBudget;
+    retry_backoff m_backoff;
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
+    time_point m_tickedAt;
     bool m_draining = false;
 };
 
@@ -166,13 +192,18 @@
         });
 }
 
-bool dispatcher::implementation::hasUsableUpstream() const
+bool dispatcher::implementation::hasUsableUpstream(time_point now) const
 {
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
-        return !entry.second.info.leaving;
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+        return conditionOf(entry.second, now) == upstream_condition::Good || conditionOf(entry.second, now) == upstream_condition::Probing;
     });
 }
 
+upstream_condition dispatcher::implementation::conditionOf(const upstream_state &upstream, time_point now) const
+{
+    return upstream.info.leaving ? upstream_condition::Leaving : m_outliers.conditionOf(upstream.info.id, now);
+}
+
 dispatch_actions dispatcher::implementation::setUpstreams(std::span<const upstream_info> upstreams, time_point now)
 {
     for (auto &[id, upstream] : m_upstreams) {
@@ -190,7 +221,14 @@
         const upstream_state &upstream = entry.second;
         return upstream.info.leaving && upstream.inFlight() == 0;
     });
-    if (!hasUsableUpstream()) {
+    std::set<upstream_id> counted;
+    for (const upstream_info &info : upstreams) {
+        if (!info.leaving) {
+            counted.insert(info.id);
+        }
+    }
+    m_outliers.setUpstreams(counted);
+    if (!hasUsableUpstream(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
@@ -221,7 +259,7 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
-    } else if (!hasUsableUpstream()) {
+    } else if (!hasUsableUpstream(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
@@ -241,7 +279,11 @@
 
 bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
 {
-    if (upstream.info.leaving) {
+    const upstream_condition condition = conditionOf(upstream, now);
+    if (condition == upstream_condition::Probing) {
+        return upstream.inFlight() == 0;
+    }
+    if (condition != upstream_condition::Good) {
         return false;
     }
     if (request.request.workClass == work_class::Online) {
@@ -276,8 +318,13 @@
     return std::max(1U, limit - std::min(limit, headroom));
 }
 
-double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
+double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request, time_point now) const
 {
+    if (const std::optional<time_point> since = m_outliers.probingSince(upstream.info.id, now)) {
+        const bool batch = request.request.workClass == work_class::Batch;
+        const bool mayProbe = request.request.repeatable && (batch || now - *since >= onlineProbeDelay);
+        return mayProbe ? probeScore : unwelcomeScore;
+    }
     const double limit = std::max(1U, upstream.limit.value());
     if (request.request.workClass == work_class::Batch) {
         return upstream.inFlight() / limit;
@@ -296,7 +343,7 @@
             continue;
         }
         const bool tried = request.tried.contains(id);
-        const double candidate = busyness(upstream, request);
+        const double candidate = busyness(upstream, request, now);
         if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
             best = &upstream;
             bestTried = tried;
@@ -327,8 +374,9 @@
             continue;
         }
         queue.take(next->id);
-        request.charged = true;
-        startAttempt(request, *upstream, now);
+        countStart(request);
+        startAttempt(request, *upstream, now, false);
+        watchFirstByte(request, now);
         if (value == work_class::Online) {
             makeRoom(*upstream);
         }
@@ -380,6 +428,7 @@
     request_state &request = m_requests.at(m_attempts.at(attempt).request);
     cancelAttempt(attempt);
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     ++request.preemptions;
     ++m_counters.preempted;
     m_counters.preemptedResumable += request.request.resumable ? 1 : 0;
@@ -390,10 +439,89 @@
     enqueue(request);
 }
 
-void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now)
+void dispatcher::implementation::countStart(request_state &request)
+{
+    if (request.charged) {
+        return;
+    }
+    request.charged = true;
+    ++m_counters.firstAttempts;
+    m_retryBudget.deposit();
+    m_hedgeBudget.deposit();
+}
+
+/// Sets the time at which the attempt that just started counts as slow without a first byte.
+void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
+{
+    stopWatchingFirstByte(request);
+    const std::optional<duration> slowAfter = m_outliers.slowAfter(kindOf(request));
+    if (slowAfter) {
+        request.slowAt = now + *slowAfter;
+        m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+    }
+}
+
+void dispatcher::implementation::stopWatchingFirstByte(request_state &request)
+{
+    if (request.slowAt) {
+        m_timers.remove({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+        request.slowAt.reset();
+    }
+}
+
+void dispatcher::implementation::firstByteOverdue(request_state &request, time_point now)
+{
+    request.slowAt.reset();
+    if (request.attempts.empty() || m_attempts.at(request.attempts.front()).firstByteAt) {
+        return;
+    }
+    const upstream_id upstream = m_attempts.at(request.attempts.front()).upstream;
+    const bool ejected = m_outliers.overdue(upstream, now);
+    hedge(request, now);
+    if (ejected) {
+        hedgeAttemptsOf(upstream, now);
+    }
+}
+
+/// Starts a second attempt of an online request on another upstream, if it may have one and the budget allows it.
+void dispatcher::implementation::hedge(request_state &request, time_point now)
+{
+    const bool allowed = request.request.workClass == work_class::Online && request.request.repeatable && !request.chosen;
+    if (!allowed || request.attempts.size() != 1) {
+        return;
+    }
+    const upstream_id first = m_attempts.at(request.attempts.front()).upstream;
+    const bool wasTried = !request.tried.insert(first).second;
+    upstream_state *const upstream = upstreamFor(request, now);
+    if (!wasTried) {
+        request.tried.erase(first);
+    }
+    if (upstream == nullptr || upstream->info.id == first || !m_hedgeBudget.withdraw(now)) {
+        return;
+    }
+    ++m_counters.hedges;
+    startAttempt(request, *upstream, now, true);
+    makeRoom(*upstream);
+}
+
+/// Hedges the requests that wait for an upstream that was just ejected.
+void dispatcher::implementation::hedgeAttemptsOf(const upstream_id &upstream, time_point now)
+{
+    std::vector<request_id> waiting;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt.upstream == upstream && !attempt.firstByteAt) {
+            waiting.push_back(attempt.request);
+        }
+    }
+    for (const request_id &id : waiting) {
+        hedge(m_requests.at(id), now);
+    }
+}
+
+void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge)
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
-    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now};
+    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
     changeInFlight(upstream, request, +1);
@@ -403,6 +531,7 @@
         .attempt = attempt,
         .upstream = upstream.info.id,
         .timeout = m_options.attemptTimeout,
+        .hedge = hedge,
     });
 }
 
@@ -499,6 +628,7 @@
         m_timers.remove({.due = *request.retryAt, .kind = timer_kind::Retry, .request = id});
     }
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     m_actions.emplace_back(finish_request{.request = id, .result = result, .attempt = attempt});
     m_requests.erase(id);
 }
@@ -534,9 +664,15 @@
         return {};
     }
     entry->second.firstByteAt = now;
-    request_state &request = m_requests.at(entry->second.request);
+    const attempt_state answered = entry->second;
+    request_state &request = m_requests.at(answered.request);
+    const bool ejected = m_outliers.answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
         choose(request, attempt);
+        m_counters.hedgesChosen += answered.hedge ? 1 : 0;
+    }
+    if (ejected) {
+        hedgeAttemptsOf(answered.upstream, now);
     }
     startWaiting(now);
     return takeActions();
@@ -556,6 +692,7 @@
     releaseSlot(ended, request);
     if (request.attempts.empty()) {
         stopWatchingLength(request);
+        stopWatchingFirstByte(request);
     }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
@@ -565,6 +702,7 @@
         finish(request, {.what = disposition::Completed}, attempt);
     } else {
         request.tried.insert(ended.upstream);
+        m_outliers.failed(ended.upstream, result.outcome, now);
         attemptFailed(request, result, now);
     }
     startWaiting(now);
@@ -598,22 +736,44 @@
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
-    } else if (!hasUsableUpstream()) {
+    } else if (!hasUsableUpstream(now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
-    } else if (request.failedAttempts >= m_options.maximumAttempts) {
+    } else if (request.request.workClass == work_class::Online && request.failedAttempts >= m_options.maximumAttempts) {
         finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
     } else {
-        retryLater(request, now);
+        retryLater(request, m_backoff.delay(request.failedAttempts), now);
     }
 }
 
-void dispatcher::implementation::retryLater(request_state &request, time_point now)
+void dispatcher::implementation::retryLater(request_state &request, duration delay, time_point now)
 {
     request.phase = request_phase::BackingOff;
-    request.retryAt = now + firstRetryDelay * (1U << std::min(request.failedAttempts - 1, 6U));
+    request.retryAt = now + delay;
     m_timers.add({.due = *request.retryAt, .kind = timer_kind::Retry, .request = request.request.id});
 }
 
+/// Queues a request again if the retry budget allows it. Else an online request ends, since its caller had better know,
+/// and a batch request waits on.
+void dispatcher::implementation::retryDue(request_state &request, time_point now)
+{
+    request.retryAt.reset();
+    if (!hasUsableUpstream(now)) {
+        finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
+        return;
+    }
+    if (m_retryBudget.withdraw(now)) {
+        ++m_counters.retries;
+        enqueue(request);
+        return;
+    }
+    ++m_counters.retriesDenied;
+    if (request.request.workClass == work_class::Online) {
+        finishWithoutAnswer(request, end_reason::RetriesExhausted, overloadRetryAfter);
+    } else {
+        retryLater(request, batchRetryDelay + m_backoff.delay(request.failedAttempts), now);
+    }
+}
+
 dispatch_actions dispatcher::implementation::cancel(const request_id &request, time_point now)
 {
     const auto entry = m_requests.find(request);
@@ -634,14 +794,18 @@
 
 dispatch_actions dispatcher::implementation::tick(time_point now)
 {
+    m_tickedAt = now;
     while (const auto timer = m_timers.takeDue(now)) {
         timerDue(*timer, now);
     }
+    if (!hasUsableUpstream(now)) {
+        finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
+    }
     startWaiting(now);
     return takeActions();
 }
 
-void dispatcher::implementation::timerDue(const request_timer &timer, time_point)
+void dispatcher::implementation::timerDue(const request_timer &timer, time_point now)
 {
     request_state &request = m_requests.at(timer.request);
     switch (timer.kind) {
@@ -649,10 +813,10 @@
         finishWithoutAnswer(request, end_reason::DeadlineUnreachable, std::nullopt);
         break;
     case timer_kind::Retry:
-        request.retryAt.reset();
-        enqueue(request);
+        retryDue(request, now);
         break;
-    case timer_kind::Hedge:
+    case timer_kind::FirstByte:
+        firstByteOverdue(request, now);
         break;
     case timer_kind::LongRun:
         request.longRunAt.reset();
@@ -663,10 +827,15 @@
 
 std::optional<time_point> dispatcher::implementation::nextWakeUp() const
 {
-    return m_timers.firstDue();
+    const std::optional<time_point> timer = m_timers.firstDue();
+    const std::optional<time_point> upstreamReturn = m_outliers.nextReturn(m_tickedAt);
+    if (!timer || !upstreamReturn) {
+        return timer ? timer : upstreamReturn;
+    }
+    return std::min(*timer, *upstreamReturn);
 }
 
-cell_load dispatcher::implementation::load(time_point) const
+cell_load dispatcher::implementation::load(time_point now) const
 {
     cell_load result;
     result.onlineQueued = static_cast<std::uint32_t>(m_onlineQueue.size());
@@ -674,29 +843,37 @@
     for (const auto &[id, upstream] : m_upstreams) {
         result.onlineInFlight += upstream.onlineInFlight;
         result.batchInFlight += upstream.batchInFlight;
-        result.slots += upstream.info.leaving ? 0 : upstream.limit.value();
+        result.slots += conditionOf(upstream, now) == upstream_condition::Good ? upstream.limit.value() : 0;
     }
     return result;
 }
 
-std::vector<upstream_status> dispatcher::implementation::upstreams(time_point) const
+std::vector<upstream_status> dispatcher::implementation::upstreams(time_point now) const
 {
     std::vector<upstream_status> result;
     for (const auto &[id, upstream] : m_upstreams) {
         result.push_back({
             .id = id,
-            .condition = upstream.info.leaving ? upstream_condition::Leaving : upstream_condition::Good,
+            .condition = conditionOf(upstream, now),
             .onlineInFlight = upstream.onlineInFlight,
             .batchInFlight = upstream.batchInFlight,
             .limit = upstream.limit.value(),
             .onlineLimit = onlineLimitOf(upstream),
             .onlineLongInFlight = upstream.onlineLongInFlight,
             .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
+            .firstByte = m_outliers.averageLatency(id),
         });
     }
     return result;
 }
 
+dispatcher_counters dispatcher::implementation::counters() const
+{
+    dispatcher_counters result = m_counters;
+    result.ejections = m_outliers.ejections();
+    return result;
+}
+
 dispatch_actions dispatcher::implementation::takeActions()
 {
     dispatch_actions result;
@@ -767,7 +944,7 @@
     return m_implementation->upstreams(now);
 }
 
-const dispatcher_counters &dispatcher::counters() const
+dispatcher_counters dispatcher::counters() const
 {
     return m_implementation->counters();
 }
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -36,6 +36,7 @@
     bool mayHaveRun = false; ///< Some attempt may have reached an upstream.
     std::set<upstream_id> tried; ///< Upstreams where an attempt failed.
     std::optional<time_point> retryAt;
+    std::optional<time_point> slowAt; ///< When its first attempt counts as slow without a first byte.
 };
 
 /// An attempt between start and end.
--- /dev/null
+++ b/core/src/outlier_detector.cpp
@@ -0,0 +1,185 @@
+#include "outlier_detector.h"
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+constexpr double upperQuartile = 0.75;
+constexpr std::size_t minimumSamples = 16;
+constexpr std::uint32_t updateEvery = 8;
+constexpr double averageStep = 0.2;
+constexpr std::uint32_t longestDoubling = 10;
+
+} // namespace
+
+outlier_detector::outlier_detector(const outlier_detector_options &options)
+    : m_options(options)
+{
+}
+
+void outlier_detector::setUpstreams(const std::set<upstream_id> &upstreams)
+{
+    std::erase_if(m_upstreams, [&](const auto &entry) {
+        return !upstreams.contains(entry.first);
+    });
+    for (const upstream_id &upstream : upstreams) {
+        m_upstreams.try_emplace(upstream);
+    }
+}
+
+outlier_detector::latency_reference &outlier_detector::referenceOf(answer_kind kind)
+{
+    return kind == answer_kind::Streamed ? m_streamed : m_whole;
+}
+
+void outlier_detector::addToReference(answer_kind kind, duration latency)
+{
+    latency_reference &reference = referenceOf(kind);
+    reference.recent.add(static_cast<double>(latency.count()));
+    if (++reference.sinceUpdate >= updateEvery || reference.recent.count() <= minimumSamples) {
+        reference.sinceUpdate = 0;
+        reference.upperQuartile = reference.recent.quantile(upperQuartile);
+    }
+}
+
+std::optional<duration> outlier_detector::slowAfter(answer_kind kind) const
+{
+    const latency_reference &reference = kind == answer_kind::Streamed ? m_streamed : m_whole;
+    if (reference.recent.count() < minimumSamples) {
+        return std::nullopt;
+    }
+    const auto slow = duration(static_cast<std::int64_t>(m_options.slowFactor * reference.upperQuartile));
+    return std::max(slow, m_options.slowFloor);
+}
+
+bool outlier_detector::answered(const upstream_id &upstream, answer_kind kind, duration latency, time_point now)
+{
+    const std::optional<duration> slow = slowAfter(kind);
+    addToReference(kind, latency);
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end()) {
+        return false;
+    }
+    upstream_record &record = entry->second;
+    record.averageLatency += averageStep * (static_cast<double>(latency.count()) - record.averageLatency);
+    record.connectFailures = 0;
+    record.failures = 0;
+    if (slow && latency > *slow) {
+        return slowObserved(record, now);
+    }
+    goodObserved(record);
+    return false;
+}
+
+bool outlier_detector::overdue(const upstream_id &upstream, time_point now)
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && slowObserved(entry->second, now);
+}
+
+bool outlier_detector::slowObserved(upstream_record &record, time_point now)
+{
+    if (record.out && now < record.ejectedUntil) {
+        return false;
+    }
+    record.goodProbes = 0;
+    ++record.slow;
+    const bool enough = record.out || record.slow >= m_options.slowInRow;
+    if (!enough || (!record.out && !mayEjectForSlowness())) {
+        return false;
+    }
+    eject(record, m_options.slowEjection, true, now);
+    return true;
+}
+
+void outlier_detector::goodObserved(upstream_record &record)
+{
+    record.slow = 0;
+    if (!record.out) {
+        record.ejectionsInRow = 0;
+        return;
+    }
+    if (++record.goodProbes >= m_options.probes) {
+        record.out = false;
+        record.goodProbes = 0;
+    }
+}
+
+bool outlier_detector::mayEjectForSlowness() const
+{
+    const auto ejected = std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
+        return entry.second.out && entry.second.outForSlowness;
+    });
+    return static_cast<double>(ejected + 1) <= m_options.maximumSlowShare * static_cast<double>(m_upstreams.size());
+}
+
+void outlier_detector::eject(upstream_record &record, duration first, bool forSlowness, time_point now)
+{
+    const duration longer = first * (1U << std::min(record.ejectionsInRow, longestDoubling));
+    record.ejectedUntil = now + std::min(longer, m_options.longestEjection);
+    record.out = true;
+    record.outForSlowness = forSlowness;
+    record.slow = 0;
+    record.connectFailures = 0;
+    record.failures = 0;
+    record.goodProbes = 0;
+    ++record.ejectionsInRow;
+    ++m_ejections;
+}
+
+void outlier_detector::failed(const upstream_id &upstream, attempt_outcome outcome, time_point now)
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end() || outcome == attempt_outcome::Refused) {
+        return;
+    }
+    upstream_record &record = entry->second;
+    if (record.out && now < record.ejectedUntil) {
+        return;
+    }
+    const bool connecting = outcome == attempt_outcome::NotSent;
+    record.connectFailures += connecting ? 1 : 0;
+    record.failures += connecting ? 0 : 1;
+    const bool enough = record.connectFailures >= m_options.connectFailuresInRow || record.failures >= m_options.failuresInRow;
+    if (record.out || enough) {
+        eject(record, m_options.failureEjection, false, now);
+    }
+}
+
+upstream_condition outlier_detector::conditionOf(const upstream_id &upstream, time_point now) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end() || !entry->second.out) {
+        return upstream_condition::Good;
+    }
+    return now < entry->second.ejectedUntil ? upstream_condition::Ejected : upstream_condition::Probing;
+}
+
+std::optional<time_point> outlier_detector::probingSince(const upstream_id &upstream, time_point now) const
+{
+    if (conditionOf(upstream, now) != upstream_condition::Probing) {
+        return std::nullopt;
+    }
+    return m_upstreams.at(upstream).ejectedUntil;
+}
+
+std::optional<time_point> outlier_detector::nextReturn(time_point now) const
+{
+    std::optional<time_point> next;
+    for (const auto &[id, record] : m_upstreams) {
+        if (record.out && record.ejectedUntil > now && (!next || record.ejectedUntil < *next)) {
+            next = record.ejectedUntil;
+        }
+    }
+    return next;
+}
+
+duration outlier_detector::averageLatency(const upstream_id &upstream) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return duration(entry == m_upstreams.end() ? 0 : static_cast<std::int64_t>(entry->second.averageLatency));
+}
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/retry_backoff.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "banyan/core/time.h"
+
+#include <cstdint>
+#include <random>
+
+namespace banyan {
+
+/// Delays before retries: they double from one retry to the next, and half of each is random.
+class retry_backoff
+{
+public:
+    explicit retry_backoff(std::uint64_t seed);
+
+    /// The delay before retry number @p number, from 1.
+    [[nodiscard]] duration delay(std::uint32_t number);
+
+private:
+    std::mt19937_64 m_random;
+};
+
+} // namespace banyan
--- a/core/src/timer_queue.h
+++ b/core/src/timer_queue.h
@@ -13,7 +13,7 @@
 enum class timer_kind {
     Deadline,
     Retry,
-    Hedge,
+    FirstByte, ///< An attempt without a first byte counts as slow and may be hedged.
     LongRun, ///< An attempt has run for as long as long work does.
 };
 
--- a/tests/property/dispatcher_harness.h
+++ b/tests/property/dispatcher_harness.h
@@ -97,12 +97,14 @@
     void carryOut(const finish_request &action);
     void checkDeadlines() const;
     void checkPriority() const;
+    void checkBudgets() const;
     [[nodiscard]] bool onlineWaits(bool isLong) const;
     void submit(const dispatcher_event &event, work_class value);
     void endAttempt(const dispatcher_event &event, attempt_outcome outcome);
     void changeUpstreams(std::uint32_t pick);
     void tickDue();
 
+    dispatcher_options m_options;
     dispatcher m_dispatcher;
     std::map<request_id, observed_request> m_requests;
     std::map<attempt_id, observed_attempt> m_attempts; ///< In flight.
