Regrow limits after slow moments, avoid cells without upstreams

Routers avoid a cell that reports no slots for the penalty time. Tolerance 1.07 -> 1.05. The slow measure gains online answers that are not streamed: their hedges can take over until the end.

--- a/bench/policy/fleet_simulation.h
+++ b/bench/policy/fleet_simulation.h
@@ -264,13 +264,13 @@
         ++m_counts.attempts;
         m_counts.hedges += action.hedge ? 1 : 0;
         target.attempts[action.attempt.value] = action.upstream;
-        const engine_job job = m_requests.at(action.request).request.job;
-        m_loop.after(m_options.upstreamHop, [this, &target, action, job] {
-            arriveAtEngine(target, action, job);
+        const simulated_request request = m_requests.at(action.request).request;
+        m_loop.after(m_options.upstreamHop, [this, &target, action, job = request.job, streamed = request.dispatch.streamed] {
+            arriveAtEngine(target, action, job, streamed);
         });
     }
 
-    void arriveAtEngine(cell &target, const start_attempt &action, const engine_job &job)
+    void arriveAtEngine(cell &target, const start_attempt &action, const engine_job &job, bool streamed)
     {
         if (!target.attempts.contains(action.attempt.value)) {
             return;
@@ -279,7 +279,10 @@
         const bool accepted = engine.start(
             engineKey(target, action.attempt),
             job,
-            [this, &target, attempt = action.attempt] {
+            [this, &target, attempt = action.attempt, streamed] {
+                if (!streamed) {
+                    return;
+                }
                 m_loop.after(m_options.upstreamHop, [this, &target, attempt] {
                     perform(target, target.policy.firstByte(attempt, m_loop.now()));
                 });
@@ -301,6 +304,9 @@
     void report(cell &target, attempt_id attempt, const attempt_result &result)
     {
         m_loop.after(m_options.upstreamHop, [this, &target, attempt, result] {
+            if (result.outcome == attempt_outcome::Succeeded) {
+                perform(target, target.policy.firstByte(attempt, m_loop.now()));
+            }
             target.attempts.erase(attempt.value);
             perform(target, target.policy.attemptEnded(attempt, result, m_loop.now()));
         });
--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -132,18 +132,29 @@
     }
 }
 
+struct slow_case
+{
+    std::string name;
+    duration moveEvery{};
+    bool streamed = true;
+};
+
 void measureSlow(policy_kind policy, std::uint64_t seed, report &out)
 {
-    for (const bool moving : {false, true}) {
+    for (const slow_case &chosen :
+         {slow_case{.name = "the same from 5 s on"},
+          slow_case{.name = "others every 15 s", .moveEvery = std::chrono::seconds(15)},
+          slow_case{.name = "others every 15 s, whole answers", .moveEvery = std::chrono::seconds(15), .streamed = false}}) {
         scenario value = withBatch(baseScenario(policy, seed));
         value.work.burstRate = 160;
+        value.work.onlineStreamed = chosen.streamed;
         const scenario_result without = run(value);
         value.slow = slowdown{.share = 0.2,
                               .from = time_point() + std::chrono::seconds(5),
                               .until = time_point() + value.length,
-                              .moveEvery = moving ? duration(std::chrono::seconds(15)) : duration(0)};
+                              .moveEvery = chosen.moveEvery};
         const scenario_result with = run(value);
-        const std::string name = moving ? "slow, others every 15 s: " : "slow, the same from 5 s on: ";
+        const std::string name = "slow, " + chosen.name + ": ";
         out.figure(
             name + "online p99 over none slowed", policy, quantile(with.onlineShort, p99) / quantile(without.onlineShort, p99), slowTarget);
         out.figure(name + "online p99 [s]", policy, quantile(with.onlineShort, p99));
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -104,6 +104,7 @@
                         .caller = caller_id("c" + std::to_string(caller)),
                         .service = service_name("advice"),
                         .workClass = value,
+                        .streamed = !online || m_options.onlineStreamed,
                         .fingerprint = m_lastRequest,
                         .prefixHash = request.job.prefixHash,
                         .expectedTokens = static_cast<std::uint32_t>(expected),
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -23,6 +23,7 @@
     bool longAnnounced = true; ///< Whether expectedTokens tells long requests from short ones.
     std::size_t batchWindow = 0; ///< Batch items outstanding at any time; 0 for none.
     double batchRate = 0; ///< Batch items a second that arrive whatever is outstanding.
+    bool onlineStreamed = true; ///< Whether online answers are streamed; batch answers always are.
     std::size_t callers = 8;
     std::size_t prefixes = 200; ///< Distinct prompt prefixes, the popular ones far more frequent.
     std::size_t nodes = 13; ///< Entry nodes; some receive up to three times as much as others.
--- a/core/src/cell_router.cpp
+++ b/core/src/cell_router.cpp
@@ -63,7 +63,8 @@
     {
         const auto entry = m_cells.find(cell);
         if (entry != m_cells.end()) {
-            entry->second = {.load = load, .reportedAt = now, .sentSince = 0, .avoidedUntil = {}};
+            const time_point avoidedUntil = load.slots == 0 ? now + m_options.penalty : time_point();
+            entry->second = {.load = load, .reportedAt = now, .sentSince = 0, .avoidedUntil = avoidedUntil};
         }
     }
 
--- a/core/src/concurrency_limit.h
+++ b/core/src/concurrency_limit.h
@@ -13,7 +13,7 @@
     std::uint32_t initial = 8;
     std::uint32_t minimum = 2;
     std::uint32_t maximum = 64;
-    double tolerance = 1.07; ///< Pace over baseline up to which the limit grows.
+    double tolerance = 1.05; ///< Pace over baseline up to which the limit grows.
     double overcommittedTolerance = 1.65; ///< The same while more is in flight than the limit.
     duration window = std::chrono::milliseconds(500); ///< Samples of this time are taken together.
     std::uint32_t minimumSamples = 6; ///< A window goes on until it has as many.
@@ -44,12 +44,14 @@
 private:
     void closeWindow();
     void moveBaseline(double pace, double inFlight);
+    void shrink(double factor);
     void adapt(double pace, double inFlight);
 
     concurrency_limit_options m_options;
     double m_limit;
     double m_baseline = 0; ///< 0: not known yet.
-    bool m_everExceeded = false; ///< Until then the limit grows fast.
+    double m_fastUntil; ///< The limit grows fast below this: what it was before the pace last dropped.
+    bool m_exceeding = false; ///< The last window's pace was beyond the tolerance.
     std::vector<double> m_paces;
     double m_inFlightSum = 0;
     time_point m_windowStart;
