Stop contents that crash upstreams, refuse hopeless deadlines, prefer cached prefixes

Crash guard: a lost attempt makes its content a suspect; suspects run with one of them on an upstream at most, so that the second loss names the cause and innocent requests complete. When at least three upstreams and half of the cell are lost within 2 s the failure domain is to blame and no content is. Stopped contents can be exported and imported (dispatcher.h: stoppedFingerprints(), stopFingerprint(); new stopped_fingerprint.h). Ruled out: counting losses without isolation, since a crash takes a dozen innocent requests with it twice. Admission: a request whose expected wait (work ahead of its caller, typical run time, slots) passes its deadline is NotRun at once with retryAfter.

--- a/core/include/banyan/core/dispatcher.h
+++ b/core/include/banyan/core/dispatcher.h
@@ -6,6 +6,7 @@
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/dispatcher_counters.h"
 #include "banyan/core/dispatcher_options.h"
+#include "banyan/core/stopped_fingerprint.h"
 #include "banyan/core/upstream_info.h"
 #include "banyan/core/upstream_status.h"
 
@@ -75,6 +76,12 @@
     /// How busy the cell is.
     [[nodiscard]] cell_load load(time_point now) const;
 
+    /// Contents that are refused because they crash upstreams; to be told to other dispatchers.
+    [[nodiscard]] std::vector<stopped_fingerprint> stoppedFingerprints(time_point now) const;
+
+    /// Refuses a content that another dispatcher has stopped. Requests of it that are in the dispatcher go on.
+    void stopFingerprint(std::uint64_t fingerprint, time_point until);
+
     /// The upstreams of the cell and those that have left it with work in progress.
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
 
--- /dev/null
+++ b/core/include/banyan/core/stopped_fingerprint.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "banyan/core/time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace banyan {
+
+/// A content that crashed several upstreams and is refused for a time.
+struct stopped_fingerprint
+{
+    std::uint64_t fingerprint = 0; ///< As in dispatch_request.
+    time_point until;
+
+    auto operator<=>(const stopped_fingerprint &) const = default;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/crash_guard.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/stopped_fingerprint.h"
+#include "banyan/core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace banyan {
+
+/// Options of a crash_guard.
+struct crash_guard_options
+{
+    std::uint32_t limit = 2; ///< Upstreams that may be lost under a content before it is stopped.
+    duration memory = std::chrono::minutes(10); ///< How long suspicions and stops last.
+    duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
+    std::size_t massLoss = 3; ///< Upstreams lost in that time from which on no content is blamed; at least half of the cell.
+    std::size_t maximumEntries = 4096; ///< Contents remembered; older ones are forgotten first.
+};
+
+/// Finds contents that crash the upstreams that run them.
+///
+/// A crash loses all attempts of an upstream at once, so that each of their contents becomes a suspect. Suspects are to
+/// run with at most one of them on an upstream: whichever loses a second upstream is then the cause, and the others
+/// complete and are cleared. When many upstreams are lost at about the same time, their failure domain is to blame and no
+/// content is.
+class crash_guard
+{
+public:
+    explicit crash_guard(const crash_guard_options &options);
+
+    /// How many upstreams the cell has.
+    void setUpstreamCount(std::size_t count);
+
+    /// Takes in that an attempt of @p fingerprint was lost. Returns true if the content is stopped from now on.
+    bool lost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now);
+
+    /// Takes in that an attempt of @p fingerprint was answered.
+    void answered(std::uint64_t fingerprint);
+
+    /// Whether an attempt of @p fingerprint has been lost lately and none answered since.
+    [[nodiscard]] bool isSuspect(std::uint64_t fingerprint, time_point now) const;
+
+    /// Until when the content is refused; none if it is not.
+    [[nodiscard]] std::optional<time_point> stoppedUntil(std::uint64_t fingerprint, time_point now) const;
+
+    /// Refuses a content until @p until, or longer if it is refused for longer already.
+    void stop(std::uint64_t fingerprint, time_point until);
+
+    /// All contents that are refused at @p now.
+    [[nodiscard]] std::vector<stopped_fingerprint> stopped(time_point now) const;
+
+private:
+    struct record
+    {
+        std::set<upstream_id> upstreams;
+        time_point lostAt;
+        std::optional<time_point> stoppedUntil;
+    };
+
+    record &recordOf(std::uint64_t fingerprint);
+    [[nodiscard]] bool isMassLoss(const upstream_id &upstream, time_point now);
+    void forgetSince(time_point from);
+    [[nodiscard]] bool expired(const record &value, time_point now) const;
+
+    crash_guard_options m_options;
+    std::unordered_map<std::uint64_t, record> m_records;
+    std::map<upstream_id, time_point> m_lostUpstreams; ///< When each was lost last, within the window.
+    std::size_t m_upstreamCount = 0;
+    std::deque<std::uint64_t> m_order; ///< Of their first being noted.
+};
+
+} // namespace banyan
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -1,7 +1,9 @@
 #include "banyan/core/dispatcher.h"
 
+#include "crash_guard.h"
 #include "dispatcher_state.h"
 #include "outlier_detector.h"
+#include "prefix_affinity.h"
 #include "request_queue.h"
 #include "retry_backoff.h"
 #include "time_average.h"
@@ -38,6 +40,9 @@
     std::chrono::seconds(1); ///< Online work probes an upstream that batch work has not probed for so long.
 constexpr double probeScore = -1; ///< Places work on an upstream that is to be probed before all others.
 constexpr double unwelcomeScore = 10; ///< Places work on an upstream only if there is no other.
+constexpr std::size_t rememberedPrefixes = 4096;
+constexpr double affinityAdvantage = 0.15; ///< How much busier an upstream with the prefix in its cache may be.
+constexpr duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
@@ -74,6 +79,7 @@
         , m_retryBudget({.share = options.retryShare, .burst = options.retryBurst, .perSecond = retriesPerSecond})
         , m_hedgeBudget({.share = options.hedgeShare, .burst = options.hedgeBurst})
         , m_backoff(options.seed)
+        , m_crashes({.limit = options.crashLimit, .memory = options.crashMemory})
     {
     }
 
@@ -88,6 +94,10 @@
     [[nodiscard]] cell_load load(time_point now) const;
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
     [[nodiscard]] dispatcher_counters counters() const;
+    crash_guard &crashes()
+    {
+        return m_crashes;
+    }
 
 private:
     [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
@@ -97,6 +107,7 @@
     work_length &lengthOf(work_class value);
     [[nodiscard]] bool hasUsableUpstream(time_point now) const;
     [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] duration expectedWait(work_class value, const caller_id &caller, time_point now) const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
     [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
@@ -147,6 +158,8 @@
     token_budget m_retryBudget;
     token_budget m_hedgeBudget;
     retry_backoff m_backoff;
+    crash_guard m_crashes;
+    prefix_affinity m_prefixes{rememberedPrefixes};
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
@@ -166,6 +179,9 @@
 
 work_lane dispatcher::implementation::laneOf(const request_state &request)
 {
+    if (request.suspect) {
+        return work_lane::Suspect;
+    }
     if (request.request.workClass == work_class::Batch && !request.request.repeatable) {
         return work_lane::Pinned;
     }
@@ -228,6 +244,7 @@
         }
     }
     m_outliers.setUpstreams(counted);
+    m_crashes.setUpstreamCount(counted.size());
     if (!hasUsableUpstream(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
@@ -250,6 +267,7 @@
     request_state &state = entry->second;
     state.request = request;
     state.submittedAt = now;
+    state.suspect = m_crashes.isSuspect(request.fingerprint, now);
     work_length &length = lengthOf(request.workClass);
     length.expected(request.expectedTokens);
     state.isLong = length.isLong(request.expectedTokens);
@@ -261,8 +279,14 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
     } else if (!hasUsableUpstream(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
+    } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now)) {
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
+    } else if (const duration wait = expectedWait(request.workClass, request.caller, now); now + wait > request.deadline) {
+        const duration excess = wait - (request.deadline - now);
+        const duration retryAfter = std::max(excess, shortestRetryAfter);
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable, .retryAfter = retryAfter});
     } else {
         m_timers.add({.due = request.deadline, .kind = timer_kind::Deadline, .request = request.id});
         enqueue(state);
@@ -277,13 +301,33 @@
     return std::min(m_options.maximumSlots, overcommitted);
 }
 
+/// How long a request that arrives now waits for a slot, from the work before it and the usual run time.
+duration dispatcher::implementation::expectedWait(work_class value, const caller_id &caller, time_point now) const
+{
+    const bool online = value == work_class::Online;
+    std::uint32_t slots = 0;
+    std::uint32_t inFlight = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (conditionOf(upstream, now) == upstream_condition::Good) {
+            slots += online ? onlineLimitOf(upstream) : batchLimitOf(upstream, now);
+            inFlight += online ? upstream.onlineInFlight : upstream.inFlight();
+        }
+    }
+    const std::size_t ahead = (online ? m_onlineQueue : m_batchQueue).aheadOf(caller);
+    if (inFlight + ahead < slots) {
+        return duration(0);
+    }
+    const duration runTime = (online ? m_onlineLength : m_batchLength).typicalRunTime();
+    return runTime * static_cast<duration::rep>(ahead) / std::max(1U, slots);
+}
+
 bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
 {
     const upstream_condition condition = conditionOf(upstream, now);
     if (condition == upstream_condition::Probing) {
         return upstream.inFlight() == 0;
     }
-    if (condition != upstream_condition::Good) {
+    if (condition != upstream_condition::Good || (request.suspect && upstream.suspectsInFlight > 0)) {
         return false;
     }
     if (request.request.workClass == work_class::Online) {
@@ -335,6 +379,7 @@
 
 upstream_state *dispatcher::implementation::upstreamFor(const request_state &request, time_point now)
 {
+    const upstream_id *const cached = m_prefixes.upstreamOf(request.request.prefixHash);
     upstream_state *best = nullptr;
     bool bestTried = false;
     double bestBusyness = 0;
@@ -343,7 +388,8 @@
             continue;
         }
         const bool tried = request.tried.contains(id);
-        const double candidate = busyness(upstream, request, now);
+        const double advantage = cached != nullptr && *cached == id ? affinityAdvantage : 0;
+        const double candidate = busyness(upstream, request, now) - advantage;
         if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
             best = &upstream;
             bestTried = tried;
@@ -486,7 +532,8 @@
 /// Starts a second attempt of an online request on another upstream, if it may have one and the budget allows it.
 void dispatcher::implementation::hedge(request_state &request, time_point now)
 {
-    const bool allowed = request.request.workClass == work_class::Online && request.request.repeatable && !request.chosen;
+    const bool allowed =
+        request.request.workClass == work_class::Online && request.request.repeatable && !request.chosen && !request.suspect;
     if (!allowed || request.attempts.size() != 1) {
         return;
     }
@@ -522,6 +569,7 @@
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
     m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
+    m_prefixes.ran(request.request.prefixHash, upstream.info.id);
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
     changeInFlight(upstream, request, +1);
@@ -537,6 +585,7 @@
 
 void dispatcher::implementation::changeInFlight(upstream_state &upstream, const request_state &request, int change)
 {
+    upstream.suspectsInFlight += request.suspect ? change : 0;
     const int changeOfLong = request.isLong ? change : 0;
     if (request.request.workClass == work_class::Online) {
         upstream.onlineInFlight += change;
@@ -696,6 +745,7 @@
     }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
+        m_crashes.answered(request.request.fingerprint);
         if (!request.chosen) {
             choose(request, attempt);
         }
@@ -703,6 +753,10 @@
     } else {
         request.tried.insert(ended.upstream);
         m_outliers.failed(ended.upstream, result.outcome, now);
+        if (result.outcome == attempt_outcome::Lost && m_crashes.lost(request.request.fingerprint, ended.upstream, now)) {
+            request.stopped = true;
+            ++m_counters.crashesStopped;
+        }
         attemptFailed(request, result, now);
     }
     startWaiting(now);
@@ -732,7 +786,9 @@
 void dispatcher::implementation::attemptFailed(request_state &request, const attempt_result &result, time_point now)
 {
     ++request.failedAttempts;
-    if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
+    if (request.stopped && request.request.repeatable) {
+        finishWithoutAnswer(request, end_reason::CrashesUpstreams, m_options.crashMemory);
+    } else if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
@@ -763,6 +819,7 @@
     }
     if (m_retryBudget.withdraw(now)) {
         ++m_counters.retries;
+        request.suspect = m_crashes.isSuspect(request.request.fingerprint, now);
         enqueue(request);
         return;
     }
@@ -839,6 +896,7 @@
 {
     cell_load result;
     result.onlineQueued = static_cast<std::uint32_t>(m_onlineQueue.size());
+    result.expectedWait = expectedWait(work_class::Online, caller_id(), now);
     result.batchQueued = static_cast<std::uint32_t>(m_batchQueue.size());
     for (const auto &[id, upstream] : m_upstreams) {
         result.onlineInFlight += upstream.onlineInFlight;
@@ -939,6 +997,16 @@
     return m_implementation->load(now);
 }
 
+std::vector<stopped_fingerprint> dispatcher::stoppedFingerprints(time_point now) const
+{
+    return m_implementation->crashes().stopped(now);
+}
+
+void dispatcher::stopFingerprint(std::uint64_t fingerprint, time_point until)
+{
+    m_implementation->crashes().stop(fingerprint, until);
+}
+
 std::vector<upstream_status> dispatcher::upstreams(time_point now) const
 {
     return m_implementation->upstreams(now);
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -30,6 +30,8 @@
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
     std::uint32_t preemptions = 0;
+    bool suspect = false; ///< Its content may have crashed an upstream.
+    bool stopped = false; ///< Its content crashed as many upstreams as it may.
     bool isLong = false; ///< Expected to run, or already running, much longer than most.
     std::optional<time_point> longRunAt; ///< When it counts as long if it still runs.
     bool charged = false; ///< Its caller's share has paid for it.
@@ -59,6 +61,7 @@
     std::uint32_t batchInFlight = 0;
     std::uint32_t onlineLongInFlight = 0; ///< Those of them that are long.
     std::uint32_t batchLongInFlight = 0;
+    std::uint32_t suspectsInFlight = 0; ///< Of either class.
     std::uint32_t pinnedInFlight = 0; ///< Batch attempts that are not repeatable and so cannot be preempted.
 
     [[nodiscard]] std::uint32_t inFlight() const
--- a/core/src/request_queue.cpp
+++ b/core/src/request_queue.cpp
@@ -13,13 +13,6 @@
 
 } // namespace
 
-bool request_queue::caller_state::idle() const
-{
-    return std::all_of(lanes.begin(), lanes.end(), [](const std::set<position> &lane) {
-        return lane.empty();
-    });
-}
-
 request_queue::request_queue(double allowance)
     : m_allowance(allowance)
 {
@@ -36,6 +29,7 @@
     if (caller.idle()) {
         caller.served = std::max(caller.served, m_virtualTime);
     }
+    ++caller.waiting;
     const position where{.order = request.order, .number = ++m_lastNumber, .id = request.id};
     lanesOf(request)[indexOf(request.lane)].insert(where);
     m_places[request.id] = {.request = request, .where = where};
@@ -50,6 +44,7 @@
     const place removed = std::move(entry->second);
     m_places.erase(entry);
     lanesOf(removed.request)[indexOf(removed.request.lane)].erase(removed.where);
+    --m_callers.at(removed.request.caller).waiting;
     forgetIdleCaller(removed.request.caller);
     return true;
 }
@@ -78,6 +73,13 @@
     }
 }
 
+std::size_t request_queue::aheadOf(const caller_id &caller) const
+{
+    const auto known = m_callers.find(caller);
+    const std::size_t own = known == m_callers.end() ? 0 : known->second.waiting;
+    return std::min(m_places.size(), (own + 1) * m_callers.size());
+}
+
 const request_queue::position *request_queue::earliest(const lane_positions &lanes, const lane_set &blocked)
 {
     const position *result = nullptr;
--- a/core/src/request_queue.h
+++ b/core/src/request_queue.h
@@ -19,10 +19,11 @@
     Short,
     Long, ///< Expected to run much longer than most.
     Pinned, ///< Batch work that cannot be preempted.
+    Suspect, ///< May have crashed an upstream; runs beside no other suspect.
 };
 
 /// How many lanes there are.
-inline constexpr std::size_t workLanes = 3;
+inline constexpr std::size_t workLanes = 4;
 
 /// A set of lanes.
 class lane_set
@@ -75,6 +76,9 @@
     /// The request to start next outside of the @p blocked lanes; it stays in the queue.
     [[nodiscard]] std::optional<waiting_request> next(const lane_set &blocked) const;
 
+    /// How many waiting requests would go before another one of @p caller, about.
+    [[nodiscard]] std::size_t aheadOf(const caller_id &caller) const;
+
     [[nodiscard]] std::size_t size() const
     {
         return m_places.size();
@@ -97,9 +101,13 @@
     struct caller_state
     {
         lane_positions lanes;
+        std::size_t waiting = 0;
         double served = 0; ///< Virtual start time of the next request.
 
-        [[nodiscard]] bool idle() const;
+        [[nodiscard]] bool idle() const
+        {
+            return waiting == 0;
+        }
     };
 
     [[nodiscard]] static const position *earliest(const lane_positions &lanes, const lane_set &blocked);
--- a/tests/property/dispatcher_property_test.cpp
+++ b/tests/property/dispatcher_property_test.cpp
@@ -4,6 +4,9 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+#include <map>
+
 using namespace banyan;
 using namespace banyan::test;
 
@@ -59,8 +62,137 @@
     return {.initialSlots = 2, .maximumSlots = 4, .onlineQueueLimit = 12, .batchQueueLimit = 12, .retryBurst = 3, .hedgeBurst = 2};
 }
 
+/// A dispatcher whose upstreams die with all their work whenever they run the request "crash".
+class crashing_fleet
+{
+public:
+    explicit crashing_fleet(std::uint32_t upstreams)
+        : m_dispatcher(dispatcher_options{.initialSlots = 4})
+    {
+        std::vector<upstream_info> infos;
+        for (std::uint32_t i = 0; i < upstreams; ++i) {
+            infos.push_back({.id = upstream_id("u" + std::to_string(i))});
+        }
+        perform(m_dispatcher.setUpstreams(infos, m_now));
+    }
+
+    void submit(const std::string &name, std::uint64_t fingerprint)
+    {
+        perform(m_dispatcher.submit(
+            {.id = request_id(name), .caller = caller_id("c"), .fingerprint = fingerprint, .deadline = m_now + std::chrono::hours(1)},
+            m_now));
+    }
+
+    /// Ends one attempt: well, or with all others of its upstream if it is the crashing one.
+    void endOne(std::uint32_t pick)
+    {
+        m_now += std::chrono::milliseconds(5);
+        perform(m_dispatcher.tick(m_now));
+        if (m_attempts.empty()) {
+            m_now = std::max(m_now, m_dispatcher.nextWakeUp().value_or(m_now));
+            perform(m_dispatcher.tick(m_now));
+            return;
+        }
+        const start_attempt ended = std::next(m_attempts.begin(), pick % m_attempts.size())->second;
+        if (ended.request.text().rfind("crash", 0) == 0) {
+            crash(ended.upstream);
+        } else {
+            end(ended.attempt, attempt_outcome::Succeeded);
+        }
+    }
+
+    [[nodiscard]] bool busy() const
+    {
+        return m_results.size() < m_submitted;
+    }
+
+    [[nodiscard]] const std::map<request_id, final_result> &results() const
+    {
+        return m_results;
+    }
+
+    std::uint32_t crashes = 0;
+
+private:
+    void crash(const upstream_id &upstream)
+    {
+        ++crashes;
+        std::vector<attempt_id> lost;
+        for (const auto &[id, attempt] : m_attempts) {
+            if (attempt.upstream == upstream) {
+                lost.push_back(id);
+            }
+        }
+        for (const attempt_id attempt : lost) {
+            end(attempt, attempt_outcome::Lost);
+        }
+    }
+
+    void end(attempt_id attempt, attempt_outcome outcome)
+    {
+        m_attempts.erase(attempt);
+        perform(m_dispatcher.attemptEnded(attempt, {.outcome = outcome}, m_now));
+    }
+
+    void perform(const dispatch_actions &actions)
+    {
+        for (const dispatch_action &action : actions) {
+            if (const auto *const started = std::get_if<start_attempt>(&action)) {
+                m_attempts[started->attempt] = *started;
+                m_seen.insert(started->request);
+            } else if (const auto *const cancelled = std::get_if<cancel_attempt>(&action)) {
+                m_attempts.erase(cancelled->attempt);
+            } else if (const auto *const finished = std::get_if<finish_request>(&action)) {
+                m_results[finished->request] = finished->result;
+                m_seen.insert(finished->request);
+            }
+        }
+        m_submitted = m_seen.size();
+    }
+
+    dispatcher m_dispatcher;
+    time_point m_now;
+    std::map<attempt_id, start_attempt> m_attempts;
+    std::map<request_id, final_result> m_results;
+    std::set<request_id> m_seen;
+    std::size_t m_submitted = 0;
+};
+
 } // namespace
 
+TEST_CASE("dispatcher stops a content that crashes upstreams and completes all others")
+{
+    rc::prop("two crashes, then refused for a time", [] {
+        crashing_fleet fleet(*rc::gen::inRange<std::uint32_t>(3, 9));
+        const auto innocent = *rc::gen::inRange<std::uint32_t>(0, 30);
+        const auto position = *rc::gen::inRange<std::uint32_t>(0, innocent + 1);
+        for (std::uint32_t i = 0; i <= innocent; ++i) {
+            if (i == position) {
+                fleet.submit("crash", 1);
+            } else {
+                fleet.submit("r" + std::to_string(i), 100 + i);
+            }
+        }
+        for (std::uint32_t round = 0; round < 500 && fleet.busy(); ++round) {
+            fleet.endOne(*rc::gen::inRange<std::uint32_t>(0, 1000));
+        }
+        fleet.submit("crash again", 1);
+        RC_ASSERT(fleet.crashes == 2U);
+        for (const auto &[id, result] : fleet.results()) {
+            if (id == request_id("crash")) {
+                RC_ASSERT(result.what == disposition::Failed);
+                RC_ASSERT(result.reason == end_reason::CrashesUpstreams);
+            } else if (id == request_id("crash again")) {
+                RC_ASSERT(result.what == disposition::NotRun);
+                RC_ASSERT(result.retryAfter.has_value());
+            } else {
+                RC_ASSERT(result.what == disposition::Completed);
+            }
+        }
+        RC_ASSERT(fleet.results().size() == innocent + 2U);
+    });
+}
+
 TEST_CASE("dispatcher keeps its promises in any order of events and faults")
 {
     rc::prop("each action and each end is one that dispatcher.h allows", [] {
