--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -1,8 +1,14 @@
 #include "banyan/core/dispatcher.h"
 
+#include "crash_guard.h"
 #include "dispatcher_state.h"
+#include "outlier_detector.h"
+#include "prefix_affinity.h"
 #include "request_queue.h"
+#include "retry_backoff.h"
+#include "time_average.h"
 #include "timer_queue.h"
+#include "token_budget.h"
 #include "work_length.h"
 
 #include <algorithm>
@@ -15,7 +21,6 @@
 
 namespace {
 
-constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
 constexpr duration overloadRetryAfter = std::chrono::seconds(1);
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
 constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
@@ -27,6 +32,17 @@
 constexpr duration agingHorizon =
     std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
+constexpr duration onlineActivityTime = std::chrono::seconds(3); ///< Over which online work in flight is averaged.
+constexpr double idleOnlineWork = 0.05; ///< Mean online requests in flight below which a cell counts as without online work.
+constexpr double retriesPerSecond = 1; ///< Retries that are allowed without any traffic.
+constexpr duration batchRetryDelay = std::chrono::seconds(1); ///< For batch work while the retry budget is used up.
+constexpr duration onlineProbeDelay =
+    std::chrono::seconds(1); ///< Online work probes an upstream that batch work has not probed for so long.
+constexpr double probeScore = -1; ///< Places work on an upstream that is to be probed before all others.
+constexpr double unwelcomeScore = 10; ///< Places work on an upstream only if there is no other.
+constexpr std::size_t rememberedPrefixes = 4096;
+constexpr double affinityAdvantage = 0.15; ///< How much busier an upstream with the prefix in its cache may be.
+constexpr duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
@@ -43,6 +59,11 @@
     return outcome == attempt_outcome::NotSent || outcome == attempt_outcome::Refused;
 }
 
+answer_kind kindOf(const request_state &request)
+{
+    return request.request.streamed ? answer_kind::Streamed : answer_kind::Whole;
+}
+
 bool isAnswer(attempt_outcome outcome)
 {
     return outcome == attempt_outcome::Succeeded || outcome == attempt_outcome::Answered;
@@ -55,6 +76,10 @@
 public:
     explicit implementation(const dispatcher_options &options)
         : m_options(options)
+        , m_retryBudget({.share = options.retryShare, .burst = options.retryBurst, .perSecond = retriesPerSecond})
+        , m_hedgeBudget({.share = options.hedgeShare, .burst = options.hedgeBurst})
+        , m_backoff(options.seed)
+        , m_crashes({.limit = options.crashLimit, .memory = options.crashMemory})
     {
     }
 
@@ -68,9 +93,10 @@
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] cell_load load(time_point now) const;
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
-    [[nodiscard]] const dispatcher_counters &counters() const
+    [[nodiscard]] dispatcher_counters counters() const;
+    crash_guard &crashes()
     {
-        return m_counters;
+        return m_crashes;
     }
 
 private:
@@ -79,20 +105,30 @@
     void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
     work_length &lengthOf(work_class value);
-    [[nodiscard]] bool hasUsableUpstream() const;
+    [[nodiscard]] bool hasUsableUpstream(time_point now) const;
+    [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] duration expectedWait(work_class value, const caller_id &caller, time_point now) const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
-    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream) const;
-    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
-    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
-    upstream_state *upstreamFor(const request_state &request);
+    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request, time_point now) const;
+    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request, time_point now) const;
+    upstream_state *upstreamFor(const request_state &request, time_point now);
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
     void makeRoom(const upstream_state &upstream);
     [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
     void preempt(attempt_id attempt);
-    void startAttempt(request_state &request, upstream_state &upstream, time_point now);
+    void countStart(request_state &request);
+    void startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge);
+    void watchFirstByte(request_state &request, time_point now);
+    void stopWatchingFirstByte(request_state &request);
+    void firstByteOverdue(request_state &request, time_point now);
+    void hedge(request_state &request, time_point now);
+    void hedgeAttemptsOf(const upstream_id &upstream, time_point now);
+    void retryDue(request_state &request, time_point now);
     static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
+    void noteOnlineInFlight(time_point now);
     void releaseSlot(const attempt_state &attempt, const request_state &request);
     void becomeLong(request_state &request);
     void watchLength(request_state &request, time_point now);
@@ -104,7 +140,7 @@
     void cancelAttempt(attempt_id attempt);
     void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
-    void retryLater(request_state &request, time_point now);
+    void retryLater(request_state &request, duration delay, time_point now);
     void timerDue(const request_timer &timer, time_point now);
     dispatch_actions takeActions();
 
@@ -114,12 +150,20 @@
     std::map<attempt_id, attempt_state> m_attempts;
     request_queue m_onlineQueue{0};
     request_queue m_batchQueue{deadlineAllowance};
+    time_average m_onlineInFlight{onlineActivityTime};
     work_length m_onlineLength;
     work_length m_batchLength;
     timer_queue m_timers;
+    outlier_detector m_outliers{outlier_detector_options()};
+    token_budget m_retryBudget;
+    token_budget m_hedgeBudget;
+    retry_backoff m_backoff;
+    crash_guard m_crashes;
+    prefix_affinity m_prefixes{rememberedPrefixes};
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
+    time_point m_tickedAt;
     bool m_draining = false;
 };
 
@@ -135,6 +179,9 @@
 
 work_lane dispatcher::implementation::laneOf(const request_state &request)
 {
+    if (request.suspect) {
+        return work_lane::Suspect;
+    }
     if (request.request.workClass == work_class::Batch && !request.request.repeatable) {
         return work_lane::Pinned;
     }
@@ -161,13 +208,18 @@
         });
 }
 
-bool dispatcher::implementation::hasUsableUpstream() const
+bool dispatcher::implementation::hasUsableUpstream(time_point now) const
 {
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
-        return !entry.second.info.leaving;
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+        return conditionOf(entry.second, now) == upstream_condition::Good || conditionOf(entry.second, now) == upstream_condition::Probing;
     });
 }
 
+upstream_condition dispatcher::implementation::conditionOf(const upstream_state &upstream, time_point now) const
+{
+    return upstream.info.leaving ? upstream_condition::Leaving : m_outliers.conditionOf(upstream.info.id, now);
+}
+
 dispatch_actions dispatcher::implementation::setUpstreams(std::span<const upstream_info> upstreams, time_point now)
 {
     for (auto &[id, upstream] : m_upstreams) {
@@ -185,7 +237,15 @@
         const upstream_state &upstream = entry.second;
         return upstream.info.leaving && upstream.inFlight() == 0;
     });
-    if (!hasUsableUpstream()) {
+    std::set<upstream_id> counted;
+    for (const upstream_info &info : upstreams) {
+        if (!info.leaving) {
+            counted.insert(info.id);
+        }
+    }
+    m_outliers.setUpstreams(counted);
+    m_crashes.setUpstreamCount(counted.size());
+    if (!hasUsableUpstream(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
@@ -207,6 +267,7 @@
     request_state &state = entry->second;
     state.request = request;
     state.submittedAt = now;
+    state.suspect = m_crashes.isSuspect(request.fingerprint, now);
     work_length &length = lengthOf(request.workClass);
     length.expected(request.expectedTokens);
     state.isLong = length.isLong(request.expectedTokens);
@@ -216,10 +277,16 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
-    } else if (!hasUsableUpstream()) {
+    } else if (!hasUsableUpstream(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
+    } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now)) {
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
+    } else if (const duration wait = expectedWait(request.workClass, request.caller, now); now + wait > request.deadline) {
+        const duration excess = wait - (request.deadline - now);
+        const duration retryAfter = std::max(excess, shortestRetryAfter);
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable, .retryAfter = retryAfter});
     } else {
         m_timers.add({.due = request.deadline, .kind = timer_kind::Deadline, .request = request.id});
         enqueue(state);
@@ -234,9 +301,33 @@
     return std::min(m_options.maximumSlots, overcommitted);
 }
 
-bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request) const
+/// How long a request that arrives now waits for a slot, from the work before it and the usual run time.
+duration dispatcher::implementation::expectedWait(work_class value, const caller_id &caller, time_point now) const
 {
-    if (upstream.info.leaving) {
+    const bool online = value == work_class::Online;
+    std::uint32_t slots = 0;
+    std::uint32_t inFlight = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (conditionOf(upstream, now) == upstream_condition::Good) {
+            slots += online ? onlineLimitOf(upstream) : batchLimitOf(upstream, now);
+            inFlight += online ? upstream.onlineInFlight : upstream.inFlight();
+        }
+    }
+    const std::size_t ahead = (online ? m_onlineQueue : m_batchQueue).aheadOf(caller);
+    if (inFlight + ahead < slots) {
+        return duration(0);
+    }
+    const duration runTime = (online ? m_onlineLength : m_batchLength).typicalRunTime();
+    return runTime * static_cast<duration::rep>(ahead) / std::max(1U, slots);
+}
+
+bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
+{
+    const upstream_condition condition = conditionOf(upstream, now);
+    if (condition == upstream_condition::Probing) {
+        return upstream.inFlight() == 0;
+    }
+    if (condition != upstream_condition::Good || (request.suspect && upstream.suspectsInFlight > 0)) {
         return false;
     }
     if (request.request.workClass == work_class::Online) {
@@ -244,7 +335,7 @@
         const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
         return leavesRoom && upstream.onlineInFlight < limit;
     }
-    const std::uint32_t limit = batchLimitOf(upstream);
+    const std::uint32_t limit = batchLimitOf(upstream, now);
     const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
     const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
     return leavesRoom && pinnable && upstream.inFlight() < limit;
@@ -256,16 +347,28 @@
     return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
 }
 
-/// Batch work starts only below this; between it and the limit it keeps its slots while online work comes in.
-std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream) const
+/// Batch work starts only below this. Between it and the limit batch work keeps its slots while online work comes in, so
+/// that usual fluctuations preempt nothing. Arrivals are taken as random: the deviation is the root of the mean. Without
+/// any online work batch work may fill the engine as far as online work might.
+std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream, time_point now) const
 {
+    const double online = m_onlineInFlight.at(now);
+    if (online < idleOnlineWork) {
+        return onlineLimitOf(upstream);
+    }
+    const double deviation = std::sqrt(online) / static_cast<double>(m_upstreams.size());
+    const auto headroom = static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
     const std::uint32_t limit = upstream.limit.value();
-    const auto headroom = static_cast<std::uint32_t>(std::ceil(limit * m_options.onlineHeadroom));
     return std::max(1U, limit - std::min(limit, headroom));
 }
 
-double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
+double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request, time_point now) const
 {
+    if (const std::optional<time_point> since = m_outliers.probingSince(upstream.info.id, now)) {
+        const bool batch = request.request.workClass == work_class::Batch;
+        const bool mayProbe = request.request.repeatable && (batch || now - *since >= onlineProbeDelay);
+        return mayProbe ? probeScore : unwelcomeScore;
+    }
     const double limit = std::max(1U, upstream.limit.value());
     if (request.request.workClass == work_class::Batch) {
         return upstream.inFlight() / limit;
@@ -274,17 +377,19 @@
     return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
 }
 
-upstream_state *dispatcher::implementation::upstreamFor(const request_state &request)
+upstream_state *dispatcher::implementation::upstreamFor(const request_state &request, time_point now)
 {
+    const upstream_id *const cached = m_prefixes.upstreamOf(request.request.prefixHash);
     upstream_state *best = nullptr;
     bool bestTried = false;
     double bestBusyness = 0;
     for (auto &[id, upstream] : m_upstreams) {
-        if (!accepts(upstream, request)) {
+        if (!accepts(upstream, request, now)) {
             continue;
         }
         const bool tried = request.tried.contains(id);
-        const double candidate = busyness(upstream, request);
+        const double advantage = cached != nullptr && *cached == id ? affinityAdvantage : 0;
+        const double candidate = busyness(upstream, request, now) - advantage;
         if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
             best = &upstream;
             bestTried = tried;
@@ -297,6 +402,7 @@
 void dispatcher::implementation::startWaiting(time_point now)
 {
     startClass(work_class::Online, now);
+    noteOnlineInFlight(now);
     if (m_onlineQueue.size() == 0) {
         startClass(work_class::Batch, now);
     }
@@ -308,16 +414,28 @@
     lane_set blocked;
     while (const std::optional<waiting_request> next = queue.next(blocked)) {
         request_state &request = m_requests.at(next->id);
-        upstream_state *const upstream = upstreamFor(request);
+        upstream_state *const upstream = upstreamFor(request, now);
         if (upstream == nullptr) {
             blocked.insert(next->lane);
             continue;
         }
         queue.take(next->id);
-        request.charged = true;
-        startAttempt(request, *upstream, now);
-        makeRoom(*upstream);
+        countStart(request);
+        startAttempt(request, *upstream, now, false);
+        watchFirstByte(request, now);
+        if (value == work_class::Online) {
+            makeRoom(*upstream);
+        }
+    }
+}
+
+void dispatcher::implementation::noteOnlineInFlight(time_point now)
+{
+    double inFlight = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        inFlight += upstream.onlineInFlight;
     }
+    m_onlineInFlight.change(inFlight, now);
 }
 
 /// Preempts batch attempts until the upstream holds no more than its limit, or only what cannot be preempted.
@@ -356,6 +474,7 @@
     request_state &request = m_requests.at(m_attempts.at(attempt).request);
     cancelAttempt(attempt);
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     ++request.preemptions;
     ++m_counters.preempted;
     m_counters.preemptedResumable += request.request.resumable ? 1 : 0;
@@ -366,10 +485,91 @@
     enqueue(request);
 }
 
-void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now)
+void dispatcher::implementation::countStart(request_state &request)
+{
+    if (request.charged) {
+        return;
+    }
+    request.charged = true;
+    ++m_counters.firstAttempts;
+    m_retryBudget.deposit();
+    m_hedgeBudget.deposit();
+}
+
+/// Sets the time at which the attempt that just started counts as slow without a first byte.
+void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
+{
+    stopWatchingFirstByte(request);
+    const std::optional<duration> slowAfter = m_outliers.slowAfter(kindOf(request));
+    if (slowAfter) {
+        request.slowAt = now + *slowAfter;
+        m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+    }
+}
+
+void dispatcher::implementation::stopWatchingFirstByte(request_state &request)
+{
+    if (request.slowAt) {
+        m_timers.remove({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+        request.slowAt.reset();
+    }
+}
+
+void dispatcher::implementation::firstByteOverdue(request_state &request, time_point now)
+{
+    request.slowAt.reset();
+    if (request.attempts.empty() || m_attempts.at(request.attempts.front()).firstByteAt) {
+        return;
+    }
+    const upstream_id upstream = m_attempts.at(request.attempts.front()).upstream;
+    const bool ejected = m_outliers.overdue(upstream, now);
+    hedge(request, now);
+    if (ejected) {
+        hedgeAttemptsOf(upstream, now);
+    }
+}
+
+/// Starts a second attempt of an online request on another upstream, if it may have one and the budget allows it.
+void dispatcher::implementation::hedge(request_state &request, time_point now)
+{
+    const bool allowed =
+        request.request.workClass == work_class::Online && request.request.repeatable && !request.chosen && !request.suspect;
+    if (!allowed || request.attempts.size() != 1) {
+        return;
+    }
+    const upstream_id first = m_attempts.at(request.attempts.front()).upstream;
+    const bool wasTried = !request.tried.insert(first).second;
+    upstream_state *const upstream = upstreamFor(request, now);
+    if (!wasTried) {
+        request.tried.erase(first);
+    }
+    if (upstream == nullptr || upstream->info.id == first || !m_hedgeBudget.withdraw(now)) {
+        return;
+    }
+    ++m_counters.hedges;
+    startAttempt(request, *upstream, now, true);
+    makeRoom(*upstream);
+}
+
+/// Hedges the requests that wait for an upstream that was just ejected.
+void dispatcher::implementation::hedgeAttemptsOf(const upstream_id &upstream, time_point now)
+{
+    std::vector<request_id> waiting;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt.upstream == upstream && !attempt.firstByteAt) {
+            waiting.push_back(attempt.request);
+        }
+    }
+    for (const request_id &id : waiting) {
+        hedge(m_requests.at(id), now);
+    }
+}
+
+void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge)
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
-    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now};
+    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
+    m_prefixes.ran(request.request.prefixHash, upstream.info.id);
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
     changeInFlight(upstream, request, +1);
@@ -379,11 +579,13 @@
         .attempt = attempt,
         .upstream = upstream.info.id,
         .timeout = m_options.attemptTimeout,
+        .hedge = hedge,
     });
 }
 
 void dispatcher::implementation::changeInFlight(upstream_state &upstream, const request_state &request, int change)
 {
+    upstream.suspectsInFlight += request.suspect ? change : 0;
     const int changeOfLong = request.isLong ? change : 0;
     if (request.request.workClass == work_class::Online) {
         upstream.onlineInFlight += change;
@@ -475,6 +677,7 @@
         m_timers.remove({.due = *request.retryAt, .kind = timer_kind::Retry, .request = id});
     }
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     m_actions.emplace_back(finish_request{.request = id, .result = result, .attempt = attempt});
     m_requests.erase(id);
 }
@@ -510,9 +713,15 @@
         return {};
     }
     entry->second.firstByteAt = now;
-    request_state &request = m_requests.at(entry->second.request);
+    const attempt_state answered = entry->second;
+    request_state &request = m_requests.at(answered.request);
+    const bool ejected = m_outliers.answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
         choose(request, attempt);
+        m_counters.hedgesChosen += answered.hedge ? 1 : 0;
+    }
+    if (ejected) {
+        hedgeAttemptsOf(answered.upstream, now);
     }
     startWaiting(now);
     return takeActions();
@@ -532,15 +741,22 @@
     releaseSlot(ended, request);
     if (request.attempts.empty()) {
         stopWatchingLength(request);
+        stopWatchingFirstByte(request);
     }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
+        m_crashes.answered(request.request.fingerprint);
         if (!request.chosen) {
             choose(request, attempt);
         }
         finish(request, {.what = disposition::Completed}, attempt);
     } else {
         request.tried.insert(ended.upstream);
+        m_outliers.failed(ended.upstream, result.outcome, now);
+        if (result.outcome == attempt_outcome::Lost && m_crashes.lost(request.request.fingerprint, ended.upstream, now)) {
+            request.stopped = true;
+            ++m_counters.crashesStopped;
+        }
         attemptFailed(request, result, now);
     }
     startWaiting(now);
@@ -570,26 +786,51 @@
 void dispatcher::implementation::attemptFailed(request_state &request, const attempt_result &result, time_point now)
 {
     ++request.failedAttempts;
-    if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
+    if (request.stopped && request.request.repeatable) {
+        finishWithoutAnswer(request, end_reason::CrashesUpstreams, m_options.crashMemory);
+    } else if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
-    } else if (!hasUsableUpstream()) {
+    } else if (!hasUsableUpstream(now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
-    } else if (request.failedAttempts >= m_options.maximumAttempts) {
+    } else if (request.request.workClass == work_class::Online && request.failedAttempts >= m_options.maximumAttempts) {
         finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
     } else {
-        retryLater(request, now);
+        retryLater(request, m_backoff.delay(request.failedAttempts), now);
     }
 }
 
-void dispatcher::implementation::retryLater(request_state &request, time_point now)
+void dispatcher::implementation::retryLater(request_state &request, duration delay, time_point now)
 {
     request.phase = request_phase::BackingOff;
-    request.retryAt = now + firstRetryDelay * (1U << std::min(request.failedAttempts - 1, 6U));
+    request.retryAt = now + delay;
     m_timers.add({.due = *request.retryAt, .kind = timer_kind::Retry, .request = request.request.id});
 }
 
+/// Queues a request again if the retry budget allows it. Else an online request ends, since its caller had better know,
+/// and a batch request waits on.
+void dispatcher::implementation::retryDue(request_state &request, time_point now)
+{
+    request.retryAt.reset();
+    if (!hasUsableUpstream(now)) {
+        finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
+        return;
+    }
+    if (m_retryBudget.withdraw(now)) {
+        ++m_counters.retries;
+        request.suspect = m_crashes.isSuspect(request.request.fingerprint, now);
+        enqueue(request);
+        return;
+    }
+    ++m_counters.retriesDenied;
+    if (request.request.workClass == work_class::Online) {
+        finishWithoutAnswer(request, end_reason::RetriesExhausted, overloadRetryAfter);
+    } else {
+        retryLater(request, batchRetryDelay + m_backoff.delay(request.failedAttempts), now);
+    }
+}
+
 dispatch_actions dispatcher::implementation::cancel(const request_id &request, time_point now)
 {
     const auto entry = m_requests.find(request);
@@ -610,14 +851,18 @@
 
 dispatch_actions dispatcher::implementation::tick(time_point now)
 {
+    m_tickedAt = now;
     while (const auto timer = m_timers.takeDue(now)) {
         timerDue(*timer, now);
     }
+    if (!hasUsableUpstream(now)) {
+        finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
+    }
     startWaiting(now);
     return takeActions();
 }
 
-void dispatcher::implementation::timerDue(const request_timer &timer, time_point)
+void dispatcher::implementation::timerDue(const request_timer &timer, time_point now)
 {
     request_state &request = m_requests.at(timer.request);
     switch (timer.kind) {
@@ -625,10 +870,10 @@
         finishWithoutAnswer(request, end_reason::DeadlineUnreachable, std::nullopt);
         break;
     case timer_kind::Retry:
-        request.retryAt.reset();
-        enqueue(request);
+        retryDue(request, now);
         break;
-    case timer_kind::Hedge:
+    case timer_kind::FirstByte:
+        firstByteOverdue(request, now);
         break;
     case timer_kind::LongRun:
         request.longRunAt.reset();
@@ -639,40 +884,54 @@
 
 std::optional<time_point> dispatcher::implementation::nextWakeUp() const
 {
-    return m_timers.firstDue();
+    const std::optional<time_point> timer = m_timers.firstDue();
+    const std::optional<time_point> upstreamReturn = m_outliers.nextReturn(m_tickedAt);
+    if (!timer || !upstreamReturn) {
+        return timer ? timer : upstreamReturn;
+    }
+    return std::min(*timer, *upstreamReturn);
 }
 
-cell_load dispatcher::implementation::load(time_point) const
+cell_load dispatcher::implementation::load(time_point now) const
 {
     cell_load result;
     result.onlineQueued = static_cast<std::uint32_t>(m_onlineQueue.size());
+    result.expectedWait = expectedWait(work_class::Online, caller_id(), now);
     result.batchQueued = static_cast<std::uint32_t>(m_batchQueue.size());
     for (const auto &[id, upstream] : m_upstreams) {
         result.onlineInFlight += upstream.onlineInFlight;
         result.batchInFlight += upstream.batchInFlight;
-        result.slots += upstream.info.leaving ? 0 : upstream.limit.value();
+        result.slots += conditionOf(upstream, now) == upstream_condition::Good ? upstream.limit.value() : 0;
     }
     return result;
 }
 
-std::vector<upstream_status> dispatcher::implementation::upstreams(time_point) const
+std::vector<upstream_status> dispatcher::implementation::upstreams(time_point now) const
 {
     std::vector<upstream_status> result;
     for (const auto &[id, upstream] : m_upstreams) {
         result.push_back({
             .id = id,
-            .condition = upstream.info.leaving ? upstream_condition::Leaving : upstream_condition::Good,
+            .condition = conditionOf(upstream, now),
             .onlineInFlight = upstream.onlineInFlight,
             .batchInFlight = upstream.batchInFlight,
             .limit = upstream.limit.value(),
             .onlineLimit = onlineLimitOf(upstream),
             .onlineLongInFlight = upstream.onlineLongInFlight,
             .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
+            .firstByte = m_outliers.averageLatency(id),
         });
     }
     return result;
 }
 
+dispatcher_counters dispatcher::implementation::counters() const
+{
+    dispatcher_counters result = m_counters;
+    result.ejections = m_outliers.ejections();
+    return result;
+}
+
 dispatch_actions dispatcher::implementation::takeActions()
 {
     dispatch_actions result;
@@ -738,12 +997,22 @@
     return m_implementation->load(now);
 }
 
+std::vector<stopped_fingerprint> dispatcher::stoppedFingerprints(time_point now) const
+{
+    return m_implementation->crashes().stopped(now);
+}
+
+void dispatcher::stopFingerprint(std::uint64_t fingerprint, time_point until)
+{
+    m_implementation->crashes().stop(fingerprint, until);
+}
+
 std::vector<upstream_status> dispatcher::upstreams(time_point now) const
 {
     return m_implementation->upstreams(now);
 }
 
-const dispatcher_counters &dispatcher::counters() const
+dispatcher_counters dispatcher::counters() const
 {
     return m_implementation->counters();
 }
