Apply a patch entry by entry, so that its cost follows the patch

applyPatch() merged and read the whole document for each patch; every node does this for every change. It now merges and reads only the entries that the patch names, and checks references and uniqueness over the result.

--- a/core/src/configuration_json.cpp
+++ b/core/src/configuration_json.cpp
@@ -265,6 +265,14 @@
     }
 }
 
+void checkWhole(const configuration &value)
+{
+    checkKeysAreUnique(value.callers, "callers");
+    checkKeysAreUnique(value.operators, "operators");
+    checkModelsAreUnique(value);
+    checkReferences(value);
+}
+
 configuration readConfiguration(const json::value &value, configuration_version version)
 {
     json_object_reader reader(value, "");
@@ -274,10 +282,7 @@
     result.operators = readSection<operator_id, operator_settings>(reader, "operators", maximumOperators, readOperator);
     result.services = readSection<service_name, service_settings>(reader, "services", maximumServices, readService);
     reader.finish();
-    checkKeysAreUnique(result.callers, "callers");
-    checkKeysAreUnique(result.operators, "operators");
-    checkModelsAreUnique(result);
-    checkReferences(result);
+    checkWhole(result);
     return result;
 }
 
@@ -378,6 +383,75 @@
     }
 }
 
+/// Merges a patch into one section, entry by entry, so that the effort follows the patch and not the configuration.
+template<typename Key, typename Settings, typename Read>
+void patchSection(std::map<Key, Settings> &section, const json::value &patch, const std::string &name, std::size_t most, Read read)
+{
+    if (patch.is_null()) {
+        section.clear();
+        return;
+    }
+    if (!patch.is_object()) {
+        refuseField(name, "an object", describe(patch));
+    }
+    for (const auto &member : patch.get_object()) {
+        const std::string key(member.key());
+        if (member.value().is_null()) {
+            section.erase(Key(key));
+            continue;
+        }
+        checkedName(name, key);
+        const auto known = section.find(Key(key));
+        json::value merged = known == section.end() ? json::value(nullptr) : toJsonValue(known->second);
+        mergePatch(merged, member.value());
+        section[Key(key)] = read(merged, name + "." + key, key);
+    }
+    if (section.size() > most) {
+        refuseField(name, "at most " + std::to_string(most) + " entries", std::to_string(section.size()));
+    }
+}
+
+constexpr std::size_t textOverhead = 3; // quotes and comma
+constexpr std::size_t entryOverhead = 100; // field names and numbers of a caller or operator
+constexpr std::size_t serviceOverhead = 400; // field names and numbers of a service
+constexpr std::size_t accessOverhead = 40; // field names and urgency of an access rule
+
+std::size_t bytesOf(const std::vector<std::string> &texts)
+{
+    std::size_t result = 0;
+    for (const std::string &text : texts) {
+        result += text.size() + textOverhead;
+    }
+    return result;
+}
+
+/// At least the size of toJson(); names hold no characters that would be escaped.
+std::size_t boundOfBytes(const configuration &value)
+{
+    std::size_t result = entryOverhead;
+    for (const auto &[id, caller] : value.callers) {
+        result += entryOverhead + id.text().size() + bytesOf(caller.keyHashes);
+    }
+    for (const auto &[id, settings] : value.operators) {
+        result += entryOverhead + id.text().size() + bytesOf(settings.keyHashes);
+    }
+    for (const auto &[name, service] : value.services) {
+        result += serviceOverhead + name.text().size() + service.pool.text().size() + bytesOf(service.models);
+        for (const access_rule &rule : service.access) {
+            result += accessOverhead + rule.caller.text().size();
+        }
+    }
+    return result;
+}
+
+void checkSize(const configuration &value)
+{
+    const std::size_t size = boundOfBytes(value);
+    if (size > maximumConfigurationBytes) {
+        refuseField("configuration", "at most " + std::to_string(maximumConfigurationBytes) + " bytes", std::to_string(size));
+    }
+}
+
 } // namespace
 
 configuration parseConfiguration(std::string_view json, configuration_version version)
@@ -396,13 +470,23 @@
     if (!patch.is_object()) {
         refuseField("patch", "an object", describe(patch));
     }
-    json::value merged = toJsonObject(base);
-    mergePatch(merged, patch);
-    const std::size_t size = json::serialize(merged).size();
-    if (size > maximumConfigurationBytes) {
-        refuseField("configuration", "at most " + std::to_string(maximumConfigurationBytes) + " bytes", std::to_string(size));
+    configuration result = base;
+    ++result.version;
+    for (const auto &member : patch.get_object()) {
+        const std::string name(member.key());
+        if (name == "callers") {
+            patchSection(result.callers, member.value(), name, maximumCallers, readCaller);
+        } else if (name == "operators") {
+            patchSection(result.operators, member.value(), name, maximumOperators, readOperator);
+        } else if (name == "services") {
+            patchSection(result.services, member.value(), name, maximumServices, readService);
+        } else if (!member.value().is_null()) {
+            refuseField(name, "no such field", describe(member.value()));
+        }
     }
-    return readConfiguration(merged, base.version + 1);
+    checkWhole(result);
+    checkSize(result);
+    return result;
 }
 
 } // namespace banyan
