--- a/core/src/configuration_json.cpp
+++ b/core/src/configuration_json.cpp
@@ -404,7 +404,9 @@
         const auto known = section.find(Key(key));
         json::value merged = known == section.end() ? json::value(nullptr) : toJsonValue(known->second);
         mergePatch(merged, member.value());
-        section[Key(key)] = read(merged, name + "." + key, key);
+        std::string path = name;
+        path.append(".").append(key);
+        section[Key(key)] = read(merged, path, key);
     }
     if (section.size() > most) {
         refuseField(name, "at most " + std::to_string(most) + " entries", std::to_string(section.size()));
