--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -80,12 +80,12 @@
     }
 }
 
-TEST_CASE("--check accepts good settings and starts nothing")
+TEST_CASE("the settings check accepts good settings and starts nothing")
 {
     CHECK(runWith(goodSettings, {"--check"}).exitCode == 0);
 }
 
-TEST_CASE("--check refuses bad settings")
+TEST_CASE("the settings check refuses bad settings")
 {
     CHECK(runWith(goodSettings + "colour: red\n", {"--check"}).exitCode == 2);
 }
