--- a/core/src/timer_queue.h
+++ b/core/src/timer_queue.h
@@ -13,7 +13,8 @@
 enum class timer_kind {
     Deadline,
     Retry,
-    Hedge,
+    FirstByte, ///< An attempt without a first byte counts as slow and may be hedged.
+    LongRun, ///< An attempt has run for as long as long work does.
 };
 
 /// One thing to do for a request at a time.
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -69,11 +69,10 @@
     active.trace.append("after_us=").append(std::to_string(elapsed)).append(" step=").append(step).append(details).append("\n");
 }
 
-/// The message for one attempt: with the request's id and, where there is one, its fencing number.
+/// The message for one attempt, with the fencing number of its record where there is one.
 http_request messageFor(const run_request &request)
 {
     http_request message = request.message;
-    message.fields.push_back({.name = "X-Request-Id", .value = request.dispatch.id.text()});
     if (request.fencingNumber != 0) {
         message.fields.push_back({.name = "X-Fencing-Number", .value = std::to_string(request.fencingNumber)});
     }
@@ -144,26 +143,28 @@
         return m_inProgress;
     }
 
-    [[nodiscard]] std::vector<upstream_status> upstreams() const
+    [[nodiscard]] std::vector<upstream_report> upstreams() const
     {
-        std::vector<upstream_status> result;
+        std::vector<upstream_report> result;
         for (const auto &[id, cell] : m_cells) {
-            for (const auto &[name, info] : cell->upstreams) {
-                result.push_back(
-                    {.id = name, .cell = id, .address = info.address, .leaving = info.leaving, .inFlight = attemptsAt(*cell, name)});
+            for (const upstream_status &status : cell->decisions.upstreams(currentTime())) {
+                result.push_back(reportOf(*cell, status));
             }
         }
         return result;
     }
 
 private:
-    static std::size_t attemptsAt(const hosted_cell &cell, const upstream_id &upstream)
+    static upstream_report reportOf(const hosted_cell &cell, const upstream_status &status)
     {
-        std::size_t count = 0;
-        for (const auto &[id, attempt] : cell.attempts) {
-            count += attempt->order().upstream == upstream ? 1 : 0;
-        }
-        return count;
+        const auto known = cell.upstreams.find(status.id);
+        return {.id = status.id,
+                .pool = cell.id.pool,
+                .domain = cell.id.domain,
+                .address = known == cell.upstreams.end() ? endpoint() : known->second.address,
+                .leaving = status.condition == upstream_condition::Leaving,
+                .ejected = status.condition == upstream_condition::Ejected || status.condition == upstream_condition::Probing,
+                .inFlight = status.onlineInFlight + status.batchInFlight};
     }
 
     cell_pointer cellOf(const cell_id &id)
@@ -172,7 +173,7 @@
         if (found != m_cells.end()) {
             return found->second;
         }
-        const auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
+        auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
         m_cells.emplace(id, cell);
         updateUpstreams(cell);
         if (m_draining) {
@@ -433,7 +434,7 @@
     return m_implementation->inProgress();
 }
 
-std::vector<upstream_status> cell_host::upstreams() const
+std::vector<upstream_report> cell_host::upstreams() const
 {
     return m_implementation->upstreams();
 }
--- a/tests/property/fake_table.h
+++ b/tests/property/fake_table.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/transaction.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,7 +45,9 @@
         return found == m_rows.end() ? std::nullopt : std::optional(found->second);
     }
 
-    [[nodiscard]] std::vector<row> scan(const std::string &prefix, const std::string &after, std::size_t limit) const
+    /// Rows whose keys begin with @p prefix and come after @p after; without a limit all of them.
+    [[nodiscard]] std::vector<row>
+    scan(const std::string &prefix, const std::string &after = {}, std::size_t limit = std::numeric_limits<std::size_t>::max()) const
     {
         std::vector<row> rows;
         for (auto next = m_rows.lower_bound(prefix); next != m_rows.end() && next->first.starts_with(prefix); ++next) {
