--- a/core/include/banyan/core/gossip_node.h
+++ b/core/include/banyan/core/gossip_node.h
@@ -106,7 +106,7 @@
     void send(const endpoint &to, gossip_message message);
     [[nodiscard]] gossip_message makeMessage(gossip_kind kind, const node_id &recipient);
     [[nodiscard]] const member_update *latestReport(const node_id &id) const;
-    void addNews(gossip_message &message, const node_id &recipient, std::size_t bytes);
+    void addNews(gossip_message &message, const node_id &recipient);
 
     void notePause(time_point now);
     void probeNext(time_point now);
@@ -114,7 +114,8 @@
     void endProbe(time_point now);
     void reconnect(time_point now);
     void expireSuspicions(time_point now);
-    [[nodiscard]] std::vector<endpoint> unknownAddresses();
+    [[nodiscard]] const std::vector<endpoint> &unknownAddresses();
+    [[nodiscard]] duration reconnectInterval(std::size_t unknown) const;
 
     void takeReport(const member_update &update, time_point now);
     void takeReportOnSelf(const member_update &update);
@@ -128,6 +129,8 @@
     void correctSender(const gossip_message &message, time_point now);
     void spread(std::size_t fanout, time_point now);
 
+    [[nodiscard]] duration viewInterval();
+    [[nodiscard]] bool muchIsUnknown();
     void requestView(time_point now);
     void answerViewRequest(const gossip_message &message, time_point now);
     void takeView(const gossip_message &message, time_point now);
@@ -164,6 +167,7 @@
     std::uint64_t m_viewSequence = 0; // of the page asked for; 0: none
     node_id m_viewCursor;
     bool m_joining = true;
+    int m_joinRounds = 0;
 
     std::optional<configuration_version> m_announced;
     time_point m_nextPull; // no patches are asked for before
--- a/core/include/banyan/core/update_queue.h
+++ b/core/include/banyan/core/update_queue.h
@@ -10,7 +10,7 @@
 
 namespace banyan {
 
-/// Nodes whose latest reports are still to be passed on, those sent least often first.
+/// Nodes whose latest reports are still to be passed on: those sent least often first, and of these the newest.
 ///
 /// Each report is handed out a number of times that grows with the logarithm of the fleet's size, which reaches all nodes
 /// with high probability.
--- a/core/src/gossip_node.cpp
+++ b/core/src/gossip_node.cpp
@@ -20,6 +20,12 @@
 /// How long an ack is waited for on behalf of another node.
 constexpr duration relayTimeout = std::chrono::seconds(2);
 
+/// Where nobody is known to run at more than one in so many listed addresses, views are exchanged faster.
+constexpr std::size_t unknownShare = 20;
+
+/// Times that a node which has just started reads the whole view of a peer.
+constexpr int maximumJoinRounds = 20;
+
 /// Listed addresses that a node without peers pings at once.
 constexpr std::size_t joinPings = 3;
 
@@ -141,8 +147,8 @@
 void gossip_node::reconnect(time_point now)
 {
     const bool alone = m_members.running().empty();
-    m_nextReconnect = now + (alone ? m_options.probePeriod : m_options.reconnectInterval);
-    const std::vector<endpoint> candidates = unknownAddresses();
+    const std::vector<endpoint> &candidates = unknownAddresses();
+    m_nextReconnect = now + (alone ? m_options.probePeriod : reconnectInterval(candidates.size()));
     if (candidates.empty()) {
         return;
     }
@@ -154,7 +160,18 @@
     }
 }
 
-std::vector<endpoint> gossip_node::unknownAddresses()
+duration gossip_node::reconnectInterval(std::size_t unknown) const
+{
+    if (unknown == 0) {
+        return m_options.reconnectInterval;
+    }
+    // All running nodes do the same: the more they are for each address, the less often each of them pings.
+    const double nodesPerAddress = static_cast<double>(m_members.running().size() + 1) / static_cast<double>(unknown);
+    const std::chrono::duration<double> share(nodesPerAddress / m_options.reconnectsPerAddress);
+    return std::max(m_options.reconnectInterval, std::chrono::duration_cast<duration>(share));
+}
+
+const std::vector<endpoint> &gossip_node::unknownAddresses()
 {
     if (!m_unknownAddressesOutdated) {
         return m_unknownAddresses;
@@ -175,6 +192,7 @@
 {
     m_listed = std::move(addresses);
     m_unknownAddressesOutdated = true;
+    m_nextReconnect = std::min(m_nextReconnect, m_nextProbe);
 }
 
 void gossip_node::expireSuspicions(time_point now)
@@ -393,7 +411,7 @@
 
 void gossip_node::requestView(time_point now)
 {
-    m_nextView = now + (m_joining ? m_options.answerTimeout : m_options.viewInterval);
+    m_nextView = now + viewInterval();
     const std::vector<node_id> peers = sample(m_members.running(), 1, {}, m_random);
     if (peers.empty()) {
         return;
@@ -405,6 +423,19 @@
     send(m_members.find(peers.front())->node.peerAddress, std::move(request));
 }
 
+duration gossip_node::viewInterval()
+{
+    if (m_joining) {
+        return m_options.answerTimeout;
+    }
+    return muchIsUnknown() ? m_options.fastViewInterval : m_options.viewInterval;
+}
+
+bool gossip_node::muchIsUnknown()
+{
+    return unknownAddresses().size() * unknownShare > m_listed.size();
+}
+
 void gossip_node::answerViewRequest(const gossip_message &message, time_point now)
 {
     if (!m_answers.take(now)) {
@@ -426,10 +457,16 @@
     const bool more = message.more && !message.updates.empty();
     m_viewSequence = 0;
     m_viewCursor = more ? message.updates.back().node.id : node_id();
-    m_joining = m_joining && more;
-    if (m_joining) {
+    if (!m_joining) {
+        return;
+    }
+    if (more) {
         requestView(now);
+        return;
     }
+    // Where many start together, the first peer knows as little; its view is worth another reading soon.
+    ++m_joinRounds;
+    m_joining = muchIsUnknown() && m_joinRounds < maximumJoinRounds;
 }
 
 void gossip_node::takePatches(const gossip_message &message, time_point now)
@@ -479,7 +516,6 @@
     }
     gossip_message patches = makeMessage(gossip_kind::Patches, message.sender.node.id);
     patches.patches = m_history.patchesAfter(*message.head, m_options.messageBytes);
-    patches.updates.clear();
     send(message.sender.node.peerAddress, std::move(patches));
 }
 
@@ -505,21 +541,21 @@
     message.kind = kind;
     message.sender = m_self;
     message.head = m_history.version();
-    std::size_t bytes = m_options.messageBytes;
     if (kind == gossip_kind::Rumor && m_announced && m_announced != m_history.version()) {
-        message.patches = m_history.patchesAfter(*m_announced, bytes);
-        for (const configuration_patch &patch : message.patches) {
-            bytes -= std::min(bytes, patch.mergePatch.size());
-        }
+        message.patches = m_history.patchesAfter(*m_announced, m_options.messageBytes);
+        return message;
     }
-    if (kind != gossip_kind::View && kind != gossip_kind::Patches) {
-        addNews(message, recipient, bytes);
+    const bool carriesNews =
+        kind == gossip_kind::Ping || kind == gossip_kind::Ack || kind == gossip_kind::PingRequest || kind == gossip_kind::Rumor;
+    if (carriesNews) {
+        addNews(message, recipient);
     }
     return message;
 }
 
-void gossip_node::addNews(gossip_message &message, const node_id &recipient, std::size_t bytes)
+void gossip_node::addNews(gossip_message &message, const node_id &recipient)
 {
+    std::size_t bytes = m_options.newsBytes;
     // What is said of the recipient goes first, so that it can refute it.
     const member_update *const ofRecipient = m_members.find(recipient);
     if (ofRecipient != nullptr && ofRecipient->state != member_state::Alive) {
--- a/core/src/update_queue.cpp
+++ b/core/src/update_queue.cpp
@@ -11,7 +11,7 @@
     if (m_byTimesSent.empty()) {
         m_byTimesSent.emplace_back();
     }
-    m_byTimesSent.front().push_back({.id = id, .serial = serial});
+    m_byTimesSent.front().push_front({.id = id, .serial = serial});
 }
 
 const node_id *update_queue::next(std::size_t limit)
@@ -49,7 +49,7 @@
         if (m_byTimesSent.size() <= handedOut.timesSent) {
             m_byTimesSent.resize(handedOut.timesSent + 1);
         }
-        m_byTimesSent[handedOut.timesSent].push_back(std::move(handedOut));
+        m_byTimesSent[handedOut.timesSent].push_front(std::move(handedOut));
     }
     m_handedOut.clear();
 }
--- a/tests/property/gossip_fabric.h
+++ b/tests/property/gossip_fabric.h
@@ -123,6 +123,11 @@
         m_cut = std::move(cut);
     }
 
+    void setLoss(double loss)
+    {
+        m_options.loss = loss;
+    }
+
     /// Ends loss, duplication, replay and cuts.
     void heal()
     {
