--- a/core/include/banyan/core/job_coordinator_options.h
+++ b/core/include/banyan/core/job_coordinator_options.h
@@ -15,7 +15,7 @@
     std::size_t resultsPerCommit = 512; ///< As many finished items make a commit due.
     std::size_t bytesPerCommit = std::size_t(1) << 20; ///< As many bytes of results make a commit due.
     std::size_t bufferedBytes = std::size_t(4) << 20; ///< Results not committed yet; at this size no further item is started.
-    std::size_t bufferedResults = 4096; ///< As bufferedBytes, in items.
+    std::size_t bufferedResults = 1024; ///< As bufferedBytes, in items.
     duration commitInterval = std::chrono::seconds(30); ///< A finished item waits no longer than this for its commit.
     duration retryDelay = std::chrono::milliseconds(500); ///< First delay before an item that was not run is tried again; doubles.
     duration maximumRetryDelay = std::chrono::seconds(30);
--- a/io/src/job_leases.cpp
+++ b/io/src/job_leases.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/job_leases.h"
 
+#include "banyan/core/commit_item.h"
 #include "banyan/core/lease_observer.h"
 #include "banyan/core/row_key.h"
 #include "banyan/io/lease_session.h"
@@ -83,7 +84,10 @@
     }
     state->begin();
     const auto session = state->session;
-    const bool acquired = co_await session->acquire(std::nullopt);
+    // Named, since GCC 12 destroys some temporaries of a co_await expression twice.
+    const std::optional<row> absent;
+    const commit_item nothing;
+    const bool acquired = co_await session->acquire(absent, nothing);
     if (!acquired && session == state->session) {
         state->end();
     }
--- a/io/src/job_service.cpp
+++ b/io/src/job_service.cpp
@@ -172,6 +172,7 @@
     task<> scanShard(std::uint32_t shard);
     task<> considerJob(active_job entry);
     task<> claim(read_job_row found, lapsed_lease lease);
+    task<> executeIfOwned(job_record expected);
     void execute(job_record record, row_version version);
     void executionEnded(const job_id &job, coordination_end how);
     void leaseLost();
@@ -264,20 +265,25 @@
     co_return stored->record;
 }
 
-/// Commits a new job; a lost answer is settled by sending the same change again, of which one takes effect. Returns
-/// false if a condition does not hold. @throws openai_error 503 if nothing took effect, 504 if that is not known
+/// Commits a new job. Returns false if a condition does not hold. A lost answer is settled by reading the key's row
+/// back and, as long as it is absent, sending the same change again, of which one takes effect.
+/// @throws openai_error 503 if nothing took effect, 504 if that is not known
 task<bool> job_service::implementation::commitNew(transaction change, create_key key, job_id job)
 {
     const time_point limit = store.now() + settleLimit;
     bool maybeCommitted = false;
-    for (;;) {
-        bool refused = false;
+    while (!maybeCommitted || store.now() < limit) {
         try {
+            if (maybeCommitted) {
+                const std::optional<row> found = co_await store.read(key.key);
+                if (found) {
+                    co_return json::value_to<std::string>(json::parse(found->value).at("job")) == job.text();
+                }
+            }
             const commit_result result = co_await store.commit(change);
-            if (result.committed) {
-                co_return true;
+            if (result.committed || !maybeCommitted) {
+                co_return result.committed;
             }
-            refused = true;
         } catch (const platform_unavailable &) {
             if (!maybeCommitted) {
                 throw storeUnavailable(options.retryAfter);
@@ -285,15 +291,9 @@
         } catch (const platform_outcome_unknown &) {
             maybeCommitted = true;
         }
-        if (refused) {
-            const std::optional<row> found = co_await orRefuse(store.read(key.key), options.retryAfter);
-            co_return found &&json::value_to<std::string>(json::parse(found->value).at("job")) == job.text();
-        }
-        if (store.now() >= limit) {
-            throw outcomeUnknown("the batch was accepted");
-        }
         co_await sleepUntil(store, store.now() + settleDelay);
     }
+    throw outcomeUnknown("the batch was accepted");
 }
 
 task<job_record> job_service::implementation::create(caller_id caller, job_request request)
@@ -314,11 +314,8 @@
         if (committed) {
             logEvent(
                 log_level::Info, "job_accepted", {{"job", job.id.text()}, {"caller", caller.text()}, {"items", std::to_string(items)}});
-            if (!job.owner.empty() && job.owner == leases.own()) {
-                const auto stored = co_await orRefuse(readRow(job.id), options.retryAfter);
-                if (stored && stored->record.owner == leases.own() && !executions.contains(job.id)) {
-                    execute(stored->record, stored->version);
-                }
+            if (!job.owner.empty()) {
+                co_await executeIfOwned(job);
             }
             co_return job;
         }
@@ -487,6 +484,22 @@
     }
 }
 
+/// Begins to coordinate a job if its row says so: if this node's lease owns it under the fencing number expected.
+/// What fails here is found at the next look for jobs.
+task<> job_service::implementation::executeIfOwned(job_record expected)
+{
+    try {
+        std::optional<read_job_row> found = co_await readRow(expected.id);
+        const bool owned = found && found->record.owner == leases.own() && found->record.owner == expected.owner
+                           && found->record.fencingNumber == expected.fencingNumber;
+        if (owned && !isFinal(found->record.status) && !executions.contains(expected.id) && !stopped) {
+            execute(std::move(found->record), found->version);
+        }
+    } catch (const std::exception &error) {
+        logEvent(log_level::Warning, "job_read_failed", {{"job", expected.id.text()}, {"error", error.what()}});
+    }
+}
+
 task<> job_service::implementation::claim(read_job_row found, lapsed_lease lease)
 {
     const job_record &before = found.record;
@@ -501,14 +514,16 @@
     transaction change = changeJob(next, found.version, before.owner);
     change.conditions.insert(change.conditions.end(), lease.conditions.begin(), lease.conditions.end());
     change.writes.insert(change.writes.end(), lease.writes.begin(), lease.writes.end());
-    const commit_result result = co_await store.commit(std::move(change));
-    if (!result.committed) {
-        co_return;
-    }
-    takeovers += takeover ? 1 : 0;
-    if (next.owner == leases.own() && !stopped) {
-        execute(std::move(next), result.version);
+    try {
+        const commit_result result = co_await store.commit(std::move(change));
+        if (!result.committed) {
+            co_return;
+        }
+    } catch (const platform_outcome_unknown &error) {
+        logEvent(log_level::Warning, "job_claim_unknown", {{"job", next.id.text()}, {"error", error.what()}});
     }
+    co_await executeIfOwned(next);
+    takeovers += takeover && executions.contains(next.id) ? 1 : 0;
 }
 
 /// Decides about one active job. What fails here is tried again at the next look.
