--- a/io/src/operator_api.cpp
+++ b/io/src/operator_api.cpp
@@ -8,11 +8,12 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_from.hpp>
 #include <boost/json/value_to.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
+#include <ctime>
 #include <stdexcept>
 
 namespace banyan {
@@ -22,8 +23,7 @@
 namespace {
 
 constexpr std::size_t maximumPatch = std::size_t(4) << 20; ///< Bytes.
-constexpr std::size_t defaultAuditPage = 100; ///< Entries.
-constexpr std::size_t maximumAuditPage = 1000; ///< Entries.
+constexpr std::size_t maximumAuditPage = 1000; ///< Records.
 constexpr std::string_view bearer = "Bearer ";
 
 /// A request that cannot be understood; what() says what was expected.
@@ -47,16 +47,47 @@
     return value;
 }
 
-audit_filter auditFilter(const http_exchange &exchange)
+/// Reads a time in the form of toIsoText(); the part after the seconds may be left out.
+std::optional<time_point> timeFrom(const std::optional<std::string> &text, std::string_view name)
 {
-    audit_filter filter{.kind = exchange.query("kind")};
-    if (const std::optional<std::string> actor = exchange.query("operator")) {
-        filter.actor = operator_id(*actor);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::tm parts{};
+    const char *const rest = strptime(text->c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
+    unsigned microseconds = 0;
+    const bool sound = rest != nullptr && (std::string_view(rest) == "Z" || std::sscanf(rest, ".%6uZ", &microseconds) == 1);
+    if (!sound) {
+        throw bad_request(std::string(name) + ": expected a time such as 2026-12-04T03:00:00.000000Z, found \"" + *text + "\"");
+    }
+    return time_point(std::chrono::seconds(timegm(&parts)) + std::chrono::microseconds(microseconds));
+}
+
+std::optional<bool> flagFrom(const std::optional<std::string> &text, std::string_view name)
+{
+    if (!text) {
+        return std::nullopt;
     }
+    if (*text != "true" && *text != "false") {
+        throw bad_request(std::string(name) + ": expected true or false, found \"" + *text + "\"");
+    }
+    return *text == "true";
+}
+
+audit_filter auditFilter(const http_exchange &exchange)
+{
+    audit_filter filter;
+    filter.from = timeFrom(exchange.query("from"), "from");
     if (const std::optional<std::string> after = exchange.query("after")) {
         filter.from = time_point(duration(numberFrom<std::int64_t>(after, "after", 0) + 1));
     }
-    filter.limit = std::min(numberFrom(exchange.query("limit"), "limit", defaultAuditPage), maximumAuditPage);
+    filter.until = timeFrom(exchange.query("until"), "until");
+    filter.kind = exchange.query("kind");
+    if (const std::optional<std::string> actor = exchange.query("operator")) {
+        filter.actor = operator_id(*actor);
+    }
+    filter.accepted = flagFrom(exchange.query("accepted"), "accepted");
+    filter.limit = std::min(numberFrom(exchange.query("limit"), "limit", filter.limit), maximumAuditPage);
     return filter;
 }
 
@@ -81,6 +112,13 @@
     return version;
 }
 
+/// The id of a submission that is sent again; empty if none is given.
+std::string submissionIdOf(const json::object &object)
+{
+    const json::value *id = object.if_contains("submission_id");
+    return id != nullptr && id->is_string() ? json::value_to<std::string>(*id) : std::string();
+}
+
 patch_request parseSubmission(const std::string &body, const operator_identity &who)
 {
     boost::system::error_code error;
@@ -91,18 +129,21 @@
     const json::object &object = document.as_object();
     const json::value &reason = requiredField(object, "reason", json::kind::string, "a text that says why");
     const json::value &patch = requiredField(object, "patch", json::kind::object, "a JSON merge patch, which is an object");
-    return {.author = who.id,
+    return {.submissionId = submissionIdOf(object),
+            .author = who.id,
             .baseVersion = baseVersionOf(object),
             .mergePatch = json::serialize(patch),
             .reason = json::value_to<std::string>(reason)};
 }
 
-http_response conflictAnswer(const patch_result &result)
+/// A refusal with what the operator needs in order to try again.
+http_response patchRefusal(unsigned status, std::string_view code, const patch_result &result)
 {
-    http_response response = errorAnswer(409, "version_conflict", result.message);
+    http_response response = errorAnswer(status, code, result.message);
     json::object body = json::parse(response.body).as_object();
-    body["current_version"] = result.version;
-    body["contested_fields"] = json::value_from(result.contestedFields);
+    for (const json::key_value_pair &field : patchResultJson(result)) {
+        body[field.key()] = field.value();
+    }
     response.body = json::serialize(body);
     return response;
 }
@@ -111,15 +152,15 @@
 {
     switch (result.outcome) {
     case patch_outcome::Accepted:
-        return jsonAnswer(200, json::object{{"version", result.version}});
+        return jsonAnswer(200, patchResultJson(result));
     case patch_outcome::Conflict:
-        return conflictAnswer(result);
+        return patchRefusal(409, "version_conflict", result);
     case patch_outcome::Invalid:
-        return errorAnswer(400, "invalid_patch", result.message);
+        return patchRefusal(400, "invalid_patch", result);
     case patch_outcome::Unavailable:
-        return errorAnswer(503, "store_unavailable", result.message);
+        return patchRefusal(503, "store_unavailable", result);
     case patch_outcome::OutcomeUnknown:
-        return errorAnswer(504, "outcome_unknown", result.message);
+        return patchRefusal(504, "outcome_unknown", result);
     }
     return errorAnswer(500, "internal_error", "unknown outcome");
 }
@@ -279,13 +320,13 @@
     if (const std::optional<std::string> name = exchange.query("caller")) {
         caller = caller_id(*name);
     }
-    const std::vector<job_status> jobs = co_await m_options.hooks.listJobs(std::move(caller));
+    const std::vector<job_summary> jobs = co_await m_options.hooks.listJobs(std::move(caller));
     co_await exchange.respond(jsonAnswer(200, jobsJson(jobs)));
 }
 
 task<> operator_api::showJob(http_exchange &exchange, const operator_identity & /*who*/)
 {
-    const std::optional<job_status> job = co_await m_options.hooks.findJob(job_id(exchange.pathArguments().at(0)));
+    const std::optional<job_summary> job = co_await m_options.hooks.findJob(job_id(exchange.pathArguments().at(0)));
     co_await exchange.respond(foundOrNot(job, jobJson, "job_not_found", "There is no such job."));
 }
 
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 
 namespace banyan {
 
@@ -33,6 +34,15 @@
     return result;
 }
 
+json::object missedPatchJson(const patch_record &record)
+{
+    return {{"version", record.version},
+            {"operator", record.author.text()},
+            {"time", toIsoText(record.time)},
+            {"reason", record.reason},
+            {"patch", json::parse(record.mergePatch)}};
+}
+
 json::object upstreamJson(const upstream_report &upstream)
 {
     return {{"id", upstream.id.text()},
@@ -75,7 +85,19 @@
 
 json::object auditJson(const std::vector<audit_record> &records)
 {
-    return listJson("entries", records, recordJson);
+    return listJson("records", records, recordJson);
+}
+
+json::object patchResultJson(const patch_result &result)
+{
+    if (result.outcome == patch_outcome::Accepted) {
+        return {{"version", result.version}, {"submission_id", result.submissionId}};
+    }
+    json::object body = listJson("missed_patches", result.missedPatches, missedPatchJson);
+    body["current_version"] = result.version;
+    body["submission_id"] = result.submissionId;
+    body["contested_fields"] = json::value_from(result.contestedFields);
+    return body;
 }
 
 json::object upstreamsJson(const std::vector<upstream_report> &upstreams)
@@ -83,18 +105,22 @@
     return listJson("upstreams", upstreams, upstreamJson);
 }
 
-json::object jobJson(const job_status &job)
+json::object jobJson(const job_summary &job)
 {
     return {{"id", job.id.text()},
             {"caller", job.caller.text()},
-            {"state", job.state},
-            {"items", job.items},
+            {"endpoint", job.endpoint},
+            {"state", toString(job.status)},
+            {"owner", job.owner},
+            {"fencing_number", job.fencingNumber},
+            {"items", job.total},
             {"completed", job.completed},
             {"failed", job.failed},
-            {"created", toIsoText(job.created)}};
+            {"created", toIsoText(job.createdAt)},
+            {"deadline", toIsoText(job.deadline)}};
 }
 
-json::object jobsJson(const std::vector<job_status> &jobs)
+json::object jobsJson(const std::vector<job_summary> &jobs)
 {
     return listJson("jobs", jobs, jobJson);
 }
