--- a/io/src/job_leases.cpp
+++ b/io/src/job_leases.cpp
@@ -148,7 +148,7 @@
         co_return lapsed_lease{};
     }
     state->observer.observe(*found, before);
-    if (!state->observer.lapsed(lease, before)) {
+    if (!state->observer.lapsed(lease)) {
         co_return std::nullopt;
     }
     logEvent(log_level::Warning, "job_lease_lapsed", {{"lease", lease}});
