--- a/tests/process/frame_test.cpp
+++ b/tests/process/frame_test.cpp
@@ -135,7 +135,14 @@
     constexpr int rounds = 5;
     fleet running({.entries = 2});
     for (int round = 0; round < rounds; ++round) {
-        const json::value base = json::parse(running.operate(0, {.target = "/operator/v1/configuration"}).body).at("version");
+        const auto versionAt = [&](std::size_t entry) {
+            return json::parse(running.operate(entry, {.target = "/operator/v1/configuration"}).body).at("version");
+        };
+        // The loser of the last round may learn of the winner's version a moment later.
+        REQUIRE(eventually([&] {
+            return versionAt(0) == versionAt(1);
+        }));
+        const json::value base = versionAt(0);
         const auto submit = [&](std::size_t entry) {
             const json::object patch = {{"callers", {{"niebla", {{"requests_per_second", 1000 + round * 10 + static_cast<int>(entry)}}}}}};
             const json::object submission = {{"base_version", base}, {"patch", patch}, {"reason", "race"}};
