--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -15,7 +15,8 @@
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
     std::uint32_t batchQueueLimit = 512; ///< Waiting batch requests; more are refused as Overloaded.
     duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt.
-    std::uint32_t maximumAttempts = 4; ///< Attempts for one online request, hedges and preempted ones not counted.
+    std::uint32_t maximumAttempts =
+        4; ///< Attempts for one request, hedges and preempted ones not counted; for a batch request also not those that certainly did not run.
     double retryShare = 0.1; ///< Retries allowed as a share of first attempts.
     double retryBurst = 64; ///< Retries allowed at once beyond that share.
     double hedgeShare = 0.05; ///< Hedges allowed as a share of first attempts.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -2,17 +2,14 @@
 
 #include "crash_guard.h"
 #include "dispatcher_state.h"
-#include "outlier_detector.h"
-#include "prefix_affinity.h"
 #include "request_queue.h"
 #include "retry_backoff.h"
-#include "time_average.h"
 #include "timer_queue.h"
 #include "token_budget.h"
+#include "upstream_pool.h"
 #include "work_length.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <stdexcept>
 #include <unordered_map>
@@ -23,36 +20,16 @@
 
 constexpr duration overloadRetryAfter = std::chrono::seconds(1);
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
-constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
-constexpr double busyWithBatchScore = 0.25; ///< What a full share of batch work counts when placing online work.
-constexpr double preemptionScore = 0.5; ///< What having to preempt counts when placing online work.
 constexpr std::uint32_t preemptionsBeforeFirst = 3; ///< A batch item preempted as often goes before the others.
-constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
 constexpr double assumedTokens = 100; ///< Cost of a request that does not say what it expects.
 constexpr duration agingHorizon =
     std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
-constexpr duration onlineActivityTime = std::chrono::seconds(3); ///< Over which online work in flight is averaged.
-constexpr double idleOnlineWork = 0.05; ///< Mean online requests in flight below which a cell counts as without online work.
 constexpr double retriesPerSecond = 1; ///< Retries that are allowed without any traffic.
 constexpr duration batchRetryDelay = std::chrono::seconds(1); ///< For batch work while the retry budget is used up.
-constexpr duration onlineProbeDelay =
-    std::chrono::seconds(1); ///< Online work probes an upstream that batch work has not probed for so long.
-constexpr double probeScore = -1; ///< Places work on an upstream that is to be probed before all others.
-constexpr double unwelcomeScore = 10; ///< Places work on an upstream only if there is no other.
-constexpr std::size_t rememberedPrefixes = 4096;
-constexpr double affinityAdvantage = 0.15; ///< How much busier an upstream with the prefix in its cache may be.
 constexpr duration shortestRetryAfter = std::chrono::milliseconds(100);
-constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
-constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
-
-double toSeconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// Whether an attempt that ended so has certainly not run.
 bool certainlyNotRun(attempt_outcome outcome)
 {
@@ -76,6 +53,7 @@
 public:
     explicit implementation(const dispatcher_options &options)
         : m_options(options)
+        , m_upstreams(options)
         , m_retryBudget({.share = options.retryShare, .burst = options.retryBurst, .perSecond = retriesPerSecond})
         , m_hedgeBudget({.share = options.hedgeShare, .burst = options.hedgeBurst})
         , m_backoff(options.seed)
@@ -92,7 +70,10 @@
     dispatch_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] cell_load load(time_point now) const;
-    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
+    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const
+    {
+        return m_upstreams.status(now);
+    }
     [[nodiscard]] dispatcher_counters counters() const;
     crash_guard &crashes()
     {
@@ -100,36 +81,24 @@
     }
 
 private:
-    [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
     [[nodiscard]] static work_lane laneOf(const request_state &request);
     void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
     work_length &lengthOf(work_class value);
-    [[nodiscard]] bool hasUsableUpstream(time_point now) const;
-    [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] duration expectedWait(work_class value, const caller_id &caller, time_point now) const;
-    [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
-    [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
-    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
-    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request, time_point now) const;
-    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request, time_point now) const;
-    upstream_state *upstreamFor(const request_state &request, time_point now);
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
     void makeRoom(const upstream_state &upstream);
     [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
     void preempt(attempt_id attempt);
     void countStart(request_state &request);
-    void startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge);
+    void startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge);
     void watchFirstByte(request_state &request, time_point now);
     void stopWatchingFirstByte(request_state &request);
     void firstByteOverdue(request_state &request, time_point now);
     void hedge(request_state &request, time_point now);
     void hedgeAttemptsOf(const upstream_id &upstream, time_point now);
     void retryDue(request_state &request, time_point now);
-    static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
-    void noteOnlineInFlight(time_point now);
-    void releaseSlot(const attempt_state &attempt, const request_state &request);
     void becomeLong(request_state &request);
     void watchLength(request_state &request, time_point now);
     void stopWatchingLength(request_state &request);
@@ -138,28 +107,25 @@
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
     void finishQueued(end_reason reason, std::optional<duration> retryAfter);
     void cancelAttempt(attempt_id attempt);
-    void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
+    [[nodiscard]] bool attemptsUsedUp(const request_state &request) const;
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
     void retryLater(request_state &request, duration delay, time_point now);
     void timerDue(const request_timer &timer, time_point now);
     dispatch_actions takeActions();
 
     dispatcher_options m_options;
-    std::map<upstream_id, upstream_state> m_upstreams;
+    upstream_pool m_upstreams;
     std::unordered_map<request_id, request_state> m_requests;
     std::map<attempt_id, attempt_state> m_attempts;
     request_queue m_onlineQueue{0};
     request_queue m_batchQueue{deadlineAllowance};
-    time_average m_onlineInFlight{onlineActivityTime};
     work_length m_onlineLength;
     work_length m_batchLength;
     timer_queue m_timers;
-    outlier_detector m_outliers{outlier_detector_options()};
     token_budget m_retryBudget;
     token_budget m_hedgeBudget;
     retry_backoff m_backoff;
     crash_guard m_crashes;
-    prefix_affinity m_prefixes{rememberedPrefixes};
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
@@ -208,56 +174,19 @@
         });
 }
 
-bool dispatcher::implementation::hasUsableUpstream(time_point now) const
-{
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
-        return conditionOf(entry.second, now) == upstream_condition::Good || conditionOf(entry.second, now) == upstream_condition::Probing;
-    });
-}
-
-upstream_condition dispatcher::implementation::conditionOf(const upstream_state &upstream, time_point now) const
-{
-    return upstream.info.leaving ? upstream_condition::Leaving : m_outliers.conditionOf(upstream.info.id, now);
-}
-
 dispatch_actions dispatcher::implementation::setUpstreams(std::span<const upstream_info> upstreams, time_point now)
 {
-    for (auto &[id, upstream] : m_upstreams) {
-        upstream.info.leaving = true;
-    }
-    for (const upstream_info &info : upstreams) {
-        const auto known = m_upstreams.find(info.id);
-        if (known == m_upstreams.end()) {
-            m_upstreams.emplace(info.id, makeUpstream(info));
-        } else {
-            known->second.info = info;
-        }
-    }
-    std::erase_if(m_upstreams, [&](const auto &entry) {
-        const upstream_state &upstream = entry.second;
-        return upstream.info.leaving && upstream.inFlight() == 0;
-    });
-    std::set<upstream_id> counted;
-    for (const upstream_info &info : upstreams) {
-        if (!info.leaving) {
-            counted.insert(info.id);
-        }
-    }
-    m_outliers.setUpstreams(counted);
-    m_crashes.setUpstreamCount(counted.size());
-    if (!hasUsableUpstream(now)) {
+    m_upstreams.set(upstreams);
+    m_crashes.setUpstreamCount(static_cast<std::size_t>(std::count_if(upstreams.begin(), upstreams.end(), [](const upstream_info &info) {
+        return !info.leaving;
+    })));
+    if (!m_upstreams.hasUsable(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
     return takeActions();
 }
 
-upstream_state dispatcher::implementation::makeUpstream(const upstream_info &info) const
-{
-    const concurrency_limit_options limit{.initial = m_options.initialSlots, .maximum = m_options.maximumSlots};
-    return {.info = info, .limit = concurrency_limit(limit)};
-}
-
 dispatch_actions dispatcher::implementation::submit(const dispatch_request &request, time_point now)
 {
     const auto [entry, inserted] = m_requests.try_emplace(request.id);
@@ -277,7 +206,7 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
-    } else if (!hasUsableUpstream(now)) {
+    } else if (!m_upstreams.hasUsable(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
     } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
@@ -295,117 +224,24 @@
     return takeActions();
 }
 
-std::uint32_t dispatcher::implementation::onlineLimitOf(const upstream_state &upstream) const
-{
-    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit.value() * onlineOvercommit);
-    return std::min(m_options.maximumSlots, overcommitted);
-}
-
 /// How long a request that arrives now waits for a slot, from the work before it and the usual run time.
 duration dispatcher::implementation::expectedWait(work_class value, const caller_id &caller, time_point now) const
 {
     const bool online = value == work_class::Online;
-    std::uint32_t slots = 0;
-    std::uint32_t inFlight = 0;
-    for (const auto &[id, upstream] : m_upstreams) {
-        if (conditionOf(upstream, now) == upstream_condition::Good) {
-            slots += online ? onlineLimitOf(upstream) : batchLimitOf(upstream, now);
-            inFlight += online ? upstream.onlineInFlight : upstream.inFlight();
-        }
-    }
+    const slot_usage usage = m_upstreams.usageOf(value, now);
     const std::size_t ahead = (online ? m_onlineQueue : m_batchQueue).aheadOf(caller);
-    if (inFlight + ahead < slots) {
+    if (usage.inFlight + ahead < usage.slots) {
         return duration(0);
     }
     const duration runTime = (online ? m_onlineLength : m_batchLength).typicalRunTime();
-    return runTime * static_cast<duration::rep>(ahead) / std::max(1U, slots);
-}
-
-bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
-{
-    const upstream_condition condition = conditionOf(upstream, now);
-    if (condition == upstream_condition::Probing) {
-        return upstream.inFlight() == 0;
-    }
-    if (condition != upstream_condition::Good || (request.suspect && upstream.suspectsInFlight > 0)) {
-        return false;
-    }
-    if (request.request.workClass == work_class::Online) {
-        const std::uint32_t limit = onlineLimitOf(upstream);
-        const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
-        return leavesRoom && upstream.onlineInFlight < limit;
-    }
-    const std::uint32_t limit = batchLimitOf(upstream, now);
-    const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
-    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
-    return leavesRoom && pinnable && upstream.inFlight() < limit;
-}
-
-/// Long work holds at most this many of @p slots, so that short work always finds some.
-std::uint32_t dispatcher::implementation::longLimit(std::uint32_t slots)
-{
-    return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
-}
-
-/// Batch work starts only below this. Between it and the limit batch work keeps its slots while online work comes in, so
-/// that usual fluctuations preempt nothing. Arrivals are taken as random: the deviation is the root of the mean. Without
-/// any online work batch work may fill the engine as far as online work might.
-std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream, time_point now) const
-{
-    const double online = m_onlineInFlight.at(now);
-    if (online < idleOnlineWork) {
-        return onlineLimitOf(upstream);
-    }
-    const double deviation = std::sqrt(online) / static_cast<double>(m_upstreams.size());
-    const auto headroom = static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
-    const std::uint32_t limit = upstream.limit.value();
-    return std::max(1U, limit - std::min(limit, headroom));
-}
-
-double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request, time_point now) const
-{
-    if (const std::optional<time_point> since = m_outliers.probingSince(upstream.info.id, now)) {
-        const bool batch = request.request.workClass == work_class::Batch;
-        const bool mayProbe = request.request.repeatable && (batch || now - *since >= onlineProbeDelay);
-        return mayProbe ? probeScore : unwelcomeScore;
-    }
-    const double limit = std::max(1U, upstream.limit.value());
-    if (request.request.workClass == work_class::Batch) {
-        return upstream.inFlight() / limit;
-    }
-    const double preemption = upstream.inFlight() >= upstream.limit.value() ? preemptionScore : 0;
-    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
-}
-
-upstream_state *dispatcher::implementation::upstreamFor(const request_state &request, time_point now)
-{
-    const upstream_id *const cached = m_prefixes.upstreamOf(request.request.prefixHash);
-    upstream_state *best = nullptr;
-    bool bestTried = false;
-    double bestBusyness = 0;
-    for (auto &[id, upstream] : m_upstreams) {
-        if (!accepts(upstream, request, now)) {
-            continue;
-        }
-        const bool tried = request.tried.contains(id);
-        const double advantage = cached != nullptr && *cached == id ? affinityAdvantage : 0;
-        const double candidate = busyness(upstream, request, now) - advantage;
-        if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
-            best = &upstream;
-            bestTried = tried;
-            bestBusyness = candidate;
-        }
-    }
-    return best;
+    return runTime * static_cast<duration::rep>(ahead) / std::max(1U, usage.slots);
 }
 
 void dispatcher::implementation::startWaiting(time_point now)
 {
     startClass(work_class::Online, now);
-    noteOnlineInFlight(now);
-    if (m_onlineQueue.size() == 0) {
-        startClass(work_class::Batch, now);
-    }
+    m_upstreams.noteOnlineWork(now);
+    startClass(work_class::Batch, now);
 }
 
 void dispatcher::implementation::startClass(work_class value, time_point now)
@@ -414,7 +250,7 @@
     lane_set blocked;
     while (const std::optional<waiting_request> next = queue.next(blocked)) {
         request_state &request = m_requests.at(next->id);
-        upstream_state *const upstream = upstreamFor(request, now);
+        const upstream_state *const upstream = m_upstreams.choose(request, now);
         if (upstream == nullptr) {
             blocked.insert(next->lane);
             continue;
@@ -429,15 +265,6 @@
     }
 }
 
-void dispatcher::implementation::noteOnlineInFlight(time_point now)
-{
-    double inFlight = 0;
-    for (const auto &[id, upstream] : m_upstreams) {
-        inFlight += upstream.onlineInFlight;
-    }
-    m_onlineInFlight.change(inFlight, now);
-}
-
 /// Preempts batch attempts until the upstream holds no more than its limit, or only what cannot be preempted.
 void dispatcher::implementation::makeRoom(const upstream_state &upstream)
 {
@@ -500,7 +327,7 @@
 void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
 {
     stopWatchingFirstByte(request);
-    const std::optional<duration> slowAfter = m_outliers.slowAfter(kindOf(request));
+    const std::optional<duration> slowAfter = m_upstreams.outliers().slowAfter(kindOf(request));
     if (slowAfter) {
         request.slowAt = now + *slowAfter;
         m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
@@ -522,7 +349,7 @@
         return;
     }
     const upstream_id upstream = m_attempts.at(request.attempts.front()).upstream;
-    const bool ejected = m_outliers.overdue(upstream, now);
+    const bool ejected = m_upstreams.outliers().overdue(upstream, now);
     hedge(request, now);
     if (ejected) {
         hedgeAttemptsOf(upstream, now);
@@ -539,7 +366,7 @@
     }
     const upstream_id first = m_attempts.at(request.attempts.front()).upstream;
     const bool wasTried = !request.tried.insert(first).second;
-    upstream_state *const upstream = upstreamFor(request, now);
+    const upstream_state *const upstream = m_upstreams.choose(request, now);
     if (!wasTried) {
         request.tried.erase(first);
     }
@@ -565,14 +392,13 @@
     }
 }
 
-void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now, bool hedge)
+void dispatcher::implementation::startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge)
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
     m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
-    m_prefixes.ran(request.request.prefixHash, upstream.info.id);
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
-    changeInFlight(upstream, request, +1);
+    m_upstreams.occupy(upstream.info.id, request);
     watchLength(request, now);
     m_actions.emplace_back(start_attempt{
         .request = request.request.id,
@@ -583,32 +409,15 @@
     });
 }
 
-void dispatcher::implementation::changeInFlight(upstream_state &upstream, const request_state &request, int change)
-{
-    upstream.suspectsInFlight += request.suspect ? change : 0;
-    const int changeOfLong = request.isLong ? change : 0;
-    if (request.request.workClass == work_class::Online) {
-        upstream.onlineInFlight += change;
-        upstream.onlineLongInFlight += changeOfLong;
-        return;
-    }
-    upstream.batchInFlight += change;
-    upstream.batchLongInFlight += changeOfLong;
-    upstream.pinnedInFlight += request.request.repeatable ? 0 : change;
-}
-
 /// Counts a request's attempts as long from now on.
 void dispatcher::implementation::becomeLong(request_state &request)
 {
     if (request.isLong) {
         return;
     }
-    for (const attempt_id attempt : request.attempts) {
-        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, -1);
-    }
     request.isLong = true;
     for (const attempt_id attempt : request.attempts) {
-        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, +1);
+        m_upstreams.becameLong(m_attempts.at(attempt).upstream, request);
     }
 }
 
@@ -631,16 +440,6 @@
     }
 }
 
-void dispatcher::implementation::releaseSlot(const attempt_state &attempt, const request_state &request)
-{
-    const auto entry = m_upstreams.find(attempt.upstream);
-    upstream_state &upstream = entry->second;
-    changeInFlight(upstream, request, -1);
-    if (upstream.info.leaving && upstream.inFlight() == 0) {
-        m_upstreams.erase(entry);
-    }
-}
-
 void dispatcher::implementation::choose(request_state &request, attempt_id attempt)
 {
     request.chosen = attempt;
@@ -657,7 +456,7 @@
 {
     const auto entry = m_attempts.find(attempt);
     request_state &request = m_requests.at(entry->second.request);
-    releaseSlot(entry->second, request);
+    m_upstreams.release(entry->second.upstream, request);
     std::erase(request.attempts, attempt);
     request.mayHaveRun = true;
     m_attempts.erase(entry);
@@ -715,7 +514,7 @@
     entry->second.firstByteAt = now;
     const attempt_state answered = entry->second;
     request_state &request = m_requests.at(answered.request);
-    const bool ejected = m_outliers.answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
+    const bool ejected = m_upstreams.outliers().answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
         choose(request, attempt);
         m_counters.hedgesChosen += answered.hedge ? 1 : 0;
@@ -737,8 +536,11 @@
     request_state &request = m_requests.at(ended.request);
     m_attempts.erase(entry);
     std::erase(request.attempts, attempt);
-    observePace(ended, result, now);
-    releaseSlot(ended, request);
+    m_upstreams.observePace(ended, result, now);
+    if (result.outcome == attempt_outcome::Succeeded) {
+        lengthOf(request.request.workClass).ran(now - ended.startedAt);
+    }
+    m_upstreams.release(ended.upstream, request);
     if (request.attempts.empty()) {
         stopWatchingLength(request);
         stopWatchingFirstByte(request);
@@ -752,7 +554,7 @@
         finish(request, {.what = disposition::Completed}, attempt);
     } else {
         request.tried.insert(ended.upstream);
-        m_outliers.failed(ended.upstream, result.outcome, now);
+        m_upstreams.outliers().failed(ended.upstream, result.outcome, now);
         if (result.outcome == attempt_outcome::Lost && m_crashes.lost(request.request.fingerprint, ended.upstream, now)) {
             request.stopped = true;
             ++m_counters.crashesStopped;
@@ -763,38 +565,27 @@
     return takeActions();
 }
 
-/// Lets the upstream's limit learn from an attempt that has ended but still counts as in flight.
-void dispatcher::implementation::observePace(const attempt_state &attempt, const attempt_result &result, time_point now)
+/// Online work ends after a number of failures of any kind. Batch work has time and counts only failures that may be its
+/// own: a refusal or a failed connection says nothing about the item.
+bool dispatcher::implementation::attemptsUsedUp(const request_state &request) const
 {
-    upstream_state &upstream = m_upstreams.at(attempt.upstream);
-    if (result.outcome == attempt_outcome::Refused) {
-        upstream.limit.refused(upstream.inFlight());
-    }
-    if (result.outcome != attempt_outcome::Succeeded) {
-        return;
-    }
-    lengthOf(m_requests.at(attempt.request).request.workClass).ran(now - attempt.startedAt);
-    upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
-    if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
-        const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
-        upstream.limit.paceObserved(perToken, upstream.inFlight(), now);
-    } else if (!upstream.streamsTokens) {
-        upstream.limit.paceObserved(toSeconds(now - attempt.startedAt), upstream.inFlight(), now);
-    }
+    const bool online = request.request.workClass == work_class::Online;
+    return (online ? request.failedAttempts : request.failedRuns) >= m_options.maximumAttempts;
 }
 
 void dispatcher::implementation::attemptFailed(request_state &request, const attempt_result &result, time_point now)
 {
     ++request.failedAttempts;
+    request.failedRuns += certainlyNotRun(result.outcome) ? 0 : 1;
     if (request.stopped && request.request.repeatable) {
         finishWithoutAnswer(request, end_reason::CrashesUpstreams, m_options.crashMemory);
     } else if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
-    } else if (!hasUsableUpstream(now)) {
+    } else if (!m_upstreams.hasUsable(now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
-    } else if (request.request.workClass == work_class::Online && request.failedAttempts >= m_options.maximumAttempts) {
+    } else if (attemptsUsedUp(request)) {
         finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
     } else {
         retryLater(request, m_backoff.delay(request.failedAttempts), now);
@@ -813,7 +604,7 @@
 void dispatcher::implementation::retryDue(request_state &request, time_point now)
 {
     request.retryAt.reset();
-    if (!hasUsableUpstream(now)) {
+    if (!m_upstreams.hasUsable(now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
         return;
     }
@@ -855,7 +646,7 @@
     while (const auto timer = m_timers.takeDue(now)) {
         timerDue(*timer, now);
     }
-    if (!hasUsableUpstream(now)) {
+    if (!m_upstreams.hasUsable(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
@@ -885,7 +676,7 @@
 std::optional<time_point> dispatcher::implementation::nextWakeUp() const
 {
     const std::optional<time_point> timer = m_timers.firstDue();
-    const std::optional<time_point> upstreamReturn = m_outliers.nextReturn(m_tickedAt);
+    const std::optional<time_point> upstreamReturn = m_upstreams.outliers().nextReturn(m_tickedAt);
     if (!timer || !upstreamReturn) {
         return timer ? timer : upstreamReturn;
     }
@@ -898,37 +689,14 @@
     result.onlineQueued = static_cast<std::uint32_t>(m_onlineQueue.size());
     result.expectedWait = expectedWait(work_class::Online, caller_id(), now);
     result.batchQueued = static_cast<std::uint32_t>(m_batchQueue.size());
-    for (const auto &[id, upstream] : m_upstreams) {
-        result.onlineInFlight += upstream.onlineInFlight;
-        result.batchInFlight += upstream.batchInFlight;
-        result.slots += conditionOf(upstream, now) == upstream_condition::Good ? upstream.limit.value() : 0;
-    }
-    return result;
-}
-
-std::vector<upstream_status> dispatcher::implementation::upstreams(time_point now) const
-{
-    std::vector<upstream_status> result;
-    for (const auto &[id, upstream] : m_upstreams) {
-        result.push_back({
-            .id = id,
-            .condition = conditionOf(upstream, now),
-            .onlineInFlight = upstream.onlineInFlight,
-            .batchInFlight = upstream.batchInFlight,
-            .limit = upstream.limit.value(),
-            .onlineLimit = onlineLimitOf(upstream),
-            .onlineLongInFlight = upstream.onlineLongInFlight,
-            .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
-            .firstByte = m_outliers.averageLatency(id),
-        });
-    }
+    m_upstreams.describe(result, now);
     return result;
 }
 
 dispatcher_counters dispatcher::implementation::counters() const
 {
     dispatcher_counters result = m_counters;
-    result.ejections = m_outliers.ejections();
+    result.ejections = m_upstreams.outliers().ejections();
     return result;
 }
 
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/attempt_id.h"
+#include "banyan/core/attempt_result.h"
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/time.h"
 #include "banyan/core/upstream_info.h"
@@ -29,6 +30,7 @@
     std::vector<attempt_id> attempts; ///< In flight.
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
+    std::uint32_t failedRuns = 0; ///< Those of them that may have run.
     std::uint32_t preemptions = 0;
     bool suspect = false; ///< Its content may have crashed an upstream.
     bool stopped = false; ///< Its content crashed as many upstreams as it may.
--- /dev/null
+++ b/core/src/upstream_pool.cpp
@@ -0,0 +1,275 @@
+#include "upstream_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace banyan {
+
+namespace {
+
+constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
+constexpr double busyWithBatchScore = 0.25; ///< What a full share of batch work counts when placing online work.
+constexpr double preemptionScore = 0.5; ///< What having to preempt counts when placing online work.
+constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
+constexpr duration onlineActivityTime = std::chrono::seconds(3); ///< Over which online work in flight is averaged.
+constexpr double idleOnlineWork = 0.05; ///< Mean online requests in flight below which a cell counts as without online work.
+constexpr duration onlineProbeDelay =
+    std::chrono::seconds(1); ///< Online work probes an upstream that batch work has not probed for so long.
+constexpr double probeScore = -1; ///< Places work on an upstream that is to be probed before all others.
+constexpr double unwelcomeScore = 10; ///< Places work on an upstream only if there is no other.
+constexpr std::size_t rememberedPrefixes = 4096;
+constexpr double affinityAdvantage = 0.15; ///< How much busier an upstream with the prefix in its cache may be.
+constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
+constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
+
+double toSeconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(const dispatcher_options &options)
+    : m_options(options)
+    , m_outliers(outlier_detector_options())
+    , m_prefixes(rememberedPrefixes)
+    , m_onlineInFlight(onlineActivityTime)
+{
+}
+
+void upstream_pool::set(std::span<const upstream_info> upstreams)
+{
+    for (auto &[id, upstream] : m_upstreams) {
+        upstream.info.leaving = true;
+    }
+    std::set<upstream_id> staying;
+    const concurrency_limit_options limit{.initial = m_options.initialSlots, .maximum = m_options.maximumSlots};
+    for (const upstream_info &info : upstreams) {
+        const auto [entry, inserted] = m_upstreams.try_emplace(info.id, upstream_state{.info = info, .limit = concurrency_limit(limit)});
+        entry->second.info = info;
+        if (!info.leaving) {
+            staying.insert(info.id);
+        }
+    }
+    std::erase_if(m_upstreams, [](const auto &entry) {
+        return entry.second.info.leaving && entry.second.inFlight() == 0;
+    });
+    m_outliers.setUpstreams(staying);
+}
+
+bool upstream_pool::hasUsable(time_point now) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+        const upstream_condition condition = conditionOf(entry.second, now);
+        return condition == upstream_condition::Good || condition == upstream_condition::Probing;
+    });
+}
+
+const upstream_state &upstream_pool::at(const upstream_id &upstream) const
+{
+    return m_upstreams.at(upstream);
+}
+
+upstream_condition upstream_pool::conditionOf(const upstream_state &upstream, time_point now) const
+{
+    return upstream.info.leaving ? upstream_condition::Leaving : m_outliers.conditionOf(upstream.info.id, now);
+}
+
+std::uint32_t upstream_pool::onlineLimitOf(const upstream_state &upstream) const
+{
+    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit.value() * onlineOvercommit);
+    return std::min(m_options.maximumSlots, overcommitted);
+}
+
+/// Batch work starts only below this. Between it and the limit batch work keeps its slots while online work comes in, so
+/// that usual fluctuations preempt nothing. Arrivals are taken as random: the deviation is the root of the mean. Without
+/// any online work batch work may fill the engine as far as online work might.
+std::uint32_t upstream_pool::batchLimitOf(const upstream_state &upstream, time_point now) const
+{
+    const double online = m_onlineInFlight.at(now);
+    if (online < idleOnlineWork) {
+        return onlineLimitOf(upstream);
+    }
+    const double deviation = std::sqrt(online) / static_cast<double>(m_upstreams.size());
+    const auto headroom = static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
+    const std::uint32_t limit = upstream.limit.value();
+    return std::max(1U, limit - std::min(limit, headroom));
+}
+
+/// Long work holds at most this many of @p slots, so that short work always finds some.
+std::uint32_t upstream_pool::longLimit(std::uint32_t slots)
+{
+    return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
+}
+
+double upstream_pool::busyness(const upstream_state &upstream, const request_state &request, time_point now) const
+{
+    if (const std::optional<time_point> since = m_outliers.probingSince(upstream.info.id, now)) {
+        const bool batch = request.request.workClass == work_class::Batch;
+        const bool mayProbe = request.request.repeatable && (batch || now - *since >= onlineProbeDelay);
+        return mayProbe ? probeScore : unwelcomeScore;
+    }
+    const double limit = std::max(1U, upstream.limit.value());
+    if (request.request.workClass == work_class::Batch) {
+        return upstream.inFlight() / limit;
+    }
+    const double preemption = upstream.inFlight() >= upstream.limit.value() ? preemptionScore : 0;
+    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
+}
+
+bool upstream_pool::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
+{
+    const upstream_condition condition = conditionOf(upstream, now);
+    if (condition == upstream_condition::Probing) {
+        return upstream.inFlight() == 0;
+    }
+    if (condition != upstream_condition::Good || (request.suspect && upstream.suspectsInFlight > 0)) {
+        return false;
+    }
+    const bool online = request.request.workClass == work_class::Online;
+    return online ? acceptsOnline(upstream, request) : acceptsBatch(upstream, request, now);
+}
+
+bool upstream_pool::acceptsOnline(const upstream_state &upstream, const request_state &request) const
+{
+    const std::uint32_t limit = onlineLimitOf(upstream);
+    const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
+    return leavesRoom && upstream.onlineInFlight < limit;
+}
+
+bool upstream_pool::acceptsBatch(const upstream_state &upstream, const request_state &request, time_point now) const
+{
+    const std::uint32_t limit = batchLimitOf(upstream, now);
+    const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
+    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
+    return leavesRoom && pinnable && upstream.inFlight() < limit;
+}
+
+const upstream_state *upstream_pool::choose(const request_state &request, time_point now) const
+{
+    const upstream_id *const cached = m_prefixes.upstreamOf(request.request.prefixHash);
+    const upstream_state *best = nullptr;
+    bool bestTried = false;
+    double bestBusyness = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (!accepts(upstream, request, now)) {
+            continue;
+        }
+        const bool tried = request.tried.contains(id);
+        const double advantage = cached != nullptr && *cached == id ? affinityAdvantage : 0;
+        const double candidate = busyness(upstream, request, now) - advantage;
+        if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
+            best = &upstream;
+            bestTried = tried;
+            bestBusyness = candidate;
+        }
+    }
+    return best;
+}
+
+void upstream_pool::occupy(const upstream_id &upstream, const request_state &request)
+{
+    m_prefixes.ran(request.request.prefixHash, upstream);
+    changeInFlight(m_upstreams.at(upstream), request, +1);
+}
+
+void upstream_pool::release(const upstream_id &upstream, const request_state &request)
+{
+    const auto entry = m_upstreams.find(upstream);
+    changeInFlight(entry->second, request, -1);
+    if (entry->second.info.leaving && entry->second.inFlight() == 0) {
+        m_upstreams.erase(entry);
+    }
+}
+
+void upstream_pool::changeInFlight(upstream_state &upstream, const request_state &request, int change)
+{
+    upstream.suspectsInFlight += request.suspect ? change : 0;
+    const int changeOfLong = request.isLong ? change : 0;
+    if (request.request.workClass == work_class::Online) {
+        upstream.onlineInFlight += change;
+        upstream.onlineLongInFlight += changeOfLong;
+        return;
+    }
+    upstream.batchInFlight += change;
+    upstream.batchLongInFlight += changeOfLong;
+    upstream.pinnedInFlight += request.request.repeatable ? 0 : change;
+}
+
+void upstream_pool::becameLong(const upstream_id &upstream, const request_state &request)
+{
+    upstream_state &state = m_upstreams.at(upstream);
+    ++(request.request.workClass == work_class::Online ? state.onlineLongInFlight : state.batchLongInFlight);
+}
+
+void upstream_pool::noteOnlineWork(time_point now)
+{
+    double inFlight = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        inFlight += upstream.onlineInFlight;
+    }
+    m_onlineInFlight.change(inFlight, now);
+}
+
+/// Lets the upstream's limit learn from an attempt that has ended but still counts as in flight.
+void upstream_pool::observePace(const attempt_state &attempt, const attempt_result &result, time_point now)
+{
+    upstream_state &upstream = m_upstreams.at(attempt.upstream);
+    if (result.outcome == attempt_outcome::Refused) {
+        upstream.limit.refused(upstream.inFlight());
+    }
+    if (result.outcome != attempt_outcome::Succeeded) {
+        return;
+    }
+    upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
+    if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
+        const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
+        upstream.limit.paceObserved(perToken, upstream.inFlight(), now);
+    } else if (!upstream.streamsTokens) {
+        upstream.limit.paceObserved(toSeconds(now - attempt.startedAt), upstream.inFlight(), now);
+    }
+}
+
+slot_usage upstream_pool::usageOf(work_class value, time_point now) const
+{
+    const bool online = value == work_class::Online;
+    slot_usage result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (conditionOf(upstream, now) == upstream_condition::Good) {
+            result.slots += online ? onlineLimitOf(upstream) : batchLimitOf(upstream, now);
+            result.inFlight += online ? upstream.onlineInFlight : upstream.inFlight();
+        }
+    }
+    return result;
+}
+
+void upstream_pool::describe(cell_load &load, time_point now) const
+{
+    for (const auto &[id, upstream] : m_upstreams) {
+        load.onlineInFlight += upstream.onlineInFlight;
+        load.batchInFlight += upstream.batchInFlight;
+        load.slots += conditionOf(upstream, now) == upstream_condition::Good ? upstream.limit.value() : 0;
+    }
+}
+
+std::vector<upstream_status> upstream_pool::status(time_point now) const
+{
+    std::vector<upstream_status> result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        result.push_back({
+            .id = id,
+            .condition = conditionOf(upstream, now),
+            .onlineInFlight = upstream.onlineInFlight,
+            .batchInFlight = upstream.batchInFlight,
+            .limit = upstream.limit.value(),
+            .onlineLimit = onlineLimitOf(upstream),
+            .onlineLongInFlight = upstream.onlineLongInFlight,
+            .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
+            .firstByte = m_outliers.averageLatency(id),
+        });
+    }
+    return result;
+}
+
+} // namespace banyan
--- a/tests/property/dispatcher_property_test.cpp
+++ b/tests/property/dispatcher_property_test.cpp
@@ -93,7 +93,7 @@
             perform(m_dispatcher.tick(m_now));
             return;
         }
-        const start_attempt ended = std::next(m_attempts.begin(), pick % m_attempts.size())->second;
+        const start_attempt ended = std::next(m_attempts.begin(), static_cast<std::ptrdiff_t>(pick % m_attempts.size()))->second;
         if (ended.request.text().rfind("crash", 0) == 0) {
             crash(ended.upstream);
         } else {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr time_point Start{};
+constexpr time_point start{};
 
 upstream_info upstreamNamed(const std::string &name)
 {
@@ -15,7 +15,7 @@
 
 dispatch_request requestNamed(const std::string &name, work_class value = work_class::Online)
 {
-    return {.id = request_id(name), .caller = caller_id("niebla"), .workClass = value, .deadline = Start + std::chrono::seconds(60)};
+    return {.id = request_id(name), .caller = caller_id("niebla"), .workClass = value, .deadline = start + std::chrono::seconds(60)};
 }
 
 /// The actions of type @p Action among @p actions.
@@ -36,7 +36,7 @@
 {
     dispatcher cell(options);
     const std::vector<upstream_info> upstreams{upstreamNamed("a"), upstreamNamed("b")};
-    REQUIRE(cell.setUpstreams(upstreams, Start).empty());
+    REQUIRE(cell.setUpstreams(upstreams, start).empty());
     return cell;
 }
 
@@ -45,10 +45,10 @@
 TEST_CASE("dispatcher completes a request with the answer of its attempt")
 {
     dispatcher cell = makeCell();
-    const auto started = only<start_attempt>(cell.submit(requestNamed("r"), Start));
+    const auto started = only<start_attempt>(cell.submit(requestNamed("r"), start));
     REQUIRE(started.size() == 1);
-    CHECK(only<choose_attempt>(cell.firstByte(started[0].attempt, Start)).size() == 1);
-    const auto finished = only<finish_request>(cell.attemptEnded(started[0].attempt, {}, Start));
+    CHECK(only<choose_attempt>(cell.firstByte(started[0].attempt, start)).size() == 1);
+    const auto finished = only<finish_request>(cell.attemptEnded(started[0].attempt, {}, start));
     REQUIRE(finished.size() == 1);
     CHECK(finished[0].result.what == disposition::Completed);
     CHECK(finished[0].attempt == started[0].attempt);
@@ -59,8 +59,8 @@
     dispatcher cell = makeCell();
     dispatch_request request = requestNamed("r");
     request.repeatable = false;
-    const auto first = only<start_attempt>(cell.submit(request, Start));
-    REQUIRE(cell.attemptEnded(first[0].attempt, {.outcome = attempt_outcome::Refused}, Start).empty());
+    const auto first = only<start_attempt>(cell.submit(request, start));
+    REQUIRE(cell.attemptEnded(first[0].attempt, {.outcome = attempt_outcome::Refused}, start).empty());
     const auto second = only<start_attempt>(cell.tick(cell.nextWakeUp().value()));
     REQUIRE(second.size() == 1);
     CHECK(second[0].upstream != first[0].upstream);
@@ -71,8 +71,8 @@
     dispatcher cell = makeCell();
     dispatch_request request = requestNamed("r");
     request.repeatable = false;
-    const auto first = only<start_attempt>(cell.submit(request, Start));
-    const auto finished = only<finish_request>(cell.attemptEnded(first[0].attempt, {.outcome = attempt_outcome::Lost}, Start));
+    const auto first = only<start_attempt>(cell.submit(request, start));
+    const auto finished = only<finish_request>(cell.attemptEnded(first[0].attempt, {.outcome = attempt_outcome::Lost}, start));
     REQUIRE(finished.size() == 1);
     CHECK(finished[0].result == final_result{.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
 }
@@ -81,10 +81,10 @@
 {
     dispatcher cell = makeCell({.initialSlots = 1});
     for (const char *name : {"r1", "r2"}) {
-        REQUIRE(only<start_attempt>(cell.submit(requestNamed(name), Start)).size() == 1);
+        REQUIRE(only<start_attempt>(cell.submit(requestNamed(name), start)).size() == 1);
     }
-    REQUIRE(cell.submit(requestNamed("waiting"), Start).empty());
-    const auto finished = only<finish_request>(cell.drain(Start));
+    REQUIRE(cell.submit(requestNamed("waiting"), start).empty());
+    const auto finished = only<finish_request>(cell.drain(start));
     REQUIRE(finished.size() == 1);
     CHECK(finished[0].request == request_id("waiting"));
     CHECK(finished[0].result.what == disposition::NotRun);
