Hedge also while nothing is known to compare with, and let a hedge that wins count against the slow upstream

Cause: the process test with a frozen engine waited 30 s: the delay of hedges came only from known latencies, and with none known there was no hedge. With a delay of 2 s alone the new unit test still failed at request 16: each first attempt went to the frozen upstream and used up the hedges' burst, because nothing counted against it. Ruled out: the budget itself. Before: 600 s (the deadline) from request 16 on; after: no request over the first hedge's delay.

--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -20,6 +20,7 @@
     double retryShare = 0.1; ///< Retries allowed as a share of first attempts.
     double retryBurst = 64; ///< Retries allowed at once beyond that share.
     double hedgeShare = 0.05; ///< Hedges allowed as a share of first attempts.
+    duration firstHedgeDelay = std::chrono::seconds(2); ///< Without a first byte, while too few answers are known to compare with.
     double hedgeBurst = 16; ///< Hedges allowed at once beyond that share.
     std::uint32_t crashLimit = 2; ///< Upstreams that one content may crash before it is stopped.
     duration crashMemory = std::chrono::minutes(10); ///< How long a stopped content stays refused.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -98,6 +98,7 @@
     void firstByteOverdue(request_state &request, time_point now);
     void hedge(request_state &request, time_point now);
     void hedgeAttemptsOf(const upstream_id &upstream, time_point now);
+    void hedgeWon(const request_state &request, const attempt_state &hedge, time_point now);
     void retryDue(request_state &request, time_point now);
     void becomeLong(request_state &request);
     void watchLength(request_state &request, time_point now);
@@ -327,11 +328,8 @@
 void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
 {
     stopWatchingFirstByte(request);
-    const std::optional<duration> slowAfter = m_upstreams.outliers().slowAfter(kindOf(request));
-    if (slowAfter) {
-        request.slowAt = now + *slowAfter;
-        m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
-    }
+    request.slowAt = now + m_upstreams.outliers().slowAfter(kindOf(request)).value_or(m_options.firstHedgeDelay);
+    m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
 }
 
 void dispatcher::implementation::stopWatchingFirstByte(request_state &request)
@@ -349,7 +347,9 @@
         return;
     }
     const upstream_id upstream = m_attempts.at(request.attempts.front()).upstream;
-    const bool ejected = m_upstreams.outliers().overdue(upstream, now);
+    // Without other answers to compare with, waiting long proves nothing against the upstream.
+    const bool comparable = m_upstreams.outliers().slowAfter(kindOf(request)).has_value();
+    const bool ejected = comparable && m_upstreams.outliers().overdue(upstream, now);
     hedge(request, now);
     if (ejected) {
         hedgeAttemptsOf(upstream, now);
@@ -505,6 +505,20 @@
     }
 }
 
+/// A hedge has answered before the first attempt, whose upstream has therefore been slow. With other answers to compare
+/// with this was counted when the first byte was overdue.
+void dispatcher::implementation::hedgeWon(const request_state &request, const attempt_state &hedge, time_point now)
+{
+    ++m_counters.hedgesChosen;
+    const bool comparable = m_upstreams.outliers().slowAfter(kindOf(request)).has_value();
+    for (const attempt_id id : request.attempts) {
+        const attempt_state &other = m_attempts.at(id);
+        if (!comparable && other.upstream != hedge.upstream && !other.firstByteAt) {
+            m_upstreams.outliers().overdue(other.upstream, now);
+        }
+    }
+}
+
 dispatch_actions dispatcher::implementation::firstByte(attempt_id attempt, time_point now)
 {
     const auto entry = m_attempts.find(attempt);
@@ -516,8 +530,10 @@
     request_state &request = m_requests.at(answered.request);
     const bool ejected = m_upstreams.outliers().answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
+        if (answered.hedge) {
+            hedgeWon(request, answered, now);
+        }
         choose(request, attempt);
-        m_counters.hedgesChosen += answered.hedge ? 1 : 0;
     }
     if (ejected) {
         hedgeAttemptsOf(answered.upstream, now);
