Commit an order's result where it was dispatched, so that its owner's loss costs nothing

Cause: the acknowledging VM alone could commit a result; when it was lost with a started order, the order ended as outcome unknown although its dispatcher's node had the answer. Now the node whose dispatcher recorded the start commits the result before it passes the answer on, and goes on when the owner is gone; whoever takes a started record over watches it until that node finishes it, leaves, or the request's time is over. There is one start under one fencing number, so its result is the result whoever owns the record by then. Ruled out: the owner's copy on other VMs alone (it does not exist before the owner has the answer).

--- a/core/include/banyan/core/group_committer.h
+++ b/core/include/banyan/core/group_committer.h
@@ -58,6 +58,9 @@
     /// @throws std::invalid_argument if it is too large for a transaction
     commit_ticket submit(commit_item item);
 
+    /// Lets go of a record without hurry: together with whatever is committed next, at the latest a renewal.
+    void disown(const std::string &recordKey);
+
     /// What to ask of the store now; none while a call is in progress or nothing is due.
     [[nodiscard]] std::optional<store_call> nextCall(time_point now);
 
@@ -131,6 +134,7 @@
         std::uint64_t sequence = 0;
         lease_row lease;
         std::vector<pending_item> items;
+        std::vector<std::string> disowned; ///< Besides those of the items.
         time_point firstSent;
         bool maybeApplied = false;
         bool release = false;
@@ -147,6 +151,7 @@
     [[nodiscard]] bool maybeApplied() const;
     [[nodiscard]] std::vector<pending_item> takeBatch();
     void addContent(std::vector<pending_item> items, time_point now);
+    [[nodiscard]] static std::vector<std::string> disownedBy(const content &tried);
     [[nodiscard]] transaction transactionOf(const content &tried) const;
     void applied(const content &tried, row_version version);
     void dropConflicting(const std::vector<std::string> &failedKeys, time_point now);
@@ -167,6 +172,7 @@
     row_version m_version = 0; ///< Of the lease's row; 0: absent.
     std::deque<pending_item> m_queue;
     std::vector<content> m_tried; ///< All contents sent on top of m_version; each next one is a part of the one before.
+    std::vector<std::string> m_disowned; ///< To be let go of with the next content.
     std::vector<commit_outcome> m_outcomes;
     call_state m_call = call_state::None;
     bool m_readBack = false; ///< The next call reads the lease's row.
--- a/core/include/banyan/core/lease_observer.h
+++ b/core/include/banyan/core/lease_observer.h
@@ -15,8 +15,8 @@
 ///
 /// @code
 /// lease_observer observer(std::chrono::seconds(10));
-/// observer.observe(row, now);         // at each reading
-/// if (observer.lapsed(row.key, now))  // then acquire it, conditional on row.version
+/// observer.observe(row, now);    // at each reading
+/// if (observer.lapsed(row.key))  // then acquire it, conditional on row.version
 /// @endcode
 class lease_observer
 {
@@ -35,8 +35,11 @@
     /// How long the row has been seen with one version.
     [[nodiscard]] duration unchangedFor(const std::string &key) const;
 
-    /// Whether that is the lease duration at least, at a time that is not before the last reading.
-    [[nodiscard]] bool lapsed(const std::string &key, time_point now) const;
+    /// Whether that is the lease duration at least.
+    [[nodiscard]] bool lapsed(const std::string &key) const
+    {
+        return unchangedFor(key) >= m_leaseDuration;
+    }
 
     /// Forgets all rows but these.
     void retain(const std::set<std::string> &keys);
--- a/core/include/banyan/core/record_changes.h
+++ b/core/include/banyan/core/record_changes.h
@@ -27,8 +27,9 @@
 ///
 ///     absent, NotRun --accept--> Accepted --start--> Started
 ///     Accepted, Started --finish--> Completed, NotRun, Failed, OutcomeUnknown
-///     Accepted, Started --runAgain, takeOver--> Accepted under a higher fencing number
-///     Started and not repeatable --takeOver--> OutcomeUnknown
+///     Accepted, Started --runAgain--> Accepted under a higher fencing number
+///     Accepted --takeOver--> Accepted under a higher fencing number
+///     Started --takeOver--> Started, and its starter may still finish it
 
 /// Accepts a request under a key that has no record.
 [[nodiscard]] record_change acceptRecord(const std::string &key, record_row fresh);
@@ -54,6 +55,10 @@
 /// Ends a record; none if it has ended, or is another's by now.
 [[nodiscard]] std::optional<record_change> finishRecord(const versioned_record &seen, const record_end &end, time_point now);
 
+/// Ends a record on behalf of the one who started it under @p end's number, whoever owns it by now: since there is one
+/// start under one number, its result is the result. None if the record is not started under that number any more.
+[[nodiscard]] std::optional<record_change> finishStarted(const versioned_record &seen, const record_end &end, time_point now);
+
 /// Prepares another run by the same owner under the next fencing number, which shuts out whatever is left of the run
 /// before. A record that was started is run again only with @p startedWithoutEffect: the starter said that the request
 /// was not run. None if the record has moved on.
@@ -63,8 +68,8 @@
                                                           bool startedWithoutEffect,
                                                           time_point now);
 
-/// Moves a record of @p lostOwner to @p newOwner to be run again, or ends it as OutcomeUnknown if it may have been
-/// sent and is not to be repeated. None if it has ended or is another's by now.
+/// Moves a record of @p lostOwner to @p newOwner: to be run again under the next fencing number, or, if its one start is
+/// recorded, to be watched until its starter finishes it or cannot any more. None if it has ended or is another's by now.
 [[nodiscard]] std::optional<record_change>
 takeOverRecord(const versioned_record &seen, const std::string &lostOwner, const std::string &newOwner, time_point now);
 
--- a/core/src/group_committer.cpp
+++ b/core/src/group_committer.cpp
@@ -126,6 +126,13 @@
     return !m_queue.empty() || m_status == lease_status::Releasing || renewalDue(now);
 }
 
+void group_committer::disown(const std::string &recordKey)
+{
+    if (m_status != lease_status::Lost && m_status != lease_status::NotHeld) {
+        m_disowned.push_back(recordKey);
+    }
+}
+
 std::optional<store_call> group_committer::nextCall(time_point now)
 {
     if (m_call != call_state::None || now < m_retryAt || m_status == lease_status::Lost) {
@@ -168,7 +175,7 @@
 void group_committer::addContent(std::vector<pending_item> items, time_point now)
 {
     const bool acquiring = m_status == lease_status::Acquiring;
-    content next{.sequence = ++m_sequence, .items = std::move(items), .firstSent = now};
+    content next{.sequence = ++m_sequence, .items = std::move(items), .disowned = m_disowned, .firstSent = now};
     next.release = m_status == lease_status::Releasing && m_queue.empty();
     next.lease.number = m_lease.number + (acquiring ? 1 : 0);
     next.lease.holder = next.release ? std::string() : m_options.holder;
@@ -193,10 +200,17 @@
 
 } // namespace
 
+std::vector<std::string> group_committer::disownedBy(const content &tried)
+{
+    std::vector<std::string> disowned = namesOf(tried.items, &commit_item::disowns);
+    disowned.insert(disowned.end(), tried.disowned.begin(), tried.disowned.end());
+    return disowned;
+}
+
 transaction group_committer::transactionOf(const content &tried) const
 {
     const std::vector<std::string> owned = namesOf(tried.items, &commit_item::owns);
-    const std::vector<std::string> disowned = namesOf(tried.items, &commit_item::disowns);
+    const std::vector<std::string> disowned = disownedBy(tried);
     lease_row lease = tried.lease;
     lease.idle = !m_options.keepAlive && m_index.emptyAfter(owned, disowned);
     transaction change{.id = lease.transaction, .conditions = {{.key = m_options.leaseKey, .version = m_version}}};
@@ -329,7 +343,10 @@
         finish(pending, commit_status::Committed, version);
     }
     finishOthers(tried);
-    m_index.applied(tried.sequence, namesOf(tried.items, &commit_item::owns), namesOf(tried.items, &commit_item::disowns));
+    m_index.applied(tried.sequence, namesOf(tried.items, &commit_item::owns), disownedBy(tried));
+    std::erase_if(m_disowned, [&tried](const std::string &record) {
+        return std::find(tried.disowned.begin(), tried.disowned.end(), record) != tried.disowned.end();
+    });
     m_tried.clear();
     m_version = version;
     m_lease = tried.lease;
@@ -365,6 +382,7 @@
     endQueue();
     m_tried.clear();
     m_index = ownership_index(m_options.ownedPrefix);
+    m_disowned.clear();
     m_status = lease_status::Lost;
 }
 
--- a/core/src/lease_observer.cpp
+++ b/core/src/lease_observer.cpp
@@ -23,12 +23,6 @@
     return found == m_seen.end() ? duration::zero() : found->second.lastSeen - found->second.firstSeen;
 }
 
-bool lease_observer::lapsed(const std::string &key, time_point now) const
-{
-    const auto found = m_seen.find(key);
-    return found != m_seen.end() && now >= found->second.lastSeen && unchangedFor(key) >= m_leaseDuration;
-}
-
 void lease_observer::retain(const std::set<std::string> &keys)
 {
     std::erase_if(m_seen, [&keys](const auto &entry) {
--- a/core/src/ownership_index.cpp
+++ b/core/src/ownership_index.cpp
@@ -38,7 +38,7 @@
         writes.push_back({.key = rowKey(sequence), .value = encodeRecords(owned)});
     }
     std::map<std::string, std::size_t> leaving;
-    for (const std::string &record : disowned) {
+    for (const std::string &record : std::set(disowned.begin(), disowned.end())) {
         const auto found = m_rowOf.find(record);
         if (found != m_rowOf.end()) {
             ++leaving[found->second];
@@ -77,7 +77,8 @@
     const auto leaves = [this](const std::string &record) {
         return m_rowOf.contains(record);
     };
-    const auto leaving = static_cast<std::size_t>(std::count_if(disowned.begin(), disowned.end(), leaves));
+    const std::set<std::string> unique(disowned.begin(), disowned.end());
+    const auto leaving = static_cast<std::size_t>(std::count_if(unique.begin(), unique.end(), leaves));
     return owned.empty() && leaving == m_rowOf.size();
 }
 
--- a/core/src/record_changes.cpp
+++ b/core/src/record_changes.cpp
@@ -84,6 +84,14 @@
     return change;
 }
 
+std::optional<record_change> finishStarted(const versioned_record &seen, const record_end &end, time_point now)
+{
+    if (seen.record.state != record_state::Started || seen.record.fencingNumber != end.fencingNumber) {
+        return std::nullopt;
+    }
+    return changeTo(seen, ended(seen.record, end.state, end.answer, now));
+}
+
 std::optional<record_change> runRecordAgain(const versioned_record &seen,
                                             const std::string &owner,
                                             std::uint64_t fencingNumber,
@@ -105,10 +113,11 @@
     if (isFinal(seen.record.state) || seen.record.owner != lostOwner) {
         return std::nullopt;
     }
-    if (seen.record.state == record_state::Started && !seen.record.repeatable) {
-        return changeTo(seen, ended(seen.record, record_state::OutcomeUnknown, {}, now));
+    record_row moved = seen.record;
+    moved.owner = newOwner;
+    if (seen.record.state != record_state::Started) {
+        moved = runAnew(seen.record, newOwner, now);
     }
-    record_row moved = runAnew(seen.record, newOwner, now);
     moved.mayHaveRun = seen.record.mayHaveRun || seen.record.repeatable; // The start of a repeatable request is not recorded.
     record_change change = changeTo(seen, std::move(moved));
     change.item.owns = seen.key;
--- a/io/include/banyan/io/lease_session.h
+++ b/io/include/banyan/io/lease_session.h
@@ -48,6 +48,9 @@
     /// @throws std::invalid_argument if the item is too large for a transaction
     [[nodiscard]] task<commit_outcome> commit(commit_item item);
 
+    /// Lets go of a record without hurry, see group_committer::disown().
+    void disown(const std::string &recordKey);
+
     /// Gives the lease up after the changes made before; waits until that is committed, the lease is lost, or @p until.
     [[nodiscard]] task<> release(time_point until);
 
--- a/io/include/banyan/io/record_service.h
+++ b/io/include/banyan/io/record_service.h
@@ -64,6 +64,11 @@
     /// @throws store_unavailable the request must not be sent; it was not run
     [[nodiscard]] task<bool> recordStart(std::string recordKey, std::uint64_t fencingNumber, std::string attempt);
 
+    /// Commits how a request ended whose start this node's dispatcher recorded, on behalf of its owner, which may be gone.
+    /// The first committed result stands. Goes on in the background while the store is down; returns when it is
+    /// committed or void, at the latest @p until.
+    [[nodiscard]] task<> recordResult(std::string recordKey, std::uint64_t fencingNumber, run_answer answer, time_point until);
+
     /// Reads a record; none if the caller has none under this key.
     /// @throws platform_unavailable
     [[nodiscard]] task<std::optional<stored_record>> find(caller_id caller, std::string idempotencyKey);
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -26,6 +26,7 @@
 #include "banyan/io/peer_rpc.h"
 #include "banyan/io/platform_client.h"
 #include "banyan/io/record_service.h"
+#include "banyan/io/recorded_run.h"
 #include "banyan/io/request_refused.h"
 #include "banyan/io/request_router.h"
 #include "banyan/io/store_port.h"
@@ -394,11 +395,18 @@
         return m_callerServer.inProgress() + m_cells->inProgress();
     }
 
+    cell_runner cellRunner()
+    {
+        return [this](cell_id cell, run_request request, answer_sink sink, std::shared_ptr<run_cancellation> cancellation) {
+            return m_cells->run(std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
+        };
+    }
+
     peer_handlers peerHandlers()
     {
         peer_handlers handlers;
         handlers.run = [this](cell_id cell, run_request request, answer_sink sink, std::shared_ptr<run_cancellation> cancellation) {
-            return m_cells->run(std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
+            return runForPeer(cellRunner(), *m_records, std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
         };
         handlers.configurationSince = [this](configuration_version version) {
             return m_configurations->updateSince(version);
--- a/io/src/lease_session.cpp
+++ b/io/src/lease_session.cpp
@@ -243,6 +243,12 @@
     }
 }
 
+void lease_session::disown(const std::string &recordKey)
+{
+    m_implementation->committer.disown(recordKey);
+    m_implementation->step();
+}
+
 void lease_session::setCommitsPerSecond(double rate)
 {
     m_implementation->setCommitsPerSecond(rate);
--- a/io/src/node_store.cpp
+++ b/io/src/node_store.cpp
@@ -67,6 +67,13 @@
     co_return outcome;
 }
 
+void node_store::disown(const std::string &recordKey)
+{
+    if (m_lease.session) {
+        m_lease.session->disown(recordKey);
+    }
+}
+
 task<std::optional<row>> node_store::read(std::string key)
 {
     const auto self = shared_from_this();
--- a/io/src/node_store.h
+++ b/io/src/node_store.h
@@ -45,6 +45,9 @@
     /// Makes a change under whatever lease is in use. Waits while the store is down, unless the item is to be refused.
     [[nodiscard]] task<commit_outcome> commit(commit_item item);
 
+    /// Lets go of a record without hurry.
+    void disown(const std::string &recordKey);
+
     /// Reads a row. @throws platform_unavailable
     [[nodiscard]] task<std::optional<row>> read(std::string key);
 
--- a/io/src/record_executor.cpp
+++ b/io/src/record_executor.cpp
@@ -16,6 +16,7 @@
 
 constexpr duration firstRetryDelay = std::chrono::milliseconds(250);
 constexpr duration maximumRetryDelay = std::chrono::seconds(10);
+constexpr duration watchInterval = std::chrono::seconds(1);
 constexpr duration leastTimeToRun = std::chrono::seconds(5);
 constexpr unsigned maximumDoublings = 6;
 constexpr unsigned maximumRunsWithoutAnswer = 3; ///< Of a repeatable request.
@@ -55,6 +56,14 @@
     return found == m_active.end() ? nullptr : found->second;
 }
 
+void record_executor::setLiveNodes(const std::vector<node_id> &nodes)
+{
+    m_liveNodes.clear();
+    for (const node_id &node : nodes) {
+        m_liveNodes.insert(node.text());
+    }
+}
+
 void record_executor::stop()
 {
     m_stopped = true;
@@ -72,6 +81,13 @@
 task<> record_executor::runToEnd(std::shared_ptr<record_executor> self, active_pointer active)
 {
     next_step step = next_step::RunAgain;
+    if (active->record.state == record_state::Started) {
+        step = co_await self->watchStarted(active);
+        if (step == next_step::Finish) {
+            run_answer unknown{.result = {.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost}};
+            step = co_await self->finish(active, std::move(unknown));
+        }
+    }
     while (step == next_step::RunAgain) {
         ++active->runs;
         run_request request = self->requestFor(*active);
@@ -82,6 +98,9 @@
             step = co_await self->finish(active, std::move(answer));
         }
     }
+    if (step == next_step::Superseded) {
+        self->m_records->store().disown(active->key);
+    }
     const auto found = self->m_active.find(active->key);
     if (found != self->m_active.end() && found->second == active) {
         self->m_active.erase(found);
@@ -109,7 +128,7 @@
         co_return next_step::Finish;
     }
     if (m_stopped) {
-        co_return next_step::GiveUp; // Another node takes it over when this one has released its lease.
+        co_return next_step::Left; // Another node takes it over when this one has released its lease.
     }
     const bool notRun = result.what == disposition::NotRun;
     if (notRun) {
@@ -135,11 +154,14 @@
     for (;;) {
         const std::optional<versioned_record> seen = co_await m_records->readPatiently(active->key);
         if (!seen || isFinal(seen->record.state) || seen->record.owner != active->record.owner) {
-            co_return next_step::GiveUp;
+            next_step step = co_await superseded(active, seen);
+            co_return step;
         }
         const auto change = runRecordAgain(*seen, active->record.owner, active->record.fencingNumber, startedWithoutEffect, store.now());
         if (!change) {
-            co_return next_step::Finish; // Started: its outcome stays unknown.
+            active->record = seen->record;
+            next_step step = co_await watchStarted(active);
+            co_return step;
         }
         const commit_outcome outcome = co_await store.commit(change->item);
         if (outcome.status == commit_status::Committed) {
@@ -150,6 +172,44 @@
     }
 }
 
+bool record_executor::starterMayFinish(const record_row &record) const
+{
+    const std::string starter = record.attempt.substr(0, record.attempt.find('/'));
+    return starter != m_options.node.text() && m_liveNodes.contains(starter);
+}
+
+task<record_executor::next_step> record_executor::watchStarted(active_pointer active)
+{
+    node_store &store = m_records->store();
+    const time_point until = std::max(active->request.dispatch.deadline, store.now() + leastTimeToRun);
+    while (starterMayFinish(active->record) && store.now() < until) {
+        if (m_stopped) {
+            co_return next_step::Left;
+        }
+        co_await sleepUntil(store.port(), store.now() + watchInterval);
+        const std::optional<versioned_record> seen = co_await m_records->readPatiently(active->key);
+        if (!seen || isFinal(seen->record.state) || seen->record.owner != active->record.owner) {
+            next_step step = co_await superseded(active, seen);
+            co_return step;
+        }
+    }
+    co_return next_step::Finish;
+}
+
+task<record_executor::next_step> record_executor::superseded(active_pointer active, std::optional<versioned_record> seen)
+{
+    if (!seen || !isFinal(seen->record.state)) {
+        logEvent(log_level::Warning, "record_moved", {{"record", active->key}});
+        co_return next_step::Superseded;
+    }
+    try {
+        active->end = co_await m_records->visible(std::move(*seen));
+    } catch (const std::exception &error) {
+        logEvent(log_level::Warning, "result_not_read", {{"record", active->key}, {"error", error.what()}});
+    }
+    co_return next_step::Superseded;
+}
+
 task<record_executor::next_step> record_executor::finish(active_pointer active, run_answer answer)
 {
     if (active->mayHaveRun && answer.result.what == disposition::NotRun) {
@@ -198,13 +258,13 @@
         }
         const auto change = seen ? finishRecord(*seen, end, store.now()) : std::nullopt;
         if (!change) {
-            logEvent(log_level::Warning, "result_superseded", {{"record", active->key}, {"owner", end.owner}});
-            co_return next_step::GiveUp;
+            next_step step = co_await superseded(active, seen);
+            co_return step;
         }
         const commit_outcome outcome = co_await store.commit(change->item);
         if (outcome.status == commit_status::Committed) {
             active->end = visibleRecord(active->key, change->after, std::move(answer));
-            co_return next_step::GiveUp;
+            co_return next_step::Ended;
         }
         seen.reset();
     }
--- a/io/src/record_executor.h
+++ b/io/src/record_executor.h
@@ -14,7 +14,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace banyan {
 
@@ -59,6 +61,9 @@
         return m_active.size();
     }
 
+    /// Tells which nodes are live: the starter of a request among them may still finish it.
+    void setLiveNodes(const std::vector<node_id> &nodes);
+
     /// Begins no further run; runs in progress go on.
     void stop();
 
@@ -69,12 +74,17 @@
     enum class next_step {
         RunAgain,
         Finish,
-        GiveUp, ///< The record is another's or was left for another.
+        Ended, ///< Its end is committed.
+        Superseded, ///< Somebody else ended it or owns it.
+        Left, ///< This node is stopping; another one will take it over.
     };
 
     static task<> runToEnd(std::shared_ptr<record_executor> self, active_pointer active);
     task<next_step> afterRun(active_pointer active, final_result result);
     task<next_step> prepareAnotherRun(active_pointer active, bool startedWithoutEffect);
+    task<next_step> watchStarted(active_pointer active);
+    task<next_step> superseded(active_pointer active, std::optional<versioned_record> seen);
+    [[nodiscard]] bool starterMayFinish(const record_row &record) const;
     task<next_step> finish(active_pointer active, run_answer answer);
     task<next_step> commitEnd(active_pointer active, record_end end, run_answer answer);
     task<bool> hasRoomFor(active_pointer active, std::size_t bytes);
@@ -89,6 +99,7 @@
     request_runner m_runner;
     record_service_options m_options;
     std::map<std::string, active_pointer> m_active;
+    std::set<std::string> m_liveNodes;
     std::size_t m_keptBytes = 0; ///< Results that wait for the store.
     bool m_stopped = false;
 };
--- a/io/src/record_service.cpp
+++ b/io/src/record_service.cpp
@@ -41,6 +41,18 @@
     async_event changed;
 };
 
+/// The commit of a result in progress.
+struct pending_result
+{
+    explicit pending_result(asio::io_context &context)
+        : changed(context)
+    {
+    }
+
+    bool over = false;
+    async_event changed;
+};
+
 } // namespace
 
 class record_service::implementation : public std::enable_shared_from_this<implementation>
@@ -140,6 +152,28 @@
         }
     }
 
+    static task<> recordResult(std::shared_ptr<implementation> self,
+                               std::string recordKey,
+                               std::uint64_t fencingNumber,
+                               run_answer answer,
+                               time_point until)
+    {
+        const std::string text = encodeRunAnswer(answer);
+        if (self->m_starterBytes + text.size() > self->m_options.keptCopyBytes) {
+            logEvent(log_level::Warning, "result_left_to_owner", {{"record", recordKey}, {"bytes", std::to_string(text.size())}});
+            co_return;
+        }
+        const auto done = std::make_shared<pending_result>(self->m_context);
+        record_end end{.owner = self->m_options.node.text(), .fencingNumber = fencingNumber, .state = stateAfter(answer.result)};
+        asio::co_spawn(self->m_context, commitStarted(self, recordKey, std::move(end), text, done), asio::detached);
+        self->m_store->port().callAt(until, [done] {
+            done->changed.notify();
+        });
+        while (!done->over && self->m_store->now() < until) {
+            co_await done->changed.wait();
+        }
+    }
+
     static task<std::optional<stored_record>> find(std::shared_ptr<implementation> self, std::string recordKey)
     {
         std::optional<versioned_record> found = co_await self->m_records->read(std::move(recordKey));
@@ -154,6 +188,7 @@
     {
         m_store->setCommitsPerSecond(commitShare(nodes.size()));
         m_recovery->setLiveNodes(nodes);
+        m_executor->setLiveNodes(nodes);
         m_sweeper->setLiveNodes(nodes);
     }
 
@@ -179,6 +214,31 @@
         return std::max(share, leastCommitsPerSecond);
     }
 
+    /// Commits the result of a start that this node recorded.
+    static task<> commitStarted(std::shared_ptr<implementation> self,
+                                std::string recordKey,
+                                record_end end,
+                                std::string text,
+                                std::shared_ptr<pending_result> done)
+    {
+        self->m_starterBytes += text.size();
+        end.answer = self->m_records->payloadFor(text, record_store::answerObjectOf(recordKey, end.owner, end.fencingNumber));
+        if (!end.answer.objectName.empty()) {
+            co_await self->m_store->putPatiently(end.answer.objectName, text);
+        }
+        while (!done->over) {
+            const std::optional<versioned_record> seen = co_await self->m_records->readPatiently(recordKey);
+            const auto change = seen ? finishStarted(*seen, end, self->m_store->now()) : std::nullopt;
+            done->over = !change;
+            if (change) {
+                const commit_outcome outcome = co_await self->m_store->commit(change->item);
+                done->over = outcome.status == commit_status::Committed;
+            }
+        }
+        self->m_starterBytes -= text.size();
+        done->changed.notify();
+    }
+
     static task<> acceptInBackground(std::shared_ptr<implementation> self, record_request request, std::shared_ptr<pending_accept> pending)
     {
         try {
@@ -321,6 +381,7 @@
     std::shared_ptr<lease_recovery> m_recovery;
     std::shared_ptr<record_sweeper> m_sweeper;
     std::shared_ptr<result_copies> m_copies;
+    std::size_t m_starterBytes = 0; ///< Results of starts recorded here that are not committed yet.
     bool m_stopping = false;
 };
 
@@ -364,6 +425,11 @@
     return implementation::recordStart(m_implementation, std::move(recordKey), fencingNumber, std::move(attempt));
 }
 
+task<> record_service::recordResult(std::string recordKey, std::uint64_t fencingNumber, run_answer answer, time_point until)
+{
+    return implementation::recordResult(m_implementation, std::move(recordKey), fencingNumber, std::move(answer), until);
+}
+
 task<std::optional<stored_record>> record_service::find(caller_id caller, std::string idempotencyKey)
 {
     return implementation::find(m_implementation, recordKeyOf(caller, idempotencyKey));
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -258,11 +258,21 @@
 }
 
 http_response fleet::order(std::size_t entry, const http_request &request) const
+{
+    return orderAt(callers(entry), request);
+}
+
+http_response fleet::orderAt(const endpoint &entry, const http_request &request, std::chrono::milliseconds patience)
+{
+    return call(entry, orderMessage(request), patience);
+}
+
+http_request fleet::orderMessage(const http_request &request)
 {
     http_request whole = request;
     whole.target = "/v1/services/orders" + request.target;
     whole.fields.push_back({.name = "Authorization", .value = "Bearer " + callerKey});
-    return call(callers(entry), whole);
+    return whole;
 }
 
 http_response fleet::operate(std::size_t entry, const http_request &request) const
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -74,6 +74,11 @@
     [[nodiscard]] http_response chat(std::size_t entry, const std::string &message, const boost::json::object &more = {}) const;
     /// Calls the plain service "orders" as the caller "niebla".
     [[nodiscard]] http_response order(std::size_t entry, const http_request &request) const;
+    /// The same at an address, waiting for @p patience at most.
+    [[nodiscard]] static http_response
+    orderAt(const endpoint &entry, const http_request &request, std::chrono::milliseconds patience = defaultPatience);
+    /// The request that order() sends.
+    [[nodiscard]] static http_request orderMessage(const http_request &request);
     /// Calls the operators' interface with the first operator's key.
     [[nodiscard]] http_response operate(std::size_t entry, const http_request &request) const;
 
--- a/tests/property/record_service_property_test.cpp
+++ b/tests/property/record_service_property_test.cpp
@@ -57,6 +57,7 @@
         for (std::size_t index = 0; index < leastNodes; ++index) {
             addNode();
         }
+        announceNodes();
     }
 
     void step(std::uint32_t choice)
@@ -324,12 +325,21 @@
     static task<> dispatch(fleet_model *self, int node, run_request request, std::shared_ptr<dispatch_run> run)
     {
         co_await self->platform.park(node);
-        run->answer = co_await send(self, node, std::move(request));
+        const std::string recordKey = request.recordKey;
+        const std::uint64_t fencingNumber = request.fencingNumber;
+        const bool repeatable = request.dispatch.repeatable;
+        bool started = false;
+        const run_answer answer = co_await send(self, node, std::move(request), started);
+        if (started && !repeatable && answer.result.what != disposition::NotRun) {
+            const time_point until = self->platform.now() + std::chrono::milliseconds(500);
+            co_await self->m_services[static_cast<std::size_t>(node)]->recordResult(recordKey, fencingNumber, answer, until);
+        }
+        run->answer = answer;
         run->changed.notify();
     }
 
     /// What a dispatcher's node does: records the start, sends, and tells the truth about it.
-    static task<run_answer> send(fleet_model *self, int node, run_request request)
+    static task<run_answer> send(fleet_model *self, int node, run_request request, bool &started)
     {
         run_answer answer{.result = {.what = disposition::NotRun, .reason = end_reason::Overloaded}};
         if (self->chance(15)) {
@@ -338,8 +348,8 @@
         if (!request.dispatch.repeatable) {
             try {
                 record_service &service = *self->m_services[static_cast<std::size_t>(node)];
-                const bool first = co_await service.recordStart(request.recordKey, request.fencingNumber, "a");
-                if (!first) {
+                started = co_await service.recordStart(request.recordKey, request.fencingNumber, nameOf(node).text() + "/a");
+                if (!started) {
                     answer.result = {.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost};
                     co_return answer;
                 }
