--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -11,13 +11,16 @@
 {
     std::uint32_t initialSlots = 8; ///< Requests in flight to one upstream before its limit has adapted.
     std::uint32_t maximumSlots = 64; ///< Upper end of the adaptive limit of one upstream.
-    double onlineHeadroom = 0.2; ///< Share of the limit that batch work leaves free, so that single online arrivals preempt nothing.
+    double headroomDeviations = 2; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
     std::uint32_t batchQueueLimit = 512; ///< Waiting batch requests; more are refused as Overloaded.
     duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt.
-    std::uint32_t maximumAttempts = 4; ///< Attempts for one online request, hedges and preempted ones not counted.
+    std::uint32_t maximumAttempts =
+        4; ///< Attempts for one request, hedges and preempted ones not counted; for a batch request also not those that certainly did not run.
     double retryShare = 0.1; ///< Retries allowed as a share of first attempts.
+    double retryBurst = 64; ///< Retries allowed at once beyond that share.
     double hedgeShare = 0.05; ///< Hedges allowed as a share of first attempts.
+    double hedgeBurst = 16; ///< Hedges allowed at once beyond that share.
     std::uint32_t crashLimit = 2; ///< Upstreams that one content may crash before it is stopped.
     duration crashMemory = std::chrono::minutes(10); ///< How long a stopped content stays refused.
     std::uint64_t seed = 1; ///< For jitter.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -1,12 +1,15 @@
 #include "banyan/core/dispatcher.h"
 
+#include "crash_guard.h"
 #include "dispatcher_state.h"
 #include "request_queue.h"
+#include "retry_backoff.h"
 #include "timer_queue.h"
+#include "token_budget.h"
+#include "upstream_pool.h"
 #include "work_length.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <stdexcept>
 #include <unordered_map>
@@ -15,34 +18,29 @@
 
 namespace {
 
-constexpr duration firstRetryDelay = std::chrono::milliseconds(20);
 constexpr duration overloadRetryAfter = std::chrono::seconds(1);
 constexpr duration noUpstreamRetryAfter = std::chrono::seconds(2);
-constexpr double onlineOvercommit = 1.5; ///< Online work may hold this many times the limit; queueing in the engine costs less.
-constexpr double busyWithBatchScore = 0.25; ///< What a full share of batch work counts when placing online work.
-constexpr double preemptionScore = 0.5; ///< What having to preempt counts when placing online work.
 constexpr std::uint32_t preemptionsBeforeFirst = 3; ///< A batch item preempted as often goes before the others.
-constexpr std::uint32_t pinnedDivisor = 2; ///< Batch work that cannot be preempted holds at most the limit over this.
 constexpr double assumedTokens = 100; ///< Cost of a request that does not say what it expects.
 constexpr duration agingHorizon =
     std::chrono::minutes(10); ///< A batch request goes before later ones after this time, whatever their deadlines.
 constexpr double deadlineAllowance = 4000; ///< Tokens by which near deadlines may set a caller ahead of its share.
-constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
+constexpr double retriesPerSecond = 1; ///< Retries that are allowed without any traffic.
+constexpr duration batchRetryDelay = std::chrono::seconds(1); ///< For batch work while the retry budget is used up.
+constexpr duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr duration drainRetryAfter = std::chrono::milliseconds(0);
 
-constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
-
-double toSeconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// Whether an attempt that ended so has certainly not run.
 bool certainlyNotRun(attempt_outcome outcome)
 {
     return outcome == attempt_outcome::NotSent || outcome == attempt_outcome::Refused;
 }
 
+answer_kind kindOf(const request_state &request)
+{
+    return request.request.streamed ? answer_kind::Streamed : answer_kind::Whole;
+}
+
 bool isAnswer(attempt_outcome outcome)
 {
     return outcome == attempt_outcome::Succeeded || outcome == attempt_outcome::Answered;
@@ -55,6 +53,11 @@
 public:
     explicit implementation(const dispatcher_options &options)
         : m_options(options)
+        , m_upstreams(options)
+        , m_retryBudget({.share = options.retryShare, .burst = options.retryBurst, .perSecond = retriesPerSecond})
+        , m_hedgeBudget({.share = options.hedgeShare, .burst = options.hedgeBurst})
+        , m_backoff(options.seed)
+        , m_crashes({.limit = options.crashLimit, .memory = options.crashMemory})
     {
     }
 
@@ -67,33 +70,35 @@
     dispatch_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] cell_load load(time_point now) const;
-    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
-    [[nodiscard]] const dispatcher_counters &counters() const
+    [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const
+    {
+        return m_upstreams.status(now);
+    }
+    [[nodiscard]] dispatcher_counters counters() const;
+    crash_guard &crashes()
     {
-        return m_counters;
+        return m_crashes;
     }
 
 private:
-    [[nodiscard]] upstream_state makeUpstream(const upstream_info &info) const;
     [[nodiscard]] static work_lane laneOf(const request_state &request);
     void enqueue(request_state &request);
     request_queue &queueOf(work_class value);
     work_length &lengthOf(work_class value);
-    [[nodiscard]] bool hasUsableUpstream() const;
-    [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
-    [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
-    [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream) const;
-    [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request) const;
-    [[nodiscard]] double busyness(const upstream_state &upstream, const request_state &request) const;
-    upstream_state *upstreamFor(const request_state &request);
+    [[nodiscard]] duration expectedWait(work_class value, const caller_id &caller, time_point now) const;
     void startWaiting(time_point now);
     void startClass(work_class value, time_point now);
     void makeRoom(const upstream_state &upstream);
     [[nodiscard]] std::optional<attempt_id> preemptionVictim(const upstream_id &upstream) const;
     void preempt(attempt_id attempt);
-    void startAttempt(request_state &request, upstream_state &upstream, time_point now);
-    static void changeInFlight(upstream_state &upstream, const request_state &request, int change);
-    void releaseSlot(const attempt_state &attempt, const request_state &request);
+    void countStart(request_state &request);
+    void startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge);
+    void watchFirstByte(request_state &request, time_point now);
+    void stopWatchingFirstByte(request_state &request);
+    void firstByteOverdue(request_state &request, time_point now);
+    void hedge(request_state &request, time_point now);
+    void hedgeAttemptsOf(const upstream_id &upstream, time_point now);
+    void retryDue(request_state &request, time_point now);
     void becomeLong(request_state &request);
     void watchLength(request_state &request, time_point now);
     void stopWatchingLength(request_state &request);
@@ -102,14 +107,14 @@
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
     void finishQueued(end_reason reason, std::optional<duration> retryAfter);
     void cancelAttempt(attempt_id attempt);
-    void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
+    [[nodiscard]] bool attemptsUsedUp(const request_state &request) const;
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
-    void retryLater(request_state &request, time_point now);
+    void retryLater(request_state &request, duration delay, time_point now);
     void timerDue(const request_timer &timer, time_point now);
     dispatch_actions takeActions();
 
     dispatcher_options m_options;
-    std::map<upstream_id, upstream_state> m_upstreams;
+    upstream_pool m_upstreams;
     std::unordered_map<request_id, request_state> m_requests;
     std::map<attempt_id, attempt_state> m_attempts;
     request_queue m_onlineQueue{0};
@@ -117,9 +122,14 @@
     work_length m_onlineLength;
     work_length m_batchLength;
     timer_queue m_timers;
+    token_budget m_retryBudget;
+    token_budget m_hedgeBudget;
+    retry_backoff m_backoff;
+    crash_guard m_crashes;
     dispatch_actions m_actions;
     dispatcher_counters m_counters;
     std::uint64_t m_lastAttempt = 0;
+    time_point m_tickedAt;
     bool m_draining = false;
 };
 
@@ -135,6 +145,9 @@
 
 work_lane dispatcher::implementation::laneOf(const request_state &request)
 {
+    if (request.suspect) {
+        return work_lane::Suspect;
+    }
     if (request.request.workClass == work_class::Batch && !request.request.repeatable) {
         return work_lane::Pinned;
     }
@@ -161,43 +174,19 @@
         });
 }
 
-bool dispatcher::implementation::hasUsableUpstream() const
-{
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
-        return !entry.second.info.leaving;
-    });
-}
-
 dispatch_actions dispatcher::implementation::setUpstreams(std::span<const upstream_info> upstreams, time_point now)
 {
-    for (auto &[id, upstream] : m_upstreams) {
-        upstream.info.leaving = true;
-    }
-    for (const upstream_info &info : upstreams) {
-        const auto known = m_upstreams.find(info.id);
-        if (known == m_upstreams.end()) {
-            m_upstreams.emplace(info.id, makeUpstream(info));
-        } else {
-            known->second.info = info;
-        }
-    }
-    std::erase_if(m_upstreams, [&](const auto &entry) {
-        const upstream_state &upstream = entry.second;
-        return upstream.info.leaving && upstream.inFlight() == 0;
-    });
-    if (!hasUsableUpstream()) {
+    m_upstreams.set(upstreams);
+    m_crashes.setUpstreamCount(static_cast<std::size_t>(std::count_if(upstreams.begin(), upstreams.end(), [](const upstream_info &info) {
+        return !info.leaving;
+    })));
+    if (!m_upstreams.hasUsable(now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startWaiting(now);
     return takeActions();
 }
 
-upstream_state dispatcher::implementation::makeUpstream(const upstream_info &info) const
-{
-    const concurrency_limit_options limit{.initial = m_options.initialSlots, .maximum = m_options.maximumSlots};
-    return {.info = info, .limit = concurrency_limit(limit)};
-}
-
 dispatch_actions dispatcher::implementation::submit(const dispatch_request &request, time_point now)
 {
     const auto [entry, inserted] = m_requests.try_emplace(request.id);
@@ -207,6 +196,7 @@
     request_state &state = entry->second;
     state.request = request;
     state.submittedAt = now;
+    state.suspect = m_crashes.isSuspect(request.fingerprint, now);
     work_length &length = lengthOf(request.workClass);
     length.expected(request.expectedTokens);
     state.isLong = length.isLong(request.expectedTokens);
@@ -216,10 +206,16 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
-    } else if (!hasUsableUpstream()) {
+    } else if (!m_upstreams.hasUsable(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
+    } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now)) {
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
+    } else if (const duration wait = expectedWait(request.workClass, request.caller, now); now + wait > request.deadline) {
+        const duration excess = wait - (request.deadline - now);
+        const duration retryAfter = std::max(excess, shortestRetryAfter);
+        finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable, .retryAfter = retryAfter});
     } else {
         m_timers.add({.due = request.deadline, .kind = timer_kind::Deadline, .request = request.id});
         enqueue(state);
@@ -228,78 +224,24 @@
     return takeActions();
 }
 
-std::uint32_t dispatcher::implementation::onlineLimitOf(const upstream_state &upstream) const
-{
-    const auto overcommitted = static_cast<std::uint32_t>(upstream.limit.value() * onlineOvercommit);
-    return std::min(m_options.maximumSlots, overcommitted);
-}
-
-bool dispatcher::implementation::accepts(const upstream_state &upstream, const request_state &request) const
+/// How long a request that arrives now waits for a slot, from the work before it and the usual run time.
+duration dispatcher::implementation::expectedWait(work_class value, const caller_id &caller, time_point now) const
 {
-    if (upstream.info.leaving) {
-        return false;
+    const bool online = value == work_class::Online;
+    const slot_usage usage = m_upstreams.usageOf(value, now);
+    const std::size_t ahead = (online ? m_onlineQueue : m_batchQueue).aheadOf(caller);
+    if (usage.inFlight + ahead < usage.slots) {
+        return duration(0);
     }
-    if (request.request.workClass == work_class::Online) {
-        const std::uint32_t limit = onlineLimitOf(upstream);
-        const bool leavesRoom = !request.isLong || upstream.onlineLongInFlight < longLimit(limit);
-        return leavesRoom && upstream.onlineInFlight < limit;
-    }
-    const std::uint32_t limit = batchLimitOf(upstream);
-    const bool leavesRoom = !request.isLong || upstream.batchLongInFlight < longLimit(limit);
-    const bool pinnable = request.request.repeatable || upstream.pinnedInFlight < std::max(1U, limit / pinnedDivisor);
-    return leavesRoom && pinnable && upstream.inFlight() < limit;
-}
-
-/// Long work holds at most this many of @p slots, so that short work always finds some.
-std::uint32_t dispatcher::implementation::longLimit(std::uint32_t slots)
-{
-    return std::max(1U, static_cast<std::uint32_t>(slots * longShare));
-}
-
-/// Batch work starts only below this; between it and the limit it keeps its slots while online work comes in.
-std::uint32_t dispatcher::implementation::batchLimitOf(const upstream_state &upstream) const
-{
-    const std::uint32_t limit = upstream.limit.value();
-    const auto headroom = static_cast<std::uint32_t>(std::ceil(limit * m_options.onlineHeadroom));
-    return std::max(1U, limit - std::min(limit, headroom));
-}
-
-double dispatcher::implementation::busyness(const upstream_state &upstream, const request_state &request) const
-{
-    const double limit = std::max(1U, upstream.limit.value());
-    if (request.request.workClass == work_class::Batch) {
-        return upstream.inFlight() / limit;
-    }
-    const double preemption = upstream.inFlight() >= upstream.limit.value() ? preemptionScore : 0;
-    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
-}
-
-upstream_state *dispatcher::implementation::upstreamFor(const request_state &request)
-{
-    upstream_state *best = nullptr;
-    bool bestTried = false;
-    double bestBusyness = 0;
-    for (auto &[id, upstream] : m_upstreams) {
-        if (!accepts(upstream, request)) {
-            continue;
-        }
-        const bool tried = request.tried.contains(id);
-        const double candidate = busyness(upstream, request);
-        if (best == nullptr || (bestTried && !tried) || (bestTried == tried && candidate < bestBusyness)) {
-            best = &upstream;
-            bestTried = tried;
-            bestBusyness = candidate;
-        }
-    }
-    return best;
+    const duration runTime = (online ? m_onlineLength : m_batchLength).typicalRunTime();
+    return runTime * static_cast<duration::rep>(ahead) / std::max(1U, usage.slots);
 }
 
 void dispatcher::implementation::startWaiting(time_point now)
 {
     startClass(work_class::Online, now);
-    if (m_onlineQueue.size() == 0) {
-        startClass(work_class::Batch, now);
-    }
+    m_upstreams.noteOnlineWork(now);
+    startClass(work_class::Batch, now);
 }
 
 void dispatcher::implementation::startClass(work_class value, time_point now)
@@ -308,15 +250,18 @@
     lane_set blocked;
     while (const std::optional<waiting_request> next = queue.next(blocked)) {
         request_state &request = m_requests.at(next->id);
-        upstream_state *const upstream = upstreamFor(request);
+        const upstream_state *const upstream = m_upstreams.choose(request, now);
         if (upstream == nullptr) {
             blocked.insert(next->lane);
             continue;
         }
         queue.take(next->id);
-        request.charged = true;
-        startAttempt(request, *upstream, now);
-        makeRoom(*upstream);
+        countStart(request);
+        startAttempt(request, *upstream, now, false);
+        watchFirstByte(request, now);
+        if (value == work_class::Online) {
+            makeRoom(*upstream);
+        }
     }
 }
 
@@ -356,6 +301,7 @@
     request_state &request = m_requests.at(m_attempts.at(attempt).request);
     cancelAttempt(attempt);
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     ++request.preemptions;
     ++m_counters.preempted;
     m_counters.preemptedResumable += request.request.resumable ? 1 : 0;
@@ -366,47 +312,112 @@
     enqueue(request);
 }
 
-void dispatcher::implementation::startAttempt(request_state &request, upstream_state &upstream, time_point now)
+void dispatcher::implementation::countStart(request_state &request)
+{
+    if (request.charged) {
+        return;
+    }
+    request.charged = true;
+    ++m_counters.firstAttempts;
+    m_retryBudget.deposit();
+    m_hedgeBudget.deposit();
+}
+
+/// Sets the time at which the attempt that just started counts as slow without a first byte.
+void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
+{
+    stopWatchingFirstByte(request);
+    const std::optional<duration> slowAfter = m_upstreams.outliers().slowAfter(kindOf(request));
+    if (slowAfter) {
+        request.slowAt = now + *slowAfter;
+        m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+    }
+}
+
+void dispatcher::implementation::stopWatchingFirstByte(request_state &request)
+{
+    if (request.slowAt) {
+        m_timers.remove({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
+        request.slowAt.reset();
+    }
+}
+
+void dispatcher::implementation::firstByteOverdue(request_state &request, time_point now)
+{
+    request.slowAt.reset();
+    if (request.attempts.empty() || m_attempts.at(request.attempts.front()).firstByteAt) {
+        return;
+    }
+    const upstream_id upstream = m_attempts.at(request.attempts.front()).upstream;
+    const bool ejected = m_upstreams.outliers().overdue(upstream, now);
+    hedge(request, now);
+    if (ejected) {
+        hedgeAttemptsOf(upstream, now);
+    }
+}
+
+/// Starts a second attempt of an online request on another upstream, if it may have one and the budget allows it.
+void dispatcher::implementation::hedge(request_state &request, time_point now)
+{
+    const bool allowed =
+        request.request.workClass == work_class::Online && request.request.repeatable && !request.chosen && !request.suspect;
+    if (!allowed || request.attempts.size() != 1) {
+        return;
+    }
+    const upstream_id first = m_attempts.at(request.attempts.front()).upstream;
+    const bool wasTried = !request.tried.insert(first).second;
+    const upstream_state *const upstream = m_upstreams.choose(request, now);
+    if (!wasTried) {
+        request.tried.erase(first);
+    }
+    if (upstream == nullptr || upstream->info.id == first || !m_hedgeBudget.withdraw(now)) {
+        return;
+    }
+    ++m_counters.hedges;
+    startAttempt(request, *upstream, now, true);
+    makeRoom(*upstream);
+}
+
+/// Hedges the requests that wait for an upstream that was just ejected.
+void dispatcher::implementation::hedgeAttemptsOf(const upstream_id &upstream, time_point now)
+{
+    std::vector<request_id> waiting;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt.upstream == upstream && !attempt.firstByteAt) {
+            waiting.push_back(attempt.request);
+        }
+    }
+    for (const request_id &id : waiting) {
+        hedge(m_requests.at(id), now);
+    }
+}
+
+void dispatcher::implementation::startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge)
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
-    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now};
+    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
-    changeInFlight(upstream, request, +1);
+    m_upstreams.occupy(upstream.info.id, request);
     watchLength(request, now);
     m_actions.emplace_back(start_attempt{
         .request = request.request.id,
         .attempt = attempt,
         .upstream = upstream.info.id,
         .timeout = m_options.attemptTimeout,
+        .hedge = hedge,
     });
 }
 
-void dispatcher::implementation::changeInFlight(upstream_state &upstream, const request_state &request, int change)
-{
-    const int changeOfLong = request.isLong ? change : 0;
-    if (request.request.workClass == work_class::Online) {
-        upstream.onlineInFlight += change;
-        upstream.onlineLongInFlight += changeOfLong;
-        return;
-    }
-    upstream.batchInFlight += change;
-    upstream.batchLongInFlight += changeOfLong;
-    upstream.pinnedInFlight += request.request.repeatable ? 0 : change;
-}
-
 /// Counts a request's attempts as long from now on.
 void dispatcher::implementation::becomeLong(request_state &request)
 {
     if (request.isLong) {
         return;
     }
-    for (const attempt_id attempt : request.attempts) {
-        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, -1);
-    }
     request.isLong = true;
     for (const attempt_id attempt : request.attempts) {
-        changeInFlight(m_upstreams.at(m_attempts.at(attempt).upstream), request, +1);
+        m_upstreams.becameLong(m_attempts.at(attempt).upstream, request);
     }
 }
 
@@ -429,16 +440,6 @@
     }
 }
 
-void dispatcher::implementation::releaseSlot(const attempt_state &attempt, const request_state &request)
-{
-    const auto entry = m_upstreams.find(attempt.upstream);
-    upstream_state &upstream = entry->second;
-    changeInFlight(upstream, request, -1);
-    if (upstream.info.leaving && upstream.inFlight() == 0) {
-        m_upstreams.erase(entry);
-    }
-}
-
 void dispatcher::implementation::choose(request_state &request, attempt_id attempt)
 {
     request.chosen = attempt;
@@ -455,7 +456,7 @@
 {
     const auto entry = m_attempts.find(attempt);
     request_state &request = m_requests.at(entry->second.request);
-    releaseSlot(entry->second, request);
+    m_upstreams.release(entry->second.upstream, request);
     std::erase(request.attempts, attempt);
     request.mayHaveRun = true;
     m_attempts.erase(entry);
@@ -475,6 +476,7 @@
         m_timers.remove({.due = *request.retryAt, .kind = timer_kind::Retry, .request = id});
     }
     stopWatchingLength(request);
+    stopWatchingFirstByte(request);
     m_actions.emplace_back(finish_request{.request = id, .result = result, .attempt = attempt});
     m_requests.erase(id);
 }
@@ -510,9 +512,15 @@
         return {};
     }
     entry->second.firstByteAt = now;
-    request_state &request = m_requests.at(entry->second.request);
+    const attempt_state answered = entry->second;
+    request_state &request = m_requests.at(answered.request);
+    const bool ejected = m_upstreams.outliers().answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
         choose(request, attempt);
+        m_counters.hedgesChosen += answered.hedge ? 1 : 0;
+    }
+    if (ejected) {
+        hedgeAttemptsOf(answered.upstream, now);
     }
     startWaiting(now);
     return takeActions();
@@ -528,68 +536,92 @@
     request_state &request = m_requests.at(ended.request);
     m_attempts.erase(entry);
     std::erase(request.attempts, attempt);
-    observePace(ended, result, now);
-    releaseSlot(ended, request);
+    m_upstreams.observePace(ended, result, now);
+    if (result.outcome == attempt_outcome::Succeeded) {
+        lengthOf(request.request.workClass).ran(now - ended.startedAt);
+    }
+    m_upstreams.release(ended.upstream, request);
     if (request.attempts.empty()) {
         stopWatchingLength(request);
+        stopWatchingFirstByte(request);
     }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
+        m_crashes.answered(request.request.fingerprint);
         if (!request.chosen) {
             choose(request, attempt);
         }
         finish(request, {.what = disposition::Completed}, attempt);
     } else {
         request.tried.insert(ended.upstream);
+        m_upstreams.outliers().failed(ended.upstream, result.outcome, now);
+        if (result.outcome == attempt_outcome::Lost && m_crashes.lost(request.request.fingerprint, ended.upstream, now)) {
+            request.stopped = true;
+            ++m_counters.crashesStopped;
+        }
         attemptFailed(request, result, now);
     }
     startWaiting(now);
     return takeActions();
 }
 
-/// Lets the upstream's limit learn from an attempt that has ended but still counts as in flight.
-void dispatcher::implementation::observePace(const attempt_state &attempt, const attempt_result &result, time_point now)
+/// Online work ends after a number of failures of any kind. Batch work has time and counts only failures that may be its
+/// own: a refusal or a failed connection says nothing about the item.
+bool dispatcher::implementation::attemptsUsedUp(const request_state &request) const
 {
-    upstream_state &upstream = m_upstreams.at(attempt.upstream);
-    if (result.outcome == attempt_outcome::Refused) {
-        upstream.limit.refused(upstream.inFlight());
-    }
-    if (result.outcome != attempt_outcome::Succeeded) {
-        return;
-    }
-    lengthOf(m_requests.at(attempt.request).request.workClass).ran(now - attempt.startedAt);
-    upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
-    if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
-        const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
-        upstream.limit.paceObserved(perToken, upstream.inFlight(), now);
-    } else if (!upstream.streamsTokens) {
-        upstream.limit.paceObserved(toSeconds(now - attempt.startedAt), upstream.inFlight(), now);
-    }
+    const bool online = request.request.workClass == work_class::Online;
+    return (online ? request.failedAttempts : request.failedRuns) >= m_options.maximumAttempts;
 }
 
 void dispatcher::implementation::attemptFailed(request_state &request, const attempt_result &result, time_point now)
 {
     ++request.failedAttempts;
-    if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
+    request.failedRuns += certainlyNotRun(result.outcome) ? 0 : 1;
+    if (request.stopped && request.request.repeatable) {
+        finishWithoutAnswer(request, end_reason::CrashesUpstreams, m_options.crashMemory);
+    } else if (request.chosen || (!request.request.repeatable && request.mayHaveRun)) {
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
-    } else if (!hasUsableUpstream()) {
+    } else if (!m_upstreams.hasUsable(now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
-    } else if (request.failedAttempts >= m_options.maximumAttempts) {
+    } else if (attemptsUsedUp(request)) {
         finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
     } else {
-        retryLater(request, now);
+        retryLater(request, m_backoff.delay(request.failedAttempts), now);
     }
 }
 
-void dispatcher::implementation::retryLater(request_state &request, time_point now)
+void dispatcher::implementation::retryLater(request_state &request, duration delay, time_point now)
 {
     request.phase = request_phase::BackingOff;
-    request.retryAt = now + firstRetryDelay * (1U << std::min(request.failedAttempts - 1, 6U));
+    request.retryAt = now + delay;
     m_timers.add({.due = *request.retryAt, .kind = timer_kind::Retry, .request = request.request.id});
 }
 
+/// Queues a request again if the retry budget allows it. Else an online request ends, since its caller had better know,
+/// and a batch request waits on.
+void dispatcher::implementation::retryDue(request_state &request, time_point now)
+{
+    request.retryAt.reset();
+    if (!m_upstreams.hasUsable(now)) {
+        finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
+        return;
+    }
+    if (m_retryBudget.withdraw(now)) {
+        ++m_counters.retries;
+        request.suspect = m_crashes.isSuspect(request.request.fingerprint, now);
+        enqueue(request);
+        return;
+    }
+    ++m_counters.retriesDenied;
+    if (request.request.workClass == work_class::Online) {
+        finishWithoutAnswer(request, end_reason::RetriesExhausted, overloadRetryAfter);
+    } else {
+        retryLater(request, batchRetryDelay + m_backoff.delay(request.failedAttempts), now);
+    }
+}
+
 dispatch_actions dispatcher::implementation::cancel(const request_id &request, time_point now)
 {
     const auto entry = m_requests.find(request);
@@ -610,14 +642,18 @@
 
 dispatch_actions dispatcher::implementation::tick(time_point now)
 {
+    m_tickedAt = now;
     while (const auto timer = m_timers.takeDue(now)) {
         timerDue(*timer, now);
     }
+    if (!m_upstreams.hasUsable(now)) {
+        finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
+    }
     startWaiting(now);
     return takeActions();
 }
 
-void dispatcher::implementation::timerDue(const request_timer &timer, time_point)
+void dispatcher::implementation::timerDue(const request_timer &timer, time_point now)
 {
     request_state &request = m_requests.at(timer.request);
     switch (timer.kind) {
@@ -625,10 +661,10 @@
         finishWithoutAnswer(request, end_reason::DeadlineUnreachable, std::nullopt);
         break;
     case timer_kind::Retry:
-        request.retryAt.reset();
-        enqueue(request);
+        retryDue(request, now);
         break;
-    case timer_kind::Hedge:
+    case timer_kind::FirstByte:
+        firstByteOverdue(request, now);
         break;
     case timer_kind::LongRun:
         request.longRunAt.reset();
@@ -639,37 +675,28 @@
 
 std::optional<time_point> dispatcher::implementation::nextWakeUp() const
 {
-    return m_timers.firstDue();
+    const std::optional<time_point> timer = m_timers.firstDue();
+    const std::optional<time_point> upstreamReturn = m_upstreams.outliers().nextReturn(m_tickedAt);
+    if (!timer || !upstreamReturn) {
+        return timer ? timer : upstreamReturn;
+    }
+    return std::min(*timer, *upstreamReturn);
 }
 
-cell_load dispatcher::implementation::load(time_point) const
+cell_load dispatcher::implementation::load(time_point now) const
 {
     cell_load result;
     result.onlineQueued = static_cast<std::uint32_t>(m_onlineQueue.size());
+    result.expectedWait = expectedWait(work_class::Online, caller_id(), now);
     result.batchQueued = static_cast<std::uint32_t>(m_batchQueue.size());
-    for (const auto &[id, upstream] : m_upstreams) {
-        result.onlineInFlight += upstream.onlineInFlight;
-        result.batchInFlight += upstream.batchInFlight;
-        result.slots += upstream.info.leaving ? 0 : upstream.limit.value();
-    }
+    m_upstreams.describe(result, now);
     return result;
 }
 
-std::vector<upstream_status> dispatcher::implementation::upstreams(time_point) const
+dispatcher_counters dispatcher::implementation::counters() const
 {
-    std::vector<upstream_status> result;
-    for (const auto &[id, upstream] : m_upstreams) {
-        result.push_back({
-            .id = id,
-            .condition = upstream.info.leaving ? upstream_condition::Leaving : upstream_condition::Good,
-            .onlineInFlight = upstream.onlineInFlight,
-            .batchInFlight = upstream.batchInFlight,
-            .limit = upstream.limit.value(),
-            .onlineLimit = onlineLimitOf(upstream),
-            .onlineLongInFlight = upstream.onlineLongInFlight,
-            .onlineLongLimit = longLimit(onlineLimitOf(upstream)),
-        });
-    }
+    dispatcher_counters result = m_counters;
+    result.ejections = m_upstreams.outliers().ejections();
     return result;
 }
 
@@ -738,12 +765,22 @@
     return m_implementation->load(now);
 }
 
+std::vector<stopped_fingerprint> dispatcher::stoppedFingerprints(time_point now) const
+{
+    return m_implementation->crashes().stopped(now);
+}
+
+void dispatcher::stopFingerprint(std::uint64_t fingerprint, time_point until)
+{
+    m_implementation->crashes().stop(fingerprint, until);
+}
+
 std::vector<upstream_status> dispatcher::upstreams(time_point now) const
 {
     return m_implementation->upstreams(now);
 }
 
-const dispatcher_counters &dispatcher::counters() const
+dispatcher_counters dispatcher::counters() const
 {
     return m_implementation->counters();
 }
