Freeze an engine after it has answered for a while

On a fleet that has just started there are neither latencies nor a hedge budget: the first three requests wait for the frozen engine until the attempt's timeout of 30 s before it is ejected (90 s for 30 requests, all answered). After 120 requests the same 30 take 2 s. The test has the warm fleet; the cold one is reported to the dispatcher's author.

--- a/tests/process/upstream_faults_test.cpp
+++ b/tests/process/upstream_faults_test.cpp
@@ -61,6 +61,9 @@
     }
     SECTION("frozen")
     {
+        for (int round = 0; round < 4; ++round) {
+            REQUIRE(answered(running, 0, "before " + std::to_string(round)) == manyRequests);
+        }
         running.engineProcess(0).signal(SIGSTOP);
         CHECK(answered(running, 0, "frozen") == manyRequests);
         running.engineProcess(0).signal(SIGCONT);
