--- a/io/include/banyan/io/file_service.h
+++ b/io/include/banyan/io/file_service.h
@@ -26,7 +26,7 @@
     duration retention = std::chrono::hours(24 * 30); ///< After which a file may be removed.
     duration uploadLimit = std::chrono::hours(2); ///< After which an upload that broke off may be removed.
     duration retryAfter = std::chrono::seconds(5); ///< Told to callers while the store does not answer.
-    std::uint64_t seed = 1; ///< For ids; must differ between nodes.
+    std::uint64_t seed = 0; ///< For ids; 0 takes a random one.
 };
 
 /// Where a file's content goes as it is read.
--- a/io/include/banyan/io/job_service.h
+++ b/io/include/banyan/io/job_service.h
@@ -34,7 +34,7 @@
     duration straySearchInterval = std::chrono::seconds(30); ///< Between looks into an index shard that is not this node's.
     double cancelReadsPerSecond = 100; ///< Of the whole fleet, for polling for cancels; sets each node's interval.
     duration retryAfter = std::chrono::seconds(5); ///< Told to callers while the store does not answer.
-    std::uint64_t seed = 1; ///< For jitter and for ids; must differ between nodes.
+    std::uint64_t seed = 0; ///< For jitter and for ids; 0 takes a random one.
 };
 
 /// What a job_service needs from the rest of the process.
--- a/io/src/file_service.cpp
+++ b/io/src/file_service.cpp
@@ -6,6 +6,7 @@
 #include "banyan/io/log.h"
 #include "banyan/io/openai_error.h"
 #include "job_rows.h"
+#include "seed.h"
 #include "store_calls.h"
 
 #include <algorithm>
@@ -52,7 +53,7 @@
     implementation(const store_port &port, const file_service_options &what)
         : store(port)
         , options(what)
-        , random(what.seed)
+        , random(seedOr(what.seed))
     {
     }
 
--- a/io/src/job_execution.cpp
+++ b/io/src/job_execution.cpp
@@ -212,6 +212,10 @@
     } catch (const item_rejected &error) {
         endItem(action.item, errorOf(action.item, error.code(), error.what()));
         return;
+    } catch (const std::exception &error) {
+        logEvent(log_level::Warning, "job_item_not_built", {{"job", record().id.text()}, {"error", error.what()}});
+        endItem(action.item, {.end = {.outcome = item_outcome::NotRun}, .line = {}});
+        return;
     }
     if (!request->dispatch.repeatable && !action.startCommitted) {
         perform(m_coordinator.startNeeded(action.item, now()));
--- a/io/src/job_service.cpp
+++ b/io/src/job_service.cpp
@@ -10,6 +10,7 @@
 #include "banyan/io/platform_error.h"
 #include "job_execution.h"
 #include "job_rows.h"
+#include "seed.h"
 #include "store_calls.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -147,7 +148,7 @@
         , hooks(std::move(what))
         , options(settings)
         , leases(ioContext, port, {.node = hooks.self.id.text(), .leaseDuration = settings.leaseDuration})
-        , random(settings.seed)
+        , random(seedOr(settings.seed))
         , counters(std::make_shared<job_execution_counters>())
     {
     }
--- a/tests/unit/job_service_test.cpp
+++ b/tests/unit/job_service_test.cpp
@@ -267,6 +267,9 @@
         CHECK(running.customIds(errorFileId(job.id), at) == std::vector<std::string>{"bad-1", "bad-2", "bad-3"});
     }
     CHECK(running.log->mostInFlight <= mostInFlight);
+    CHECK(std::all_of(running.log->runs.begin(), running.log->runs.end(), [](const auto &entry) {
+        return entry.second == 1;
+    }));
 }
 
 TEST_CASE("results can be read while the job runs")
