--- a/tests/unit/job_service_test.cpp
+++ b/tests/unit/job_service_test.cpp
@@ -368,6 +368,36 @@
     CHECK(running.world.table.scan("job-active/").empty());
 }
 
+TEST_CASE("a cancel reaches a coordinator that has nothing to commit, and stops items in flight")
+{
+    fleet running(2);
+    std::string content;
+    for (int number = 0; number < 30; ++number) {
+        content += line(itemName(number), "endless");
+    }
+    const job_record job = running.create(running.upload(content));
+    running.world.runFor(std::chrono::seconds(5));
+    REQUIRE(running.log->inFlight == mostInFlight);
+    const std::size_t other = 1 - running.coordinatorOf(job.id);
+    running.world.get(running.nodes[other]->jobs.cancel(niebla, job.id));
+    running.world.runFor(std::chrono::seconds(2));
+    CHECK(running.log->cancelled == mostInFlight);
+    CHECK(running.show(job.id).status == job_state::Cancelled);
+}
+
+TEST_CASE("a coordinator that others do not see any more keeps its job as long as it renews its lease")
+{
+    fleet running(2);
+    const job_record job = running.create(running.upload(lines(20) + line("last", "endless")));
+    running.world.runFor(std::chrono::seconds(10));
+    const std::size_t first = running.coordinatorOf(job.id);
+    running.live->erase(running.live->begin() + static_cast<std::ptrdiff_t>(first));
+    const std::uint64_t number = running.show(job.id).fencingNumber;
+    running.world.runFor(std::chrono::minutes(2));
+    CHECK(running.show(job.id).fencingNumber == number);
+    CHECK(running.coordinatorOf(job.id) == first);
+}
+
 TEST_CASE("without the store a job or a cancel is refused, and results are kept until it returns")
 {
     fleet running(1);
