Tell all nodes of a content that crashes upstreams

Cause: each cell counted crashes for itself, so that a request sent again crashed two more engines in the next cell (4 of 18 dead in the new process test, at most 2 after). Ruled out: holding the caller's answer back until all nodes are told; it gets its final answer at once, and a repeat within the milliseconds that the telling takes can still reach another cell.

--- a/io/include/banyan/io/cell_host.h
+++ b/io/include/banyan/io/cell_host.h
@@ -3,6 +3,7 @@
 #include "banyan/core/cell_id.h"
 #include "banyan/core/cell_load.h"
 #include "banyan/core/dispatcher_options.h"
+#include "banyan/core/time.h"
 #include "banyan/core/vm_entry.h"
 #include "banyan/io/answer_sink.h"
 #include "banyan/io/asio_types.h"
@@ -12,6 +13,7 @@
 #include "banyan/io/upstream_report.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,6 +34,8 @@
     dispatcher_options dispatcher;
     std::size_t maximumBufferedAnswer = std::size_t(8) << 20; ///< Bytes of one answer held until it may be passed on.
     start_recorder recordStart;
+    std::function<void(std::uint64_t fingerprint)>
+        onContentStopped; ///< A content has crashed several upstreams and is refused from now on.
 };
 
 /// Runs the dispatchers of the cells that this node owns: sends attempts to upstreams, passes answers on, drives time.
@@ -48,6 +52,12 @@
     [[nodiscard]] task<run_outcome>
     run(cell_id cell, run_request request, answer_sink sink, std::shared_ptr<run_cancellation> cancellation);
 
+    /// Refuses requests of a content that crashed upstreams elsewhere, in all cells, until @p until.
+    void stopFingerprint(std::uint64_t fingerprint, time_point until);
+
+    /// Contents that are refused now, because they crash upstreams.
+    [[nodiscard]] std::size_t stoppedContents() const;
+
     /// Stops taking work in: waiting requests end as not run, those in flight go on.
     void drain();
 
--- a/io/include/banyan/io/peer_handlers.h
+++ b/io/include/banyan/io/peer_handlers.h
@@ -2,12 +2,14 @@
 
 #include "banyan/core/cell_id.h"
 #include "banyan/core/configuration_update.h"
+#include "banyan/core/time.h"
 #include "banyan/io/answer_sink.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/run_cancellation.h"
 #include "banyan/io/run_outcome.h"
 #include "banyan/io/run_request.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +26,7 @@
     std::function<configuration_update(configuration_version)> configurationSince;
     std::function<void(std::string recordKey, std::string result)> keepResult;
     std::function<void(std::string recordKey)> forgetResult;
+    std::function<void(std::uint64_t fingerprint, duration remaining)> stopFingerprint;
     std::function<void()> onRefused; ///< A call came with a wrong secret.
 };
 
--- a/io/include/banyan/io/peer_rpc.h
+++ b/io/include/banyan/io/peer_rpc.h
@@ -58,6 +58,9 @@
     /// Has a node drop a held result. @throws peer_error
     [[nodiscard]] task<> forgetResult(endpoint to, std::string recordKey);
 
+    /// Has a node refuse requests of a content that crashes upstreams. @throws peer_error
+    [[nodiscard]] task<> stopFingerprint(endpoint to, std::uint64_t fingerprint, duration remaining);
+
     /// Ends all calls to a node that is lost; they throw peer_error.
     void drop(const endpoint &to);
 
--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -86,4 +86,7 @@
   # Keeps a copy of a result that the store could not take, until forgetResult.
 
   forgetResult @3 (secret :Text, recordKey :Text) -> ();
+
+  stopFingerprint @4 (secret :Text, fingerprint :UInt64, remainingMicros :Int64) -> ();
+  # Refuses requests with this content for a time, because it has crashed several upstreams.
 }
--- a/io/schema/peer.capnp.c++
+++ b/io/schema/peer.capnp.c++
@@ -1136,7 +1136,7 @@
   1, 2, i_c434a9bbace9e976, nullptr, nullptr, { &s_c434a9bbace9e976, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<61> b_e8fba2be23471979 = {
+static const ::capnp::_::AlignedData<72> b_e8fba2be23471979 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     121,  25,  71,  35, 190, 162, 251, 232,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1146,45 +1146,53 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   1,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   1,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       6, 188,  99,  92, 167, 196, 128, 189,
      16, 219, 150, 240,   7,  71, 236, 231,
-    113,   0,   0,   0,  34,   0,   0,   0,
+    145,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      39,  48,  45, 163,  64, 103, 236, 205,
     135, 254,  57,  21,  64,   7,  76, 146,
-     89,   0,   0,   0, 154,   0,   0,   0,
+    121,   0,   0,   0, 154,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     155, 142, 235, 150,  93,   2, 193, 180,
     185, 187,  18, 207, 129, 141, 204, 222,
-     73,   0,   0,   0,  90,   0,   0,   0,
+    105,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     231, 183, 248, 238, 205,   9, 209, 186,
      49, 113,  16, 154,  70, 167,  99, 170,
-     53,   0,   0,   0, 106,   0,   0,   0,
+     85,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    196,  37,  26,   1, 146, 188, 236, 145,
+     15,  25, 168, 136, 121, 186, 235, 239,
+     65,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
@@ -1197,11 +1205,15 @@
     102, 111, 114, 103, 101, 116,  82, 101,
     115, 117, 108, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 116, 111, 112,  70, 105, 110, 103,
+    101, 114, 112, 114, 105, 110, 116,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_e8fba2be23471979 = b_e8fba2be23471979.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e8fba2be23471979[] = {
+  &s_91ecbc92011a25c4,
   &s_924c07401539fe87,
   &s_aa63a7469a107131,
   &s_b4c1025d96eb8e9b,
@@ -1210,11 +1222,12 @@
   &s_cdec6740a32d3027,
   &s_decc8d81cf12bbb9,
   &s_e7ec4707f096db10,
+  &s_efebba7988a8190f,
 };
-static const uint16_t m_e8fba2be23471979[] = {1, 3, 2, 0};
+static const uint16_t m_e8fba2be23471979[] = {1, 3, 2, 0, 4};
 const ::capnp::_::RawSchema s_e8fba2be23471979 = {
-  0xe8fba2be23471979, b_e8fba2be23471979.words, 61, d_e8fba2be23471979, m_e8fba2be23471979,
-  8, 4, nullptr, nullptr, nullptr, { &s_e8fba2be23471979, nullptr, nullptr, 0, 0, nullptr }
+  0xe8fba2be23471979, b_e8fba2be23471979.words, 72, d_e8fba2be23471979, m_e8fba2be23471979,
+  10, 5, nullptr, nullptr, nullptr, { &s_e8fba2be23471979, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_bd80c4a75c63bc06 = {
@@ -1635,6 +1648,108 @@
   0, 0, nullptr, nullptr, nullptr, { &s_aa63a7469a107131, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<65> b_91ecbc92011a25c4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    196,  37,  26,   1, 146, 188, 236, 145,
+     16,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 116, 111, 112,  70, 105, 110, 103,
+    101, 114, 112, 114, 105, 110, 116,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
+    115, 101,  99, 114, 101, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 109,  97, 105, 110, 105, 110,
+    103,  77, 105,  99, 114, 111, 115,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_91ecbc92011a25c4 = b_91ecbc92011a25c4.words;
+#if !CAPNP_LITE
+static const uint16_t m_91ecbc92011a25c4[] = {1, 2, 0};
+static const uint16_t i_91ecbc92011a25c4[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_91ecbc92011a25c4 = {
+  0x91ecbc92011a25c4, b_91ecbc92011a25c4.words, 65, nullptr, m_91ecbc92011a25c4,
+  0, 3, i_91ecbc92011a25c4, nullptr, nullptr, { &s_91ecbc92011a25c4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_efebba7988a8190f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     15,  25, 168, 136, 121, 186, 235, 239,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 116, 111, 112,  70, 105, 110, 103,
+    101, 114, 112, 114, 105, 110, 116,  36,
+     82, 101, 115, 117, 108, 116, 115,   0, }
+};
+::capnp::word const* const bp_efebba7988a8190f = b_efebba7988a8190f.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_efebba7988a8190f = {
+  0xefebba7988a8190f, b_efebba7988a8190f.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_efebba7988a8190f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1868,6 +1983,16 @@
       "peer.capnp:Peer", "forgetResult",
       0xe8fba2be23471979ull, 3);
 }
+::capnp::Request< ::banyan::schema::Peer::StopFingerprintParams,  ::banyan::schema::Peer::StopFingerprintResults>
+Peer::Client::stopFingerprintRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::banyan::schema::Peer::StopFingerprintParams,  ::banyan::schema::Peer::StopFingerprintResults>(
+      0xe8fba2be23471979ull, 4, sizeHint);
+}
+::kj::Promise<void> Peer::Server::stopFingerprint(StopFingerprintContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "stopFingerprint",
+      0xe8fba2be23471979ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1906,6 +2031,12 @@
              ::banyan::schema::Peer::ForgetResultParams,  ::banyan::schema::Peer::ForgetResultResults>(context)),
         false
       };
+    case 4:
+      return {
+        stopFingerprint(::capnp::Capability::Server::internalGetTypedContext<
+             ::banyan::schema::Peer::StopFingerprintParams,  ::banyan::schema::Peer::StopFingerprintResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1985,6 +2116,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ForgetResultResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::StopFingerprintParams
+constexpr uint16_t Peer::StopFingerprintParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::StopFingerprintParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::StopFingerprintParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::StopFingerprintParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::StopFingerprintResults
+constexpr uint16_t Peer::StopFingerprintResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::StopFingerprintResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::StopFingerprintResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::StopFingerprintResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -42,6 +42,8 @@
 CAPNP_DECLARE_SCHEMA(decc8d81cf12bbb9);
 CAPNP_DECLARE_SCHEMA(bad109cdeef8b7e7);
 CAPNP_DECLARE_SCHEMA(aa63a7469a107131);
+CAPNP_DECLARE_SCHEMA(91ecbc92011a25c4);
+CAPNP_DECLARE_SCHEMA(efebba7988a8190f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -287,6 +289,8 @@
   struct KeepResultResults;
   struct ForgetResultParams;
   struct ForgetResultResults;
+  struct StopFingerprintParams;
+  struct StopFingerprintResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -416,6 +420,36 @@
   };
 };
 
+struct Peer::StopFingerprintParams {
+  StopFingerprintParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91ecbc92011a25c4, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::StopFingerprintResults {
+  StopFingerprintResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efebba7988a8190f, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class HttpField::Reader {
@@ -1760,6 +1794,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::banyan::schema::Peer::ForgetResultParams,  ::banyan::schema::Peer::ForgetResultResults> forgetResultRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::banyan::schema::Peer::StopFingerprintParams,  ::banyan::schema::Peer::StopFingerprintResults> stopFingerprintRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1792,6 +1828,10 @@
   typedef  ::banyan::schema::Peer::ForgetResultResults ForgetResultResults;
   typedef ::capnp::CallContext<ForgetResultParams, ForgetResultResults> ForgetResultContext;
   virtual ::kj::Promise<void> forgetResult(ForgetResultContext context);
+  typedef  ::banyan::schema::Peer::StopFingerprintParams StopFingerprintParams;
+  typedef  ::banyan::schema::Peer::StopFingerprintResults StopFingerprintResults;
+  typedef ::capnp::CallContext<StopFingerprintParams, StopFingerprintResults> StopFingerprintContext;
+  virtual ::kj::Promise<void> stopFingerprint(StopFingerprintContext context);
 
   inline  ::banyan::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2495,6 +2535,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::StopFingerprintParams::Reader {
+public:
+  typedef StopFingerprintParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSecret() const;
+  inline  ::capnp::Text::Reader getSecret() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getRemainingMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StopFingerprintParams::Builder {
+public:
+  typedef StopFingerprintParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSecret();
+  inline  ::capnp::Text::Builder getSecret();
+  inline void setSecret( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSecret(unsigned int size);
+  inline void adoptSecret(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSecret();
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StopFingerprintParams::Pipeline {
+public:
+  typedef StopFingerprintParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StopFingerprintResults::Reader {
+public:
+  typedef StopFingerprintResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StopFingerprintResults::Builder {
+public:
+  typedef StopFingerprintResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StopFingerprintResults::Pipeline {
+public:
+  typedef StopFingerprintResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool HttpField::Reader::hasName() const {
@@ -4017,6 +4219,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::StopFingerprintParams::Reader::hasSecret() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::StopFingerprintParams::Builder::hasSecret() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::StopFingerprintParams::Reader::getSecret() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::StopFingerprintParams::Builder::getSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::StopFingerprintParams::Builder::setSecret( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::StopFingerprintParams::Builder::initSecret(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::StopFingerprintParams::Builder::adoptSecret(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::StopFingerprintParams::Builder::disownSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::StopFingerprintParams::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::StopFingerprintParams::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::StopFingerprintParams::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Peer::StopFingerprintParams::Reader::getRemainingMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::StopFingerprintParams::Builder::getRemainingMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::StopFingerprintParams::Builder::setRemainingMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -191,6 +191,9 @@
         hostOptions.recordStart = [this](std::string key, std::uint64_t fencingNumber, const std::string &attempt) {
             return m_records->recordStart(std::move(key), fencingNumber, m_self.id.text() + "/" + attempt);
         };
+        hostOptions.onContentStopped = [this, memory = hostOptions.dispatcher.crashMemory](std::uint64_t fingerprint) {
+            asio::co_spawn(m_context, tellStopped(fingerprint, memory), asio::detached);
+        };
         m_cells.emplace(m_context, m_client, m_metrics, std::move(hostOptions));
         request_router_options options;
         options.self = m_self;
@@ -417,6 +420,9 @@
         handlers.forgetResult = [this](const std::string &key) {
             m_records->forgetResultFor(key);
         };
+        handlers.stopFingerprint = [this](std::uint64_t fingerprint, duration remaining) {
+            m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        };
         handlers.onRefused = [this] {
             m_metrics.count("peer_call_refused");
             logEvent(log_level::Warning, "peer_call_refused");
@@ -468,6 +474,24 @@
         return candidates;
     }
 
+    /// Tells the other nodes of a content that crashes upstreams, so that it is refused wherever it is sent again.
+    task<> tellStopped(std::uint64_t fingerprint, duration remaining)
+    {
+        m_metrics.count("content_stopped");
+        logEvent(log_level::Warning, "content_stopped", {{"fingerprint", hexText(fingerprint)}});
+        m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        for (const node_info &node : m_fleet->nodes()) {
+            if (node.id == m_self.id) {
+                continue;
+            }
+            try {
+                co_await m_peers.stopFingerprint(node.peerAddress, fingerprint, remaining);
+            } catch (const peer_error &error) {
+                logEvent(log_level::Warning, "node_not_told", {{"node", node.id.text()}, {"error", error.what()}});
+            }
+        }
+    }
+
     task<> keepCopies(std::string key, std::string result)
     {
         for (const node_info &holder : copyHolders()) {
@@ -495,6 +519,7 @@
         m_metrics.set("live_nodes", static_cast<double>(m_fleet->nodes().size()));
         m_metrics.set("store_available", m_records->storeAvailable() ? 1 : 0);
         m_metrics.set("records_in_progress", static_cast<double>(m_records->inProgress()));
+        m_metrics.set("stopped_contents", static_cast<double>(m_cells->stoppedContents()));
         m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs->coordinated()));
     }
 
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <variant>
 
@@ -20,6 +21,8 @@
 
 namespace {
 
+constexpr std::size_t maximumStoppedContents = 4096;
+
 using attempt_pointer = std::shared_ptr<upstream_attempt>;
 
 /// A request in a cell and the reader of its answer.
@@ -130,6 +133,24 @@
                               .trace = active->trace};
     }
 
+    void stopFingerprint(std::uint64_t fingerprint, time_point until)
+    {
+        if (m_stopped.size() < maximumStoppedContents || m_stopped.contains(fingerprint)) {
+            m_stopped.insert_or_assign(fingerprint, until);
+        }
+        for (const auto &[id, cell] : m_cells) {
+            cell->decisions.stopFingerprint(fingerprint, until);
+        }
+    }
+
+    [[nodiscard]] std::size_t stoppedContents() const
+    {
+        const time_point now = currentTime();
+        return static_cast<std::size_t>(std::count_if(m_stopped.begin(), m_stopped.end(), [now](const auto &stopped) {
+            return stopped.second > now;
+        }));
+    }
+
     void drain()
     {
         m_draining = true;
@@ -176,6 +197,12 @@
         auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
         m_cells.emplace(id, cell);
         updateUpstreams(cell);
+        std::erase_if(m_stopped, [now = currentTime()](const auto &stopped) {
+            return stopped.second <= now;
+        });
+        for (const auto &[fingerprint, until] : m_stopped) {
+            cell->decisions.stopFingerprint(fingerprint, until);
+        }
         if (m_draining) {
             perform(cell, cell->decisions.drain(currentTime()));
         }
@@ -305,7 +332,7 @@
         active->second->changed.notify();
     }
 
-    static void carryOut(const cell_pointer &cell, const finish_request &order)
+    void carryOut(const cell_pointer &cell, const finish_request &order)
     {
         const auto active = cell->requests.find(order.request);
         if (active == cell->requests.end()) {
@@ -319,6 +346,10 @@
                    " disposition=" + std::string(toString(order.result.what)) + " reason=" + std::string(toString(order.result.reason)));
         active->second->end = order.result;
         active->second->changed.notify();
+        const bool stopped = order.result.what == disposition::Failed && order.result.reason == end_reason::CrashesUpstreams;
+        if (stopped && m_options.onContentStopped) {
+            m_options.onContentStopped(active->second->request.dispatch.fingerprint);
+        }
     }
 
     static task<> runAttempt(std::shared_ptr<implementation> self, cell_pointer cell, request_pointer active, attempt_pointer attempt)
@@ -403,6 +434,7 @@
     cell_host_options m_options;
     cell_map m_known;
     std::map<cell_id, cell_pointer> m_cells;
+    std::map<std::uint64_t, time_point> m_stopped; ///< Contents that crash upstreams, and until when they are refused.
     std::size_t m_inProgress = 0;
     bool m_draining = false;
 };
@@ -424,6 +456,16 @@
     return m_implementation->run(std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
 }
 
+void cell_host::stopFingerprint(std::uint64_t fingerprint, time_point until)
+{
+    m_implementation->stopFingerprint(fingerprint, until);
+}
+
+std::size_t cell_host::stoppedContents() const
+{
+    return m_implementation->stoppedContents();
+}
+
 void cell_host::drain()
 {
     m_implementation->drain();
--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -601,6 +601,19 @@
             .ignoreResult();
     }
 
+    kj::Promise<void> stopFingerprint(StopFingerprintContext context) override
+    {
+        require(context.getParams().getSecret());
+        const std::uint64_t fingerprint = context.getParams().getFingerprint();
+        const duration remaining(context.getParams().getRemainingMicros());
+        return m_host
+            .onAsio<bool>([this, fingerprint, remaining] {
+                m_host.handlers().stopFingerprint(fingerprint, remaining);
+                return true;
+            })
+            .ignoreResult();
+    }
+
 private:
     void require(capnp::Text::Reader secret)
     {
@@ -692,6 +705,20 @@
     co_await m_implementation->callOnce<bool>(std::move(to), std::move(call));
 }
 
+task<> peer_rpc::stopFingerprint(endpoint to, std::uint64_t fingerprint, duration remaining)
+{
+    node_call<bool> call = [this, fingerprint, remaining](schema::Peer::Client &peer) {
+        auto message = peer.stopFingerprintRequest();
+        message.setSecret(m_implementation->secret().c_str());
+        message.setFingerprint(fingerprint);
+        message.setRemainingMicros(remaining.count());
+        return message.send().then([](capnp::Response<schema::Peer::StopFingerprintResults> &&) {
+            return true;
+        });
+    };
+    co_await m_implementation->callOnce<bool>(std::move(to), std::move(call));
+}
+
 void peer_rpc::drop(const endpoint &to)
 {
     m_implementation->drop(to);
--- a/tests/process/upstream_faults_test.cpp
+++ b/tests/process/upstream_faults_test.cpp
@@ -40,6 +40,12 @@
     return {.method = "POST", .target = "/orders", .fields = {{"Idempotency-Key", key}}, .body = "one drum"};
 }
 
+bool knowsOneStoppedContent(fleet &running, std::size_t entry)
+{
+    const std::string metrics = running.operate(entry, {.target = "/metrics"}).body;
+    return metrics.find("banyan_state{name=\"stopped_contents\"} 1") != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("requests go on when the VM that dispatches is killed")
@@ -98,6 +104,25 @@
     CHECK(answered(running, 0, "harmless") == manyRequests);
 }
 
+TEST_CASE("a request that crashed two engines is refused by the dispatchers of all cells when it is sent again")
+{
+    constexpr std::size_t engines = 18; // Too many for one cell.
+    constexpr std::size_t repeats = 8; // Over both entry VMs and, by the router's choice, all cells.
+    const std::string marker = "the prompt that crashes";
+    fleet running({.entries = 2, .engines = engines});
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        fleet::setFaults(running.engine(engine), {{"crash_on", marker}});
+    }
+    CHECK(running.chat(0, marker).status >= 400);
+    CHECK(eventually([&] {
+        return knowsOneStoppedContent(running, 0) && knowsOneStoppedContent(running, 1);
+    }));
+    for (std::size_t repeat = 0; repeat < repeats; ++repeat) {
+        CHECK(running.chat(repeat % 2, marker).status >= 400);
+    }
+    CHECK(enginesAlive(running, engines) >= engines - 2);
+}
+
 TEST_CASE("an order whose answer is lost ends as unknown and is not sent again")
 {
     fleet running({.entries = 2, .services = 2});
