Find upstreams that slow down within their answers; hedge also before anything is known

Paces of streamed and whole answers are kept apart now. - With fewer than 16 samples nothing counted as slow, so that a fresh dispatcher waited 30 s for a frozen engine. Two seconds count as slow until more is known. - A returning upstream took no waiting work until the next event (caught by the property test with progress events). - A slowed upstream starts little and so gave few first bytes to judge by. New event dispatcher::progressed() (optional for the host, a few a second for each attempt): time per token is a third kind of latency.

--- a/bench/policy/baseline_dispatcher.cpp
+++ b/bench/policy/baseline_dispatcher.cpp
@@ -25,6 +25,11 @@
     return {choose_attempt{.request = entry->second.request.id, .attempt = attempt}};
 }
 
+dispatch_actions baseline_dispatcher::progressed(attempt_id, std::uint32_t, time_point)
+{
+    return {};
+}
+
 dispatch_actions baseline_dispatcher::attemptEnded(attempt_id attempt, const attempt_result &result, time_point)
 {
     const auto entry = m_attempts.find(attempt);
--- a/bench/policy/baseline_dispatcher.h
+++ b/bench/policy/baseline_dispatcher.h
@@ -38,6 +38,7 @@
     [[nodiscard]] dispatch_actions setUpstreams(std::span<const upstream_info> upstreams, time_point now);
     [[nodiscard]] dispatch_actions submit(const dispatch_request &request, time_point now);
     [[nodiscard]] dispatch_actions firstByte(attempt_id attempt, time_point now);
+    [[nodiscard]] dispatch_actions progressed(attempt_id attempt, std::uint32_t tokens, time_point now);
     [[nodiscard]] dispatch_actions attemptEnded(attempt_id attempt, const attempt_result &result, time_point now);
     [[nodiscard]] dispatch_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
--- a/bench/policy/engine_model.cpp
+++ b/bench/policy/engine_model.cpp
@@ -170,6 +170,16 @@
     reschedule();
 }
 
+std::uint32_t engine_model::tokensOf(std::uint64_t key)
+{
+    const auto entry = m_sequences.find(key);
+    if (entry == m_sequences.end() || !entry->second.decoding) {
+        return 0;
+    }
+    advance();
+    return static_cast<std::uint32_t>(std::max(0.0, m_step - entry->second.firstTokenAt));
+}
+
 void engine_model::setSlowdown(double factor)
 {
     advance();
--- a/bench/policy/engine_model.h
+++ b/bench/policy/engine_model.h
@@ -53,6 +53,9 @@
     /// Drops a job; nothing is called for it any more.
     void cancel(std::uint64_t key);
 
+    /// Tokens that the job under @p key has received so far.
+    [[nodiscard]] std::uint32_t tokensOf(std::uint64_t key);
+
     /// Makes each step @p factor times longer from now on.
     void setSlowdown(double factor);
 
--- a/bench/policy/fleet_simulation.h
+++ b/bench/policy/fleet_simulation.h
@@ -36,6 +36,7 @@
     std::uint32_t slots = 16; ///< Of one upstream, shared out with fleet_topology::Shares.
     duration hop = std::chrono::microseconds(500); ///< Between entry node and dispatcher, one way.
     duration upstreamHop = std::chrono::microseconds(500); ///< Between dispatcher and upstream, one way.
+    duration progressEvery = std::chrono::milliseconds(200); ///< Between reports of progress of streamed answers.
     std::size_t maximumCells = 3; ///< Cells that an entry node tries for one request.
     engine_options engine;
     std::uint64_t seed = 1;
@@ -118,6 +119,7 @@
         Policy policy;
         std::optional<time_point> wakeUp;
         std::unordered_map<std::uint64_t, upstream_id> attempts; ///< Sent, by attempt id.
+        std::map<std::uint64_t, std::uint32_t> tokens; ///< Reported of streamed answers that have begun, by attempt id.
     };
 
     static upstream_id upstreamId(std::size_t index)
@@ -149,6 +151,7 @@
         m_cellIndex[id] = m_cells.size();
         m_cells.push_back(std::make_unique<cell>(cell{.id = id, .region = region, .onlyNode = onlyNode, .policy = std::move(policy)}));
         perform(*m_cells.back(), m_cells.back()->policy.setUpstreams(upstreams, m_loop.now()));
+        reportProgress(*m_cells.back());
     }
 
     void makeCells(const policy_factory &makePolicy)
@@ -227,6 +230,28 @@
         });
     }
 
+    /// Reports from time to time how far the streamed answers of a cell have come.
+    void reportProgress(cell &target)
+    {
+        const std::map<std::uint64_t, std::uint32_t> reported = target.tokens;
+        for (const auto &[attempt, tokens] : reported) {
+            const auto sent = target.attempts.find(attempt);
+            if (sent == target.attempts.end()) {
+                target.tokens.erase(attempt);
+                continue;
+            }
+            engine_model &engine = *m_engines[m_engineOf.at(sent->second)];
+            const std::uint32_t total = engine.tokensOf(engineKey(target, {.value = attempt}));
+            if (total > tokens) {
+                target.tokens[attempt] = total;
+                perform(target, target.policy.progressed({.value = attempt}, total - tokens, m_loop.now()));
+            }
+        }
+        m_loop.after(m_options.progressEvery, [this, &target] {
+            reportProgress(target);
+        });
+    }
+
     void perform(cell &target, const dispatch_actions &actions)
     {
         for (const dispatch_action &action : actions) {
@@ -284,6 +309,7 @@
                     return;
                 }
                 m_loop.after(m_options.upstreamHop, [this, &target, attempt] {
+                    target.tokens[attempt.value] = 0;
                     perform(target, target.policy.firstByte(attempt, m_loop.now()));
                 });
             },
--- a/core/include/banyan/core/dispatcher.h
+++ b/core/include/banyan/core/dispatcher.h
@@ -55,6 +55,10 @@
     /// Reports the first byte of an attempt's answer.
     [[nodiscard]] dispatch_actions firstByte(attempt_id attempt, time_point now);
 
+    /// Reports that @p tokens more tokens of a streamed answer have come since the last report or the first byte. Optional:
+    /// it finds an upstream that slows down in the middle of its answers. A few reports a second for each attempt are enough.
+    [[nodiscard]] dispatch_actions progressed(attempt_id attempt, std::uint32_t tokens, time_point now);
+
     /// Reports an attempt's end. An attempt that is not known any more is ignored.
     [[nodiscard]] dispatch_actions attemptEnded(attempt_id attempt, const attempt_result &result, time_point now);
 
--- a/core/src/concurrency_limit.cpp
+++ b/core/src/concurrency_limit.cpp
@@ -34,6 +34,9 @@
 
 void concurrency_limit::paceObserved(double seconds, std::uint32_t inFlight, time_point now)
 {
+    if (seconds <= 0) {
+        return;
+    }
     if (m_paces.empty()) {
         m_windowStart = now;
     }
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -36,9 +36,9 @@
     return outcome == attempt_outcome::NotSent || outcome == attempt_outcome::Refused;
 }
 
-answer_kind kindOf(const request_state &request)
+latency_kind kindOf(const request_state &request)
 {
-    return request.request.streamed ? answer_kind::Streamed : answer_kind::Whole;
+    return request.request.streamed ? latency_kind::FirstToken : latency_kind::WholeAnswer;
 }
 
 bool isAnswer(attempt_outcome outcome)
@@ -64,6 +64,7 @@
     dispatch_actions setUpstreams(std::span<const upstream_info> upstreams, time_point now);
     dispatch_actions submit(const dispatch_request &request, time_point now);
     dispatch_actions firstByte(attempt_id attempt, time_point now);
+    dispatch_actions progressed(attempt_id attempt, std::uint32_t tokens, time_point now);
     dispatch_actions attemptEnded(attempt_id attempt, const attempt_result &result, time_point now);
     dispatch_actions cancel(const request_id &request, time_point now);
     dispatch_actions drain(time_point now);
@@ -327,11 +328,8 @@
 void dispatcher::implementation::watchFirstByte(request_state &request, time_point now)
 {
     stopWatchingFirstByte(request);
-    const std::optional<duration> slowAfter = m_upstreams.outliers().slowAfter(kindOf(request));
-    if (slowAfter) {
-        request.slowAt = now + *slowAfter;
-        m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
-    }
+    request.slowAt = now + m_upstreams.outliers().slowAfter(kindOf(request));
+    m_timers.add({.due = *request.slowAt, .kind = timer_kind::FirstByte, .request = request.request.id});
 }
 
 void dispatcher::implementation::stopWatchingFirstByte(request_state &request)
@@ -395,7 +393,11 @@
 void dispatcher::implementation::startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge)
 {
     const attempt_id attempt{.value = ++m_lastAttempt};
-    m_attempts[attempt] = {.request = request.request.id, .upstream = upstream.info.id, .startedAt = now, .hedge = hedge};
+    m_attempts[attempt] = {.request = request.request.id,
+                           .upstream = upstream.info.id,
+                           .startedAt = now,
+                           .hedge = hedge,
+                           .streamed = request.request.streamed};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
     m_upstreams.occupy(upstream.info.id, request);
@@ -512,9 +514,10 @@
         return {};
     }
     entry->second.firstByteAt = now;
+    entry->second.progressedAt = now;
     const attempt_state answered = entry->second;
     request_state &request = m_requests.at(answered.request);
-    const bool ejected = m_upstreams.outliers().answered(answered.upstream, kindOf(request), now - answered.startedAt, now);
+    const bool ejected = m_upstreams.outliers().observed(answered.upstream, kindOf(request), now - answered.startedAt, now);
     if (request.request.workClass == work_class::Online && !request.chosen) {
         choose(request, attempt);
         m_counters.hedgesChosen += answered.hedge ? 1 : 0;
@@ -526,6 +529,23 @@
     return takeActions();
 }
 
+dispatch_actions dispatcher::implementation::progressed(attempt_id attempt, std::uint32_t tokens, time_point now)
+{
+    const auto entry = m_attempts.find(attempt);
+    if (entry == m_attempts.end() || !entry->second.firstByteAt || tokens == 0) {
+        return {};
+    }
+    attempt_state &state = entry->second;
+    const duration perToken = (now - state.progressedAt) / tokens;
+    state.progressedAt = now;
+    const upstream_id upstream = state.upstream;
+    if (m_upstreams.outliers().observed(upstream, latency_kind::Token, perToken, now)) {
+        hedgeAttemptsOf(upstream, now);
+    }
+    startWaiting(now);
+    return takeActions();
+}
+
 dispatch_actions dispatcher::implementation::attemptEnded(attempt_id attempt, const attempt_result &result, time_point now)
 {
     const auto entry = m_attempts.find(attempt);
@@ -731,6 +751,11 @@
     return m_implementation->firstByte(attempt, now);
 }
 
+dispatch_actions dispatcher::progressed(attempt_id attempt, std::uint32_t tokens, time_point now)
+{
+    return m_implementation->progressed(attempt, tokens, now);
+}
+
 dispatch_actions dispatcher::attemptEnded(attempt_id attempt, const attempt_result &result, time_point now)
 {
     return m_implementation->attemptEnded(attempt, result, now);
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -50,7 +50,9 @@
     upstream_id upstream;
     time_point startedAt;
     std::optional<time_point> firstByteAt;
+    time_point progressedAt; ///< Of the first byte or the last report of progress.
     bool hedge = false;
+    bool streamed = true; ///< As of its request.
 };
 
 /// An upstream of the cell, or one that has left it and still runs attempts.
@@ -58,7 +60,7 @@
 {
     upstream_info info;
     concurrency_limit limit; ///< Requests that it may hold before batch work has to yield.
-    bool streamsTokens = false; ///< Some answer has counted its tokens.
+    bool streamsTokens = false; ///< Its pace comes from streamed answers; others differ and do not count.
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
     std::uint32_t onlineLongInFlight = 0; ///< Those of them that are long.
--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -29,14 +29,14 @@
     }
 }
 
-outlier_detector::latency_reference &outlier_detector::referenceOf(answer_kind kind)
+const outlier_detector::latency_reference &outlier_detector::referenceOf(latency_kind kind) const
 {
-    return kind == answer_kind::Streamed ? m_streamed : m_whole;
+    return m_references[static_cast<std::size_t>(kind)];
 }
 
-void outlier_detector::addToReference(answer_kind kind, duration latency)
+void outlier_detector::addToReference(latency_kind kind, duration latency)
 {
-    latency_reference &reference = referenceOf(kind);
+    latency_reference &reference = m_references[static_cast<std::size_t>(kind)];
     reference.recent.add(static_cast<double>(latency.count()));
     if (++reference.sinceUpdate >= updateEvery || reference.recent.count() <= minimumSamples) {
         reference.sinceUpdate = 0;
@@ -44,29 +44,31 @@
     }
 }
 
-std::optional<duration> outlier_detector::slowAfter(answer_kind kind) const
+duration outlier_detector::slowAfter(latency_kind kind) const
 {
-    const latency_reference &reference = kind == answer_kind::Streamed ? m_streamed : m_whole;
+    const latency_reference &reference = referenceOf(kind);
     if (reference.recent.count() < minimumSamples) {
-        return std::nullopt;
+        return m_options.slowByDefault;
     }
     const auto slow = duration(static_cast<std::int64_t>(m_options.slowFactor * reference.upperQuartile));
     return std::max(slow, m_options.slowFloor);
 }
 
-bool outlier_detector::answered(const upstream_id &upstream, answer_kind kind, duration latency, time_point now)
+bool outlier_detector::observed(const upstream_id &upstream, latency_kind kind, duration latency, time_point now)
 {
-    const std::optional<duration> slow = slowAfter(kind);
+    const duration slow = slowAfter(kind);
     addToReference(kind, latency);
     const auto entry = m_upstreams.find(upstream);
     if (entry == m_upstreams.end()) {
         return false;
     }
     upstream_record &record = entry->second;
-    record.averageLatency += averageStep * (static_cast<double>(latency.count()) - record.averageLatency);
+    if (kind != latency_kind::Token) {
+        record.averageLatency += averageStep * (static_cast<double>(latency.count()) - record.averageLatency);
+    }
     record.connectFailures = 0;
     record.failures = 0;
-    if (slow && latency > *slow) {
+    if (latency > slow) {
         return slowObserved(record, now);
     }
     goodObserved(record);
@@ -112,7 +114,8 @@
     const auto ejected = std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &entry) {
         return entry.second.out && entry.second.outForSlowness;
     });
-    return static_cast<double>(ejected + 1) <= m_options.maximumSlowShare * static_cast<double>(m_upstreams.size());
+    const auto allowed = static_cast<std::ptrdiff_t>(m_options.maximumSlowShare * static_cast<double>(m_upstreams.size()));
+    return m_upstreams.size() > 1 && ejected < std::max<std::ptrdiff_t>(1, allowed);
 }
 
 void outlier_detector::eject(upstream_record &record, duration first, bool forSlowness, time_point now)
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -6,6 +6,7 @@
 #include "banyan/core/upstream_status.h"
 #include "sliding_quantile.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,20 +19,22 @@
 {
     double slowFactor = 3; ///< A latency is slow beyond this many times the cell's upper quartile.
     duration slowFloor = std::chrono::milliseconds(20); ///< Nothing faster counts as slow.
+    duration slowByDefault = std::chrono::seconds(2); ///< What counts as slow while too little is known.
     std::uint32_t slowInRow = 3; ///< Slow answers in a row that eject an upstream.
     std::uint32_t connectFailuresInRow = 2;
     std::uint32_t failuresInRow = 3; ///< Lost or failed attempts.
-    double maximumSlowShare = 0.4; ///< Of the cell's upstreams that may be ejected for slowness at once.
+    double maximumSlowShare = 0.4; ///< Of the cell's upstreams that may be ejected for slowness at once; of two, one may.
     duration slowEjection = std::chrono::seconds(2); ///< First one; doubles each time up to longestEjection.
     duration failureEjection = std::chrono::milliseconds(500);
     duration longestEjection = std::chrono::seconds(30);
     std::uint32_t probes = 2; ///< Good answers in a row that bring an upstream back.
 };
 
-/// How long a request's first byte takes depends on this.
-enum class answer_kind {
-    Streamed, ///< The first byte comes with the first token.
-    Whole, ///< The first byte comes with the whole answer.
+/// What a latency was measured of; only those of one kind are compared.
+enum class latency_kind {
+    FirstToken, ///< Time to the first byte of a streamed answer.
+    WholeAnswer, ///< Time to the first byte of an answer that comes as a whole.
+    Token, ///< Time from one token to the next.
 };
 
 /// Finds upstreams that are much slower than the rest of their cell, or that fail, and takes them out for a time.
@@ -47,8 +50,8 @@
     /// Replaces the upstreams that count for the shares. What is known of others is forgotten.
     void setUpstreams(const std::set<upstream_id> &upstreams);
 
-    /// Takes in the time to an attempt's first byte. Returns true if the upstream is ejected by it.
-    bool answered(const upstream_id &upstream, answer_kind kind, duration latency, time_point now);
+    /// Takes in a latency. Returns true if the upstream is ejected by it.
+    bool observed(const upstream_id &upstream, latency_kind kind, duration latency, time_point now);
 
     /// Takes in that an attempt has no first byte after slowAfter(). Returns true if the upstream is ejected by it.
     bool overdue(const upstream_id &upstream, time_point now);
@@ -62,8 +65,8 @@
     /// Since when the upstream has been waiting for a probe; none if it is not.
     [[nodiscard]] std::optional<time_point> probingSince(const upstream_id &upstream, time_point now) const;
 
-    /// The latency beyond which an answer counts as slow; none while too little is known.
-    [[nodiscard]] std::optional<duration> slowAfter(answer_kind kind) const;
+    /// The latency beyond which an answer counts as slow.
+    [[nodiscard]] duration slowAfter(latency_kind kind) const;
 
     /// The first end of an ejection after @p now, if there is one.
     [[nodiscard]] std::optional<time_point> nextReturn(time_point now) const;
@@ -97,8 +100,8 @@
         std::uint32_t sinceUpdate = 0;
     };
 
-    latency_reference &referenceOf(answer_kind kind);
-    void addToReference(answer_kind kind, duration latency);
+    [[nodiscard]] const latency_reference &referenceOf(latency_kind kind) const;
+    void addToReference(latency_kind kind, duration latency);
     bool slowObserved(upstream_record &record, time_point now);
     void goodObserved(upstream_record &record);
     void eject(upstream_record &record, duration first, bool forSlowness, time_point now);
@@ -106,8 +109,7 @@
 
     outlier_detector_options m_options;
     std::map<upstream_id, upstream_record> m_upstreams;
-    latency_reference m_streamed;
-    latency_reference m_whole;
+    std::array<latency_reference, 3> m_references; ///< By latency_kind.
     std::uint64_t m_ejections = 0;
 };
 
--- a/core/src/upstream_pool.cpp
+++ b/core/src/upstream_pool.cpp
@@ -28,6 +28,19 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Seconds per token of a streamed answer after its first byte; of others seconds per token, or in all without tokens.
+std::optional<double> paceOf(const attempt_state &attempt, const attempt_result &result, time_point now)
+{
+    const double whole = toSeconds(now - attempt.startedAt);
+    if (result.tokens == 0) {
+        return attempt.streamed ? std::nullopt : std::optional(whole);
+    }
+    if (result.tokens < minimumPaceTokens || (attempt.streamed && !attempt.firstByteAt)) {
+        return std::nullopt;
+    }
+    return (attempt.streamed ? toSeconds(now - *attempt.firstByteAt) : whole) / result.tokens;
+}
+
 } // namespace
 
 upstream_pool::upstream_pool(const dispatcher_options &options)
@@ -222,12 +235,11 @@
     if (result.outcome != attempt_outcome::Succeeded) {
         return;
     }
-    upstream.streamsTokens = upstream.streamsTokens || result.tokens > 0;
-    if (result.tokens >= minimumPaceTokens && attempt.firstByteAt) {
-        const double perToken = toSeconds(now - *attempt.firstByteAt) / result.tokens;
-        upstream.limit.paceObserved(perToken, upstream.inFlight(), now);
-    } else if (!upstream.streamsTokens) {
-        upstream.limit.paceObserved(toSeconds(now - attempt.startedAt), upstream.inFlight(), now);
+    if (const std::optional<double> pace = paceOf(attempt, result, now)) {
+        upstream.streamsTokens = upstream.streamsTokens || attempt.streamed;
+        if (attempt.streamed || !upstream.streamsTokens) {
+            upstream.limit.paceObserved(*pace, upstream.inFlight(), now);
+        }
     }
 }
 
--- a/tests/property/dispatcher_harness.cpp
+++ b/tests/property/dispatcher_harness.cpp
@@ -67,6 +67,8 @@
         submit(event, work_class::Batch);
     } else if (event.kind == event_kind::FirstByte && !m_attempts.empty()) {
         perform(m_dispatcher.firstByte(pickFrom(m_attempts, event.pick)->first, m_now));
+    } else if (event.kind == event_kind::Progress && !m_attempts.empty()) {
+        perform(m_dispatcher.progressed(pickFrom(m_attempts, event.pick)->first, 1 + event.pick % 5, m_now));
     } else if (event.kind == event_kind::CancelRequest && !m_requests.empty()) {
         perform(m_dispatcher.cancel(pickFrom(m_requests, event.pick)->first, m_now));
     } else if (event.kind == event_kind::ChangeUpstreams) {
--- a/tests/property/dispatcher_harness.h
+++ b/tests/property/dispatcher_harness.h
@@ -15,6 +15,7 @@
     SubmitOnline,
     SubmitBatch,
     FirstByte,
+    Progress,
     Succeed,
     Answer,
     LoseAttempt,
--- a/tests/property/dispatcher_property_test.cpp
+++ b/tests/property/dispatcher_property_test.cpp
@@ -19,6 +19,7 @@
         {12, event_kind::SubmitOnline},
         {16, event_kind::SubmitBatch},
         {10, event_kind::FirstByte},
+        {6, event_kind::Progress},
         {10, event_kind::Succeed},
         {1, event_kind::Answer},
         {3, event_kind::LoseAttempt},
