--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -44,11 +44,11 @@
     }
 }
 
-duration outlier_detector::slowAfter(latency_kind kind) const
+std::optional<duration> outlier_detector::slowAfter(latency_kind kind) const
 {
     const latency_reference &reference = referenceOf(kind);
     if (reference.recent.count() < minimumSamples) {
-        return m_options.slowByDefault;
+        return std::nullopt;
     }
     const auto slow = duration(static_cast<std::int64_t>(m_options.slowFactor * reference.upperQuartile));
     return std::max(slow, m_options.slowFloor);
@@ -56,7 +56,7 @@
 
 bool outlier_detector::observed(const upstream_id &upstream, latency_kind kind, duration latency, time_point now)
 {
-    const duration slow = slowAfter(kind);
+    const std::optional<duration> slow = slowAfter(kind);
     addToReference(kind, latency);
     const auto entry = m_upstreams.find(upstream);
     if (entry == m_upstreams.end()) {
@@ -68,7 +68,7 @@
     }
     record.connectFailures = 0;
     record.failures = 0;
-    if (latency > slow) {
+    if (slow && latency > *slow) {
         return slowObserved(record, now);
     }
     goodObserved(record);
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -19,7 +19,6 @@
 {
     double slowFactor = 3; ///< A latency is slow beyond this many times the cell's upper quartile.
     duration slowFloor = std::chrono::milliseconds(20); ///< Nothing faster counts as slow.
-    duration slowByDefault = std::chrono::seconds(2); ///< What counts as slow while too little is known.
     std::uint32_t slowInRow = 3; ///< Slow answers in a row that eject an upstream.
     std::uint32_t connectFailuresInRow = 2;
     std::uint32_t failuresInRow = 3; ///< Lost or failed attempts.
@@ -65,8 +64,8 @@
     /// Since when the upstream has been waiting for a probe; none if it is not.
     [[nodiscard]] std::optional<time_point> probingSince(const upstream_id &upstream, time_point now) const;
 
-    /// The latency beyond which an answer counts as slow.
-    [[nodiscard]] duration slowAfter(latency_kind kind) const;
+    /// The latency beyond which an answer counts as slow; none while too little is known.
+    [[nodiscard]] std::optional<duration> slowAfter(latency_kind kind) const;
 
     /// The first end of an ejection after @p now, if there is one.
     [[nodiscard]] std::optional<time_point> nextReturn(time_point now) const;
