Answer a wrong key for files and jobs with 401, and list every upstream to operators

Cause of the first: the caller's refusal left the batch routes and became 500 with X-Banyan-Run unknown, where the promise is 401 and not-run; the routes answer it now. Cause of the second: a node listed only upstreams of cells that it had dispatched for, so that a fresh node or one that owns no cell showed none; it now lists the platform's VMs with what its dispatchers know.

--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -309,7 +309,7 @@
             return m_configurations->readAudit(std::move(filter));
         };
         hooks.upstreams = [this] {
-            return m_cells->upstreams();
+            return listUpstreams();
         };
         hooks.listJobs = [this](std::optional<caller_id> caller) {
             return m_jobs->listAll(std::move(caller), listedJobs);
@@ -370,6 +370,31 @@
         }
     }
 
+    /// The upstreams of the platform's list, with what this node's dispatchers know of theirs.
+    [[nodiscard]] std::vector<upstream_report> listUpstreams() const
+    {
+        std::map<upstream_id, upstream_report> reports;
+        for (const vm_entry &vm : m_fleet->vms()) {
+            if (vm.role == vm_role::Upstream) {
+                const upstream_id id(vm.id.text());
+                reports[id] = {
+                    .id = id, .pool = vm.pool, .domain = vm.domain, .address = vm.address, .leaving = vm.state == vm_state::Leaving};
+            }
+        }
+        for (const upstream_report &dispatched : m_cells->upstreams()) {
+            if (const auto found = reports.find(dispatched.id); found != reports.end()) {
+                found->second.ejected = dispatched.ejected;
+                found->second.inFlight = dispatched.inFlight;
+            }
+        }
+        std::vector<upstream_report> result;
+        result.reserve(reports.size());
+        for (auto &[id, report] : reports) {
+            result.push_back(std::move(report));
+        }
+        return result;
+    }
+
     [[nodiscard]] node_status status() const
     {
         const std::shared_ptr<const configuration> current = m_configurations->current();
--- a/io/src/batch_api.cpp
+++ b/io/src/batch_api.cpp
@@ -1,10 +1,12 @@
 #include "banyan/io/batch_api.h"
 
 #include "banyan/core/multipart_parser.h"
+#include "banyan/io/error_answers.h"
 #include "banyan/io/file_service.h"
 #include "banyan/io/http_server.h"
 #include "banyan/io/job_service.h"
 #include "banyan/io/openai_error.h"
+#include "banyan/io/request_refused.h"
 
 #include <boost/json.hpp>
 
@@ -340,7 +342,7 @@
 
 using batch_handler = task<> (batch_routes::*)(http_exchange &);
 
-/// Calls a handler and answers its openai_error.
+/// Calls a handler and answers its openai_error, or the refusal of the caller's key.
 task<> answer(std::shared_ptr<batch_routes> routes, batch_handler handler, http_exchange &exchange)
 {
     std::optional<http_response> refusal;
@@ -348,6 +350,8 @@
         co_await ((*routes).*handler)(exchange);
     } catch (const openai_error &error) {
         refusal = error.toResponse();
+    } catch (const request_refused &error) {
+        refusal = errorAnswer(error);
     }
     if (refusal) {
         co_await exchange.respond(*std::move(refusal));
--- a/tests/process/frame_test.cpp
+++ b/tests/process/frame_test.cpp
@@ -38,6 +38,31 @@
     return text;
 }
 
+http_request fileUpload(const std::string &content)
+{
+    const std::string body = "--b\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n"
+                             "--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"a.jsonl\"\r\n\r\n"
+                             + content + "\r\n--b--\r\n";
+    return {.method = "POST",
+            .target = "/v1/files",
+            .fields = {{"Authorization", "Bearer " + callerKey}, {"Content-Type", "multipart/form-data; boundary=b"}},
+            .body = body};
+}
+
+std::string idOf(const http_response &response)
+{
+    return json::value_to<std::string>(json::parse(response.body).at("id"));
+}
+
+/// Uploads a job of one item as the caller "niebla", and returns the file's and the job's id.
+std::vector<std::string> createJob(const fleet &running)
+{
+    const json::object item = {{"custom_id", "i"}, {"method", "POST"}, {"url", "/v1/chat/completions"}, {"body", chatBody("plan")}};
+    const std::string file = idOf(call(running.callers(0), fileUpload(json::serialize(item))));
+    const json::object job = {{"input_file_id", file}, {"endpoint", "/v1/chat/completions"}, {"completion_window", "24h"}};
+    return {file, idOf(call(running.callers(0), postJson("/v1/batches", callerKey, job)))};
+}
+
 /// Sends @p count chats of different content, every other one streamed, and returns how many got another one's answer.
 std::size_t crossedAnswers(const fleet &running, std::size_t sender, std::size_t count)
 {
@@ -155,3 +180,51 @@
         CHECK(std::count(statuses.begin(), statuses.end(), 409U) == 1);
     }
 }
+
+TEST_CASE("another caller's result, file and job look as if there were none")
+{
+    fleet running({});
+    const http_request order{.method = "POST", .target = "/orders", .fields = {{"Idempotency-Key", "order-1"}}, .body = "one drum"};
+    REQUIRE(running.order(0, order).status == 200);
+    const std::vector<std::string> ids = createJob(running);
+    const std::vector<std::string> targets = {
+        "/v1/results/order-1", "/v1/files/" + ids[0], "/v1/files/" + ids[0] + "/content", "/v1/batches/" + ids[1]};
+    for (const std::string &target : targets) {
+        INFO(target);
+        CHECK(call(running.callers(0), getRequest(target, callerKey)).status == 200);
+        CHECK(call(running.callers(0), getRequest(target, otherCallerKey)).status == 404);
+    }
+    CHECK(call(running.callers(0), postJson("/v1/batches/" + ids[1] + "/cancel", otherCallerKey, json::object())).status == 404);
+}
+
+TEST_CASE("a stored result is read by its key at another entry VM")
+{
+    fleet running({.entries = 2});
+    const http_request order{.method = "POST", .target = "/orders", .fields = {{"Idempotency-Key", "order-1"}}, .body = "one drum"};
+    const http_response answer = running.order(0, order);
+    REQUIRE(answer.status == 200);
+    const http_response stored = call(running.callers(1), getRequest("/v1/results/order-1", callerKey));
+    CHECK(stored.body == answer.body);
+    CHECK(stored.field("X-Banyan-State") == "completed");
+}
+
+TEST_CASE("operators see every upstream of the list at every entry VM")
+{
+    fleet running({.entries = 2});
+    for (const std::size_t entry : {0U, 1U}) {
+        const json::value list = json::parse(running.operate(entry, {.target = "/operator/v1/upstreams"}).body);
+        CHECK(list.at("upstreams").as_array().size() == 3);
+    }
+}
+
+TEST_CASE("a request is explained with the upstream that was tried and the outcome")
+{
+    fleet running({});
+    const http_response answer = running.chat(0, "explain me");
+    const http_response explanation = running.operate(0, {.target = "/operator/v1/explain/" + answer.field("X-Request-Id")});
+    REQUIRE(explanation.status == 200);
+    const json::value document = json::parse(explanation.body);
+    CHECK(document.at("caller") == "niebla");
+    CHECK(document.at("result") == "completed");
+    CHECK(explanation.body.find("\"upstream\":\"u") != std::string::npos);
+}
