--- a/io/include/banyan/io/cell_host.h
+++ b/io/include/banyan/io/cell_host.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/cell_id.h"
 #include "banyan/core/cell_load.h"
+#include "banyan/core/dispatcher_counters.h"
 #include "banyan/core/dispatcher_options.h"
 #include "banyan/core/time.h"
 #include "banyan/core/vm_entry.h"
@@ -61,6 +62,9 @@
     /// Stops taking work in: waiting requests end as not run, those in flight go on.
     void drain();
 
+    /// What the dispatchers of all cells have done so far, those of cells given up included.
+    [[nodiscard]] dispatcher_counters counters() const;
+
     /// Requests in progress.
     [[nodiscard]] std::size_t inProgress() const;
 
--- a/io/include/banyan/io/node_metrics.h
+++ b/io/include/banyan/io/node_metrics.h
@@ -4,6 +4,7 @@
 #include "banyan/core/time.h"
 #include "banyan/core/work_class.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,12 +27,12 @@
     /// Counts an attempt at its end: banyan_attempts_total.
     void attemptEnded(std::string_view outcome, bool hedge);
 
-    /// Counts batch attempts cancelled for online work: banyan_preemptions_total.
-    void batchPreempted();
-
     /// Counts an event under banyan_events_total, for example "peer_message_dropped".
     void count(std::string_view event);
 
+    /// Takes over a total that another part of the process counts: banyan_events_total of that name.
+    void setTotal(std::string_view event, std::uint64_t total);
+
     /// Sets the gauge banyan_state of that name, for example "configuration_version".
     void set(std::string_view state, double value);
 
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -13,6 +13,7 @@
 #include "banyan/io/error_answers.h"
 #include "banyan/io/explain_log.h"
 #include "banyan/io/file_service.h"
+#include "banyan/io/fleet_counters.h"
 #include "banyan/io/fleet_service.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_server.h"
@@ -502,7 +503,6 @@
     /// Tells the other nodes of a content that crashes upstreams, so that it is refused wherever it is sent again.
     task<> tellStopped(std::uint64_t fingerprint, duration remaining)
     {
-        m_metrics.count("content_stopped");
         logEvent(log_level::Warning, "content_stopped", {{"fingerprint", hexText(fingerprint)}});
         m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
         for (const node_info &node : m_fleet->nodes()) {
@@ -546,6 +546,34 @@
         m_metrics.set("records_in_progress", static_cast<double>(m_records->inProgress()));
         m_metrics.set("stopped_contents", static_cast<double>(m_cells->stoppedContents()));
         m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs->coordinated()));
+        refreshDispatchTotals();
+        refreshFleetTotals();
+    }
+
+    void refreshDispatchTotals()
+    {
+        const dispatcher_counters total = m_cells->counters();
+        m_metrics.setTotal("first_attempts", total.firstAttempts);
+        m_metrics.setTotal("retries", total.retries);
+        m_metrics.setTotal("retries_denied", total.retriesDenied);
+        m_metrics.setTotal("hedges", total.hedges);
+        m_metrics.setTotal("hedges_chosen", total.hedgesChosen);
+        m_metrics.setTotal("batch_preempted", total.preempted);
+        m_metrics.setTotal("upstream_ejections", total.ejections);
+        m_metrics.setTotal("contents_stopped", total.crashesStopped);
+    }
+
+    void refreshFleetTotals()
+    {
+        const fleet_counters total = m_fleet->counters();
+        m_metrics.setTotal("gossip_messages_sent", total.messagesSent);
+        m_metrics.setTotal("gossip_bytes_sent", total.bytesSent);
+        m_metrics.setTotal("gossip_messages_received", total.messagesReceived);
+        m_metrics.setTotal("gossip_bytes_received", total.bytesReceived);
+        m_metrics.setTotal("gossip_dropped_unauthenticated", total.droppedUnauthenticated);
+        m_metrics.setTotal("gossip_dropped_malformed", total.droppedMalformed);
+        m_metrics.setTotal("suspicions_raised", total.suspicionsRaised);
+        m_metrics.setTotal("deaths_declared", total.deathsDeclared);
     }
 
     task<> pause(duration time)
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -72,6 +72,19 @@
     active.trace.append("after_us=").append(std::to_string(elapsed)).append(" step=").append(step).append(details).append("\n");
 }
 
+dispatcher_counters sum(const dispatcher_counters &left, const dispatcher_counters &right)
+{
+    return {.firstAttempts = left.firstAttempts + right.firstAttempts,
+            .retries = left.retries + right.retries,
+            .hedges = left.hedges + right.hedges,
+            .hedgesChosen = left.hedgesChosen + right.hedgesChosen,
+            .preempted = left.preempted + right.preempted,
+            .preemptedResumable = left.preemptedResumable + right.preemptedResumable,
+            .ejections = left.ejections + right.ejections,
+            .crashesStopped = left.crashesStopped + right.crashesStopped,
+            .retriesDenied = left.retriesDenied + right.retriesDenied};
+}
+
 /// The message for one attempt, with the fencing number of its record where there is one.
 http_request messageFor(const run_request &request)
 {
@@ -102,6 +115,9 @@
             const cell_pointer cell = entry->second;
             updateUpstreams(cell);
             const bool unused = cell->upstreams.empty() && cell->requests.empty() && cell->attempts.empty();
+            if (unused) {
+                m_givenUp = sum(m_givenUp, cell->decisions.counters());
+            }
             entry = unused ? m_cells.erase(entry) : std::next(entry);
         }
     }
@@ -159,6 +175,15 @@
         }
     }
 
+    [[nodiscard]] dispatcher_counters counters() const
+    {
+        dispatcher_counters total = m_givenUp;
+        for (const auto &[id, cell] : m_cells) {
+            total = sum(total, cell->decisions.counters());
+        }
+        return total;
+    }
+
     [[nodiscard]] std::size_t inProgress() const
     {
         return m_inProgress;
@@ -308,9 +333,6 @@
         const auto request = cell->requests.find(found->second->order().request);
         if (request != cell->requests.end() && !request->second->end) {
             addToTrace(*request->second, "cancel_attempt", " attempt=" + std::to_string(order.attempt.value));
-            if (request->second->request.dispatch.workClass == work_class::Batch) {
-                m_metrics.batchPreempted();
-            }
         }
         found->second->cancel();
     }
@@ -435,6 +457,7 @@
     cell_map m_known;
     std::map<cell_id, cell_pointer> m_cells;
     std::map<std::uint64_t, time_point> m_stopped; ///< Contents that crash upstreams, and until when they are refused.
+    dispatcher_counters m_givenUp; ///< Of cells that this node does not hold any more.
     std::size_t m_inProgress = 0;
     bool m_draining = false;
 };
@@ -466,6 +489,11 @@
     return m_implementation->stoppedContents();
 }
 
+dispatcher_counters cell_host::counters() const
+{
+    return m_implementation->counters();
+}
+
 void cell_host::drain()
 {
     m_implementation->drain();
--- a/io/src/node_metrics.cpp
+++ b/io/src/node_metrics.cpp
@@ -38,8 +38,6 @@
                                                                       .Register(registry);
     prometheus::Family<prometheus::Counter> &attempts =
         prometheus::BuildCounter().Name("banyan_attempts_total").Help("Attempts at upstreams by their end.").Register(registry);
-    prometheus::Family<prometheus::Counter> &preemptions =
-        prometheus::BuildCounter().Name("banyan_preemptions_total").Help("Batch attempts cancelled for online work.").Register(registry);
     prometheus::Family<prometheus::Counter> &events =
         prometheus::BuildCounter().Name("banyan_events_total").Help("Events by kind.").Register(registry);
     prometheus::Family<prometheus::Gauge> &states =
@@ -78,14 +76,15 @@
     m_implementation->attempts.Add({{"outcome", std::string(outcome)}, {"hedge", hedge ? "true" : "false"}}).Increment();
 }
 
-void node_metrics::batchPreempted()
+void node_metrics::count(std::string_view event)
 {
-    m_implementation->preemptions.Add({}).Increment();
+    m_implementation->events.Add({{"event", std::string(event)}}).Increment();
 }
 
-void node_metrics::count(std::string_view event)
+void node_metrics::setTotal(std::string_view event, std::uint64_t total)
 {
-    m_implementation->events.Add({{"event", std::string(event)}}).Increment();
+    prometheus::Counter &counter = m_implementation->events.Add({{"event", std::string(event)}});
+    counter.Increment(static_cast<double>(total) - counter.Value());
 }
 
 void node_metrics::set(std::string_view state, double value)
