--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -479,7 +479,7 @@
         }
         for (const endpoint &known : m_reachable) {
             if (!reachable.contains(known)) {
-                logEvent(log_level::Warning, "node_lost", {{"peer_address", known.toString()}});
+                logEvent(log_level::Warning, "node_calls_dropped", {{"peer_address", known.toString()}});
                 m_peers.drop(known);
             }
         }
