--- a/tests/process/upstream_faults_test.cpp
+++ b/tests/process/upstream_faults_test.cpp
@@ -57,6 +57,17 @@
     CHECK(answered(running, 0, "after the kill of e2") == manyRequests);
 }
 
+TEST_CASE("requests go on while a VM that dispatches is frozen, and after it goes on")
+{
+    fleet running({.entries = 3});
+    for (const std::size_t frozen : {1U, 2U}) {
+        running.entryProcess(frozen).signal(SIGSTOP);
+        CHECK(answered(running, 0, "while a VM is frozen " + std::to_string(frozen)) == manyRequests);
+        running.entryProcess(frozen).signal(SIGCONT);
+        CHECK(answered(running, 0, "after it goes on " + std::to_string(frozen)) == manyRequests);
+    }
+}
+
 TEST_CASE("requests go on when an engine dies, is frozen or slow")
 {
     fleet running({.engines = 3});
