--- a/io/include/banyan/io/fleet_service.h
+++ b/io/include/banyan/io/fleet_service.h
@@ -17,12 +17,16 @@
 class configuration_history;
 class platform_client;
 
+/// Asks a peer for the platform's list as it read it last. Throws any std::exception if the peer cannot be asked.
+using vm_list_fetcher = std::function<task<vm_list>(node_info peer)>;
+
 /// Options of a fleet_service.
 struct fleet_service_options
 {
     node_info self; ///< peerAddress is where UDP is received; its port must be set, or 0 in tests (see address()).
     std::string secret; ///< Shared by all nodes of the fleet; authenticates their messages.
     std::vector<endpoint> seeds; ///< Peer addresses to look for besides the list's: how a node starts while the platform is down.
+    vm_list_fetcher fetchListFromPeer; ///< Unset: without the platform there is no list.
     std::uint64_t seed = 1; ///< For random choices; give each process another one.
     duration minimumListInterval = std::chrono::seconds(2); ///< Between two readings of the platform's list.
     double listReadsPerSecond = 50; ///< Of the whole fleet together: more nodes read the list less often.
@@ -64,10 +68,10 @@
     /// All nodes that are thought to run, leaving ones included; for calls that only need an answer.
     [[nodiscard]] std::vector<node_info> reachableNodes() const;
 
-    /// The platform's list as it was read last; empty until then.
+    /// The platform's list as it was read last, or a peer's reading for a start while the platform is down; empty until then.
     [[nodiscard]] const vm_list &vms() const;
 
-    /// Whether the platform's list has been read at least once.
+    /// Whether there is a list.
     [[nodiscard]] bool hasList() const;
 
     /// Calls @p handler, from the Asio thread, after nodes() or vms() changed. Several handlers may be added.
--- a/io/include/banyan/io/node_settings.h
+++ b/io/include/banyan/io/node_settings.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace banyan {
 
@@ -20,6 +21,7 @@
     endpoint callerListen; ///< Key `caller_listen`: HTTP for callers.
     endpoint operatorListen; ///< Key `operator_listen`: HTTP for operators, metrics and health.
     endpoint peerListen; ///< Key `peer_listen`: UDP and TCP between nodes, same port.
+    std::vector<endpoint> peers; ///< Key `peers`: peer addresses of some other VMs, needed for a start while the platform is down.
     endpoint platform; ///< Key `platform`: the platform's services.
     std::string fleetSecret; ///< Key `fleet_secret`: known to all nodes of a fleet and to nobody else.
     std::optional<std::string> bootstrapOperatorKeyHash; ///< Key `bootstrap_operator_key_hash`: SHA-256 of a key that always may edit.
--- a/io/include/banyan/io/peer_handlers.h
+++ b/io/include/banyan/io/peer_handlers.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/cell_id.h"
 #include "banyan/core/configuration_update.h"
+#include "banyan/core/vm_entry.h"
 #include "banyan/io/answer_sink.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/run_cancellation.h"
@@ -22,6 +23,7 @@
 {
     cell_runner run;
     std::function<configuration_update(configuration_version)> configurationSince;
+    std::function<vm_list()> vmList; ///< The platform's list as it was read last.
     std::function<void(std::string recordKey, std::string result)> keepResult;
     std::function<void(std::string recordKey)> forgetResult;
     std::function<void()> onRefused; ///< A call came with a wrong secret.
--- a/io/include/banyan/io/peer_rpc.h
+++ b/io/include/banyan/io/peer_rpc.h
@@ -4,6 +4,7 @@
 #include "banyan/core/configuration_update.h"
 #include "banyan/core/endpoint.h"
 #include "banyan/core/time.h"
+#include "banyan/core/vm_entry.h"
 #include "banyan/io/answer_sink.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/run_cancellation.h"
@@ -52,6 +53,9 @@
     /// Asks a node for what came after @p version. @throws peer_error
     [[nodiscard]] task<configuration_update> configurationSince(endpoint to, configuration_version version);
 
+    /// Asks a node for the platform's list as it read it last. @throws peer_error
+    [[nodiscard]] task<vm_list> vmList(endpoint to);
+
     /// Has a node hold a result that the store does not take now. @throws peer_error
     [[nodiscard]] task<> keepResult(endpoint to, std::string recordKey, std::string result);
 
--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -76,6 +76,16 @@
   }
 }
 
+struct VmEntry {
+  id @0 :Text;
+  upstream @1 :Bool;
+  leaving @2 :Bool;
+  domain @3 :Text;
+  address @4 :Text;
+  port @5 :UInt16;
+  pool @6 :Text;
+}
+
 interface Peer {
   run @0 (secret :Text, request :RunRequest, sink :AnswerSink) -> (result :RunResult);
   # Dropping the call cancels the request.
@@ -86,4 +96,7 @@
   # Keeps a copy of a result that the store could not take, until forgetResult.
 
   forgetResult @3 (secret :Text, recordKey :Text) -> ();
+
+  vmList @4 (secret :Text) -> (vms :List(VmEntry));
+  # The platform's list as the node read it last, for a node that cannot read it itself.
 }
--- a/io/schema/peer.capnp.c++
+++ b/io/schema/peer.capnp.c++
@@ -1136,7 +1136,141 @@
   1, 2, i_c434a9bbace9e976, nullptr, nullptr, { &s_c434a9bbace9e976, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<61> b_e8fba2be23471979 = {
+static const ::capnp::_::AlignedData<123> b_9a5847de46b7cdab = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    171, 205, 183,  70, 222,  71,  88, 154,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     23,  78, 217, 163, 197, 176, 241, 177,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 143,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  86, 109,  69, 110, 116,
+    114, 121,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     28,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    185,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    193,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    197,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    204,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    201,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    196,   0,   0,   0,   3,   0,   1,   0,
+    208,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    205,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    200,   0,   0,   0,   3,   0,   1,   0,
+    212,   0,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    209,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    204,   0,   0,   0,   3,   0,   1,   0,
+    216,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117, 112, 115, 116, 114, 101,  97, 109,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 111, 109,  97, 105, 110,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 111, 114, 116,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9a5847de46b7cdab = b_9a5847de46b7cdab.words;
+#if !CAPNP_LITE
+static const uint16_t m_9a5847de46b7cdab[] = {4, 3, 0, 2, 6, 5, 1};
+static const uint16_t i_9a5847de46b7cdab[] = {0, 1, 2, 3, 4, 5, 6};
+const ::capnp::_::RawSchema s_9a5847de46b7cdab = {
+  0x9a5847de46b7cdab, b_9a5847de46b7cdab.words, 123, nullptr, m_9a5847de46b7cdab,
+  0, 7, i_9a5847de46b7cdab, nullptr, nullptr, { &s_9a5847de46b7cdab, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<71> b_e8fba2be23471979 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     121,  25,  71,  35, 190, 162, 251, 232,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1146,45 +1280,53 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   1,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   1,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       6, 188,  99,  92, 167, 196, 128, 189,
      16, 219, 150, 240,   7,  71, 236, 231,
-    113,   0,   0,   0,  34,   0,   0,   0,
+    145,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      39,  48,  45, 163,  64, 103, 236, 205,
     135, 254,  57,  21,  64,   7,  76, 146,
-     89,   0,   0,   0, 154,   0,   0,   0,
+    121,   0,   0,   0, 154,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     155, 142, 235, 150,  93,   2, 193, 180,
     185, 187,  18, 207, 129, 141, 204, 222,
-     73,   0,   0,   0,  90,   0,   0,   0,
+    105,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     231, 183, 248, 238, 205,   9, 209, 186,
      49, 113,  16, 154,  70, 167,  99, 170,
-     53,   0,   0,   0, 106,   0,   0,   0,
+     85,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    196,  37,  26,   1, 146, 188, 236, 145,
+     15,  25, 168, 136, 121, 186, 235, 239,
+     65,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
@@ -1197,11 +1339,14 @@
     102, 111, 114, 103, 101, 116,  82, 101,
     115, 117, 108, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    118, 109,  76, 105, 115, 116,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_e8fba2be23471979 = b_e8fba2be23471979.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e8fba2be23471979[] = {
+  &s_91ecbc92011a25c4,
   &s_924c07401539fe87,
   &s_aa63a7469a107131,
   &s_b4c1025d96eb8e9b,
@@ -1210,11 +1355,12 @@
   &s_cdec6740a32d3027,
   &s_decc8d81cf12bbb9,
   &s_e7ec4707f096db10,
+  &s_efebba7988a8190f,
 };
-static const uint16_t m_e8fba2be23471979[] = {1, 3, 2, 0};
+static const uint16_t m_e8fba2be23471979[] = {1, 3, 2, 0, 4};
 const ::capnp::_::RawSchema s_e8fba2be23471979 = {
-  0xe8fba2be23471979, b_e8fba2be23471979.words, 61, d_e8fba2be23471979, m_e8fba2be23471979,
-  8, 4, nullptr, nullptr, nullptr, { &s_e8fba2be23471979, nullptr, nullptr, 0, 0, nullptr }
+  0xe8fba2be23471979, b_e8fba2be23471979.words, 71, d_e8fba2be23471979, m_e8fba2be23471979,
+  10, 5, nullptr, nullptr, nullptr, { &s_e8fba2be23471979, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_bd80c4a75c63bc06 = {
@@ -1635,6 +1781,99 @@
   0, 0, nullptr, nullptr, nullptr, { &s_aa63a7469a107131, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_91ecbc92011a25c4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    196,  37,  26,   1, 146, 188, 236, 145,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    118, 109,  76, 105, 115, 116,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 101,  99, 114, 101, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_91ecbc92011a25c4 = b_91ecbc92011a25c4.words;
+#if !CAPNP_LITE
+static const uint16_t m_91ecbc92011a25c4[] = {0};
+static const uint16_t i_91ecbc92011a25c4[] = {0};
+const ::capnp::_::RawSchema s_91ecbc92011a25c4 = {
+  0x91ecbc92011a25c4, b_91ecbc92011a25c4.words, 32, nullptr, m_91ecbc92011a25c4,
+  0, 1, i_91ecbc92011a25c4, nullptr, nullptr, { &s_91ecbc92011a25c4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_efebba7988a8190f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     15,  25, 168, 136, 121, 186, 235, 239,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 250,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    118, 109,  76, 105, 115, 116,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    118, 109, 115,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    171, 205, 183,  70, 222,  71,  88, 154,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_efebba7988a8190f = b_efebba7988a8190f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_efebba7988a8190f[] = {
+  &s_9a5847de46b7cdab,
+};
+static const uint16_t m_efebba7988a8190f[] = {0};
+static const uint16_t i_efebba7988a8190f[] = {0};
+const ::capnp::_::RawSchema s_efebba7988a8190f = {
+  0xefebba7988a8190f, b_efebba7988a8190f.words, 36, d_efebba7988a8190f, m_efebba7988a8190f,
+  1, 1, i_efebba7988a8190f, nullptr, nullptr, { &s_efebba7988a8190f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1827,6 +2066,14 @@
 constexpr ::capnp::_::RawSchema const* ConfigurationUpdate::Snapshot::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// VmEntry
+constexpr uint16_t VmEntry::_capnpPrivate::dataWordSize;
+constexpr uint16_t VmEntry::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind VmEntry::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* VmEntry::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::banyan::schema::Peer::RunParams,  ::banyan::schema::Peer::RunResults>
 Peer::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1868,6 +2115,16 @@
       "peer.capnp:Peer", "forgetResult",
       0xe8fba2be23471979ull, 3);
 }
+::capnp::Request< ::banyan::schema::Peer::VmListParams,  ::banyan::schema::Peer::VmListResults>
+Peer::Client::vmListRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::banyan::schema::Peer::VmListParams,  ::banyan::schema::Peer::VmListResults>(
+      0xe8fba2be23471979ull, 4, sizeHint);
+}
+::kj::Promise<void> Peer::Server::vmList(VmListContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "vmList",
+      0xe8fba2be23471979ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1906,6 +2163,12 @@
              ::banyan::schema::Peer::ForgetResultParams,  ::banyan::schema::Peer::ForgetResultResults>(context)),
         false
       };
+    case 4:
+      return {
+        vmList(::capnp::Capability::Server::internalGetTypedContext<
+             ::banyan::schema::Peer::VmListParams,  ::banyan::schema::Peer::VmListResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1985,6 +2248,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ForgetResultResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::VmListParams
+constexpr uint16_t Peer::VmListParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::VmListParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::VmListParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::VmListParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::VmListResults
+constexpr uint16_t Peer::VmListResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::VmListResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::VmListResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::VmListResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -33,6 +33,7 @@
 CAPNP_DECLARE_SCHEMA(b7610a0ea739e499);
 CAPNP_DECLARE_SCHEMA(a2106e893b3485b2);
 CAPNP_DECLARE_SCHEMA(c434a9bbace9e976);
+CAPNP_DECLARE_SCHEMA(9a5847de46b7cdab);
 CAPNP_DECLARE_SCHEMA(e8fba2be23471979);
 CAPNP_DECLARE_SCHEMA(bd80c4a75c63bc06);
 CAPNP_DECLARE_SCHEMA(e7ec4707f096db10);
@@ -42,6 +43,8 @@
 CAPNP_DECLARE_SCHEMA(decc8d81cf12bbb9);
 CAPNP_DECLARE_SCHEMA(bad109cdeef8b7e7);
 CAPNP_DECLARE_SCHEMA(aa63a7469a107131);
+CAPNP_DECLARE_SCHEMA(91ecbc92011a25c4);
+CAPNP_DECLARE_SCHEMA(efebba7988a8190f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -271,6 +274,21 @@
   };
 };
 
+struct VmEntry {
+  VmEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9a5847de46b7cdab, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -287,6 +305,8 @@
   struct KeepResultResults;
   struct ForgetResultParams;
   struct ForgetResultResults;
+  struct VmListParams;
+  struct VmListResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -416,6 +436,36 @@
   };
 };
 
+struct Peer::VmListParams {
+  VmListParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91ecbc92011a25c4, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::VmListResults {
+  VmListResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efebba7988a8190f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class HttpField::Reader {
@@ -1733,6 +1783,132 @@
 };
 #endif  // !CAPNP_LITE
 
+class VmEntry::Reader {
+public:
+  typedef VmEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool getUpstream() const;
+
+  inline bool getLeaving() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VmEntry::Builder {
+public:
+  typedef VmEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool getUpstream();
+  inline void setUpstream(bool value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VmEntry::Pipeline {
+public:
+  typedef VmEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1760,6 +1936,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::banyan::schema::Peer::ForgetResultParams,  ::banyan::schema::Peer::ForgetResultResults> forgetResultRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::banyan::schema::Peer::VmListParams,  ::banyan::schema::Peer::VmListResults> vmListRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1792,6 +1970,10 @@
   typedef  ::banyan::schema::Peer::ForgetResultResults ForgetResultResults;
   typedef ::capnp::CallContext<ForgetResultParams, ForgetResultResults> ForgetResultContext;
   virtual ::kj::Promise<void> forgetResult(ForgetResultContext context);
+  typedef  ::banyan::schema::Peer::VmListParams VmListParams;
+  typedef  ::banyan::schema::Peer::VmListResults VmListResults;
+  typedef ::capnp::CallContext<VmListParams, VmListResults> VmListContext;
+  virtual ::kj::Promise<void> vmList(VmListContext context);
 
   inline  ::banyan::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2495,6 +2677,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::VmListParams::Reader {
+public:
+  typedef VmListParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSecret() const;
+  inline  ::capnp::Text::Reader getSecret() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::VmListParams::Builder {
+public:
+  typedef VmListParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSecret();
+  inline  ::capnp::Text::Builder getSecret();
+  inline void setSecret( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSecret(unsigned int size);
+  inline void adoptSecret(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSecret();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::VmListParams::Pipeline {
+public:
+  typedef VmListParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::VmListResults::Reader {
+public:
+  typedef VmListResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::VmListResults::Builder {
+public:
+  typedef VmListResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVms();
+  inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>> disownVms();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::VmListResults::Pipeline {
+public:
+  typedef VmListResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool HttpField::Reader::hasName() const {
@@ -3585,6 +3929,184 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool VmEntry::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmEntry::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmEntry::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmEntry::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VmEntry::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmEntry::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VmEntry::Reader::getUpstream() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool VmEntry::Builder::getUpstream() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VmEntry::Builder::setUpstream(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VmEntry::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool VmEntry::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VmEntry::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VmEntry::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmEntry::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmEntry::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VmEntry::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VmEntry::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmEntry::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool VmEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void VmEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void VmEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t VmEntry::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t VmEntry::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VmEntry::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VmEntry::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmEntry::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmEntry::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void VmEntry::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmEntry::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void VmEntry::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmEntry::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4017,6 +4539,74 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::VmListParams::Reader::hasSecret() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::VmListParams::Builder::hasSecret() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::VmListParams::Reader::getSecret() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::VmListParams::Builder::getSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::VmListParams::Builder::setSecret( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::VmListParams::Builder::initSecret(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::VmListParams::Builder::adoptSecret(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::VmListParams::Builder::disownSecret() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::VmListResults::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::VmListResults::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Reader Peer::VmListResults::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Builder Peer::VmListResults::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::VmListResults::Builder::setVms( ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>::Builder Peer::VmListResults::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::VmListResults::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>> Peer::VmListResults::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::VmEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -170,7 +170,14 @@
 private:
     void makeFleet()
     {
-        const fleet_service_options fleetOptions{.self = m_self, .secret = m_settings.fleetSecret, .seed = randomNumber()};
+        const fleet_service_options fleetOptions{.self = m_self,
+                                                 .secret = m_settings.fleetSecret,
+                                                 .seeds = m_settings.peers,
+                                                 .fetchListFromPeer =
+                                                     [this](const node_info &peer) {
+                                                         return m_peers.vmList(peer.peerAddress);
+                                                     },
+                                                 .seed = randomNumber()};
         m_fleet.emplace(m_context, m_platform, m_history, fleetOptions);
         configuration_service_options options;
         options.seed = randomNumber();
@@ -411,6 +418,9 @@
         handlers.configurationSince = [this](configuration_version version) {
             return m_configurations->updateSince(version);
         };
+        handlers.vmList = [this] {
+            return m_fleet->vms();
+        };
         handlers.keepResult = [this](const std::string &key, const std::string &result) {
             m_records->keepResultFor(key, result);
         };
--- a/io/src/fleet_service.cpp
+++ b/io/src/fleet_service.cpp
@@ -18,6 +18,13 @@
 
 namespace banyan {
 
+namespace {
+
+/// Between tries to get a first list.
+constexpr duration firstListInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
 class fleet_service::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
@@ -171,6 +178,9 @@
     /// Time until the next reading: the fleet's rate divided by its nodes, with jitter so that nodes spread.
     duration pollInterval()
     {
+        if (!listRead) {
+            return firstListInterval;
+        }
         const double count = static_cast<double>(std::max<std::size_t>(nodes.size(), 1));
         const auto share = std::chrono::duration_cast<duration>(std::chrono::duration<double>(count / m_options.listReadsPerSecond));
         std::uniform_real_distribution<double> jitter(0.75, 1.25);
@@ -189,16 +199,53 @@
 
     task<> readList()
     {
-        vm_list list;
+        std::optional<vm_list> list = co_await listFromPlatform();
+        if (!list && !listRead) {
+            list = co_await listFromPeer();
+        }
+        if (m_stopped || !list || (listRead && *list == vms)) {
+            co_return;
+        }
+        useList(std::move(*list));
+    }
+
+    task<std::optional<vm_list>> listFromPlatform()
+    {
+        std::string failure;
         try {
-            list = co_await m_platform.listVms();
+            vm_list list = co_await m_platform.listVms();
+            co_return list;
         } catch (const std::exception &error) {
-            logEvent(log_level::Warning, "vm_list_unavailable", {{"reason", error.what()}});
-            co_return;
+            failure = error.what();
         }
-        if (m_stopped || (listRead && list == vms)) {
-            co_return;
+        logEvent(log_level::Warning, "vm_list_unavailable", {{"reason", failure}});
+        co_return std::nullopt;
+    }
+
+    /// A start while the platform is down: an older list is better than none.
+    task<std::optional<vm_list>> listFromPeer()
+    {
+        std::vector<node_info> peers = m_node->reachableNodes();
+        std::erase_if(peers, [this](const node_info &peer) {
+            return peer.id == m_options.self.id;
+        });
+        if (peers.empty() || !m_options.fetchListFromPeer) {
+            co_return std::nullopt;
         }
+        const node_info peer = peers[m_random() % peers.size()];
+        std::string failure;
+        try {
+            vm_list list = co_await m_options.fetchListFromPeer(peer);
+            co_return list.empty() ? std::nullopt : std::optional(std::move(list));
+        } catch (const std::exception &error) {
+            failure = error.what();
+        }
+        logEvent(log_level::Warning, "vm_list_not_fetched", {{"peer", peer.id.text()}, {"reason", failure}});
+        co_return std::nullopt;
+    }
+
+    void useList(vm_list list)
+    {
         vms = std::move(list);
         listRead = true;
         m_node->setListed(peerAddresses());
--- a/io/src/node_settings.cpp
+++ b/io/src/node_settings.cpp
@@ -18,11 +18,12 @@
 constexpr std::uint64_t largestBodyLimit = std::uint64_t(64) << 20; // Bytes.
 constexpr std::uint64_t longestDrainSeconds = 3600;
 
-constexpr std::array<std::string_view, 11> knownKeys = {"vm",
+constexpr std::array<std::string_view, 12> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "operator_listen",
                                                         "peer_listen",
+                                                        "peers",
                                                         "platform",
                                                         "fleet_secret",
                                                         "bootstrap_operator_key_hash",
@@ -77,6 +78,23 @@
         }
     }
 
+    [[nodiscard]] std::vector<endpoint> addresses(const char *key) const
+    {
+        const YAML::Node node = m_root[key];
+        if (!node.IsSequence()) {
+            fail(node.Mark(), std::string("a list of addresses for \"") + key + "\"", "something else");
+        }
+        std::vector<endpoint> result;
+        for (const YAML::Node &element : node) {
+            try {
+                result.push_back(endpoint::parse(element.IsScalar() ? element.Scalar() : ""));
+            } catch (const std::invalid_argument &error) {
+                fail(element.Mark(), std::string("addresses for \"") + key + "\"", error.what());
+            }
+        }
+        return result;
+    }
+
     [[nodiscard]] std::uint64_t number(const char *key, std::uint64_t least, std::uint64_t most) const
     {
         const std::string value = text(key);
@@ -166,6 +184,9 @@
     settings.callerListen = reader.address("caller_listen");
     settings.operatorListen = reader.address("operator_listen");
     settings.peerListen = reader.address("peer_listen");
+    if (reader.has("peers")) {
+        settings.peers = reader.addresses("peers");
+    }
     settings.platform = reader.address("platform");
     settings.fleetSecret = readSecret(reader);
     if (reader.has("bootstrap_operator_key_hash")) {
--- a/io/src/peer_codec.cpp
+++ b/io/src/peer_codec.cpp
@@ -146,4 +146,34 @@
     return result;
 }
 
+void encode(capnp::List<schema::VmEntry>::Builder to, const vm_list &from)
+{
+    for (unsigned index = 0; index < to.size(); ++index) {
+        const vm_entry &vm = from[index];
+        schema::VmEntry::Builder entry = to[index];
+        entry.setId(vm.id.text());
+        entry.setUpstream(vm.role == vm_role::Upstream);
+        entry.setLeaving(vm.state == vm_state::Leaving);
+        entry.setDomain(vm.domain.text());
+        entry.setAddress(vm.address.address);
+        entry.setPort(vm.address.port);
+        entry.setPool(vm.pool.text());
+    }
+}
+
+vm_list decode(capnp::List<schema::VmEntry>::Reader from)
+{
+    vm_list result;
+    result.reserve(from.size());
+    for (const auto entry : from) {
+        result.push_back({.id = vm_id(toString(entry.getId())),
+                          .role = entry.getUpstream() ? vm_role::Upstream : vm_role::Entry,
+                          .state = entry.getLeaving() ? vm_state::Leaving : vm_state::Live,
+                          .domain = failure_domain(toString(entry.getDomain())),
+                          .address = {.address = toString(entry.getAddress()), .port = entry.getPort()},
+                          .pool = pool_name(toString(entry.getPool()))});
+    }
+    return result;
+}
+
 } // namespace banyan
--- a/io/src/peer_codec.h
+++ b/io/src/peer_codec.h
@@ -3,6 +3,7 @@
 #include "banyan/core/cell_id.h"
 #include "banyan/core/configuration_update.h"
 #include "banyan/core/time.h"
+#include "banyan/core/vm_entry.h"
 #include "banyan/io/http_message.h"
 #include "banyan/io/run_outcome.h"
 #include "banyan/io/run_request.h"
@@ -28,6 +29,9 @@
 void encode(schema::ConfigurationUpdate::Builder to, const configuration_update &from);
 [[nodiscard]] configuration_update decode(schema::ConfigurationUpdate::Reader from);
 
+void encode(capnp::List<schema::VmEntry>::Builder to, const vm_list &from);
+[[nodiscard]] vm_list decode(capnp::List<schema::VmEntry>::Reader from);
+
 [[nodiscard]] inline std::string toString(capnp::Text::Reader text)
 {
     return {text.cStr(), text.size()};
--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -576,6 +576,18 @@
             });
     }
 
+    kj::Promise<void> vmList(VmListContext context) override
+    {
+        require(context.getParams().getSecret());
+        return m_host
+            .onAsio<vm_list>([this] {
+                return m_host.handlers().vmList();
+            })
+            .then([context](vm_list &&list) mutable {
+                encode(context.getResults().initVms(static_cast<unsigned>(list.size())), list);
+            });
+    }
+
     kj::Promise<void> keepResult(KeepResultContext context) override
     {
         require(context.getParams().getSecret());
@@ -665,6 +677,17 @@
     });
 }
 
+task<vm_list> peer_rpc::vmList(endpoint to)
+{
+    return m_implementation->callOnce<vm_list>(std::move(to), [this](schema::Peer::Client &peer) {
+        auto call = peer.vmListRequest();
+        call.setSecret(m_implementation->secret().c_str());
+        return call.send().then([](capnp::Response<schema::Peer::VmListResults> &&answer) {
+            return decode(answer.getVms());
+        });
+    });
+}
+
 task<> peer_rpc::keepResult(endpoint to, std::string recordKey, std::string result)
 {
     co_await m_implementation->callOnce<bool>(
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -190,6 +190,9 @@
          << "platform: " << m_platformAddress.toString() << "\n"
          << "fleet_secret: secret-of-the-test-fleet\n"
          << "bootstrap_operator_key_hash: " << sha256Hex(operatorKey) << "\n";
+    if (!m_entries.empty()) {
+        text << "peers: [\"" << m_entries.front()->peers.toString() << "\"]\n";
+    }
     return text.str();
 }
 
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -61,6 +61,8 @@
             {replaced(goodSettings, "peer_listen: 127.0.0.1:0", "peer_listen: 127.0.0.1"), 5, "peer_listen"},
             {replaced(goodSettings, "failure_domain: sierra-a\n", ""), 1, "failure_domain"},
             {goodSettings + "log_level: loud\n", 8, "log_level"},
+            {goodSettings + "peers: 127.0.0.1:1\n", 8, "peers"},
+            {goodSettings + "peers:\n  - 127.0.0.1:1\n  - e2\n", 10, "peers"},
             {replaced(goodSettings, "secret-of-the-test-fleet", "short"), 7, "fleet_secret"},
             {replaced(goodSettings, "vm: e1", "vm: [e1"), 2, "expected"}};
 }
