--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -76,6 +76,16 @@
   }
 }
 
+struct VmEntry {
+  id @0 :Text;
+  upstream @1 :Bool;
+  leaving @2 :Bool;
+  domain @3 :Text;
+  address @4 :Text;
+  port @5 :UInt16;
+  pool @6 :Text;
+}
+
 interface Peer {
   run @0 (secret :Text, request :RunRequest, sink :AnswerSink) -> (result :RunResult);
   # Dropping the call cancels the request.
@@ -89,4 +99,7 @@
 
   stopFingerprint @4 (secret :Text, fingerprint :UInt64, remainingMicros :Int64) -> ();
   # Refuses requests with this content for a time, because it has crashed several upstreams.
+
+  vmList @5 (secret :Text) -> (vms :List(VmEntry));
+  # The platform's list as the node read it last, for a node that cannot read it itself.
 }
