--- a/core/include/banyan/core/dispatcher.h
+++ b/core/include/banyan/core/dispatcher.h
@@ -6,6 +6,7 @@
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/dispatcher_counters.h"
 #include "banyan/core/dispatcher_options.h"
+#include "banyan/core/stopped_fingerprint.h"
 #include "banyan/core/upstream_info.h"
 #include "banyan/core/upstream_status.h"
 
@@ -54,6 +55,10 @@
     /// Reports the first byte of an attempt's answer.
     [[nodiscard]] dispatch_actions firstByte(attempt_id attempt, time_point now);
 
+    /// Reports that @p tokens more tokens of a streamed answer have come since the last report or the first byte. Optional:
+    /// it finds an upstream that slows down in the middle of its answers. A few reports a second for each attempt are enough.
+    [[nodiscard]] dispatch_actions progressed(attempt_id attempt, std::uint32_t tokens, time_point now);
+
     /// Reports an attempt's end. An attempt that is not known any more is ignored.
     [[nodiscard]] dispatch_actions attemptEnded(attempt_id attempt, const attempt_result &result, time_point now);
 
@@ -75,11 +80,17 @@
     /// How busy the cell is.
     [[nodiscard]] cell_load load(time_point now) const;
 
+    /// Contents that are refused because they crash upstreams; to be told to other dispatchers.
+    [[nodiscard]] std::vector<stopped_fingerprint> stoppedFingerprints(time_point now) const;
+
+    /// Refuses a content that another dispatcher has stopped. Requests of it that are in the dispatcher go on.
+    void stopFingerprint(std::uint64_t fingerprint, time_point until);
+
     /// The upstreams of the cell and those that have left it with work in progress.
     [[nodiscard]] std::vector<upstream_status> upstreams(time_point now) const;
 
     /// What has been done so far.
-    [[nodiscard]] const dispatcher_counters &counters() const;
+    [[nodiscard]] dispatcher_counters counters() const;
 
 private:
     class implementation;
--- a/io/include/banyan/io/record_service.h
+++ b/io/include/banyan/io/record_service.h
@@ -7,6 +7,7 @@
 #include "banyan/io/record_request.h"
 #include "banyan/io/record_service_options.h"
 #include "banyan/io/request_runner.h"
+#include "banyan/io/store_port.h"
 #include "banyan/io/stored_record.h"
 
 #include <memory>
@@ -35,6 +36,9 @@
 {
 public:
     record_service(asio::io_context &context, platform_client &platform, request_runner runner, record_service_options options);
+
+    /// As above, with another way to the store than a platform_client.
+    record_service(asio::io_context &context, store_port port, request_runner runner, record_service_options options);
     ~record_service();
 
     /// Begins to keep the lease, to look for lapsed ones and to run what is accepted or taken over.
@@ -60,6 +64,11 @@
     /// @throws store_unavailable the request must not be sent; it was not run
     [[nodiscard]] task<bool> recordStart(std::string recordKey, std::uint64_t fencingNumber, std::string attempt);
 
+    /// Commits how a request ended whose start this node's dispatcher recorded, on behalf of its owner, which may be gone.
+    /// The first committed result stands. Goes on in the background while the store is down; returns when it is
+    /// committed or void, at the latest @p until.
+    [[nodiscard]] task<> recordResult(std::string recordKey, std::uint64_t fencingNumber, run_answer answer, time_point until);
+
     /// Reads a record; none if the caller has none under this key.
     /// @throws platform_unavailable
     [[nodiscard]] task<std::optional<stored_record>> find(caller_id caller, std::string idempotencyKey);
