Name each ownership of a record, so that letting an old one go cannot drop a new one

Cause: a node that lost a record and took it over again still had the old ownership to let go of, by the record's key; that dropped the new one from its list, and after its loss nobody found the record: accepted and never run. Ruled out: ordering the two in the executor (the new ownership may be in flight). Now an ownership is named by key and row version.

No test tells yet: "not run" told when the record that stood in the way cannot be read.

--- a/core/include/banyan/core/record_changes.h
+++ b/core/include/banyan/core/record_changes.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace banyan {
 
@@ -31,6 +32,13 @@
 ///     Accepted --takeOver--> Accepted under a higher fencing number
 ///     Started --takeOver--> Started, and its starter may still finish it
 
+/// Names one node's ownership of a record in commit_item::owns and disowns. A node may lose a record and get it again, so
+/// the name holds the row's version before.
+[[nodiscard]] std::string ownershipOf(const std::string &key, row_version before);
+
+/// The key of the record that an ownership is of.
+[[nodiscard]] std::string recordOfOwnership(std::string_view ownership);
+
 /// Accepts a request under a key that has no record.
 [[nodiscard]] record_change acceptRecord(const std::string &key, record_row fresh);
 
--- a/core/src/record_changes.cpp
+++ b/core/src/record_changes.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr char ownershipSeparator = '#';
+
 record_change changeTo(const versioned_record &seen, record_row after)
 {
     commit_item item{.conditions = {{.key = seen.key, .version = seen.version}},
@@ -39,11 +41,21 @@
 
 } // namespace
 
+std::string ownershipOf(const std::string &key, row_version before)
+{
+    return key + ownershipSeparator + std::to_string(before);
+}
+
+std::string recordOfOwnership(std::string_view ownership)
+{
+    return std::string(ownership.substr(0, ownership.find(ownershipSeparator)));
+}
+
 record_change acceptRecord(const std::string &key, record_row fresh)
 {
     record_change change = changeTo({.key = key, .version = 0}, std::move(fresh));
     change.item.refuseWhenUnavailable = true;
-    change.item.owns = key;
+    change.item.owns = ownershipOf(key, 0);
     return change;
 }
 
@@ -55,7 +67,7 @@
     fresh.fencingNumber = seen.record.fencingNumber + 1;
     record_change change = changeTo(seen, std::move(fresh));
     change.item.refuseWhenUnavailable = true;
-    change.item.owns = seen.key;
+    change.item.owns = ownershipOf(seen.key, seen.version);
     return change;
 }
 
@@ -79,9 +91,7 @@
     if (!belongsTo(seen.record, end.owner, end.fencingNumber)) {
         return std::nullopt;
     }
-    record_change change = changeTo(seen, ended(seen.record, end.state, end.answer, now));
-    change.item.disowns = seen.key;
-    return change;
+    return changeTo(seen, ended(seen.record, end.state, end.answer, now));
 }
 
 std::optional<record_change> finishStarted(const versioned_record &seen, const record_end &end, time_point now)
@@ -120,7 +130,7 @@
     }
     moved.mayHaveRun = seen.record.mayHaveRun || seen.record.repeatable; // The start of a repeatable request is not recorded.
     record_change change = changeTo(seen, std::move(moved));
-    change.item.owns = seen.key;
+    change.item.owns = ownershipOf(seen.key, seen.version);
     return change;
 }
 
--- a/io/src/lease_recovery.cpp
+++ b/io/src/lease_recovery.cpp
@@ -218,8 +218,8 @@
     while (more) {
         const row_page page = co_await m_records->store().port().scan(ownedPrefixOf(lostHolder), after, pageSize);
         for (const row &list : page.rows) {
-            for (const std::string &key : parseOwnedRecords(list.value)) {
-                co_await group.start(takeOverOrCount(shared_from_this(), key, lostHolder, failures));
+            for (const std::string &ownership : parseOwnedRecords(list.value)) {
+                co_await group.start(takeOverOrCount(shared_from_this(), recordOfOwnership(ownership), lostHolder, failures));
             }
             lists.push_back(list.key);
             after = list.key;
@@ -261,7 +261,7 @@
         if (outcome.status == commit_status::Committed) {
             logEvent(log_level::Info, "record_taken_over", {{"record", recordKey}, {"state", std::string(toString(change->after.state))}});
             if (!isFinal(change->after.state)) {
-                m_executor->start({.key = recordKey, .record = change->after, .version = outcome.version}, parseRunRequest(request));
+                m_executor->start(recordKey, *change, outcome.version, parseRunRequest(request));
             }
             co_return true;
         }
--- a/io/src/record_executor.cpp
+++ b/io/src/record_executor.cpp
@@ -34,19 +34,21 @@
 {
 }
 
-std::shared_ptr<active_record> record_executor::start(const versioned_record &own, run_request request)
+std::shared_ptr<active_record>
+record_executor::start(const std::string &key, const record_change &change, row_version version, run_request request)
 {
     auto active = std::make_shared<active_record>(m_context);
-    active->key = own.key;
-    active->record = own.record;
-    active->version = own.version;
+    active->key = key;
+    active->ownership = change.item.owns;
+    active->record = change.after;
+    active->version = version;
     active->request = std::move(request);
-    active->mayHaveRun = own.record.mayHaveRun;
-    active->timeToRun = std::max(active->request.dispatch.deadline - own.record.changedAt, leastTimeToRun);
-    active->giveUpAt = own.record.changedAt + m_options.giveUpAfter;
-    m_active[own.key] = active;
+    active->mayHaveRun = active->record.mayHaveRun;
+    active->timeToRun = std::max(active->request.dispatch.deadline - active->record.changedAt, leastTimeToRun);
+    active->giveUpAt = active->record.changedAt + m_options.giveUpAfter;
+    m_active[key] = active;
     asio::co_spawn(m_context, runToEnd(shared_from_this(), active), asio::detached);
-    logEvent(log_level::Debug, "record_run", {{"record", own.key}, {"fencing_number", std::to_string(own.record.fencingNumber)}});
+    logEvent(log_level::Debug, "record_run", {{"record", key}, {"fencing_number", std::to_string(active->record.fencingNumber)}});
     return active;
 }
 
@@ -99,7 +101,7 @@
         }
     }
     if (step == next_step::Superseded) {
-        self->m_records->store().disown(active->key);
+        self->m_records->store().disown(active->ownership);
     }
     const auto found = self->m_active.find(active->key);
     if (found != self->m_active.end() && found->second == active) {
@@ -256,11 +258,12 @@
         if (!seen) {
             seen = co_await m_records->readPatiently(active->key);
         }
-        const auto change = seen ? finishRecord(*seen, end, store.now()) : std::nullopt;
+        auto change = seen ? finishRecord(*seen, end, store.now()) : std::nullopt;
         if (!change) {
             next_step step = co_await superseded(active, seen);
             co_return step;
         }
+        change->item.disowns = active->ownership;
         const commit_outcome outcome = co_await store.commit(change->item);
         if (outcome.status == commit_status::Committed) {
             active->end = visibleRecord(active->key, change->after, std::move(answer));
--- a/io/src/record_executor.h
+++ b/io/src/record_executor.h
@@ -29,6 +29,7 @@
     }
 
     std::string key;
+    std::string ownership; ///< Names this node's ownership, see ownershipOf().
     record_row record; ///< As this node committed it last.
     row_version version = 0; ///< Of the row then; 0 if somebody else may have written it since.
     run_request request;
@@ -50,8 +51,8 @@
                     request_runner runner,
                     record_service_options options);
 
-    /// Begins to run a record that was just accepted or taken over by this node.
-    std::shared_ptr<active_record> start(const versioned_record &own, run_request request);
+    /// Begins to run a record that this node just accepted or took over by @p change, committed as @p version.
+    std::shared_ptr<active_record> start(const std::string &key, const record_change &change, row_version version, run_request request);
 
     /// The record if this node runs it, else null.
     [[nodiscard]] std::shared_ptr<active_record> find(const std::string &key) const;
--- a/io/src/record_service.cpp
+++ b/io/src/record_service.cpp
@@ -261,7 +261,7 @@
             std::optional<record_change> change = seen ? acceptAgain(*seen, fresh) : acceptRecord(key, fresh);
             const commit_outcome outcome = co_await lease.session->commit(change->item);
             if (outcome.status == commit_status::Committed) {
-                m_executor->start({.key = key, .record = change->after, .version = outcome.version}, request.request);
+                m_executor->start(key, *change, outcome.version, request.request);
                 co_return accept_outcome{.status = accept_status::New, .record = visibleRecord(key, change->after, std::nullopt)};
             }
             if (outcome.status == commit_status::Unavailable) {
