--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/attempt_id.h"
+#include "banyan/core/attempt_result.h"
 #include "banyan/core/dispatch_request.h"
 #include "banyan/core/time.h"
 #include "banyan/core/upstream_info.h"
@@ -29,6 +30,7 @@
     std::vector<attempt_id> attempts; ///< In flight.
     std::optional<attempt_id> chosen; ///< Whose bytes go to the caller.
     std::uint32_t failedAttempts = 0; ///< Without preempted ones and hedges.
+    std::uint32_t failedRuns = 0; ///< Those of them that may have run.
     std::uint32_t preemptions = 0;
     bool suspect = false; ///< Its content may have crashed an upstream.
     bool stopped = false; ///< Its content crashed as many upstreams as it may.
@@ -48,7 +50,9 @@
     upstream_id upstream;
     time_point startedAt;
     std::optional<time_point> firstByteAt;
+    time_point progressedAt; ///< Of the first byte or the last report of progress.
     bool hedge = false;
+    bool streamed = true; ///< As of its request.
 };
 
 /// An upstream of the cell, or one that has left it and still runs attempts.
@@ -56,7 +60,7 @@
 {
     upstream_info info;
     concurrency_limit limit; ///< Requests that it may hold before batch work has to yield.
-    bool streamsTokens = false; ///< Some answer has counted its tokens.
+    bool streamsTokens = false; ///< Its pace comes from streamed answers; others differ and do not count.
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
     std::uint32_t onlineLongInFlight = 0; ///< Those of them that are long.
--- a/tests/property/dispatcher_property_test.cpp
+++ b/tests/property/dispatcher_property_test.cpp
@@ -19,6 +19,7 @@
         {12, event_kind::SubmitOnline},
         {16, event_kind::SubmitBatch},
         {10, event_kind::FirstByte},
+        {6, event_kind::Progress},
         {10, event_kind::Succeed},
         {1, event_kind::Answer},
         {3, event_kind::LoseAttempt},
@@ -93,7 +94,7 @@
             perform(m_dispatcher.tick(m_now));
             return;
         }
-        const start_attempt ended = std::next(m_attempts.begin(), pick % m_attempts.size())->second;
+        const start_attempt ended = std::next(m_attempts.begin(), static_cast<std::ptrdiff_t>(pick % m_attempts.size()))->second;
         if (ended.request.text().rfind("crash", 0) == 0) {
             crash(ended.upstream);
         } else {
