Remove a kept-alive lease's row on release as well

Cause: the row was kept whenever the lease was not idle, and a lease that is kept alive never is; jobs left their lease rows behind (job_service_test, retention). What counts is that nothing is owned.

--- a/core/src/group_committer.cpp
+++ b/core/src/group_committer.cpp
@@ -212,9 +212,10 @@
     const std::vector<std::string> owned = namesOf(tried.items, &commit_item::owns);
     const std::vector<std::string> disowned = disownedBy(tried);
     lease_row lease = tried.lease;
-    lease.idle = !m_options.keepAlive && m_index.emptyAfter(owned, disowned);
+    const bool ownsNothing = m_index.emptyAfter(owned, disowned);
+    lease.idle = !m_options.keepAlive && ownsNothing;
     transaction change{.id = lease.transaction, .conditions = {{.key = m_options.leaseKey, .version = m_version}}};
-    const bool remove = tried.release && m_options.removeOnRelease && lease.idle;
+    const bool remove = tried.release && m_options.removeOnRelease && ownsNothing;
     change.writes.push_back({.key = m_options.leaseKey, .value = remove ? std::nullopt : std::optional(encodeLeaseRow(lease))});
     for (const row_write &write : m_index.writesFor(tried.sequence, owned, disowned)) {
         change.writes.push_back(write);
