--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -384,6 +384,9 @@
                 self->perform(cell, cell->decisions.firstByte(attempt->order().attempt, currentTime()));
                 active->changed.notify();
             };
+            watcher.onProgress = [&](std::uint32_t tokens) {
+                self->perform(cell, cell->decisions.progressed(attempt->order().attempt, tokens, currentTime()));
+            };
             watcher.onData = [&] {
                 active->changed.notify();
             };
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -1,16 +1,21 @@
 #include "upstream_attempt.h"
 
+#include "banyan/io/clock.h"
 #include "banyan/io/http_error.h"
 
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace banyan {
 
 namespace {
 
 constexpr std::size_t highWaterBytes = std::size_t(256) << 10; // Buffered for a slow reader before the upstream is slowed down.
+constexpr std::string_view eventMark = "data:";
+constexpr duration progressInterval = std::chrono::milliseconds(250);
 constexpr unsigned tooManyRequests = 429;
 constexpr unsigned serviceUnavailable = 503;
 constexpr unsigned firstErrorStatus = 400;
@@ -27,6 +32,13 @@
     return status < firstServerErrorStatus && !isRefusal(status);
 }
 
+bool isEventStream(const std::vector<http_field> &fields)
+{
+    return std::any_of(fields.begin(), fields.end(), [](const http_field &field) {
+        return boost::beast::iequals(field.name, "Content-Type") && field.value.starts_with("text/event-stream");
+    });
+}
+
 std::optional<duration> retryAfterOf(const std::vector<http_field> &fields)
 {
     for (const http_field &field : fields) {
@@ -65,6 +77,8 @@
         m_fields = fields;
         if (isForCaller(status)) {
             m_headSeen = true;
+            m_isEventStream = isEventStream(fields);
+            m_reportedAt = currentTime();
             watcher.onFirstByte();
         }
         co_return;
@@ -74,6 +88,7 @@
             co_return;
         }
         m_pieces += piece;
+        countTokens(piece, watcher);
         if (m_pieces.size() > maximumBuffered) {
             throw http_error(sent_state::MaybeSent, false, "answer is larger than may be buffered");
         }
@@ -85,6 +100,23 @@
     return handler;
 }
 
+/// Counts the events of a streamed answer, each of which carries about one token.
+void upstream_attempt::countTokens(std::string_view piece, const observer &watcher)
+{
+    if (!m_isEventStream) {
+        return;
+    }
+    for (std::size_t found = piece.find(eventMark); found != std::string_view::npos; found = piece.find(eventMark, found + 1)) {
+        ++m_tokens;
+        ++m_unreportedTokens;
+    }
+    const time_point now = currentTime();
+    if (m_unreportedTokens != 0 && now - m_reportedAt >= progressInterval) {
+        m_reportedAt = now;
+        watcher.onProgress(std::exchange(m_unreportedTokens, 0));
+    }
+}
+
 attempt_result upstream_attempt::resultOfAnswer() const
 {
     if (isRefusal(m_status)) {
@@ -93,7 +125,7 @@
     if (m_status >= firstServerErrorStatus) {
         return {.outcome = attempt_outcome::Failed};
     }
-    return {.outcome = m_status >= firstErrorStatus ? attempt_outcome::Answered : attempt_outcome::Succeeded};
+    return {.outcome = m_status >= firstErrorStatus ? attempt_outcome::Answered : attempt_outcome::Succeeded, .tokens = m_tokens};
 }
 
 task<attempt_result> upstream_attempt::send(http_client &client, http_request request, std::size_t maximumBuffered, observer watcher)
--- a/io/src/upstream_attempt.h
+++ b/io/src/upstream_attempt.h
@@ -7,9 +7,11 @@
 #include "banyan/io/async_event.h"
 #include "banyan/io/http_client.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace banyan {
@@ -25,6 +27,7 @@
     {
         std::function<void()> onFirstByte; ///< Of an answer that may be passed on; not of a refusal or failure.
         std::function<void()> onData; ///< More is buffered.
+        std::function<void(std::uint32_t tokens)> onProgress; ///< Tokens of a streamed answer since the last call; a few calls a second.
     };
 
     /// Sends @p request and buffers its answer; waits while more than @p highWater bytes wait for a chosen attempt's reader.
@@ -73,6 +76,7 @@
 private:
     [[nodiscard]] http_client::stream_handler makeHandler(std::size_t maximumBuffered, const observer &watcher);
     [[nodiscard]] attempt_result resultOfAnswer() const;
+    void countTokens(std::string_view piece, const observer &watcher);
 
     start_attempt m_order;
     endpoint m_address;
@@ -84,6 +88,10 @@
     unsigned m_status = 0;
     std::vector<http_field> m_fields;
     std::string m_pieces;
+    bool m_isEventStream = false;
+    std::uint32_t m_tokens = 0;
+    std::uint32_t m_unreportedTokens = 0;
+    time_point m_reportedAt{};
 };
 
 } // namespace banyan
