--- a/tests/unit/rate_limits_test.cpp
+++ b/tests/unit/rate_limits_test.cpp
@@ -34,6 +34,17 @@
     CHECK(admitted <= 110);
 }
 
+TEST_CASE("rate_limits admits a burst at once and refuses what follows")
+{
+    rate_limits limits;
+    const caller_settings caller{.id = caller_id("a"), .requestsPerSecond = 10};
+    int admitted = 0;
+    for (int request = 0; request < 100; ++request) {
+        admitted += limits.admit(caller, {.name = service_name("s")}, start) ? 0 : 1;
+    }
+    CHECK(admitted == 10);
+}
+
 TEST_CASE("rate_limits says when the next request would be admitted")
 {
     rate_limits limits;
@@ -44,6 +55,7 @@
     const std::optional<duration> wait = limits.admit(caller, service, start);
     REQUIRE(wait);
     CHECK(*wait == std::chrono::milliseconds(500));
+    CHECK(limits.admit(caller, service, start + *wait - duration(1)));
     CHECK_FALSE(limits.admit(caller, service, start + *wait));
 }
 
