Take paces from progress reports, keep those of whole answers apart, use load reports as hints

- The limit learned only from attempts that ended, seconds late, and slowly on a cold start; it now learns from progress reports, where the host makes them.
- Whole answers and tokens have baselines of their own.
- loadReported() makes an upstream look busier by at most half of its limit, halved each second of age.

--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -9,7 +9,8 @@
 /// Limits of a dispatcher. Defaults suit a cell of up to 16 upstreams.
 struct dispatcher_options
 {
-    std::uint32_t initialSlots = 8; ///< Requests in flight to one upstream before its limit has adapted.
+    std::uint32_t initialSlots =
+        4; ///< Requests in flight to one upstream before its limit has adapted; should be less than it can run without slowing.
     std::uint32_t maximumSlots = 64; ///< Upper end of the adaptive limit of one upstream.
     double headroomDeviations = 2; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
--- a/core/src/concurrency_limit.cpp
+++ b/core/src/concurrency_limit.cpp
@@ -11,7 +11,10 @@
 constexpr double strongestShrink = 0.75; ///< Factor of a window at most.
 constexpr double usedShare = 0.8; ///< The limit grows only if this share of it was used.
 constexpr double uncontendedShare = 0.25; ///< Windows with less in flight than this share of the limit show the baseline.
-constexpr double baselineStep = 0.2; ///< Weight of a window that raises the baseline.
+constexpr double uncontendedRise = 0.2; ///< Weight of a window with little in flight that raises a baseline.
+constexpr double tokenFall = 0.5; ///< Weight of a window that lowers the baseline of tokens.
+constexpr double wholeAnswerRise = 0.02; ///< Weight of any window that raises the baseline of whole answers.
+constexpr double wholeAnswerFall = 0.05; ///< Weight of a window that lowers it.
 constexpr double recoveredShare = 0.8;
 constexpr double refusalShrink = 0.9;
 
@@ -32,18 +35,19 @@
     m_options.minimum = std::min(options.minimum, options.maximum);
 }
 
-void concurrency_limit::paceObserved(double seconds, std::uint32_t inFlight, time_point now)
+void concurrency_limit::paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, time_point now)
 {
     if (seconds <= 0) {
         return;
     }
-    if (m_paces.empty()) {
-        m_windowStart = now;
+    pace_series &series = kind == pace_kind::Token ? m_tokens : m_wholeAnswers;
+    if (series.window.empty()) {
+        series.windowStart = now;
     }
-    m_paces.push_back(seconds);
-    m_inFlightSum += inFlight;
-    if (now - m_windowStart >= m_options.window && m_paces.size() >= m_options.minimumSamples) {
-        closeWindow();
+    series.window.push_back(seconds);
+    series.inFlightSum += inFlight;
+    if (now - series.windowStart >= m_options.window && series.window.size() >= m_options.minimumSamples) {
+        closeWindow(series);
     }
 }
 
@@ -53,24 +57,28 @@
     shrink(reached * refusalShrink / m_limit);
 }
 
-void concurrency_limit::closeWindow()
+void concurrency_limit::closeWindow(pace_series &series)
 {
-    const double inFlight = m_inFlightSum / static_cast<double>(m_paces.size());
-    const double pace = medianOf(m_paces);
-    m_paces.clear();
-    m_inFlightSum = 0;
-    moveBaseline(pace, inFlight);
-    adapt(pace, inFlight);
+    const double inFlight = series.inFlightSum / static_cast<double>(series.window.size());
+    const double pace = medianOf(series.window);
+    series.window.clear();
+    series.inFlightSum = 0;
+    moveBaseline(series, pace, inFlight);
+    adapt(series, pace, inFlight);
 }
 
-void concurrency_limit::moveBaseline(double pace, double inFlight)
+void concurrency_limit::moveBaseline(pace_series &series, double pace, double inFlight) const
 {
-    const bool uncontended = inFlight <= std::max<double>(m_options.minimum, m_limit * uncontendedShare);
-    if (m_baseline <= 0 || pace < m_baseline) {
-        m_baseline = pace;
-    } else if (uncontended) {
-        m_baseline += baselineStep * (pace - m_baseline);
+    if (series.baseline <= 0) {
+        series.baseline = pace;
+        return;
     }
+    const bool whole = series.kind == pace_kind::WholeAnswer;
+    const bool uncontended = inFlight <= std::max<double>(m_options.minimum, m_limit * uncontendedShare);
+    const double contendedRise = whole ? wholeAnswerRise : 0;
+    const double rise = uncontended ? uncontendedRise : contendedRise;
+    const double fall = whole ? wholeAnswerFall : tokenFall;
+    series.baseline += (pace < series.baseline ? fall : rise) * (pace - series.baseline);
 }
 
 /// The first shrinking after a time of growth sets up to where the limit may grow fast again: a slow moment of the engine
@@ -84,10 +92,11 @@
     m_limit = std::max<double>(m_options.minimum, m_limit * factor);
 }
 
-void concurrency_limit::adapt(double pace, double inFlight)
+void concurrency_limit::adapt(const pace_series &series, double pace, double inFlight)
 {
-    const double ratio = pace / m_baseline;
-    const double tolerance = inFlight > m_limit ? m_options.overcommittedTolerance : m_options.tolerance;
+    const double ratio = pace / series.baseline;
+    const double usual = series.kind == pace_kind::Token ? m_options.tolerance : m_options.wholeAnswerTolerance;
+    const double tolerance = inFlight > m_limit ? std::max(usual, m_options.overcommittedTolerance) : usual;
     if (ratio > tolerance) {
         shrink(std::max(strongestShrink, tolerance / ratio));
         return;
--- a/core/src/concurrency_limit.h
+++ b/core/src/concurrency_limit.h
@@ -7,13 +7,20 @@
 
 namespace banyan {
 
+/// What a pace was taken from; only those of one kind are compared.
+enum class pace_kind {
+    Token, ///< Time per token of a streamed answer; steady.
+    WholeAnswer, ///< Time of a whole answer, per token where there are any; scatters.
+};
+
 /// Options of a concurrency_limit.
 struct concurrency_limit_options
 {
     std::uint32_t initial = 8;
     std::uint32_t minimum = 2;
     std::uint32_t maximum = 64;
-    double tolerance = 1.05; ///< Pace over baseline up to which the limit grows.
+    double tolerance = 1.05; ///< Time per token over its baseline up to which the limit grows.
+    double wholeAnswerTolerance = 1.5; ///< The same for times of whole answers.
     double overcommittedTolerance = 1.65; ///< The same while more is in flight than the limit.
     duration window = std::chrono::milliseconds(500); ///< Samples of this time are taken together.
     std::uint32_t minimumSamples = 6; ///< A window goes on until it has as many.
@@ -23,15 +30,16 @@
 ///
 /// An engine that batches continuously keeps its pace (time per token) while it has power to spare; beyond that the pace
 /// drops for all and throughput gains little. The limit grows while the pace stays near its baseline and shrinks when it
-/// does not. The baseline is the best pace seen; it is raised only by windows with little in flight, so that a limit that
-/// is always used cannot drift upwards.
+/// does not. The baseline of the time per token follows the best pace seen and is raised only by windows with little in
+/// flight, so that a limit that is always used cannot drift upwards. Times of whole answers scatter; their baseline is a
+/// low average, which under steady load drifts towards larger limits, up to what the upstream refuses.
 class concurrency_limit
 {
 public:
     explicit concurrency_limit(const concurrency_limit_options &options);
 
-    /// Takes in the pace of an attempt that ended, in seconds per token, or in seconds for upstreams without tokens.
-    void paceObserved(double seconds, std::uint32_t inFlight, time_point now);
+    /// Takes in how long a token or a whole answer took.
+    void paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, time_point now);
 
     /// The upstream refused work while @p inFlight requests were in progress.
     void refused(std::uint32_t inFlight);
@@ -42,19 +50,26 @@
     }
 
 private:
-    void closeWindow();
-    void moveBaseline(double pace, double inFlight);
+    struct pace_series
+    {
+        pace_kind kind = pace_kind::Token;
+        double baseline = 0; ///< 0: not known yet.
+        std::vector<double> window;
+        double inFlightSum = 0;
+        time_point windowStart;
+    };
+
+    void closeWindow(pace_series &series);
+    void moveBaseline(pace_series &series, double pace, double inFlight) const;
     void shrink(double factor);
-    void adapt(double pace, double inFlight);
+    void adapt(const pace_series &series, double pace, double inFlight);
 
     concurrency_limit_options m_options;
     double m_limit;
-    double m_baseline = 0; ///< 0: not known yet.
     double m_fastUntil; ///< The limit grows fast below this: what it was before the pace last dropped.
     bool m_exceeding = false; ///< The last window's pace was beyond the tolerance.
-    std::vector<double> m_paces;
-    double m_inFlightSum = 0;
-    time_point m_windowStart;
+    pace_series m_tokens{.kind = pace_kind::Token};
+    pace_series m_wholeAnswers{.kind = pace_kind::WholeAnswer};
 };
 
 } // namespace banyan
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -76,6 +76,10 @@
         return m_upstreams.status(now);
     }
     [[nodiscard]] dispatcher_counters counters() const;
+    void loadReported(const upstream_id &upstream, std::uint32_t requests, time_point reportedAt)
+    {
+        m_upstreams.loadReported(upstream, requests, reportedAt);
+    }
     crash_guard &crashes()
     {
         return m_crashes;
@@ -557,7 +561,9 @@
     attempt_state &state = entry->second;
     const duration perToken = (now - state.progressedAt) / tokens;
     state.progressedAt = now;
+    state.reportsProgress = true;
     const upstream_id upstream = state.upstream;
+    m_upstreams.observeProgress(upstream, perToken, now);
     if (m_upstreams.outliers().observed(upstream, latency_kind::Token, perToken, now)) {
         hedgeAttemptsOf(upstream, now);
     }
@@ -785,8 +791,9 @@
     return m_implementation->cancel(request, now);
 }
 
-void dispatcher::loadReported(const upstream_id &, std::uint32_t, std::uint32_t, time_point, time_point)
+void dispatcher::loadReported(const upstream_id &upstream, std::uint32_t running, std::uint32_t waiting, time_point reportedAt, time_point)
 {
+    m_implementation->loadReported(upstream, running + waiting, reportedAt);
 }
 
 dispatch_actions dispatcher::drain(time_point now)
--- a/core/src/dispatcher_state.h
+++ b/core/src/dispatcher_state.h
@@ -51,6 +51,7 @@
     time_point startedAt;
     std::optional<time_point> firstByteAt;
     time_point progressedAt; ///< Of the first byte or the last report of progress.
+    bool reportsProgress = false;
     bool hedge = false;
     bool streamed = true; ///< As of its request.
 };
@@ -60,7 +61,8 @@
 {
     upstream_info info;
     concurrency_limit limit; ///< Requests that it may hold before batch work has to yield.
-    bool streamsTokens = false; ///< Its pace comes from streamed answers; others differ and do not count.
+    double foreignWork = 0; ///< Requests of others, by its last load report.
+    time_point reportedAt;
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
     std::uint32_t onlineLongInFlight = 0; ///< Those of them that are long.
--- a/core/src/upstream_pool.cpp
+++ b/core/src/upstream_pool.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t rememberedPrefixes = 4096;
 constexpr double affinityAdvantage = 0.15; ///< How much busier an upstream with the prefix in its cache may be.
 constexpr double longShare = 0.6; ///< Of the slots, for long work at most.
+constexpr duration reportHalfLife = std::chrono::seconds(1); ///< How fast a load report loses its weight.
+constexpr double foreignScore = 0.5; ///< What a load report counts at most; it may be wrong.
 constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
 
 double toSeconds(duration value)
@@ -35,7 +37,7 @@
     if (result.tokens == 0) {
         return attempt.streamed ? std::nullopt : std::optional(whole);
     }
-    if (result.tokens < minimumPaceTokens || (attempt.streamed && !attempt.firstByteAt)) {
+    if (attempt.reportsProgress || result.tokens < minimumPaceTokens || (attempt.streamed && !attempt.firstByteAt)) {
         return std::nullopt;
     }
     return (attempt.streamed ? toSeconds(now - *attempt.firstByteAt) : whole) / result.tokens;
@@ -124,11 +126,13 @@
         return mayProbe ? probeScore : unwelcomeScore;
     }
     const double limit = std::max(1U, upstream.limit.value());
+    const double age = toSeconds(now - upstream.reportedAt) / toSeconds(reportHalfLife);
+    const double foreign = std::min(foreignScore, upstream.foreignWork / limit) * std::exp2(-std::max(0.0, age));
     if (request.request.workClass == work_class::Batch) {
-        return upstream.inFlight() / limit;
+        return upstream.inFlight() / limit + foreign;
     }
     const double preemption = upstream.inFlight() >= upstream.limit.value() ? preemptionScore : 0;
-    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption;
+    return upstream.onlineInFlight / limit + busyWithBatchScore * upstream.batchInFlight / limit + preemption + foreign;
 }
 
 bool upstream_pool::accepts(const upstream_state &upstream, const request_state &request, time_point now) const
@@ -236,11 +240,25 @@
         return;
     }
     if (const std::optional<double> pace = paceOf(attempt, result, now)) {
-        upstream.streamsTokens = upstream.streamsTokens || attempt.streamed;
-        if (attempt.streamed || !upstream.streamsTokens) {
-            upstream.limit.paceObserved(*pace, upstream.inFlight(), now);
-        }
+        const pace_kind kind = attempt.streamed ? pace_kind::Token : pace_kind::WholeAnswer;
+        upstream.limit.paceObserved(kind, *pace, upstream.inFlight(), now);
+    }
+}
+
+void upstream_pool::observeProgress(const upstream_id &upstream, duration perToken, time_point now)
+{
+    upstream_state &state = m_upstreams.at(upstream);
+    state.limit.paceObserved(pace_kind::Token, toSeconds(perToken), state.inFlight(), now);
+}
+
+void upstream_pool::loadReported(const upstream_id &upstream, std::uint32_t requests, time_point reportedAt)
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end() || reportedAt < entry->second.reportedAt) {
+        return;
     }
+    entry->second.foreignWork = std::max(0.0, static_cast<double>(requests) - entry->second.inFlight());
+    entry->second.reportedAt = reportedAt;
 }
 
 slot_usage upstream_pool::usageOf(work_class value, time_point now) const
--- a/core/src/upstream_pool.h
+++ b/core/src/upstream_pool.h
@@ -55,6 +55,13 @@
     /// Lets an upstream's limit learn from an attempt that has ended but is not released yet.
     void observePace(const attempt_state &attempt, const attempt_result &result, time_point now);
 
+    /// The same while an attempt goes on.
+    void observeProgress(const upstream_id &upstream, duration perToken, time_point now);
+
+    /// Takes in how many requests an upstream says it held at @p reportedAt. Only a hint: what it held beyond this cell's
+    /// own makes it look busier, less so the older the report is.
+    void loadReported(const upstream_id &upstream, std::uint32_t requests, time_point reportedAt);
+
     /// An upstream that has not gone.
     [[nodiscard]] const upstream_state &at(const upstream_id &upstream) const;
 
--- a/tests/property/dispatcher_property_test.cpp
+++ b/tests/property/dispatcher_property_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatcher_harness.h"
+#include "naive_dispatcher.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -63,6 +64,78 @@
     return {.initialSlots = 2, .maximumSlots = 4, .onlineQueueLimit = 12, .batchQueueLimit = 12, .retryBurst = 3, .hedgeBurst = 2};
 }
 
+/// A request and how its attempts end before one succeeds.
+struct scripted_request
+{
+    work_class workClass = work_class::Online;
+    bool repeatable = true;
+    std::vector<attempt_outcome> failures;
+};
+
+rc::Gen<scripted_request> genScriptedRequest()
+{
+    return rc::gen::build<scripted_request>(
+        rc::gen::set(&scripted_request::workClass, rc::gen::element(work_class::Online, work_class::Batch)),
+        rc::gen::set(&scripted_request::repeatable, rc::gen::arbitrary<bool>()),
+        rc::gen::set(&scripted_request::failures,
+                     rc::gen::resize(2, rc::gen::container<std::vector<attempt_outcome>>(rc::gen::just(attempt_outcome::Refused)))));
+}
+
+/// Which requests complete when each attempt ends as its request's script says. A preempted attempt uses up nothing.
+template<typename Dispatcher>
+std::set<request_id> completionsOf(Dispatcher cell, const std::vector<scripted_request> &requests)
+{
+    time_point now;
+    std::map<attempt_id, request_id> running;
+    std::map<request_id, std::vector<attempt_outcome>> scripts;
+    std::set<request_id> completed;
+    const auto perform = [&](const dispatch_actions &actions) {
+        for (const dispatch_action &action : actions) {
+            if (const auto *const started = std::get_if<start_attempt>(&action)) {
+                running[started->attempt] = started->request;
+            } else if (const auto *const cancelled = std::get_if<cancel_attempt>(&action)) {
+                running.erase(cancelled->attempt);
+            } else if (const auto *const finished = std::get_if<finish_request>(&action)) {
+                if (finished->result.what == disposition::Completed) {
+                    completed.insert(finished->request);
+                }
+            }
+        }
+    };
+    const std::vector<upstream_info> upstreams{{.id = upstream_id("a")}, {.id = upstream_id("b")}, {.id = upstream_id("c")}};
+    perform(cell.setUpstreams(upstreams, now));
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        const request_id id("r" + std::to_string(i));
+        scripts[id] = requests[i].failures;
+        perform(cell.submit({.id = id,
+                             .caller = caller_id("c" + std::to_string(i % 3)),
+                             .workClass = requests[i].workClass,
+                             .repeatable = requests[i].repeatable,
+                             .fingerprint = i + 1,
+                             .deadline = now + std::chrono::hours(24)},
+                            now));
+    }
+    while (!running.empty() || cell.nextWakeUp()) {
+        if (running.empty()) {
+            now = std::max(now, *cell.nextWakeUp());
+            if (now >= time_point() + std::chrono::hours(23)) {
+                break;
+            }
+            perform(cell.tick(now));
+            continue;
+        }
+        const auto [attempt, request] = *running.begin();
+        running.erase(attempt);
+        std::vector<attempt_outcome> &script = scripts[request];
+        const attempt_outcome outcome = script.empty() ? attempt_outcome::Succeeded : script.back();
+        if (!script.empty()) {
+            script.pop_back();
+        }
+        perform(cell.attemptEnded(attempt, {.outcome = outcome}, now));
+    }
+    return completed;
+}
+
 /// A dispatcher whose upstreams die with all their work whenever they run the request "crash".
 class crashing_fleet
 {
@@ -221,3 +294,12 @@
         harness.settle();
     });
 }
+
+TEST_CASE("dispatcher completes the same requests as a naive queue")
+{
+    rc::prop("whatever upstreams refuse, as long as no budget ends", [] {
+        const auto requests = *rc::gen::container<std::vector<scripted_request>>(genScriptedRequest());
+        const std::set<request_id> expected = completionsOf(naive_dispatcher(4), requests);
+        RC_ASSERT(completionsOf(dispatcher(dispatcher_options{.initialSlots = 2, .retryBurst = 1000}), requests) == expected);
+    });
+}
--- /dev/null
+++ b/tests/unit/crash_guard_test.cpp
@@ -0,0 +1,57 @@
+#include "crash_guard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+
+namespace {
+
+constexpr time_point start{};
+constexpr std::uint64_t content = 7;
+
+upstream_id upstreamNumber(int number)
+{
+    return upstream_id("u" + std::to_string(number));
+}
+
+} // namespace
+
+TEST_CASE("crash_guard stops a content after two upstreams for its memory's time")
+{
+    crash_guard guard({.memory = std::chrono::minutes(10)});
+    guard.setUpstreamCount(8);
+    CHECK_FALSE(guard.lost(content, upstreamNumber(1), start));
+    CHECK(guard.isSuspect(content, start));
+    CHECK(guard.lost(content, upstreamNumber(2), start));
+    CHECK(guard.stoppedUntil(content, start) == start + std::chrono::minutes(10));
+    CHECK_FALSE(guard.stoppedUntil(content, start + std::chrono::minutes(10)).has_value());
+}
+
+TEST_CASE("crash_guard clears a suspect that was answered")
+{
+    crash_guard guard({});
+    guard.setUpstreamCount(8);
+    CHECK_FALSE(guard.lost(content, upstreamNumber(1), start));
+    guard.answered(content);
+    CHECK_FALSE(guard.lost(content, upstreamNumber(2), start));
+}
+
+TEST_CASE("crash_guard blames no content when half of a cell is lost at once")
+{
+    crash_guard guard({});
+    guard.setUpstreamCount(6);
+    guard.lost(content, upstreamNumber(1), start);
+    guard.lost(content, upstreamNumber(2), start);
+    guard.lost(content + 1, upstreamNumber(3), start + std::chrono::milliseconds(500));
+    CHECK_FALSE(guard.stoppedUntil(content, start + std::chrono::seconds(1)).has_value());
+    CHECK_FALSE(guard.isSuspect(content + 1, start + std::chrono::seconds(1)));
+}
+
+TEST_CASE("crash_guard exports what it and what others have stopped")
+{
+    crash_guard guard({});
+    const time_point until = start + std::chrono::minutes(3);
+    guard.stop(content, until);
+    CHECK(guard.stopped(start) == std::vector<stopped_fingerprint>{{.fingerprint = content, .until = until}});
+    CHECK(guard.stopped(until).empty());
+}
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -89,3 +89,75 @@
     CHECK(finished[0].request == request_id("waiting"));
     CHECK(finished[0].result.what == disposition::NotRun);
 }
+
+TEST_CASE("dispatcher refuses a request at once whose deadline passes before its turn")
+{
+    dispatcher cell = makeCell({.initialSlots = 1, .maximumSlots = 1});
+    time_point now = start;
+    for (int i = 0; i < 20; ++i) {
+        const auto started = only<start_attempt>(cell.submit(requestNamed("past" + std::to_string(i)), now));
+        REQUIRE(started.size() == 1);
+        now += std::chrono::seconds(1);
+        REQUIRE(only<finish_request>(cell.attemptEnded(started[0].attempt, {}, now)).size() == 1);
+    }
+    for (int i = 0; i < 22; ++i) {
+        CHECK(only<finish_request>(cell.submit(requestNamed("waiting" + std::to_string(i)), now)).empty());
+    }
+    dispatch_request hopeless = requestNamed("hopeless");
+    hopeless.deadline = now + std::chrono::seconds(2);
+    const auto finished = only<finish_request>(cell.submit(hopeless, now));
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.what == disposition::NotRun);
+    CHECK(finished[0].result.reason == end_reason::DeadlineUnreachable);
+    CHECK(finished[0].result.retryAfter.has_value());
+}
+
+TEST_CASE("dispatcher prefers the upstream that ran the same prefix")
+{
+    dispatcher cell = makeCell({.initialSlots = 8});
+    dispatch_request first = requestNamed("first");
+    first.prefixHash = 5;
+    const auto other = only<start_attempt>(cell.submit(requestNamed("other"), start));
+    const auto cached = only<start_attempt>(cell.submit(first, start));
+    REQUIRE(cached[0].upstream != other[0].upstream);
+    REQUIRE(only<finish_request>(cell.attemptEnded(other[0].attempt, {}, start)).size() == 1);
+    dispatch_request second = requestNamed("second");
+    second.prefixHash = 5;
+    CHECK(only<start_attempt>(cell.submit(second, start))[0].upstream == cached[0].upstream);
+}
+
+TEST_CASE("dispatcher starts a batch request before others of its class once it was preempted three times")
+{
+    dispatcher cell({.initialSlots = 1, .maximumSlots = 1});
+    const std::vector<upstream_info> upstreams{upstreamNamed("a")};
+    REQUIRE(cell.setUpstreams(upstreams, start).empty());
+    dispatch_request unlucky = requestNamed("unlucky", work_class::Batch);
+    REQUIRE(only<start_attempt>(cell.submit(unlucky, start)).size() == 1);
+    for (int round = 0; round < 3; ++round) {
+        const auto online = only<start_attempt>(cell.submit(requestNamed("online" + std::to_string(round)), start));
+        REQUIRE(online.size() == 1);
+        dispatch_request sooner = requestNamed("sooner" + std::to_string(round), work_class::Batch);
+        sooner.deadline = start + std::chrono::seconds(30);
+        if (round == 2) {
+            REQUIRE(cell.submit(sooner, start).empty());
+        }
+        const auto restarted = only<start_attempt>(cell.attemptEnded(online[0].attempt, {}, start));
+        REQUIRE(restarted.size() == 1);
+        CHECK(restarted[0].request == unlucky.id);
+    }
+    CHECK(cell.counters().preempted == 3);
+}
+
+TEST_CASE("dispatcher does not take a load report for more than a hint")
+{
+    dispatcher cell = makeCell({.initialSlots = 2});
+    cell.loadReported(upstream_id("a"), 1000, 1000, start, start);
+    const auto started = only<start_attempt>(cell.submit(requestNamed("r0"), start));
+    CHECK(started[0].upstream == upstream_id("b"));
+    int onA = 0;
+    for (int i = 1; i < 6; ++i) {
+        const auto next = only<start_attempt>(cell.submit(requestNamed("r" + std::to_string(i)), start));
+        onA += !next.empty() && next[0].upstream == upstream_id("a") ? 1 : 0;
+    }
+    CHECK(onA == 3);
+}
