--- a/core/include/banyan/core/commit_outcome.h
+++ b/core/include/banyan/core/commit_outcome.h
@@ -21,7 +21,7 @@
 {
     commit_ticket ticket;
     commit_status status = commit_status::Committed;
-    row_version version = 0; ///< Of the rows written, if committed.
+    row_version version = 0; ///< Of the rows written, if committed; 0 if the lease was lost before it could be learnt.
 
     auto operator<=>(const commit_outcome &) const = default;
 };
--- a/core/src/group_committer.cpp
+++ b/core/src/group_committer.cpp
@@ -12,6 +12,7 @@
 /// Share of the lease duration after which it is renewed.
 constexpr int renewalsPerDuration = 3;
 constexpr unsigned maximumDoublings = 10;
+constexpr row_version versionUnknown = 0;
 
 std::size_t bytesOf(const commit_item &item)
 {
@@ -293,7 +294,7 @@
             return;
         }
         if (found && found->previousTransaction == tried.lease.transaction) {
-            applied(content(tried), version);
+            applied(content(tried), versionUnknown); // The row's version is that of the takeover.
             lost(true);
             return;
         }
--- a/io/src/record_service.cpp
+++ b/io/src/record_service.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <map>
 #include <utility>
 
 namespace banyan {
@@ -144,6 +145,10 @@
             }
             const commit_outcome outcome = co_await self->m_store->commit(change->item);
             if (outcome.status == commit_status::Committed) {
+                if (outcome.version == 0) {
+                    co_return true;
+                }
+                self->rememberStart({.key = recordKey, .record = change->after, .version = outcome.version});
                 co_return true;
             }
             if (outcome.status == commit_status::Unavailable || outcome.status == commit_status::Unknown) {
@@ -226,19 +231,43 @@
         if (!end.answer.objectName.empty()) {
             co_await self->m_store->putPatiently(end.answer.objectName, text);
         }
+        std::optional<versioned_record> seen = self->takeStart(recordKey);
         while (!done->over) {
-            const std::optional<versioned_record> seen = co_await self->m_records->readPatiently(recordKey);
+            if (!seen) {
+                seen = co_await self->m_records->readPatiently(recordKey);
+            }
             const auto change = seen ? finishStarted(*seen, end, self->m_store->now()) : std::nullopt;
             done->over = !change;
             if (change) {
                 const commit_outcome outcome = co_await self->m_store->commit(change->item);
                 done->over = outcome.status == commit_status::Committed;
             }
+            seen.reset();
         }
         self->m_starterBytes -= text.size();
         done->changed.notify();
     }
 
+    /// Keeps a record as this node started it, which saves a reading when its result is committed.
+    void rememberStart(versioned_record started)
+    {
+        if (m_starts.size() >= m_options.maximumInProgress) {
+            m_starts.clear();
+        }
+        m_starts.insert_or_assign(started.key, std::move(started));
+    }
+
+    std::optional<versioned_record> takeStart(const std::string &recordKey)
+    {
+        const auto found = m_starts.find(recordKey);
+        if (found == m_starts.end()) {
+            return std::nullopt;
+        }
+        versioned_record started = std::move(found->second);
+        m_starts.erase(found);
+        return started;
+    }
+
     static task<> acceptInBackground(std::shared_ptr<implementation> self, record_request request, std::shared_ptr<pending_accept> pending)
     {
         try {
@@ -381,6 +410,7 @@
     std::shared_ptr<lease_recovery> m_recovery;
     std::shared_ptr<record_sweeper> m_sweeper;
     std::shared_ptr<result_copies> m_copies;
+    std::map<std::string, versioned_record> m_starts; ///< Recorded here, as committed.
     std::size_t m_starterBytes = 0; ///< Results of starts recorded here that are not committed yet.
     bool m_stopping = false;
 };
--- a/tests/property/group_committer_property_test.cpp
+++ b/tests/property/group_committer_property_test.cpp
@@ -122,6 +122,7 @@
             switch (entry.outcome->status) {
             case commit_status::Committed:
                 RC_ASSERT(effects == 1U);
+                RC_ASSERT(entry.outcome->version == 0U || entry.outcome->version == m_table.read(entry.item.writes.front().key)->version);
                 break;
             case commit_status::Unknown:
                 RC_ASSERT(effects <= 1U);
