--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -97,6 +97,9 @@
 
   forgetResult @3 (secret :Text, recordKey :Text) -> ();
 
-  vmList @4 (secret :Text) -> (vms :List(VmEntry));
+  stopFingerprint @4 (secret :Text, fingerprint :UInt64, remainingMicros :Int64) -> ();
+  # Refuses requests with this content for a time, because it has crashed several upstreams.
+
+  vmList @5 (secret :Text) -> (vms :List(VmEntry));
   # The platform's list as the node read it last, for a node that cannot read it itself.
 }
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -198,6 +198,9 @@
         hostOptions.recordStart = [this](std::string key, std::uint64_t fencingNumber, const std::string &attempt) {
             return m_records->recordStart(std::move(key), fencingNumber, m_self.id.text() + "/" + attempt);
         };
+        hostOptions.onContentStopped = [this, memory = hostOptions.dispatcher.crashMemory](std::uint64_t fingerprint) {
+            asio::co_spawn(m_context, tellStopped(fingerprint, memory), asio::detached);
+        };
         m_cells.emplace(m_context, m_client, m_metrics, std::move(hostOptions));
         request_router_options options;
         options.self = m_self;
@@ -316,7 +319,7 @@
             return m_configurations->readAudit(std::move(filter));
         };
         hooks.upstreams = [this] {
-            return m_cells->upstreams();
+            return listUpstreams();
         };
         hooks.listJobs = [this](std::optional<caller_id> caller) {
             return m_jobs->listAll(std::move(caller), listedJobs);
@@ -377,6 +380,31 @@
         }
     }
 
+    /// The upstreams of the platform's list, with what this node's dispatchers know of theirs.
+    [[nodiscard]] std::vector<upstream_report> listUpstreams() const
+    {
+        std::map<upstream_id, upstream_report> reports;
+        for (const vm_entry &vm : m_fleet->vms()) {
+            if (vm.role == vm_role::Upstream) {
+                const upstream_id id(vm.id.text());
+                reports[id] = {
+                    .id = id, .pool = vm.pool, .domain = vm.domain, .address = vm.address, .leaving = vm.state == vm_state::Leaving};
+            }
+        }
+        for (const upstream_report &dispatched : m_cells->upstreams()) {
+            if (const auto found = reports.find(dispatched.id); found != reports.end()) {
+                found->second.ejected = dispatched.ejected;
+                found->second.inFlight = dispatched.inFlight;
+            }
+        }
+        std::vector<upstream_report> result;
+        result.reserve(reports.size());
+        for (auto &[id, report] : reports) {
+            result.push_back(std::move(report));
+        }
+        return result;
+    }
+
     [[nodiscard]] node_status status() const
     {
         const std::shared_ptr<const configuration> current = m_configurations->current();
@@ -427,6 +455,9 @@
         handlers.forgetResult = [this](const std::string &key) {
             m_records->forgetResultFor(key);
         };
+        handlers.stopFingerprint = [this](std::uint64_t fingerprint, duration remaining) {
+            m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        };
         handlers.onRefused = [this] {
             m_metrics.count("peer_call_refused");
             logEvent(log_level::Warning, "peer_call_refused");
@@ -478,6 +509,24 @@
         return candidates;
     }
 
+    /// Tells the other nodes of a content that crashes upstreams, so that it is refused wherever it is sent again.
+    task<> tellStopped(std::uint64_t fingerprint, duration remaining)
+    {
+        m_metrics.count("content_stopped");
+        logEvent(log_level::Warning, "content_stopped", {{"fingerprint", hexText(fingerprint)}});
+        m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        for (const node_info &node : m_fleet->nodes()) {
+            if (node.id == m_self.id) {
+                continue;
+            }
+            try {
+                co_await m_peers.stopFingerprint(node.peerAddress, fingerprint, remaining);
+            } catch (const peer_error &error) {
+                logEvent(log_level::Warning, "node_not_told", {{"node", node.id.text()}, {"error", error.what()}});
+            }
+        }
+    }
+
     task<> keepCopies(std::string key, std::string result)
     {
         for (const node_info &holder : copyHolders()) {
@@ -505,6 +554,7 @@
         m_metrics.set("live_nodes", static_cast<double>(m_fleet->nodes().size()));
         m_metrics.set("store_available", m_records->storeAvailable() ? 1 : 0);
         m_metrics.set("records_in_progress", static_cast<double>(m_records->inProgress()));
+        m_metrics.set("stopped_contents", static_cast<double>(m_cells->stoppedContents()));
         m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs->coordinated()));
     }
 
