--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -14,7 +14,10 @@
     double headroomDeviations = 2; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
     std::uint32_t batchQueueLimit = 512; ///< Waiting batch requests; more are refused as Overloaded.
-    duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt.
+    duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt with a streamed answer.
+    /// Longest attempt whose answer comes whole. One that may be repeated takes at most half of the time until the deadline,
+    /// but no less than attemptTimeout, so that another try has a chance.
+    duration wholeAnswerTimeout = std::chrono::minutes(10);
     std::uint32_t maximumAttempts =
         4; ///< Attempts for one request, hedges and preempted ones not counted; for a batch request also not those that certainly did not run.
     double retryShare = 0.1; ///< Retries allowed as a share of first attempts.
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -94,6 +94,7 @@
     void preempt(attempt_id attempt);
     void countStart(request_state &request);
     void startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge);
+    [[nodiscard]] duration timeoutOf(const dispatch_request &request, time_point now) const;
     void watchFirstByte(request_state &request, time_point now);
     void stopWatchingFirstByte(request_state &request);
     void firstByteOverdue(request_state &request, time_point now);
@@ -409,11 +410,22 @@
         .request = request.request.id,
         .attempt = attempt,
         .upstream = upstream.info.id,
-        .timeout = m_options.attemptTimeout,
+        .timeout = timeoutOf(request.request, now),
         .hedge = hedge,
     });
 }
 
+/// How long an attempt that begins now may be silent.
+duration dispatcher::implementation::timeoutOf(const dispatch_request &request, time_point now) const
+{
+    if (request.streamed) {
+        return m_options.attemptTimeout;
+    }
+    const duration left = request.deadline - now;
+    const duration share = request.repeatable ? left / 2 : left;
+    return std::clamp(share, m_options.attemptTimeout, std::max(m_options.attemptTimeout, m_options.wholeAnswerTimeout));
+}
+
 /// Counts a request's attempts as long from now on.
 void dispatcher::implementation::becomeLong(request_state &request)
 {
--- a/io/src/request_builder.cpp
+++ b/io/src/request_builder.cpp
@@ -153,6 +153,7 @@
     dispatch.workClass = request.workClass.value_or(accessOf(service, request.caller)->urgency);
     dispatch.repeatable = changesNothing(request.method) || request.repeatable.value_or(service.repeatable);
     dispatch.resumable = service.resumable;
+    dispatch.streamed = false;
     dispatch.fingerprint = fingerprintOf(request);
     dispatch.deadline = now + request.timeLeft.value_or(service.defaultDeadline);
     return result;
@@ -166,6 +167,7 @@
         const chat_facts chat = readChat(request.body);
         resolved_request result = resolve(request, serviceOfModel(current, request.caller, chat.model), request.target, now);
         result.streamed = chat.streamed;
+        result.run.dispatch.streamed = chat.streamed;
         result.run.dispatch.expectedTokens = chat.maximumTokens;
         result.run.dispatch.prefixHash = chat.prefixHash;
         return result;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -77,6 +77,31 @@
     CHECK(finished[0].result == final_result{.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
 }
 
+TEST_CASE("dispatcher gives an attempt more time where its answer comes whole, as far as the deadline allows")
+{
+    using std::chrono::seconds;
+    struct timeout_case
+    {
+        bool streamed;
+        bool repeatable;
+        duration left;
+        duration expected;
+    };
+    const timeout_case given = GENERATE(values<timeout_case>({{true, true, seconds(300), seconds(30)},
+                                                              {false, true, seconds(300), seconds(150)},
+                                                              {false, true, seconds(40), seconds(30)},
+                                                              {false, false, seconds(300), seconds(300)},
+                                                              {false, true, seconds(86400), seconds(600)}}));
+    dispatcher cell = makeCell({.attemptTimeout = seconds(30), .wholeAnswerTimeout = seconds(600)});
+    dispatch_request request = requestNamed("r");
+    request.streamed = given.streamed;
+    request.repeatable = given.repeatable;
+    request.deadline = start + given.left;
+    const auto started = only<start_attempt>(cell.submit(request, start));
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].timeout == given.expected);
+}
+
 TEST_CASE("dispatcher ends waiting work as not run when it drains")
 {
     dispatcher cell = makeCell({.initialSlots = 1});
