Carry all of a request to the other node, and take paces from short whole answers

Cause: a batch job of short items ran at 170 items a second or at 512, by whether the dispatcher was the coordinator's own node. The field streamed was not encoded for the other node, which then waited for the pace of a stream and never grew its limit (6 in flight an engine instead of 31). The peer test now sends no field at its default, and failed first.

--- a/core/src/upstream_pool.cpp
+++ b/core/src/upstream_pool.cpp
@@ -24,6 +24,8 @@
 constexpr duration reportHalfLife = std::chrono::seconds(1); ///< How fast a load report loses its weight.
 constexpr double foreignScore = 0.5; ///< What a load report counts at most; it may be wrong.
 constexpr std::uint32_t minimumPaceTokens = 8; ///< Shorter answers say little about the time per token.
+constexpr double firstTokenCost =
+    8; ///< Tokens whose time a whole answer takes besides its own, for the prompt; keeps short answers comparable.
 
 double toSeconds(duration value)
 {
@@ -33,14 +35,14 @@
 /// Seconds per token of a streamed answer after its first byte; of others seconds per token, or in all without tokens.
 std::optional<double> paceOf(const attempt_state &attempt, const attempt_result &result, time_point now)
 {
-    const double whole = toSeconds(now - attempt.startedAt);
-    if (result.tokens == 0) {
-        return attempt.streamed ? std::nullopt : std::optional(whole);
+    if (!attempt.streamed) {
+        const double whole = toSeconds(now - attempt.startedAt);
+        return result.tokens == 0 ? whole : whole / (firstTokenCost + result.tokens);
     }
-    if (attempt.reportsProgress || result.tokens < minimumPaceTokens || (attempt.streamed && !attempt.firstByteAt)) {
+    if (attempt.reportsProgress || result.tokens < minimumPaceTokens || !attempt.firstByteAt) {
         return std::nullopt;
     }
-    return (attempt.streamed ? toSeconds(now - *attempt.firstByteAt) : whole) / result.tokens;
+    return toSeconds(now - *attempt.firstByteAt) / result.tokens;
 }
 
 } // namespace
--- a/io/include/banyan/io/upstream_report.h
+++ b/io/include/banyan/io/upstream_report.h
@@ -2,9 +2,11 @@
 
 #include "banyan/core/endpoint.h"
 #include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 
 namespace banyan {
 
@@ -17,6 +19,8 @@
     endpoint address;
     bool leaving = false;
     bool ejected = false; ///< Receives no work because it was slow or failed.
+    std::uint32_t limit = 0; ///< Requests that it may hold before batch work has to yield, as its pace shows.
+    duration firstByte{}; ///< Moving average of the time to the first byte.
     std::size_t inFlight = 0; ///< As far as this node knows.
 
     auto operator<=>(const upstream_report &) const = default;
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -210,6 +210,8 @@
                 .address = known == cell.upstreams.end() ? endpoint() : known->second.address,
                 .leaving = status.condition == upstream_condition::Leaving,
                 .ejected = status.condition == upstream_condition::Ejected || status.condition == upstream_condition::Probing,
+                .limit = status.limit,
+                .firstByte = status.firstByte,
                 .inFlight = status.onlineInFlight + status.batchInFlight};
     }
 
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -51,6 +51,8 @@
             {"address", upstream.address.toString()},
             {"leaving", upstream.leaving},
             {"ejected", upstream.ejected},
+            {"limit", upstream.limit},
+            {"first_byte_us", upstream.firstByte.count()},
             {"in_flight", upstream.inFlight}};
 }
 
--- a/io/src/peer_codec.cpp
+++ b/io/src/peer_codec.cpp
@@ -53,6 +53,7 @@
     to.setRecordKey(from.recordKey.c_str());
     to.setFencingNumber(from.fencingNumber);
     to.setStartRecorded(from.startRecorded);
+    to.setStreamed(from.dispatch.streamed);
 }
 
 run_request decode(schema::RunRequest::Reader from, time_point now)
@@ -64,6 +65,7 @@
     result.dispatch.workClass = from.getBatch() ? work_class::Batch : work_class::Online;
     result.dispatch.repeatable = from.getRepeatable();
     result.dispatch.resumable = from.getResumable();
+    result.dispatch.streamed = from.getStreamed();
     result.dispatch.fingerprint = from.getFingerprint();
     result.dispatch.prefixHash = from.getPrefixHash();
     result.dispatch.expectedTokens = from.getExpectedTokens();
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t highWaterBytes = std::size_t(256) << 10; // Buffered for a slow reader before the upstream is slowed down.
+constexpr std::string_view usageMark = "\"completion_tokens\":";
+constexpr std::size_t tailBytes = 512; // Of a whole answer, enough for its usage.
 constexpr std::string_view eventMark = "data:";
 constexpr duration progressInterval = std::chrono::milliseconds(250);
 constexpr unsigned tooManyRequests = 429;
@@ -39,6 +41,21 @@
     });
 }
 
+/// The number of generated tokens that a chat completion's usage tells; 0 if there is none.
+std::uint32_t tokensInUsage(std::string_view tail)
+{
+    const std::size_t found = tail.rfind(usageMark);
+    if (found == std::string_view::npos) {
+        return 0;
+    }
+    const std::size_t digits = tail.find_first_of("0123456789", found);
+    std::uint32_t tokens = 0;
+    if (digits != std::string_view::npos) {
+        std::from_chars(tail.data() + digits, tail.data() + tail.size(), tokens);
+    }
+    return tokens;
+}
+
 std::optional<duration> retryAfterOf(const std::vector<http_field> &fields)
 {
     for (const http_field &field : fields) {
@@ -104,6 +121,8 @@
 void upstream_attempt::countTokens(std::string_view piece, const observer &watcher)
 {
     if (!m_isEventStream) {
+        m_tail.append(piece.substr(piece.size() - std::min(piece.size(), tailBytes)));
+        m_tail.erase(0, m_tail.size() - std::min(m_tail.size(), tailBytes));
         return;
     }
     for (std::size_t found = piece.find(eventMark); found != std::string_view::npos; found = piece.find(eventMark, found + 1)) {
@@ -117,6 +136,11 @@
     }
 }
 
+std::uint32_t upstream_attempt::tokensOfAnswer() const
+{
+    return m_isEventStream ? m_tokens : tokensInUsage(m_tail);
+}
+
 attempt_result upstream_attempt::resultOfAnswer() const
 {
     if (isRefusal(m_status)) {
@@ -125,7 +149,7 @@
     if (m_status >= firstServerErrorStatus) {
         return {.outcome = attempt_outcome::Failed};
     }
-    return {.outcome = m_status >= firstErrorStatus ? attempt_outcome::Answered : attempt_outcome::Succeeded, .tokens = m_tokens};
+    return {.outcome = m_status >= firstErrorStatus ? attempt_outcome::Answered : attempt_outcome::Succeeded, .tokens = tokensOfAnswer()};
 }
 
 task<attempt_result> upstream_attempt::send(http_client &client, http_request request, std::size_t maximumBuffered, observer watcher)
--- a/io/src/upstream_attempt.h
+++ b/io/src/upstream_attempt.h
@@ -76,6 +76,7 @@
 private:
     [[nodiscard]] http_client::stream_handler makeHandler(std::size_t maximumBuffered, const observer &watcher);
     [[nodiscard]] attempt_result resultOfAnswer() const;
+    [[nodiscard]] std::uint32_t tokensOfAnswer() const;
     void countTokens(std::string_view piece, const observer &watcher);
 
     start_attempt m_order;
@@ -89,6 +90,7 @@
     std::vector<http_field> m_fields;
     std::string m_pieces;
     bool m_isEventStream = false;
+    std::string m_tail; ///< Of a whole answer, where its token usage stands.
     std::uint32_t m_tokens = 0;
     std::uint32_t m_unreportedTokens = 0;
     time_point m_reportedAt{};
--- a/tests/unit/peer_rpc_test.cpp
+++ b/tests/unit/peer_rpc_test.cpp
@@ -19,11 +19,19 @@
 {
     run_request request;
     request.dispatch.id = request_id("r-1");
+    request.dispatch.caller = caller_id("niebla");
+    request.dispatch.service = service_name("orders");
     request.dispatch.workClass = work_class::Batch;
     request.dispatch.repeatable = false;
+    request.dispatch.resumable = true;
+    request.dispatch.streamed = false;
+    request.dispatch.fingerprint = 3;
+    request.dispatch.prefixHash = 4;
+    request.dispatch.expectedTokens = 5;
     request.dispatch.deadline = currentTime() + std::chrono::hours(1);
     request.message = {.method = "POST", .target = "/orders", .fields = {{"A", "b"}}, .body = std::string("x\0y", 3)};
     request.recordKey = "record/1";
+    request.startRecorded = true;
     request.fencingNumber = 7;
     return request;
 }
