--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -13,6 +13,7 @@
 #include "banyan/io/error_answers.h"
 #include "banyan/io/explain_log.h"
 #include "banyan/io/file_service.h"
+#include "banyan/io/fleet_counters.h"
 #include "banyan/io/fleet_service.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_server.h"
@@ -170,7 +171,14 @@
 private:
     void makeFleet()
     {
-        const fleet_service_options fleetOptions{.self = m_self, .secret = m_settings.fleetSecret, .seed = randomNumber()};
+        const fleet_service_options fleetOptions{.self = m_self,
+                                                 .secret = m_settings.fleetSecret,
+                                                 .seeds = m_settings.peers,
+                                                 .fetchListFromPeer =
+                                                     [this](const node_info &peer) {
+                                                         return m_peers.vmList(peer.peerAddress);
+                                                     },
+                                                 .seed = randomNumber()};
         m_fleet.emplace(m_context, m_platform, m_history, fleetOptions);
         configuration_service_options options;
         options.seed = randomNumber();
@@ -191,6 +199,9 @@
         hostOptions.recordStart = [this](std::string key, std::uint64_t fencingNumber, const std::string &attempt) {
             return m_records->recordStart(std::move(key), fencingNumber, m_self.id.text() + "/" + attempt);
         };
+        hostOptions.onContentStopped = [this, memory = hostOptions.dispatcher.crashMemory](std::uint64_t fingerprint) {
+            asio::co_spawn(m_context, tellStopped(fingerprint, memory), asio::detached);
+        };
         m_cells.emplace(m_context, m_client, m_metrics, std::move(hostOptions));
         request_router_options options;
         options.self = m_self;
@@ -309,7 +320,7 @@
             return m_configurations->readAudit(std::move(filter));
         };
         hooks.upstreams = [this] {
-            return m_cells->upstreams();
+            return listUpstreams();
         };
         hooks.listJobs = [this](std::optional<caller_id> caller) {
             return m_jobs->listAll(std::move(caller), listedJobs);
@@ -370,6 +381,31 @@
         }
     }
 
+    /// The upstreams of the platform's list, with what this node's dispatchers know of theirs.
+    [[nodiscard]] std::vector<upstream_report> listUpstreams() const
+    {
+        std::map<upstream_id, upstream_report> reports;
+        for (const vm_entry &vm : m_fleet->vms()) {
+            if (vm.role == vm_role::Upstream) {
+                const upstream_id id(vm.id.text());
+                reports[id] = {
+                    .id = id, .pool = vm.pool, .domain = vm.domain, .address = vm.address, .leaving = vm.state == vm_state::Leaving};
+            }
+        }
+        for (const upstream_report &dispatched : m_cells->upstreams()) {
+            if (const auto found = reports.find(dispatched.id); found != reports.end()) {
+                found->second.ejected = dispatched.ejected;
+                found->second.inFlight = dispatched.inFlight;
+            }
+        }
+        std::vector<upstream_report> result;
+        result.reserve(reports.size());
+        for (auto &[id, report] : reports) {
+            result.push_back(std::move(report));
+        }
+        return result;
+    }
+
     [[nodiscard]] node_status status() const
     {
         const std::shared_ptr<const configuration> current = m_configurations->current();
@@ -411,12 +447,18 @@
         handlers.configurationSince = [this](configuration_version version) {
             return m_configurations->updateSince(version);
         };
+        handlers.vmList = [this] {
+            return m_fleet->vms();
+        };
         handlers.keepResult = [this](const std::string &key, const std::string &result) {
             m_records->keepResultFor(key, result);
         };
         handlers.forgetResult = [this](const std::string &key) {
             m_records->forgetResultFor(key);
         };
+        handlers.stopFingerprint = [this](std::uint64_t fingerprint, duration remaining) {
+            m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        };
         handlers.onRefused = [this] {
             m_metrics.count("peer_call_refused");
             logEvent(log_level::Warning, "peer_call_refused");
@@ -447,7 +489,7 @@
         }
         for (const endpoint &known : m_reachable) {
             if (!reachable.contains(known)) {
-                logEvent(log_level::Warning, "node_lost", {{"peer_address", known.toString()}});
+                logEvent(log_level::Warning, "node_calls_dropped", {{"peer_address", known.toString()}});
                 m_peers.drop(known);
             }
         }
@@ -468,6 +510,23 @@
         return candidates;
     }
 
+    /// Tells the other nodes of a content that crashes upstreams, so that it is refused wherever it is sent again.
+    task<> tellStopped(std::uint64_t fingerprint, duration remaining)
+    {
+        logEvent(log_level::Warning, "content_stopped", {{"fingerprint", hexText(fingerprint)}});
+        m_cells->stopFingerprint(fingerprint, currentTime() + remaining);
+        for (const node_info &node : m_fleet->nodes()) {
+            if (node.id == m_self.id) {
+                continue;
+            }
+            try {
+                co_await m_peers.stopFingerprint(node.peerAddress, fingerprint, remaining);
+            } catch (const peer_error &error) {
+                logEvent(log_level::Warning, "node_not_told", {{"node", node.id.text()}, {"error", error.what()}});
+            }
+        }
+    }
+
     task<> keepCopies(std::string key, std::string result)
     {
         for (const node_info &holder : copyHolders()) {
@@ -495,7 +554,36 @@
         m_metrics.set("live_nodes", static_cast<double>(m_fleet->nodes().size()));
         m_metrics.set("store_available", m_records->storeAvailable() ? 1 : 0);
         m_metrics.set("records_in_progress", static_cast<double>(m_records->inProgress()));
+        m_metrics.set("stopped_contents", static_cast<double>(m_cells->stoppedContents()));
         m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs->coordinated()));
+        refreshDispatchTotals();
+        refreshFleetTotals();
+    }
+
+    void refreshDispatchTotals()
+    {
+        const dispatcher_counters total = m_cells->counters();
+        m_metrics.setTotal("first_attempts", total.firstAttempts);
+        m_metrics.setTotal("retries", total.retries);
+        m_metrics.setTotal("retries_denied", total.retriesDenied);
+        m_metrics.setTotal("hedges", total.hedges);
+        m_metrics.setTotal("hedges_chosen", total.hedgesChosen);
+        m_metrics.setTotal("batch_preempted", total.preempted);
+        m_metrics.setTotal("upstream_ejections", total.ejections);
+        m_metrics.setTotal("contents_stopped", total.crashesStopped);
+    }
+
+    void refreshFleetTotals()
+    {
+        const fleet_counters total = m_fleet->counters();
+        m_metrics.setTotal("gossip_messages_sent", total.messagesSent);
+        m_metrics.setTotal("gossip_bytes_sent", total.bytesSent);
+        m_metrics.setTotal("gossip_messages_received", total.messagesReceived);
+        m_metrics.setTotal("gossip_bytes_received", total.bytesReceived);
+        m_metrics.setTotal("gossip_dropped_unauthenticated", total.droppedUnauthenticated);
+        m_metrics.setTotal("gossip_dropped_malformed", total.droppedMalformed);
+        m_metrics.setTotal("suspicions_raised", total.suspicionsRaised);
+        m_metrics.setTotal("deaths_declared", total.deathsDeclared);
     }
 
     task<> pause(duration time)
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <variant>
 
@@ -20,6 +21,8 @@
 
 namespace {
 
+constexpr std::size_t maximumStoppedContents = 4096;
+
 using attempt_pointer = std::shared_ptr<upstream_attempt>;
 
 /// A request in a cell and the reader of its answer.
@@ -69,6 +72,19 @@
     active.trace.append("after_us=").append(std::to_string(elapsed)).append(" step=").append(step).append(details).append("\n");
 }
 
+dispatcher_counters sum(const dispatcher_counters &left, const dispatcher_counters &right)
+{
+    return {.firstAttempts = left.firstAttempts + right.firstAttempts,
+            .retries = left.retries + right.retries,
+            .hedges = left.hedges + right.hedges,
+            .hedgesChosen = left.hedgesChosen + right.hedgesChosen,
+            .preempted = left.preempted + right.preempted,
+            .preemptedResumable = left.preemptedResumable + right.preemptedResumable,
+            .ejections = left.ejections + right.ejections,
+            .crashesStopped = left.crashesStopped + right.crashesStopped,
+            .retriesDenied = left.retriesDenied + right.retriesDenied};
+}
+
 /// The message for one attempt, with the fencing number of its record where there is one.
 http_request messageFor(const run_request &request)
 {
@@ -99,6 +115,9 @@
             const cell_pointer cell = entry->second;
             updateUpstreams(cell);
             const bool unused = cell->upstreams.empty() && cell->requests.empty() && cell->attempts.empty();
+            if (unused) {
+                m_givenUp = sum(m_givenUp, cell->decisions.counters());
+            }
             entry = unused ? m_cells.erase(entry) : std::next(entry);
         }
     }
@@ -130,6 +149,24 @@
                               .trace = active->trace};
     }
 
+    void stopFingerprint(std::uint64_t fingerprint, time_point until)
+    {
+        if (m_stopped.size() < maximumStoppedContents || m_stopped.contains(fingerprint)) {
+            m_stopped.insert_or_assign(fingerprint, until);
+        }
+        for (const auto &[id, cell] : m_cells) {
+            cell->decisions.stopFingerprint(fingerprint, until);
+        }
+    }
+
+    [[nodiscard]] std::size_t stoppedContents() const
+    {
+        const time_point now = currentTime();
+        return static_cast<std::size_t>(std::count_if(m_stopped.begin(), m_stopped.end(), [now](const auto &stopped) {
+            return stopped.second > now;
+        }));
+    }
+
     void drain()
     {
         m_draining = true;
@@ -138,6 +175,15 @@
         }
     }
 
+    [[nodiscard]] dispatcher_counters counters() const
+    {
+        dispatcher_counters total = m_givenUp;
+        for (const auto &[id, cell] : m_cells) {
+            total = sum(total, cell->decisions.counters());
+        }
+        return total;
+    }
+
     [[nodiscard]] std::size_t inProgress() const
     {
         return m_inProgress;
@@ -176,6 +222,12 @@
         auto cell = std::make_shared<hosted_cell>(m_context, id, m_options.dispatcher);
         m_cells.emplace(id, cell);
         updateUpstreams(cell);
+        std::erase_if(m_stopped, [now = currentTime()](const auto &stopped) {
+            return stopped.second <= now;
+        });
+        for (const auto &[fingerprint, until] : m_stopped) {
+            cell->decisions.stopFingerprint(fingerprint, until);
+        }
         if (m_draining) {
             perform(cell, cell->decisions.drain(currentTime()));
         }
@@ -281,9 +333,6 @@
         const auto request = cell->requests.find(found->second->order().request);
         if (request != cell->requests.end() && !request->second->end) {
             addToTrace(*request->second, "cancel_attempt", " attempt=" + std::to_string(order.attempt.value));
-            if (request->second->request.dispatch.workClass == work_class::Batch) {
-                m_metrics.batchPreempted();
-            }
         }
         found->second->cancel();
     }
@@ -305,7 +354,7 @@
         active->second->changed.notify();
     }
 
-    static void carryOut(const cell_pointer &cell, const finish_request &order)
+    void carryOut(const cell_pointer &cell, const finish_request &order)
     {
         const auto active = cell->requests.find(order.request);
         if (active == cell->requests.end()) {
@@ -319,6 +368,10 @@
                    " disposition=" + std::string(toString(order.result.what)) + " reason=" + std::string(toString(order.result.reason)));
         active->second->end = order.result;
         active->second->changed.notify();
+        const bool stopped = order.result.what == disposition::Failed && order.result.reason == end_reason::CrashesUpstreams;
+        if (stopped && m_options.onContentStopped) {
+            m_options.onContentStopped(active->second->request.dispatch.fingerprint);
+        }
     }
 
     static task<> runAttempt(std::shared_ptr<implementation> self, cell_pointer cell, request_pointer active, attempt_pointer attempt)
@@ -331,6 +384,9 @@
                 self->perform(cell, cell->decisions.firstByte(attempt->order().attempt, currentTime()));
                 active->changed.notify();
             };
+            watcher.onProgress = [&](std::uint32_t tokens) {
+                self->perform(cell, cell->decisions.progressed(attempt->order().attempt, tokens, currentTime()));
+            };
             watcher.onData = [&] {
                 active->changed.notify();
             };
@@ -403,6 +459,8 @@
     cell_host_options m_options;
     cell_map m_known;
     std::map<cell_id, cell_pointer> m_cells;
+    std::map<std::uint64_t, time_point> m_stopped; ///< Contents that crash upstreams, and until when they are refused.
+    dispatcher_counters m_givenUp; ///< Of cells that this node does not hold any more.
     std::size_t m_inProgress = 0;
     bool m_draining = false;
 };
@@ -424,6 +482,21 @@
     return m_implementation->run(std::move(cell), std::move(request), std::move(sink), std::move(cancellation));
 }
 
+void cell_host::stopFingerprint(std::uint64_t fingerprint, time_point until)
+{
+    m_implementation->stopFingerprint(fingerprint, until);
+}
+
+std::size_t cell_host::stoppedContents() const
+{
+    return m_implementation->stoppedContents();
+}
+
+dispatcher_counters cell_host::counters() const
+{
+    return m_implementation->counters();
+}
+
 void cell_host::drain()
 {
     m_implementation->drain();
--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -576,6 +576,18 @@
             });
     }
 
+    kj::Promise<void> vmList(VmListContext context) override
+    {
+        require(context.getParams().getSecret());
+        return m_host
+            .onAsio<vm_list>([this] {
+                return m_host.handlers().vmList();
+            })
+            .then([context](vm_list &&list) mutable {
+                encode(context.getResults().initVms(static_cast<unsigned>(list.size())), list);
+            });
+    }
+
     kj::Promise<void> keepResult(KeepResultContext context) override
     {
         require(context.getParams().getSecret());
@@ -601,6 +613,19 @@
             .ignoreResult();
     }
 
+    kj::Promise<void> stopFingerprint(StopFingerprintContext context) override
+    {
+        require(context.getParams().getSecret());
+        const std::uint64_t fingerprint = context.getParams().getFingerprint();
+        const duration remaining(context.getParams().getRemainingMicros());
+        return m_host
+            .onAsio<bool>([this, fingerprint, remaining] {
+                m_host.handlers().stopFingerprint(fingerprint, remaining);
+                return true;
+            })
+            .ignoreResult();
+    }
+
 private:
     void require(capnp::Text::Reader secret)
     {
@@ -665,6 +690,17 @@
     });
 }
 
+task<vm_list> peer_rpc::vmList(endpoint to)
+{
+    return m_implementation->callOnce<vm_list>(std::move(to), [this](schema::Peer::Client &peer) {
+        auto call = peer.vmListRequest();
+        call.setSecret(m_implementation->secret().c_str());
+        return call.send().then([](capnp::Response<schema::Peer::VmListResults> &&answer) {
+            return decode(answer.getVms());
+        });
+    });
+}
+
 task<> peer_rpc::keepResult(endpoint to, std::string recordKey, std::string result)
 {
     co_await m_implementation->callOnce<bool>(
@@ -692,6 +728,20 @@
     co_await m_implementation->callOnce<bool>(std::move(to), std::move(call));
 }
 
+task<> peer_rpc::stopFingerprint(endpoint to, std::uint64_t fingerprint, duration remaining)
+{
+    node_call<bool> call = [this, fingerprint, remaining](schema::Peer::Client &peer) {
+        auto message = peer.stopFingerprintRequest();
+        message.setSecret(m_implementation->secret().c_str());
+        message.setFingerprint(fingerprint);
+        message.setRemainingMicros(remaining.count());
+        return message.send().then([](capnp::Response<schema::Peer::StopFingerprintResults> &&) {
+            return true;
+        });
+    };
+    co_await m_implementation->callOnce<bool>(std::move(to), std::move(call));
+}
+
 void peer_rpc::drop(const endpoint &to)
 {
     m_implementation->drop(to);
