Avoid lost cells for longer each time

The penalty now doubles up to 8 s and ends with the first report of slots; reports of requests sent before the penalty do not lengthen it.

--- a/core/src/cell_router.cpp
+++ b/core/src/cell_router.cpp
@@ -15,10 +15,13 @@
     time_point reportedAt;
     double sentSince = 0; ///< Requests that this node has sent since the last report.
     time_point avoidedUntil;
+    std::uint32_t avoidedInRow = 0; ///< Times that it was found without slots or unreachable, one after the other.
 };
 
 constexpr double localDomainAdvantage = 0.25; ///< In units of busyness: how much busier a local cell may be and still win.
 
+constexpr std::uint32_t penaltyDoublings = 2; ///< Longest penalty: four times the first.
+
 /// 2^(-age / half-life).
 double weightOfAge(duration age, duration halfLife)
 {
@@ -63,8 +66,16 @@
     {
         const auto entry = m_cells.find(cell);
         if (entry != m_cells.end()) {
-            const time_point avoidedUntil = load.slots == 0 ? now + m_options.penalty : time_point();
-            entry->second = {.load = load, .reportedAt = now, .sentSince = 0, .avoidedUntil = avoidedUntil};
+            cell_state &state = entry->second;
+            state.load = load;
+            state.reportedAt = now;
+            state.sentSince = 0;
+            if (load.slots == 0) {
+                avoid(state, now);
+            } else {
+                state.avoidedUntil = time_point();
+                state.avoidedInRow = 0;
+            }
         }
     }
 
@@ -72,11 +83,22 @@
     {
         const auto entry = m_cells.find(cell);
         if (entry != m_cells.end()) {
-            entry->second.avoidedUntil = now + m_options.penalty;
+            avoid(entry->second, now);
         }
     }
 
 private:
+    /// Avoids a cell for the penalty, and for twice as long each time that it is found so again, up to a bound. Reports of
+    /// requests sent before the last one say nothing new.
+    void avoid(cell_state &state, time_point now) const
+    {
+        if (state.avoidedUntil > now) {
+            return;
+        }
+        state.avoidedUntil = now + m_options.penalty * (1U << std::min(state.avoidedInRow, penaltyDoublings));
+        ++state.avoidedInRow;
+    }
+
     /// The cells of @p pool that are not excluded; those being avoided only if there are no others.
     [[nodiscard]] std::vector<cell_id> candidatesOf(const pool_name &pool, std::span<const cell_id> excluded, time_point now) const
     {
