--- a/bench/durable/main.cpp
+++ b/bench/durable/main.cpp
@@ -54,11 +54,12 @@
         : store(m_context, callTime)
     {
         std::vector<node_id> names;
+        names.reserve(nodes);
         for (int node = 0; node < nodes; ++node) {
             names.emplace_back("n" + std::to_string(node));
         }
         for (int node = 0; node < nodes; ++node) {
-            const request_runner runner = [this, node](run_request request, std::shared_ptr<run_cancellation>) {
+            const request_runner runner = [this, node](run_request request, const std::shared_ptr<run_cancellation> &) {
                 return run(this, node, std::move(request));
             };
             m_services.push_back(std::make_unique<record_service>(
--- a/io/include/banyan/io/record_service.h
+++ b/io/include/banyan/io/record_service.h
@@ -35,10 +35,13 @@
 class record_service
 {
 public:
-    record_service(asio::io_context &context, platform_client &platform, request_runner runner, record_service_options options);
+    record_service(asio::io_context &context,
+                   platform_client &platform,
+                   const request_runner &runner,
+                   const record_service_options &options);
 
     /// As above, with another way to the store than a platform_client.
-    record_service(asio::io_context &context, store_port port, request_runner runner, record_service_options options);
+    record_service(asio::io_context &context, store_port port, const request_runner &runner, const record_service_options &options);
     ~record_service();
 
     /// Begins to keep the lease, to look for lapsed ones and to run what is accepted or taken over.
@@ -71,7 +74,7 @@
 
     /// Reads a record; none if the caller has none under this key.
     /// @throws platform_unavailable
-    [[nodiscard]] task<std::optional<stored_record>> find(caller_id caller, std::string idempotencyKey);
+    [[nodiscard]] task<std::optional<stored_record>> find(const caller_id &caller, const std::string &idempotencyKey);
 
     /// Holds a result for another node, see record_service_options::keepCopy; commits it if that node does not.
     void keepResultFor(const std::string &recordKey, const std::string &result);
@@ -80,7 +83,7 @@
     void forgetResultFor(const std::string &recordKey);
 
     /// Tells which nodes are live, this one included: they share the store's budget and the recovery of lapsed leases.
-    void setLiveNodes(std::vector<node_id> nodes);
+    void setLiveNodes(const std::vector<node_id> &nodes);
 
     /// Whether the store took the last commit; while false, accept() refuses at once.
     [[nodiscard]] bool storeAvailable() const;
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -476,7 +476,7 @@
         for (const node_info &node : nodes) {
             names.push_back(node.id);
         }
-        m_records->setLiveNodes(std::move(names));
+        m_records->setLiveNodes(names);
         dropLostNodes();
     }
 
--- a/io/src/record_service.cpp
+++ b/io/src/record_service.cpp
@@ -415,12 +415,18 @@
     bool m_stopping = false;
 };
 
-record_service::record_service(asio::io_context &context, platform_client &platform, request_runner runner, record_service_options options)
-    : record_service(context, platformPort(context, platform), std::move(runner), std::move(options))
+record_service::record_service(asio::io_context &context,
+                               platform_client &platform,
+                               const request_runner &runner,
+                               const record_service_options &options)
+    : record_service(context, platformPort(context, platform), runner, options)
 {
 }
 
-record_service::record_service(asio::io_context &context, store_port port, request_runner runner, record_service_options options)
+record_service::record_service(asio::io_context &context,
+                               store_port port,
+                               const request_runner &runner,
+                               const record_service_options &options)
     : m_implementation(std::make_shared<implementation>(context, std::move(port), runner, options))
 {
 }
@@ -460,7 +466,7 @@
     return implementation::recordResult(m_implementation, std::move(recordKey), fencingNumber, std::move(answer), until);
 }
 
-task<std::optional<stored_record>> record_service::find(caller_id caller, std::string idempotencyKey)
+task<std::optional<stored_record>> record_service::find(const caller_id &caller, const std::string &idempotencyKey)
 {
     return implementation::find(m_implementation, recordKeyOf(caller, idempotencyKey));
 }
@@ -475,7 +481,7 @@
     m_implementation->copies().forget(recordKey);
 }
 
-void record_service::setLiveNodes(std::vector<node_id> nodes)
+void record_service::setLiveNodes(const std::vector<node_id> &nodes)
 {
     m_implementation->setLiveNodes(nodes);
 }
--- a/tests/property/fake_platform.h
+++ b/tests/property/fake_platform.h
@@ -57,7 +57,7 @@
                 return table.read(key);
             });
         };
-        port.scan = [this, node](std::string prefix, std::string after, std::size_t limit) -> task<row_page> {
+        port.scan = [this, node](const std::string &prefix, const std::string &after, std::size_t limit) -> task<row_page> {
             return call<row_page>(node, false, [this, prefix, after, limit] {
                 row_page page{.rows = table.scan(prefix, after, limit)};
                 page.more = page.rows.size() == limit;
@@ -67,7 +67,7 @@
         port.putObject = [this, node](std::string name, std::string bytes) -> task<> {
             return put(node, std::move(name), std::move(bytes));
         };
-        port.getObject = [this, node](std::string name) -> task<std::optional<std::string>> {
+        port.getObject = [this, node](const std::string &name) -> task<std::optional<std::string>> {
             return call<std::optional<std::string>>(node, false, [this, name] {
                 const auto found = m_objects.find(name);
                 return found == m_objects.end() ? std::nullopt : std::optional(found->second);
--- a/tests/property/record_service_property_test.cpp
+++ b/tests/property/record_service_property_test.cpp
@@ -75,7 +75,7 @@
             togglePause(static_cast<int>(choice / 40 % m_services.size()));
             break;
         case 3:
-            platform.down = !platform.down && choice / 40 % 4 == 0;
+            m_platform.down = !m_platform.down && choice / 40 % 4 == 0;
             break;
         case 4:
         case 5:
@@ -90,13 +90,13 @@
         case 10:
         case 11:
         case 12:
-            platform.passTime(std::chrono::milliseconds(choice / 40 % 1500));
+            m_platform.passTime(std::chrono::milliseconds(choice / 40 % 1500));
             break;
         case 13:
             announceNodes();
             break;
         default:
-            platform.advance(choice / 1024, faultOf(choice / 40 % 24));
+            m_platform.advance(choice / 1024, faultOf(choice / 40 % 24));
         }
     }
 
@@ -104,19 +104,19 @@
     void settle()
     {
         m_calm = true;
-        platform.down = false;
+        m_platform.down = false;
         for (std::size_t node = 0; node < m_services.size(); ++node) {
-            platform.pause(static_cast<int>(node), false);
+            m_platform.pause(static_cast<int>(node), false);
         }
         announceNodes();
-        time_point quietSince = platform.now();
-        for (int round = 0; round < roundsToSettle && platform.now() - quietSince < quietTime; ++round) {
+        time_point quietSince = m_platform.now();
+        for (int round = 0; round < roundsToSettle && m_platform.now() - quietSince < quietTime; ++round) {
             abandonLost();
-            while (platform.advance(m_random(), fake_platform::fault::None)) {
+            while (m_platform.advance(m_random(), fake_platform::fault::None)) {
             }
-            const auto next = platform.nextTimer();
-            platform.passTime(next ? std::max(*next - platform.now(), duration(1)) : duration(1000));
-            quietSince = settled() ? quietSince : platform.now();
+            const auto next = m_platform.nextTimer();
+            m_platform.passTime(next ? std::max(*next - m_platform.now(), duration(1)) : duration(1000));
+            quietSince = settled() ? quietSince : m_platform.now();
         }
         RC_ASSERT(settled());
     }
@@ -169,7 +169,7 @@
 
     std::optional<record_row> recordOf(int key) const
     {
-        const auto found = platform.table.read(recordKeyOf(caller(), idempotencyKeyOf(key)));
+        const auto found = m_platform.table.read(recordKeyOf(caller(), idempotencyKeyOf(key)));
         return found ? std::optional(parseRecordRow(found->value)) : std::nullopt;
     }
 
@@ -205,10 +205,10 @@
         options.keepCopy = [this](std::string key, std::string result) -> task<> {
             return copyToAnother(this, std::move(key), std::move(result));
         };
-        const request_runner runner = [this, node](run_request request, std::shared_ptr<run_cancellation>) -> task<run_answer> {
+        const request_runner runner = [this, node](run_request request, const std::shared_ptr<run_cancellation> &) -> task<run_answer> {
             return route(this, node, std::move(request));
         };
-        m_services.push_back(std::make_unique<record_service>(m_context, platform.portOf(node), runner, options));
+        m_services.push_back(std::make_unique<record_service>(m_context, m_platform.portOf(node), runner, options));
         m_services.back()->start();
     }
 
@@ -216,7 +216,7 @@
     {
         std::vector<int> nodes;
         for (int node = 0; node < static_cast<int>(m_services.size()); ++node) {
-            if (!platform.dead(node)) {
+            if (!m_platform.dead(node)) {
                 nodes.push_back(node);
             }
         }
@@ -235,13 +235,13 @@
             return;
         }
         ++m_kills;
-        platform.kill(pickNode(choice));
+        m_platform.kill(pickNode(choice));
         addNode();
     }
 
     void togglePause(int node)
     {
-        platform.pause(node, !platform.paused(node));
+        m_platform.pause(node, !m_platform.paused(node));
     }
 
     void announceNodes()
@@ -253,7 +253,7 @@
         for (const int node : living()) {
             m_services[static_cast<std::size_t>(node)]->setLiveNodes(nodes);
         }
-        platform.poll();
+        m_platform.poll();
     }
 
     void abandon(std::uint32_t choice)
@@ -262,7 +262,7 @@
             const auto &run = m_runs[choice % m_runs.size()];
             run->abandoned = true;
             run->changed.notify();
-            platform.poll();
+            m_platform.poll();
         }
     }
 
@@ -270,12 +270,12 @@
     void abandonLost()
     {
         for (const auto &[node, run] : m_runNodes) {
-            if (platform.dead(node) && !run->answer) {
+            if (m_platform.dead(node) && !run->answer) {
                 run->abandoned = true;
                 run->changed.notify();
             }
         }
-        platform.poll();
+        m_platform.poll();
     }
 
     void submit(int key, int content, int node)
@@ -284,11 +284,11 @@
         ++known.submissions;
         record_request request{.caller = caller(), .idempotencyKey = idempotencyKeyOf(key), .contentHash = contentOf(content)};
         request.request.dispatch = {.id = request_id("r"), .caller = caller(), .repeatable = isRepeatable(key)};
-        request.request.dispatch.deadline = platform.now() + std::chrono::seconds(20);
+        request.request.dispatch.deadline = m_platform.now() + std::chrono::seconds(20);
         request.request.message.body = std::to_string(key) + " " + std::to_string(content);
         request.request.message.body.resize(key % 2 == 0 ? largeBody : 10, ' ');
         asio::co_spawn(m_context, submitTo(this, &known, std::move(request), node), asio::detached);
-        platform.poll();
+        m_platform.poll();
     }
 
     static task<> submitTo(fleet_model *self, order *known, record_request request, int node)
@@ -296,7 +296,7 @@
         record_service &service = *self->m_services[static_cast<std::size_t>(node)];
         ++self->m_waitingClients[node];
         try {
-            const accept_outcome outcome = co_await service.accept(std::move(request), self->platform.now() + std::chrono::seconds(30));
+            const accept_outcome outcome = co_await service.accept(std::move(request), self->m_platform.now() + std::chrono::seconds(30));
             known->accepted = known->accepted || outcome.status != accept_status::Conflict;
             known->conflicts += outcome.status == accept_status::Conflict ? 1 : 0;
         } catch (const store_unavailable &) {
@@ -310,7 +310,7 @@
     /// What an entry node does with a request: hands it to a dispatcher's node, now and then to two, and waits for one.
     static task<run_answer> route(fleet_model *self, int entry, run_request request)
     {
-        co_await self->platform.park(entry);
+        co_await self->m_platform.park(entry);
         const bool twice = self->chance(10);
         if (twice) {
             const auto unheard = std::make_shared<dispatch_run>(self->m_context);
@@ -329,20 +329,20 @@
         if (!run->abandoned && !(twice && run->answer->result.what == disposition::NotRun)) {
             answer = *run->answer;
         }
-        co_await self->platform.park(entry);
+        co_await self->m_platform.park(entry);
         co_return answer;
     }
 
     static task<> dispatch(fleet_model *self, int node, run_request request, std::shared_ptr<dispatch_run> run)
     {
-        co_await self->platform.park(node);
+        co_await self->m_platform.park(node);
         const std::string recordKey = request.recordKey;
         const std::uint64_t fencingNumber = request.fencingNumber;
         const bool repeatable = request.dispatch.repeatable;
         bool started = false;
         const run_answer answer = co_await send(self, node, std::move(request), started);
         if (started && !repeatable && answer.result.what != disposition::NotRun) {
-            const time_point until = self->platform.now() + std::chrono::milliseconds(500);
+            const time_point until = self->m_platform.now() + std::chrono::milliseconds(500);
             co_await self->m_services[static_cast<std::size_t>(node)]->recordResult(recordKey, fencingNumber, answer, until);
         }
         run->answer = answer;
@@ -368,7 +368,7 @@
                 co_return answer;
             }
         }
-        co_await self->platform.park(node);
+        co_await self->m_platform.park(node);
         if (self->chance(10)) {
             co_return answer; // The upstream refused it.
         }
@@ -376,7 +376,7 @@
         int content = 0;
         std::istringstream(request.message.body) >> key >> content;
         ++self->m_orders[{key, content}].effects;
-        co_await self->platform.park(node);
+        co_await self->m_platform.park(node);
         answer.result = {.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost};
         if (!self->chance(10)) {
             answer.result = {.what = disposition::Completed};
@@ -388,18 +388,18 @@
     static task<> copyToAnother(fleet_model *self, std::string key, std::string result)
     {
         const int node = self->pickNode(static_cast<std::uint32_t>(self->m_random()));
-        co_await self->platform.park(node);
+        co_await self->m_platform.park(node);
         self->m_services[static_cast<std::size_t>(node)]->keepResultFor(key, result);
     }
 
     bool settled() const
     {
         for (const auto &[node, waiting] : m_waitingClients) {
-            if (waiting > 0 && !platform.dead(node)) {
+            if (waiting > 0 && !m_platform.dead(node)) {
                 return false;
             }
         }
-        for (const row &found : platform.table.scan(std::string(recordPrefix), "", 1000)) {
+        for (const row &found : m_platform.table.scan(std::string(recordPrefix), "", 1000)) {
             if (!isFinal(parseRecordRow(found.value).state)) {
                 return false;
             }
@@ -433,8 +433,8 @@
             read = co_await m_services[static_cast<std::size_t>(living().front())]->find(caller(), idempotencyKeyOf(key));
         };
         asio::co_spawn(m_context, find(), asio::detached);
-        platform.poll();
-        while (!read && platform.advance(m_random(), fake_platform::fault::None)) {
+        m_platform.poll();
+        while (!read && m_platform.advance(m_random(), fake_platform::fault::None)) {
         }
         return read;
     }
@@ -443,7 +443,7 @@
     void checkHistory() const
     {
         std::map<std::string, record_row> last;
-        for (const transaction &change : platform.table.history()) {
+        for (const transaction &change : m_platform.table.history()) {
             for (const row_write &write : change.writes) {
                 if (!write.key.starts_with(recordPrefix)) {
                     continue;
@@ -462,7 +462,7 @@
 
     asio::io_context m_context;
     std::minstd_rand m_random;
-    fake_platform platform{m_context};
+    fake_platform m_platform{m_context};
     std::map<std::pair<int, int>, order> m_orders;
     std::vector<std::shared_ptr<dispatch_run>> m_runs;
     std::vector<std::pair<int, std::shared_ptr<dispatch_run>>> m_runNodes;
