Look for lost nodes at least every 10 s

The wait until the next ping of an unknown address is the fleet's size for each such address; when the first node of a region dies there is one, and the wait came out at 10 minutes. It is now at most 10 s. Weighed: drawing lots at short intervals (no long wait, exact rate), but a start and a restart were then known to all later than the tests allow, because nobody pings a newly listed address at once.

--- a/core/include/banyan/core/gossip_options.h
+++ b/core/include/banyan/core/gossip_options.h
@@ -18,7 +18,8 @@
     std::size_t indirectProbes = 3; ///< Nodes that are asked to ping.
     duration reconnectInterval =
         std::chrono::milliseconds(500); ///< Shortest time between pings of listed addresses where nobody is known to run.
-    double reconnectsPerAddress = 0.5; ///< Such pings an address receives a second, from all nodes together.
+    duration longestReconnectInterval = std::chrono::seconds(10); ///< The number of such addresses may grow soon.
+    double reconnectsPerAddress = 0.5; ///< Such pings that an address receives a second from all nodes together, within these bounds.
     duration viewInterval = std::chrono::seconds(5); ///< Between exchanges of a page of the view.
     duration fastViewInterval = std::chrono::seconds(2); ///< The same, while much of the list is unknown.
     duration answerTimeout = std::chrono::milliseconds(500); ///< For a page of the view or for patches.
--- a/core/src/gossip_node.cpp
+++ b/core/src/gossip_node.cpp
@@ -168,7 +168,7 @@
     // All running nodes do the same: the more they are for each address, the less often each of them pings.
     const double nodesPerAddress = static_cast<double>(m_members.running().size() + 1) / static_cast<double>(unknown);
     const std::chrono::duration<double> share(nodesPerAddress / m_options.reconnectsPerAddress);
-    return std::max(m_options.reconnectInterval, std::chrono::duration_cast<duration>(share));
+    return std::clamp(std::chrono::duration_cast<duration>(share), m_options.reconnectInterval, m_options.longestReconnectInterval);
 }
 
 const std::vector<endpoint> &gossip_node::unknownAddresses()
