--- a/core/src/group_committer.cpp
+++ b/core/src/group_committer.cpp
@@ -12,6 +12,7 @@
 /// Share of the lease duration after which it is renewed.
 constexpr int renewalsPerDuration = 3;
 constexpr unsigned maximumDoublings = 10;
+constexpr row_version versionUnknown = 0;
 
 std::size_t bytesOf(const commit_item &item)
 {
@@ -212,9 +213,10 @@
     const std::vector<std::string> owned = namesOf(tried.items, &commit_item::owns);
     const std::vector<std::string> disowned = disownedBy(tried);
     lease_row lease = tried.lease;
-    lease.idle = !m_options.keepAlive && m_index.emptyAfter(owned, disowned);
+    const bool ownsNothing = m_index.emptyAfter(owned, disowned);
+    lease.idle = !m_options.keepAlive && ownsNothing;
     transaction change{.id = lease.transaction, .conditions = {{.key = m_options.leaseKey, .version = m_version}}};
-    const bool remove = tried.release && m_options.removeOnRelease && lease.idle;
+    const bool remove = tried.release && m_options.removeOnRelease && ownsNothing;
     change.writes.push_back({.key = m_options.leaseKey, .value = remove ? std::nullopt : std::optional(encodeLeaseRow(lease))});
     for (const row_write &write : m_index.writesFor(tried.sequence, owned, disowned)) {
         change.writes.push_back(write);
@@ -292,7 +294,7 @@
             return;
         }
         if (found && found->previousTransaction == tried.lease.transaction) {
-            applied(content(tried), version);
+            applied(content(tried), versionUnknown); // The row's version is that of the takeover.
             lost(true);
             return;
         }
