--- a/io/schema/peer.capnp
+++ b/io/schema/peer.capnp
@@ -43,6 +43,7 @@
   recordKey @15 :Text;
   fencingNumber @16 :UInt64;
   startRecorded @17 :Bool;
+  streamed @18 :Bool;
 }
 
 struct RunResult {
--- a/io/schema/peer.capnp.h
+++ b/io/schema/peer.capnp.h
@@ -852,6 +852,8 @@
 
   inline bool getStartRecorded() const;
 
+  inline bool getStreamed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -970,6 +972,9 @@
   inline bool getStartRecorded();
   inline void setStartRecorded(bool value);
 
+  inline bool getStreamed();
+  inline void setStreamed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3714,6 +3719,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunRequest::Reader::getStreamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunRequest::Builder::getStreamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunRequest::Builder::setStreamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t RunResult::Reader::getDisposition() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/io/src/peer_codec.cpp
+++ b/io/src/peer_codec.cpp
@@ -53,6 +53,7 @@
     to.setRecordKey(from.recordKey.c_str());
     to.setFencingNumber(from.fencingNumber);
     to.setStartRecorded(from.startRecorded);
+    to.setStreamed(from.dispatch.streamed);
 }
 
 run_request decode(schema::RunRequest::Reader from, time_point now)
@@ -76,6 +77,7 @@
     result.recordKey = toString(from.getRecordKey());
     result.fencingNumber = from.getFencingNumber();
     result.startRecorded = from.getStartRecorded();
+    result.dispatch.streamed = from.getStreamed();
     return result;
 }
 
--- a/tests/process/stopping_test.cpp
+++ b/tests/process/stopping_test.cpp
@@ -34,6 +34,7 @@
 int answeredTogether(const fleet &running)
 {
     std::vector<std::future<unsigned>> statuses;
+    statuses.reserve(together);
     for (int number = 0; number < together; ++number) {
         statuses.push_back(std::async(std::launch::async, [&running] {
             return running.chat(0, "short").status;
--- a/tests/unit/peer_rpc_test.cpp
+++ b/tests/unit/peer_rpc_test.cpp
@@ -21,6 +21,7 @@
     request.dispatch.id = request_id("r-1");
     request.dispatch.workClass = work_class::Batch;
     request.dispatch.repeatable = false;
+    request.dispatch.streamed = false;
     request.dispatch.deadline = currentTime() + std::chrono::hours(1);
     request.message = {.method = "POST", .target = "/orders", .fields = {{"A", "b"}}, .body = std::string("x\0y", 3)};
     request.recordKey = "record/1";
