--- a/core/include/banyan/core/gossip_options.h
+++ b/core/include/banyan/core/gossip_options.h
@@ -16,7 +16,8 @@
     duration probePeriod = std::chrono::seconds(1); ///< Between two probes.
     duration pingTimeout = std::chrono::milliseconds(400); ///< Before others are asked to ping; below the period.
     std::size_t indirectProbes = 3; ///< Nodes that are asked to ping.
-    duration reconnectInterval = std::chrono::seconds(2); ///< Shortest time between pings of listed addresses where nobody is known to run.
+    duration reconnectInterval =
+        std::chrono::milliseconds(500); ///< Shortest time between pings of listed addresses where nobody is known to run.
     double reconnectsPerAddress = 0.5; ///< Such pings an address receives a second, from all nodes together.
     duration viewInterval = std::chrono::seconds(5); ///< Between exchanges of a page of the view.
     duration fastViewInterval = std::chrono::seconds(2); ///< The same, while much of the list is unknown.
