End the RPC thread before the last reference to its owner can be dropped on it

Cause: jobs queued on the RPC thread hold the peer_rpc's implementation, which owns the thread. When the last such job was cleared after the peer_rpc had gone, the implementation was destroyed on its own thread, which cannot join itself, and the process ended with SIGABRT (backtrace: rpc_thread::runJobs, jobs.clear(), ~implementation, ~thread). A banyand that had drained cleanly could so end with a signal. The destructor of peer_rpc now waits for the thread first.

--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -273,6 +273,12 @@
         });
     }
 
+    /// Waits for the end of the RPC thread after stop().
+    void join()
+    {
+        m_thread.join();
+    }
+
     /// Runs a request that another node sent; called on the RPC thread.
     kj::Promise<run_outcome> serveRun(run_request request, cell_id cell, schema::AnswerSink::Client sink)
     {
@@ -660,6 +666,7 @@
 peer_rpc::~peer_rpc()
 {
     m_implementation->stop();
+    m_implementation->join();
 }
 
 void peer_rpc::start(peer_handlers handlers)
--- a/io/src/rpc_thread.cpp
+++ b/io/src/rpc_thread.cpp
@@ -17,6 +17,11 @@
 rpc_thread::~rpc_thread()
 {
     stop([](kj::AsyncIoProvider &) {});
+    join();
+}
+
+void rpc_thread::join()
+{
     if (m_thread.joinable()) {
         m_thread.join();
     }
--- a/io/src/rpc_thread.h
+++ b/io/src/rpc_thread.h
@@ -29,6 +29,10 @@
     /// Runs @p last on the thread, then ends the thread. Only the first call has an effect.
     void stop(job last);
 
+    /// Waits for the thread's end after stop(). Queued work may own this object's owner, so that its last reference may
+    /// be dropped on the thread itself: whoever owns both calls this first, from another thread.
+    void join();
+
 private:
     void run();
     void runJobs(kj::AsyncIoContext &io);
