Say what refused calls of files and jobs promise about having run

They had no X-Banyan-Run, although their text says that nothing was run; now 504 says unknown and everything else not-run. The process test of the platform's outage checks it.

--- a/io/include/banyan/io/openai_error.h
+++ b/io/include/banyan/io/openai_error.h
@@ -34,7 +34,7 @@
         return m_description;
     }
 
-    /// {"error": {"message": …, "type": …, "param": …, "code": …}} with its status.
+    /// {"error": {"message": …, "type": …, "param": …, "code": …}} with its status and what is promised about having run.
     [[nodiscard]] http_response toResponse() const;
 
 private:
--- a/io/src/openai_error.cpp
+++ b/io/src/openai_error.cpp
@@ -1,5 +1,7 @@
 #include "banyan/io/openai_error.h"
 
+#include "banyan/io/error_answers.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -11,6 +13,8 @@
 
 namespace {
 
+constexpr unsigned outcomeUnknownStatus = 504; ///< The one status that leaves open whether something was accepted.
+
 json::value textOrNull(const std::string &text)
 {
     if (text.empty()) {
@@ -31,6 +35,8 @@
     http_response response{.status = m_description.status,
                            .fields = {{.name = "Content-Type", .value = "application/json"}},
                            .body = json::serialize(json::object{{"error", std::move(error)}})};
+    const run_claim claim = m_description.status == outcomeUnknownStatus ? run_claim::Unknown : run_claim::NotRun;
+    response.fields.push_back({.name = "X-Banyan-Run", .value = std::string(toString(claim))});
     if (m_description.retryAfter) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*m_description.retryAfter);
         response.fields.push_back({.name = "Retry-After", .value = std::to_string(std::max<std::int64_t>(1, seconds.count()))});
--- a/tests/process/upstream_faults_test.cpp
+++ b/tests/process/upstream_faults_test.cpp
@@ -196,6 +196,10 @@
     CHECK(refused.field("X-Banyan-Run") == "not-run");
     CHECK_FALSE(refused.field("Retry-After").empty());
     CHECK(fleet::log(running.service(0)).at("started") == 0);
+    const json::object job = {{"input_file_id", "file-1"}, {"endpoint", "/v1/chat/completions"}, {"completion_window", "24h"}};
+    const http_response refusedJob = call(running.callers(0), postJson("/v1/batches", callerKey, job));
+    CHECK(refusedJob.status == 503);
+    CHECK(refusedJob.field("X-Banyan-Run") == "not-run");
     fleet::setFaults(running.platform(), {{"down", false}});
     CHECK(eventually([&] {
         return running.order(0, orderUnderKey("order-1")).status == 200;
