--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -76,6 +76,10 @@
         return m_upstreams.status(now);
     }
     [[nodiscard]] dispatcher_counters counters() const;
+    void loadReported(const upstream_id &upstream, std::uint32_t requests, time_point reportedAt)
+    {
+        m_upstreams.loadReported(upstream, requests, reportedAt);
+    }
     crash_guard &crashes()
     {
         return m_crashes;
@@ -94,6 +98,7 @@
     void preempt(attempt_id attempt);
     void countStart(request_state &request);
     void startAttempt(request_state &request, const upstream_state &upstream, time_point now, bool hedge);
+    [[nodiscard]] duration timeoutOf(const dispatch_request &request, time_point now) const;
     void watchFirstByte(request_state &request, time_point now);
     void stopWatchingFirstByte(request_state &request);
     void firstByteOverdue(request_state &request, time_point now);
@@ -409,11 +414,22 @@
         .request = request.request.id,
         .attempt = attempt,
         .upstream = upstream.info.id,
-        .timeout = m_options.attemptTimeout,
+        .timeout = timeoutOf(request.request, now),
         .hedge = hedge,
     });
 }
 
+/// How long an attempt that begins now may be silent.
+duration dispatcher::implementation::timeoutOf(const dispatch_request &request, time_point now) const
+{
+    if (request.streamed) {
+        return m_options.attemptTimeout;
+    }
+    const duration left = request.deadline - now;
+    const duration share = request.repeatable ? left / 2 : left;
+    return std::clamp(share, m_options.attemptTimeout, std::max(m_options.attemptTimeout, m_options.wholeAnswerTimeout));
+}
+
 /// Counts a request's attempts as long from now on.
 void dispatcher::implementation::becomeLong(request_state &request)
 {
@@ -557,7 +573,9 @@
     attempt_state &state = entry->second;
     const duration perToken = (now - state.progressedAt) / tokens;
     state.progressedAt = now;
+    state.reportsProgress = true;
     const upstream_id upstream = state.upstream;
+    m_upstreams.observeProgress(upstream, perToken, now);
     if (m_upstreams.outliers().observed(upstream, latency_kind::Token, perToken, now)) {
         hedgeAttemptsOf(upstream, now);
     }
@@ -785,8 +803,9 @@
     return m_implementation->cancel(request, now);
 }
 
-void dispatcher::loadReported(const upstream_id &, std::uint32_t, std::uint32_t, time_point, time_point)
+void dispatcher::loadReported(const upstream_id &upstream, std::uint32_t running, std::uint32_t waiting, time_point reportedAt, time_point)
 {
+    m_implementation->loadReported(upstream, running + waiting, reportedAt);
 }
 
 dispatch_actions dispatcher::drain(time_point now)
