--- a/tests/process/jobs_test.cpp
+++ b/tests/process/jobs_test.cpp
@@ -26,6 +26,20 @@
     return "plan visit " + std::to_string(number);
 }
 
+/// Orders for the plain service "orders", which are not to be repeated.
+std::string orderLines(int count)
+{
+    std::string text;
+    for (int number = 0; number < count; ++number) {
+        const json::object line = {{"custom_id", std::to_string(number)},
+                                   {"method", "POST"},
+                                   {"url", "/v1/services/orders/orders"},
+                                   {"body", json::object{{"order", messageOf(number)}}}};
+        text += json::serialize(line) + "\n";
+    }
+    return text;
+}
+
 std::string linesOf(int count)
 {
     std::string text;
@@ -44,12 +58,16 @@
 {
 public:
     batch_run(fleet &running, std::size_t entries, int items)
+        : batch_run(running, entries, items, linesOf(items), "/v1/chat/completions")
+    {
+    }
+
+    batch_run(fleet &running, std::size_t entries, int items, const std::string &lines, const std::string &endpoint)
         : m_fleet(running)
         , m_entries(entries)
         , m_items(items)
     {
-        const json::object file = {
-            {"input_file_id", upload(linesOf(items))}, {"endpoint", "/v1/chat/completions"}, {"completion_window", "24h"}};
+        const json::object file = {{"input_file_id", upload(lines)}, {"endpoint", endpoint}, {"completion_window", "24h"}};
         m_request = postJson("/v1/batches", callerKey, file);
         m_id = json::value_to<std::string>(json::parse(create(0).body).at("id"));
     }
@@ -207,6 +225,45 @@
     CHECK(unchanged);
 }
 
+TEST_CASE("items not to be repeated run at most once when the coordinator is killed, and each has a result")
+{
+    constexpr int orders = 600;
+    fleet running({.entries = 3, .engines = 0, .serviceArguments = {"--work-ms", "100"}});
+    const batch_run job(running, 3, orders, orderLines(orders), "/v1/services/orders");
+    const auto log = [&] {
+        return fleet::log(running.service(0));
+    };
+    REQUIRE(eventually([&] {
+        return log().at("completed").to_number<int>() > orders / 10;
+    }));
+    const std::size_t first = job.coordinator().value();
+    const std::size_t other = (first + 1) % 3;
+    running.entryProcess(first).signal(SIGKILL);
+    REQUIRE(job.waitForStatus(other, "completed"));
+    const json::object counts = job.show(other)->at("request_counts").as_object();
+    CHECK(counts.at("completed").to_number<int>() + counts.at("failed").to_number<int>() == orders);
+    int repeated = 0;
+    for (const json::key_value_pair &entry : log().at("contents").as_object()) {
+        repeated += entry.value().to_number<int>() - 1;
+    }
+    CHECK(repeated == 0);
+    WARN("orders with an unknown outcome after the kill: " << counts.at("failed"));
+}
+
+TEST_CASE("a planned stop of the coordinator gives its job back and repeats nothing")
+{
+    fleet running({.entries = 3, .services = 0});
+    const batch_run job(running, 3, manyItems);
+    REQUIRE(job.waitForProgress(0));
+    const std::size_t first = job.coordinator().value();
+    const std::size_t other = (first + 1) % 3;
+    running.entryProcess(first).signal(SIGTERM);
+    CHECK(running.entryProcess(first).waitForExit() == 0);
+    REQUIRE(job.waitForStatus(other, "completed"));
+    CHECK(job.outputFault(other).empty());
+    CHECK(job.repeatedRuns(2) == 0);
+}
+
 TEST_CASE("a job runs through an outage of the platform and lost answers, and no item runs twice")
 {
     fleet running({.entries = 2, .services = 0});
