Let a node stop while it serves calls of others

Cause: the event loop drops calls that are still being served after the RPC state is gone; their ends looked for it (backtrace: ~EventLoop, ~TaskSet, serveRun's deferred end).

--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -152,6 +152,15 @@
     {
     }
 
+    /// Ends the server and all calls while the rest still stands: what their ends do refers to it.
+    void close()
+    {
+        listening = nullptr;
+        receiver = nullptr;
+        server = nullptr;
+        calls.clear();
+    }
+
     void taskFailed(kj::Exception &&exception) override
     {
         logEvent(log_level::Debug, "rpc_task_failed", {{"error", toText(exception)}});
@@ -269,6 +278,7 @@
             for (const auto &run : m_state->incoming) {
                 run->sink = nullptr;
             }
+            m_state->close();
             m_state.reset();
         });
     }
@@ -292,7 +302,9 @@
                 asio::co_spawn(self->m_context, runHere(self, std::move(request), std::move(cell), incoming, finished), asio::detached);
             });
         return pair.promise.attach(kj::defer([self = shared_from_this(), incoming] {
-            self->m_state->incoming.erase(incoming);
+            if (self->m_state) { // The event loop drops calls that are still being served after stop().
+                self->m_state->incoming.erase(incoming);
+            }
             incoming->sink = nullptr;
             asio::post(self->m_context, [incoming] {
                 incoming->cancellation->cancel();
--- a/tests/unit/peer_rpc_test.cpp
+++ b/tests/unit/peer_rpc_test.cpp
@@ -6,6 +6,7 @@
 #include "banyan/io/peer_handlers.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 using namespace banyan;
@@ -198,6 +199,31 @@
     }
 }
 
+TEST_CASE("peer_rpc stops while it serves a run that has not ended")
+{
+    peer_fixture fixture;
+    async_event served(fixture.context);
+    bool begun = false;
+    fixture.handlers.run = [&](cell_id, run_request, answer_sink, std::shared_ptr<run_cancellation>) -> task<run_outcome> {
+        begun = true;
+        served.notify();
+        async_event never(fixture.context);
+        co_await never.wait();
+        co_return run_outcome();
+    };
+    fixture.callee.start(fixture.handlers);
+    fixture.run([&]() -> task<> {
+        const auto call = [&]() -> task<> {
+            co_await fixture.caller.run(fixture.callee.address(), testCell, makeRequest(), fixture.sink(), nullptr);
+        };
+        asio::co_spawn(fixture.context, call, asio::detached);
+        while (!begun) {
+            co_await served.wait();
+        }
+    });
+    CHECK(begun);
+}
+
 TEST_CASE("peer_rpc refuses a call with another secret")
 {
     peer_fixture fixture;
