--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -1,7 +1,7 @@
 // Measures what membership and configuration cost a node, and how fast they are, from 10 to 1,500 nodes in one process
 // with time as a number.
 //
-//   bench_fleet                               slopes up to 1,500 nodes, then faults with 300; about three minutes
+//   bench_fleet                               slopes up to 1,500 nodes, then faults with 300; about two minutes
 //   bench_fleet --nodes 10 --faults 1500      faults at the full size; more than ten minutes
 
 #include "fleet_model.h"
