--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -2,7 +2,7 @@
 // with time as a number.
 //
 //   bench_fleet                               slopes up to 1,500 nodes, then faults with 300; about two minutes
-//   bench_fleet --nodes 10 --faults 1500      faults at the full size; about five minutes
+//   bench_fleet --nodes 10 --faults 1500      faults at the full size; more than ten minutes
 
 #include "fleet_model.h"
 
