Give upstreams the request's own id, and try items again that come before the configuration

Each batch item reached its upstream as X-Request-Id "item", because the header was made before the job named the request; it is made where the attempt is sent now. An item built on a node without a configuration ended with a final error; it is tried again. The refusal while the store is down speaks of this sending only.

--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -253,12 +253,12 @@
     run_request buildItemRequest(const caller_id &caller, const batch_item &item)
     {
         const std::shared_ptr<const configuration> current = m_configurations->current();
-        caller_request request{.id = request_id("item"), .caller = caller, .method = item.method, .target = item.url, .body = item.body};
+        if (!current) {
+            throw std::runtime_error("expected a configuration, found none yet"); // The job tries the item again.
+        }
+        caller_request request{.caller = caller, .method = item.method, .target = item.url, .body = item.body};
         request.workClass = work_class::Batch;
         try {
-            if (!current) {
-                throw request_refused(503, "not_ready", "This node has no configuration yet.");
-            }
             return resolveRequest(*current, request, currentTime()).run;
         } catch (const request_refused &refusal) {
             throw item_rejected(refusal.code(), refusal.what());
--- a/io/src/caller_api.cpp
+++ b/io/src/caller_api.cpp
@@ -377,8 +377,11 @@
     try {
         accepted = co_await m_options.records.accept(std::move(wish), std::min(deadline, startedAt + settlingTime));
     } catch (const store_unavailable &error) {
-        failure = errorAnswer(
-            503, "store_unavailable", "The request was not run: it cannot be recorded now.", run_claim::NotRun, error.retryAfter());
+        failure = errorAnswer(503,
+                              "store_unavailable",
+                              "This sending was not recorded and will not run. An earlier one under the same key may have.",
+                              run_claim::NotRun,
+                              error.retryAfter());
     } catch (const record_outcome_unknown &) {
         failure = errorAnswer(504,
                               "record_outcome_unknown",
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -85,10 +85,19 @@
             .retriesDenied = left.retriesDenied + right.retriesDenied};
 }
 
-/// The message for one attempt, with the fencing number of its record where there is one.
+/// The caller's or job's id of a request: without the two parts that request_router adds for each of its tries.
+std::string originalIdOf(const request_id &id)
+{
+    const std::size_t last = id.text().rfind('/');
+    const std::size_t beforeLast = last == std::string::npos || last == 0 ? last : id.text().rfind('/', last - 1);
+    return beforeLast == std::string::npos ? id.text() : id.text().substr(0, beforeLast);
+}
+
+/// The message for one attempt, with the request's id and the fencing number of its record where there is one.
 http_request messageFor(const run_request &request)
 {
     http_request message = request.message;
+    message.fields.push_back({.name = "X-Request-Id", .value = originalIdOf(request.dispatch.id)});
     if (request.fencingNumber != 0) {
         message.fields.push_back({.name = "X-Fencing-Number", .value = std::to_string(request.fencingNumber)});
     }
--- a/io/src/request_builder.cpp
+++ b/io/src/request_builder.cpp
@@ -133,7 +133,6 @@
     if (!request.body.empty()) {
         message.fields.push_back({.name = "Content-Type", .value = request.contentType});
     }
-    message.fields.push_back({.name = "X-Request-Id", .value = request.id.text()});
     message.fields.push_back({.name = "X-Service-Version", .value = std::to_string(service.version)});
     message.fields.insert(message.fields.end(), request.extraFields.begin(), request.extraFields.end());
     return message;
