--- /dev/null
+++ b/io/src/http_exchange_implementation.h
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "banyan/io/error_answers.h"
+#include "banyan/io/http_body_error.h"
+#include "banyan/io/http_exchange.h"
+#include "http_route_table.h"
+#include "server_connection.h"
+
+#include <boost/beast/http.hpp>
+
+namespace banyan {
+
+/// A new id for a request that came without an acceptable one.
+[[nodiscard]] std::string newRequestId();
+
+/// The state of one request on its connection: reads the body and writes the answer.
+class http_exchange::implementation
+{
+public:
+    implementation(connection_pointer connection,
+                   boost::beast::http::request_parser<boost::beast::http::buffer_body> &parser,
+                   duration bodyTimeout)
+        : m_connection(std::move(connection))
+        , m_parser(parser)
+        , m_bodyTimeout(bodyTimeout)
+        , m_method(parser.get().method_string())
+        , m_wholeTarget(parser.get().target())
+        , m_target(split_target::parse(m_wholeTarget))
+    {
+        const std::string given(parser.get()["X-Request-Id"]);
+        m_requestId = isAcceptableRequestId(given) ? given : newRequestId();
+    }
+
+    static bool isAcceptableRequestId(const std::string &text)
+    {
+        constexpr std::size_t longest = 128;
+        return !text.empty() && text.size() <= longest
+               && text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") == std::string::npos;
+    }
+
+    task<std::string> nextPiece()
+    {
+        co_await sendContinue();
+        std::string piece(pieceBytes, '\0');
+        while (!m_parser.is_done()) {
+            m_parser.get().body().data = piece.data();
+            m_parser.get().body().size = piece.size();
+            m_connection->stream.expires_after(m_bodyTimeout);
+            boost::system::error_code error;
+            co_await boost::beast::http::async_read_some(
+                m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error && error != boost::beast::http::error::need_buffer) {
+                co_await refuseBody(error);
+            }
+            const std::size_t length = piece.size() - m_parser.get().body().size;
+            if (length != 0) {
+                piece.resize(length);
+                co_return piece;
+            }
+        }
+        co_return std::string();
+    }
+
+    task<std::string> wholeBody(std::size_t limit)
+    {
+        const auto announced = m_parser.content_length();
+        if (announced && *announced > limit) {
+            co_await refuseLargeBody(limit);
+        }
+        std::string result;
+        for (;;) {
+            const std::string piece = co_await nextPiece();
+            if (piece.empty()) {
+                co_return result;
+            }
+            if (result.size() + piece.size() > limit) {
+                co_await refuseLargeBody(limit);
+            }
+            result += piece;
+        }
+    }
+
+    task<> sendWhole(http_response response)
+    {
+        boost::beast::http::response<boost::beast::http::string_body> message;
+        message.result(response.status);
+        message.version(11);
+        addFields(message, response.fields);
+        message.body() = std::move(response.body);
+        message.keep_alive(keepsAlive());
+        message.prepare_payload();
+        m_answered = true;
+        m_connection->stream.expires_after(writeTimeout);
+        co_await boost::beast::http::async_write(m_connection->stream, message, asio::use_awaitable);
+        m_complete = true;
+    }
+
+    task<> sendHead(unsigned status, std::vector<http_field> fields)
+    {
+        boost::beast::http::response<boost::beast::http::empty_body> message;
+        message.result(status);
+        message.version(11);
+        addFields(message, fields);
+        message.chunked(true);
+        message.keep_alive(keepsAlive());
+        boost::beast::http::response_serializer<boost::beast::http::empty_body> serializer(message);
+        m_answered = true;
+        m_connection->stream.expires_after(writeTimeout);
+        co_await boost::beast::http::async_write_header(m_connection->stream, serializer, asio::use_awaitable);
+    }
+
+    task<> sendPiece(std::string_view piece)
+    {
+        if (piece.empty()) {
+            co_return;
+        }
+        m_connection->stream.expires_after(writeTimeout);
+        co_await asio::async_write(
+            m_connection->stream, boost::beast::http::make_chunk(asio::buffer(piece.data(), piece.size())), asio::use_awaitable);
+    }
+
+    task<> sendEnd()
+    {
+        m_connection->stream.expires_after(writeTimeout);
+        co_await asio::async_write(m_connection->stream, boost::beast::http::make_chunk_last(), asio::use_awaitable);
+        m_complete = true;
+    }
+
+    /// Whether another request may follow on this connection.
+    [[nodiscard]] bool keepsAlive() const
+    {
+        return m_parser.is_done() && m_parser.get().keep_alive() && !m_closing;
+    }
+
+    void closeAfterwards()
+    {
+        m_closing = true;
+    }
+
+    [[nodiscard]] bool answered() const
+    {
+        return m_answered;
+    }
+
+    [[nodiscard]] bool complete() const
+    {
+        return m_complete;
+    }
+
+    [[nodiscard]] const split_target &target() const
+    {
+        return m_target;
+    }
+
+    [[nodiscard]] const std::string &wholeTarget() const
+    {
+        return m_wholeTarget;
+    }
+
+    [[nodiscard]] const std::string &method() const
+    {
+        return m_method;
+    }
+
+    [[nodiscard]] const std::string &requestId() const
+    {
+        return m_requestId;
+    }
+
+    [[nodiscard]] std::string field(std::string_view name) const
+    {
+        return std::string(m_parser.get()[boost::beast::string_view(name.data(), name.size())]);
+    }
+
+    [[nodiscard]] const connection_pointer &connection() const
+    {
+        return m_connection;
+    }
+
+    std::vector<std::string> pathArguments;
+
+private:
+    static constexpr std::size_t pieceBytes = std::size_t(64) << 10;
+    static constexpr duration writeTimeout = std::chrono::seconds(30); ///< For a slow reader to take one piece.
+
+    template<typename Message>
+    void addFields(Message &message, const std::vector<http_field> &fields) const
+    {
+        for (const http_field &field : fields) {
+            message.insert(field.name, field.value);
+        }
+        message.set("X-Request-Id", m_requestId);
+    }
+
+    task<> sendContinue()
+    {
+        if (m_continueHandled) {
+            co_return;
+        }
+        m_continueHandled = true;
+        if (!boost::beast::iequals(m_parser.get()[boost::beast::http::field::expect], "100-continue")) {
+            co_return;
+        }
+        boost::beast::http::response<boost::beast::http::empty_body> message(boost::beast::http::status::continue_, 11);
+        m_connection->stream.expires_after(writeTimeout);
+        co_await boost::beast::http::async_write(m_connection->stream, message, asio::use_awaitable);
+    }
+
+    task<> refuseBody(boost::system::error_code error)
+    {
+        closeAfterwards();
+        if (error == boost::beast::error::timeout) {
+            // The timeout has closed the socket: nothing can be answered any more.
+            throw http_body_error("expected the rest of the body, found silence until the timeout");
+        }
+        if (!m_answered && error != boost::beast::http::error::end_of_stream && error != boost::beast::http::error::partial_message) {
+            co_await sendWhole(errorAnswer(400, "invalid_body", "The body is malformed: " + error.message(), run_claim::NotRun));
+        }
+        throw http_body_error("expected the whole body, found: " + error.message());
+    }
+
+    task<> refuseLargeBody(std::size_t limit)
+    {
+        closeAfterwards();
+        const std::string text = "The body is larger than " + std::to_string(limit) + " bytes.";
+        co_await sendWhole(errorAnswer(413, "body_too_large", text, run_claim::NotRun));
+        throw http_body_error(text);
+    }
+
+    connection_pointer m_connection;
+    boost::beast::http::request_parser<boost::beast::http::buffer_body> &m_parser;
+    duration m_bodyTimeout;
+    std::string m_method;
+    std::string m_wholeTarget;
+    split_target m_target;
+    std::string m_requestId;
+    bool m_continueHandled = false;
+    bool m_answered = false;
+    bool m_complete = false;
+    bool m_closing = false;
+};
+
+} // namespace banyan
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -1,9 +1,10 @@
 #include "banyan/io/http_server.h"
 
 #include "banyan/io/error_answers.h"
-#include "banyan/io/http_body_error.h"
 #include "banyan/io/log.h"
+#include "http_exchange_implementation.h"
 #include "http_route_table.h"
+#include "server_connection.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,7 +13,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -24,374 +24,15 @@
 
 namespace {
 
-constexpr std::size_t pieceBytes = std::size_t(64) << 10;
+constexpr std::size_t discardedPieceBytes = std::size_t(64) << 10;
 constexpr duration lingerTime = std::chrono::seconds(2); // For a peer to read the last answer and close.
 constexpr std::size_t lingerBytes = std::size_t(64) << 20; // Of a refused body that is read and dropped.
 constexpr std::size_t firstReadBytes = 4096;
-constexpr duration writeTimeout = std::chrono::seconds(30); // For a slow reader to take one piece.
+constexpr duration headWriteTimeout = std::chrono::seconds(30); // For a slow reader to take the refusal of its head.
 constexpr duration acceptPause = std::chrono::milliseconds(50); // After a failed accept, for example with no free descriptor.
 
-std::string newRequestId()
-{
-    static std::mt19937_64 generator(std::random_device{}());
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text = "r-";
-    for (int part = 0; part < 2; ++part) {
-        std::uint64_t bits = generator();
-        for (int digit = 0; digit < 8; ++digit) {
-            text += digits[bits & 0xfU];
-            bits >>= 4U;
-        }
-    }
-    return text;
-}
-
-/// One accepted connection.
-struct server_connection
-{
-    explicit server_connection(tcp::socket socket)
-        : stream(std::move(socket))
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    bool idle = true; ///< Between two requests.
-    bool watching = false; ///< A wait for readability is outstanding.
-    std::function<void()> disconnectHandler;
-};
-
-using connection_pointer = std::shared_ptr<server_connection>;
-
-/// Whether the peer has closed its side; bytes that wait to be read mean that it has not, as far as can be seen.
-bool peerHasClosed(server_connection &connection)
-{
-    tcp::socket &socket = connection.stream.socket();
-    if (!socket.is_open()) {
-        return true;
-    }
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    char byte = 0;
-    const std::size_t length = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return (!error && length == 0) || (error && error != asio::error::would_block);
-}
-
-void reportDisconnect(server_connection &connection)
-{
-    if (connection.disconnectHandler) {
-        std::exchange(connection.disconnectHandler, nullptr)();
-    }
-}
-
-/// Waits for the peer to close its side while a request is in progress.
-void watchPeer(const connection_pointer &connection)
-{
-    if (connection->watching || !connection->stream.socket().is_open()) {
-        return;
-    }
-    connection->watching = true;
-    connection->stream.socket().async_wait(tcp::socket::wait_read, [connection](const boost::system::error_code &error) {
-        connection->watching = false;
-        if (!connection->idle && (error || peerHasClosed(*connection))) {
-            reportDisconnect(*connection);
-        }
-    });
-}
-
 } // namespace
 
-class http_exchange::implementation
-{
-public:
-    implementation(connection_pointer connection, http::request_parser<http::buffer_body> &parser, duration bodyTimeout)
-        : m_connection(std::move(connection))
-        , m_parser(parser)
-        , m_bodyTimeout(bodyTimeout)
-        , m_method(parser.get().method_string())
-        , m_wholeTarget(parser.get().target())
-        , m_target(split_target::parse(m_wholeTarget))
-    {
-        const std::string given(parser.get()["X-Request-Id"]);
-        m_requestId = isAcceptableRequestId(given) ? given : newRequestId();
-    }
-
-    static bool isAcceptableRequestId(const std::string &text)
-    {
-        constexpr std::size_t longest = 128;
-        return !text.empty() && text.size() <= longest
-               && text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") == std::string::npos;
-    }
-
-    task<std::string> nextPiece()
-    {
-        co_await sendContinue();
-        std::string piece(pieceBytes, '\0');
-        while (!m_parser.is_done()) {
-            m_parser.get().body().data = piece.data();
-            m_parser.get().body().size = piece.size();
-            m_connection->stream.expires_after(m_bodyTimeout);
-            boost::system::error_code error;
-            co_await http::async_read_some(
-                m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
-            if (error && error != http::error::need_buffer) {
-                co_await refuseBody(error);
-            }
-            const std::size_t length = piece.size() - m_parser.get().body().size;
-            if (length != 0) {
-                piece.resize(length);
-                co_return piece;
-            }
-        }
-        co_return std::string();
-    }
-
-    task<std::string> wholeBody(std::size_t limit)
-    {
-        const auto announced = m_parser.content_length();
-        if (announced && *announced > limit) {
-            co_await refuseLargeBody(limit);
-        }
-        std::string result;
-        for (;;) {
-            const std::string piece = co_await nextPiece();
-            if (piece.empty()) {
-                co_return result;
-            }
-            if (result.size() + piece.size() > limit) {
-                co_await refuseLargeBody(limit);
-            }
-            result += piece;
-        }
-    }
-
-    task<> sendWhole(http_response response)
-    {
-        http::response<http::string_body> message;
-        message.result(response.status);
-        message.version(11);
-        addFields(message, response.fields);
-        message.body() = std::move(response.body);
-        message.keep_alive(keepsAlive());
-        message.prepare_payload();
-        m_answered = true;
-        m_connection->stream.expires_after(writeTimeout);
-        co_await http::async_write(m_connection->stream, message, asio::use_awaitable);
-        m_complete = true;
-    }
-
-    task<> sendHead(unsigned status, std::vector<http_field> fields)
-    {
-        http::response<http::empty_body> message;
-        message.result(status);
-        message.version(11);
-        addFields(message, fields);
-        message.chunked(true);
-        message.keep_alive(keepsAlive());
-        http::response_serializer<http::empty_body> serializer(message);
-        m_answered = true;
-        m_connection->stream.expires_after(writeTimeout);
-        co_await http::async_write_header(m_connection->stream, serializer, asio::use_awaitable);
-    }
-
-    task<> sendPiece(std::string_view piece)
-    {
-        if (piece.empty()) {
-            co_return;
-        }
-        m_connection->stream.expires_after(writeTimeout);
-        co_await asio::async_write(m_connection->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())), asio::use_awaitable);
-    }
-
-    task<> sendEnd()
-    {
-        m_connection->stream.expires_after(writeTimeout);
-        co_await asio::async_write(m_connection->stream, http::make_chunk_last(), asio::use_awaitable);
-        m_complete = true;
-    }
-
-    /// Whether another request may follow on this connection.
-    [[nodiscard]] bool keepsAlive() const
-    {
-        return m_parser.is_done() && m_parser.get().keep_alive() && !m_closing;
-    }
-
-    void closeAfterwards()
-    {
-        m_closing = true;
-    }
-
-    [[nodiscard]] bool answered() const
-    {
-        return m_answered;
-    }
-
-    [[nodiscard]] bool complete() const
-    {
-        return m_complete;
-    }
-
-    [[nodiscard]] const split_target &target() const
-    {
-        return m_target;
-    }
-
-    [[nodiscard]] const std::string &wholeTarget() const
-    {
-        return m_wholeTarget;
-    }
-
-    [[nodiscard]] const std::string &method() const
-    {
-        return m_method;
-    }
-
-    [[nodiscard]] const std::string &requestId() const
-    {
-        return m_requestId;
-    }
-
-    [[nodiscard]] std::string field(std::string_view name) const
-    {
-        return std::string(m_parser.get()[beast::string_view(name.data(), name.size())]);
-    }
-
-    [[nodiscard]] const connection_pointer &connection() const
-    {
-        return m_connection;
-    }
-
-    std::vector<std::string> pathArguments;
-
-private:
-    template<typename Message>
-    void addFields(Message &message, const std::vector<http_field> &fields) const
-    {
-        for (const http_field &field : fields) {
-            message.insert(field.name, field.value);
-        }
-        message.set("X-Request-Id", m_requestId);
-    }
-
-    task<> sendContinue()
-    {
-        if (m_continueHandled) {
-            co_return;
-        }
-        m_continueHandled = true;
-        if (!beast::iequals(m_parser.get()[http::field::expect], "100-continue")) {
-            co_return;
-        }
-        http::response<http::empty_body> message(http::status::continue_, 11);
-        m_connection->stream.expires_after(writeTimeout);
-        co_await http::async_write(m_connection->stream, message, asio::use_awaitable);
-    }
-
-    task<> refuseBody(boost::system::error_code error)
-    {
-        closeAfterwards();
-        if (error == beast::error::timeout) {
-            // The timeout has closed the socket: nothing can be answered any more.
-            throw http_body_error("expected the rest of the body, found silence until the timeout");
-        }
-        if (!m_answered && error != http::error::end_of_stream && error != http::error::partial_message) {
-            co_await sendWhole(errorAnswer(400, "invalid_body", "The body is malformed: " + error.message(), run_claim::NotRun));
-        }
-        throw http_body_error("expected the whole body, found: " + error.message());
-    }
-
-    task<> refuseLargeBody(std::size_t limit)
-    {
-        closeAfterwards();
-        const std::string text = "The body is larger than " + std::to_string(limit) + " bytes.";
-        co_await sendWhole(errorAnswer(413, "body_too_large", text, run_claim::NotRun));
-        throw http_body_error(text);
-    }
-
-    connection_pointer m_connection;
-    http::request_parser<http::buffer_body> &m_parser;
-    duration m_bodyTimeout;
-    std::string m_method;
-    std::string m_wholeTarget;
-    split_target m_target;
-    std::string m_requestId;
-    bool m_continueHandled = false;
-    bool m_answered = false;
-    bool m_complete = false;
-    bool m_closing = false;
-};
-
-const std::string &http_exchange::method() const
-{
-    return m_implementation.method();
-}
-
-const std::string &http_exchange::path() const
-{
-    return m_implementation.target().path;
-}
-
-const std::string &http_exchange::target() const
-{
-    return m_implementation.wholeTarget();
-}
-
-const std::vector<std::string> &http_exchange::pathArguments() const
-{
-    return m_implementation.pathArguments;
-}
-
-std::optional<std::string> http_exchange::query(std::string_view name) const
-{
-    return m_implementation.target().query(name);
-}
-
-std::string http_exchange::field(std::string_view name) const
-{
-    return m_implementation.field(name);
-}
-
-const std::string &http_exchange::requestId() const
-{
-    return m_implementation.requestId();
-}
-
-task<std::string> http_exchange::body(std::size_t limit)
-{
-    return m_implementation.wholeBody(limit);
-}
-
-task<std::string> http_exchange::bodyPiece()
-{
-    return m_implementation.nextPiece();
-}
-
-task<> http_exchange::respond(http_response response)
-{
-    return m_implementation.sendWhole(std::move(response));
-}
-
-task<> http_exchange::begin(unsigned status, std::vector<http_field> fields)
-{
-    return m_implementation.sendHead(status, std::move(fields));
-}
-
-task<> http_exchange::write(std::string_view piece)
-{
-    return m_implementation.sendPiece(piece);
-}
-
-task<> http_exchange::finish()
-{
-    return m_implementation.sendEnd();
-}
-
-void http_exchange::onDisconnect(std::function<void()> handler)
-{
-    m_implementation.connection()->disconnectHandler = std::move(handler);
-    watchPeer(m_implementation.connection());
-}
-
 class http_server::implementation : public std::enable_shared_from_this<http_server::implementation>
 {
 public:
@@ -493,7 +134,7 @@
     {
         boost::system::error_code error;
         connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
-        std::string discarded(pieceBytes, '\0');
+        std::string discarded(discardedPieceBytes, '\0');
         std::size_t total = 0;
         connection->stream.expires_after(lingerTime);
         while (!error && total < lingerBytes) {
@@ -572,7 +213,7 @@
         message.set("X-Banyan-Run", "not-run");
         message.keep_alive(false);
         message.prepare_payload();
-        connection->stream.expires_after(writeTimeout);
+        connection->stream.expires_after(headWriteTimeout);
         co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
     }
 
@@ -651,4 +292,4 @@
     return m_implementation->inProgress();
 }
 
-} // namespace banyan
+} // namespace banyan
--- /dev/null
+++ b/io/src/server_connection.cpp
@@ -0,0 +1,48 @@
+#include "server_connection.h"
+
+#include <utility>
+
+namespace banyan {
+
+using asio::ip::tcp;
+
+namespace {
+
+/// Whether the peer has closed its side; bytes that wait to be read mean that it has not, as far as can be seen.
+bool peerHasClosed(server_connection &connection)
+{
+    tcp::socket &socket = connection.stream.socket();
+    if (!socket.is_open()) {
+        return true;
+    }
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    const std::size_t length = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return (!error && length == 0) || (error && error != asio::error::would_block);
+}
+
+} // namespace
+
+void reportDisconnect(server_connection &connection)
+{
+    if (connection.disconnectHandler) {
+        std::exchange(connection.disconnectHandler, nullptr)();
+    }
+}
+
+void watchPeer(const connection_pointer &connection)
+{
+    if (connection->watching || !connection->stream.socket().is_open()) {
+        return;
+    }
+    connection->watching = true;
+    connection->stream.socket().async_wait(tcp::socket::wait_read, [connection](const boost::system::error_code &error) {
+        connection->watching = false;
+        if (!connection->idle && (error || peerHasClosed(*connection))) {
+            reportDisconnect(*connection);
+        }
+    });
+}
+
+} // namespace banyan
--- a/tests/unit/frozen_upstream_test.cpp
+++ b/tests/unit/frozen_upstream_test.cpp
@@ -18,10 +18,7 @@
 public:
     frozen_cell()
     {
-        std::vector<upstream_info> upstreams;
-        for (int number = 0; number < 3; ++number) {
-            upstreams.push_back({.id = upstream_id("u" + std::to_string(number))});
-        }
+        const std::vector<upstream_info> upstreams = {{.id = frozen}, {.id = upstream_id("u1")}, {.id = upstream_id("u2")}};
         take(m_dispatcher.setUpstreams(upstreams, m_now));
     }
 
