--- a/io/include/banyan/io/upstream_report.h
+++ b/io/include/banyan/io/upstream_report.h
@@ -17,6 +17,7 @@
     pool_name pool;
     failure_domain domain;
     endpoint address;
+    node_id dispatcher; ///< The node that dispatches for it now, in this node's view; that node knows its load.
     bool leaving = false;
     bool ejected = false; ///< Receives no work because it was slow or failed.
     std::uint32_t limit = 0; ///< Requests that it may hold before batch work has to yield, as its pace shows.
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -5,6 +5,7 @@
 #include "banyan/core/configuration_history.h"
 #include "banyan/core/job_summary.h"
 #include "banyan/core/patch_result.h"
+#include "banyan/core/placement.h"
 #include "banyan/io/batch_api.h"
 #include "banyan/io/caller_api.h"
 #include "banyan/io/cell_host.h"
@@ -392,9 +393,17 @@
                     .id = id, .pool = vm.pool, .domain = vm.domain, .address = vm.address, .leaving = vm.state == vm_state::Leaving};
             }
         }
+        for (const auto &[cell, upstreams] : assignCells(m_fleet->vms())) {
+            const std::optional<node_info> owner = ownerOf(cell, m_fleet->nodes());
+            for (const upstream_info &upstream : upstreams) {
+                reports[upstream.id].dispatcher = owner ? owner->id : node_id();
+            }
+        }
         for (const upstream_report &dispatched : m_cells->upstreams()) {
             if (const auto found = reports.find(dispatched.id); found != reports.end()) {
                 found->second.ejected = dispatched.ejected;
+                found->second.limit = dispatched.limit;
+                found->second.firstByte = dispatched.firstByte;
                 found->second.inFlight = dispatched.inFlight;
             }
         }
--- a/io/src/operator_json.cpp
+++ b/io/src/operator_json.cpp
@@ -49,6 +49,7 @@
             {"pool", upstream.pool.text()},
             {"failure_domain", upstream.domain.text()},
             {"address", upstream.address.toString()},
+            {"dispatcher", upstream.dispatcher.text()},
             {"leaving", upstream.leaving},
             {"ejected", upstream.ejected},
             {"limit", upstream.limit},
