--- a/io/include/banyan/io/caller_api.h
+++ b/io/include/banyan/io/caller_api.h
@@ -3,8 +3,10 @@
 #include "banyan/core/caller_directory.h"
 #include "banyan/core/configuration.h"
 #include "banyan/core/rate_limits.h"
+#include "banyan/io/accept_outcome.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/caller_request.h"
+#include "banyan/io/record_request.h"
 #include "banyan/io/request_builder.h"
 #include "banyan/io/run_outcome.h"
 #include "banyan/io/stored_record.h"
@@ -63,6 +65,8 @@
     [[nodiscard]] task<caller_request> readRequest(http_exchange &exchange, caller_id caller);
     void admit(const configuration &current, const resolved_request &resolved, time_point now);
     task<> runDirect(http_exchange &exchange, resolved_request resolved);
+    /// Records a request; answers the caller and returns none if it cannot be recorded.
+    [[nodiscard]] task<std::optional<accept_outcome>> acceptOrRefuse(http_exchange &exchange, record_request wish, time_point until);
     task<> runRecorded(http_exchange &exchange, resolved_request resolved, const caller_request &request);
     task<> answerRecord(http_exchange &exchange, stored_record record, bool replayed);
     void account(const resolved_request &resolved,
--- a/io/src/caller_api.cpp
+++ b/io/src/caller_api.cpp
@@ -364,18 +364,12 @@
     co_await relay.finish(outcome.result);
 }
 
-task<> caller_api::runRecorded(http_exchange &exchange, resolved_request resolved, const caller_request &request)
+task<std::optional<accept_outcome>> caller_api::acceptOrRefuse(http_exchange &exchange, record_request wish, time_point until)
 {
-    const time_point startedAt = currentTime();
-    const time_point deadline = resolved.run.dispatch.deadline;
-    const std::string givenKey = exchange.field("Idempotency-Key");
-    record_request wish{
-        .caller = request.caller, .idempotencyKey = givenKey.empty() ? exchange.requestId() : givenKey, .request = resolved.run};
-    wish.contentHash = sha256Hex(resolved.service.name.text() + "\n" + request.method + "\n" + request.target + "\n" + request.body);
     accept_outcome accepted;
     std::optional<http_response> failure;
     try {
-        accepted = co_await m_options.records.accept(std::move(wish), std::min(deadline, startedAt + settlingTime));
+        accepted = co_await m_options.records.accept(std::move(wish), until);
     } catch (const store_unavailable &error) {
         failure = errorAnswer(503,
                               "store_unavailable",
@@ -392,8 +386,25 @@
     if (failure) {
         m_options.metrics.count("record_refused");
         co_await exchange.respond(std::move(*failure));
+        co_return std::nullopt;
+    }
+    co_return accepted;
+}
+
+task<> caller_api::runRecorded(http_exchange &exchange, resolved_request resolved, const caller_request &request)
+{
+    const time_point startedAt = currentTime();
+    const time_point deadline = resolved.run.dispatch.deadline;
+    const std::string givenKey = exchange.field("Idempotency-Key");
+    record_request wish{
+        .caller = request.caller, .idempotencyKey = givenKey.empty() ? exchange.requestId() : givenKey, .request = resolved.run};
+    wish.contentHash = sha256Hex(resolved.service.name.text() + "\n" + request.method + "\n" + request.target + "\n" + request.body);
+    const std::optional<accept_outcome> outcome =
+        co_await acceptOrRefuse(exchange, std::move(wish), std::min(deadline, startedAt + settlingTime));
+    if (!outcome) {
         co_return;
     }
+    accept_outcome accepted = *outcome;
     if (accepted.status == accept_status::Conflict) {
         throw request_refused(422, "idempotency_key_reused", "The Idempotency-Key stands for a request with other content.");
     }
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -79,6 +79,48 @@
     return result;
 }
 
+/// Sends a request; @p timeout also starts the time for the answer that follows. @throws http_error with MaybeSent
+task<> writeRequest(connection_pointer connection, endpoint to, http_request request, duration timeout)
+{
+    const auto message = toBeast(to, std::move(request));
+    connection->stream.expires_after(timeout);
+    boost::system::error_code error;
+    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "write");
+    }
+}
+
+void refuseCancelled(const http_cancellation *cancellation)
+{
+    if (cancellation != nullptr && cancellation->cancelled()) {
+        throw http_error(sent_state::NotSent, false, "cancelled before it was sent");
+    }
+}
+
+using stream_parser = http::response_parser<http::buffer_body>;
+
+/// Passes an answer's body on piece by piece. @throws http_error with MaybeSent if it is cut
+task<> passBodyOn(connection_pointer connection, stream_parser &parser, duration silence, const http_client::stream_handler &handler)
+{
+    std::string piece(pieceBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        parser.get().body().more = true;
+        connection->stream.expires_after(silence);
+        boost::system::error_code error;
+        co_await http::async_read_some(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            fail(sent_state::MaybeSent, error, "read body");
+        }
+        const std::size_t length = piece.size() - parser.get().body().size;
+        if (length != 0) {
+            co_await handler.onPiece(std::string_view(piece).substr(0, length));
+        }
+    }
+}
+
 template<typename Fields>
 std::vector<http_field> fromBeast(const Fields &fields)
 {
@@ -182,15 +224,10 @@
 task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
 {
     const connection_pointer connection = co_await m_implementation->connect(to);
-    const auto message = toBeast(to, std::move(request));
-    connection->stream.expires_after(timeout);
-    boost::system::error_code error;
-    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        fail(sent_state::MaybeSent, error, "write");
-    }
+    co_await writeRequest(connection, to, std::move(request), timeout);
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_implementation->options().maximumBody);
+    boost::system::error_code error;
     co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         fail(sent_state::MaybeSent, error, "read");
@@ -209,49 +246,26 @@
                            stream_handler handler,
                            std::shared_ptr<http_cancellation> cancellation)
 {
-    if (cancellation && cancellation->cancelled()) {
-        throw http_error(sent_state::NotSent, false, "cancelled before it was sent");
-    }
+    refuseCancelled(cancellation.get());
     const connection_pointer connection = co_await m_implementation->connect(to);
+    refuseCancelled(cancellation.get());
     if (cancellation) {
-        if (cancellation->cancelled()) {
-            throw http_error(sent_state::NotSent, false, "cancelled before it was sent");
-        }
         cancellation->m_close = [weak = std::weak_ptr(connection)] {
             if (const auto open = weak.lock()) {
                 open->stream.close();
             }
         };
     }
-    const auto message = toBeast(to, std::move(request));
-    connection->stream.expires_after(silence);
-    boost::system::error_code error;
-    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        fail(sent_state::MaybeSent, error, "write");
-    }
-    http::response_parser<http::buffer_body> parser;
+    co_await writeRequest(connection, to, std::move(request), silence);
+    stream_parser parser;
     parser.body_limit(boost::none);
+    boost::system::error_code error;
     co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         fail(sent_state::MaybeSent, error, "read head");
     }
     co_await handler.onHead(std::min(parser.get().result_int(), maximumStatusCode), fromBeast(parser.get().base()));
-    std::string piece(pieceBytes, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = piece.data();
-        parser.get().body().size = piece.size();
-        parser.get().body().more = true;
-        connection->stream.expires_after(silence);
-        co_await http::async_read_some(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error && error != http::error::need_buffer) {
-            fail(sent_state::MaybeSent, error, "read body");
-        }
-        const std::size_t length = piece.size() - parser.get().body().size;
-        if (length != 0) {
-            co_await handler.onPiece(std::string_view(piece).substr(0, length));
-        }
-    }
+    co_await passBodyOn(connection, parser, silence, handler);
     if (cancellation) {
         cancellation->m_close = nullptr;
     }
--- a/io/src/recorded_run.cpp
+++ b/io/src/recorded_run.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// How long a caller waits for the commit of its result before it is told; the commit goes on.
-constexpr duration commitPatience = std::chrono::milliseconds(500);
+constexpr duration commitTimeout = std::chrono::milliseconds(500);
 
 /// A sink that keeps the whole answer.
 answer_sink keepingSink(const std::shared_ptr<http_response> &kept)
@@ -71,7 +71,7 @@
         if (completed) {
             answer.response = *kept;
         }
-        co_await records.recordResult(recordKey, fencingNumber, std::move(answer), currentTime() + commitPatience);
+        co_await records.recordResult(recordKey, fencingNumber, std::move(answer), currentTime() + commitTimeout);
     }
     if (completed) {
         co_await passOn(std::move(sink), std::move(*kept));
