--- a/io/src/job_service.cpp
+++ b/io/src/job_service.cpp
@@ -555,7 +555,8 @@
 
 task<> job_service::implementation::scanShard(std::uint32_t shard)
 {
-    const row_page page = co_await store.scan(activePrefix(shard), {}, activeRowsPerScan);
+    const std::string fromStart;
+    const row_page page = co_await store.scan(activePrefix(shard), fromStart, activeRowsPerScan);
     std::vector<active_job> entries;
     for (const row &found : page.rows) {
         active_job entry = active_job::fromJson(found.value);
@@ -602,7 +603,8 @@
 
 task<> job_service::implementation::pollCancels()
 {
-    const row_page page = co_await store.scan(cancelPrefix(leases.own()), {}, activeRowsPerScan);
+    const std::string fromStart;
+    const row_page page = co_await store.scan(cancelPrefix(leases.own()), fromStart, activeRowsPerScan);
     for (const auto &[job, execution] : std::map(executions)) {
         const std::string key = cancelKey(leases.own(), job);
         const bool cancelled = std::any_of(page.rows.begin(), page.rows.end(), [&](const row &found) {
--- a/io/src/peer_rpc.cpp
+++ b/io/src/peer_rpc.cpp
@@ -722,16 +722,16 @@
 
 task<> peer_rpc::keepResult(endpoint to, std::string recordKey, std::string result)
 {
-    co_await m_implementation->callOnce<bool>(
-        std::move(to), [this, recordKey = std::move(recordKey), result = std::move(result)](schema::Peer::Client &peer) {
-            auto call = peer.keepResultRequest();
-            call.setSecret(m_implementation->secret().c_str());
-            call.setRecordKey(recordKey.c_str());
-            call.setResult(toData(result));
-            return call.send().then([](capnp::Response<schema::Peer::KeepResultResults> &&) {
-                return true;
-            });
+    node_call<bool> call = [this, recordKey = std::move(recordKey), result = std::move(result)](schema::Peer::Client &peer) {
+        auto message = peer.keepResultRequest();
+        message.setSecret(m_implementation->secret().c_str());
+        message.setRecordKey(recordKey.c_str());
+        message.setResult(toData(result));
+        return message.send().then([](capnp::Response<schema::Peer::KeepResultResults> &&) {
+            return true;
         });
+    };
+    co_await m_implementation->callOnce<bool>(std::move(to), std::move(call));
 }
 
 task<> peer_rpc::forgetResult(endpoint to, std::string recordKey)
--- a/tests/unit/peer_rpc_test.cpp
+++ b/tests/unit/peer_rpc_test.cpp
@@ -239,6 +239,30 @@
     CHECK(fixture.refused == 1);
 }
 
+TEST_CASE("peer_rpc has another node hold and drop a result, and stop a content")
+{
+    const std::string key(100, 'k');
+    const std::string result = std::string(100, 'r') + std::string("\0x", 2);
+    peer_fixture fixture;
+    std::vector<std::string> seen;
+    fixture.handlers.keepResult = [&](const std::string &recordKey, const std::string &kept) {
+        seen.push_back("keep " + recordKey + " " + kept);
+    };
+    fixture.handlers.forgetResult = [&](const std::string &recordKey) {
+        seen.push_back("forget " + recordKey);
+    };
+    fixture.handlers.stopFingerprint = [&](std::uint64_t fingerprint, duration remaining) {
+        seen.push_back("stop " + std::to_string(fingerprint) + " " + std::to_string(remaining.count()));
+    };
+    fixture.callee.start(fixture.handlers);
+    fixture.run([&]() -> task<> {
+        co_await fixture.caller.keepResult(fixture.callee.address(), key, result);
+        co_await fixture.caller.forgetResult(fixture.callee.address(), key);
+        co_await fixture.caller.stopFingerprint(fixture.callee.address(), 7, duration(9));
+    });
+    CHECK(seen == std::vector<std::string>{"keep " + key + " " + result, "forget " + key, "stop 7 9"});
+}
+
 TEST_CASE("peer_rpc carries configuration patches and snapshots")
 {
     peer_fixture fixture;
