--- a/io/src/caller_api.cpp
+++ b/io/src/caller_api.cpp
@@ -12,6 +12,7 @@
 #include "banyan/io/request_refused.h"
 #include "banyan/io/request_router.h"
 #include "banyan/io/store_error.h"
+#include "banyan/io/whole_answer.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/json/array.hpp>
@@ -32,7 +33,6 @@
 constexpr duration notReadyRetryAfter = std::chrono::seconds(1);
 constexpr duration drainingRetryAfter = std::chrono::seconds(1);
 constexpr duration settlingTime = std::chrono::seconds(5); // For a record's commit beyond which its outcome is reported as unknown.
-constexpr std::size_t maximumBufferedAnswer = std::size_t(8) << 20; // Bytes of an answer that is sent whole.
 
 /// Fields of an upstream's answer that describe its connection, not its content.
 bool isHopByHop(const std::string &name)
@@ -143,27 +143,7 @@
 
     [[nodiscard]] answer_sink sink()
     {
-        answer_sink result;
-        result.head = [this](unsigned status, std::vector<http_field> fields) -> task<> {
-            m_onFirstByte();
-            m_response.status = status;
-            m_response.fields = answerFields(fields);
-            if (m_streamed) {
-                m_begun = true;
-                co_await m_exchange.begin(status, m_response.fields);
-            }
-        };
-        result.piece = [this](std::string piece) -> task<> {
-            if (m_streamed) {
-                co_await m_exchange.write(piece);
-                co_return;
-            }
-            if (m_response.body.size() + piece.size() > maximumBufferedAnswer) {
-                throw std::length_error("the upstream's answer is larger than may be sent whole");
-            }
-            m_response.body += piece;
-        };
-        return result;
+        return m_streamed ? streamingSink() : collectingSink();
     }
 
     /// Ends the answer of a request that has ended with @p result.
@@ -172,9 +152,11 @@
         if (result.what == disposition::Completed) {
             if (m_begun) {
                 co_await m_exchange.finish();
-            } else {
-                co_await m_exchange.respond(std::move(m_response));
+                co_return;
             }
+            http_response whole = m_collected.take();
+            whole.fields = answerFields(whole.fields);
+            co_await m_exchange.respond(std::move(whole));
             co_return;
         }
         http_response error = errorAnswer(result);
@@ -189,11 +171,35 @@
     }
 
 private:
+    [[nodiscard]] answer_sink streamingSink()
+    {
+        answer_sink result;
+        result.head = [this](unsigned status, std::vector<http_field> fields) -> task<> {
+            m_onFirstByte();
+            m_begun = true;
+            co_await m_exchange.begin(status, answerFields(fields));
+        };
+        result.piece = [this](std::string piece) -> task<> {
+            co_await m_exchange.write(piece);
+        };
+        return result;
+    }
+
+    [[nodiscard]] answer_sink collectingSink()
+    {
+        answer_sink result = m_collected.sink();
+        result.head = [this, collect = result.head](unsigned status, std::vector<http_field> fields) {
+            m_onFirstByte();
+            return collect(status, std::move(fields));
+        };
+        return result;
+    }
+
     http_exchange &m_exchange;
     bool m_streamed;
     bool m_begun = false;
     std::function<void()> m_onFirstByte;
-    http_response m_response;
+    whole_answer m_collected;
 };
 
 } // namespace
--- a/io/src/recorded_run.cpp
+++ b/io/src/recorded_run.cpp
@@ -4,6 +4,7 @@
 #include "banyan/io/log.h"
 #include "banyan/io/record_service.h"
 #include "banyan/io/run_answer.h"
+#include "banyan/io/whole_answer.h"
 
 #include <exception>
 #include <utility>
@@ -15,26 +16,6 @@
 /// How long a caller waits for the commit of its result before it is told; the commit goes on.
 constexpr duration commitTimeout = std::chrono::milliseconds(500);
 
-/// A sink that keeps the whole answer.
-answer_sink keepingSink(const std::shared_ptr<http_response> &kept)
-{
-    answer_sink sink;
-    sink.head = [kept](unsigned status, std::vector<http_field> fields) -> task<> {
-        return [](std::shared_ptr<http_response> response, unsigned code, std::vector<http_field> list) -> task<> {
-            response->status = code;
-            response->fields = std::move(list);
-            co_return;
-        }(kept, status, std::move(fields));
-    };
-    sink.piece = [kept](std::string piece) -> task<> {
-        return [](std::shared_ptr<http_response> response, std::string bytes) -> task<> {
-            response->body += bytes;
-            co_return;
-        }(kept, std::move(piece));
-    };
-    return sink;
-}
-
 /// Passes a whole answer on; it does not matter here whether the reader is still there.
 task<> passOn(answer_sink sink, http_response response)
 {
@@ -63,18 +44,19 @@
     }
     const std::string recordKey = request.recordKey;
     const std::uint64_t fencingNumber = request.fencingNumber;
-    const auto kept = std::make_shared<http_response>();
-    run_outcome outcome = co_await run(std::move(cell), std::move(request), keepingSink(kept), nullptr);
+    whole_answer collected;
+    run_outcome outcome = co_await run(std::move(cell), std::move(request), collected.sink(), nullptr);
+    http_response kept = collected.take();
     const bool completed = outcome.result.what == disposition::Completed;
     if (outcome.startRecorded && outcome.result.what != disposition::NotRun) {
         run_answer answer{.result = outcome.result};
         if (completed) {
-            answer.response = *kept;
+            answer.response = kept;
         }
         co_await records.recordResult(recordKey, fencingNumber, std::move(answer), currentTime() + commitTimeout);
     }
     if (completed) {
-        co_await passOn(std::move(sink), std::move(*kept));
+        co_await passOn(std::move(sink), std::move(kept));
     }
     co_return outcome;
 }
--- a/io/src/request_router.cpp
+++ b/io/src/request_router.cpp
@@ -6,6 +6,7 @@
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/peer_error.h"
+#include "banyan/io/whole_answer.h"
 
 #include <algorithm>
 #include <map>
@@ -243,21 +244,11 @@
 
 task<run_answer> request_router::runWhole(run_request request, std::shared_ptr<run_cancellation> cancellation)
 {
-    run_answer answer;
-    answer_sink sink;
-    sink.head = [&answer](unsigned status, std::vector<http_field> fields) -> task<> {
-        answer.response.status = status;
-        answer.response.fields = std::move(fields);
-        co_return;
-    };
-    sink.piece = [&answer](std::string piece) -> task<> {
-        answer.response.body += piece;
-        co_return;
-    };
-    const run_outcome outcome = co_await run(std::move(request), std::move(sink), std::move(cancellation));
-    answer.result = outcome.result;
-    if (answer.result.what != disposition::Completed) {
-        answer.response = http_response();
+    whole_answer collected;
+    const run_outcome outcome = co_await run(std::move(request), collected.sink(), std::move(cancellation));
+    run_answer answer{.result = outcome.result};
+    if (answer.result.what == disposition::Completed) {
+        answer.response = collected.take();
     }
     co_return answer;
 }
