Let the limit of an upstream grow beyond the slots that batch work leaves free

Cause: the limit grew only while 0.8 of it was in flight, but batch work stops below it by the headroom for online work, so that a small steady online load held the limit at its start.

--- a/core/src/concurrency_limit.cpp
+++ b/core/src/concurrency_limit.cpp
@@ -35,7 +35,7 @@
     m_options.minimum = std::min(options.minimum, options.maximum);
 }
 
-void concurrency_limit::paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, time_point now)
+void concurrency_limit::paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, std::uint32_t reserved, time_point now)
 {
     if (seconds <= 0) {
         return;
@@ -46,6 +46,7 @@
     }
     series.window.push_back(seconds);
     series.inFlightSum += inFlight;
+    series.reservedSum += reserved;
     if (now - series.windowStart >= m_options.window && series.window.size() >= m_options.minimumSamples) {
         closeWindow(series);
     }
@@ -60,11 +61,13 @@
 void concurrency_limit::closeWindow(pace_series &series)
 {
     const double inFlight = series.inFlightSum / static_cast<double>(series.window.size());
+    const double reserved = series.reservedSum / static_cast<double>(series.window.size());
     const double pace = medianOf(series.window);
     series.window.clear();
     series.inFlightSum = 0;
+    series.reservedSum = 0;
     moveBaseline(series, pace, inFlight);
-    adapt(series, pace, inFlight);
+    adapt(series, pace, inFlight, reserved);
 }
 
 void concurrency_limit::moveBaseline(pace_series &series, double pace, double inFlight) const
@@ -92,7 +95,7 @@
     m_limit = std::max<double>(m_options.minimum, m_limit * factor);
 }
 
-void concurrency_limit::adapt(const pace_series &series, double pace, double inFlight)
+void concurrency_limit::adapt(const pace_series &series, double pace, double inFlight, double reserved)
 {
     const double ratio = pace / series.baseline;
     const double usual = series.kind == pace_kind::Token ? m_options.tolerance : m_options.wholeAnswerTolerance;
@@ -102,7 +105,7 @@
         return;
     }
     m_exceeding = false;
-    if (inFlight >= m_limit * usedShare) {
+    if (inFlight + reserved >= m_limit * usedShare) {
         const double fast = std::min(m_limit * fastGrowth, m_fastUntil);
         const double slow = std::max(m_limit * slowGrowth, m_limit + 1);
         m_limit = std::min<double>(std::max(fast, slow), m_options.maximum);
--- a/core/src/concurrency_limit.h
+++ b/core/src/concurrency_limit.h
@@ -38,8 +38,9 @@
 public:
     explicit concurrency_limit(const concurrency_limit_options &options);
 
-    /// Takes in how long a token or a whole answer took.
-    void paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, time_point now);
+    /// Takes in how long a token or a whole answer took. @p reserved slots are left free on purpose while work waits; they
+    /// count as used, so that the limit can grow beyond them.
+    void paceObserved(pace_kind kind, double seconds, std::uint32_t inFlight, std::uint32_t reserved, time_point now);
 
     /// The upstream refused work while @p inFlight requests were in progress.
     void refused(std::uint32_t inFlight);
@@ -56,13 +57,14 @@
         double baseline = 0; ///< 0: not known yet.
         std::vector<double> window;
         double inFlightSum = 0;
+        double reservedSum = 0;
         time_point windowStart;
     };
 
     void closeWindow(pace_series &series);
     void moveBaseline(pace_series &series, double pace, double inFlight) const;
     void shrink(double factor);
-    void adapt(const pace_series &series, double pace, double inFlight);
+    void adapt(const pace_series &series, double pace, double inFlight, double reserved);
 
     concurrency_limit_options m_options;
     double m_limit;
--- a/core/src/upstream_pool.cpp
+++ b/core/src/upstream_pool.cpp
@@ -108,10 +108,21 @@
     if (online < idleOnlineWork) {
         return onlineLimitOf(upstream);
     }
-    const double deviation = std::sqrt(online) / static_cast<double>(m_upstreams.size());
-    const auto headroom = static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
     const std::uint32_t limit = upstream.limit.value();
-    return std::max(1U, limit - std::min(limit, headroom));
+    return std::max(1U, limit - std::min(limit, headroomOf(now)));
+}
+
+/// Slots of an upstream that batch work leaves free for online work.
+std::uint32_t upstream_pool::headroomOf(time_point now) const
+{
+    const double deviation = std::sqrt(m_onlineInFlight.at(now)) / static_cast<double>(m_upstreams.size());
+    return static_cast<std::uint32_t>(std::ceil(m_options.headroomDeviations * deviation));
+}
+
+/// Headroom that keeps batch work from an upstream now; none if there is no batch work to be kept out.
+std::uint32_t upstream_pool::reservedOf(const upstream_state &upstream, time_point now) const
+{
+    return upstream.batchInFlight > 0 ? headroomOf(now) : 0;
 }
 
 /// Long work holds at most this many of @p slots, so that short work always finds some.
@@ -243,14 +254,16 @@
     }
     if (const std::optional<double> pace = paceOf(attempt, result, now)) {
         const pace_kind kind = attempt.streamed ? pace_kind::Token : pace_kind::WholeAnswer;
-        upstream.limit.paceObserved(kind, *pace, upstream.inFlight(), now);
+        // Whole answers show too late that the engine slows down: the limit does not grow into the headroom by them.
+        const std::uint32_t reserved = attempt.streamed ? reservedOf(upstream, now) : 0;
+        upstream.limit.paceObserved(kind, *pace, upstream.inFlight(), reserved, now);
     }
 }
 
 void upstream_pool::observeProgress(const upstream_id &upstream, duration perToken, time_point now)
 {
     upstream_state &state = m_upstreams.at(upstream);
-    state.limit.paceObserved(pace_kind::Token, toSeconds(perToken), state.inFlight(), now);
+    state.limit.paceObserved(pace_kind::Token, toSeconds(perToken), state.inFlight(), reservedOf(state, now), now);
 }
 
 void upstream_pool::loadReported(const upstream_id &upstream, std::uint32_t requests, time_point reportedAt)
--- a/core/src/upstream_pool.h
+++ b/core/src/upstream_pool.h
@@ -87,6 +87,8 @@
     [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] std::uint32_t headroomOf(time_point now) const;
+    [[nodiscard]] std::uint32_t reservedOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] static std::uint32_t longLimit(std::uint32_t slots);
     [[nodiscard]] bool accepts(const upstream_state &upstream, const request_state &request, time_point now) const;
     [[nodiscard]] bool acceptsOnline(const upstream_state &upstream, const request_state &request) const;
