--- a/core/include/banyan/core/dispatcher_options.h
+++ b/core/include/banyan/core/dispatcher_options.h
@@ -12,7 +12,7 @@
     std::uint32_t initialSlots =
         4; ///< Requests in flight to one upstream before its limit has adapted; should be less than it can run without slowing.
     std::uint32_t maximumSlots = 64; ///< Upper end of the adaptive limit of one upstream.
-    double headroomDeviations = 2; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
+    double headroomDeviations = 2.5; ///< Slots that batch work leaves free, in standard deviations of the cell's online work in flight.
     std::uint32_t onlineQueueLimit = 512; ///< Waiting online requests; more are refused as Overloaded.
     std::uint32_t batchQueueLimit = 512; ///< Waiting batch requests; more are refused as Overloaded.
     duration attemptTimeout = std::chrono::seconds(30); ///< Longest silence of an upstream during an attempt with a streamed answer.
