--- /dev/null
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/serving/job_entry.h"
+#include "banyan/core/time.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace banyan {
+
+/// Options of a job_directory.
+struct job_directory_options
+{
+    node_id self;
+    duration ownerSilence = std::chrono::seconds(2); ///< A node that has not been heard for so long has lost its jobs.
+    duration secondChoice = std::chrono::seconds(2); ///< After so much longer any node takes a job, not just the first choice.
+};
+
+/// The jobs of all nodes, as the store's changes tell of them, and which of them this node should take over.
+///
+/// A wrong guess that an owner is gone does no harm beyond runs that are repeated: the takeover is a conditional write, and
+/// the old owner's next commit fails.
+class job_directory
+{
+public:
+    explicit job_directory(const job_directory_options &options);
+
+    /// Takes in a job as it is stored; an older version than the one known is ignored.
+    void stored(const job_entry &entry);
+
+    /// Takes in that a job's row is gone.
+    void removed(const job_id &id);
+
+    /// The job, if it is known.
+    [[nodiscard]] const job_entry *find(const job_id &id) const;
+
+    /// Notes which nodes have been heard.
+    void heard(const node_id &node, time_point now);
+
+    /// Open jobs that this node should take over now, the oldest first.
+    [[nodiscard]] std::vector<job_entry> toTakeOver(time_point now);
+
+    /// Open jobs that the store says this node owns.
+    [[nodiscard]] std::vector<job_entry> owned() const;
+
+    /// Jobs that were submitted before @p before.
+    [[nodiscard]] std::vector<job_entry> olderThan(time_point before) const;
+
+private:
+    [[nodiscard]] bool isFirstChoice(const job_id &id, time_point now) const;
+
+    job_directory_options m_options;
+    std::map<job_id, job_entry> m_jobs;
+    std::map<node_id, time_point> m_heardAt;
+    std::map<job_id, time_point> m_orphanedAt; ///< When this node first saw the job without a living owner.
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/serving/load_board.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/upstream_usage.h"
+#include "banyan/core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace banyan {
+
+/// The other nodes' work in flight, by their own reports.
+///
+/// Reports are some tens of milliseconds old, and a node that falls silent is forgotten after a while: two nodes may take
+/// the same slot now and then, which the upstream's own queue absorbs.
+class load_board
+{
+public:
+    /// @p memory is how long a report counts.
+    explicit load_board(duration memory);
+
+    /// Takes in a report; one that is older than the last of its sender is ignored. Returns whether it was taken.
+    bool reported(const node_load &load, time_point now);
+
+    /// Drops the reports of nodes that have been silent for too long.
+    void expire(time_point now);
+
+    /// What the other nodes together have in flight at an upstream.
+    [[nodiscard]] upstream_usage usageOf(upstream_key upstream) const;
+
+    /// How many other nodes call an upstream troubled.
+    [[nodiscard]] std::uint32_t troubledAt(upstream_key upstream) const;
+
+    /// The most batch work that any other node has at an upstream, and the least id of such a node.
+    struct batch_holder
+    {
+        std::uint32_t batch = 0;
+        node_id node;
+    };
+    [[nodiscard]] batch_holder largestBatch(upstream_key upstream) const;
+
+    /// Online requests that wait at other nodes.
+    [[nodiscard]] std::uint32_t waitingOnline() const;
+
+    /// The nodes that have reported within the memory.
+    [[nodiscard]] std::vector<node_id> nodes() const;
+
+private:
+    struct report
+    {
+        node_load load;
+        time_point receivedAt;
+    };
+
+    duration m_memory;
+    std::map<node_id, report> m_reports;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/serving/node_load.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/serving/upstream_usage.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace banyan {
+
+/// An attempt that ended with its upstream's connection, as told to the other nodes.
+struct lost_content
+{
+    std::uint64_t fingerprint = 0; ///< Of the request's content.
+    upstream_key upstream = 0;
+
+    auto operator<=>(const lost_content &) const = default;
+};
+
+/// What a node tells the others of its own work.
+struct node_load
+{
+    node_id sender;
+    std::uint64_t sequence = 0; ///< Grows with each message of a sender.
+    std::map<upstream_key, upstream_usage> usage;
+    std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
+    std::vector<lost_content> lost; ///< Within the last second or so.
+
+    auto operator<=>(const node_load &) const = default;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/serving/replica_registry.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/serving/replica.h"
+#include "banyan/core/time.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace banyan {
+
+/// The upstreams that are registered, as this node knows it.
+///
+/// Registrations lapse while their store is away, although the upstreams live. So what is known is kept during an outage, and
+/// entries that are missing afterwards are kept for the grace period, in which living upstreams register again.
+class replica_registry
+{
+public:
+    /// @p grace begins when the store answers again.
+    explicit replica_registry(duration grace);
+
+    /// Takes in a whole reading of the registrations.
+    void replaceAll(const std::vector<replica> &registered, time_point now);
+
+    /// Takes in one registration, new or changed.
+    void registered(const replica &entry);
+
+    /// Takes in that an entry is gone, or names no upstream any more.
+    void removed(const upstream_id &id, time_point now);
+
+    /// Another upstream answers at the entry's address: it is not used until it is registered with another address.
+    void addressReused(const upstream_id &id);
+
+    /// The store does not answer any more, or answers again.
+    void storeLost();
+    void storeRegained(time_point now);
+
+    /// Drops entries whose grace has passed. Returns whether any was dropped.
+    bool tick(time_point now);
+
+    /// When tick() is next needed, if at all.
+    [[nodiscard]] std::optional<time_point> nextWakeUp() const;
+
+    /// Every upstream that may be used or is draining.
+    [[nodiscard]] std::vector<replica> replicas() const;
+
+private:
+    [[nodiscard]] bool keepsMissing(time_point now) const;
+
+    duration m_grace;
+    std::map<upstream_id, replica> m_entries;
+    std::set<upstream_id> m_missing; ///< Kept until m_graceEnd.
+    std::map<upstream_id, endpoint> m_reused;
+    bool m_storeAway = false;
+    std::optional<time_point> m_graceEnd;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/serving/route_table.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "banyan/core/serving/serving_configuration.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyan {
+
+/// The routes of one version of the configuration. Never changes; a request keeps the table that it began with.
+class route_table
+{
+public:
+    explicit route_table(serving_configuration configuration);
+
+    /// The route of @p host (a port is ignored) with the longest path prefix that begins @p path; null if there is none.
+    [[nodiscard]] const route *find(std::string_view host, std::string_view path) const;
+
+    /// The route of that name; null if there is none.
+    [[nodiscard]] const route *named(std::string_view name) const;
+
+    [[nodiscard]] const serving_configuration &configuration() const
+    {
+        return m_configuration;
+    }
+
+private:
+    serving_configuration m_configuration;
+    std::map<std::string, std::vector<const route *>, std::less<>> m_byHost; ///< Longest prefix first.
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
+#include "banyan/core/work_class.h"
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace banyan {
+
+/// One run that wants a place at an upstream.
+struct slot_request
+{
+    request_id id;
+    service_name service;
+    work_class workClass = work_class::Online;
+    std::uint32_t priority = 0; ///< Of its route; 0 is the most urgent.
+    time_point arrivedAt;
+    time_point target; ///< An answer that begins later is late; of a batch item the end of its job's window.
+    time_point deadline; ///< An answer that begins later is of no use.
+    bool begun = false; ///< An earlier attempt was sent, so that it waits on although it will be late.
+    std::uint64_t prefixHash = 0; ///< Of the prompt's shared part; 0 for none.
+    std::vector<upstream_id> excluded; ///< Used only if there is no other.
+
+    auto operator<=>(const slot_request &) const = default;
+};
+
+} // namespace banyan
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "banyan/core/dispatcher.h"
 
-#include "crash_guard.h"
+#include "banyan/core/crash_guard.h"
 #include "dispatcher_state.h"
 #include "request_queue.h"
 #include "retry_backoff.h"
--- /dev/null
+++ b/core/src/serving/item_progress.cpp
@@ -0,0 +1,68 @@
+#include "banyan/core/serving/item_progress.h"
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+constexpr duration firstDelay = std::chrono::milliseconds(50); ///< Doubles with each end without progress.
+constexpr duration longestDelay = std::chrono::seconds(1);
+constexpr std::uint32_t longestDoubling = 6;
+
+} // namespace
+
+item_progress::item_progress(const item_progress_options &options)
+    : m_options(options)
+{
+}
+
+bool item_progress::event(const stream_event &event)
+{
+    switch (m_position.take(event)) {
+    case stream_position::verdict::Gap:
+        return false;
+    case stream_position::verdict::Drop:
+        return true;
+    case stream_position::verdict::PassOn:
+        break;
+    }
+    m_output.append(m_hasOutput ? "\n" : "").append(event.data);
+    m_hasOutput = true;
+    m_troubles = 0;
+    return true;
+}
+
+item_step item_progress::ended(attempt_outcome outcome, time_point now)
+{
+    switch (outcome) {
+    case attempt_outcome::Succeeded:
+        return item_step::Succeeded;
+    case attempt_outcome::Answered:
+        return item_step::Errored;
+    case attempt_outcome::Failed:
+        if (++m_failures >= m_options.maximumFailures) {
+            return item_step::Errored;
+        }
+        break;
+    case attempt_outcome::Cancelled:
+        break;
+    case attempt_outcome::NotSent:
+    case attempt_outcome::Refused:
+    case attempt_outcome::Lost:
+    case attempt_outcome::TimedOut:
+        ++m_troubles;
+        break;
+    }
+    return now >= m_options.giveUpAt ? item_step::Errored : item_step::RunAgain;
+}
+
+duration item_progress::delay() const
+{
+    if (m_troubles == 0) {
+        return duration(0);
+    }
+    return std::min(longestDelay, firstDelay * (1U << std::min(m_troubles - 1, longestDoubling)));
+}
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/serving/job_directory.cpp
@@ -0,0 +1,107 @@
+#include "banyan/core/serving/job_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+std::uint64_t weightOf(const job_id &job, const node_id &node)
+{
+    const std::string key = job.text() + '\n' + node.text();
+    return XXH3_64bits(key.data(), key.size());
+}
+
+} // namespace
+
+job_directory::job_directory(const job_directory_options &options)
+    : m_options(options)
+{
+}
+
+void job_directory::stored(const job_entry &entry)
+{
+    const auto known = m_jobs.find(entry.id);
+    if (known != m_jobs.end() && known->second.version > entry.version) {
+        return;
+    }
+    m_jobs.insert_or_assign(entry.id, entry);
+}
+
+void job_directory::removed(const job_id &id)
+{
+    m_jobs.erase(id);
+    m_orphanedAt.erase(id);
+}
+
+const job_entry *job_directory::find(const job_id &id) const
+{
+    const auto entry = m_jobs.find(id);
+    return entry == m_jobs.end() ? nullptr : &entry->second;
+}
+
+void job_directory::heard(const node_id &node, time_point now)
+{
+    m_heardAt.insert_or_assign(node, now);
+}
+
+/// Whether no other living node has a higher rendezvous weight for the job.
+bool job_directory::isFirstChoice(const job_id &id, time_point now) const
+{
+    const std::uint64_t own = weightOf(id, m_options.self);
+    return std::none_of(m_heardAt.begin(), m_heardAt.end(), [&](const auto &entry) {
+        const bool lives = now - entry.second < m_options.ownerSilence;
+        return lives && entry.first != m_options.self && weightOf(id, entry.first) > own;
+    });
+}
+
+std::vector<job_entry> job_directory::toTakeOver(time_point now)
+{
+    std::vector<job_entry> result;
+    for (const auto &[id, entry] : m_jobs) {
+        const auto heardAt = m_heardAt.find(entry.owner);
+        const bool ownerLives =
+            entry.owner == m_options.self || (heardAt != m_heardAt.end() && now - heardAt->second < m_options.ownerSilence);
+        if (!entry.isOpen() || ownerLives) {
+            m_orphanedAt.erase(id);
+            continue;
+        }
+        const time_point since = m_orphanedAt.try_emplace(id, now).first->second;
+        // An owner that was never heard may only be new to this node; one that gave its job up is not waited for.
+        const duration patience = entry.owner.empty() || heardAt != m_heardAt.end() ? duration(0) : m_options.ownerSilence;
+        const bool isDue = now - since >= patience;
+        if (isDue && (isFirstChoice(id, now) || now - since >= patience + m_options.secondChoice)) {
+            result.push_back(entry);
+        }
+    }
+    std::stable_sort(result.begin(), result.end(), [](const job_entry &left, const job_entry &right) {
+        return left.submittedAt < right.submittedAt;
+    });
+    return result;
+}
+
+std::vector<job_entry> job_directory::owned() const
+{
+    std::vector<job_entry> result;
+    for (const auto &[id, entry] : m_jobs) {
+        if (entry.isOpen() && entry.owner == m_options.self) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+std::vector<job_entry> job_directory::olderThan(time_point before) const
+{
+    std::vector<job_entry> result;
+    for (const auto &[id, entry] : m_jobs) {
+        if (entry.submittedAt < before) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/serving/route_table.cpp
@@ -0,0 +1,54 @@
+#include "banyan/core/serving/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace banyan {
+
+namespace {
+
+std::string hostWithoutPort(std::string_view host)
+{
+    std::string result(host.substr(0, host.find(':')));
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return result;
+}
+
+} // namespace
+
+route_table::route_table(serving_configuration configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (const route &entry : m_configuration.routes) {
+        m_byHost[entry.host].push_back(&entry);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const route *left, const route *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(hostWithoutPort(host));
+    if (found == m_byHost.end()) {
+        return nullptr;
+    }
+    const auto match = std::find_if(found->second.begin(), found->second.end(), [&](const route *entry) {
+        return path.starts_with(entry->pathPrefix);
+    });
+    return match == found->second.end() ? nullptr : *match;
+}
+
+const route *route_table::named(std::string_view name) const
+{
+    const auto match = std::find_if(m_configuration.routes.begin(), m_configuration.routes.end(), [&](const route &entry) {
+        return entry.name == name;
+    });
+    return match == m_configuration.routes.end() ? nullptr : &*match;
+}
+
+} // namespace banyan
--- a/io/include/banyan/io/clock.h
+++ b/io/include/banyan/io/clock.h
@@ -4,7 +4,7 @@
 
 namespace banyan {
 
-/// The present time for the core: wall-clock time at the process's start plus the monotonic time since, so that it
+/// The present time for the core: wall-clock time at the process's start plus the time since, suspensions included, so that it
 /// never goes backwards.
 [[nodiscard]] time_point currentTime();
 
--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -19,6 +19,7 @@
     duration idleTimeout = std::chrono::seconds(20); ///< After which an unused connection is closed.
     std::size_t idleConnectionsPerEndpoint = 32;
     std::size_t maximumBody = std::size_t(64) << 20; ///< Bytes; a longer answer is an error.
+    duration unacknowledgedTimeout = std::chrono::seconds(0); ///< Sent data may stay unacknowledged for so long (TCP_USER_TIMEOUT); 0: as the system has it.
 };
 
 /// Stops an exchange in progress: its connection is closed and the exchange fails with http_error.
@@ -51,6 +52,9 @@
     /// @throws http_error
     [[nodiscard]] task<http_response> exchange(endpoint to, http_request request, duration timeout);
 
+    /// Connections opened so far.
+    [[nodiscard]] std::uint64_t connectionsOpened() const;
+
     /// What a streamed answer is passed to, piece by piece.
     struct stream_handler
     {
@@ -58,10 +62,21 @@
         std::function<task<>(std::string_view piece)> onPiece; ///< Valid until the task ends.
     };
 
-    /// Sends @p request and passes its answer on as it comes. @p silence is the longest time without a byte.
+    /// Longest times within a streamed answer.
+    struct stream_timeouts
+    {
+        duration firstByte; ///< From the sending of the request to the first byte of the answer's body.
+        duration silence; ///< Without a byte after that.
+    };
+
+    /// Sends @p request and passes its answer on as it comes. An answer that comes before the request's body is sent is taken
+    /// as well; the connection is then not used again.
     /// @throws http_error also if the answer is cut before its end
-    [[nodiscard]] task<>
-    stream(endpoint to, http_request request, duration silence, stream_handler handler, std::shared_ptr<http_cancellation> cancellation);
+    [[nodiscard]] task<> stream(endpoint to,
+                                http_request request,
+                                stream_timeouts timeouts,
+                                stream_handler handler,
+                                std::shared_ptr<http_cancellation> cancellation);
 
 private:
     class implementation;
--- a/io/include/banyan/io/http_exchange.h
+++ b/io/include/banyan/io/http_exchange.h
@@ -38,7 +38,9 @@
     [[nodiscard]] std::optional<std::string> query(std::string_view name) const;
     /// The value of the first header field of that name; empty if there is none.
     [[nodiscard]] std::string field(std::string_view name) const;
-    /// The id given to this request; also sent as X-Request-Id.
+    /// All header fields in the order of their arrival.
+    [[nodiscard]] std::vector<http_field> fields() const;
+    /// The id given to this request; also sent back in the server's field for ids.
     [[nodiscard]] const std::string &requestId() const;
 
     /// Reads the whole body. @throws http_body_error (413 or 400 has then been answered) if it is over @p limit bytes or cut.
@@ -53,6 +55,9 @@
     [[nodiscard]] task<> write(std::string_view piece);
     [[nodiscard]] task<> finish();
 
+    /// Lets the connection end with this answer, and says so in it.
+    void closeAfterwards();
+
     /// Calls @p handler once if the peer goes away before the answer is complete.
     void onDisconnect(std::function<void()> handler);
 
--- a/io/include/banyan/io/http_server.h
+++ b/io/include/banyan/io/http_server.h
@@ -21,6 +21,7 @@
     duration bodyTimeout = std::chrono::seconds(30); ///< Longest silence within a body.
     std::size_t maximumHead = std::size_t(16) << 10; ///< Bytes; a longer head is answered with 431.
     std::size_t maximumConnections = 20000;
+    std::string requestIdField = "X-Request-Id"; ///< Name of the header field with a request's id; sent back with answers.
 };
 
 /// Answers one kind of request. An exception that leaves it becomes 500 if nothing was answered.
@@ -42,6 +43,15 @@
     /// Adds a route; "{}" matches one part of the path, a "{*}" at the end matches the rest of it.
     void route(const std::string &method, const std::string &pattern, http_handler handler);
 
+    /// Takes the requests that no route matches, with any method; without it they are answered with 404 or 405.
+    void routeOthers(http_handler handler);
+
+    /// Replaces the limits of connections from now on; the address and the field's name stay as they are.
+    void setLimits(const http_server_options &options);
+
+    /// Announces with each answer that its connection closes.
+    void closeAfterAnswers();
+
     /// Begins to listen. @throws std::runtime_error if the address cannot be bound
     void start();
 
@@ -51,6 +61,9 @@
     /// Stops listening; requests in progress go on, idle connections are closed.
     void stopAccepting();
 
+    /// Open connections.
+    [[nodiscard]] std::size_t connections() const;
+
     /// Requests in progress.
     [[nodiscard]] std::size_t inProgress() const;
 
--- a/io/include/banyan/io/log.h
+++ b/io/include/banyan/io/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -21,10 +22,28 @@
     std::string value; ///< Quoted and escaped where it has to be.
 };
 
-/// Prepares the log; events below @p least are dropped. Lines go to standard error, never to a file.
+/// Where lines go, never to a file.
+enum class log_target {
+    StandardError,
+    StandardOutput, ///< Without blocking: what the reader does not take in time is left out and counted.
+};
+
+/// Options of the log.
+struct log_options
+{
+    log_level least = log_level::Info; ///< Events below it are dropped.
+    log_target target = log_target::StandardError;
+    std::uint32_t linesPerSecond = 0; ///< More are left out and counted; errors and warnings are not. 0 for no limit.
+};
+
+/// Prepares the log.
+void configureLog(const log_options &options);
+
+/// Prepares the log with lines to standard error.
 void configureLog(log_level least);
 
-/// Writes one line: time, level, event and the fields, each as key=value.
+/// Writes one line: time, level, event and the fields, each as key=value. The first line after others were left out says how
+/// many, as left_out.
 ///
 /// @code
 /// logEvent(log_level::Info, "attempt_started", {{"request_id", id.text()}, {"upstream", upstream.text()}});
--- /dev/null
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "banyan/core/endpoint.h"
+#include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
+#include "banyan/io/log.h"
+
+#include <compare>
+#include <string>
+
+namespace banyan {
+
+/// What a banyan-gateway reads from its settings file, at start and at SIGHUP. docs/OPERATIONS.md lists every key.
+struct gateway_settings
+{
+    vm_id vm; ///< Key `vm`: name of this VM.
+    failure_domain domain; ///< Key `failure_domain`.
+    endpoint callerListen; ///< Key `caller_listen`: HTTP for callers.
+    endpoint readyListen; ///< Key `ready_listen`: HTTP for the balancer's health checks.
+    endpoint peerListen; ///< Key `peer_listen`: UDP between gateways.
+    endpoint metricsListen; ///< Key `metrics_listen`: HTTP for metrics.
+    endpoint store; ///< Key `store`: the platform's store.
+    duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: from SIGTERM to the end of the process.
+    log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
+    std::uint32_t logLinesPerSecond = 200; ///< Key `log_lines_per_second`.
+
+    auto operator<=>(const gateway_settings &) const = default;
+};
+
+/// Reads and checks a settings file.
+/// @throws settings_error naming file, line, what was expected and what was found
+[[nodiscard]] gateway_settings readGatewaySettings(const std::string &path);
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/route_table.h"
+#include "banyan/io/asio_types.h"
+#include "banyan/io/serving/client_request.h"
+#include "banyan/io/serving/upstream_protocol.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace banyan {
+
+class http_exchange;
+class node_metrics;
+class scheduler_host;
+class upstream_sender;
+
+/// What a request_relay works with; all of it must outlive the relay.
+struct request_relay_ports
+{
+    asio::io_context &context;
+    scheduler_host &scheduler;
+    upstream_sender &sender;
+    node_metrics &metrics;
+};
+
+/// Runs clients' requests at upstreams and passes the answers on.
+class request_relay
+{
+public:
+    request_relay(const request_relay_ports &ports, upstream_protocol protocol);
+    ~request_relay();
+
+    /// Answers one request, which came by @p by in @p table. Returns without the answer's end, so that the connection closes,
+    /// if a stream cannot be completed or the client has gone.
+    [[nodiscard]] task<> serve(http_exchange &exchange, client_request request, std::shared_ptr<const route_table> table, const route &by);
+
+    /// Requests in progress.
+    [[nodiscard]] std::size_t inProgress() const;
+
+    /// Contents whose attempts were lost within the last second, for the other nodes.
+    [[nodiscard]] std::vector<lost_content> recentlyLost(time_point now) const;
+
+    /// Takes in what another node has lost.
+    void lostElsewhere(const lost_content &lost, time_point now);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "banyan/core/endpoint.h"
+#include "banyan/core/serving/job_entry.h"
+#include "banyan/core/serving/job_item.h"
+#include "banyan/core/serving/listed_result.h"
+#include "banyan/core/serving/node_load.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyan {
+
+/// A gateway as it registers itself in the store.
+struct gateway_entry
+{
+    node_id id; ///< Of this start of the process.
+    endpoint peerAddress;
+
+    auto operator<=>(const gateway_entry &) const = default;
+};
+
+/// Bytes for datagrams and stored rows. Decoders return nothing for bytes that are not well-formed.
+[[nodiscard]] std::string encode(const node_load &load);
+[[nodiscard]] std::optional<node_load> decodeNodeLoad(std::string_view bytes);
+
+[[nodiscard]] std::string encode(const gateway_entry &entry);
+[[nodiscard]] std::optional<gateway_entry> decodeGatewayEntry(std::string_view bytes);
+
+/// The job's id and version are the row's.
+[[nodiscard]] std::string encode(const job_entry &entry);
+[[nodiscard]] std::optional<job_entry> decodeJobEntry(const job_id &id, row_version version, std::string_view bytes);
+
+[[nodiscard]] std::string encode(const std::vector<job_item> &items);
+[[nodiscard]] std::optional<std::vector<job_item>> decodeJobItems(std::string_view bytes);
+
+[[nodiscard]] std::string encode(const listed_result &result);
+[[nodiscard]] std::optional<listed_result> decodeListedResult(std::string_view bytes);
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "banyan/io/asio_types.h"
+#include "banyan/io/serving/table_store.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace banyan {
+
+/// Options of a table_follower.
+struct table_follower_options
+{
+    std::string table;
+    std::vector<std::string> parts = {""};
+    duration pause = std::chrono::milliseconds(100); ///< Between two calls, so that many changes cost one call.
+    duration wait = std::chrono::milliseconds(1500); ///< For a change; a silent connection is found out soon after.
+    duration retryDelay = std::chrono::milliseconds(250); ///< After a call that failed; varied by half of it.
+};
+
+/// What a table_follower tells of its table.
+struct table_observer
+{
+    std::function<void(const std::vector<table_row> &rows)> onAll; ///< Every row there is; all others are gone.
+    std::function<void(const table_row &row)> onChange;
+    std::function<void()> onLost; ///< The store does not answer.
+    std::function<void()> onRegained; ///< It answers again; comes before the rows.
+};
+
+/// Follows a table of the store: reads it whole, then its changes, and again whole when changes are missing.
+class table_follower
+{
+public:
+    table_follower(asio::io_context &context, table_store store, table_follower_options options, table_observer observer);
+
+    /// Follows until the process ends.
+    [[nodiscard]] task<> run();
+
+    /// Whether the last call was answered.
+    [[nodiscard]] bool available() const
+    {
+        return m_available;
+    }
+
+private:
+    task<> readAll();
+    task<> followChanges();
+    task<> sleep(duration time);
+    void answered();
+    void failed(const std::string &reason);
+
+    asio::io_context &m_context;
+    table_store m_store;
+    table_follower_options m_options;
+    table_observer m_observer;
+    row_version m_version = 0;
+    bool m_available = true;
+    bool m_historyLost = true;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/io/include/banyan/io/serving/upstream_protocol.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "banyan/core/final_result.h"
+#include "banyan/io/http_message.h"
+#include "banyan/io/serving/answer_head.h"
+#include "banyan/io/serving/upstream_run.h"
+
+#include <functional>
+#include <vector>
+
+namespace banyan {
+
+/// How upstreams and clients are spoken to; supplied by the adapter of a platform.
+struct upstream_protocol
+{
+    /// The request that starts @p run at its upstream.
+    std::function<http_request(const upstream_run &run)> encodeRun;
+    /// What the head of the answer to @p run says.
+    std::function<answer_head(unsigned status, const std::vector<http_field> &fields, const upstream_run &run)> decodeHead;
+    /// The answer to a client whose request has ended without one from an upstream.
+    std::function<http_response(const final_result &result)> encodeEnd;
+};
+
+} // namespace banyan
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -2,10 +2,15 @@
 
 #include "banyan/io/http_error.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
+#include <charconv>
 #include <deque>
 #include <map>
 
@@ -19,6 +24,9 @@
 
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
 constexpr unsigned maximumStatusCode = 999;
+constexpr std::size_t bodyBesideAnswerBytes = std::size_t(32) << 10; // A longer body is sent while the answer is already read.
+constexpr duration keepAliveMargin = std::chrono::seconds(1); // Before the peer's own timeout, so that no request crosses its close.
+constexpr std::string_view keepAliveMark = "timeout=";
 
 /// One connection to an outside system and the bytes read ahead on it.
 struct client_connection
@@ -30,6 +38,8 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    bool reused = false; ///< It has served a request before.
+    std::optional<duration> idleLimit; ///< What the peer allows, less a margin.
 };
 
 using connection_pointer = std::shared_ptr<client_connection>;
@@ -37,7 +47,7 @@
 struct idle_connection
 {
     connection_pointer connection;
-    std::chrono::steady_clock::time_point since;
+    std::chrono::steady_clock::time_point until; ///< Not to be used from then on.
 };
 
 tcp::endpoint toAsio(const endpoint &value)
@@ -59,9 +69,46 @@
     return error == asio::error::would_block;
 }
 
-[[noreturn]] void fail(sent_state sent, const boost::system::error_code &error, const char *step)
+[[noreturn]] void fail(sent_state sent, const boost::system::error_code &error, const char *step, bool staleConnection = false)
+{
+    throw http_error(sent, error == beast::error::timeout, std::string(step) + ": " + error.message(), staleConnection);
+}
+
+/// A request that is being sent while its answer is already read.
+struct pending_write
+{
+    explicit pending_write(http::request<http::string_body> request)
+        : message(std::move(request))
+    {
+    }
+
+    http::request<http::string_body> message;
+    bool complete = false;
+};
+
+task<> writeBesideAnswer(connection_pointer connection, std::shared_ptr<pending_write> pending)
 {
-    throw http_error(sent, error == beast::error::timeout, std::string(step) + ": " + error.message());
+    boost::system::error_code error;
+    co_await http::async_write(connection->stream, pending->message, asio::redirect_error(asio::use_awaitable, error));
+    pending->complete = !error;
+}
+
+/// How long the peer keeps an idle connection, less a margin; none if it does not say.
+template<typename Fields>
+std::optional<duration> idleLimitOf(const Fields &fields)
+{
+    const auto found = fields.find(http::field::keep_alive);
+    if (found == fields.end()) {
+        return std::nullopt;
+    }
+    const std::string value(found->value());
+    const std::size_t mark = value.find(keepAliveMark);
+    std::int64_t seconds = 0;
+    if (mark == std::string::npos
+        || std::from_chars(value.data() + mark + keepAliveMark.size(), value.data() + value.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::max(duration(0), duration(std::chrono::seconds(seconds)) - keepAliveMargin);
 }
 
 http::request<http::string_body> toBeast(const endpoint &to, http_request request)
@@ -70,25 +117,33 @@
     result.method_string(request.method);
     result.target(request.target);
     result.version(11);
-    result.set(http::field::host, to.toString());
     for (const http_field &field : request.fields) {
         result.insert(field.name, field.value);
     }
+    if (result.find(http::field::host) == result.end()) {
+        result.set(http::field::host, to.toString());
+    }
     result.body() = std::move(request.body);
     result.prepare_payload();
     return result;
 }
 
-/// Sends a request; @p timeout also starts the time for the answer that follows. @throws http_error with MaybeSent
-task<> writeRequest(connection_pointer connection, endpoint to, http_request request, duration timeout)
+/// Sends a request, a long one beside what the caller does next; @p timeout also starts the time for the answer that follows. @throws http_error with MaybeSent
+task<std::shared_ptr<pending_write>> writeRequest(connection_pointer connection, endpoint to, http_request request, duration timeout)
 {
-    const auto message = toBeast(to, std::move(request));
+    auto pending = std::make_shared<pending_write>(toBeast(to, std::move(request)));
     connection->stream.expires_after(timeout);
+    if (pending->message.body().size() > bodyBesideAnswerBytes) {
+        asio::co_spawn(connection->stream.get_executor(), writeBesideAnswer(connection, pending), asio::detached);
+        co_return pending;
+    }
     boost::system::error_code error;
-    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_write(connection->stream, pending->message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail(sent_state::MaybeSent, error, "write");
+        fail(sent_state::MaybeSent, error, "write", connection->reused);
     }
+    pending->complete = true;
+    co_return pending;
 }
 
 void refuseCancelled(const http_cancellation *cancellation)
@@ -101,14 +156,23 @@
 using stream_parser = http::response_parser<http::buffer_body>;
 
 /// Passes an answer's body on piece by piece. @throws http_error with MaybeSent if it is cut
-task<> passBodyOn(connection_pointer connection, stream_parser &parser, duration silence, const http_client::stream_handler &handler)
+task<> passBodyOn(connection_pointer connection,
+                  stream_parser &parser,
+                  std::chrono::steady_clock::time_point firstBy,
+                  duration silence,
+                  const http_client::stream_handler &handler)
 {
     std::string piece(pieceBytes, '\0');
+    bool begun = false;
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
         parser.get().body().more = true;
-        connection->stream.expires_after(silence);
+        if (begun) {
+            connection->stream.expires_after(silence);
+        } else {
+            connection->stream.expires_at(firstBy);
+        }
         boost::system::error_code error;
         co_await http::async_read_some(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error && error != http::error::need_buffer) {
@@ -116,6 +180,7 @@
         }
         const std::size_t length = piece.size() - parser.get().body().size;
         if (length != 0) {
+            begun = true;
             co_await handler.onPiece(std::string_view(piece).substr(0, length));
         }
     }
@@ -168,21 +233,41 @@
         if (error) {
             fail(sent_state::NotSent, error, "connect");
         }
+        ++m_opened;
         connection->stream.socket().set_option(tcp::no_delay(true), error);
+        limitUnacknowledged(connection->stream.socket());
         co_return connection;
     }
 
+    /// Keeps a connection for the next request, unless the peer has sent more than the answer.
     void giveBack(const endpoint &to, connection_pointer connection)
     {
         auto &idle = m_idle[to];
         closeOld(idle);
-        if (idle.size() < m_options.idleConnectionsPerEndpoint) {
+        if (idle.size() < m_options.idleConnectionsPerEndpoint && connection->buffer.size() == 0) {
             connection->stream.expires_never();
-            idle.push_back({.connection = std::move(connection), .since = std::chrono::steady_clock::now()});
+            connection->reused = true;
+            const duration limit = std::min(m_options.idleTimeout, connection->idleLimit.value_or(m_options.idleTimeout));
+            idle.push_back({.connection = std::move(connection), .until = std::chrono::steady_clock::now() + limit});
         }
     }
 
+    [[nodiscard]] std::uint64_t opened() const
+    {
+        return m_opened;
+    }
+
 private:
+    void limitUnacknowledged(tcp::socket &socket) const
+    {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.unacknowledgedTimeout).count();
+        if (milliseconds > 0) {
+            using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+            boost::system::error_code ignored; // Without the option a dead peer is found by the timeouts of the exchanges.
+            socket.set_option(user_timeout(static_cast<int>(milliseconds)), ignored);
+        }
+    }
+
     connection_pointer takeIdle(const endpoint &to)
     {
         const auto found = m_idle.find(to);
@@ -203,15 +288,16 @@
 
     void closeOld(std::deque<idle_connection> &idle) const
     {
-        const auto oldest = std::chrono::steady_clock::now() - m_options.idleTimeout;
-        while (!idle.empty() && idle.front().since < oldest) {
-            idle.pop_front();
-        }
+        const auto now = std::chrono::steady_clock::now();
+        std::erase_if(idle, [&](const idle_connection &connection) {
+            return connection.until <= now;
+        });
     }
 
     asio::io_context &m_context;
     http_client_options m_options;
     std::map<endpoint, std::deque<idle_connection>> m_idle;
+    std::uint64_t m_opened = 0;
 };
 
 http_client::http_client(asio::io_context &context, const http_client_options &options)
@@ -221,20 +307,26 @@
 
 http_client::~http_client() = default;
 
+std::uint64_t http_client::connectionsOpened() const
+{
+    return m_implementation->opened();
+}
+
 task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
 {
     const connection_pointer connection = co_await m_implementation->connect(to);
-    co_await writeRequest(connection, to, std::move(request), timeout);
+    const auto pending = co_await writeRequest(connection, to, std::move(request), timeout);
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_implementation->options().maximumBody);
     boost::system::error_code error;
     co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail(sent_state::MaybeSent, error, "read");
+        fail(sent_state::MaybeSent, error, "read", connection->reused && connection->buffer.size() == 0);
     }
+    connection->idleLimit = idleLimitOf(parser.get());
     auto answer = parser.release();
     http_response result{.status = answer.result_int(), .fields = fromBeast(answer.base()), .body = std::move(answer.body())};
-    if (answer.keep_alive()) {
+    if (answer.keep_alive() && pending->complete) {
         m_implementation->giveBack(to, connection);
     }
     co_return result;
@@ -242,7 +334,7 @@
 
 task<> http_client::stream(endpoint to,
                            http_request request,
-                           duration silence,
+                           stream_timeouts timeouts,
                            stream_handler handler,
                            std::shared_ptr<http_cancellation> cancellation)
 {
@@ -256,20 +348,22 @@
             }
         };
     }
-    co_await writeRequest(connection, to, std::move(request), silence);
+    const auto firstBy = std::chrono::steady_clock::now() + timeouts.firstByte;
+    const auto pending = co_await writeRequest(connection, to, std::move(request), timeouts.firstByte);
     stream_parser parser;
     parser.body_limit(boost::none);
     boost::system::error_code error;
     co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        fail(sent_state::MaybeSent, error, "read head");
+        fail(sent_state::MaybeSent, error, "read head", connection->reused && connection->buffer.size() == 0);
     }
+    connection->idleLimit = idleLimitOf(parser.get());
     co_await handler.onHead(std::min(parser.get().result_int(), maximumStatusCode), fromBeast(parser.get().base()));
-    co_await passBodyOn(connection, parser, silence, handler);
+    co_await passBodyOn(connection, parser, firstBy, timeouts.silence, handler);
     if (cancellation) {
         cancellation->m_close = nullptr;
     }
-    if (parser.get().keep_alive()) {
+    if (parser.get().keep_alive() && pending->complete) {
         m_implementation->giveBack(to, connection);
     }
 }
--- a/io/src/http_exchange.cpp
+++ b/io/src/http_exchange.cpp
@@ -51,6 +51,11 @@
     return m_implementation.field(name);
 }
 
+std::vector<http_field> http_exchange::fields() const
+{
+    return m_implementation.fields();
+}
+
 const std::string &http_exchange::requestId() const
 {
     return m_implementation.requestId();
@@ -86,6 +91,11 @@
     return m_implementation.sendEnd();
 }
 
+void http_exchange::closeAfterwards()
+{
+    m_implementation.closeAfterwards();
+}
+
 void http_exchange::onDisconnect(std::function<void()> handler)
 {
     m_implementation.connection()->disconnectHandler = std::move(handler);
--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -17,17 +17,24 @@
 class http_exchange::implementation
 {
 public:
+    /// What the server's options say of exchanges.
+    struct options
+    {
+        duration bodyTimeout; ///< Longest silence within a body.
+        std::string requestIdField;
+    };
+
     implementation(connection_pointer connection,
                    boost::beast::http::request_parser<boost::beast::http::buffer_body> &parser,
-                   duration bodyTimeout)
+                   options settings)
         : m_connection(std::move(connection))
         , m_parser(parser)
-        , m_bodyTimeout(bodyTimeout)
+        , m_options(std::move(settings))
         , m_method(parser.get().method_string())
         , m_wholeTarget(parser.get().target())
         , m_target(split_target::parse(m_wholeTarget))
     {
-        const std::string given(parser.get()["X-Request-Id"]);
+        const std::string given(parser.get()[m_options.requestIdField]);
         m_requestId = isAcceptableRequestId(given) ? given : newRequestId();
     }
 
@@ -45,7 +52,7 @@
         while (!m_parser.is_done()) {
             m_parser.get().body().data = piece.data();
             m_parser.get().body().size = piece.size();
-            m_connection->stream.expires_after(m_bodyTimeout);
+            m_connection->stream.expires_after(m_options.bodyTimeout);
             boost::system::error_code error;
             co_await boost::beast::http::async_read_some(
                 m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
@@ -172,6 +179,15 @@
         return std::string(m_parser.get()[boost::beast::string_view(name.data(), name.size())]);
     }
 
+    [[nodiscard]] std::vector<http_field> fields() const
+    {
+        std::vector<http_field> result;
+        for (const auto &field : m_parser.get().base()) {
+            result.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+        }
+        return result;
+    }
+
     [[nodiscard]] const connection_pointer &connection() const
     {
         return m_connection;
@@ -180,7 +196,7 @@
     std::vector<std::string> pathArguments;
 
 private:
-    static constexpr std::size_t pieceBytes = std::size_t(64) << 10;
+    static constexpr std::size_t pieceBytes = std::size_t(16) << 10;
     static constexpr duration writeTimeout = std::chrono::seconds(30); ///< For a slow reader to take one piece.
 
     template<typename Message>
@@ -189,7 +205,7 @@
         for (const http_field &field : fields) {
             message.insert(field.name, field.value);
         }
-        message.set("X-Request-Id", m_requestId);
+        message.set(m_options.requestIdField, m_requestId);
     }
 
     task<> sendContinue()
@@ -229,7 +245,7 @@
 
     connection_pointer m_connection;
     boost::beast::http::request_parser<boost::beast::http::buffer_body> &m_parser;
-    duration m_bodyTimeout;
+    options m_options;
     std::string m_method;
     std::string m_wholeTarget;
     split_target m_target;
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-constexpr std::size_t discardedPieceBytes = std::size_t(64) << 10;
+constexpr std::size_t discardedPieceBytes = std::size_t(4) << 10;
 constexpr duration lingerTime = std::chrono::seconds(2); // For a peer to read the last answer and close.
 constexpr std::size_t lingerBytes = std::size_t(64) << 20; // Of a refused body that is read and dropped.
 constexpr std::size_t firstReadBytes = 4096;
@@ -48,6 +48,30 @@
         m_routes.add(method, pattern, std::move(handler));
     }
 
+    void setFallback(http_handler handler)
+    {
+        m_fallback = std::move(handler);
+    }
+
+    void setLimits(const http_server_options &options)
+    {
+        m_options.idleTimeout = options.idleTimeout;
+        m_options.headTimeout = options.headTimeout;
+        m_options.bodyTimeout = options.bodyTimeout;
+        m_options.maximumHead = options.maximumHead;
+        m_options.maximumConnections = options.maximumConnections;
+    }
+
+    void closeAfterAnswers()
+    {
+        m_closing = true;
+    }
+
+    [[nodiscard]] std::size_t connections() const
+    {
+        return m_connections.size();
+    }
+
     void start()
     {
         const tcp::endpoint address(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
@@ -172,8 +196,9 @@
         }
         ++m_inProgress;
         const progress_guard guard(m_inProgress);
-        http_exchange::implementation underlying(connection, parser, m_options.bodyTimeout);
-        if (m_stopping) {
+        http_exchange::implementation underlying(
+            connection, parser, {.bodyTimeout = m_options.bodyTimeout, .requestIdField = m_options.requestIdField});
+        if (m_stopping || m_closing) {
             underlying.closeAfterwards();
         }
         co_await handle(underlying);
@@ -221,7 +246,8 @@
     {
         http_exchange exchange(underlying);
         const route_match match = m_routes.find(underlying.method(), underlying.target().path);
-        if (match.handler == nullptr) {
+        const http_handler *const handler = match.handler == nullptr && m_fallback ? &m_fallback : match.handler;
+        if (handler == nullptr) {
             underlying.closeAfterwards();
             const unsigned status = match.pathKnown ? 405 : 404;
             http_response answer = errorAnswer(
@@ -232,7 +258,7 @@
         underlying.pathArguments = match.arguments;
         std::string failure;
         try {
-            co_await (*match.handler)(exchange);
+            co_await (*handler)(exchange);
         } catch (const std::exception &error) {
             failure = error.what();
         }
@@ -252,9 +278,11 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_pause;
     http_route_table m_routes;
+    http_handler m_fallback;
     std::set<connection_pointer> m_connections;
     std::size_t m_inProgress = 0;
     bool m_stopping = false;
+    bool m_closing = false; ///< No connection stays open after its next answer.
 };
 
 http_server::http_server(asio::io_context &context, const http_server_options &options)
@@ -272,6 +300,26 @@
     m_implementation->addRoute(method, pattern, std::move(handler));
 }
 
+void http_server::routeOthers(http_handler handler)
+{
+    m_implementation->setFallback(std::move(handler));
+}
+
+void http_server::setLimits(const http_server_options &options)
+{
+    m_implementation->setLimits(options);
+}
+
+void http_server::closeAfterAnswers()
+{
+    m_implementation->closeAfterAnswers();
+}
+
+std::size_t http_server::connections() const
+{
+    return m_implementation->connections();
+}
+
 void http_server::start()
 {
     m_implementation->start();
--- /dev/null
+++ b/io/src/serving/gateway.cpp
@@ -0,0 +1,439 @@
+#include "banyan/io/serving/gateway.h"
+
+#include "banyan/core/serving/load_board.h"
+#include "banyan/core/serving/replica_registry.h"
+#include "banyan/io/clock.h"
+#include "banyan/io/http_client.h"
+#include "banyan/io/log.h"
+#include "banyan/io/node_metrics.h"
+#include "banyan/io/platform_error.h"
+#include "banyan/io/serving/job_service.h"
+#include "banyan/io/serving/load_exchange.h"
+#include "banyan/io/serving/request_relay.h"
+#include "banyan/io/serving/scheduler_host.h"
+#include "banyan/io/serving/serving_codec.h"
+#include "banyan/io/serving/table_follower.h"
+#include "banyan/io/serving/upstream_sender.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+constexpr duration reportMemory = std::chrono::milliseconds(1500); // Some heartbeats of other gateways.
+constexpr duration registryGrace = std::chrono::milliseconds(2300); // Upstreams register again within two seconds of the store's return.
+constexpr duration configurationPause = std::chrono::milliseconds(100);
+constexpr duration replicaPause = std::chrono::milliseconds(200);
+constexpr duration gatewayPause = std::chrono::seconds(1);
+constexpr duration gatewayWait = std::chrono::seconds(4); // The list of gateways seldom changes, and a late change does little harm.
+constexpr duration registrationRetry = std::chrono::milliseconds(500);
+constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
+constexpr duration suspensionNoticed = std::chrono::seconds(1); // A timer that is so late means that the process stood still.
+const std::string gatewayTable = "gateways";
+
+node_id newIncarnation(const vm_id &vm)
+{
+    std::random_device source;
+    return node_id(vm.text() + "-" + std::to_string((std::uint64_t(source()) << 32U) | source()));
+}
+
+} // namespace
+
+class gateway::implementation : public std::enable_shared_from_this<gateway::implementation>
+{
+public:
+    implementation(asio::io_context &context, const gateway_settings &settings, gateway_platform platform, http_client &upstreamClient)
+        : m_context(context)
+        , m_settings(settings)
+        , m_platform(std::move(platform))
+        , m_self(newIncarnation(settings.vm))
+        , m_upstreamClient(upstreamClient)
+        , m_board(reportMemory)
+        , m_registry(registryGrace)
+        , m_scheduler(context, {.self = m_self, .domain = settings.domain, .seed = std::random_device{}()}, m_board)
+        , m_sender(upstreamClient, m_platform.protocol)
+        , m_relay({.context = context, .scheduler = m_scheduler, .sender = m_sender, .metrics = m_metrics}, m_platform.protocol)
+        , m_jobs({.context = context, .store = m_platform.store, .scheduler = m_scheduler, .sender = m_sender, .metrics = m_metrics},
+                 {.self = m_self})
+        , m_exchange(
+              context,
+              {.listen = settings.peerListen},
+              [this] {
+                  return ownLoad();
+              },
+              [this](const node_load &load) {
+                  loadReported(load);
+              })
+        , m_housekeeping(context)
+    {
+    }
+
+    void start();
+    task<> leave(duration jobTime);
+    void housekeep();
+
+    [[nodiscard]] bool isReady() const
+    {
+        return m_table != nullptr && m_replicasKnown && !m_stopping;
+    }
+
+    asio::io_context &m_context;
+    gateway_settings m_settings;
+    gateway_platform m_platform;
+    node_id m_self;
+    http_client &m_upstreamClient;
+    node_metrics m_metrics;
+    load_board m_board;
+    replica_registry m_registry;
+    scheduler_host m_scheduler;
+    upstream_sender m_sender;
+    request_relay m_relay;
+    job_service m_jobs;
+    load_exchange m_exchange;
+    asio::steady_timer m_housekeeping;
+    time_point m_housekeptAt;
+    std::shared_ptr<const route_table> m_table;
+    std::function<void(const serving_configuration &)> m_configurationHandler;
+    std::map<std::string, gateway_entry> m_gateways; ///< By row key.
+    std::uint64_t m_sequence = 0;
+    bool m_replicasKnown = false;
+    bool m_stopping = false;
+
+private:
+    void follow(table_follower_options options, table_observer observer);
+    [[nodiscard]] table_observer configurationObserver();
+    [[nodiscard]] table_observer replicaObserver();
+    [[nodiscard]] table_observer gatewayObserver();
+    void configurationRead(const table_row &row);
+    void replicaChanged(const table_row &row);
+    void replicasChanged();
+    void gatewayRead(const table_row &row);
+    void gatewaysChanged();
+    static task<> registerSelf(std::shared_ptr<implementation> self);
+    [[nodiscard]] table_key ownRow() const;
+    node_load ownLoad();
+    void loadReported(const node_load &load);
+};
+
+void gateway::implementation::start()
+{
+    m_housekeptAt = currentTime();
+    m_scheduler.onAddressReused([this](const upstream_id &upstream) {
+        logEvent(log_level::Info, "upstream_address_reused", {{"upstream", upstream.text()}});
+        m_registry.addressReused(upstream);
+        replicasChanged();
+    });
+    m_scheduler.onUsageChanged([this] {
+        m_exchange.changed();
+    });
+    follow({.table = m_platform.configurationTable, .pause = configurationPause}, configurationObserver());
+    follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
+    follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
+    m_jobs.start();
+    m_exchange.start();
+    asio::co_spawn(m_context, registerSelf(shared_from_this()), asio::detached);
+    housekeep();
+}
+
+void gateway::implementation::follow(table_follower_options options, table_observer observer)
+{
+    auto follower = std::make_shared<table_follower>(m_context, m_platform.store, std::move(options), std::move(observer));
+    asio::co_spawn(m_context, follower->run(), [follower](const std::exception_ptr &) {});
+}
+
+table_observer gateway::implementation::configurationObserver()
+{
+    table_observer observer;
+    observer.onAll = [this](const std::vector<table_row> &rows) {
+        for (const table_row &row : rows) {
+            configurationRead(row);
+        }
+    };
+    observer.onChange = [this](const table_row &row) {
+        configurationRead(row);
+    };
+    return observer;
+}
+
+/// Puts a configuration into force unless it is older than the one in force.
+void gateway::implementation::configurationRead(const table_row &row)
+{
+    if (row.name.key != m_platform.configurationKey || row.deleted) {
+        return;
+    }
+    std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row);
+    if (!configuration) {
+        logEvent(log_level::Error, "configuration_not_readable", {{"row_version", std::to_string(row.version)}});
+        return;
+    }
+    const std::uint64_t known = m_table ? m_table->configuration().version : 0;
+    if (m_table && configuration->version <= known) {
+        return;
+    }
+    logEvent(log_level::Info,
+             "configuration_in_force",
+             {{"version", std::to_string(configuration->version)},
+              {"before", std::to_string(known)},
+              {"row_version", std::to_string(row.version)},
+              {"routes", std::to_string(configuration->routes.size())}});
+    m_metrics.set("configuration_version", static_cast<double>(configuration->version));
+    m_table = std::make_shared<const route_table>(std::move(*configuration));
+    m_jobs.configure(m_table);
+    if (m_configurationHandler) {
+        m_configurationHandler(m_table->configuration());
+    }
+}
+
+table_observer gateway::implementation::replicaObserver()
+{
+    table_observer observer;
+    observer.onAll = [this](const std::vector<table_row> &rows) {
+        std::vector<replica> registered;
+        for (const table_row &row : rows) {
+            if (std::optional<replica> entry = m_platform.decodeReplica(row)) {
+                registered.push_back(std::move(*entry));
+            } else {
+                logEvent(log_level::Info, "upstream_row_unusable", {{"row", row.name.key}, {"version", std::to_string(row.version)}});
+            }
+        }
+        m_registry.replaceAll(registered, currentTime());
+        m_replicasKnown = true;
+        replicasChanged();
+    };
+    observer.onChange = [this](const table_row &row) {
+        replicaChanged(row);
+        replicasChanged();
+    };
+    observer.onLost = [this] {
+        m_registry.storeLost();
+        m_metrics.set("store_available", 0);
+    };
+    observer.onRegained = [this] {
+        m_registry.storeRegained(currentTime());
+        m_metrics.set("store_available", 1);
+    };
+    return observer;
+}
+
+void gateway::implementation::replicaChanged(const table_row &row)
+{
+    const std::optional<replica> entry = row.deleted ? std::nullopt : m_platform.decodeReplica(row);
+    if (entry) {
+        m_registry.registered(*entry);
+        return;
+    }
+    logEvent(log_level::Info,
+             row.deleted ? "upstream_gone" : "upstream_row_unusable",
+             {{"row", row.name.key}, {"version", std::to_string(row.version)}});
+    m_registry.removed(upstream_id(row.name.key), currentTime());
+}
+
+void gateway::implementation::replicasChanged()
+{
+    m_scheduler.setUpstreams(m_registry.replicas());
+}
+
+table_observer gateway::implementation::gatewayObserver()
+{
+    table_observer observer;
+    observer.onAll = [this](const std::vector<table_row> &rows) {
+        m_gateways.clear();
+        for (const table_row &row : rows) {
+            gatewayRead(row);
+        }
+        gatewaysChanged();
+    };
+    observer.onChange = [this](const table_row &row) {
+        gatewayRead(row);
+        gatewaysChanged();
+    };
+    return observer;
+}
+
+void gateway::implementation::gatewayRead(const table_row &row)
+{
+    m_gateways.erase(row.name.key);
+    const std::optional<gateway_entry> entry = row.deleted ? std::nullopt : decodeGatewayEntry(row.value);
+    if (entry) {
+        m_gateways.emplace(row.name.key, *entry);
+    } else if (!row.deleted) {
+        logEvent(log_level::Warning, "gateway_row_malformed", {{"row", row.name.key}, {"version", std::to_string(row.version)}});
+    }
+}
+
+void gateway::implementation::gatewaysChanged()
+{
+    std::vector<endpoint> peers;
+    for (const auto &[key, entry] : m_gateways) {
+        if (entry.peerAddress != m_settings.peerListen) {
+            peers.push_back(entry.peerAddress);
+        }
+    }
+    logEvent(log_level::Info, "gateways_changed", {{"others", std::to_string(peers.size())}});
+    m_exchange.setPeers(std::move(peers));
+}
+
+table_key gateway::implementation::ownRow() const
+{
+    return {.table = gatewayTable, .part = {}, .key = m_settings.peerListen.toString()};
+}
+
+/// Registers this gateway under its address, in place of an earlier start of it.
+task<> gateway::implementation::registerSelf(std::shared_ptr<implementation> self)
+{
+    for (bool registered = false; !registered && !self->m_stopping;) {
+        table_transaction change;
+        change.writes.push_back({.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_settings.peerListen})});
+        std::string failure;
+        try {
+            co_await self->m_platform.store.commit(std::move(change));
+            registered = true;
+        } catch (const platform_unavailable &error) {
+            failure = error.what();
+        } catch (const platform_outcome_unknown &error) {
+            failure = error.what();
+        }
+        if (!registered) {
+            logEvent(log_level::Warning, "gateway_not_registered", {{"reason", failure}});
+            asio::steady_timer timer(self->m_context, registrationRetry);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+    logEvent(log_level::Info, "gateway_registered", {{"node", self->m_self.text()}});
+}
+
+node_load gateway::implementation::ownLoad()
+{
+    const time_point now = currentTime();
+    return {.sender = m_self,
+            .sequence = ++m_sequence,
+            .usage = m_scheduler.scheduler().usage(now),
+            .waitingOnline = m_scheduler.scheduler().waitingOnline(),
+            .lost = m_relay.recentlyLost(now)};
+}
+
+void gateway::implementation::loadReported(const node_load &load)
+{
+    const time_point now = currentTime();
+    if (!m_board.reported(load, now)) {
+        return;
+    }
+    m_jobs.heard(load.sender, now);
+    for (const lost_content &lost : load.lost) {
+        m_relay.lostElsewhere(lost, now);
+    }
+    m_scheduler.loadChanged();
+}
+
+void gateway::implementation::housekeep()
+{
+    const time_point now = currentTime();
+    if (now - m_housekeptAt > housekeepingInterval + suspensionNoticed) {
+        logEvent(log_level::Warning, "process_was_suspended", {{"for_us", std::to_string((now - m_housekeptAt).count())}});
+    }
+    m_housekeptAt = now;
+    m_board.expire(now);
+    if (m_registry.tick(now)) {
+        replicasChanged();
+    }
+    m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
+    m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
+    m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
+    m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
+    m_housekeeping.expires_after(housekeepingInterval);
+    m_housekeeping.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->housekeep();
+        }
+    });
+}
+
+task<> gateway::implementation::leave(duration jobTime)
+{
+    co_await m_jobs.handOver(jobTime);
+    table_transaction change;
+    change.removals.push_back(ownRow());
+    std::string failure;
+    try {
+        co_await m_platform.store.commit(std::move(change));
+    } catch (const platform_unavailable &error) {
+        failure = error.what();
+    } catch (const platform_outcome_unknown &error) {
+        failure = error.what();
+    }
+    logEvent(log_level::Info, "gateway_left", {{"node", m_self.text()}, {"failure", failure}});
+}
+
+gateway::gateway(asio::io_context &context, const gateway_settings &settings, gateway_platform platform, http_client &upstreamClient)
+    : m_implementation(std::make_shared<implementation>(context, settings, std::move(platform), upstreamClient))
+{
+}
+
+gateway::~gateway() = default;
+
+void gateway::start()
+{
+    m_implementation->start();
+}
+
+bool gateway::isReady() const
+{
+    return m_implementation->isReady();
+}
+
+std::string gateway::readinessText() const
+{
+    if (m_implementation->m_stopping) {
+        return "stopping";
+    }
+    if (m_implementation->m_table == nullptr) {
+        return "no configuration";
+    }
+    return m_implementation->m_replicasKnown ? "ready" : "no list of upstreams";
+}
+
+std::shared_ptr<const route_table> gateway::routes() const
+{
+    return m_implementation->m_table;
+}
+
+request_relay &gateway::relay()
+{
+    return m_implementation->m_relay;
+}
+
+job_service &gateway::jobs()
+{
+    return m_implementation->m_jobs;
+}
+
+node_metrics &gateway::metrics()
+{
+    return m_implementation->m_metrics;
+}
+
+void gateway::onConfiguration(std::function<void(const serving_configuration &configuration)> handler)
+{
+    m_implementation->m_configurationHandler = std::move(handler);
+}
+
+void gateway::beginStop()
+{
+    m_implementation->m_stopping = true;
+}
+
+task<> gateway::leave(duration jobTime)
+{
+    return m_implementation->leave(jobTime);
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/gateway_settings.cpp
@@ -0,0 +1,52 @@
+#include "banyan/io/serving/gateway_settings.h"
+
+#include "../settings_reader.h"
+
+#include <array>
+
+namespace banyan {
+
+namespace {
+
+constexpr double shortestShutdown = 1; // Seconds.
+constexpr double longestShutdown = 3600; // Seconds.
+constexpr std::uint64_t mostLogLines = 100000; // A second.
+
+constexpr std::array<std::string_view, 10> knownKeys = {"vm",
+                                                        "failure_domain",
+                                                        "caller_listen",
+                                                        "ready_listen",
+                                                        "peer_listen",
+                                                        "metrics_listen",
+                                                        "store",
+                                                        "shutdown_seconds",
+                                                        "log_level",
+                                                        "log_lines_per_second"};
+
+} // namespace
+
+gateway_settings readGatewaySettings(const std::string &path)
+{
+    const settings_reader reader(path, knownKeys);
+    gateway_settings settings;
+    settings.vm = vm_id(reader.text("vm"));
+    settings.domain = failure_domain(reader.text("failure_domain"));
+    settings.callerListen = reader.address("caller_listen");
+    settings.readyListen = reader.address("ready_listen");
+    settings.peerListen = reader.address("peer_listen");
+    settings.metricsListen = reader.address("metrics_listen");
+    settings.store = reader.address("store");
+    if (reader.has("shutdown_seconds")) {
+        const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", shortestShutdown, longestShutdown));
+        settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
+    }
+    if (reader.has("log_level")) {
+        settings.logLevel = reader.logLevel("log_level");
+    }
+    if (reader.has("log_lines_per_second")) {
+        settings.logLinesPerSecond = static_cast<std::uint32_t>(reader.number("log_lines_per_second", 1, mostLogLines));
+    }
+    return settings;
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/job_records.cpp
@@ -0,0 +1,230 @@
+#include "job_records.h"
+
+#include "banyan/io/platform_error.h"
+#include "banyan/io/serving/serving_codec.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace banyan {
+
+namespace {
+
+constexpr std::size_t partCount = 8; // Spreads transactions, which are serialised within a part.
+constexpr std::size_t maximumRowBytes = 48000; // Of a value; below the store's limit, which counts encoded bytes.
+constexpr std::size_t maximumRowsAtOnce = 500; // The store's own limit of a page.
+constexpr int positionDigits = 6;
+const std::string itemsTable = "job_items";
+const std::string resultsTable = "job_results";
+
+const std::string &partOf(const job_id &id)
+{
+    return job_records::parts()[XXH32(id.text().data(), id.text().size(), 0) % partCount];
+}
+
+table_key entryKey(const job_id &id)
+{
+    return {.table = job_records::table(), .part = partOf(id), .key = id.text()};
+}
+
+table_key itemsKey(const job_id &id)
+{
+    return {.table = itemsTable, .part = partOf(id), .key = id.text()};
+}
+
+std::string objectName(const job_id &id)
+{
+    return "job-" + id.text();
+}
+
+/// Keys sort by position, and within a position by piece.
+std::string positionText(std::uint32_t position, std::size_t piece)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "/%0*u/%03zu", positionDigits, position, piece);
+    return text;
+}
+
+table_key resultKey(const job_id &id, std::uint32_t position, std::size_t piece)
+{
+    return {.table = resultsTable, .part = partOf(id), .key = id.text() + positionText(position, piece)};
+}
+
+std::uint32_t positionOf(const job_id &id, const table_row &row)
+{
+    return static_cast<std::uint32_t>(std::stoul(row.name.key.substr(id.text().size() + 1, positionDigits)));
+}
+
+std::optional<row_version> versionOf(const table_commit &commit)
+{
+    return commit.committed ? std::optional(commit.version) : std::nullopt;
+}
+
+} // namespace
+
+job_records::job_records(table_store store)
+    : m_store(std::move(store))
+{
+}
+
+const std::string &job_records::table()
+{
+    static const std::string name = "jobs";
+    return name;
+}
+
+const std::vector<std::string> &job_records::parts()
+{
+    static const std::vector<std::string> names = [] {
+        std::vector<std::string> result;
+        for (std::size_t index = 0; index < partCount; ++index) {
+            result.push_back("p" + std::to_string(index));
+        }
+        return result;
+    }();
+    return names;
+}
+
+std::optional<job_entry> job_records::entryOf(const table_row &row)
+{
+    return decodeJobEntry(job_id(row.name.key), row.version, row.value);
+}
+
+task<std::optional<row_version>> job_records::create(job_entry entry, std::vector<job_item> items)
+{
+    std::string bytes = encode(items);
+    entry.itemsInObject = bytes.size() > maximumRowBytes;
+    table_transaction change;
+    change.conditions.push_back({.name = entryKey(entry.id), .version = 0});
+    if (entry.itemsInObject) {
+        co_await m_store.putObject(objectName(entry.id), std::move(bytes));
+    } else {
+        change.writes.push_back({.name = itemsKey(entry.id), .value = std::move(bytes)});
+    }
+    change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    co_return versionOf(co_await m_store.commit(std::move(change)));
+}
+
+task<std::optional<row_version>> job_records::update(job_entry entry)
+{
+    table_transaction change;
+    change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
+    change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    co_return versionOf(co_await m_store.commit(std::move(change)));
+}
+
+task<std::optional<row_version>> job_records::list(job_entry entry, std::uint32_t first, std::vector<listed_result> results)
+{
+    table_transaction change;
+    change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
+    for (std::size_t index = 0; index < results.size(); ++index) {
+        const std::string bytes = encode(results[index]);
+        const auto position = static_cast<std::uint32_t>(first + index);
+        for (std::size_t piece = 0; piece * maximumRowBytes < bytes.size(); ++piece) {
+            change.writes.push_back(
+                {.name = resultKey(entry.id, position, piece), .value = bytes.substr(piece * maximumRowBytes, maximumRowBytes)});
+        }
+    }
+    if (entry.complete) {
+        change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    }
+    co_return versionOf(co_await m_store.commit(std::move(change)));
+}
+
+task<std::optional<job_entry>> job_records::find(job_id id)
+{
+    const table_key key = entryKey(id);
+    table_range range{.table = key.table, .part = key.part, .from = key.key, .to = key.key + '\0', .limit = 1};
+    const table_page page = co_await m_store.read(std::move(range));
+    if (page.rows.empty()) {
+        co_return std::nullopt;
+    }
+    const std::optional<job_entry> entry = entryOf(page.rows.front());
+    if (!entry) {
+        throw platform_unavailable("expected a job in row " + id.text() + ", found bytes that cannot be read");
+    }
+    co_return entry;
+}
+
+task<std::vector<job_item>> job_records::items(job_entry entry)
+{
+    std::optional<std::string> bytes;
+    if (entry.itemsInObject) {
+        bytes = co_await m_store.getObject(objectName(entry.id));
+    } else {
+        const table_key key = itemsKey(entry.id);
+        table_range range{.table = key.table, .part = key.part, .from = key.key, .to = key.key + '\0', .limit = 1};
+        const table_page page = co_await m_store.read(std::move(range));
+        if (!page.rows.empty()) {
+            bytes = page.rows.front().value;
+        }
+    }
+    std::optional<std::vector<job_item>> items = bytes ? decodeJobItems(*bytes) : std::nullopt;
+    if (!items) {
+        throw platform_unavailable("expected the items of job " + entry.id.text() + ", found " + (bytes ? "bytes that cannot be read" : "none"));
+    }
+    co_return std::move(*items);
+}
+
+task<std::vector<listed_result>> job_records::results(job_id id, std::uint32_t first)
+{
+    table_range range{.table = resultsTable,
+                      .part = partOf(id),
+                      .from = id.text() + positionText(first, 0),
+                      .to = id.text() + "0", // "0" follows "/", with which every position begins.
+                      .limit = maximumRowsAtOnce};
+    const table_page page = co_await m_store.read(std::move(range));
+    std::vector<listed_result> results;
+    std::size_t index = 0;
+    while (index < page.rows.size()) {
+        const std::uint32_t position = positionOf(id, page.rows[index]);
+        std::string bytes;
+        while (index < page.rows.size() && positionOf(id, page.rows[index]) == position) {
+            bytes += page.rows[index++].value;
+        }
+        // The last one of a page may be cut.
+        const bool mayBeCut = page.more && index == page.rows.size();
+        std::optional<listed_result> result = decodeListedResult(bytes);
+        if (mayBeCut && !results.empty()) {
+            break;
+        }
+        if (!result) {
+            throw platform_unavailable("expected a result at position " + std::to_string(position) + " of job " + id.text()
+                                       + ", found bytes that cannot be read");
+        }
+        results.push_back(std::move(*result));
+    }
+    co_return results;
+}
+
+task<> job_records::remove(job_entry entry)
+{
+    table_range range{.table = resultsTable,
+                      .part = partOf(entry.id),
+                      .from = entry.id.text() + "/",
+                      .to = entry.id.text() + "0",
+                      .limit = maximumRowsAtOnce};
+    constexpr std::size_t removalsAtOnce = 90; // The store takes 100 entries in a transaction.
+    for (;;) {
+        const table_page page = co_await m_store.read(range);
+        if (page.rows.empty()) {
+            break;
+        }
+        table_transaction change;
+        for (std::size_t index = 0; index < std::min(page.rows.size(), removalsAtOnce); ++index) {
+            change.removals.push_back(page.rows[index].name);
+        }
+        co_await m_store.commit(std::move(change));
+    }
+    if (entry.itemsInObject) {
+        co_await m_store.dropObject(objectName(entry.id));
+    }
+    table_transaction change;
+    change.removals.push_back(itemsKey(entry.id));
+    change.removals.push_back(entryKey(entry.id));
+    co_await m_store.commit(std::move(change));
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/job_records.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "banyan/core/serving/job_entry.h"
+#include "banyan/core/serving/job_item.h"
+#include "banyan/core/serving/listed_result.h"
+#include "banyan/io/serving/table_store.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace banyan {
+
+/// How jobs lie in the store: their rows, objects and keys. Errors are those of the table_store.
+class job_records
+{
+public:
+    explicit job_records(table_store store);
+
+    /// The table with one row for each job, and its parts.
+    static const std::string &table();
+    static const std::vector<std::string> &parts();
+
+    /// The entry in a row of that table; none if the row cannot be read.
+    [[nodiscard]] static std::optional<job_entry> entryOf(const table_row &row);
+
+    /// Records a new job. Returns its version, or nothing if there is one of that id.
+    [[nodiscard]] task<std::optional<row_version>> create(job_entry entry, std::vector<job_item> items);
+
+    /// Writes an entry if its row is still at the entry's version. Returns the new version, or nothing.
+    [[nodiscard]] task<std::optional<row_version>> update(job_entry entry);
+
+    /// Records results from position @p first on, if the job's row is still at the entry's version; with the last one the
+    /// entry as well. Returns the transaction's version, or nothing.
+    [[nodiscard]] task<std::optional<row_version>> list(job_entry entry, std::uint32_t first, std::vector<listed_result> results);
+
+    [[nodiscard]] task<std::optional<job_entry>> find(job_id id);
+
+    /// The job's items. @throws platform_unavailable also if they cannot be read
+    [[nodiscard]] task<std::vector<job_item>> items(job_entry entry);
+
+    /// Results from position @p first on, up to about a megabyte.
+    [[nodiscard]] task<std::vector<listed_result>> results(job_id id, std::uint32_t first);
+
+    /// Removes all that is stored of a job.
+    [[nodiscard]] task<> remove(job_entry entry);
+
+private:
+    table_store m_store;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/request_relay.cpp
@@ -0,0 +1,477 @@
+#include "banyan/io/serving/request_relay.h"
+
+#include "banyan/core/crash_guard.h"
+#include "banyan/core/serving/event_splitter.h"
+#include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/retry_policy.h"
+#include "banyan/core/serving/stream_position.h"
+#include "banyan/io/clock.h"
+#include "banyan/io/http_error.h"
+#include "banyan/io/http_exchange.h"
+#include "banyan/io/log.h"
+#include "banyan/io/node_metrics.h"
+#include "attempt_names.h"
+#include "banyan/io/serving/scheduler_host.h"
+#include "banyan/io/serving/stop_signal.h"
+#include "banyan/io/serving/upstream_sender.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+constexpr duration lostMemory = std::chrono::seconds(1); // For which the other nodes are told of a loss, since datagrams may be lost.
+constexpr std::uint32_t crashLimit = 3; // Upstreams that one content may crash before it is refused.
+constexpr duration crashMemory = std::chrono::seconds(60); // Longer than a client goes on sending the same content.
+constexpr duration defaultTimeout = std::chrono::seconds(60); // Of a request that names no time and whose route has none.
+
+std::uint64_t fingerprintOf(const client_request &request)
+{
+    const std::uint64_t path = XXH3_64bits(request.target.data(), request.target.size());
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), path);
+}
+
+/// Why a request was stopped before its answer was complete.
+enum class stop_cause {
+    None,
+    ClientGone,
+    Deadline,
+};
+
+/// A loss and when it was noted.
+struct noted_loss
+{
+    lost_content content;
+    time_point at;
+};
+
+} // namespace
+
+class request_relay::implementation
+{
+public:
+    implementation(const request_relay_ports &ports, upstream_protocol protocol)
+        : m_ports(ports)
+        , m_protocol(std::move(protocol))
+        , m_crashes({.limit = crashLimit, .memory = crashMemory})
+    {
+    }
+
+    class relayed_request;
+
+    void noteLost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
+    {
+        crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, now);
+        std::erase_if(m_lost, [&](const noted_loss &loss) {
+            return now - loss.at > lostMemory;
+        });
+        m_lost.push_back({.content = {.fingerprint = fingerprint, .upstream = keyOf(upstream)}, .at = now});
+    }
+
+    /// Upstreams are told apart by their keys, which is what other nodes know of them.
+    void crashed(const lost_content &lost, time_point now)
+    {
+        if (m_crashes.lost(lost.fingerprint, upstream_id(std::to_string(lost.upstream)), now)) {
+            logEvent(log_level::Warning, "content_stopped", {{"fingerprint", std::to_string(lost.fingerprint)}});
+        }
+    }
+
+    request_relay_ports m_ports;
+    upstream_protocol m_protocol;
+    crash_guard m_crashes;
+    std::deque<noted_loss> m_lost;
+    std::size_t m_inProgress = 0;
+};
+
+/// One request from its arrival to its answer.
+class request_relay::implementation::relayed_request
+{
+public:
+    relayed_request(implementation &relay, http_exchange &exchange, client_request request, const route &by, std::uint64_t version)
+        : m_relay(relay)
+        , m_exchange(exchange)
+        , m_request(std::move(request))
+        , m_route(by)
+        , m_version(version)
+        , m_service(serviceFor(by, m_request.id))
+        , m_deadline(deadlineOf(m_request, by))
+        , m_retries(by, m_deadline)
+        , m_position(m_request.resumeAfter)
+        , m_fingerprint(fingerprintOf(m_request))
+        , m_timer(relay.m_ports.context)
+    {
+        ++relay.m_inProgress;
+    }
+    ~relayed_request()
+    {
+        --m_relay.m_inProgress;
+    }
+    relayed_request(const relayed_request &) = delete;
+    relayed_request &operator=(const relayed_request &) = delete;
+
+    task<> run()
+    {
+        watchClientAndTime();
+        if (const auto until = m_relay.m_crashes.stoppedUntil(m_fingerprint, currentTime())) {
+            co_await end({.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *until - currentTime()});
+            co_return;
+        }
+        for (;;) {
+            if (co_await tryOnce()) {
+                co_return;
+            }
+        }
+    }
+
+private:
+    static time_point deadlineOf(const client_request &request, const route &by)
+    {
+        const duration byRoute = by.timeout > duration(0) ? by.timeout : defaultTimeout;
+        return request.arrivedAt + std::min(byRoute, request.timeLeft.value_or(byRoute));
+    }
+
+    void watchClientAndTime()
+    {
+        m_exchange.onDisconnect([this] {
+            stop(stop_cause::ClientGone);
+        });
+        m_timer.expires_after(std::max(duration(0), m_deadline - currentTime()));
+        m_timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                stop(stop_cause::Deadline);
+            }
+        });
+    }
+
+    void stop(stop_cause cause)
+    {
+        if (m_stopCause == stop_cause::None) {
+            m_stopCause = cause;
+            m_stop.stop();
+        }
+    }
+
+    /// One attempt, from the wait for a slot to its end. Returns whether the request has ended.
+    task<bool> tryOnce()
+    {
+        const scheduler_host::slot_outcome outcome = co_await m_relay.m_ports.scheduler.acquire(slotRequest(), m_stop, nullptr);
+        if (std::holds_alternative<std::monostate>(outcome)) {
+            co_await stopped();
+            co_return true;
+        }
+        if (const auto *const refused = std::get_if<slot_refused>(&outcome)) {
+            co_await refusedSlot(*refused);
+            co_return true;
+        }
+        const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
+        const replica *const registered = m_relay.m_ports.scheduler.find(upstream);
+        if (registered == nullptr) {
+            m_relay.m_ports.scheduler.released(m_request.id, {.outcome = attempt_outcome::Cancelled});
+            co_return false;
+        }
+        const attempt_report report = co_await send(*registered);
+        co_return co_await attemptEnded(upstream, report);
+    }
+
+    [[nodiscard]] slot_request slotRequest() const
+    {
+        return {.id = m_request.id,
+                .service = m_service,
+                .workClass = work_class::Online,
+                .priority = m_route.priority,
+                .arrivedAt = m_request.arrivedAt,
+                .target = m_request.arrivedAt + m_route.target,
+                .deadline = m_deadline,
+                .begun = m_retries.attempts() > 0,
+                .prefixHash = m_request.prefixHash,
+                .excluded = m_tried};
+    }
+
+    task<attempt_report> send(const replica &upstream)
+    {
+        const time_point now = currentTime();
+        upstream_run run{.id = m_request.id,
+                         .upstream = upstream.id,
+                         .address = upstream.address,
+                         .method = m_request.method,
+                         .target = m_request.target,
+                         .host = m_request.host,
+                         .fields = m_request.fields,
+                         .body = m_request.body,
+                         .resumeAfter = m_position.last(),
+                         .timeLeft = std::max(duration(0), m_deadline - now)};
+        const http_client::stream_timeouts timeouts{
+            .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.scheduler.scheduler().overdueAfter(m_service), now),
+            .silence = m_retries.silenceTimeout(now)};
+        m_splitter = event_splitter();
+        attempt_observer observer;
+        if (m_route.kind == request_kind::Stream) {
+            observer.onHead = [this](const answer_head &head) -> task<> {
+                co_await beginStream(head);
+            };
+            observer.onBody = [this](std::string_view piece) -> task<> {
+                co_await passOn(piece);
+            };
+        }
+        m_upstreams += (m_upstreams.empty() ? "" : ">") + upstream.id.text();
+        return m_relay.m_ports.sender.send(std::move(run), timeouts, std::move(observer), m_stop);
+    }
+
+    task<> beginStream(const answer_head &head)
+    {
+        if (std::exchange(m_begun, true)) {
+            co_return;
+        }
+        m_status = head.status;
+        co_await m_exchange.begin(head.status, head.fields);
+    }
+
+    /// Passes bytes of the current run on: whole events only if the stream may have to be continued by another run.
+    task<> passOn(std::string_view piece)
+    {
+        noteFirstByte();
+        if (!m_route.resumable) {
+            co_await m_exchange.write(piece);
+            co_return;
+        }
+        std::string complete;
+        for (const stream_event &event : m_splitter.add(piece)) {
+            const stream_position::verdict verdict = m_position.take(event);
+            if (verdict == stream_position::verdict::Gap) {
+                throw http_error(sent_state::MaybeSent, false, "events are missing before event " + std::to_string(*event.id));
+            }
+            complete += verdict == stream_position::verdict::PassOn ? event.bytes : std::string();
+        }
+        if (!complete.empty()) {
+            co_await m_exchange.write(complete);
+        }
+    }
+
+    void noteFirstByte()
+    {
+        m_relay.m_ports.scheduler.firstByte(m_request.id);
+        if (!m_firstByteAt) {
+            m_firstByteAt = currentTime();
+            m_relay.m_ports.metrics.firstByte(m_service.text(), work_class::Online, *m_firstByteAt - m_request.arrivedAt);
+        }
+    }
+
+    /// Decides what follows an attempt. Returns whether the request has ended.
+    task<bool> attemptEnded(const upstream_id &upstream, attempt_report report)
+    {
+        const time_point now = currentTime();
+        const bool isWhole = report.error.empty();
+        if (isWhole && report.head->kind == answer_kind::Success && m_splitter.hasPartialEvent()) {
+            report.result.outcome = attempt_outcome::Lost;
+            report.error = "the stream ended within an event";
+        }
+        if (report.head && m_route.kind != request_kind::Stream) {
+            m_relay.m_ports.scheduler.firstByte(m_request.id);
+        }
+        release(upstream, report);
+        const attempt_outcome outcome = report.result.outcome;
+        if (outcome == attempt_outcome::Succeeded || outcome == attempt_outcome::Answered) {
+            m_relay.m_crashes.answered(m_fingerprint);
+            co_await answer(report);
+            co_return true;
+        }
+        if (outcome == attempt_outcome::Lost && !report.staleConnection) {
+            m_relay.noteLost(m_fingerprint, upstream, now);
+        }
+        const next_step step = m_retries.ended(outcome, now);
+        logAttempt(upstream, report, step);
+        if (m_stopCause != stop_cause::None) {
+            co_await stopped();
+            co_return true;
+        }
+        if (step == next_step::TryAgain && canContinue()) {
+            m_tried.push_back(upstream);
+            co_return false;
+        }
+        co_await endWithout(report, step);
+        co_return true;
+    }
+
+    [[nodiscard]] bool canContinue() const
+    {
+        return !m_begun || m_route.resumable;
+    }
+
+    /// Frees the slot. A connection that the upstream may have closed before says nothing against it.
+    void release(const upstream_id &upstream, const attempt_report &report)
+    {
+        attempt_result result = report.result;
+        if (report.staleConnection) {
+            result.outcome = attempt_outcome::Cancelled;
+        }
+        m_relay.m_ports.metrics.attemptEnded(toString(report.result.outcome), false);
+        m_relay.m_ports.scheduler.released(m_request.id, result);
+        if (report.head && report.head->kind == answer_kind::WrongUpstream) {
+            m_relay.m_ports.scheduler.addressReused(upstream);
+        }
+    }
+
+    /// Passes a whole answer on, or ends a stream.
+    task<> answer(const attempt_report &report)
+    {
+        m_timer.cancel();
+        const final_result result{.what = disposition::Completed};
+        if (m_begun) {
+            co_await m_exchange.finish();
+        } else {
+            noteFirstByte();
+            m_status = report.head->status;
+            http_response response{.status = report.head->status, .fields = report.head->fields, .body = report.body};
+            co_await m_exchange.respond(std::move(response));
+        }
+        ended(result);
+    }
+
+    task<> endWithout(const attempt_report &report, next_step step)
+    {
+        const bool ownFailure = report.head && report.head->kind == answer_kind::Failure && report.error.empty() && !m_begun;
+        if (ownFailure) {
+            co_await answer(report);
+            co_return;
+        }
+        if (step == next_step::NotRun) {
+            co_await end({.what = disposition::NotRun, .reason = end_reason::RetriesExhausted, .retryAfter = notRunRetryAfter});
+            co_return;
+        }
+        co_await end({.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
+    }
+
+    task<> refusedSlot(const slot_refused &refused)
+    {
+        if (m_retries.mayHaveRun()) {
+            co_await end({.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = refused.reason});
+            co_return;
+        }
+        co_await end({.what = disposition::NotRun, .reason = refused.reason, .retryAfter = refused.retryAfter});
+    }
+
+    /// Ends a request whose client has gone or whose time is up.
+    task<> stopped()
+    {
+        if (m_stopCause == stop_cause::ClientGone) {
+            ended({.what = disposition::Cancelled, .reason = end_reason::CancelledByCaller});
+            co_return;
+        }
+        final_result result{.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable, .retryAfter = notRunRetryAfter};
+        if (m_retries.mayHaveRun()) {
+            result.what = disposition::OutcomeUnknown;
+        }
+        co_await end(result);
+    }
+
+    /// Ends a request without an upstream's answer: with one of our own, or by leaving the stream that has begun without its
+    /// end, so that its connection closes.
+    task<> end(final_result result)
+    {
+        m_timer.cancel();
+        if (m_begun) {
+            ended(result);
+            co_return;
+        }
+        http_response response = m_relay.m_protocol.encodeEnd(result);
+        m_status = response.status;
+        co_await m_exchange.respond(std::move(response));
+        ended(result);
+    }
+
+    void ended(const final_result &result)
+    {
+        const duration taken = currentTime() - m_request.arrivedAt;
+        const duration firstByte = m_firstByteAt ? *m_firstByteAt - m_request.arrivedAt : duration(0);
+        m_relay.m_ports.metrics.requestEnded(m_service.text(), work_class::Online, result, taken);
+        logEvent(log_level::Info,
+                 "request_ended",
+                 {{"request_id", m_request.id.text()},
+                  {"route", m_route.name},
+                  {"configuration_version", std::to_string(m_version)},
+                  {"service", m_service.text()},
+                  {"upstreams", m_upstreams},
+                  {"disposition", std::string(toString(result.what))},
+                  {"reason", std::string(toString(result.reason))},
+                  {"status", std::to_string(m_status)},
+                  {"first_byte_us", std::to_string(firstByte.count())},
+                  {"taken_us", std::to_string(taken.count())}});
+    }
+
+    void logAttempt(const upstream_id &upstream, const attempt_report &report, next_step step) const
+    {
+        logEvent(log_level::Info,
+                 "attempt_failed",
+                 {{"request_id", m_request.id.text()},
+                  {"upstream", upstream.text()},
+                  {"outcome", std::string(toString(report.result.outcome))},
+                  {"status", std::to_string(report.head ? report.head->status : 0)},
+                  {"error", report.error},
+                  {"next", step == next_step::TryAgain ? "try_again" : "end"}});
+    }
+
+    static constexpr duration notRunRetryAfter = std::chrono::milliseconds(200); ///< Other upstreams may have room by then.
+
+    implementation &m_relay;
+    http_exchange &m_exchange;
+    client_request m_request;
+    const route &m_route;
+    std::uint64_t m_version;
+    service_name m_service;
+    time_point m_deadline;
+    retry_policy m_retries;
+    stream_position m_position;
+    event_splitter m_splitter;
+    std::uint64_t m_fingerprint;
+    asio::steady_timer m_timer;
+    stop_signal m_stop;
+    stop_cause m_stopCause = stop_cause::None;
+    std::vector<upstream_id> m_tried;
+    std::string m_upstreams; ///< In the order of the attempts, for the log.
+    std::optional<time_point> m_firstByteAt;
+    unsigned m_status = 0;
+    bool m_begun = false; ///< The head of the answer has been sent.
+};
+
+request_relay::request_relay(const request_relay_ports &ports, upstream_protocol protocol)
+    : m_implementation(std::make_unique<implementation>(ports, std::move(protocol)))
+{
+}
+
+request_relay::~request_relay() = default;
+
+task<> request_relay::serve(http_exchange &exchange, client_request request, std::shared_ptr<const route_table> table, const route &by)
+{
+    const std::uint64_t version = table->configuration().version;
+    implementation::relayed_request relayed(*m_implementation, exchange, std::move(request), by, version);
+    co_await relayed.run();
+}
+
+std::size_t request_relay::inProgress() const
+{
+    return m_implementation->m_inProgress;
+}
+
+std::vector<lost_content> request_relay::recentlyLost(time_point now) const
+{
+    std::vector<lost_content> result;
+    for (const noted_loss &loss : m_implementation->m_lost) {
+        if (now - loss.at <= lostMemory) {
+            result.push_back(loss.content);
+        }
+    }
+    return result;
+}
+
+void request_relay::lostElsewhere(const lost_content &lost, time_point now)
+{
+    m_implementation->crashed(lost, now);
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/table_follower.cpp
@@ -0,0 +1,118 @@
+#include "banyan/io/serving/table_follower.h"
+
+#include "banyan/io/log.h"
+#include "banyan/io/platform_error.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace banyan {
+
+namespace {
+
+constexpr std::size_t pageRows = 500; // The store's own limit.
+
+duration varied(duration value)
+{
+    static std::mt19937_64 generator(std::random_device{}());
+    return value / 2 + duration(std::uniform_int_distribution<duration::rep>(0, value.count())(generator));
+}
+
+} // namespace
+
+table_follower::table_follower(asio::io_context &context, table_store store, table_follower_options options, table_observer observer)
+    : m_context(context)
+    , m_store(std::move(store))
+    , m_options(std::move(options))
+    , m_observer(std::move(observer))
+{
+}
+
+task<> table_follower::run()
+{
+    for (;;) {
+        std::string failure;
+        try {
+            if (m_historyLost) {
+                co_await readAll();
+            }
+            co_await followChanges();
+        } catch (const platform_unavailable &error) {
+            failure = error.what();
+        }
+        if (!failure.empty()) {
+            failed(failure);
+            co_await sleep(varied(m_options.retryDelay));
+        }
+    }
+}
+
+task<> table_follower::readAll()
+{
+    std::vector<table_row> rows;
+    std::optional<row_version> version;
+    for (const std::string &part : m_options.parts) {
+        table_range range{.table = m_options.table, .part = part, .from = {}, .to = {}, .limit = pageRows};
+        for (bool more = true; more;) {
+            table_page page = co_await m_store.read(range);
+            version = std::min(version.value_or(page.version), page.version);
+            more = page.more && !page.rows.empty();
+            if (more) {
+                range.from = page.rows.back().name.key + '\0';
+            }
+            std::move(page.rows.begin(), page.rows.end(), std::back_inserter(rows));
+        }
+    }
+    answered();
+    m_version = version.value_or(0);
+    m_historyLost = false;
+    m_observer.onAll(rows);
+}
+
+task<> table_follower::followChanges()
+{
+    const table_changes changes = co_await m_store.changes(m_options.table, m_version, m_options.wait);
+    answered();
+    if (changes.historyLost) {
+        logEvent(log_level::Info, "table_history_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}});
+        m_historyLost = true;
+        co_return;
+    }
+    m_version = std::max(m_version, changes.version);
+    for (const table_row &row : changes.rows) {
+        m_observer.onChange(row);
+    }
+    co_await sleep(m_options.pause);
+}
+
+task<> table_follower::sleep(duration time)
+{
+    asio::steady_timer timer(m_context, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void table_follower::answered()
+{
+    if (!std::exchange(m_available, true)) {
+        logEvent(log_level::Info, "store_regained", {{"table", m_options.table}, {"version", std::to_string(m_version)}});
+        if (m_observer.onRegained) {
+            m_observer.onRegained();
+        }
+        // What changed meanwhile is read whole: registrations that lapsed are told from those that are new only so.
+        m_historyLost = true;
+    }
+}
+
+void table_follower::failed(const std::string &reason)
+{
+    if (std::exchange(m_available, false)) {
+        logEvent(log_level::Warning, "store_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}, {"reason", reason}});
+        if (m_observer.onLost) {
+            m_observer.onLost();
+        }
+    }
+}
+
+} // namespace banyan
--- /dev/null
+++ b/io/src/serving/upstream_sender.cpp
@@ -0,0 +1,95 @@
+#include "banyan/io/serving/upstream_sender.h"
+
+#include "banyan/io/http_error.h"
+#include "banyan/io/serving/stop_signal.h"
+
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+constexpr std::size_t maximumCollected = std::size_t(8) << 20; // Bytes of an answer that is passed on whole.
+
+attempt_outcome outcomeOf(const answer_head &head)
+{
+    switch (head.kind) {
+    case answer_kind::Success:
+        return attempt_outcome::Succeeded;
+    case answer_kind::Rejection:
+        return attempt_outcome::Answered;
+    case answer_kind::NotRun:
+    case answer_kind::WrongUpstream:
+        return attempt_outcome::Refused;
+    case answer_kind::Failure:
+    case answer_kind::Unusable:
+        return attempt_outcome::Failed;
+    }
+    return attempt_outcome::Failed;
+}
+
+attempt_outcome outcomeOf(const http_error &error, bool stopped)
+{
+    if (error.sent() == sent_state::NotSent) {
+        return attempt_outcome::NotSent;
+    }
+    if (stopped) {
+        return attempt_outcome::Cancelled;
+    }
+    return error.timedOut() ? attempt_outcome::TimedOut : attempt_outcome::Lost;
+}
+
+} // namespace
+
+upstream_sender::upstream_sender(http_client &client, upstream_protocol protocol)
+    : m_client(client)
+    , m_protocol(std::move(protocol))
+{
+}
+
+task<attempt_report>
+upstream_sender::send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
+{
+    attempt_report report;
+    const auto cancellation = std::make_shared<http_cancellation>();
+    stop.onStop([cancellation] {
+        cancellation->cancel();
+    });
+    http_client::stream_handler handler;
+    handler.onHead = [&](unsigned status, const std::vector<http_field> &fields) -> task<> {
+        report.head = m_protocol.decodeHead(status, fields, run);
+        if (report.head->kind == answer_kind::Unusable) {
+            throw http_error(sent_state::MaybeSent, false, "not an answer to this request, status " + std::to_string(status));
+        }
+        if (report.head->kind == answer_kind::Success && observer.onHead) {
+            co_await observer.onHead(*report.head);
+        }
+    };
+    handler.onPiece = [&](std::string_view piece) -> task<> {
+        if (report.head->kind == answer_kind::Success && observer.onBody) {
+            co_await observer.onBody(piece);
+            co_return;
+        }
+        if (report.body.size() + piece.size() > maximumCollected) {
+            throw http_error(sent_state::MaybeSent, false, "answer is larger than may be collected");
+        }
+        report.body += piece;
+    };
+    const endpoint address = run.address;
+    try {
+        co_await m_client.stream(address, m_protocol.encodeRun(run), timeouts, std::move(handler), cancellation);
+        report.result.outcome = outcomeOf(*report.head);
+    } catch (const http_error &error) {
+        report.result.outcome = outcomeOf(error, stop.stopped());
+        report.staleConnection = error.staleConnection();
+        report.error = error.what();
+    } catch (const std::exception &error) {
+        // The client's side failed, not the upstream.
+        report.result.outcome = attempt_outcome::Cancelled;
+        report.error = error.what();
+    }
+    stop.onStop(nullptr);
+    co_return report;
+}
+
+} // namespace banyan
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -157,7 +157,8 @@
     attempt_result result;
     try {
         http_client::stream_handler handler = makeHandler(maximumBuffered, watcher);
-        co_await client.stream(m_address, std::move(request), m_order.timeout, std::move(handler), m_cancellation);
+        const http_client::stream_timeouts timeouts{.firstByte = m_order.timeout, .silence = m_order.timeout};
+        co_await client.stream(m_address, std::move(request), timeouts, std::move(handler), m_cancellation);
         result = resultOfAnswer();
     } catch (const http_error &error) {
         result.outcome = outcomeOf(error);
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -1,4 +1,4 @@
-#include "crash_guard.h"
+#include "banyan/core/crash_guard.h"
 
 #include <catch2/catch.hpp>
 
