--- a/io/src/serving/job_service.cpp
+++ b/io/src/serving/job_service.cpp
@@ -219,7 +219,8 @@
     if (acceptance == job_acceptance::Unknown) {
         // If the row is there, or comes later, the table's changes tell of it.
         try {
-            acceptance = co_await m_records.find(submission.id) ? job_acceptance::Accepted : job_acceptance::Unknown;
+            const std::optional<job_entry> stored = co_await m_records.find(submission.id);
+            acceptance = stored ? job_acceptance::Accepted : job_acceptance::Unknown;
         } catch (const platform_unavailable &error) {
             reason = error.what();
         }
@@ -587,12 +588,16 @@
 task<> job_service::implementation::listLoop(self_pointer self, job_pointer job)
 {
     while (!job->stopped) {
+        if (job->listed == job->entry.total) {
+            break;
+        }
         if (job->listed == job->results.size()) {
-            if (job->listed == job->entry.total) {
-                break;
-            }
             co_await job->changed.wait();
-        } else if (!co_await self->listNext(job)) {
+            continue;
+        }
+        // GCC 12 leaves a path without an end where a condition of a chain awaits.
+        const bool recorded = co_await self->listNext(job);
+        if (!recorded) {
             co_await self->sleep(storeRetryDelay);
         }
     }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -122,10 +122,9 @@
             co_await end({.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *until - currentTime()});
             co_return;
         }
-        for (;;) {
-            if (co_await tryOnce()) {
-                co_return;
-            }
+        bool hasEnded = false;
+        while (!hasEnded) {
+            hasEnded = co_await tryOnce();
         }
     }
 
