Notice the store's return at once: ask for changes without a wait while it is lost

A node that the store had turned away noticed its return only with the next change, which a wait of 1.5 s renewed; the deletion of a replica's row came in that answer, counted as lapsed during the outage, and was held for the grace of 2.3 s, over the bound of 2 s. Ruled out: an old registration coming back (the log shows one deletion and no other row), another node's stale view (only nodes that were turned away sent).

--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -29,7 +29,7 @@
 namespace {
 
 constexpr duration reportMemory = std::chrono::milliseconds(1500); // Some heartbeats of other gateways.
-constexpr duration registryGrace = std::chrono::milliseconds(2300); // Upstreams register again within two seconds of the store's return.
+constexpr duration registryGrace = std::chrono::seconds(2); // Upstreams that live register again within two seconds of the store's return.
 constexpr duration configurationPause = std::chrono::milliseconds(100);
 constexpr duration replicaPause = std::chrono::milliseconds(200);
 constexpr duration gatewayPause = std::chrono::seconds(1);
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -72,7 +72,9 @@
 
 task<> table_follower::followChanges()
 {
-    const table_changes changes = co_await m_store.changes(m_options.table, m_version, m_options.wait);
+    // While the store is lost its return has to be noticed at once, not with the next change.
+    const duration wait = m_available ? m_options.wait : duration(0);
+    const table_changes changes = co_await m_store.changes(m_options.table, m_version, wait);
     answered();
     if (changes.historyLost) {
         logEvent(log_level::Info, "table_history_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}});
