Take no request from a connection that a stop has closed; keep totals on the load board; tests of the serving core

Ruled out: requests in progress being cut (the connection closed within a millisecond of the request's arrival). A write that fails because the client has gone ends the request instead of trying another upstream.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -144,9 +144,10 @@
         m_gateway.beginStop();
         m_callers.closeAfterAnswers();
         bool left = false;
-        asio::co_spawn(m_context, m_gateway.leave(std::max(duration(0), end - begun - std::chrono::seconds(1))), [&left](const std::exception_ptr &) {
-            left = true;
-        });
+        asio::co_spawn(
+            m_context, m_gateway.leave(std::max(duration(0), end - begun - std::chrono::seconds(1))), [&left](const std::exception_ptr &) {
+                left = true;
+            });
         co_await sleepUntil(std::min(end, begun + balancerDelay));
         m_callers.stopAccepting();
         while ((m_callers.inProgress() > 0 || !left) && currentTime() < end) {
--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace banyan {
@@ -28,10 +29,13 @@
     void expire(time_point now);
 
     /// What the other nodes together have in flight at an upstream.
-    [[nodiscard]] upstream_usage usageOf(upstream_key upstream) const;
-
-    /// How many other nodes call an upstream troubled.
-    [[nodiscard]] std::uint32_t troubledAt(upstream_key upstream) const;
+    struct total_usage
+    {
+        std::uint32_t online = 0;
+        std::uint32_t batch = 0;
+        std::uint32_t troubledNodes = 0; ///< How many of them call it troubled.
+    };
+    [[nodiscard]] total_usage usageOf(upstream_key upstream) const;
 
     /// The most batch work that any other node has at an upstream, and the least id of such a node.
     struct batch_holder
@@ -54,8 +58,13 @@
         time_point receivedAt;
     };
 
+    void add(const node_load &load);
+    void subtract(const node_load &load);
+
     duration m_memory;
     std::map<node_id, report> m_reports;
+    std::unordered_map<upstream_key, total_usage> m_totals; ///< Kept up with the reports, since it is read for each choice.
+    std::uint32_t m_waitingOnline = 0;
 };
 
 } // namespace banyan
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -24,7 +24,7 @@
 {
     node_id sender;
     std::uint64_t sequence = 0; ///< Grows with each message of a sender.
-    std::map<upstream_key, upstream_usage> usage;
+    std::map<upstream_key, upstream_usage> usage; ///< Of upstreams where it has any work or trouble.
     std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
     std::vector<lost_content> lost; ///< Within the last second or so.
 
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -10,42 +10,58 @@
 bool load_board::reported(const node_load &load, time_point now)
 {
     const auto entry = m_reports.find(load.sender);
-    if (entry != m_reports.end() && entry->second.load.sequence >= load.sequence) {
+    if (entry == m_reports.end()) {
+        m_reports.emplace(load.sender, report{.load = load, .receivedAt = now});
+    } else if (entry->second.load.sequence < load.sequence) {
+        subtract(entry->second.load);
+        entry->second = {.load = load, .receivedAt = now};
+    } else {
         return false;
     }
-    m_reports.insert_or_assign(load.sender, report{.load = load, .receivedAt = now});
+    add(load);
     return true;
 }
 
-void load_board::expire(time_point now)
+void load_board::add(const node_load &load)
 {
-    std::erase_if(m_reports, [&](const auto &entry) {
-        return now - entry.second.receivedAt > m_memory;
-    });
+    for (const auto &[key, usage] : load.usage) {
+        total_usage &total = m_totals[key];
+        total.online += usage.online;
+        total.batch += usage.batch;
+        total.troubledNodes += usage.troubled ? 1 : 0;
+    }
+    m_waitingOnline += load.waitingOnline;
 }
 
-upstream_usage load_board::usageOf(upstream_key upstream) const
+void load_board::subtract(const node_load &load)
 {
-    upstream_usage sum;
-    for (const auto &[node, entry] : m_reports) {
-        const auto found = entry.load.usage.find(upstream);
-        if (found != entry.load.usage.end()) {
-            sum.online += found->second.online;
-            sum.batch += found->second.batch;
-            sum.troubled = sum.troubled || found->second.troubled;
+    for (const auto &[key, usage] : load.usage) {
+        total_usage &total = m_totals[key];
+        total.online -= usage.online;
+        total.batch -= usage.batch;
+        total.troubledNodes -= usage.troubled ? 1 : 0;
+        if (total.online + total.batch + total.troubledNodes == 0) {
+            m_totals.erase(key);
         }
     }
-    return sum;
+    m_waitingOnline -= load.waitingOnline;
 }
 
-std::uint32_t load_board::troubledAt(upstream_key upstream) const
+void load_board::expire(time_point now)
 {
-    std::uint32_t count = 0;
-    for (const auto &[node, entry] : m_reports) {
-        const auto found = entry.load.usage.find(upstream);
-        count += found != entry.load.usage.end() && found->second.troubled ? 1 : 0;
-    }
-    return count;
+    std::erase_if(m_reports, [&](const auto &entry) {
+        const bool isOld = now - entry.second.receivedAt > m_memory;
+        if (isOld) {
+            subtract(entry.second.load);
+        }
+        return isOld;
+    });
+}
+
+load_board::total_usage load_board::usageOf(upstream_key upstream) const
+{
+    const auto total = m_totals.find(upstream);
+    return total == m_totals.end() ? total_usage() : total->second;
 }
 
 load_board::batch_holder load_board::largestBatch(upstream_key upstream) const
@@ -62,11 +78,7 @@
 
 std::uint32_t load_board::waitingOnline() const
 {
-    std::uint32_t sum = 0;
-    for (const auto &[node, entry] : m_reports) {
-        sum += entry.load.waitingOnline;
-    }
-    return sum;
+    return m_waitingOnline;
 }
 
 std::vector<node_id> load_board::nodes() const
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -135,7 +135,8 @@
     [[nodiscard]] bool isUsable(const service_state &service, const scheduled_upstream &upstream, time_point now) const;
     [[nodiscard]] bool isAvoided(const service_state &service, const scheduled_upstream &upstream, time_point now) const;
     [[nodiscard]] std::vector<scheduled_upstream *> candidates(service_state &service, const slot_request &request, time_point now);
-    [[nodiscard]] std::optional<double> onlineScore(const service_state &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
+    [[nodiscard]] std::optional<double>
+    onlineScore(const service_state &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
     [[nodiscard]] scheduled_upstream *chooseOnline(service_state &service, const slot_request &request, time_point now);
     [[nodiscard]] scheduled_upstream *chooseBatch(service_state &service, const slot_request &request, time_point now);
     [[nodiscard]] double preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request);
@@ -202,7 +203,7 @@
 
 total_work request_scheduler::implementation::workAt(const scheduled_upstream &upstream) const
 {
-    const upstream_usage others = m_board.usageOf(upstream.key);
+    const load_board::total_usage others = m_board.usageOf(upstream.key);
     return {.online = upstream.online + others.online, .batch = upstream.batch + others.batch};
 }
 
@@ -218,7 +219,7 @@
         return true;
     }
     const bool ownTrouble = upstream.troubledAt && now - *upstream.troubledAt < troubleMemory;
-    return m_board.troubledAt(upstream.key) + (ownTrouble ? 1 : 0) >= troubledNodes;
+    return m_board.usageOf(upstream.key).troubledNodes + (ownTrouble ? 1 : 0) >= troubledNodes;
 }
 
 /// The upstreams for a request: the good ones, else those that are avoided, else those where it was tried already.
@@ -246,7 +247,8 @@
     return avoided.empty() ? tried : avoided;
 }
 
-double request_scheduler::implementation::preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request)
+double
+request_scheduler::implementation::preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request)
 {
     const upstream_id *const cached = m_prefixes.upstreamOf(request.prefixHash);
     const double slowness = upstream.firstByteSeconds > 0 ? upstream.firstByteSeconds / service.firstByteSeconds - 1 : 0;
--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -19,7 +19,8 @@
     duration idleTimeout = std::chrono::seconds(20); ///< After which an unused connection is closed.
     std::size_t idleConnectionsPerEndpoint = 32;
     std::size_t maximumBody = std::size_t(64) << 20; ///< Bytes; a longer answer is an error.
-    duration unacknowledgedTimeout = std::chrono::seconds(0); ///< Sent data may stay unacknowledged for so long (TCP_USER_TIMEOUT); 0: as the system has it.
+    duration unacknowledgedTimeout =
+        std::chrono::seconds(0); ///< Sent data may stay unacknowledged for so long (TCP_USER_TIMEOUT); 0: as the system has it.
 };
 
 /// Stops an exchange in progress: its connection is closed and the exchange fails with http_error.
--- a/io/include/banyan/io/serving/load_exchange.h
+++ b/io/include/banyan/io/serving/load_exchange.h
@@ -17,7 +17,7 @@
     endpoint listen;
     duration heartbeat = std::chrono::milliseconds(400); ///< Without a change a report is sent after this time.
     duration shortestInterval = std::chrono::milliseconds(20); ///< Between two reports; grows with the number of peers.
-    duration intervalPerPeer = std::chrono::milliseconds(1); ///< Bounds the datagrams that a node sends and receives in a second.
+    duration intervalPerPeer = std::chrono::microseconds(1500); ///< Bounds the datagrams that a node sends and receives in a second.
 };
 
 /// Tells the other nodes of this node's work, by datagrams, and takes in what they tell.
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -41,7 +41,8 @@
     upstream_sender(http_client &client, upstream_protocol protocol);
 
     /// Sends one attempt and waits for its end. A stop closes its connection.
-    [[nodiscard]] task<attempt_report> send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
+    [[nodiscard]] task<attempt_report>
+    send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
 
 private:
     http_client &m_client;
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -183,7 +183,8 @@
             const std::size_t length = co_await connection->stream.async_read_some(connection->buffer.prepare(firstReadBytes),
                                                                                    asio::redirect_error(asio::use_awaitable, error));
             connection->buffer.commit(length);
-            if (error) {
+            // A stop may have closed the connection after these bytes were read: they must not be taken as a request any more.
+            if (error || !connection->stream.socket().is_open()) {
                 co_return false;
             }
         }
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -35,6 +35,7 @@
 constexpr duration gatewayPause = std::chrono::seconds(1);
 constexpr duration gatewayWait = std::chrono::seconds(4); // The list of gateways seldom changes, and a late change does little harm.
 constexpr duration registrationRetry = std::chrono::milliseconds(500);
+constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // One look at the board for the reports of many gateways.
 constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
 constexpr duration suspensionNoticed = std::chrono::seconds(1); // A timer that is so late means that the process stood still.
 const std::string gatewayTable = "gateways";
@@ -73,6 +74,7 @@
                   loadReported(load);
               })
         , m_housekeeping(context)
+        , m_loadChange(context)
     {
     }
 
@@ -99,6 +101,8 @@
     job_service m_jobs;
     load_exchange m_exchange;
     asio::steady_timer m_housekeeping;
+    asio::steady_timer m_loadChange;
+    bool m_loadChangePending = false;
     time_point m_housekeptAt;
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
@@ -291,7 +295,8 @@
 {
     for (bool registered = false; !registered && !self->m_stopping;) {
         table_transaction change;
-        change.writes.push_back({.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_settings.peerListen})});
+        change.writes.push_back(
+            {.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_settings.peerListen})});
         std::string failure;
         try {
             co_await self->m_platform.store.commit(std::move(change));
@@ -331,7 +336,13 @@
     for (const lost_content &lost : load.lost) {
         m_relay.lostElsewhere(lost, now);
     }
-    m_scheduler.loadChanged();
+    if (!std::exchange(m_loadChangePending, true)) {
+        m_loadChange.expires_after(loadChangeDelay);
+        m_loadChange.async_wait([self = shared_from_this()](const boost::system::error_code &) {
+            self->m_loadChangePending = false;
+            self->m_scheduler.loadChanged();
+        });
+    }
 }
 
 void gateway::implementation::housekeep()
--- a/io/src/serving/job_records.cpp
+++ b/io/src/serving/job_records.cpp
@@ -163,7 +163,8 @@
     }
     std::optional<std::vector<job_item>> items = bytes ? decodeJobItems(*bytes) : std::nullopt;
     if (!items) {
-        throw platform_unavailable("expected the items of job " + entry.id.text() + ", found " + (bytes ? "bytes that cannot be read" : "none"));
+        throw platform_unavailable("expected the items of job " + entry.id.text() + ", found "
+                                   + (bytes ? "bytes that cannot be read" : "none"));
     }
     co_return std::move(*items);
 }
--- a/io/src/serving/job_service.cpp
+++ b/io/src/serving/job_service.cpp
@@ -106,12 +106,11 @@
 
 void job_service::implementation::start()
 {
-    auto follower = std::make_shared<table_follower>(m_ports.context,
-                                                     m_ports.store,
-                                                     table_follower_options{.table = job_records::table(),
-                                                                            .parts = job_records::parts(),
-                                                                            .pause = std::chrono::milliseconds(400)},
-                                                     observer());
+    auto follower = std::make_shared<table_follower>(
+        m_ports.context,
+        m_ports.store,
+        table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = std::chrono::milliseconds(400)},
+        observer());
     asio::co_spawn(m_ports.context, follower->run(), [follower](const std::exception_ptr &) {});
     asio::co_spawn(m_ports.context, takeOverLoop(shared_from_this()), asio::detached);
     asio::co_spawn(m_ports.context, sweepLoop(shared_from_this()), asio::detached);
@@ -387,7 +386,8 @@
             std::vector<job_item> items = co_await self->m_records.items(entry);
             std::vector<listed_result> listed;
             for (bool more = true; more;) {
-                const std::vector<listed_result> page = co_await self->m_records.results(entry.id, static_cast<std::uint32_t>(listed.size()));
+                const std::vector<listed_result> page =
+                    co_await self->m_records.results(entry.id, static_cast<std::uint32_t>(listed.size()));
                 more = !page.empty() && listed.size() + page.size() < entry.total;
                 listed.insert(listed.end(), page.begin(), page.end());
             }
@@ -454,8 +454,7 @@
         }
         if (!progress) {
             const duration retention = by->retention > duration(0) ? by->retention : defaultRetention;
-            progress.emplace(
-                item_progress_options{.maximumFailures = by->maximumAttempts, .giveUpAt = job->entry.submittedAt + retention});
+            progress.emplace(item_progress_options{.maximumFailures = by->maximumAttempts, .giveUpAt = job->entry.submittedAt + retention});
         }
         const item_step step = co_await self->runOnce(job, index, *by, *progress);
         if (step != item_step::RunAgain) {
@@ -617,8 +616,7 @@
     entry.complete = job->listed + count == entry.total;
     std::string failure;
     try {
-        const std::optional<row_version> version =
-            co_await m_records.list(entry, static_cast<std::uint32_t>(job->listed), std::move(next));
+        const std::optional<row_version> version = co_await m_records.list(entry, static_cast<std::uint32_t>(job->listed), std::move(next));
         if (version) {
             job->listed += count;
             if (entry.complete) {
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/request_relay.h"
 
+#include "attempt_names.h"
 #include "banyan/core/crash_guard.h"
 #include "banyan/core/serving/event_splitter.h"
 #include "banyan/core/serving/request_scheduler.h"
@@ -10,7 +11,6 @@
 #include "banyan/io/http_exchange.h"
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
-#include "attempt_names.h"
 #include "banyan/io/serving/scheduler_host.h"
 #include "banyan/io/serving/stop_signal.h"
 #include "banyan/io/serving/upstream_sender.h"
@@ -90,7 +90,7 @@
 };
 
 /// One request from its arrival to its answer.
-class request_relay::implementation::relayed_request
+class request_relay::implementation::relayed_request : public std::enable_shared_from_this<relayed_request>
 {
 public:
     relayed_request(implementation &relay, http_exchange &exchange, client_request request, const route &by, std::uint64_t version)
@@ -122,9 +122,14 @@
             co_await end({.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *until - currentTime()});
             co_return;
         }
-        bool hasEnded = false;
-        while (!hasEnded) {
-            hasEnded = co_await tryOnce();
+        try {
+            bool hasEnded = false;
+            while (!hasEnded) {
+                hasEnded = co_await tryOnce();
+            }
+        } catch (const boost::system::system_error &) {
+            // Only writes to the client end so.
+            ended({.what = disposition::Cancelled, .reason = end_reason::CancelledByCaller});
         }
     }
 
@@ -137,13 +142,17 @@
 
     void watchClientAndTime()
     {
-        m_exchange.onDisconnect([this] {
-            stop(stop_cause::ClientGone);
+        // The handlers may be called when the request has ended already.
+        m_exchange.onDisconnect([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->stop(stop_cause::ClientGone);
+            }
         });
         m_timer.expires_after(std::max(duration(0), m_deadline - currentTime()));
-        m_timer.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                stop(stop_cause::Deadline);
+        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->stop(stop_cause::Deadline);
             }
         });
     }
@@ -228,7 +237,18 @@
             co_return;
         }
         m_status = head.status;
-        co_await m_exchange.begin(head.status, head.fields);
+        co_await toClient(m_exchange.begin(head.status, head.fields));
+    }
+
+    /// Writes to the client. A failure means that it has gone, and ends the attempt.
+    task<> toClient(task<> writing)
+    {
+        try {
+            co_await std::move(writing);
+        } catch (const boost::system::system_error &) {
+            stop(stop_cause::ClientGone);
+            throw;
+        }
     }
 
     /// Passes bytes of the current run on: whole events only if the stream may have to be continued by another run.
@@ -236,7 +256,7 @@
     {
         noteFirstByte();
         if (!m_route.resumable) {
-            co_await m_exchange.write(piece);
+            co_await toClient(m_exchange.write(piece));
             co_return;
         }
         std::string complete;
@@ -248,7 +268,7 @@
             complete += verdict == stream_position::verdict::PassOn ? event.bytes : std::string();
         }
         if (!complete.empty()) {
-            co_await m_exchange.write(complete);
+            co_await toClient(m_exchange.write(complete));
         }
     }
 
@@ -343,7 +363,8 @@
             co_await end({.what = disposition::NotRun, .reason = end_reason::RetriesExhausted, .retryAfter = notRunRetryAfter});
             co_return;
         }
-        co_await end({.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
+        co_await end(
+            {.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
     }
 
     task<> refusedSlot(const slot_refused &refused)
@@ -448,8 +469,8 @@
 task<> request_relay::serve(http_exchange &exchange, client_request request, std::shared_ptr<const route_table> table, const route &by)
 {
     const std::uint64_t version = table->configuration().version;
-    implementation::relayed_request relayed(*m_implementation, exchange, std::move(request), by, version);
-    co_await relayed.run();
+    const auto relayed = std::make_shared<implementation::relayed_request>(*m_implementation, exchange, std::move(request), by, version);
+    co_await relayed->run();
 }
 
 std::size_t request_relay::inProgress() const
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -110,7 +110,8 @@
 void table_follower::failed(const std::string &reason)
 {
     if (std::exchange(m_available, false)) {
-        logEvent(log_level::Warning, "store_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}, {"reason", reason}});
+        logEvent(
+            log_level::Warning, "store_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}, {"reason", reason}});
         if (m_observer.onLost) {
             m_observer.onLost();
         }
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -6,17 +6,21 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace banyan;
 using asio::ip::tcp;
 
 namespace {
 
 constexpr duration generousTimeout = std::chrono::seconds(30);
+constexpr http_client::stream_timeouts generousTimeouts{.firstByte = generousTimeout, .silence = generousTimeout};
 constexpr std::size_t bodyLimit = 100;
 
 /// A server with an echo route and a client in one thread.
@@ -152,7 +156,7 @@
             co_return;
         };
         http_request request{.target = "/stream"};
-        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeout, handler, nullptr);
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, nullptr);
     });
     CHECK(text == "one two");
 }
@@ -195,7 +199,7 @@
         });
         http_request request{.target = "/wait"};
         http_client::stream_handler handler;
-        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeout, handler, cancellation);
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, cancellation);
     }),
                     http_error);
     fixture.context.restart();
@@ -204,3 +208,62 @@
     }
     CHECK(fixture.disconnected);
 }
+
+TEST_CASE("http_server takes no request from a connection that a stop has closed")
+{
+    asio::io_context context;
+    http_server server(context, {.listen = endpoint::parse("127.0.0.1:0")});
+    int requests = 0;
+    server.routeOthers([&](http_exchange &exchange) -> task<> {
+        ++requests;
+        http_response answer;
+        co_await exchange.respond(std::move(answer));
+    });
+    server.start();
+    tcp::socket client(context);
+    const endpoint address = server.address();
+    client.connect({asio::ip::make_address(address.address), address.port});
+    while (server.connections() == 0) {
+        context.run_one();
+    }
+    context.poll();
+    asio::write(client, asio::buffer(std::string("GET /any HTTP/1.1\r\nHost: h\r\n\r\n")));
+    // The stop runs before the read that the same turn of the event loop has completed.
+    asio::post(context, [&] {
+        server.stopAccepting();
+    });
+    context.restart();
+    context.run_for(std::chrono::milliseconds(200));
+    CHECK(requests == 0);
+}
+
+TEST_CASE("http_server gives requests that no route matches to the fallback, with all header fields")
+{
+    asio::io_context context;
+    http_server server(context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Trace"});
+    std::vector<http_field> fields;
+    server.routeOthers([&](http_exchange &exchange) -> task<> {
+        fields = exchange.fields();
+        http_response answer{.body = exchange.method() + " " + exchange.target() + " " + exchange.requestId()};
+        co_await exchange.respond(std::move(answer));
+    });
+    server.start();
+    http_client client(context, {});
+    http_response answer;
+    asio::co_spawn(
+        context,
+        [&]() -> task<> {
+            http_request request{.method = "PATCH", .target = "/a/b?c=d", .fields = {{"Trace", "t-1"}, {"Other", "x"}}};
+            answer = co_await client.exchange(server.address(), std::move(request), generousTimeout);
+            context.stop();
+        },
+        [](const std::exception_ptr &failure) {
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        });
+    context.run();
+    CHECK(answer.body == "PATCH /a/b?c=d t-1");
+    CHECK(answer.field("Trace") == "t-1");
+    CHECK(std::find(fields.begin(), fields.end(), http_field{"Other", "x"}) != fields.end());
+}
--- /dev/null
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -0,0 +1,72 @@
+#include "banyan/core/serving/job_directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{};
+
+job_entry entry(const std::string &id, const std::string &owner, row_version version = 1)
+{
+    return {.id = job_id(id), .total = 3, .owner = node_id(owner), .version = version};
+}
+
+job_directory directoryOf(const std::string &self)
+{
+    return job_directory({.self = node_id(self), .ownerSilence = 2s, .secondChoice = 2s});
+}
+
+} // namespace
+
+TEST_CASE("job_directory leaves the jobs of living owners alone")
+{
+    job_directory directory = directoryOf("n1");
+    directory.stored(entry("j", "n2"));
+    directory.heard(node_id("n2"), start);
+    CHECK(directory.toTakeOver(start + 1s).empty());
+    CHECK(directory.toTakeOver(start + 3s).size() == 1);
+}
+
+TEST_CASE("job_directory lets one node of two take a job over first, and the other one later")
+{
+    job_directory first = directoryOf("n1");
+    job_directory second = directoryOf("n2");
+    for (job_directory *const directory : {&first, &second}) {
+        directory->stored(entry("j", "gone"));
+        directory->heard(node_id("gone"), start);
+    }
+    const time_point silent = start + 3s;
+    first.heard(node_id("n2"), silent);
+    second.heard(node_id("n1"), silent);
+    CHECK(first.toTakeOver(silent).size() + second.toTakeOver(silent).size() == 1);
+    const time_point later = silent + 2s;
+    first.heard(node_id("n2"), later);
+    second.heard(node_id("n1"), later);
+    CHECK(first.toTakeOver(later).size() == 1);
+    CHECK(second.toTakeOver(later).size() == 1);
+}
+
+TEST_CASE("job_directory waits for an owner that it has never heard, but not for one that gave the job up")
+{
+    job_directory directory = directoryOf("n1");
+    directory.stored(entry("unheard", "n2"));
+    directory.stored(entry("given-up", ""));
+    REQUIRE(directory.toTakeOver(start).size() == 1);
+    CHECK(directory.toTakeOver(start).front().id == job_id("given-up"));
+    CHECK(directory.toTakeOver(start + 2s).size() == 2);
+}
+
+TEST_CASE("job_directory does not go back to an older version of a job")
+{
+    job_directory directory = directoryOf("n1");
+    job_entry ended = entry("j", "n1", 5);
+    ended.ended = true;
+    directory.stored(ended);
+    directory.stored(entry("j", "n1", 4));
+    CHECK(directory.owned().empty());
+    REQUIRE(directory.find(job_id("j")) != nullptr);
+    CHECK(directory.find(job_id("j"))->ended);
+}
--- /dev/null
+++ b/tests/unit/serving/load_board_test.cpp
@@ -0,0 +1,60 @@
+#include "banyan/core/serving/load_board.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{};
+
+node_load load(const std::string &node, std::uint64_t sequence, std::uint32_t online, std::uint32_t batch, bool troubled = false)
+{
+    return {.sender = node_id(node),
+            .sequence = sequence,
+            .usage = {{7, {.online = online, .batch = batch, .troubled = troubled}}},
+            .waitingOnline = online};
+}
+
+} // namespace
+
+TEST_CASE("load_board adds up what the nodes last said")
+{
+    load_board board(1s);
+    CHECK(board.reported(load("a", 1, 2, 3), start));
+    CHECK(board.reported(load("b", 1, 1, 0, true), start));
+    CHECK(board.reported(load("a", 2, 4, 1), start));
+    CHECK(board.usageOf(7).online == 5);
+    CHECK(board.usageOf(7).batch == 1);
+    CHECK(board.usageOf(7).troubledNodes == 1);
+    CHECK(board.usageOf(8).online == 0);
+    CHECK(board.waitingOnline() == 5);
+}
+
+TEST_CASE("load_board ignores a report that arrives after a later one")
+{
+    load_board board(1s);
+    CHECK(board.reported(load("a", 2, 4, 0), start));
+    CHECK_FALSE(board.reported(load("a", 1, 9, 0), start));
+    CHECK(board.usageOf(7).online == 4);
+}
+
+TEST_CASE("load_board forgets nodes that have fallen silent")
+{
+    load_board board(1s);
+    board.reported(load("a", 1, 2, 0), start);
+    board.reported(load("b", 1, 1, 0), start + 500ms);
+    board.expire(start + 1200ms);
+    CHECK(board.usageOf(7).online == 1);
+    CHECK(board.nodes() == std::vector<node_id>{node_id("b")});
+}
+
+TEST_CASE("load_board names the node with the most batch work at an upstream")
+{
+    load_board board(1s);
+    board.reported(load("a", 1, 0, 2), start);
+    board.reported(load("b", 1, 0, 3), start);
+    CHECK(board.largestBatch(7).batch == 3);
+    CHECK(board.largestBatch(7).node == node_id("b"));
+}
