--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -27,6 +27,7 @@
     std::map<upstream_key, upstream_usage> usage; ///< Of upstreams where it has any work or trouble.
     std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
     std::vector<lost_content> lost; ///< Within the last second or so.
+    std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims that it waits for or holds, at any node.
 
     auto operator<=>(const node_load &) const = default;
 };
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -58,6 +58,9 @@
     /// Reports the first byte of a run's answer.
     void firstByte(const request_id &request, time_point now);
 
+    /// Reports that the first byte came @p taken after the grant.
+    void firstByteAfter(const request_id &request, duration taken, time_point now);
+
     /// Reports the end of a run, which frees its slot.
     [[nodiscard]] slot_actions released(const request_id &request, const attempt_result &result, time_point now);
 
--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/upstream_cell.h"
 #include "banyan/core/time.h"
 #include "banyan/core/work_class.h"
 
@@ -20,6 +21,8 @@
     time_point arrivedAt;
     time_point target; ///< An answer that begins later is late; of a batch item the end of its job's window.
     time_point deadline; ///< An answer that begins later is of no use.
+    upstream_cell cell; ///< The upstreams that may be chosen; all of the service by default.
+    bool repeatable = false; ///< May be sent to an upstream of which it is not known whether it has recovered.
     bool begun = false; ///< An earlier attempt was sent, so that it waits on although it will be late.
     std::uint64_t prefixHash = 0; ///< Of the prompt's shared part; 0 for none.
     std::vector<upstream_id> excluded; ///< Used only if there is no other.
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -31,6 +31,7 @@
 constexpr double otherDomainScore = 0.06; ///< Busier by so much an upstream of the own failure domain is still preferred.
 constexpr double affinityScore = 0.12; ///< The same for one that has lately read the prompt's shared part.
 constexpr double slowScore = 0.3; ///< How much less a slow upstream is preferred, for each multiple of the usual time.
+constexpr double troubleScore = 0.5; ///< How much less one is preferred that failed lately, while it is not avoided altogether.
 constexpr double jitterScore = 0.02; ///< Lets nodes with the same view choose different upstreams.
 constexpr std::size_t rememberedPrefixes = 1024;
 constexpr std::uint32_t overcommitDivisor = 2; ///< Online runs beyond an upstream's slots: at most the slots over this.
@@ -118,7 +119,7 @@
     slot_actions setUpstreams(std::span<const replica> upstreams, time_point now);
     slot_actions submit(const slot_request &request, time_point now);
     void withdraw(const request_id &request);
-    void firstByte(const request_id &request, time_point now);
+    void firstByte(const request_id &request, std::optional<duration> measured, time_point now);
     slot_actions released(const request_id &request, const attempt_result &result, time_point now);
     slot_actions loadChanged(time_point now);
     slot_actions tick(time_point now);
@@ -133,13 +134,15 @@
     [[nodiscard]] time_point latestStart(const service_state &service, const slot_request &request) const;
     [[nodiscard]] total_work workAt(const scheduled_upstream &upstream) const;
     [[nodiscard]] bool isUsable(const service_state &service, const scheduled_upstream &upstream, time_point now) const;
-    [[nodiscard]] bool isAvoided(const service_state &service, const scheduled_upstream &upstream, time_point now) const;
+    [[nodiscard]] bool
+    isAvoided(const service_state &service, const scheduled_upstream &upstream, const slot_request &request, time_point now) const;
     [[nodiscard]] std::vector<scheduled_upstream *> candidates(service_state &service, const slot_request &request, time_point now);
     [[nodiscard]] std::optional<double>
     onlineScore(const service_state &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
     [[nodiscard]] scheduled_upstream *chooseOnline(service_state &service, const slot_request &request, time_point now);
     [[nodiscard]] scheduled_upstream *chooseBatch(service_state &service, const slot_request &request, time_point now);
-    [[nodiscard]] double preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request);
+    [[nodiscard]] double
+    preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
     [[nodiscard]] duration expectedWait(const service_state &service, time_point now) const;
     void grant(service_state &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
     void refuse(const slot_request &request, end_reason reason, duration retryAfter);
@@ -159,6 +162,7 @@
     std::map<request_id, granted_run> m_runs;
     prefix_affinity m_prefixes;
     slot_actions m_actions;
+    time_point m_decidedAt; ///< When waiting runs were last looked at.
 };
 
 service_state &request_scheduler::implementation::serviceOf(const service_name &name)
@@ -212,10 +216,18 @@
     return upstream.registered && !upstream.info.draining && service.upstreams.contains(upstream.info.id);
 }
 
-/// Whether what this node and the others have seen of the upstream keeps work from it while there are others.
-bool request_scheduler::implementation::isAvoided(const service_state &service, const scheduled_upstream &upstream, time_point now) const
+/// Whether what this node and the others have seen of the upstream keeps the request from it while there are others. One
+/// that was ejected and may have recovered is tried by one run at a time that can be repeated.
+bool request_scheduler::implementation::isAvoided(const service_state &service,
+                                                  const scheduled_upstream &upstream,
+                                                  const slot_request &request,
+                                                  time_point now) const
 {
-    if (service.outliers.conditionOf(upstream.info.id, now) == upstream_condition::Ejected) {
+    const upstream_condition condition = service.outliers.conditionOf(upstream.info.id, now);
+    if (condition == upstream_condition::Probing) {
+        return !request.repeatable || upstream.online + upstream.batch > 0;
+    }
+    if (condition == upstream_condition::Ejected) {
         return true;
     }
     const bool ownTrouble = upstream.troubledAt && now - *upstream.troubledAt < troubleMemory;
@@ -230,12 +242,12 @@
     std::vector<scheduled_upstream *> avoided;
     std::vector<scheduled_upstream *> tried;
     for (auto &[id, upstream] : service.upstreams) {
-        if (!isUsable(service, upstream, now)) {
+        if (!isUsable(service, upstream, now) || !request.cell.contains(id)) {
             continue;
         }
         if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
             tried.push_back(&upstream);
-        } else if (isAvoided(service, upstream, now)) {
+        } else if (isAvoided(service, upstream, request, now)) {
             avoided.push_back(&upstream);
         } else {
             good.push_back(&upstream);
@@ -247,14 +259,17 @@
     return avoided.empty() ? tried : avoided;
 }
 
-double
-request_scheduler::implementation::preference(const service_state &service, const scheduled_upstream &upstream, const slot_request &request)
+double request_scheduler::implementation::preference(const service_state &service,
+                                                     const scheduled_upstream &upstream,
+                                                     const slot_request &request,
+                                                     time_point now)
 {
     const upstream_id *const cached = m_prefixes.upstreamOf(request.prefixHash);
     const double slowness = upstream.firstByteSeconds > 0 ? upstream.firstByteSeconds / service.firstByteSeconds - 1 : 0;
     double score = std::uniform_real_distribution<double>(0, jitterScore)(m_generator);
     score += slowScore * std::clamp(slowness, 0.0, 1.0);
     score += upstream.info.domain == m_options.domain ? 0 : otherDomainScore;
+    score += upstream.troubledAt && now - *upstream.troubledAt < troubleMemory ? troubleScore : 0;
     score -= cached != nullptr && *cached == upstream.info.id ? affinityScore : 0;
     return score;
 }
@@ -269,7 +284,7 @@
     const total_work work = workAt(upstream);
     const std::uint32_t slots = std::max(1U, upstream.info.slots);
     const double busy = static_cast<double>(work.all()) / slots;
-    const double score = busy + preference(service, upstream, request);
+    const double score = busy + preference(service, upstream, request, now);
     if (work.all() < slots) {
         return score;
     }
@@ -307,11 +322,11 @@
     for (scheduled_upstream *const upstream : candidates(service, request, now)) {
         const total_work work = workAt(*upstream);
         online += work.online;
-        if (work.all() >= upstream->info.slots || service.outliers.conditionOf(upstream->info.id, now) != upstream_condition::Good) {
+        if (work.all() >= upstream->info.slots || isAvoided(service, *upstream, request, now)) {
             continue;
         }
         free += upstream->info.slots - work.all();
-        const double score = static_cast<double>(work.all()) / upstream->info.slots + preference(service, *upstream, request);
+        const double score = static_cast<double>(work.all()) / upstream->info.slots + preference(service, *upstream, request, now);
         if (best == nullptr || score < bestScore) {
             best = upstream;
             bestScore = score;
@@ -445,6 +460,7 @@
 
 void request_scheduler::implementation::startWaiting(service_state &service, time_point now)
 {
+    m_decidedAt = now;
     startOnline(service, now);
     startBatch(service, now);
 }
@@ -479,7 +495,7 @@
     }
 }
 
-void request_scheduler::implementation::firstByte(const request_id &request, time_point now)
+void request_scheduler::implementation::firstByte(const request_id &request, std::optional<duration> measured, time_point now)
 {
     const auto entry = m_runs.find(request);
     if (entry == m_runs.end() || entry->second.firstByteSeen) {
@@ -488,7 +504,7 @@
     granted_run &run = entry->second;
     run.firstByteSeen = true;
     service_state &service = serviceOf(run.request.service);
-    const duration taken = now - run.grantedAt;
+    const duration taken = measured.value_or(now - run.grantedAt);
     service.outliers.observed(run.upstream, latency_kind::FirstToken, taken, now);
     average(service.firstByteSeconds, toSeconds(taken));
     const auto upstream = service.upstreams.find(run.upstream);
@@ -593,6 +609,10 @@
         for (const auto &[key, request] : service.online) {
             consider(request.begun ? request.deadline : latestStart(service, request) + duration(1));
         }
+        const std::optional<time_point> upstreamReturn = service.outliers.nextReturn(m_decidedAt);
+        if (upstreamReturn && !(service.online.empty() && service.batch.empty())) {
+            consider(*upstreamReturn);
+        }
     }
     return next;
 }
@@ -610,7 +630,8 @@
     std::map<upstream_key, upstream_usage> result;
     for (const auto &[name, service] : m_services) {
         for (const auto &[id, upstream] : service.upstreams) {
-            const bool troubled = upstream.troubledAt && now - *upstream.troubledAt < troubleMemory;
+            const bool troubled = (upstream.troubledAt && now - *upstream.troubledAt < troubleMemory)
+                                  || service.outliers.conditionOf(id, now) != upstream_condition::Good;
             if (upstream.online + upstream.batch > 0 || troubled) {
                 result[upstream.key] = {.online = upstream.online, .batch = upstream.batch, .troubled = troubled};
             }
@@ -666,7 +687,12 @@
 
 void request_scheduler::firstByte(const request_id &request, time_point now)
 {
-    m_implementation->firstByte(request, now);
+    m_implementation->firstByte(request, std::nullopt, now);
+}
+
+void request_scheduler::firstByteAfter(const request_id &request, duration taken, time_point now)
+{
+    m_implementation->firstByte(request, taken, now);
 }
 
 slot_actions request_scheduler::released(const request_id &request, const attempt_result &result, time_point now)
--- a/io/include/banyan/io/serving/gateway.h
+++ b/io/include/banyan/io/serving/gateway.h
@@ -18,7 +18,7 @@
 
 class http_client;
 class http_exchange;
-class job_service;
+class listed_job_service;
 class node_metrics;
 class request_relay;
 
@@ -57,7 +57,7 @@
     [[nodiscard]] std::shared_ptr<const route_table> routes() const;
 
     [[nodiscard]] request_relay &relay();
-    [[nodiscard]] job_service &jobs();
+    [[nodiscard]] listed_job_service &jobs();
     [[nodiscard]] node_metrics &metrics();
 
     /// Calls @p handler with each configuration that comes into force.
--- a/io/include/banyan/io/serving/job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -18,7 +18,7 @@
 namespace banyan {
 
 class node_metrics;
-class scheduler_host;
+class slot_broker;
 class upstream_sender;
 
 /// A job as a client hands it in.
@@ -59,19 +59,19 @@
     std::string body;
 };
 
-/// Options of a job_service.
-struct job_service_options
+/// Options of a listed_job_service.
+struct listed_job_options
 {
     node_id self;
     duration recordLifetime = std::chrono::seconds(240); ///< After submission; results can be read for the first half of it.
 };
 
-/// What a job_service works with; all of it must outlive the service.
-struct job_service_ports
+/// What a listed_job_service works with; all of it must outlive the service.
+struct listed_job_ports
 {
     asio::io_context &context;
     table_store store;
-    scheduler_host &scheduler;
+    slot_broker &slots;
     upstream_sender &sender;
     node_metrics &metrics;
 };
@@ -82,11 +82,11 @@
 /// every node. The node that accepted a job runs it; the others follow the table of jobs, take over those of a node that
 /// has gone, and answer questions about any job. Each record is written under the condition that the job's row has not
 /// changed, so that a node that has lost a job cannot list results any more.
-class job_service
+class listed_job_service
 {
 public:
-    job_service(const job_service_ports &ports, const job_service_options &options);
-    ~job_service();
+    listed_job_service(const listed_job_ports &ports, const listed_job_options &options);
+    ~listed_job_service();
 
     /// Begins to follow the jobs of all nodes.
     void start();
--- a/io/include/banyan/io/serving/load_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -1,18 +1,18 @@
 #pragma once
 
 #include "banyan/core/endpoint.h"
-#include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/slot_message.h"
 #include "banyan/core/time.h"
 #include "banyan/io/asio_types.h"
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <vector>
 
 namespace banyan {
 
-/// Options of a load_exchange.
-struct load_exchange_options
+/// Options of a peer_exchange.
+struct peer_exchange_options
 {
     endpoint listen;
     duration heartbeat = std::chrono::milliseconds(400); ///< Without a change a report is sent after this time.
@@ -20,21 +20,24 @@
     duration intervalPerPeer = std::chrono::microseconds(1500); ///< Bounds the datagrams that a node sends and receives in a second.
 };
 
-/// Tells the other nodes of this node's work, by datagrams, and takes in what they tell.
-class load_exchange
+/// Exchanges datagrams with the other gateways: reports of this node's work to all of them, by itself, and messages to one.
+class peer_exchange
 {
 public:
     using report_source = std::function<node_load()>;
-    using report_handler = std::function<void(const node_load &load)>;
+    using message_handler = std::function<void(const gateway_message &message)>;
 
-    load_exchange(asio::io_context &context, const load_exchange_options &options, report_source source, report_handler handler);
-    ~load_exchange();
+    peer_exchange(asio::io_context &context, const peer_exchange_options &options, report_source source, message_handler handler);
+    ~peer_exchange();
 
     /// Binds the socket and begins to send and receive. @throws std::runtime_error if the address cannot be bound
     void start();
 
-    /// Replaces the addresses of the other nodes.
-    void setPeers(std::vector<endpoint> peers);
+    /// Replaces the other nodes.
+    void setPeers(std::map<node_id, endpoint> peers);
+
+    /// Sends a message to one of them, without waiting. It may be lost. Returns false if the node is not known.
+    bool send(const node_id &to, const gateway_message &message);
 
     /// The work has changed: a report follows soon.
     void changed();
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -15,14 +15,14 @@
 
 class http_exchange;
 class node_metrics;
-class scheduler_host;
+class slot_broker;
 class upstream_sender;
 
 /// What a request_relay works with; all of it must outlive the relay.
 struct request_relay_ports
 {
     asio::io_context &context;
-    scheduler_host &scheduler;
+    slot_broker &slots;
     upstream_sender &sender;
     node_metrics &metrics;
 };
--- a/io/include/banyan/io/serving/scheduler_host.h
+++ b/io/include/banyan/io/serving/scheduler_host.h
@@ -14,26 +14,30 @@
 #include <memory>
 #include <span>
 #include <variant>
+#include <vector>
 
 namespace banyan {
 
-class stop_signal;
-
-/// Hosts a request_scheduler: gives it the time and lets coroutines wait for its decisions.
+/// Hosts a request_scheduler: gives it the time and carries its decisions out.
 class scheduler_host
 {
 public:
-    /// The end of a wait for a slot; monostate if the wait was stopped.
+    /// The end of a wait for a slot; monostate if it was stopped.
     using slot_outcome = std::variant<std::monostate, slot_granted, slot_refused>;
 
     scheduler_host(asio::io_context &context, const request_scheduler_options &options, load_board &board);
     ~scheduler_host();
 
-    /// Waits until the run has its slot, is refused one, or is stopped. After a grant @p onReclaim may be called once; the
-    /// run has then to stop. A run that has its slot ends with released().
-    [[nodiscard]] task<slot_outcome> acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim);
+    /// Hands a run in. @p onDecision is called once, perhaps at once, unless the run is withdrawn. After a grant @p onReclaim
+    /// may be called once; the run has then to stop. A run that has its slot ends with released().
+    void submit(const slot_request &request, std::function<void(const slot_outcome &)> onDecision, std::function<void()> onReclaim);
+
+    /// Forgets a run that waits. Its decision is not called any more.
+    void withdraw(const request_id &request);
 
     void firstByte(const request_id &request);
+    /// The first byte came so long after the grant, as another node has measured it.
+    void firstByteAfter(const request_id &request, duration taken);
     void released(const request_id &request, const attempt_result &result);
 
     /// Replaces the upstreams.
@@ -42,6 +46,15 @@
     /// The upstream, while it is registered; null afterwards.
     [[nodiscard]] const replica *find(const upstream_id &upstream) const;
 
+    /// Registered upstreams of all services.
+    [[nodiscard]] std::size_t upstreamCount() const
+    {
+        return m_upstreams.size();
+    }
+
+    /// The registered upstreams of a service.
+    [[nodiscard]] const std::vector<const replica *> &upstreamsOf(const service_name &service) const;
+
     /// Another upstream has answered at the address of this one.
     void addressReused(const upstream_id &upstream);
 
@@ -60,16 +73,15 @@
     }
 
 private:
-    struct waiter;
-
     void perform(const slot_actions &actions);
-    void resolve(const request_id &request, slot_outcome outcome);
+    void decide(const request_id &request, const slot_outcome &outcome);
     void scheduleTick();
 
     asio::io_context &m_context;
     request_scheduler m_scheduler;
     std::map<upstream_id, replica> m_upstreams;
-    std::map<request_id, std::shared_ptr<waiter>> m_waiters;
+    std::map<service_name, std::vector<const replica *>> m_byService;
+    std::map<request_id, std::function<void(const slot_outcome &)>> m_decisionHandlers;
     std::map<request_id, std::function<void()>> m_reclaimHandlers;
     std::function<void()> m_usageChanged;
     std::function<void(const upstream_id &)> m_addressReused;
--- a/io/include/banyan/io/serving/serving_codec.h
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -4,7 +4,7 @@
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
-#include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/slot_message.h"
 
 #include <optional>
 #include <string>
@@ -23,8 +23,9 @@
 };
 
 /// Bytes for datagrams and stored rows. Decoders return nothing for bytes that are not well-formed.
-[[nodiscard]] std::string encode(const node_load &load);
-[[nodiscard]] std::optional<node_load> decodeNodeLoad(std::string_view bytes);
+/// Times of requests are sent as spans from @p now on, and read likewise, since the clocks of nodes differ.
+[[nodiscard]] std::string encode(const gateway_message &message, time_point now);
+[[nodiscard]] std::optional<gateway_message> decodeGatewayMessage(std::string_view bytes, time_point now);
 
 [[nodiscard]] std::string encode(const gateway_entry &entry);
 [[nodiscard]] std::optional<gateway_entry> decodeGatewayEntry(std::string_view bytes);
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -22,6 +22,54 @@
   usage @2 :List(UpstreamUsage);
   waitingOnline @3 :UInt32;
   lost @4 :List(LostContent);
+  claims @5 :List(UInt64);
+}
+
+struct SlotClaim {
+  sender @0 :Text;
+  request @1 :Text;
+  service @2 :Text;
+  batch @3 :Bool;
+  priority @4 :UInt32;
+  sinceArrival @5 :Int64;         # Microseconds, like the two after it; clocks of nodes differ.
+  untilTarget @6 :Int64;
+  untilDeadline @7 :Int64;
+  cellIndex @8 :UInt32;
+  cellCount @9 :UInt32;
+  begun @10 :Bool;
+  repeatable @11 :Bool;
+  prefixHash @12 :UInt64;
+  excluded @13 :List(Text);
+}
+
+struct SlotVerdict {
+  request @0 :Text;
+  state @1 :UInt8;                # In the order of claim_state.
+  upstream @2 :Text;
+  reason @3 :UInt8;               # In the order of end_reason.
+  retryAfter @4 :Int64;           # Microseconds.
+}
+
+struct SlotRelease {
+  sender @0 :Text;
+  request @1 :Text;
+  outcome @2 :UInt8;              # In the order of attempt_outcome.
+}
+
+struct SlotProgress {
+  sender @0 :Text;
+  request @1 :Text;
+  firstByte @2 :Int64;            # Microseconds from the grant on.
+}
+
+struct GatewayMessage {
+  union {
+    load @0 :NodeLoad;
+    claim @1 :SlotClaim;
+    verdict @2 :SlotVerdict;
+    release @3 :SlotRelease;
+    progress @4 :SlotProgress;
+  }
 }
 
 struct GatewayEntry {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -19,6 +19,11 @@
 CAPNP_DECLARE_SCHEMA(cb91456344c087d8);
 CAPNP_DECLARE_SCHEMA(880240bee09e440e);
 CAPNP_DECLARE_SCHEMA(db6f9a50147d4dbd);
+CAPNP_DECLARE_SCHEMA(ada66ed97a785ca8);
+CAPNP_DECLARE_SCHEMA(8a72c1d09e774052);
+CAPNP_DECLARE_SCHEMA(99f481792a2e9e20);
+CAPNP_DECLARE_SCHEMA(a28ac355f73eeeb9);
+CAPNP_DECLARE_SCHEMA(d314a0d93e704c63);
 CAPNP_DECLARE_SCHEMA(ce39f8408de316ee);
 CAPNP_DECLARE_SCHEMA(a65f32f933ec086f);
 CAPNP_DECLARE_SCHEMA(b6d6b3173e20a7df);
@@ -70,7 +75,89 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotClaim {
+  SlotClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotVerdict {
+  SlotVerdict() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a72c1d09e774052, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotRelease {
+  SlotRelease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99f481792a2e9e20, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotProgress {
+  SlotProgress() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a28ac355f73eeeb9, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GatewayMessage {
+  GatewayMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    LOAD,
+    CLAIM,
+    VERDICT,
+    RELEASE,
+    PROGRESS,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d314a0d93e704c63, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -371,6 +458,9 @@
   inline bool hasLost() const;
   inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader getLost() const;
 
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getClaims() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -426,6 +516,14 @@
   inline void adoptLost(::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>> disownLost();
 
+  inline bool hasClaims();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setClaims(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownClaims();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -452,9 +550,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GatewayEntry::Reader {
+class SlotClaim::Reader {
 public:
-  typedef GatewayEntry Reads;
+  typedef SlotClaim Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -469,13 +567,37 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline  ::uint16_t getPort() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool getBatch() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::int64_t getSinceArrival() const;
+
+  inline  ::int64_t getUntilTarget() const;
+
+  inline  ::int64_t getUntilDeadline() const;
+
+  inline  ::uint32_t getCellIndex() const;
+
+  inline  ::uint32_t getCellCount() const;
+
+  inline bool getBegun() const;
+
+  inline bool getRepeatable() const;
+
+  inline  ::uint64_t getPrefixHash() const;
+
+  inline bool hasExcluded() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getExcluded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -489,9 +611,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GatewayEntry::Builder {
+class SlotClaim::Builder {
 public:
-  typedef GatewayEntry Builds;
+  typedef SlotClaim Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -505,22 +627,64 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool getBatch();
+  inline void setBatch(bool value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int64_t getSinceArrival();
+  inline void setSinceArrival( ::int64_t value);
+
+  inline  ::int64_t getUntilTarget();
+  inline void setUntilTarget( ::int64_t value);
+
+  inline  ::int64_t getUntilDeadline();
+  inline void setUntilDeadline( ::int64_t value);
+
+  inline  ::uint32_t getCellIndex();
+  inline void setCellIndex( ::uint32_t value);
+
+  inline  ::uint32_t getCellCount();
+  inline void setCellCount( ::uint32_t value);
+
+  inline bool getBegun();
+  inline void setBegun(bool value);
+
+  inline bool getRepeatable();
+  inline void setRepeatable(bool value);
+
+  inline  ::uint64_t getPrefixHash();
+  inline void setPrefixHash( ::uint64_t value);
+
+  inline bool hasExcluded();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getExcluded();
+  inline void setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initExcluded(unsigned int size);
+  inline void adoptExcluded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownExcluded();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -532,9 +696,9 @@
 };
 
 #if !CAPNP_LITE
-class GatewayEntry::Pipeline {
+class SlotClaim::Pipeline {
 public:
-  typedef GatewayEntry Pipelines;
+  typedef SlotClaim Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -548,9 +712,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ItemField::Reader {
+class SlotVerdict::Reader {
 public:
-  typedef ItemField Reads;
+  typedef SlotVerdict Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -565,11 +729,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline  ::uint8_t getState() const;
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint8_t getReason() const;
+
+  inline  ::int64_t getRetryAfter() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -583,9 +753,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ItemField::Builder {
+class SlotVerdict::Builder {
 public:
-  typedef ItemField Builds;
+  typedef SlotVerdict Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -599,19 +769,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
+
+  inline  ::int64_t getRetryAfter();
+  inline void setRetryAfter( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -623,9 +802,9 @@
 };
 
 #if !CAPNP_LITE
-class ItemField::Pipeline {
+class SlotVerdict::Pipeline {
 public:
-  typedef ItemField Pipelines;
+  typedef SlotVerdict Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -639,9 +818,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class JobItem::Reader {
+class SlotRelease::Reader {
 public:
-  typedef JobItem Reads;
+  typedef SlotRelease Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -656,17 +835,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasPath() const;
-  inline  ::capnp::Text::Reader getPath() const;
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
 
-  inline bool hasFields() const;
-  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Reader getFields() const;
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline  ::uint8_t getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -680,9 +855,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class JobItem::Builder {
+class SlotRelease::Builder {
 public:
-  typedef JobItem Builds;
+  typedef SlotRelease Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -696,33 +871,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasPath();
-  inline  ::capnp::Text::Builder getPath();
-  inline void setPath( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline bool hasFields();
-  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Builder getFields();
-  inline void setFields( ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Builder initFields(unsigned int size);
-  inline void adoptFields(::capnp::Orphan< ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>> disownFields();
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -734,9 +898,9 @@
 };
 
 #if !CAPNP_LITE
-class JobItem::Pipeline {
+class SlotRelease::Pipeline {
 public:
-  typedef JobItem Pipelines;
+  typedef SlotRelease Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -750,9 +914,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class JobItems::Reader {
+class SlotProgress::Reader {
 public:
-  typedef JobItems Reads;
+  typedef SlotProgress Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -767,8 +931,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline  ::int64_t getFirstByte() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -782,9 +951,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class JobItems::Builder {
+class SlotProgress::Builder {
 public:
-  typedef JobItems Builds;
+  typedef SlotProgress Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -798,12 +967,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems();
-  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>> disownItems();
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline  ::int64_t getFirstByte();
+  inline void setFirstByte( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -815,9 +994,9 @@
 };
 
 #if !CAPNP_LITE
-class JobItems::Pipeline {
+class SlotProgress::Pipeline {
 public:
-  typedef JobItems Pipelines;
+  typedef SlotProgress Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -831,9 +1010,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class JobEntry::Reader {
+class GatewayMessage::Reader {
 public:
-  typedef JobEntry Reads;
+  typedef GatewayMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -848,24 +1027,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRoute() const;
-  inline  ::capnp::Text::Reader getRoute() const;
-
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::int64_t getSubmittedAt() const;
-
-  inline  ::uint32_t getTotal() const;
+  inline Which which() const;
+  inline bool isLoad() const;
+  inline bool hasLoad() const;
+  inline  ::banyan::schema::NodeLoad::Reader getLoad() const;
 
-  inline bool hasOwner() const;
-  inline  ::capnp::Text::Reader getOwner() const;
+  inline bool isClaim() const;
+  inline bool hasClaim() const;
+  inline  ::banyan::schema::SlotClaim::Reader getClaim() const;
 
-  inline bool getEnded() const;
+  inline bool isVerdict() const;
+  inline bool hasVerdict() const;
+  inline  ::banyan::schema::SlotVerdict::Reader getVerdict() const;
 
-  inline bool getComplete() const;
+  inline bool isRelease() const;
+  inline bool hasRelease() const;
+  inline  ::banyan::schema::SlotRelease::Reader getRelease() const;
 
-  inline bool getItemsInObject() const;
+  inline bool isProgress() const;
+  inline bool hasProgress() const;
+  inline  ::banyan::schema::SlotProgress::Reader getProgress() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -879,9 +1060,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class JobEntry::Builder {
+class GatewayMessage::Builder {
 public:
-  typedef JobEntry Builds;
+  typedef GatewayMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -895,41 +1076,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRoute();
-  inline  ::capnp::Text::Builder getRoute();
-  inline void setRoute( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRoute(unsigned int size);
-  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::int64_t getSubmittedAt();
-  inline void setSubmittedAt( ::int64_t value);
-
-  inline  ::uint32_t getTotal();
-  inline void setTotal( ::uint32_t value);
-
-  inline bool hasOwner();
-  inline  ::capnp::Text::Builder getOwner();
-  inline void setOwner( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOwner(unsigned int size);
-  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
-
-  inline bool getEnded();
-  inline void setEnded(bool value);
-
-  inline bool getComplete();
-  inline void setComplete(bool value);
-
-  inline bool getItemsInObject();
-  inline void setItemsInObject(bool value);
+  inline Which which();
+  inline bool isLoad();
+  inline bool hasLoad();
+  inline  ::banyan::schema::NodeLoad::Builder getLoad();
+  inline void setLoad( ::banyan::schema::NodeLoad::Reader value);
+  inline  ::banyan::schema::NodeLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::banyan::schema::NodeLoad>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::NodeLoad> disownLoad();
+
+  inline bool isClaim();
+  inline bool hasClaim();
+  inline  ::banyan::schema::SlotClaim::Builder getClaim();
+  inline void setClaim( ::banyan::schema::SlotClaim::Reader value);
+  inline  ::banyan::schema::SlotClaim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::banyan::schema::SlotClaim>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::SlotClaim> disownClaim();
+
+  inline bool isVerdict();
+  inline bool hasVerdict();
+  inline  ::banyan::schema::SlotVerdict::Builder getVerdict();
+  inline void setVerdict( ::banyan::schema::SlotVerdict::Reader value);
+  inline  ::banyan::schema::SlotVerdict::Builder initVerdict();
+  inline void adoptVerdict(::capnp::Orphan< ::banyan::schema::SlotVerdict>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::SlotVerdict> disownVerdict();
+
+  inline bool isRelease();
+  inline bool hasRelease();
+  inline  ::banyan::schema::SlotRelease::Builder getRelease();
+  inline void setRelease( ::banyan::schema::SlotRelease::Reader value);
+  inline  ::banyan::schema::SlotRelease::Builder initRelease();
+  inline void adoptRelease(::capnp::Orphan< ::banyan::schema::SlotRelease>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::SlotRelease> disownRelease();
+
+  inline bool isProgress();
+  inline bool hasProgress();
+  inline  ::banyan::schema::SlotProgress::Builder getProgress();
+  inline void setProgress( ::banyan::schema::SlotProgress::Reader value);
+  inline  ::banyan::schema::SlotProgress::Builder initProgress();
+  inline void adoptProgress(::capnp::Orphan< ::banyan::schema::SlotProgress>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::SlotProgress> disownProgress();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -941,9 +1127,9 @@
 };
 
 #if !CAPNP_LITE
-class JobEntry::Pipeline {
+class GatewayMessage::Pipeline {
 public:
-  typedef JobEntry Pipelines;
+  typedef GatewayMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -957,9 +1143,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ItemResult::Reader {
+class GatewayEntry::Reader {
 public:
-  typedef ItemResult Reads;
+  typedef GatewayEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -974,13 +1160,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItem() const;
-  inline  ::capnp::Text::Reader getItem() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool getSucceeded() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasOutput() const;
-  inline  ::capnp::Data::Reader getOutput() const;
+  inline  ::uint16_t getPort() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -994,9 +1180,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ItemResult::Builder {
+class GatewayEntry::Builder {
 public:
-  typedef ItemResult Builds;
+  typedef GatewayEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1010,22 +1196,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItem();
-  inline  ::capnp::Text::Builder getItem();
-  inline void setItem( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initItem(unsigned int size);
-  inline void adoptItem(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownItem();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool getSucceeded();
-  inline void setSucceeded(bool value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool hasOutput();
-  inline  ::capnp::Data::Builder getOutput();
-  inline void setOutput( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initOutput(unsigned int size);
-  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1037,9 +1223,9 @@
 };
 
 #if !CAPNP_LITE
-class ItemResult::Pipeline {
+class GatewayEntry::Pipeline {
 public:
-  typedef ItemResult Pipelines;
+  typedef GatewayEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1053,220 +1239,1596 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint32_t UpstreamUsage::Reader::getKey() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class ItemField::Reader {
+public:
+  typedef ItemField Reads;
 
-inline  ::uint32_t UpstreamUsage::Builder::getKey() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setKey( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint16_t UpstreamUsage::Reader::getOnline() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint16_t UpstreamUsage::Builder::getOnline() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setOnline( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t UpstreamUsage::Reader::getBatch() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-inline  ::uint16_t UpstreamUsage::Builder::getBatch() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setBatch( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
-inline bool UpstreamUsage::Reader::getTroubled() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline bool UpstreamUsage::Builder::getTroubled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setTroubled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
+class ItemField::Builder {
+public:
+  typedef ItemField Builds;
 
-inline  ::uint64_t LostContent::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint64_t LostContent::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LostContent::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t LostContent::Reader::getUpstream() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-inline  ::uint32_t LostContent::Builder::getUpstream() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void LostContent::Builder::setUpstream( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
-inline bool NodeLoad::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeLoad::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeLoad::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeLoad::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeLoad::Builder::setSender( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeLoad::Builder::initSender(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeLoad::Builder::adoptSender(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeLoad::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::uint64_t NodeLoad::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+class ItemField::Pipeline {
+public:
+  typedef ItemField Pipelines;
 
-inline  ::uint64_t NodeLoad::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void NodeLoad::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JobItem::Reader {
+public:
+  typedef JobItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
+
+  inline bool hasFields() const;
+  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Reader getFields() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobItem::Builder {
+public:
+  typedef JobItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
+
+  inline bool hasFields();
+  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Builder getFields();
+  inline void setFields( ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>::Builder initFields(unsigned int size);
+  inline void adoptFields(::capnp::Orphan< ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ItemField,  ::capnp::Kind::STRUCT>> disownFields();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobItem::Pipeline {
+public:
+  typedef JobItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JobItems::Reader {
+public:
+  typedef JobItems Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobItems::Builder {
+public:
+  typedef JobItems Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::JobItem,  ::capnp::Kind::STRUCT>> disownItems();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobItems::Pipeline {
+public:
+  typedef JobItems Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class JobEntry::Reader {
+public:
+  typedef JobEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline  ::int64_t getSubmittedAt() const;
+
+  inline  ::uint32_t getTotal() const;
+
+  inline bool hasOwner() const;
+  inline  ::capnp::Text::Reader getOwner() const;
+
+  inline bool getEnded() const;
+
+  inline bool getComplete() const;
+
+  inline bool getItemsInObject() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JobEntry::Builder {
+public:
+  typedef JobEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline  ::int64_t getSubmittedAt();
+  inline void setSubmittedAt( ::int64_t value);
+
+  inline  ::uint32_t getTotal();
+  inline void setTotal( ::uint32_t value);
+
+  inline bool hasOwner();
+  inline  ::capnp::Text::Builder getOwner();
+  inline void setOwner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline bool getItemsInObject();
+  inline void setItemsInObject(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JobEntry::Pipeline {
+public:
+  typedef JobEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ItemResult::Reader {
+public:
+  typedef ItemResult Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem() const;
+  inline  ::capnp::Text::Reader getItem() const;
+
+  inline bool getSucceeded() const;
+
+  inline bool hasOutput() const;
+  inline  ::capnp::Data::Reader getOutput() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ItemResult::Builder {
+public:
+  typedef ItemResult Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem();
+  inline  ::capnp::Text::Builder getItem();
+  inline void setItem( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initItem(unsigned int size);
+  inline void adoptItem(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownItem();
+
+  inline bool getSucceeded();
+  inline void setSucceeded(bool value);
+
+  inline bool hasOutput();
+  inline  ::capnp::Data::Builder getOutput();
+  inline void setOutput( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initOutput(unsigned int size);
+  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ItemResult::Pipeline {
+public:
+  typedef ItemResult Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t UpstreamUsage::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamUsage::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamUsage::Reader::getOnline() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamUsage::Builder::getOnline() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setOnline( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamUsage::Reader::getBatch() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamUsage::Builder::getBatch() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setBatch( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamUsage::Reader::getTroubled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamUsage::Builder::getTroubled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setTroubled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LostContent::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LostContent::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LostContent::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LostContent::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LostContent::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LostContent::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeLoad::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeLoad::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeLoad::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeLoad::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeLoad::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeLoad::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeLoad::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
 
 inline bool NodeLoad::Reader::hasUsage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeLoad::Builder::hasUsage() {
+inline bool NodeLoad::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setUsage( ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptUsage(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t NodeLoad::Reader::getWaitingOnline() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeLoad::Builder::getWaitingOnline() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setWaitingOnline( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeLoad::Reader::hasLost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasLost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getLost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setLost( ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initLost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptLost(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool NodeLoad::Reader::hasClaims() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasClaims() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeLoad::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setClaims( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void NodeLoad::Builder::setClaims(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> NodeLoad::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool SlotClaim::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotClaim::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotClaim::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotClaim::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotClaim::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotClaim::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SlotClaim::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotClaim::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotClaim::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SlotClaim::Reader::getBatch() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotClaim::Builder::getBatch() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setBatch(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SlotClaim::Reader::getSinceArrival() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotClaim::Builder::getSinceArrival() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setSinceArrival( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SlotClaim::Reader::getUntilTarget() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotClaim::Builder::getUntilTarget() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setUntilTarget( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SlotClaim::Reader::getUntilDeadline() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotClaim::Builder::getUntilDeadline() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setUntilDeadline( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getCellIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getCellIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setCellIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getCellCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getCellCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setCellCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotClaim::Reader::getBegun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotClaim::Builder::getBegun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setBegun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotClaim::Reader::getRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotClaim::Builder::getRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotClaim::Reader::getPrefixHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotClaim::Builder::getPrefixHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setPrefixHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotClaim::Reader::hasExcluded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasExcluded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SlotClaim::Reader::getExcluded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotClaim::Builder::getExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void SlotClaim::Builder::setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SlotClaim::Builder::initExcluded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptExcluded(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SlotClaim::Builder::disownExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool SlotVerdict::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotVerdict::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotVerdict::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotVerdict::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotVerdict::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotVerdict::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t SlotVerdict::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SlotVerdict::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotVerdict::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotVerdict::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotVerdict::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotVerdict::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotVerdict::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotVerdict::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotVerdict::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t SlotVerdict::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SlotVerdict::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotVerdict::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SlotVerdict::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotVerdict::Builder::getRetryAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotVerdict::Builder::setRetryAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotRelease::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotRelease::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotRelease::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotRelease::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotRelease::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotRelease::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotRelease::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotRelease::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotRelease::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotRelease::Builder::hasRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getUsage() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SlotRelease::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SlotRelease::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeLoad::Builder::setUsage( ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SlotRelease::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initUsage(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder SlotRelease::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeLoad::Builder::adoptUsage(
-    ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SlotRelease::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SlotRelease::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t NodeLoad::Reader::getWaitingOnline() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t SlotRelease::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeLoad::Builder::getWaitingOnline() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t SlotRelease::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeLoad::Builder::setWaitingOnline( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SlotRelease::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeLoad::Reader::hasLost() const {
+inline bool SlotProgress::Reader::hasSender() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeLoad::Builder::hasLost() {
+inline bool SlotProgress::Builder::hasSender() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getLost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SlotProgress::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getLost() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SlotProgress::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeLoad::Builder::setLost( ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void SlotProgress::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initLost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder SlotProgress::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeLoad::Builder::adoptLost(
-    ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void SlotProgress::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownLost() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SlotProgress::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotProgress::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotProgress::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotProgress::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotProgress::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotProgress::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotProgress::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotProgress::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotProgress::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t SlotProgress::Reader::getFirstByte() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotProgress::Builder::getFirstByte() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotProgress::Builder::setFirstByte( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::banyan::schema::GatewayMessage::Which GatewayMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::banyan::schema::GatewayMessage::Which GatewayMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayMessage::Reader::isLoad() const {
+  return which() == GatewayMessage::LOAD;
+}
+inline bool GatewayMessage::Builder::isLoad() {
+  return which() == GatewayMessage::LOAD;
+}
+inline bool GatewayMessage::Reader::hasLoad() const {
+  if (which() != GatewayMessage::LOAD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasLoad() {
+  if (which() != GatewayMessage::LOAD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::NodeLoad::Reader GatewayMessage::Reader::getLoad() const {
+  KJ_IREQUIRE((which() == GatewayMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::NodeLoad::Builder GatewayMessage::Builder::getLoad() {
+  KJ_IREQUIRE((which() == GatewayMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setLoad( ::banyan::schema::NodeLoad::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::LOAD);
+  ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::NodeLoad::Builder GatewayMessage::Builder::initLoad() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::LOAD);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptLoad(
+    ::capnp::Orphan< ::banyan::schema::NodeLoad>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::LOAD);
+  ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::NodeLoad> GatewayMessage::Builder::disownLoad() {
+  KJ_IREQUIRE((which() == GatewayMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::NodeLoad>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayMessage::Reader::isClaim() const {
+  return which() == GatewayMessage::CLAIM;
+}
+inline bool GatewayMessage::Builder::isClaim() {
+  return which() == GatewayMessage::CLAIM;
+}
+inline bool GatewayMessage::Reader::hasClaim() const {
+  if (which() != GatewayMessage::CLAIM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasClaim() {
+  if (which() != GatewayMessage::CLAIM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::SlotClaim::Reader GatewayMessage::Reader::getClaim() const {
+  KJ_IREQUIRE((which() == GatewayMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::SlotClaim::Builder GatewayMessage::Builder::getClaim() {
+  KJ_IREQUIRE((which() == GatewayMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setClaim( ::banyan::schema::SlotClaim::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::SlotClaim::Builder GatewayMessage::Builder::initClaim() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CLAIM);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptClaim(
+    ::capnp::Orphan< ::banyan::schema::SlotClaim>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CLAIM);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::SlotClaim> GatewayMessage::Builder::disownClaim() {
+  KJ_IREQUIRE((which() == GatewayMessage::CLAIM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayMessage::Reader::isVerdict() const {
+  return which() == GatewayMessage::VERDICT;
+}
+inline bool GatewayMessage::Builder::isVerdict() {
+  return which() == GatewayMessage::VERDICT;
+}
+inline bool GatewayMessage::Reader::hasVerdict() const {
+  if (which() != GatewayMessage::VERDICT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasVerdict() {
+  if (which() != GatewayMessage::VERDICT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::SlotVerdict::Reader GatewayMessage::Reader::getVerdict() const {
+  KJ_IREQUIRE((which() == GatewayMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::SlotVerdict::Builder GatewayMessage::Builder::getVerdict() {
+  KJ_IREQUIRE((which() == GatewayMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setVerdict( ::banyan::schema::SlotVerdict::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::VERDICT);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::SlotVerdict::Builder GatewayMessage::Builder::initVerdict() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::VERDICT);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptVerdict(
+    ::capnp::Orphan< ::banyan::schema::SlotVerdict>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::VERDICT);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::SlotVerdict> GatewayMessage::Builder::disownVerdict() {
+  KJ_IREQUIRE((which() == GatewayMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotVerdict>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayMessage::Reader::isRelease() const {
+  return which() == GatewayMessage::RELEASE;
+}
+inline bool GatewayMessage::Builder::isRelease() {
+  return which() == GatewayMessage::RELEASE;
+}
+inline bool GatewayMessage::Reader::hasRelease() const {
+  if (which() != GatewayMessage::RELEASE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasRelease() {
+  if (which() != GatewayMessage::RELEASE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::SlotRelease::Reader GatewayMessage::Reader::getRelease() const {
+  KJ_IREQUIRE((which() == GatewayMessage::RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::SlotRelease::Builder GatewayMessage::Builder::getRelease() {
+  KJ_IREQUIRE((which() == GatewayMessage::RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setRelease( ::banyan::schema::SlotRelease::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::RELEASE);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::SlotRelease::Builder GatewayMessage::Builder::initRelease() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::RELEASE);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptRelease(
+    ::capnp::Orphan< ::banyan::schema::SlotRelease>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::RELEASE);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::SlotRelease> GatewayMessage::Builder::disownRelease() {
+  KJ_IREQUIRE((which() == GatewayMessage::RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotRelease>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayMessage::Reader::isProgress() const {
+  return which() == GatewayMessage::PROGRESS;
+}
+inline bool GatewayMessage::Builder::isProgress() {
+  return which() == GatewayMessage::PROGRESS;
+}
+inline bool GatewayMessage::Reader::hasProgress() const {
+  if (which() != GatewayMessage::PROGRESS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasProgress() {
+  if (which() != GatewayMessage::PROGRESS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::SlotProgress::Reader GatewayMessage::Reader::getProgress() const {
+  KJ_IREQUIRE((which() == GatewayMessage::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::SlotProgress::Builder GatewayMessage::Builder::getProgress() {
+  KJ_IREQUIRE((which() == GatewayMessage::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setProgress( ::banyan::schema::SlotProgress::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::PROGRESS);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::SlotProgress::Builder GatewayMessage::Builder::initProgress() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::PROGRESS);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptProgress(
+    ::capnp::Orphan< ::banyan::schema::SlotProgress>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::PROGRESS);
+  ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::SlotProgress> GatewayMessage::Builder::disownProgress() {
+  KJ_IREQUIRE((which() == GatewayMessage::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::SlotProgress>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool GatewayEntry::Reader::hasId() const {
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -7,11 +7,12 @@
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
 #include "banyan/io/platform_error.h"
-#include "banyan/io/serving/job_service.h"
-#include "banyan/io/serving/load_exchange.h"
+#include "banyan/io/serving/listed_job_service.h"
+#include "banyan/io/serving/peer_exchange.h"
 #include "banyan/io/serving/request_relay.h"
 #include "banyan/io/serving/scheduler_host.h"
 #include "banyan/io/serving/serving_codec.h"
+#include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
 
@@ -60,9 +61,17 @@
         , m_board(reportMemory)
         , m_registry(registryGrace)
         , m_scheduler(context, {.self = m_self, .domain = settings.domain, .seed = std::random_device{}()}, m_board)
+        , m_slots({.context = context,
+                   .scheduler = m_scheduler,
+                   .board = m_board,
+                   .send =
+                       [this](const node_id &to, const gateway_message &message) {
+                           return m_exchange.send(to, message);
+                       }},
+                  m_self)
         , m_sender(upstreamClient, m_platform.protocol)
-        , m_relay({.context = context, .scheduler = m_scheduler, .sender = m_sender, .metrics = m_metrics}, m_platform.protocol)
-        , m_jobs({.context = context, .store = m_platform.store, .scheduler = m_scheduler, .sender = m_sender, .metrics = m_metrics},
+        , m_relay({.context = context, .slots = m_slots, .sender = m_sender, .metrics = m_metrics}, m_platform.protocol)
+        , m_jobs({.context = context, .store = m_platform.store, .slots = m_slots, .sender = m_sender, .metrics = m_metrics},
                  {.self = m_self})
         , m_exchange(
               context,
@@ -70,8 +79,8 @@
               [this] {
                   return ownLoad();
               },
-              [this](const node_load &load) {
-                  loadReported(load);
+              [this](const gateway_message &message) {
+                  received(message);
               })
         , m_housekeeping(context)
         , m_loadChange(context)
@@ -96,10 +105,11 @@
     load_board m_board;
     replica_registry m_registry;
     scheduler_host m_scheduler;
+    slot_broker m_slots;
     upstream_sender m_sender;
     request_relay m_relay;
-    job_service m_jobs;
-    load_exchange m_exchange;
+    listed_job_service m_jobs;
+    peer_exchange m_exchange;
     asio::steady_timer m_housekeeping;
     asio::steady_timer m_loadChange;
     bool m_loadChangePending = false;
@@ -124,6 +134,7 @@
     static task<> registerSelf(std::shared_ptr<implementation> self);
     [[nodiscard]] table_key ownRow() const;
     node_load ownLoad();
+    void received(const gateway_message &message);
     void loadReported(const node_load &load);
 };
 
@@ -275,10 +286,10 @@
 
 void gateway::implementation::gatewaysChanged()
 {
-    std::vector<endpoint> peers;
+    std::map<node_id, endpoint> peers;
     for (const auto &[key, entry] : m_gateways) {
         if (entry.peerAddress != m_settings.peerListen) {
-            peers.push_back(entry.peerAddress);
+            peers.emplace(entry.id, entry.peerAddress);
         }
     }
     logEvent(log_level::Info, "gateways_changed", {{"others", std::to_string(peers.size())}});
@@ -323,7 +334,23 @@
             .sequence = ++m_sequence,
             .usage = m_scheduler.scheduler().usage(now),
             .waitingOnline = m_scheduler.scheduler().waitingOnline(),
-            .lost = m_relay.recentlyLost(now)};
+            .lost = m_relay.recentlyLost(now),
+            .claims = m_slots.claims()};
+}
+
+void gateway::implementation::received(const gateway_message &message)
+{
+    if (const auto *const load = std::get_if<node_load>(&message)) {
+        loadReported(*load);
+    } else if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+        m_slots.received(*claim);
+    } else if (const auto *const verdict = std::get_if<slot_verdict>(&message)) {
+        m_slots.received(*verdict);
+    } else if (const auto *const progress = std::get_if<slot_progress>(&message)) {
+        m_slots.received(*progress);
+    } else {
+        m_slots.received(std::get<slot_release>(message));
+    }
 }
 
 void gateway::implementation::loadReported(const node_load &load)
@@ -333,6 +360,7 @@
         return;
     }
     m_jobs.heard(load.sender, now);
+    m_slots.reported(load);
     for (const lost_content &lost : load.lost) {
         m_relay.lostElsewhere(lost, now);
     }
@@ -353,6 +381,7 @@
     }
     m_housekeptAt = now;
     m_board.expire(now);
+    m_slots.housekeep();
     if (m_registry.tick(now)) {
         replicasChanged();
     }
@@ -422,7 +451,7 @@
     return m_implementation->m_relay;
 }
 
-job_service &gateway::jobs()
+listed_job_service &gateway::jobs()
 {
     return m_implementation->m_jobs;
 }
--- a/io/src/serving/job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -1,4 +1,4 @@
-#include "banyan/io/serving/job_service.h"
+#include "banyan/io/serving/listed_job_service.h"
 
 #include "../task_group.h"
 #include "banyan/core/serving/event_splitter.h"
@@ -9,7 +9,7 @@
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
 #include "banyan/io/platform_error.h"
-#include "banyan/io/serving/scheduler_host.h"
+#include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "job_records.h"
 #include "running_job.h"
@@ -35,14 +35,22 @@
 constexpr duration defaultRetention = std::chrono::hours(1); // Of a route that has none.
 constexpr std::size_t resultsAtOnce = 20; // In one transaction; together below the store's limit.
 constexpr std::size_t resultBytesAtOnce = std::size_t(500) << 10;
+constexpr unsigned failedStatus = 500; // By which an upstream reports that the item itself has failed.
 constexpr int attemptsToEnd = 4; // Of the conditional write, against other nodes' changes of the row.
 
+/// What an attempt says of its item: only an upstream's own report of a failure speaks against it.
+attempt_outcome outcomeOf(const attempt_report &report)
+{
+    const bool otherError = report.result.outcome == attempt_outcome::Failed && (!report.head || report.head->status != failedStatus);
+    return otherError ? attempt_outcome::Lost : report.result.outcome;
+}
+
 } // namespace
 
-class job_service::implementation : public std::enable_shared_from_this<job_service::implementation>
+class listed_job_service::implementation : public std::enable_shared_from_this<listed_job_service::implementation>
 {
 public:
-    implementation(const job_service_ports &ports, const job_service_options &options)
+    implementation(const listed_job_ports &ports, const listed_job_options &options)
         : m_ports(ports)
         , m_options(options)
         , m_records(ports.store)
@@ -94,17 +102,18 @@
     [[nodiscard]] request_id slotId(const running_job &job, std::size_t index) const;
     task<std::optional<job_entry>> lookUp(job_id id);
 
-    job_service_ports m_ports;
-    job_service_options m_options;
+    listed_job_ports m_ports;
+    listed_job_options m_options;
     job_records m_records;
     job_directory m_directory;
     std::shared_ptr<const route_table> m_table;
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
     bool m_handingOver = false;
+    std::uint64_t m_begun = 0; ///< Jobs so far.
 };
 
-void job_service::implementation::start()
+void listed_job_service::implementation::start()
 {
     auto follower = std::make_shared<table_follower>(
         m_ports.context,
@@ -116,7 +125,7 @@
     asio::co_spawn(m_ports.context, sweepLoop(shared_from_this()), asio::detached);
 }
 
-table_observer job_service::implementation::observer()
+table_observer listed_job_service::implementation::observer()
 {
     const auto take = [this](const table_row &row) {
         const std::optional<job_entry> entry = row.deleted ? std::nullopt : job_records::entryOf(row);
@@ -137,7 +146,7 @@
 }
 
 /// Takes in a job's row; stops the job here if it is not this node's any more.
-void job_service::implementation::entryChanged(const job_entry &entry)
+void listed_job_service::implementation::entryChanged(const job_entry &entry)
 {
     m_directory.stored(entry);
     const auto running = m_running.find(entry.id);
@@ -149,13 +158,13 @@
     }
 }
 
-void job_service::implementation::begin(const job_entry &entry, std::vector<job_item> items, std::vector<listed_result> listed)
+void listed_job_service::implementation::begin(const job_entry &entry, std::vector<job_item> items, std::vector<listed_result> listed)
 {
     if (m_running.contains(entry.id)) {
         return;
     }
     m_directory.stored(entry);
-    auto job = std::make_shared<running_job>(m_ports.context, entry, std::move(items));
+    auto job = std::make_shared<running_job>(m_ports.context, entry, std::move(items), ++m_begun);
     std::set<std::string> done;
     for (const listed_result &result : listed) {
         done.insert(result.item);
@@ -177,7 +186,7 @@
     asio::co_spawn(m_ports.context, listLoop(shared_from_this(), job), asio::detached);
 }
 
-void job_service::implementation::forget(const job_pointer &job, std::string_view how)
+void listed_job_service::implementation::forget(const job_pointer &job, std::string_view how)
 {
     logEvent(log_level::Info,
              "job_left",
@@ -189,7 +198,7 @@
     m_running.erase(job->entry.id);
 }
 
-task<job_acceptance> job_service::implementation::accept(job_submission submission)
+task<job_acceptance> listed_job_service::implementation::accept(job_submission submission)
 {
     if (m_running.contains(submission.id) || m_directory.find(submission.id) != nullptr) {
         co_return job_acceptance::Accepted;
@@ -236,7 +245,7 @@
     co_return acceptance;
 }
 
-task<std::optional<job_entry>> job_service::implementation::lookUp(job_id id)
+task<std::optional<job_entry>> listed_job_service::implementation::lookUp(job_id id)
 {
     if (const job_entry *const known = m_directory.find(id)) {
         co_return *known;
@@ -244,7 +253,7 @@
     co_return co_await m_records.find(id);
 }
 
-task<job_results> job_service::implementation::results(job_id id, std::uint32_t after, duration wait)
+task<job_results> listed_job_service::implementation::results(job_id id, std::uint32_t after, duration wait)
 {
     const time_point until = currentTime() + wait;
     job_results answer;
@@ -278,7 +287,7 @@
     co_return answer;
 }
 
-task<item_lookup> job_service::implementation::itemBody(job_id id, std::string item)
+task<item_lookup> listed_job_service::implementation::itemBody(job_id id, std::string item)
 {
     item_lookup answer;
     try {
@@ -304,7 +313,7 @@
     co_return answer;
 }
 
-task<lookup_state> job_service::implementation::end(job_id id)
+task<lookup_state> listed_job_service::implementation::end(job_id id)
 {
     std::string reason;
     for (int attempt = 0; attempt < attemptsToEnd; ++attempt) {
@@ -334,7 +343,7 @@
     co_return lookup_state::NotSure;
 }
 
-task<> job_service::implementation::takeOverLoop(self_pointer self)
+task<> listed_job_service::implementation::takeOverLoop(self_pointer self)
 {
     while (!self->m_handingOver) {
         co_await self->sleep(takeoverInterval);
@@ -342,7 +351,7 @@
     }
 }
 
-task<> job_service::implementation::lookForJobs()
+task<> listed_job_service::implementation::lookForJobs()
 {
     const time_point now = currentTime();
     std::vector<job_entry> wanted = m_directory.owned();
@@ -363,7 +372,7 @@
 }
 
 /// Claims a job under the condition that its row has not changed, and runs what is not listed.
-task<> job_service::implementation::takeOver(self_pointer self, job_entry entry)
+task<> listed_job_service::implementation::takeOver(self_pointer self, job_entry entry)
 {
     std::string failure;
     try {
@@ -408,7 +417,7 @@
     self->m_takingOver.erase(entry.id);
 }
 
-task<> job_service::implementation::sweepLoop(self_pointer self)
+task<> listed_job_service::implementation::sweepLoop(self_pointer self)
 {
     while (!self->m_handingOver) {
         co_await self->sleep(sweepInterval);
@@ -432,13 +441,13 @@
     }
 }
 
-request_id job_service::implementation::slotId(const running_job &job, std::size_t index) const
+request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
 {
-    return request_id(job.entry.id.text() + "/" + job.items[index].id);
+    return request_id(job.entry.id.text() + "/" + job.items[index].id + "#" + std::to_string(job.serial));
 }
 
 /// Runs an item until it has a result or the job is not this node's any more.
-task<> job_service::implementation::runItem(self_pointer self, job_pointer job, std::size_t index)
+task<> listed_job_service::implementation::runItem(self_pointer self, job_pointer job, std::size_t index)
 {
     std::optional<item_progress> progress;
     while (!job->stopped && !self->m_handingOver) {
@@ -469,7 +478,7 @@
 }
 
 /// One run of an item, from the wait for a slot to its end.
-task<item_step> job_service::implementation::runOnce(job_pointer job, std::size_t index, const route &by, item_progress &progress)
+task<item_step> listed_job_service::implementation::runOnce(job_pointer job, std::size_t index, const route &by, item_progress &progress)
 {
     const request_id id = slotId(*job, index);
     slot_request request{.id = id,
@@ -478,20 +487,20 @@
                          .priority = by.priority,
                          .arrivedAt = currentTime(),
                          .target = job->entry.submittedAt + by.completionWindow,
-                         .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow)};
+                         .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow),
+                         .repeatable = true};
     // Each run has a stop of its own, since a run that gives its slot back goes on later.
     job->stops[index] = stop_signal();
     auto onReclaim = [job, index] {
         job->stops[index].stop();
     };
-    const scheduler_host::slot_outcome outcome =
-        co_await m_ports.scheduler.acquire(std::move(request), job->stops[index], std::move(onReclaim));
+    const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), job->stops[index], std::move(onReclaim));
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     if (granted == nullptr) {
         co_return item_step::RunAgain;
     }
     const upstream_id upstream = granted->upstream;
-    const replica *const registered = m_ports.scheduler.find(upstream);
+    const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
     if (registered != nullptr && !job->stopped) {
         ++job->itemsInFlight;
@@ -502,11 +511,11 @@
     if (report.staleConnection) {
         result.outcome = attempt_outcome::Cancelled;
     }
-    m_ports.scheduler.released(id, result);
+    m_ports.slots.released(id, result);
     if (report.head && report.head->kind == answer_kind::WrongUpstream) {
-        m_ports.scheduler.addressReused(upstream);
+        m_ports.slots.scheduler().addressReused(upstream);
     }
-    const item_step step = progress.ended(report.result.outcome, currentTime());
+    const item_step step = progress.ended(outcomeOf(report), currentTime());
     if (report.result.outcome != attempt_outcome::Succeeded) {
         logEvent(log_level::Info,
                  "item_run_ended",
@@ -522,7 +531,7 @@
 }
 
 task<attempt_report>
-job_service::implementation::sendItem(job_pointer job, std::size_t index, const replica &upstream, item_progress &progress)
+listed_job_service::implementation::sendItem(job_pointer job, std::size_t index, const replica &upstream, item_progress &progress)
 {
     const job_item &item = job->items[index];
     upstream_run run{.id = request_id(item.id),
@@ -542,7 +551,7 @@
     event_splitter splitter;
     attempt_observer observer;
     observer.onBody = [&](std::string_view piece) -> task<> {
-        m_ports.scheduler.firstByte(slot);
+        m_ports.slots.firstByte(slot);
         for (const stream_event &event : splitter.add(piece)) {
             if (!progress.event(event)) {
                 throw http_error(sent_state::MaybeSent, false, "events are missing before event " + std::to_string(*event.id));
@@ -560,7 +569,7 @@
 }
 
 /// Gives an item's result its position. It is listed once it is recorded.
-void job_service::implementation::finish(const job_pointer &job, std::size_t, listed_result result)
+void listed_job_service::implementation::finish(const job_pointer &job, std::size_t, listed_result result)
 {
     if (job->stopped) {
         return;
@@ -570,7 +579,7 @@
 }
 
 /// The results to be recorded next, as many as one transaction takes.
-std::vector<listed_result> job_service::implementation::nextResults(const running_job &job)
+std::vector<listed_result> listed_job_service::implementation::nextResults(const running_job &job)
 {
     std::vector<listed_result> next;
     std::size_t bytes = 0;
@@ -584,7 +593,7 @@
     return next;
 }
 
-task<> job_service::implementation::listLoop(self_pointer self, job_pointer job)
+task<> listed_job_service::implementation::listLoop(self_pointer self, job_pointer job)
 {
     while (!job->stopped) {
         if (job->listed == job->entry.total) {
@@ -608,7 +617,7 @@
 /// Records the next results. A transaction whose outcome is unknown is sent again: positions and contents are fixed, so
 /// that it makes no difference whether it takes effect once or twice. Returns false if the store has to be left alone for
 /// a while.
-task<bool> job_service::implementation::listNext(job_pointer job)
+task<bool> listed_job_service::implementation::listNext(job_pointer job)
 {
     std::vector<listed_result> next = nextResults(*job);
     const std::size_t count = next.size();
@@ -642,7 +651,7 @@
 }
 
 /// The job's row has changed: by its end, by another owner, or by a transaction of ours whose answer was lost.
-task<> job_service::implementation::listRefused(job_pointer job)
+task<> listed_job_service::implementation::listRefused(job_pointer job)
 {
     try {
         const std::optional<job_entry> stored = co_await m_records.find(job->entry.id);
@@ -663,7 +672,7 @@
     }
 }
 
-task<> job_service::implementation::handOver(duration time)
+task<> listed_job_service::implementation::handOver(duration time)
 {
     m_handingOver = true;
     const time_point until = currentTime() + time;
@@ -694,61 +703,61 @@
     }
 }
 
-task<> job_service::implementation::sleep(duration time)
+task<> listed_job_service::implementation::sleep(duration time)
 {
     asio::steady_timer timer(m_ports.context, time);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-job_service::job_service(const job_service_ports &ports, const job_service_options &options)
+listed_job_service::listed_job_service(const listed_job_ports &ports, const listed_job_options &options)
     : m_implementation(std::make_shared<implementation>(ports, options))
 {
 }
 
-job_service::~job_service() = default;
+listed_job_service::~listed_job_service() = default;
 
-void job_service::start()
+void listed_job_service::start()
 {
     m_implementation->start();
 }
 
-void job_service::configure(std::shared_ptr<const route_table> table)
+void listed_job_service::configure(std::shared_ptr<const route_table> table)
 {
     m_implementation->configure(std::move(table));
 }
 
-void job_service::heard(const node_id &node, time_point now)
+void listed_job_service::heard(const node_id &node, time_point now)
 {
     m_implementation->heard(node, now);
 }
 
-task<job_acceptance> job_service::accept(job_submission submission)
+task<job_acceptance> listed_job_service::accept(job_submission submission)
 {
     return m_implementation->accept(std::move(submission));
 }
 
-task<job_results> job_service::results(job_id id, std::uint32_t after, duration wait)
+task<job_results> listed_job_service::results(job_id id, std::uint32_t after, duration wait)
 {
     return m_implementation->results(std::move(id), after, wait);
 }
 
-task<item_lookup> job_service::itemBody(job_id id, std::string item)
+task<item_lookup> listed_job_service::itemBody(job_id id, std::string item)
 {
     return m_implementation->itemBody(std::move(id), std::move(item));
 }
 
-task<lookup_state> job_service::end(job_id id)
+task<lookup_state> listed_job_service::end(job_id id)
 {
     return m_implementation->end(std::move(id));
 }
 
-task<> job_service::handOver(duration time)
+task<> listed_job_service::handOver(duration time)
 {
     return m_implementation->handOver(time);
 }
 
-std::size_t job_service::running() const
+std::size_t listed_job_service::running() const
 {
     return m_implementation->running();
 }
--- a/io/src/serving/load_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -1,5 +1,6 @@
-#include "banyan/io/serving/load_exchange.h"
+#include "banyan/io/serving/peer_exchange.h"
 
+#include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/serving/serving_codec.h"
 
@@ -20,10 +21,10 @@
 
 } // namespace
 
-class load_exchange::implementation : public std::enable_shared_from_this<load_exchange::implementation>
+class peer_exchange::implementation : public std::enable_shared_from_this<peer_exchange::implementation>
 {
 public:
-    implementation(asio::io_context &context, const load_exchange_options &options, report_source source, report_handler handler)
+    implementation(asio::io_context &context, const peer_exchange_options &options, report_source source, message_handler handler)
         : m_options(options)
         , m_source(std::move(source))
         , m_handler(std::move(handler))
@@ -42,15 +43,25 @@
         schedule(duration(0));
     }
 
-    void setPeers(std::vector<endpoint> peers)
+    void setPeers(const std::map<node_id, endpoint> &peers)
     {
         m_peers.clear();
-        for (const endpoint &peer : peers) {
-            m_peers.emplace_back(asio::ip::make_address(peer.address), peer.port);
+        for (const auto &[node, peer] : peers) {
+            m_peers.emplace(node, udp::endpoint(asio::ip::make_address(peer.address), peer.port));
         }
         changed();
     }
 
+    bool sendTo(const node_id &to, const gateway_message &message)
+    {
+        const auto peer = m_peers.find(to);
+        if (peer == m_peers.end()) {
+            return false;
+        }
+        sendBytes(peer->second, encode(message, currentTime()));
+        return true;
+    }
+
     void changed()
     {
         if (m_changed) {
@@ -88,16 +99,21 @@
 
     void send()
     {
-        const std::string bytes = encode(m_source());
-        for (const udp::endpoint &peer : m_peers) {
-            boost::system::error_code ignored; // The next report makes up for one that is lost.
-            m_socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+        const std::string bytes = encode(m_source(), currentTime());
+        for (const auto &[node, peer] : m_peers) {
+            sendBytes(peer, bytes);
         }
         m_changed = false;
         m_sentAt = std::chrono::steady_clock::now();
         schedule(std::max(m_options.heartbeat, interval()));
     }
 
+    void sendBytes(const udp::endpoint &peer, const std::string &bytes)
+    {
+        boost::system::error_code ignored; // Senders of messages do without an answer, and reports are repeated.
+        m_socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+    }
+
     void receive()
     {
         m_socket.async_wait(udp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
@@ -105,7 +121,7 @@
                 return;
             }
             if (error) {
-                logEvent(log_level::Warning, "load_receive_failed", {{"error", error.message()}});
+                logEvent(log_level::Warning, "peer_receive_failed", {{"error", error.message()}});
             }
             self->takeAll();
             self->receive();
@@ -122,53 +138,58 @@
             if (error) {
                 return;
             }
-            const std::optional<node_load> load = decodeNodeLoad({m_buffer.data(), length});
-            if (load) {
-                m_handler(*load);
+            const std::optional<gateway_message> message = decodeGatewayMessage({m_buffer.data(), length}, currentTime());
+            if (message) {
+                m_handler(*message);
             } else {
-                logEvent(log_level::Debug, "load_malformed", {{"sender", sender.address().to_string()}});
+                logEvent(log_level::Debug, "peer_message_malformed", {{"sender", sender.address().to_string()}});
             }
         }
     }
 
-    load_exchange_options m_options;
+    peer_exchange_options m_options;
     report_source m_source;
-    report_handler m_handler;
+    message_handler m_handler;
     udp::socket m_socket;
     asio::steady_timer m_timer;
-    std::vector<udp::endpoint> m_peers;
+    std::map<node_id, udp::endpoint> m_peers;
     std::array<char, maximumDatagram> m_buffer{};
     std::chrono::steady_clock::time_point m_sentAt;
     bool m_changed = false;
     bool m_stopped = false;
 };
 
-load_exchange::load_exchange(asio::io_context &context, const load_exchange_options &options, report_source source, report_handler handler)
+peer_exchange::peer_exchange(asio::io_context &context, const peer_exchange_options &options, report_source source, message_handler handler)
     : m_implementation(std::make_shared<implementation>(context, options, std::move(source), std::move(handler)))
 {
 }
 
-load_exchange::~load_exchange()
+peer_exchange::~peer_exchange()
 {
     m_implementation->stop();
 }
 
-void load_exchange::start()
+void peer_exchange::start()
 {
     m_implementation->start();
 }
 
-void load_exchange::setPeers(std::vector<endpoint> peers)
+void peer_exchange::setPeers(std::map<node_id, endpoint> peers)
+{
+    m_implementation->setPeers(peers);
+}
+
+bool peer_exchange::send(const node_id &to, const gateway_message &message)
 {
-    m_implementation->setPeers(std::move(peers));
+    return m_implementation->sendTo(to, message);
 }
 
-void load_exchange::changed()
+void peer_exchange::changed()
 {
     m_implementation->changed();
 }
 
-void load_exchange::stop()
+void peer_exchange::stop()
 {
     m_implementation->stop();
 }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -11,7 +11,7 @@
 #include "banyan/io/http_exchange.h"
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
-#include "banyan/io/serving/scheduler_host.h"
+#include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/stop_signal.h"
 #include "banyan/io/serving/upstream_sender.h"
 
@@ -67,6 +67,7 @@
 
     void noteLost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
     {
+        m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
         crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, now);
         std::erase_if(m_lost, [&](const noted_loss &loss) {
             return now - loss.at > lostMemory;
@@ -87,6 +88,7 @@
     crash_guard m_crashes;
     std::deque<noted_loss> m_lost;
     std::size_t m_inProgress = 0;
+    std::uint64_t m_arrivals = 0;
 };
 
 /// One request from its arrival to its answer.
@@ -107,6 +109,7 @@
         , m_timer(relay.m_ports.context)
     {
         ++relay.m_inProgress;
+        m_slotId = request_id(m_request.id.text() + '#' + std::to_string(++relay.m_arrivals));
     }
     ~relayed_request()
     {
@@ -168,7 +171,7 @@
     /// One attempt, from the wait for a slot to its end. Returns whether the request has ended.
     task<bool> tryOnce()
     {
-        const scheduler_host::slot_outcome outcome = co_await m_relay.m_ports.scheduler.acquire(slotRequest(), m_stop, nullptr);
+        const slot_broker::slot_outcome outcome = co_await m_relay.m_ports.slots.acquire(slotRequest(), m_stop, nullptr);
         if (std::holds_alternative<std::monostate>(outcome)) {
             co_await stopped();
             co_return true;
@@ -178,9 +181,9 @@
             co_return true;
         }
         const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
-        const replica *const registered = m_relay.m_ports.scheduler.find(upstream);
+        const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
         if (registered == nullptr) {
-            m_relay.m_ports.scheduler.released(m_request.id, {.outcome = attempt_outcome::Cancelled});
+            m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             co_return false;
         }
         const attempt_report report = co_await send(*registered);
@@ -189,13 +192,14 @@
 
     [[nodiscard]] slot_request slotRequest() const
     {
-        return {.id = m_request.id,
+        return {.id = m_slotId,
                 .service = m_service,
                 .workClass = work_class::Online,
                 .priority = m_route.priority,
                 .arrivedAt = m_request.arrivedAt,
                 .target = m_request.arrivedAt + m_route.target,
                 .deadline = m_deadline,
+                .repeatable = m_route.isRepeatable(),
                 .begun = m_retries.attempts() > 0,
                 .prefixHash = m_request.prefixHash,
                 .excluded = m_tried};
@@ -215,7 +219,7 @@
                          .resumeAfter = m_position.last(),
                          .timeLeft = std::max(duration(0), m_deadline - now)};
         const http_client::stream_timeouts timeouts{
-            .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.scheduler.scheduler().overdueAfter(m_service), now),
+            .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service), now),
             .silence = m_retries.silenceTimeout(now)};
         m_splitter = event_splitter();
         attempt_observer observer;
@@ -274,7 +278,7 @@
 
     void noteFirstByte()
     {
-        m_relay.m_ports.scheduler.firstByte(m_request.id);
+        m_relay.m_ports.slots.firstByte(m_slotId);
         if (!m_firstByteAt) {
             m_firstByteAt = currentTime();
             m_relay.m_ports.metrics.firstByte(m_service.text(), work_class::Online, *m_firstByteAt - m_request.arrivedAt);
@@ -291,7 +295,7 @@
             report.error = "the stream ended within an event";
         }
         if (report.head && m_route.kind != request_kind::Stream) {
-            m_relay.m_ports.scheduler.firstByte(m_request.id);
+            m_relay.m_ports.slots.firstByte(m_slotId);
         }
         release(upstream, report);
         const attempt_outcome outcome = report.result.outcome;
@@ -330,9 +334,9 @@
             result.outcome = attempt_outcome::Cancelled;
         }
         m_relay.m_ports.metrics.attemptEnded(toString(report.result.outcome), false);
-        m_relay.m_ports.scheduler.released(m_request.id, result);
+        m_relay.m_ports.slots.released(m_slotId, result);
         if (report.head && report.head->kind == answer_kind::WrongUpstream) {
-            m_relay.m_ports.scheduler.addressReused(upstream);
+            m_relay.m_ports.slots.scheduler().addressReused(upstream);
         }
     }
 
@@ -450,6 +454,7 @@
     event_splitter m_splitter;
     std::uint64_t m_fingerprint;
     asio::steady_timer m_timer;
+    request_id m_slotId; ///< Unlike the request's own id never used twice.
     stop_signal m_stop;
     stop_cause m_stopCause = stop_cause::None;
     std::vector<upstream_id> m_tried;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -6,6 +6,7 @@
 #include "banyan/io/async_event.h"
 #include "banyan/io/serving/stop_signal.h"
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -14,8 +15,9 @@
 /// A job that this node runs.
 struct running_job
 {
-    running_job(asio::io_context &context, job_entry stored, std::vector<job_item> jobItems)
+    running_job(asio::io_context &context, job_entry stored, std::vector<job_item> jobItems, std::uint64_t number)
         : entry(std::move(stored))
+        , serial(number)
         , items(std::move(jobItems))
         , stops(items.size())
         , changed(context)
@@ -33,6 +35,7 @@
     }
 
     job_entry entry;
+    std::uint64_t serial; ///< Tells it from an earlier running of the same job at this node, of which runs may still be ending.
     std::vector<job_item> items;
     std::vector<stop_signal> stops; ///< One for each item.
     std::vector<listed_result> results; ///< In their positions; the first `listed` are recorded.
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -1,25 +1,11 @@
 #include "banyan/io/serving/scheduler_host.h"
 
-#include "banyan/io/async_event.h"
 #include "banyan/io/clock.h"
-#include "banyan/io/serving/stop_signal.h"
 
 #include <utility>
 
 namespace banyan {
 
-struct scheduler_host::waiter
-{
-    explicit waiter(asio::io_context &context)
-        : decided(context)
-    {
-    }
-
-    async_event decided;
-    bool isDecided = false;
-    slot_outcome outcome;
-};
-
 scheduler_host::scheduler_host(asio::io_context &context, const request_scheduler_options &options, load_board &board)
     : m_context(context)
     , m_scheduler(options, board)
@@ -29,27 +15,22 @@
 
 scheduler_host::~scheduler_host() = default;
 
-task<scheduler_host::slot_outcome> scheduler_host::acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
+void scheduler_host::submit(const slot_request &request,
+                            std::function<void(const slot_outcome &)> onDecision,
+                            std::function<void()> onReclaim)
 {
-    const auto own = std::make_shared<waiter>(m_context);
-    const request_id id = request.id;
-    m_waiters[id] = own;
-    perform(m_scheduler.submit(request, currentTime()));
-    stop.onStop([this, id] {
-        if (m_waiters.contains(id)) {
-            m_scheduler.withdraw(id);
-            resolve(id, std::monostate());
-        }
-    });
-    while (!own->isDecided) {
-        co_await own->decided.wait();
-    }
-    stop.onStop(nullptr);
-    const slot_outcome outcome = own->outcome;
-    if (std::holds_alternative<slot_granted>(outcome) && onReclaim) {
-        m_reclaimHandlers[id] = std::move(onReclaim);
+    m_decisionHandlers[request.id] = std::move(onDecision);
+    if (onReclaim) {
+        m_reclaimHandlers[request.id] = std::move(onReclaim);
     }
-    co_return outcome;
+    perform(m_scheduler.submit(request, currentTime()));
+}
+
+void scheduler_host::withdraw(const request_id &request)
+{
+    m_scheduler.withdraw(request);
+    m_decisionHandlers.erase(request);
+    m_reclaimHandlers.erase(request);
 }
 
 void scheduler_host::firstByte(const request_id &request)
@@ -57,6 +38,11 @@
     m_scheduler.firstByte(request, currentTime());
 }
 
+void scheduler_host::firstByteAfter(const request_id &request, duration taken)
+{
+    m_scheduler.firstByteAfter(request, taken, currentTime());
+}
+
 void scheduler_host::released(const request_id &request, const attempt_result &result)
 {
     m_reclaimHandlers.erase(request);
@@ -68,9 +54,11 @@
 
 void scheduler_host::setUpstreams(std::span<const replica> upstreams)
 {
+    m_byService.clear();
     m_upstreams.clear();
     for (const replica &upstream : upstreams) {
-        m_upstreams.emplace(upstream.id, upstream);
+        const auto entry = m_upstreams.emplace(upstream.id, upstream).first;
+        m_byService[upstream.service].push_back(&entry->second);
     }
     perform(m_scheduler.setUpstreams(upstreams, currentTime()));
 }
@@ -81,6 +69,13 @@
     return entry == m_upstreams.end() ? nullptr : &entry->second;
 }
 
+const std::vector<const replica *> &scheduler_host::upstreamsOf(const service_name &service) const
+{
+    static const std::vector<const replica *> none;
+    const auto entry = m_byService.find(service);
+    return entry == m_byService.end() ? none : entry->second;
+}
+
 void scheduler_host::addressReused(const upstream_id &upstream)
 {
     if (m_addressReused) {
@@ -107,12 +102,13 @@
 {
     for (const slot_action &action : actions) {
         if (const auto *const granted = std::get_if<slot_granted>(&action)) {
-            resolve(granted->request, *granted);
+            decide(granted->request, *granted);
             if (m_usageChanged) {
                 m_usageChanged();
             }
         } else if (const auto *const refused = std::get_if<slot_refused>(&action)) {
-            resolve(refused->request, *refused);
+            m_reclaimHandlers.erase(refused->request);
+            decide(refused->request, *refused);
         } else {
             const auto handler = m_reclaimHandlers.extract(std::get<slot_reclaimed>(action).request);
             if (!handler.empty()) {
@@ -123,15 +119,12 @@
     scheduleTick();
 }
 
-void scheduler_host::resolve(const request_id &request, slot_outcome outcome)
+void scheduler_host::decide(const request_id &request, const slot_outcome &outcome)
 {
-    const auto entry = m_waiters.extract(request);
-    if (entry.empty()) {
-        return;
+    const auto handler = m_decisionHandlers.extract(request);
+    if (!handler.empty()) {
+        handler.mapped()(outcome);
     }
-    entry.mapped()->isDecided = true;
-    entry.mapped()->outcome = std::move(outcome);
-    entry.mapped()->decided.notify();
 }
 
 void scheduler_host::scheduleTick()
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -5,6 +5,7 @@
 #include <kj/exception.h>
 #include <serving.capnp.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace banyan {
@@ -53,10 +54,10 @@
 
 } // namespace
 
-std::string encode(const node_load &load)
+namespace {
+
+void write(schema::NodeLoad::Builder root, const node_load &load, time_point)
 {
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<schema::NodeLoad>();
     root.setSender(load.sender.text());
     root.setSequence(load.sequence);
     root.setWaitingOnline(load.waitingOnline);
@@ -74,24 +75,160 @@
         lost[position].setFingerprint(load.lost[position].fingerprint);
         lost[position].setUpstream(load.lost[position].upstream);
     }
-    return packed(message);
+    auto claims = root.initClaims(static_cast<unsigned>(load.claims.size()));
+    for (unsigned position = 0; position < load.claims.size(); ++position) {
+        claims.set(position, load.claims[position]);
+    }
 }
 
-std::optional<node_load> decodeNodeLoad(std::string_view bytes)
+void write(schema::SlotClaim::Builder root, const slot_claim &claim, time_point now)
 {
-    return unpacked<schema::NodeLoad>(bytes, [](schema::NodeLoad::Reader root) {
-        node_load load{.sender = node_id(textOf(root.getSender())),
-                       .sequence = root.getSequence(),
-                       .usage = {},
-                       .waitingOnline = root.getWaitingOnline(),
-                       .lost = {}};
-        for (const auto entry : root.getUsage()) {
-            load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .troubled = entry.getTroubled()};
-        }
-        for (const auto entry : root.getLost()) {
-            load.lost.push_back({.fingerprint = entry.getFingerprint(), .upstream = entry.getUpstream()});
+    const slot_request &request = claim.request;
+    root.setSender(claim.sender.text());
+    root.setRequest(request.id.text());
+    root.setService(request.service.text());
+    root.setBatch(request.workClass == work_class::Batch);
+    root.setPriority(request.priority);
+    root.setSinceArrival((now - request.arrivedAt).count());
+    root.setUntilTarget((request.target - now).count());
+    root.setUntilDeadline((request.deadline - now).count());
+    root.setCellIndex(request.cell.index);
+    root.setCellCount(request.cell.count);
+    root.setBegun(request.begun);
+    root.setRepeatable(request.repeatable);
+    root.setPrefixHash(request.prefixHash);
+    auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
+    for (unsigned index = 0; index < request.excluded.size(); ++index) {
+        excluded.set(index, request.excluded[index].text().c_str());
+    }
+}
+
+void write(schema::SlotVerdict::Builder root, const slot_verdict &verdict, time_point)
+{
+    root.setRequest(verdict.request.text());
+    root.setState(static_cast<std::uint8_t>(verdict.state));
+    root.setUpstream(verdict.upstream.text());
+    root.setReason(static_cast<std::uint8_t>(verdict.reason));
+    root.setRetryAfter(verdict.retryAfter.count());
+}
+
+void write(schema::SlotRelease::Builder root, const slot_release &release, time_point)
+{
+    root.setSender(release.sender.text());
+    root.setRequest(release.request.text());
+    root.setOutcome(static_cast<std::uint8_t>(release.outcome));
+}
+
+void write(schema::SlotProgress::Builder root, const slot_progress &progress, time_point)
+{
+    root.setSender(progress.sender.text());
+    root.setRequest(progress.request.text());
+    root.setFirstByte(progress.firstByte.count());
+}
+
+node_load read(schema::NodeLoad::Reader root)
+{
+    node_load load{.sender = node_id(textOf(root.getSender())),
+                   .sequence = root.getSequence(),
+                   .usage = {},
+                   .waitingOnline = root.getWaitingOnline(),
+                   .lost = {},
+                   .claims = {}};
+    for (const auto entry : root.getUsage()) {
+        load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .troubled = entry.getTroubled()};
+    }
+    for (const auto entry : root.getLost()) {
+        load.lost.push_back({.fingerprint = entry.getFingerprint(), .upstream = entry.getUpstream()});
+    }
+    for (const std::uint64_t claim : root.getClaims()) {
+        load.claims.push_back(claim);
+    }
+    return load;
+}
+
+slot_claim read(schema::SlotClaim::Reader root, time_point now)
+{
+    slot_claim claim{.sender = node_id(textOf(root.getSender())),
+                     .request = {.id = request_id(textOf(root.getRequest())),
+                                 .service = service_name(textOf(root.getService())),
+                                 .workClass = root.getBatch() ? work_class::Batch : work_class::Online,
+                                 .priority = root.getPriority(),
+                                 .arrivedAt = now - duration(root.getSinceArrival()),
+                                 .target = now + duration(root.getUntilTarget()),
+                                 .deadline = now + duration(root.getUntilDeadline()),
+                                 .cell = {.index = root.getCellIndex(), .count = root.getCellCount()},
+                                 .repeatable = root.getRepeatable(),
+                                 .begun = root.getBegun(),
+                                 .prefixHash = root.getPrefixHash(),
+                                 .excluded = {}}};
+    for (const auto upstream : root.getExcluded()) {
+        claim.request.excluded.emplace_back(textOf(upstream));
+    }
+    return claim;
+}
+
+slot_verdict read(schema::SlotVerdict::Reader root)
+{
+    const auto state = std::min(root.getState(), static_cast<std::uint8_t>(claim_state::Reclaimed));
+    const auto reason = std::min(root.getReason(), static_cast<std::uint8_t>(end_reason::CancelledByCaller));
+    return {.request = request_id(textOf(root.getRequest())),
+            .state = static_cast<claim_state>(state),
+            .upstream = upstream_id(textOf(root.getUpstream())),
+            .reason = static_cast<end_reason>(reason),
+            .retryAfter = duration(root.getRetryAfter())};
+}
+
+slot_release read(schema::SlotRelease::Reader root)
+{
+    const auto outcome = std::min(root.getOutcome(), static_cast<std::uint8_t>(attempt_outcome::Cancelled));
+    return {.sender = node_id(textOf(root.getSender())),
+            .request = request_id(textOf(root.getRequest())),
+            .outcome = static_cast<attempt_outcome>(outcome)};
+}
+
+slot_progress read(schema::SlotProgress::Reader root)
+{
+    return {.sender = node_id(textOf(root.getSender())),
+            .request = request_id(textOf(root.getRequest())),
+            .firstByte = duration(root.getFirstByte())};
+}
+
+} // namespace
+
+std::string encode(const gateway_message &message, time_point now)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<schema::GatewayMessage>();
+    if (const auto *const load = std::get_if<node_load>(&message)) {
+        write(root.initLoad(), *load, now);
+    } else if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+        write(root.initClaim(), *claim, now);
+    } else if (const auto *const verdict = std::get_if<slot_verdict>(&message)) {
+        write(root.initVerdict(), *verdict, now);
+    } else if (const auto *const progress = std::get_if<slot_progress>(&message)) {
+        write(root.initProgress(), *progress, now);
+    } else {
+        write(root.initRelease(), std::get<slot_release>(message), now);
+    }
+    return packed(builder);
+}
+
+std::optional<gateway_message> decodeGatewayMessage(std::string_view bytes, time_point now)
+{
+    return unpacked<schema::GatewayMessage>(bytes, [&](schema::GatewayMessage::Reader root) -> gateway_message {
+        switch (root.which()) {
+        case schema::GatewayMessage::LOAD:
+            return read(root.getLoad());
+        case schema::GatewayMessage::CLAIM:
+            return read(root.getClaim(), now);
+        case schema::GatewayMessage::VERDICT:
+            return read(root.getVerdict());
+        case schema::GatewayMessage::RELEASE:
+            return read(root.getRelease());
+        case schema::GatewayMessage::PROGRESS:
+            return read(root.getProgress());
         }
-        return load;
+        throw KJ_EXCEPTION(FAILED, "expected a known kind of message");
     });
 }
 
--- /dev/null
+++ b/io/src/serving/slot_broker.cpp
@@ -0,0 +1,516 @@
+#include "banyan/io/serving/slot_broker.h"
+
+#include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/upstream_cell.h"
+#include "banyan/io/async_event.h"
+#include "banyan/io/clock.h"
+#include "banyan/io/log.h"
+#include "banyan/io/serving/stop_signal.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+constexpr duration verdictTimeout = std::chrono::milliseconds(30); // Many times the way there and back, and short against any target.
+constexpr duration resendAfter = std::chrono::milliseconds(12); // Within the time-out, since datagrams may be lost.
+constexpr duration onlineRenewal = std::chrono::milliseconds(60); // Between two claims for a run that waits.
+constexpr duration batchRenewal = std::chrono::milliseconds(500);
+constexpr duration distrust = std::chrono::seconds(1); // Of a node that gave no verdict.
+constexpr duration releaseGrace = std::chrono::milliseconds(400); // For a grant to show in its holder's reports.
+
+std::uint64_t hashOf(const request_id &id)
+{
+    return XXH3_64bits(id.text().data(), id.text().size());
+}
+
+/// A run that this node has claimed a slot for at another node.
+struct own_claim
+{
+    explicit own_claim(asio::io_context &context)
+        : changed(context)
+    {
+    }
+
+    node_id placer;
+    std::optional<slot_verdict> verdict; ///< The last one.
+    std::uint32_t verdicts = 0;
+    async_event changed;
+    std::function<void()> onReclaim;
+    bool holdsSlot = false;
+    time_point grantedAt;
+    bool hasBegun = false; ///< The answer has.
+};
+
+/// A run of another node that this node places.
+struct foreign_claim
+{
+    node_id holder;
+    request_id request; ///< As its holder knows it.
+    std::optional<upstream_id> granted;
+    time_point since; ///< Of the claim, later of the grant.
+};
+
+using foreign_key = std::pair<node_id, request_id>;
+
+} // namespace
+
+class slot_broker::implementation
+{
+public:
+    implementation(const slot_broker_ports &ports, node_id self)
+        : m_ports(ports)
+        , m_self(std::move(self))
+    {
+    }
+
+    task<slot_outcome> acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim);
+    task<slot_outcome> acquireHere(slot_request request, stop_signal &stop, std::function<void()> onReclaim);
+    task<std::optional<slot_outcome>> claim(slot_request request, node_id placer, stop_signal &stop, std::function<void()> onReclaim);
+    void firstByte(const request_id &request);
+    void released(const request_id &request, const attempt_result &result);
+    void received(const slot_claim &claim);
+    void received(const slot_verdict &verdict);
+    void received(const slot_progress &progress);
+    void received(const slot_release &release);
+    void reported(const node_load &load);
+    void housekeep();
+    [[nodiscard]] std::vector<std::uint64_t> claims() const;
+
+    slot_broker_ports m_ports;
+
+private:
+    using claim_pointer = std::shared_ptr<own_claim>;
+
+    [[nodiscard]] std::vector<node_id> trustedNodes(time_point now);
+    [[nodiscard]] upstream_cell chooseCell(const slot_request &request);
+    [[nodiscard]] std::int64_t freeSlots(const slot_request &request, const upstream_cell &cell) const;
+    task<> waitFor(claim_pointer claim, duration time);
+    static std::optional<slot_outcome> outcomeOf(const slot_verdict &verdict);
+    [[nodiscard]] request_id foreignId(const foreign_key &key) const;
+    void decided(const foreign_key &key, const slot_outcome &outcome);
+    void sendVerdict(const foreign_claim &claim, slot_verdict verdict);
+    void endForeign(const foreign_key &key, attempt_outcome outcome);
+
+    node_id m_self;
+    std::map<request_id, claim_pointer> m_own;
+    std::map<foreign_key, foreign_claim> m_foreign;
+    std::map<node_id, time_point> m_distrustedUntil;
+    std::mt19937_64 m_generator{std::random_device{}()};
+};
+
+/// The nodes that may place requests: this one and those heard lately that gave verdicts.
+std::vector<node_id> slot_broker::implementation::trustedNodes(time_point now)
+{
+    std::erase_if(m_distrustedUntil, [&](const auto &entry) {
+        return entry.second <= now;
+    });
+    std::vector<node_id> nodes = m_ports.board.nodes();
+    std::erase_if(nodes, [&](const node_id &node) {
+        return m_distrustedUntil.contains(node);
+    });
+    nodes.push_back(m_self);
+    return nodes;
+}
+
+std::int64_t slot_broker::implementation::freeSlots(const slot_request &request, const upstream_cell &cell) const
+{
+    std::int64_t free = 0;
+    for (const replica *const upstream : m_ports.scheduler.upstreamsOf(request.service)) {
+        if (!upstream->draining && cell.contains(upstream->id)) {
+            const load_board::total_usage usage = m_ports.board.usageOf(keyOf(upstream->id));
+            free += static_cast<std::int64_t>(upstream->slots) - usage.online - usage.batch;
+        }
+    }
+    return free;
+}
+
+/// The freer one of two cells taken at random.
+upstream_cell slot_broker::implementation::chooseCell(const slot_request &request)
+{
+    const std::uint32_t count = cellCountFor(m_ports.scheduler.upstreamsOf(request.service).size());
+    if (count <= 1) {
+        return {};
+    }
+    std::uniform_int_distribution<std::uint32_t> any(0, count - 1);
+    const upstream_cell first{.index = any(m_generator), .count = count};
+    const upstream_cell second{.index = any(m_generator), .count = count};
+    return freeSlots(request, first) >= freeSlots(request, second) ? first : second;
+}
+
+task<slot_broker::slot_outcome>
+slot_broker::implementation::acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
+{
+    request.cell = chooseCell(request);
+    const std::vector<node_id> nodes = trustedNodes(currentTime());
+    const node_id placer = placingNode(request.service, request.cell, nodes);
+    if (placer != m_self) {
+        const std::optional<slot_outcome> outcome = co_await claim(request, placer, stop, onReclaim);
+        if (outcome) {
+            co_return *outcome;
+        }
+        logEvent(log_level::Info, "placed_without_verdict", {{"request_id", request.id.text()}, {"placer", placer.text()}});
+        request.cell = {};
+    }
+    co_return co_await acquireHere(std::move(request), stop, std::move(onReclaim));
+}
+
+/// Gets a slot from this node's own scheduler.
+task<slot_broker::slot_outcome>
+slot_broker::implementation::acquireHere(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
+{
+    const auto decided = std::make_shared<async_event>(m_ports.context);
+    const auto outcome = std::make_shared<std::optional<slot_outcome>>();
+    const request_id id = request.id;
+    auto onDecision = [decided, outcome](const slot_outcome &decision) {
+        *outcome = decision;
+        decided->notify();
+    };
+    m_ports.scheduler.submit(request, std::move(onDecision), std::move(onReclaim));
+    stop.onStop([this, id, decided, outcome] {
+        if (!*outcome) {
+            m_ports.scheduler.withdraw(id);
+            *outcome = std::monostate();
+            decided->notify();
+        }
+    });
+    while (!*outcome) {
+        co_await decided->wait();
+    }
+    stop.onStop(nullptr);
+    co_return **outcome;
+}
+
+std::optional<slot_broker::slot_outcome> slot_broker::implementation::outcomeOf(const slot_verdict &verdict)
+{
+    switch (verdict.state) {
+    case claim_state::Granted:
+        return slot_granted{.request = verdict.request, .upstream = verdict.upstream};
+    case claim_state::Refused:
+        return slot_refused{.request = verdict.request, .reason = verdict.reason, .retryAfter = verdict.retryAfter};
+    case claim_state::Waiting:
+    case claim_state::Reclaimed:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Waits for a change of the claim, for a time at most.
+task<> slot_broker::implementation::waitFor(claim_pointer claim, duration time)
+{
+    asio::steady_timer timer(m_ports.context, time);
+    timer.async_wait([claim](const boost::system::error_code &error) {
+        if (!error) {
+            claim->changed.notify();
+        }
+    });
+    co_await claim->changed.wait();
+}
+
+/// Claims a slot at another node. None if it gives no verdict: the run may then be placed elsewhere.
+task<std::optional<slot_broker::slot_outcome>>
+slot_broker::implementation::claim(slot_request request, node_id placer, stop_signal &stop, std::function<void()> onReclaim)
+{
+    const auto own = std::make_shared<own_claim>(m_ports.context);
+    own->placer = placer;
+    own->onReclaim = std::move(onReclaim);
+    m_own[request.id] = own;
+    stop.onStop([own] {
+        own->changed.notify();
+    });
+    const duration renewal = request.workClass == work_class::Online ? onlineRenewal : batchRenewal;
+    const gateway_message message = slot_claim{.sender = m_self, .request = request};
+    std::optional<slot_outcome> outcome;
+    time_point sentAt = currentTime();
+    time_point answeredBy = sentAt + verdictTimeout;
+    std::uint32_t seen = 0;
+    bool reachable = m_ports.send(placer, message);
+    while (reachable && !outcome && !stop.stopped()) {
+        const time_point now = currentTime();
+        const bool waits = own->verdicts > seen;
+        if (own->verdict) {
+            outcome = outcomeOf(*own->verdict);
+        }
+        if (outcome) {
+            break;
+        }
+        if (waits) {
+            // The claim waits at its placer: it is renewed later, which also shows whether the placer still lives.
+            seen = own->verdicts;
+            sentAt = now;
+            answeredBy = now + renewal + verdictTimeout;
+        } else if (now >= answeredBy) {
+            reachable = false;
+            break;
+        } else if (now >= sentAt + (seen > 0 ? renewal : resendAfter)) {
+            reachable = m_ports.send(placer, message);
+            sentAt = now;
+        }
+        const time_point next = std::min(answeredBy, sentAt + (seen > 0 ? renewal : resendAfter));
+        co_await waitFor(own, std::max(duration(1000), next - currentTime()));
+    }
+    stop.onStop(nullptr);
+    if (stop.stopped() && !outcome) {
+        outcome = std::monostate();
+    }
+    if (outcome && std::holds_alternative<slot_granted>(*outcome)) {
+        own->holdsSlot = true;
+        own->grantedAt = currentTime();
+        co_return outcome;
+    }
+    m_own.erase(request.id);
+    const bool refused = outcome && std::holds_alternative<slot_refused>(*outcome);
+    if (!refused) {
+        m_ports.send(placer, slot_release{.sender = m_self, .request = request.id});
+    }
+    if (!reachable) {
+        m_distrustedUntil[placer] = currentTime() + distrust;
+    }
+    co_return outcome;
+}
+
+void slot_broker::implementation::firstByte(const request_id &request)
+{
+    const auto own = m_own.find(request);
+    if (own == m_own.end()) {
+        m_ports.scheduler.firstByte(request);
+    } else if (!std::exchange(own->second->hasBegun, true)) {
+        const duration taken = currentTime() - own->second->grantedAt;
+        m_ports.send(own->second->placer, slot_progress{.sender = m_self, .request = request, .firstByte = taken});
+    }
+}
+
+void slot_broker::implementation::released(const request_id &request, const attempt_result &result)
+{
+    const auto own = m_own.extract(request);
+    if (own.empty()) {
+        m_ports.scheduler.released(request, result);
+        return;
+    }
+    m_ports.send(own.mapped()->placer, slot_release{.sender = m_self, .request = request, .outcome = result.outcome});
+}
+
+request_id slot_broker::implementation::foreignId(const foreign_key &key) const
+{
+    return request_id(key.first.text() + "|" + key.second.text());
+}
+
+void slot_broker::implementation::received(const slot_claim &claim)
+{
+    const foreign_key key(claim.sender, claim.request.id);
+    const auto known = m_foreign.find(key);
+    if (known != m_foreign.end()) {
+        slot_verdict verdict{.request = claim.request.id};
+        if (known->second.granted) {
+            verdict.state = claim_state::Granted;
+            verdict.upstream = *known->second.granted;
+        }
+        sendVerdict(known->second, verdict);
+        return;
+    }
+    m_foreign.emplace(key, foreign_claim{.holder = claim.sender, .request = claim.request.id, .since = currentTime()});
+    slot_request request = claim.request;
+    request.id = foreignId(key);
+    auto onDecision = [this, key](const slot_outcome &outcome) {
+        decided(key, outcome);
+    };
+    auto onReclaim = [this, key] {
+        const auto entry = m_foreign.find(key);
+        if (entry != m_foreign.end()) {
+            sendVerdict(entry->second, {.request = key.second, .state = claim_state::Reclaimed});
+        }
+    };
+    m_ports.scheduler.submit(request, std::move(onDecision), std::move(onReclaim));
+    const auto entry = m_foreign.find(key);
+    if (entry != m_foreign.end() && !entry->second.granted) {
+        sendVerdict(entry->second, {.request = key.second, .state = claim_state::Waiting});
+    }
+}
+
+/// This node's scheduler has decided on another node's run.
+void slot_broker::implementation::decided(const foreign_key &key, const slot_outcome &outcome)
+{
+    const auto entry = m_foreign.find(key);
+    if (entry == m_foreign.end()) {
+        return;
+    }
+    slot_verdict verdict{.request = key.second};
+    if (const auto *const granted = std::get_if<slot_granted>(&outcome)) {
+        entry->second.granted = granted->upstream;
+        entry->second.since = currentTime();
+        verdict.state = claim_state::Granted;
+        verdict.upstream = granted->upstream;
+        sendVerdict(entry->second, verdict);
+    } else if (const auto *const refused = std::get_if<slot_refused>(&outcome)) {
+        verdict.state = claim_state::Refused;
+        verdict.reason = refused->reason;
+        verdict.retryAfter = refused->retryAfter;
+        sendVerdict(entry->second, verdict);
+        m_foreign.erase(entry);
+    }
+}
+
+void slot_broker::implementation::sendVerdict(const foreign_claim &claim, slot_verdict verdict)
+{
+    m_ports.send(claim.holder, verdict);
+}
+
+void slot_broker::implementation::received(const slot_verdict &verdict)
+{
+    const auto entry = m_own.find(verdict.request);
+    if (entry == m_own.end()) {
+        return; // Given up meanwhile: this node's reports do not list it, which frees the slot.
+    }
+    own_claim &own = *entry->second;
+    if (verdict.state == claim_state::Reclaimed) {
+        const auto onReclaim = std::exchange(own.onReclaim, nullptr);
+        if (own.holdsSlot && onReclaim) {
+            onReclaim();
+        }
+        return;
+    }
+    if (!own.holdsSlot) {
+        own.verdict = verdict;
+        ++own.verdicts;
+        own.changed.notify();
+    }
+}
+
+void slot_broker::implementation::received(const slot_release &release)
+{
+    endForeign({release.sender, release.request}, release.outcome);
+}
+
+void slot_broker::implementation::received(const slot_progress &progress)
+{
+    const foreign_key key(progress.sender, progress.request);
+    if (m_foreign.contains(key)) {
+        m_ports.scheduler.firstByteAfter(foreignId(key), progress.firstByte);
+    }
+}
+
+void slot_broker::implementation::endForeign(const foreign_key &key, attempt_outcome outcome)
+{
+    const auto entry = m_foreign.extract(key);
+    if (entry.empty()) {
+        return;
+    }
+    const request_id id = foreignId(key);
+    if (!entry.mapped().granted) {
+        m_ports.scheduler.withdraw(id);
+        return;
+    }
+    m_ports.scheduler.released(id, {.outcome = outcome});
+}
+
+void slot_broker::implementation::reported(const node_load &load)
+{
+    const std::set<std::uint64_t> held(load.claims.begin(), load.claims.end());
+    const time_point now = currentTime();
+    std::vector<foreign_key> ended;
+    for (auto entry = m_foreign.lower_bound({load.sender, request_id()}); entry != m_foreign.end() && entry->first.first == load.sender;
+         ++entry) {
+        if (now - entry->second.since > releaseGrace && !held.contains(hashOf(entry->first.second))) {
+            ended.push_back(entry->first);
+        }
+    }
+    for (const foreign_key &key : ended) {
+        endForeign(key, attempt_outcome::Cancelled);
+    }
+}
+
+void slot_broker::implementation::housekeep()
+{
+    const std::vector<node_id> nodes = m_ports.board.nodes();
+    const std::set<node_id> live(nodes.begin(), nodes.end());
+    std::vector<foreign_key> ended;
+    for (const auto &[key, claim] : m_foreign) {
+        if (!live.contains(key.first) && currentTime() - claim.since > releaseGrace) {
+            ended.push_back(key);
+        }
+    }
+    for (const foreign_key &key : ended) {
+        endForeign(key, attempt_outcome::Cancelled);
+    }
+}
+
+std::vector<std::uint64_t> slot_broker::implementation::claims() const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto &[id, claim] : m_own) {
+        result.push_back(hashOf(id));
+    }
+    return result;
+}
+
+slot_broker::slot_broker(const slot_broker_ports &ports, node_id self)
+    : m_implementation(std::make_unique<implementation>(ports, std::move(self)))
+{
+}
+
+slot_broker::~slot_broker() = default;
+
+task<slot_broker::slot_outcome> slot_broker::acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
+{
+    return m_implementation->acquire(std::move(request), stop, std::move(onReclaim));
+}
+
+void slot_broker::firstByte(const request_id &request)
+{
+    m_implementation->firstByte(request);
+}
+
+void slot_broker::released(const request_id &request, const attempt_result &result)
+{
+    m_implementation->released(request, result);
+}
+
+void slot_broker::received(const slot_claim &claim)
+{
+    m_implementation->received(claim);
+}
+
+void slot_broker::received(const slot_verdict &verdict)
+{
+    m_implementation->received(verdict);
+}
+
+void slot_broker::received(const slot_progress &progress)
+{
+    m_implementation->received(progress);
+}
+
+void slot_broker::received(const slot_release &release)
+{
+    m_implementation->received(release);
+}
+
+void slot_broker::reported(const node_load &load)
+{
+    m_implementation->reported(load);
+}
+
+void slot_broker::housekeep()
+{
+    m_implementation->housekeep();
+}
+
+std::vector<std::uint64_t> slot_broker::claims() const
+{
+    return m_implementation->claims();
+}
+
+scheduler_host &slot_broker::scheduler()
+{
+    return m_implementation->m_ports.scheduler;
+}
+
+} // namespace banyan
