--- /dev/null
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -0,0 +1,123 @@
+#include "request_codec.h"
+
+#include "banyan/core/final_result.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const upstream_protocol protocol = platform::makeProtocol();
+
+upstream_run runWith(std::vector<http_field> fields)
+{
+    return {.id = request_id("id-1"),
+            .upstream = upstream_id("u-1"),
+            .address = {"127.0.0.1", 1},
+            .method = "POST",
+            .target = "/x",
+            .host = "h",
+            .fields = std::move(fields),
+            .body = "b",
+            .resumeAfter = 12,
+            .timeLeft = 1500ms};
+}
+
+answer_kind kindOf(unsigned status, std::vector<http_field> fields)
+{
+    return protocol.decodeHead(status, fields, runWith({})).kind;
+}
+
+std::size_t countOf(const http_request &request, const http_field &field)
+{
+    return static_cast<std::size_t>(std::count(request.fields.begin(), request.fields.end(), field));
+}
+
+} // namespace
+
+TEST_CASE("encodeRun sets the fields of the run in place of the client's")
+{
+    const http_request request = protocol.encodeRun(
+        runWith({{"Deadline-Ms", "9000"}, {"last-event-id", "3"}, {"Expect-Instance", "another"}, {"Model", "m"}, {"Host", "h"}}));
+    CHECK(countOf(request, {"Deadline-Ms", "1500"}) == 1);
+    CHECK(countOf(request, {"Last-Event-Id", "12"}) == 1);
+    CHECK(countOf(request, {"Expect-Instance", "u-1"}) == 1);
+    CHECK(countOf(request, {"Request-Id", "id-1"}) == 1);
+    CHECK(countOf(request, {"Model", "m"}) == 1);
+    CHECK(request.fields.size() == 6);
+}
+
+TEST_CASE("decodeHead takes only the upstream's own proof for not run")
+{
+    const http_field id{"Request-Id", "id-1"};
+    const http_field stamp{"Response-Stamp", "s"};
+    CHECK(kindOf(200, {id, stamp}) == answer_kind::Success);
+    CHECK(kindOf(200, {id}) == answer_kind::Unusable);
+    CHECK(kindOf(200, {{"Request-Id", "id-2"}, stamp}) == answer_kind::Unusable);
+    CHECK(kindOf(200, {stamp}) == answer_kind::Unusable);
+    CHECK(kindOf(200, {id, stamp, {"Content-Encoding", "gzip"}}) == answer_kind::Unusable);
+    CHECK(kindOf(503, {id, {"Not-Executed", "1"}}) == answer_kind::NotRun);
+    CHECK(kindOf(503, {{"Not-Executed", "1"}}) == answer_kind::NotRun);
+    CHECK(kindOf(503, {id, stamp}) == answer_kind::Unusable);
+    CHECK(kindOf(429, {id}) == answer_kind::Unusable);
+    CHECK(kindOf(421, {{"Instance-Id", "u-2"}}) == answer_kind::WrongUpstream);
+    CHECK(kindOf(422, {id, stamp}) == answer_kind::Rejection);
+    CHECK(kindOf(500, {id, stamp}) == answer_kind::Failure);
+    CHECK(kindOf(504, {id, stamp}) == answer_kind::Failure);
+}
+
+TEST_CASE("decodeHead passes no field on that concerns the connection")
+{
+    const answer_head head = protocol.decodeHead(200,
+                                                 {{"Request-Id", "id-1"},
+                                                  {"Response-Stamp", "s"},
+                                                  {"Connection", "close, X-Hop"},
+                                                  {"X-Hop", "1"},
+                                                  {"Keep-Alive", "timeout=5"},
+                                                  {"Transfer-Encoding", "chunked"},
+                                                  {"Content-Type", "text/event-stream"}},
+                                                 runWith({}));
+    CHECK(head.isEventStream);
+    CHECK(head.fields == std::vector<http_field>{{"Request-Id", "id-1"}, {"Response-Stamp", "s"}, {"Content-Type", "text/event-stream"}});
+}
+
+TEST_CASE("encodeEnd promises not run only for what did not run, and says when to come back")
+{
+    const http_response refused = protocol.encodeEnd({.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = 250ms});
+    CHECK(refused.status == 503);
+    CHECK(refused.field("Retry-After") == "0.250");
+    CHECK(protocol.encodeEnd({.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams}).status == 503);
+    CHECK(protocol.encodeEnd({.what = disposition::OutcomeUnknown, .reason = end_reason::AnswerLost}).status == 502);
+    CHECK(protocol.encodeEnd({.what = disposition::OutcomeUnknown, .reason = end_reason::DeadlineUnreachable}).status == 504);
+    CHECK(protocol.encodeEnd({.what = disposition::Failed, .reason = end_reason::AnswerLost}).status == 502);
+}
+
+TEST_CASE("decodeJob reads items and refuses what is not well-formed")
+{
+    const std::optional<std::vector<job_item>> items = platform::decodeJob(
+        R"({"items":[{"id":"i1","path":"/p/1","headers":{"Model":"m","Connection":"close"},"body":"AAEC/w==","tokens":940}]})");
+    REQUIRE(items.has_value());
+    REQUIRE(items->size() == 1);
+    CHECK(items->front().id == "i1");
+    CHECK(items->front().body == std::string("\0\1\2\xff", 4));
+    CHECK(items->front().fields == std::vector<std::pair<std::string, std::string>>{{"Model", "m"}});
+    for (const std::string text :
+         {"", "{}", R"({"items":[]})", R"({"items":[{"id":"i1"}]})", R"({"items":[{"id":"i","path":"/","body":"*"}]})"}) {
+        CHECK_FALSE(platform::decodeJob(text).has_value());
+    }
+}
+
+TEST_CASE("encodeResults tells where to go on, and leaves the rest of a large page for the next one")
+{
+    job_results results{.state = lookup_state::Found, .total = 5};
+    results.results = {{.item = "a", .succeeded = true, .output = "x\ny"}, {.item = "b", .succeeded = false, .output = ""}};
+    CHECK(platform::encodeResults(results, 2)
+          == R"({"total":5,"next":4,"results":[{"id":"a","state":"succeeded","output":"x\ny"},{"id":"b","state":"errored","output":""}]})");
+    results.results = {{.item = "a", .succeeded = true, .output = std::string(600000, 'x')},
+                       {.item = "b", .succeeded = true, .output = std::string(600000, 'y')}};
+    CHECK(platform::encodeResults(results, 0).find(R"("next":1)") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/platform/row_codec_test.cpp
@@ -0,0 +1,83 @@
+#include "row_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+table_row rowOf(const std::string &value)
+{
+    return {.name = {.table = "t", .part = "", .key = "i-1"}, .value = value, .version = 3};
+}
+
+const std::string configurationText = R"({"version":7,
+ "routes":[{"name":"r1","host":"Ficu.Example","path_prefix":"/p/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,
+            "priority":0,"service":"a","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":400},
+           {"name":"r2","host":"h","path_prefix":"/q/","kind":"bulk","completion_window_ms":18000,"retention_s":60,
+            "traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+           {"name":"r3","host":"h","path_prefix":"/s/","kind":"safe","service":"b"},
+           {"name":"r4","host":"h","path_prefix":"/u/","kind":"unsafe","service":"b"},
+           {"name":"broken","host":"h","path_prefix":"/x/","kind":"another"}],
+ "services":[{"name":"a","health_path":"/health","max_conns":170}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+} // namespace
+
+TEST_CASE("decodeConfiguration takes routes, services and limits over and leaves out what it cannot read")
+{
+    const std::optional<serving_configuration> configuration = platform::decodeConfiguration(rowOf(configurationText));
+    REQUIRE(configuration.has_value());
+    CHECK(configuration->version == 7);
+    REQUIRE(configuration->routes.size() == 4);
+    const route &stream = configuration->routes[0];
+    CHECK(stream.host == "ficu.example");
+    CHECK(stream.kind == request_kind::Stream);
+    CHECK(stream.resumable);
+    CHECK(stream.timeout == 5s);
+    CHECK(stream.target == 300ms);
+    CHECK(stream.gapTarget == 400ms);
+    CHECK(stream.maximumAttempts == 2);
+    const route &job = configuration->routes[1];
+    CHECK(job.kind == request_kind::Job);
+    CHECK(job.completionWindow == 18s);
+    CHECK(job.retention == 60s);
+    CHECK(job.services == std::vector<weighted_service>{{service_name("a"), 90}, {service_name("b"), 10}});
+    CHECK(configuration->routes[2].isRepeatable());
+    CHECK_FALSE(configuration->routes[3].isRepeatable());
+    CHECK(configuration->services.at(service_name("a")).maximumConnections == 170);
+    CHECK(configuration->limits.idleTimeout == 15s);
+}
+
+TEST_CASE("decodeConfiguration refuses what is no configuration")
+{
+    for (const std::string text : {"", "null", "[1]", "{\"version\":\"7\"}", "{\"routes\":[]}", "{\"version\":"}) {
+        CHECK_FALSE(platform::decodeConfiguration(rowOf(text)).has_value());
+    }
+}
+
+TEST_CASE("decodeReplica reads an upstream's registration")
+{
+    const std::optional<replica> entry = platform::decodeReplica(rowOf(
+        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining","cold_left_ms":0,"seq":4})"));
+    REQUIRE(entry.has_value());
+    CHECK(entry->id == upstream_id("i-1"));
+    CHECK(entry->service == service_name("s"));
+    CHECK(entry->address == endpoint{"10.1.0.9", 8080});
+    CHECK(entry->domain == failure_domain("z"));
+    CHECK(entry->slots == 8);
+    CHECK(entry->draining);
+}
+
+TEST_CASE("decodeReplica names no upstream for an entry that another writer has left")
+{
+    for (const std::string text : {"bytes",
+                                   R"({"service":"s","address":"10.1.0.9:8080","slots":8,"state":"resting"})",
+                                   R"({"service":"s","address":"nowhere","slots":8,"state":"ready"})",
+                                   R"({"service":7,"address":"10.1.0.9:8080","slots":8,"state":"ready"})",
+                                   R"({"service":"s","address":"10.1.0.9:8080","slots":"8","state":"ready"})",
+                                   R"({"service":"s","address":"10.1.0.9:8080","slots":8})"}) {
+        CHECK_FALSE(platform::decodeReplica(rowOf(text)).has_value());
+    }
+}
--- /dev/null
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -0,0 +1,314 @@
+#include "banyan/io/serving/listed_job_service.h"
+
+#include "serving_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace banyan;
+using namespace banyan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::shared_ptr<const route_table> jobRoutes()
+{
+    return std::make_shared<const route_table>(serving_configuration{.version = 1,
+                                                                     .routes = {{.name = "jobs",
+                                                                                 .host = "h",
+                                                                                 .pathPrefix = "/j/",
+                                                                                 .kind = request_kind::Job,
+                                                                                 .resumable = true,
+                                                                                 .services = {{.service = service_name("s")}},
+                                                                                 .maximumAttempts = 2,
+                                                                                 .completionWindow = 18s,
+                                                                                 .retention = 60s}}});
+}
+
+/// A listed_job_service on a store in memory.
+struct job_fixture : serving_fixture
+{
+    std::unique_ptr<listed_job_service> service = makeService(*nodes.front());
+
+    std::unique_ptr<listed_job_service> makeService(serving_node &node)
+    {
+        auto result = std::make_unique<listed_job_service>(
+            listed_job_ports{
+                .context = context, .store = store.port(), .slots = node.slots, .sender = node.sender, .metrics = node.metrics},
+            listed_job_options{.self = node.id});
+        result->configure(jobRoutes());
+        return result;
+    }
+
+    static job_submission submission(const std::string &id, int items)
+    {
+        job_submission result{.id = job_id(id), .route = "jobs", .host = "h"};
+        for (int number = 0; number < items; ++number) {
+            result.items.push_back({.id = id + "-" + std::to_string(number), .path = "/j/1", .fields = {}, .body = "question"});
+        }
+        return result;
+    }
+
+    job_acceptance accept(listed_job_service &by, const std::string &id, int items)
+    {
+        job_acceptance acceptance = job_acceptance::Unknown;
+        run([&]() -> task<> {
+            job_submission job = submission(id, items);
+            acceptance = co_await by.accept(std::move(job));
+        });
+        return acceptance;
+    }
+
+    job_results results(listed_job_service &by, const std::string &id, std::uint32_t after = 0)
+    {
+        job_results found;
+        run([&]() -> task<> {
+            found = co_await by.results(job_id(id), after, 0s);
+        });
+        return found;
+    }
+
+    /// Runs until a job lists so many results.
+    job_results awaitResults(listed_job_service &by, const std::string &id, std::size_t count)
+    {
+        job_results found = results(by, id);
+        while (found.results.size() < count) {
+            run([&]() -> task<> {
+                co_await sleep(5ms);
+            });
+            found = results(by, id);
+        }
+        return found;
+    }
+};
+
+scripted_upstream::script streamsPieces(std::uint64_t count)
+{
+    return [count](http_exchange &exchange) -> task<> {
+        const std::string after = exchange.field("Last-Event-Id");
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        for (std::uint64_t id = after.empty() ? 1 : std::stoull(after) + 1; id <= count; ++id) {
+            co_await exchange.write(eventText(id));
+        }
+        co_await exchange.finish();
+    };
+}
+
+scripted_upstream::script fails(unsigned status)
+{
+    return [status](http_exchange &exchange) -> task<> {
+        http_response answer = upstreamAnswer(status, "no");
+        co_await exchange.respond(std::move(answer));
+    };
+}
+
+} // namespace
+
+TEST_CASE("listed_job_service runs a job's items and lists their whole output once it is recorded")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(3));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 3) == job_acceptance::Accepted);
+    const job_results found = fixture.awaitResults(*fixture.service, "j1", 3);
+    CHECK(found.total == 3);
+    for (const listed_result &result : found.results) {
+        CHECK(result.succeeded);
+        CHECK(result.output == "piece-1\npiece-2\npiece-3");
+    }
+    // Another node reads the same results in the same positions from the store.
+    const auto other = fixture.makeService(fixture.addNode());
+    CHECK(fixture.results(*other, "j1").results == found.results);
+    CHECK(fixture.results(*other, "j1", 2).results == std::vector<listed_result>{found.results[2]});
+}
+
+TEST_CASE("listed_job_service accepts a job once, however often and wherever it is sent again")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    const auto other = fixture.makeService(fixture.addNode());
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    CHECK(fixture.accept(*other, "j1", 2) == job_acceptance::Accepted);
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    (void)fixture.awaitResults(*fixture.service, "j1", 2);
+    CHECK(upstream.requests.size() == 2);
+}
+
+TEST_CASE("listed_job_service does not accept a job while the store does nothing, and runs nothing of it")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    fixture.store.down = true;
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::NotAccepted);
+    CHECK(fixture.results(*fixture.service, "j1").state == lookup_state::NotSure);
+    fixture.store.down = false;
+    CHECK(fixture.results(*fixture.service, "j1").state == lookup_state::Missing);
+    CHECK(upstream.requests.empty());
+}
+
+TEST_CASE("listed_job_service finds out whether a job was recorded whose transaction got no answer")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    fixture.store.loseAnswers = 1;
+    CHECK(fixture.accept(*fixture.service, "recorded", 1) == job_acceptance::Accepted);
+    fixture.store.loseCommits = 1;
+    // It could still take effect, so that nobody may be told that it did not.
+    CHECK(fixture.accept(*fixture.service, "lost", 1) == job_acceptance::Unknown);
+}
+
+TEST_CASE("listed_job_service runs a recorded job whose answer was lost, once the store's changes tell of it")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    fixture.service->start();
+    fixture.store.loseAnswers = 1;
+    REQUIRE(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    CHECK(fixture.awaitResults(*fixture.service, "j1", 2).results.size() == 2);
+}
+
+TEST_CASE("listed_job_service lists each result once when the answers of its transactions are lost")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(2));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 4) == job_acceptance::Accepted);
+    fixture.store.loseAnswers = 2;
+    const job_results found = fixture.awaitResults(*fixture.service, "j1", 4);
+    std::set<std::string> items;
+    for (const listed_result &result : found.results) {
+        items.insert(result.item);
+    }
+    CHECK(found.results.size() == 4);
+    CHECK(items.size() == 4);
+    const auto other = fixture.makeService(fixture.addNode());
+    CHECK(fixture.results(*other, "j1").results == found.results);
+}
+
+TEST_CASE("listed_job_service takes a job over from a node that has gone, without running what is listed")
+{
+    job_fixture fixture;
+    int answered = 0;
+    scripted_upstream upstream(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        if (++answered > 2) {
+            co_await fixture.sleep(generousTime); // The first node never gets more than two results.
+        }
+        co_await streamsPieces(1)(exchange);
+    });
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 4) == job_acceptance::Accepted);
+    const job_results before = fixture.awaitResults(*fixture.service, "j1", 2);
+    scripted_upstream fresh(fixture.context, "u2", streamsPieces(1));
+    fixture.setUpstreams({&fresh});
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    const job_results after = fixture.awaitResults(*other, "j1", 4);
+    CHECK(after.results.size() == 4);
+    CHECK(std::equal(before.results.begin(), before.results.end(), after.results.begin()));
+    CHECK(fresh.requests.size() == 2);
+}
+
+TEST_CASE("listed_job_service gives an item up at once if it can never be done, and after its route's failures else")
+{
+    job_fixture fixture;
+    scripted_upstream impossible(fixture.context, "u1", fails(422));
+    fixture.setUpstreams({&impossible});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    CHECK_FALSE(fixture.awaitResults(*fixture.service, "j1", 1).results.front().succeeded);
+    CHECK(impossible.requests.size() == 1);
+    scripted_upstream failing(fixture.context, "u2", fails(500));
+    fixture.setUpstreams({&failing});
+    REQUIRE(fixture.accept(*fixture.service, "j2", 1) == job_acceptance::Accepted);
+    CHECK_FALSE(fixture.awaitResults(*fixture.service, "j2", 1).results.front().succeeded);
+    CHECK(failing.requests.size() == 2);
+}
+
+TEST_CASE("listed_job_service does not count other errors of an upstream as failures of the item")
+{
+    job_fixture fixture;
+    int answered = 0;
+    scripted_upstream upstream(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        const scripted_upstream::script answer = ++answered <= 4 ? fails(502) : streamsPieces(1);
+        co_await answer(exchange);
+    });
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    CHECK(fixture.awaitResults(*fixture.service, "j1", 1).results.front().succeeded);
+}
+
+TEST_CASE("listed_job_service stops a job that its client has ended, wherever the end was recorded")
+{
+    job_fixture fixture;
+    bool disconnected = false;
+    scripted_upstream upstream(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        exchange.onDisconnect([&] {
+            disconnected = true;
+        });
+        co_await fixture.sleep(200ms);
+    });
+    fixture.setUpstreams({&upstream});
+    fixture.service->start();
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    const auto other = fixture.makeService(fixture.addNode());
+    lookup_state ended = lookup_state::NotSure;
+    fixture.run([&]() -> task<> {
+        co_await fixture.sleep(20ms);
+        ended = co_await other->end(job_id("j1"));
+    });
+    CHECK(ended == lookup_state::Found);
+    while (fixture.service->running() > 0) {
+        fixture.context.run_one();
+    }
+    while (!disconnected) {
+        fixture.context.run_one();
+    }
+    fixture.run([&]() -> task<> {
+        ended = co_await other->end(job_id("j1"));
+    });
+    CHECK(ended == lookup_state::Found);
+}
+
+TEST_CASE("listed_job_service answers for an item's body, also for large jobs and at other nodes")
+{
+    job_fixture fixture;
+    job_submission job = job_fixture::submission("j1", 1);
+    job.items.front().body = std::string(200000, 'x') + std::string(1, '\0') + "end";
+    fixture.run([&]() -> task<> {
+        job_submission copy = job;
+        const job_acceptance acceptance = co_await fixture.service->accept(std::move(copy));
+        CHECK(acceptance == job_acceptance::Accepted);
+    });
+    const auto other = fixture.makeService(fixture.addNode());
+    for (listed_job_service *const service : {fixture.service.get(), other.get()}) {
+        item_lookup found;
+        fixture.run([&]() -> task<> {
+            found = co_await service->itemBody(job_id("j1"), "j1-0");
+        });
+        CHECK(found.state == lookup_state::Found);
+        CHECK(found.body == job.items.front().body);
+        fixture.run([&]() -> task<> {
+            found = co_await service->itemBody(job_id("j1"), "another");
+        });
+        CHECK(found.state == lookup_state::Missing);
+    }
+}
+
+TEST_CASE("listed_job_service gives its jobs back at a planned stop")
+{
+    job_fixture fixture;
+    REQUIRE(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    fixture.run([&]() -> task<> {
+        co_await fixture.service->handOver(100ms);
+    });
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    CHECK(fixture.awaitResults(*other, "j1", 2).results.size() == 2);
+}
--- /dev/null
+++ b/tests/unit/serving/memory_store.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "../../standins/common/memory_tables.h"
+
+#include "banyan/io/asio_types.h"
+#include "banyan/io/platform_error.h"
+#include "banyan/io/serving/table_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+
+namespace banyan::tests {
+
+/// A store in memory behind the product's interface, with faults that a test switches on.
+class memory_store
+{
+public:
+    explicit memory_store(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    bool down = false; ///< Nothing is done.
+    int loseAnswers = 0; ///< So many commits take effect without an answer.
+    int loseCommits = 0; ///< So many commits get no answer and take no effect.
+    std::vector<duration> waits; ///< Of the calls for changes.
+    standins::memory_tables tables;
+
+    [[nodiscard]] table_store port()
+    {
+        table_store store;
+        store.commit = [this](table_transaction change) -> task<table_commit> {
+            check();
+            if (loseCommits > 0) {
+                --loseCommits;
+                throw platform_outcome_unknown("lost on the way");
+            }
+            const table_commit result = tables.commit(change);
+            if (loseAnswers > 0) {
+                --loseAnswers;
+                throw platform_outcome_unknown("answer lost");
+            }
+            co_return result;
+        };
+        store.read = [this](table_range range) -> task<table_page> {
+            check();
+            co_return tables.read(range);
+        };
+        store.changes = [this](std::string table, row_version after, duration wait) -> task<table_changes> {
+            waits.push_back(wait);
+            check();
+            // Polled: the tests' waits are short.
+            const auto until = std::chrono::steady_clock::now() + wait;
+            for (;;) {
+                table_changes result = tables.changes(table, after);
+                if (result.historyLost || !result.rows.empty() || std::chrono::steady_clock::now() >= until || down) {
+                    check();
+                    co_return result;
+                }
+                asio::steady_timer timer(m_context, std::chrono::milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+        };
+        store.putObject = [this](std::string name, std::string bytes) -> task<> {
+            check();
+            tables.objects.emplace(std::move(name), std::move(bytes));
+            co_return;
+        };
+        store.getObject = [this](std::string name) -> task<std::optional<std::string>> {
+            check();
+            const auto object = tables.objects.find(name);
+            co_return object == tables.objects.end() ? std::nullopt : std::optional(object->second);
+        };
+        store.dropObject = [this](std::string name) -> task<> {
+            check();
+            tables.objects.erase(name);
+            co_return;
+        };
+        return store;
+    }
+
+private:
+    void check() const
+    {
+        if (down) {
+            throw platform_unavailable("the store is down");
+        }
+    }
+
+    asio::io_context &m_context;
+};
+
+} // namespace banyan::tests
--- /dev/null
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -0,0 +1,312 @@
+#include "banyan/io/serving/request_relay.h"
+
+#include "serving_fixture.h"
+
+#include "banyan/io/http_error.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace banyan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A relay behind an HTTP server, with one route of a kind.
+struct relay_fixture : serving_fixture
+{
+    std::shared_ptr<const route_table> table;
+    http_server front{context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"}};
+    http_client caller{context, {}};
+
+    explicit relay_fixture(request_kind kind, bool resumable = false, std::uint32_t attempts = 2, duration timeout = 5s)
+    {
+        table = std::make_shared<const route_table>(serving_configuration{.version = 1,
+                                                                          .routes = {{.name = "r",
+                                                                                      .host = "h",
+                                                                                      .pathPrefix = "/x/",
+                                                                                      .kind = kind,
+                                                                                      .resumable = resumable,
+                                                                                      .services = {{.service = service_name("s")}},
+                                                                                      .timeout = timeout,
+                                                                                      .target = 300ms,
+                                                                                      .gapTarget = 200ms,
+                                                                                      .maximumAttempts = attempts}}});
+        front.routeOthers([this](http_exchange &exchange) -> task<> {
+            std::string body = co_await exchange.body(1U << 20U);
+            client_request request = platform::decodeRequest(exchange, std::move(body), currentTime());
+            const route *const by = table->find("h", "/x/");
+            co_await nodes.front()->relay.serve(exchange, std::move(request), table, *by);
+        });
+        front.start();
+    }
+
+    http_response call(const std::string &id, duration deadline = 5s)
+    {
+        http_response answer;
+        run([&]() -> task<> {
+            const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
+            http_request request{
+                .method = "POST",
+                .target = "/x/1?q=2",
+                .fields = {{"Host", "h"}, {"Request-Id", id}, {"Deadline-Ms", std::to_string(milliseconds)}, {"Custom", "kept"}},
+                .body = "question"};
+            answer = co_await caller.exchange(front.address(), std::move(request), generousTime);
+        });
+        return answer;
+    }
+};
+
+std::string valueOf(const http_request &request, const std::string &name)
+{
+    for (const http_field &field : request.fields) {
+        if (field.name == name) {
+            return field.value;
+        }
+    }
+    return "";
+}
+
+scripted_upstream::script answers(unsigned status, const std::string &body)
+{
+    return [status, body](http_exchange &exchange) -> task<> {
+        http_response answer = upstreamAnswer(status, body);
+        co_await exchange.respond(std::move(answer));
+    };
+}
+
+/// Reads the request and closes the connection without an answer.
+task<> closesWithoutAnswer(http_exchange &)
+{
+    co_return;
+}
+
+scripted_upstream::script refuses()
+{
+    return [](http_exchange &exchange) -> task<> {
+        http_response answer{.status = 503, .fields = {{"Not-Executed", "1"}}};
+        co_await exchange.respond(std::move(answer));
+    };
+}
+
+/// Streams the events from @p from to @p to, or from the one after the last that the request names, and ends or breaks off.
+scripted_upstream::script streams(std::uint64_t to, bool complete)
+{
+    return [to, complete](http_exchange &exchange) -> task<> {
+        const std::string after = exchange.field("Last-Event-Id");
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}, {"Content-Type", "text/event-stream"}};
+        co_await exchange.begin(200, std::move(fields));
+        for (std::uint64_t id = after.empty() ? 1 : std::stoull(after) + 1; id <= to; ++id) {
+            co_await exchange.write(eventText(id));
+        }
+        if (complete) {
+            co_await exchange.finish();
+        } else {
+            co_await exchange.write("id: 99\ndata: hal");
+        }
+    };
+}
+
+std::string eventsUpTo(std::uint64_t last)
+{
+    std::string text;
+    for (std::uint64_t id = 1; id <= last; ++id) {
+        text += eventText(id);
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("request_relay passes request and answer on unchanged, but for what it sets itself")
+{
+    relay_fixture fixture(request_kind::Idempotent);
+    scripted_upstream upstream(fixture.context, "u1", answers(200, "answer"));
+    fixture.setUpstreams({&upstream});
+    const http_response answer = fixture.call("id-1");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "answer");
+    CHECK(answer.field("Response-Stamp") == "stamp");
+    REQUIRE(upstream.requests.size() == 1);
+    const http_request &seen = upstream.requests.front();
+    CHECK(seen.method == "POST");
+    CHECK(seen.target == "/x/1?q=2");
+    CHECK(seen.body == "question");
+    CHECK(valueOf(seen, "Request-Id") == "id-1");
+    CHECK(valueOf(seen, "Host") == "h");
+    CHECK(valueOf(seen, "Custom") == "kept");
+    CHECK(valueOf(seen, "Expect-Instance") == "u1");
+    CHECK(std::stoi(valueOf(seen, "Deadline-Ms")) <= 5000);
+}
+
+TEST_CASE("request_relay repeats an idempotent request whose answer is lost, at another upstream")
+{
+    relay_fixture fixture(request_kind::Idempotent);
+    scripted_upstream broken(fixture.context, "u1", closesWithoutAnswer);
+    scripted_upstream good(fixture.context, "u2", answers(200, "answer"));
+    fixture.setUpstreams({&broken, &good});
+    // Whichever comes first, the answer is the good one's.
+    for (int call = 0; call < 6; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).body == "answer");
+    }
+}
+
+TEST_CASE("request_relay never repeats a request that must not be repeated and may have run, nor calls it not run")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream broken(fixture.context, "u1", closesWithoutAnswer);
+    scripted_upstream other(fixture.context, "u2", closesWithoutAnswer);
+    fixture.setUpstreams({&broken, &other});
+    const http_response answer = fixture.call("id-1");
+    CHECK(answer.status == 502);
+    CHECK(answer.field("Response-Stamp").empty());
+    CHECK(broken.requests.size() + other.requests.size() == 1);
+}
+
+TEST_CASE("request_relay tries again when an upstream says that it did not run the request")
+{
+    relay_fixture fixture(request_kind::AtMostOnce, false, 1);
+    scripted_upstream full(fixture.context, "u1", refuses());
+    scripted_upstream good(fixture.context, "u2", answers(200, "answer"));
+    fixture.setUpstreams({&full, &good});
+    for (int call = 0; call < 4; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).status == 200);
+    }
+}
+
+TEST_CASE("request_relay answers 503 with when to come back if all upstreams refuse")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream full(fixture.context, "u1", refuses());
+    fixture.setUpstreams({&full});
+    const http_response answer = fixture.call("id-1");
+    CHECK(answer.status == 503);
+    CHECK(std::stod(answer.field("Retry-After")) > 0);
+}
+
+TEST_CASE("request_relay does not pass on a status that promises not run without the upstream's own proof")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream upstream(fixture.context, "u1", answers(503, "busy"));
+    fixture.setUpstreams({&upstream});
+    CHECK(fixture.call("id-1").status == 502);
+}
+
+TEST_CASE("request_relay does not take another request's answer")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream upstream(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
+        http_response answer = upstreamAnswer(200, "another's");
+        answer.fields.push_back({"Content-Encoding", "gzip"});
+        co_await exchange.respond(std::move(answer));
+    });
+    fixture.setUpstreams({&upstream});
+    CHECK(fixture.call("id-1").status == 502);
+}
+
+TEST_CASE("request_relay passes an upstream's own failure on")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream upstream(fixture.context, "u1", answers(500, "failed"));
+    fixture.setUpstreams({&upstream});
+    const http_response answer = fixture.call("id-1");
+    CHECK(answer.status == 500);
+    CHECK(answer.field("Response-Stamp") == "stamp");
+}
+
+TEST_CASE("request_relay goes on with a resumable stream at another upstream, without a gap or a repeat")
+{
+    relay_fixture fixture(request_kind::Stream, true, 2);
+    scripted_upstream broken(fixture.context, "u1", streams(3, false));
+    scripted_upstream good(fixture.context, "u2", streams(6, true));
+    fixture.setUpstreams({&broken, &good});
+    for (int call = 0; call < 6; ++call) {
+        const http_response answer = fixture.call("id-" + std::to_string(call));
+        CHECK(answer.status == 200);
+        CHECK(answer.body == eventsUpTo(6));
+    }
+    REQUIRE_FALSE(broken.requests.empty());
+}
+
+TEST_CASE("request_relay lets a stream that cannot be resumed end without its end")
+{
+    relay_fixture fixture(request_kind::Stream, false, 2);
+    scripted_upstream broken(fixture.context, "u1", streams(3, false));
+    scripted_upstream other(fixture.context, "u2", streams(3, false));
+    fixture.setUpstreams({&broken, &other});
+    CHECK_THROWS_AS(fixture.call("id-1"), http_error);
+    CHECK(broken.requests.size() + other.requests.size() == 1);
+}
+
+TEST_CASE("request_relay continues a silent stream elsewhere")
+{
+    relay_fixture fixture(request_kind::Stream, true, 2);
+    scripted_upstream silent(fixture.context, "u1", [&fixture](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1));
+        co_await fixture.sleep(generousTime);
+    });
+    scripted_upstream good(fixture.context, "u2", streams(4, true));
+    fixture.setUpstreams({&silent, &good});
+    for (int call = 0; call < 4; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).body == eventsUpTo(4));
+    }
+}
+
+TEST_CASE("request_relay ends a request at its route's time: 504 if it was sent")
+{
+    relay_fixture fixture(request_kind::AtMostOnce, false, 1, 100ms);
+    scripted_upstream silent(fixture.context, "u1", [&fixture](http_exchange &) -> task<> {
+        co_await fixture.sleep(generousTime);
+    });
+    fixture.setUpstreams({&silent});
+    CHECK(fixture.call("id-1").status == 504);
+}
+
+TEST_CASE("request_relay says at once that there is no upstream")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    const http_response answer = fixture.call("id-1");
+    CHECK(answer.status == 503);
+    CHECK(std::stod(answer.field("Retry-After")) > 0);
+}
+
+TEST_CASE("request_relay does not use an upstream again whose address another one has")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    std::vector<upstream_id> reused;
+    fixture.nodes.front()->scheduler.onAddressReused([&](const upstream_id &upstream) {
+        reused.push_back(upstream);
+    });
+    scripted_upstream other(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
+        http_response answer{.status = 421, .fields = {{"Instance-Id", "u9"}}};
+        co_await exchange.respond(std::move(answer));
+    });
+    fixture.setUpstreams({&other});
+    CHECK(fixture.call("id-1").status == 503);
+    REQUIRE_FALSE(reused.empty());
+    CHECK(reused.front() == upstream_id("u1"));
+}
+
+TEST_CASE("request_relay refuses a content that has crashed three upstreams")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 1);
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<const scripted_upstream *> pointers;
+    for (int number = 0; number < 8; ++number) {
+        upstreams.push_back(std::make_unique<scripted_upstream>(fixture.context, "u" + std::to_string(number), closesWithoutAnswer));
+        pointers.push_back(upstreams.back().get());
+    }
+    fixture.setUpstreams(pointers);
+    for (int call = 0; call < 3; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).status == 502);
+    }
+    CHECK(fixture.call("id-4").status == 503);
+    std::size_t reached = 0;
+    for (const auto &upstream : upstreams) {
+        reached += upstream->requests.size();
+    }
+    CHECK(reached == 3);
+    CHECK(fixture.nodes.front()->relay.recentlyLost(currentTime()).size() == 3);
+}
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -247,3 +247,21 @@
     (void)fixture.scheduler.submit(request, start);
     CHECK_THROWS_AS(fixture.scheduler.submit(request, start), std::invalid_argument);
 }
+
+TEST_CASE("request_scheduler tries an upstream again when its ejection ends, although nothing else happens")
+{
+    scheduler_fixture fixture(1);
+    for (int failure = 0; failure < 3; ++failure) {
+        const slot_request request = fixture.batch();
+        REQUIRE(countOf<slot_granted>(fixture.scheduler.submit(request, start)) == 1);
+        (void)fixture.scheduler.released(request.id, {.outcome = attempt_outcome::Failed}, start);
+    }
+    slot_request request = fixture.batch();
+    request.repeatable = true;
+    CHECK(fixture.scheduler.submit(request, start).empty());
+    const std::optional<time_point> due = fixture.scheduler.nextWakeUp();
+    REQUIRE(due.has_value());
+    CHECK(*due <= start + 1s);
+    // Its troubles count for two seconds more where another node has them, too.
+    CHECK(countOf<slot_granted>(fixture.scheduler.tick(*due)) == 1);
+}
--- /dev/null
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -0,0 +1,92 @@
+#include "banyan/io/serving/serving_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point senderNow = time_point(1000s);
+const time_point receiverNow = time_point(5000s);
+
+} // namespace
+
+TEST_CASE("serving_codec keeps a report of load")
+{
+    const node_load load{.sender = node_id("n"),
+                         .sequence = 9,
+                         .usage = {{1, {.online = 2, .batch = 3, .troubled = true}}, {4, {.online = 5}}},
+                         .waitingOnline = 6,
+                         .lost = {{.fingerprint = 7, .upstream = 8}},
+                         .claims = {10, 11}};
+    const std::optional<gateway_message> read = decodeGatewayMessage(encode(load, senderNow), receiverNow);
+    REQUIRE(read.has_value());
+    CHECK(*read == gateway_message(load));
+}
+
+TEST_CASE("serving_codec moves a claim's times to the reader's clock")
+{
+    slot_claim claim{.sender = node_id("n"),
+                     .request = {.id = request_id("r"),
+                                 .service = service_name("s"),
+                                 .workClass = work_class::Batch,
+                                 .priority = 2,
+                                 .arrivedAt = senderNow - 10ms,
+                                 .target = senderNow + 290ms,
+                                 .deadline = senderNow + 5s,
+                                 .cell = {.index = 1, .count = 3},
+                                 .repeatable = true,
+                                 .begun = true,
+                                 .prefixHash = 77,
+                                 .excluded = {upstream_id("u1"), upstream_id("u2")}}};
+    const std::optional<gateway_message> read = decodeGatewayMessage(encode(claim, senderNow), receiverNow);
+    REQUIRE(read.has_value());
+    claim.request.arrivedAt = receiverNow - 10ms;
+    claim.request.target = receiverNow + 290ms;
+    claim.request.deadline = receiverNow + 5s;
+    CHECK(*read == gateway_message(claim));
+}
+
+TEST_CASE("serving_codec keeps verdicts, progress and releases")
+{
+    const std::vector<gateway_message> messages = {
+        slot_verdict{.request = request_id("r"), .state = claim_state::Granted, .upstream = upstream_id("u")},
+        slot_verdict{.request = request_id("r"), .state = claim_state::Refused, .reason = end_reason::Overloaded, .retryAfter = 250ms},
+        slot_progress{.sender = node_id("n"), .request = request_id("r"), .firstByte = 70ms},
+        slot_release{.sender = node_id("n"), .request = request_id("r"), .outcome = attempt_outcome::Lost}};
+    for (const gateway_message &message : messages) {
+        const std::optional<gateway_message> read = decodeGatewayMessage(encode(message, senderNow), receiverNow);
+        REQUIRE(read.has_value());
+        CHECK(*read == message);
+    }
+}
+
+TEST_CASE("serving_codec keeps what is stored of a job")
+{
+    const job_entry entry{.id = job_id("j"),
+                          .route = "r",
+                          .host = "h",
+                          .submittedAt = senderNow,
+                          .total = 3,
+                          .owner = node_id("n"),
+                          .ended = true,
+                          .complete = false,
+                          .itemsInObject = true,
+                          .version = 12};
+    CHECK(decodeJobEntry(job_id("j"), 12, encode(entry)) == entry);
+    const std::vector<job_item> items = {{.id = "i", .path = "/p", .fields = {{"a", "b"}}, .body = std::string("\0x", 2)}};
+    CHECK(decodeJobItems(encode(items)) == items);
+    const listed_result result{.item = "i", .succeeded = true, .output = "a\nb"};
+    CHECK(decodeListedResult(encode(result)) == result);
+    const gateway_entry gateway{.id = node_id("n"), .peerAddress = {"127.0.0.1", 7}};
+    CHECK(decodeGatewayEntry(encode(gateway)) == gateway);
+}
+
+TEST_CASE("serving_codec refuses bytes that are not well-formed")
+{
+    const std::string whole = encode(node_load{.sender = node_id("n"), .sequence = 1}, senderNow);
+    for (const std::string &bytes : {std::string(), std::string("nonsense"), std::string(100, '\xff'), whole.substr(0, whole.size() / 2)}) {
+        CHECK_FALSE(decodeGatewayMessage(bytes, receiverNow).has_value());
+    }
+}
--- /dev/null
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -0,0 +1,270 @@
+#include "banyan/io/serving/slot_broker.h"
+
+#include "banyan/core/serving/upstream_cell.h"
+#include "banyan/io/clock.h"
+#include "banyan/io/serving/stop_signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two nodes whose messages reach each other at once, unless they are cut off.
+struct broker_fixture
+{
+    struct node
+    {
+        node(broker_fixture &fixture, const std::string &name)
+            : id(name)
+            , scheduler(fixture.context, {.self = id}, board)
+            , slots({.context = fixture.context,
+                     .scheduler = scheduler,
+                     .board = board,
+                     .send =
+                         [&fixture](const node_id &to, const gateway_message &message) {
+                             return fixture.deliver(to, message);
+                         }},
+                    id)
+        {
+        }
+
+        node_id id;
+        load_board board{10s};
+        scheduler_host scheduler;
+        slot_broker slots;
+        std::uint64_t sequence = 0;
+    };
+
+    asio::io_context context;
+    bool cut = false;
+    std::map<node_id, std::unique_ptr<node>> nodes;
+    std::vector<replica> upstreams;
+
+    explicit broker_fixture(int upstreamCount)
+    {
+        for (int number = 0; number < upstreamCount; ++number) {
+            upstreams.push_back({.id = upstream_id("u" + std::to_string(number)), .service = service_name("s"), .slots = 1});
+        }
+        for (const std::string name : {"n1", "n2"}) {
+            nodes.emplace(node_id(name), std::make_unique<node>(*this, name));
+        }
+        for (const auto &[id, member] : nodes) {
+            member->scheduler.setUpstreams(upstreams);
+        }
+        report();
+    }
+
+    bool deliver(const node_id &to, const gateway_message &message)
+    {
+        if (!cut) {
+            asio::post(context, [this, to, message] {
+                std::visit(
+                    [&](const auto &value) {
+                        if constexpr (!std::is_same_v<std::decay_t<decltype(value)>, node_load>) {
+                            nodes.at(to)->slots.received(value);
+                        }
+                    },
+                    message);
+            });
+        }
+        return true;
+    }
+
+    /// Lets every node report to the other one.
+    void report()
+    {
+        for (const auto &[id, member] : nodes) {
+            const node_load load{.sender = id,
+                                 .sequence = ++member->sequence,
+                                 .usage = member->scheduler.scheduler().usage(currentTime()),
+                                 .claims = member->slots.claims()};
+            for (const auto &[otherId, other] : nodes) {
+                if (otherId != id) {
+                    other->board.reported(load, currentTime());
+                    other->slots.reported(load);
+                }
+            }
+        }
+    }
+
+    /// Slots that a node has given out.
+    static std::uint32_t inUse(const node &by)
+    {
+        std::uint32_t sum = 0;
+        for (const auto &[key, usage] : by.scheduler.scheduler().usage(currentTime())) {
+            sum += usage.online + usage.batch;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] node &placer()
+    {
+        const std::vector<node_id> ids{node_id("n1"), node_id("n2")};
+        return *nodes.at(placingNode(service_name("s"), {}, ids));
+    }
+    [[nodiscard]] node &other()
+    {
+        return *nodes.at(placer().id == node_id("n1") ? node_id("n2") : node_id("n1"));
+    }
+
+    static slot_request request(const std::string &id, work_class value = work_class::Online)
+    {
+        const time_point now = currentTime();
+        return {.id = request_id(id),
+                .service = service_name("s"),
+                .workClass = value,
+                .arrivedAt = now,
+                .target = now + 300ms,
+                .deadline = now + 5s};
+    }
+
+    /// Waits for a slot; what came of it is noted under the request's id.
+    void acquire(node &by, const slot_request &request)
+    {
+        asio::co_spawn(
+            context,
+            [this, &by, request]() -> task<> {
+                auto onReclaim = [this, request] {
+                    reclaimed[request.id.text()] = true;
+                };
+                outcomes[request.id.text()] = co_await by.slots.acquire(request, stops[request.id.text()], std::move(onReclaim));
+            },
+            asio::detached);
+    }
+
+    void runFor(duration time)
+    {
+        bool over = false;
+        asio::steady_timer timer(context, time);
+        timer.async_wait([&](const boost::system::error_code &) {
+            over = true;
+        });
+        context.restart();
+        while (!over) {
+            context.run_one();
+        }
+    }
+
+    [[nodiscard]] bool granted(const std::string &id) const
+    {
+        const auto outcome = outcomes.find(id);
+        return outcome != outcomes.end() && std::holds_alternative<slot_granted>(outcome->second);
+    }
+
+    std::map<std::string, slot_broker::slot_outcome> outcomes;
+    std::map<std::string, stop_signal> stops;
+    std::map<std::string, bool> reclaimed;
+};
+
+} // namespace
+
+TEST_CASE("slot_broker gets a slot from the node that places the cell's requests")
+{
+    broker_fixture fixture(2);
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.acquire(fixture.placer(), broker_fixture::request("r2"));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    REQUIRE(fixture.granted("r2"));
+    // One queue stands before the upstreams: the two runs are at different ones.
+    CHECK(std::get<slot_granted>(fixture.outcomes["r1"]).upstream != std::get<slot_granted>(fixture.outcomes["r2"]).upstream);
+    CHECK(broker_fixture::inUse(fixture.placer()) == 2);
+    CHECK(broker_fixture::inUse(fixture.other()) == 0);
+}
+
+TEST_CASE("slot_broker frees the slot at the placing node when the run has ended")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    fixture.other().slots.released(request_id("r1"), {.outcome = attempt_outcome::Succeeded});
+    fixture.runFor(5ms);
+    CHECK(broker_fixture::inUse(fixture.placer()) == 0);
+}
+
+TEST_CASE("slot_broker takes a batch run's slot back from another node")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("b1"));
+    fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(fixture.reclaimed["b1"]);
+}
+
+TEST_CASE("slot_broker places a run itself when the placing node gives no verdict")
+{
+    broker_fixture fixture(1);
+    fixture.cut = true;
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(10ms);
+    CHECK_FALSE(fixture.granted("r1"));
+    fixture.runFor(60ms);
+    CHECK(fixture.granted("r1"));
+    // The silent node is not asked again for a while.
+    fixture.other().slots.released(request_id("r1"), {.outcome = attempt_outcome::Succeeded});
+    fixture.acquire(fixture.other(), broker_fixture::request("r2"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r2"));
+}
+
+TEST_CASE("slot_broker frees a slot whose release was lost, by its holder's reports")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    fixture.cut = true;
+    fixture.other().slots.released(request_id("r1"), {.outcome = attempt_outcome::Succeeded});
+    fixture.cut = false;
+    fixture.report();
+    CHECK(broker_fixture::inUse(fixture.placer()) == 1);
+    fixture.runFor(450ms);
+    fixture.report();
+    CHECK(broker_fixture::inUse(fixture.placer()) == 0);
+}
+
+TEST_CASE("slot_broker keeps a slot whose holder lists it")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(450ms);
+    fixture.report();
+    CHECK(broker_fixture::inUse(fixture.placer()) == 1);
+}
+
+TEST_CASE("slot_broker gives up a claim whose run is stopped while it waits")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    CHECK(fixture.placer().scheduler.scheduler().waitingBatch() == 1);
+    fixture.stops["b1"].stop();
+    fixture.runFor(5ms);
+    CHECK(std::holds_alternative<std::monostate>(fixture.outcomes["b1"]));
+    CHECK(fixture.placer().scheduler.scheduler().waitingBatch() == 0);
+}
+
+TEST_CASE("slot_broker passes the placing node's refusal on")
+{
+    broker_fixture fixture(1);
+    std::vector<replica> none;
+    fixture.placer().scheduler.setUpstreams(none);
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    REQUIRE(std::holds_alternative<slot_refused>(fixture.outcomes["r1"]));
+    CHECK(std::get<slot_refused>(fixture.outcomes["r1"]).reason == end_reason::NoUpstream);
+}
--- /dev/null
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -0,0 +1,125 @@
+#include "banyan/io/serving/table_follower.h"
+
+#include "memory_store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace banyan;
+using namespace banyan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string table = "t";
+
+/// A follower of a table in memory that notes what it is told.
+struct follower_fixture
+{
+    asio::io_context context;
+    memory_store store{context};
+    std::vector<std::string> told;
+    table_follower follower;
+
+    follower_fixture()
+        : follower(context,
+                   store.port(),
+                   {.table = table, .parts = {"p", "q"}, .pause = 1ms, .wait = 200ms, .retryDelay = 2ms},
+                   {.onAll =
+                        [this](const std::vector<table_row> &rows) {
+                            told.push_back("all " + std::to_string(rows.size()));
+                        },
+                    .onChange =
+                        [this](const table_row &row) {
+                            told.push_back((row.deleted ? "gone " : "set ") + row.name.key);
+                        },
+                    .onLost =
+                        [this] {
+                            told.emplace_back("lost");
+                        },
+                    .onRegained =
+                        [this] {
+                            told.emplace_back("regained");
+                        }})
+    {
+        asio::co_spawn(context, follower.run(), asio::detached);
+    }
+
+    void set(const std::string &part, const std::string &key)
+    {
+        store.tables.commit({.writes = {{.name = {table, part, key}, .value = "v"}}});
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        while (!condition()) {
+            context.run_one();
+        }
+    }
+
+    [[nodiscard]] bool wasTold(const std::string &what) const
+    {
+        return std::find(told.begin(), told.end(), what) != told.end();
+    }
+};
+
+} // namespace
+
+TEST_CASE("table_follower reads all parts of its table, and then each change")
+{
+    follower_fixture fixture;
+    fixture.set("p", "a");
+    fixture.set("q", "b");
+    fixture.runUntil([&] {
+        return fixture.wasTold("all 2");
+    });
+    fixture.set("q", "c");
+    fixture.store.tables.commit({.removals = {{table, "p", "a"}}});
+    fixture.runUntil([&] {
+        return fixture.wasTold("gone a");
+    });
+    CHECK(fixture.told == std::vector<std::string>{"all 2", "set c", "gone a"});
+}
+
+TEST_CASE("table_follower reads its table again when changes are not kept any more")
+{
+    follower_fixture fixture;
+    fixture.runUntil([&] {
+        return fixture.wasTold("all 0");
+    });
+    fixture.set("p", "a");
+    fixture.store.tables.forgetHistory();
+    fixture.runUntil([&] {
+        return fixture.wasTold("all 1");
+    });
+    CHECK_FALSE(fixture.wasTold("lost"));
+}
+
+TEST_CASE("table_follower asks without a wait while the store is lost, and reads all rows when it is back")
+{
+    follower_fixture fixture;
+    fixture.runUntil([&] {
+        return !fixture.store.waits.empty();
+    });
+    CHECK(fixture.store.waits.back() == 200ms);
+    fixture.store.down = true;
+    fixture.runUntil([&] {
+        return fixture.wasTold("lost");
+    });
+    const std::size_t asked = fixture.store.waits.size();
+    fixture.runUntil([&] {
+        return fixture.store.waits.size() > asked + 2;
+    });
+    CHECK(fixture.store.waits.back() == 0ms);
+    fixture.store.down = false;
+    fixture.set("p", "a");
+    fixture.runUntil([&] {
+        return fixture.wasTold("all 1");
+    });
+    const auto regained = std::find(fixture.told.begin(), fixture.told.end(), "regained");
+    const auto all = std::find(fixture.told.begin(), fixture.told.end(), "all 1");
+    CHECK(regained < all);
+}
