Do not lose the reclaim of a slot; take jobs over at once from a gateway whose place another start has taken

A reclaim that arrived before its run had seen the grant was dropped, and one whose datagram was lost was never repeated: batch runs kept slots that had been given to online work, which then queued in the replica. Cause 2: after a start of all gateways their jobs waited 2 to 4 s for owners that could not come back; a registration that was replaced now says so. Ruled out: slots leaked by lost releases (reports free them), missing verdicts (10 to 50 requests at each restart).

--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -40,6 +40,9 @@
     /// Notes which nodes have been heard.
     void heard(const node_id &node, time_point now);
 
+    /// Replaces the nodes that are registered. One that was and is not any more has ended, whenever it was last heard.
+    void setRegistered(const std::set<node_id> &nodes);
+
     /// Open jobs that this node should take over now, the oldest first.
     [[nodiscard]] std::vector<job_entry> toTakeOver(time_point now);
 
@@ -50,11 +53,15 @@
     [[nodiscard]] std::vector<job_entry> olderThan(time_point before) const;
 
 private:
+    [[nodiscard]] bool lives(const node_id &owner, time_point now) const;
+    [[nodiscard]] duration patienceWith(const node_id &owner) const;
     [[nodiscard]] bool isFirstChoice(const job_id &id, time_point now) const;
 
     job_directory_options m_options;
     std::map<job_id, job_entry> m_jobs;
     std::map<node_id, time_point> m_heardAt;
+    std::set<node_id> m_registered;
+    std::set<node_id> m_ended; ///< Were registered once.
     std::map<job_id, time_point> m_orphanedAt; ///< When this node first saw the job without a living owner.
 };
 
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -47,13 +47,38 @@
     m_heardAt.insert_or_assign(node, now);
 }
 
+void job_directory::setRegistered(const std::set<node_id> &nodes)
+{
+    for (const node_id &node : m_registered) {
+        if (!nodes.contains(node)) {
+            m_ended.insert(node);
+        }
+    }
+    m_registered = nodes;
+}
+
+bool job_directory::lives(const node_id &owner, time_point now) const
+{
+    if (owner == m_options.self) {
+        return true;
+    }
+    const auto heardAt = m_heardAt.find(owner);
+    return !m_ended.contains(owner) && heardAt != m_heardAt.end() && now - heardAt->second < m_options.ownerSilence;
+}
+
+/// How long to wait for a sign of an owner that does not seem to live. One that is registered and was never heard may only
+/// be new to this node.
+duration job_directory::patienceWith(const node_id &owner) const
+{
+    return m_registered.contains(owner) && !m_heardAt.contains(owner) ? m_options.ownerSilence : duration(0);
+}
+
 /// Whether no other living node has a higher rendezvous weight for the job.
 bool job_directory::isFirstChoice(const job_id &id, time_point now) const
 {
     const std::uint64_t own = weightOf(id, m_options.self);
     return std::none_of(m_heardAt.begin(), m_heardAt.end(), [&](const auto &entry) {
-        const bool lives = now - entry.second < m_options.ownerSilence;
-        return lives && entry.first != m_options.self && weightOf(id, entry.first) > own;
+        return entry.first != m_options.self && lives(entry.first, now) && weightOf(id, entry.first) > own;
     });
 }
 
@@ -61,16 +86,12 @@
 {
     std::vector<job_entry> result;
     for (const auto &[id, entry] : m_jobs) {
-        const auto heardAt = m_heardAt.find(entry.owner);
-        const bool ownerLives =
-            entry.owner == m_options.self || (heardAt != m_heardAt.end() && now - heardAt->second < m_options.ownerSilence);
-        if (!entry.isOpen() || ownerLives) {
+        if (!entry.isOpen() || lives(entry.owner, now)) {
             m_orphanedAt.erase(id);
             continue;
         }
         const time_point since = m_orphanedAt.try_emplace(id, now).first->second;
-        // An owner that was never heard may only be new to this node; one that gave its job up is not waited for.
-        const duration patience = entry.owner.empty() || heardAt != m_heardAt.end() ? duration(0) : m_options.ownerSilence;
+        const duration patience = patienceWith(entry.owner);
         const bool isDue = now - since >= patience;
         if (isDue && (isFirstChoice(id, now) || now - since >= patience + m_options.secondChoice)) {
             result.push_back(entry);
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,9 @@
     /// Replaces the routes, by which items are run.
     void configure(std::shared_ptr<const route_table> table);
 
+    /// Replaces the nodes that are registered.
+    void setRegistered(const std::set<node_id> &nodes);
+
     /// Notes that a node lives.
     void heard(const node_id &node, time_point now);
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -286,14 +286,17 @@
 
 void gateway::implementation::gatewaysChanged()
 {
+    std::set<node_id> registered;
     std::map<node_id, endpoint> peers;
     for (const auto &[key, entry] : m_gateways) {
+        registered.insert(entry.id);
         if (entry.peerAddress != m_settings.peerListen) {
             peers.emplace(entry.id, entry.peerAddress);
         }
     }
     logEvent(log_level::Info, "gateways_changed", {{"others", std::to_string(peers.size())}});
     m_exchange.setPeers(std::move(peers));
+    m_jobs.setRegistered(registered);
 }
 
 table_key gateway::implementation::ownRow() const
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -63,6 +63,10 @@
     {
         m_table = std::move(table);
     }
+    void setRegistered(const std::set<node_id> &nodes)
+    {
+        m_directory.setRegistered(nodes);
+    }
     void heard(const node_id &node, time_point now)
     {
         m_directory.heard(node, now);
@@ -727,6 +731,11 @@
     m_implementation->configure(std::move(table));
 }
 
+void listed_job_service::setRegistered(const std::set<node_id> &nodes)
+{
+    m_implementation->setRegistered(nodes);
+}
+
 void listed_job_service::heard(const node_id &node, time_point now)
 {
     m_implementation->heard(node, now);
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -57,6 +57,7 @@
     request_id request; ///< As its holder knows it.
     std::optional<upstream_id> granted;
     time_point since; ///< Of the claim, later of the grant.
+    bool reclaimed = false;
 };
 
 using foreign_key = std::pair<node_id, request_id>;
@@ -325,6 +326,7 @@
     auto onReclaim = [this, key] {
         const auto entry = m_foreign.find(key);
         if (entry != m_foreign.end()) {
+            entry->second.reclaimed = true;
             sendVerdict(entry->second, {.request = key.second, .state = claim_state::Reclaimed});
         }
     };
@@ -371,8 +373,9 @@
     }
     own_claim &own = *entry->second;
     if (verdict.state == claim_state::Reclaimed) {
+        // It may overtake the grant, and is repeated while the run goes on.
         const auto onReclaim = std::exchange(own.onReclaim, nullptr);
-        if (own.holdsSlot && onReclaim) {
+        if (onReclaim) {
             onReclaim();
         }
         return;
@@ -418,7 +421,10 @@
     std::vector<foreign_key> ended;
     for (auto entry = m_foreign.lower_bound({load.sender, request_id()}); entry != m_foreign.end() && entry->first.first == load.sender;
          ++entry) {
-        if (now - entry->second.since > releaseGrace && !held.contains(hashOf(entry->first.second))) {
+        const bool isHeld = held.contains(hashOf(entry->first.second));
+        if (isHeld && entry->second.reclaimed) {
+            sendVerdict(entry->second, {.request = entry->first.second, .state = claim_state::Reclaimed});
+        } else if (!isHeld && now - entry->second.since > releaseGrace) {
             ended.push_back(entry->first);
         }
     }
--- a/tests/unit/serving/job_directory_test.cpp
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -49,9 +49,29 @@
     CHECK(second.toTakeOver(later).size() == 1);
 }
 
+TEST_CASE("job_directory takes jobs over at once from a node whose place another start has taken")
+{
+    job_directory directory = directoryOf("n1");
+    directory.setRegistered({node_id("n1"), node_id("n2-first")});
+    directory.stored(entry("j", "n2-first"));
+    directory.heard(node_id("n2-first"), start);
+    CHECK(directory.toTakeOver(start).empty());
+    directory.setRegistered({node_id("n1"), node_id("n2-second")});
+    CHECK(directory.toTakeOver(start).size() == 1);
+}
+
+TEST_CASE("job_directory takes jobs over at once after a start of all nodes, from owners that are not registered")
+{
+    job_directory directory = directoryOf("n1");
+    directory.setRegistered({node_id("n1"), node_id("n2")});
+    directory.stored(entry("j", "gone"));
+    CHECK(directory.toTakeOver(start).size() == 1);
+}
+
 TEST_CASE("job_directory waits for an owner that it has never heard, but not for one that gave the job up")
 {
     job_directory directory = directoryOf("n1");
+    directory.setRegistered({node_id("n1"), node_id("n2")});
     directory.stored(entry("unheard", "n2"));
     directory.stored(entry("given-up", ""));
     REQUIRE(directory.toTakeOver(start).size() == 1);
--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -268,3 +268,34 @@
     REQUIRE(std::holds_alternative<slot_refused>(fixture.outcomes["r1"]));
     CHECK(std::get<slot_refused>(fixture.outcomes["r1"]).reason == end_reason::NoUpstream);
 }
+
+TEST_CASE("slot_broker takes a slot back whose grant is not yet known to its holder, and again if the message is lost")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("b1"));
+    fixture.cut = true;
+    fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    CHECK_FALSE(fixture.reclaimed["b1"]);
+    fixture.cut = false;
+    fixture.report();
+    fixture.runFor(5ms);
+    CHECK(fixture.reclaimed["b1"]);
+}
+
+TEST_CASE("slot_broker does not lose a reclaim that arrives together with the grant")
+{
+    broker_fixture fixture(1);
+    fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
+    // The claim arrives, is granted, and online work comes before the holder has seen the grant.
+    while (broker_fixture::inUse(fixture.placer()) == 0) {
+        fixture.context.run_one();
+    }
+    fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    fixture.runFor(20ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(fixture.reclaimed["b1"]);
+}
