--- a/io/include/banyan/io/serving/peer_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -33,6 +33,9 @@
     /// Binds the socket and begins to send and receive. @throws std::runtime_error if the address cannot be bound
     void start();
 
+    /// Where it receives, with the real port.
+    [[nodiscard]] endpoint address() const;
+
     /// Replaces the other nodes.
     void setPeers(std::map<node_id, endpoint> peers);
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -118,6 +118,7 @@
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< By row key.
     std::uint64_t m_sequence = 0;
+    endpoint m_peerAddress;
     bool m_replicasKnown = false;
     bool m_stopping = false;
 
@@ -141,6 +142,8 @@
 void gateway::implementation::start()
 {
     m_housekeptAt = currentTime();
+    m_exchange.start();
+    m_peerAddress = m_exchange.address();
     m_scheduler.onAddressReused([this](const upstream_id &upstream) {
         logEvent(log_level::Info, "upstream_address_reused", {{"upstream", upstream.text()}});
         m_registry.addressReused(upstream);
@@ -153,7 +156,6 @@
     follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
     m_jobs.start();
-    m_exchange.start();
     asio::co_spawn(m_context, registerSelf(shared_from_this()), asio::detached);
     housekeep();
 }
@@ -290,7 +292,7 @@
     std::map<node_id, endpoint> peers;
     for (const auto &[key, entry] : m_gateways) {
         registered.insert(entry.id);
-        if (entry.peerAddress != m_settings.peerListen) {
+        if (entry.peerAddress != m_peerAddress) {
             peers.emplace(entry.id, entry.peerAddress);
         }
     }
@@ -301,7 +303,7 @@
 
 table_key gateway::implementation::ownRow() const
 {
-    return {.table = gatewayTable, .part = {}, .key = m_settings.peerListen.toString()};
+    return {.table = gatewayTable, .part = {}, .key = m_peerAddress.toString()};
 }
 
 /// Registers this gateway under its address, in place of an earlier start of it.
@@ -310,7 +312,7 @@
     for (bool registered = false; !registered && !self->m_stopping;) {
         table_transaction change;
         change.writes.push_back(
-            {.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_settings.peerListen})});
+            {.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_peerAddress})});
         std::string failure;
         try {
             co_await self->m_platform.store.commit(std::move(change));
--- a/io/src/serving/peer_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -43,6 +43,12 @@
         schedule(duration(0));
     }
 
+    [[nodiscard]] endpoint address() const
+    {
+        const udp::endpoint local = m_socket.local_endpoint();
+        return {.address = local.address().to_string(), .port = local.port()};
+    }
+
     void setPeers(const std::map<node_id, endpoint> &peers)
     {
         m_peers.clear();
@@ -174,6 +180,11 @@
     m_implementation->start();
 }
 
+endpoint peer_exchange::address() const
+{
+    return m_implementation->address();
+}
+
 void peer_exchange::setPeers(std::map<node_id, endpoint> peers)
 {
     m_implementation->setPeers(peers);
--- /dev/null
+++ b/tests/process/gateway_fleet.cpp
@@ -0,0 +1,226 @@
+#include "gateway_fleet.h"
+
+#include "eventually.h"
+#include "test_connection.h"
+
+#include <stdexcept>
+
+namespace banyan::process_tests {
+
+namespace json = boost::json;
+
+namespace {
+
+const std::string host = "test"; // As the test connection names it.
+
+json::object routeJson(const std::string &name, const std::string &kind)
+{
+    return {{"name", name},
+            {"host", host},
+            {"path_prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout_ms", 5000},
+            {"target_latency_ms", 500},
+            {"gap_target_ms", 400},
+            {"priority", 0},
+            {"service", "s"},
+            {"max_attempts", 3},
+            {"resumable", true},
+            {"completion_window_ms", 18000},
+            {"retention_s", 60}};
+}
+
+} // namespace
+
+struct gateway_fleet::gateway_process
+{
+    std::unique_ptr<child_process> process;
+    std::string settingsFile;
+    endpoint callers;
+    endpoint readiness;
+    endpoint metrics;
+};
+
+gateway_fleet::gateway_fleet(const options &wanted)
+{
+    m_store = std::make_unique<child_process>(child_process::options{.program = "tests/store_standin"});
+    m_storeAddress = endpoint::parse(m_store->readyValue("address"));
+    configure(1);
+    for (std::size_t index = 0; index < wanted.replicas; ++index) {
+        std::vector<std::string> arguments = {"--id", "replica-" + std::to_string(index)};
+        arguments.insert(arguments.end(), wanted.replicaArguments.begin(), wanted.replicaArguments.end());
+        m_replicas.push_back(
+            std::make_unique<child_process>(child_process::options{.program = "tests/replica_standin", .arguments = arguments}));
+        m_replicaAddresses.push_back(endpoint::parse(m_replicas.back()->readyValue("address")));
+        registerReplica(index);
+    }
+    for (std::size_t index = 0; index < wanted.gateways; ++index) {
+        startGateway();
+    }
+    for (std::size_t index = 0; index < wanted.gateways; ++index) {
+        waitUntilReady(index);
+    }
+}
+
+gateway_fleet::~gateway_fleet() = default;
+
+void gateway_fleet::writeSettings(std::size_t gateway, const std::string &more) const
+{
+    (void)m_directory.write("gateway-" + std::to_string(gateway) + ".yaml",
+                            "vm: gateway-" + std::to_string(gateway)
+                                + "\nfailure_domain: d\ncaller_listen: 127.0.0.1:0\nready_listen: 127.0.0.1:0\npeer_listen: 127.0.0.1:0\n"
+                                  "metrics_listen: 127.0.0.1:0\nshutdown_seconds: 8\nstore: "
+                                + m_storeAddress.toString() + "\n" + more);
+}
+
+void gateway_fleet::startGateway()
+{
+    const std::size_t index = m_gateways.size();
+    writeSettings(index);
+    auto gateway = std::make_unique<gateway_process>();
+    gateway->settingsFile = m_directory.file("gateway-" + std::to_string(index) + ".yaml");
+    gateway->process = std::make_unique<child_process>(
+        child_process::options{.program = "banyan-gateway", .arguments = {"--settings", gateway->settingsFile}});
+    gateway->callers = endpoint::parse(gateway->process->readyValue("caller_address"));
+    gateway->readiness = endpoint::parse(gateway->process->readyValue("ready_address"));
+    gateway->metrics = endpoint::parse(gateway->process->readyValue("metrics_address"));
+    m_gateways.push_back(std::move(gateway));
+}
+
+bool gateway_fleet::isReady(std::size_t gateway) const
+{
+    return call(readiness(gateway), {.target = "/-/ready"}).status == 200;
+}
+
+void gateway_fleet::waitUntilReady(std::size_t gateway) const
+{
+    const bool ready = eventually([&] {
+        return isReady(gateway);
+    });
+    if (!ready) {
+        throw std::runtime_error("expected gateway " + std::to_string(gateway) + " to become ready");
+    }
+}
+
+endpoint gateway_fleet::callers(std::size_t gateway) const
+{
+    return m_gateways.at(gateway)->callers;
+}
+
+endpoint gateway_fleet::readiness(std::size_t gateway) const
+{
+    return m_gateways.at(gateway)->readiness;
+}
+
+endpoint gateway_fleet::metrics(std::size_t gateway) const
+{
+    return m_gateways.at(gateway)->metrics;
+}
+
+endpoint gateway_fleet::store() const
+{
+    return m_storeAddress;
+}
+
+endpoint gateway_fleet::replica(std::size_t index) const
+{
+    return m_replicaAddresses.at(index);
+}
+
+child_process &gateway_fleet::gatewayProcess(std::size_t index)
+{
+    return *m_gateways.at(index)->process;
+}
+
+child_process &gateway_fleet::replicaProcess(std::size_t index)
+{
+    return *m_replicas.at(index);
+}
+
+void gateway_fleet::setRow(const std::string &table, const std::string &key, const json::value &value) const
+{
+    const json::object row = {{"table", table}, {"key", key}, {"value", value}};
+    const http_response answer = call(m_storeAddress, {.method = "POST", .target = "/standin/rows", .body = json::serialize(row)});
+    if (answer.status != 204) {
+        throw std::runtime_error("expected status 204 for a row, found " + std::to_string(answer.status));
+    }
+}
+
+void gateway_fleet::configure(int version) const
+{
+    json::array routes = {
+        routeJson("safe", "safe"), routeJson("once", "unsafe"), routeJson("stream", "streaming"), routeJson("jobs", "bulk")};
+    if (version > 1) {
+        routes.push_back(routeJson("added", "safe"));
+    }
+    setRow("op",
+           "config",
+           json::object{
+               {"version", version},
+               {"routes", routes},
+               {"services", json::array{json::object{{"name", "s"}, {"max_conns", 100}}}},
+               {"limits",
+                json::object{
+                    {"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 15000}}}});
+}
+
+void gateway_fleet::registerReplica(std::size_t index, const std::string &state) const
+{
+    setRow("servers",
+           "replica-" + std::to_string(index),
+           json::object{{"service", "s"},
+                        {"address", m_replicaAddresses.at(index).toString()},
+                        {"zone", "d"},
+                        {"slots", 8},
+                        {"state", state},
+                        {"seq", 1}});
+}
+
+void gateway_fleet::setStoreFaults(const json::object &faults) const
+{
+    (void)call(m_storeAddress, {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
+}
+
+http_response
+gateway_fleet::send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more) const
+{
+    http_request request{
+        .method = "POST", .target = path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "5000"}}, .body = "question of " + id};
+    request.fields.insert(request.fields.end(), more.begin(), more.end());
+    return call(callers(gateway), request);
+}
+
+http_response gateway_fleet::submitJob(std::size_t gateway, const std::string &id, int items) const
+{
+    json::array list;
+    for (int number = 0; number < items; ++number) {
+        list.push_back(json::object{{"id", id + "-" + std::to_string(number)},
+                                    {"path", "/jobs/run"},
+                                    {"headers", json::object{{"Model", "m"}}},
+                                    {"body", "cXVlc3Rpb24="},
+                                    {"tokens", 100}});
+    }
+    return call(callers(gateway),
+                {.method = "POST",
+                 .target = "/jobs/" + id,
+                 .fields = {{"Request-Id", id}, {"Content-Type", "application/json"}},
+                 .body = json::serialize(json::object{{"items", list}})});
+}
+
+json::object gateway_fleet::readJob(std::size_t gateway, const std::string &id) const
+{
+    const http_response answer = call(callers(gateway), {.target = "/-/lots/" + id + "?after=0"});
+    return answer.status == 200 ? json::parse(answer.body).as_object() : json::object{{"status", answer.status}};
+}
+
+int gateway_fleet::runsOf(const std::string &id) const
+{
+    int runs = 0;
+    for (const endpoint &address : m_replicaAddresses) {
+        const json::object counts = json::parse(call(address, {.target = "/standin/runs"}).body).as_object();
+        runs += counts.contains(id) ? static_cast<int>(counts.at(id).as_int64()) : 0;
+    }
+    return runs;
+}
+
+} // namespace banyan::process_tests
--- /dev/null
+++ b/tests/process/gateway_fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "child_process.h"
+#include "temporary_directory.h"
+
+#include "banyan/core/endpoint.h"
+#include "banyan/io/http_message.h"
+
+#include <boost/json.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace banyan::process_tests {
+
+/// A store, replicas and gateways as processes, speaking the users' protocols, with a route of each kind: "/safe/",
+/// "/once/", "/stream/" (resumable) and "/jobs/" of the host "test".
+class gateway_fleet
+{
+public:
+    struct options
+    {
+        std::size_t gateways = 2;
+        std::size_t replicas = 2;
+        std::vector<std::string> replicaArguments;
+    };
+
+    explicit gateway_fleet(const options &wanted);
+    ~gateway_fleet();
+
+    [[nodiscard]] endpoint callers(std::size_t gateway) const;
+    [[nodiscard]] endpoint readiness(std::size_t gateway) const;
+    [[nodiscard]] endpoint metrics(std::size_t gateway) const;
+    [[nodiscard]] endpoint store() const;
+    [[nodiscard]] endpoint replica(std::size_t index) const;
+    [[nodiscard]] child_process &gatewayProcess(std::size_t index);
+    [[nodiscard]] child_process &replicaProcess(std::size_t index);
+
+    /// Writes the gateway's settings file.
+    void writeSettings(std::size_t gateway, const std::string &more = {}) const;
+    void startGateway();
+    void waitUntilReady(std::size_t gateway) const;
+    [[nodiscard]] bool isReady(std::size_t gateway) const;
+
+    /// Puts a configuration with that version; later versions have one more route, "/added/".
+    void configure(int version) const;
+    /// Writes a replica's registration.
+    void registerReplica(std::size_t index, const std::string &state = "ready") const;
+    void setStoreFaults(const boost::json::object &faults) const;
+
+    /// Sends a request to a gateway.
+    [[nodiscard]] http_response
+    send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more = {}) const;
+    [[nodiscard]] http_response submitJob(std::size_t gateway, const std::string &id, int items) const;
+    [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
+    /// How often a request has run, at all replicas that live.
+    [[nodiscard]] int runsOf(const std::string &id) const;
+
+private:
+    struct gateway_process;
+
+    void setRow(const std::string &table, const std::string &key, const boost::json::value &value) const;
+
+    temporary_directory m_directory;
+    std::unique_ptr<child_process> m_store;
+    endpoint m_storeAddress;
+    std::vector<std::unique_ptr<child_process>> m_replicas;
+    std::vector<endpoint> m_replicaAddresses;
+    std::vector<std::unique_ptr<gateway_process>> m_gateways;
+};
+
+} // namespace banyan::process_tests
--- /dev/null
+++ b/tests/process/gateway_process_test.cpp
@@ -0,0 +1,183 @@
+#include "eventually.h"
+#include "gateway_fleet.h"
+#include "test_connection.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <set>
+
+using namespace banyan;
+using namespace banyan::process_tests;
+
+namespace json = boost::json;
+
+namespace {
+
+const std::vector<http_field> streamed = {{"Model", "m"}};
+
+std::string wholeStream(const std::string &id, int events)
+{
+    std::string text;
+    for (int number = 1; number <= events; ++number) {
+        text += "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+std::size_t resultsOf(const json::object &job)
+{
+    return job.contains("results") ? job.at("results").as_array().size() : 0;
+}
+
+} // namespace
+
+TEST_CASE("a gateway serves every kind of request, also with a job that another gateway accepted")
+{
+    gateway_fleet fleet({});
+    CHECK(fleet.send(0, "/safe/1", "a").body == "answer to a");
+    CHECK(fleet.send(1, "/once/1", "b").body == "answer to b");
+    CHECK(fleet.send(0, "/stream/1", "c", streamed).body == wholeStream("c", 10));
+    CHECK(fleet.send(1, "/nowhere/1", "d").status == 404);
+    REQUIRE(fleet.submitJob(0, "j1", 5).status == 202);
+    CHECK(fleet.submitJob(1, "j1", 5).status == 202);
+    CHECK(eventually([&] {
+        return resultsOf(fleet.readJob(1, "j1")) == 5;
+    }));
+    CHECK(fleet.readJob(1, "j1") == fleet.readJob(0, "j1"));
+    const json::object first = fleet.readJob(0, "j1").at("results").as_array().front().as_object();
+    CHECK(first.at("state").as_string() == "succeeded");
+    CHECK(fleet.readJob(0, "unknown").at("status").to_number<int>() == 404);
+    CHECK(call(fleet.metrics(0), {.target = "/metrics"}).body.find("banyan_requests_total") != std::string::npos);
+}
+
+TEST_CASE("a gateway that is stopped reports not ready at once, cuts no stream in progress and ends by itself")
+{
+    gateway_fleet fleet({.gateways = 2, .replicas = 2, .replicaArguments = {"--events", "20", "--event-ms", "100"}});
+    auto stream = std::async(std::launch::async, [&] {
+        return fleet.send(0, "/stream/1", "s", streamed);
+    });
+    REQUIRE(eventually([&] {
+        return fleet.runsOf("s") > 0;
+    }));
+    fleet.gatewayProcess(0).signal(SIGTERM);
+    CHECK(eventually([&] {
+        return !fleet.isReady(0);
+    }));
+    CHECK(fleet.send(0, "/safe/1", "during").status == 200);
+    CHECK(stream.get().body == wholeStream("s", 20));
+    CHECK(fleet.gatewayProcess(0).waitForExit() == 0);
+    CHECK(fleet.runsOf("s") == 1);
+}
+
+TEST_CASE("a job goes on when the gateway that runs it is killed, and lists each item once")
+{
+    gateway_fleet fleet({.gateways = 2, .replicas = 2, .replicaArguments = {"--event-ms", "60"}});
+    REQUIRE(fleet.submitJob(0, "j1", 12).status == 202);
+    REQUIRE(eventually([&] {
+        return fleet.runsOf("j1-0") > 0;
+    }));
+    fleet.gatewayProcess(0).signal(SIGKILL);
+    fleet.gatewayProcess(0).waitForExit();
+    REQUIRE(eventually([&] {
+        return resultsOf(fleet.readJob(1, "j1")) == 12;
+    }));
+    std::set<std::string> items;
+    const json::object job = fleet.readJob(1, "j1");
+    for (const json::value &result : job.at("results").as_array()) {
+        CHECK(result.at("state").as_string() == "succeeded");
+        items.insert(std::string(result.at("id").as_string()));
+    }
+    CHECK(items.size() == 12);
+}
+
+TEST_CASE("online requests go on while the store is away, and jobs are neither accepted nor called unknown")
+{
+    gateway_fleet fleet({});
+    REQUIRE(fleet.submitJob(0, "before", 1).status == 202);
+    for (const std::string mode : {"busy", "reset"}) {
+        fleet.setStoreFaults({{"mode", mode}});
+        CHECK(fleet.send(0, "/safe/1", "a-" + mode).status == 200);
+        CHECK(fleet.send(1, "/stream/1", "b-" + mode, streamed).status == 200);
+        const unsigned status = fleet.submitJob(0, "j-" + mode, 1).status;
+        CHECK((status == 503 || status == 504));
+        CHECK(fleet.readJob(1, "unheard-of").at("status").to_number<int>() == 503);
+        fleet.setStoreFaults({{"mode", "up"}});
+    }
+    CHECK(eventually([&] {
+        return fleet.submitJob(0, "after", 1).status == 202;
+    }));
+    CHECK(eventually([&] {
+        return resultsOf(fleet.readJob(1, "after")) == 1 && resultsOf(fleet.readJob(1, "before")) == 1;
+    }));
+}
+
+TEST_CASE("a gateway takes a new configuration, also when the store has dropped its history, and never an older one")
+{
+    gateway_fleet fleet({});
+    CHECK(fleet.send(0, "/added/1", "a").status == 404);
+    fleet.configure(5);
+    (void)call(fleet.store(), {.method = "POST", .target = "/standin/forget"});
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        CHECK(eventually([&] {
+            return fleet.send(gateway, "/added/1", "b").status == 200;
+        }));
+    }
+    fleet.configure(1);
+    fleet.registerReplica(0, "draining");
+    // The registration comes after the old version: once it is seen, the old version has been refused.
+    CHECK(eventually([&] {
+        const int before = fleet.runsOf("probe");
+        (void)fleet.send(0, "/safe/1", "probe");
+        return fleet.runsOf("probe") == before + 1;
+    }));
+    CHECK(fleet.send(0, "/added/1", "c").status == 200);
+}
+
+TEST_CASE("a replica that drains or is replaced at its address receives no new requests")
+{
+    gateway_fleet fleet({.gateways = 1, .replicas = 2});
+    fleet.registerReplica(0, "draining");
+    const auto runsAtFirst = [&] {
+        return json::parse(call(fleet.replica(0), {.target = "/standin/runs"}).body).as_object().size();
+    };
+    CHECK(eventually([&] {
+        const std::size_t before = runsAtFirst();
+        for (int number = 0; number < 10; ++number) {
+            (void)fleet.send(0, "/safe/1", "r" + std::to_string(number));
+        }
+        return runsAtFirst() == before;
+    }));
+}
+
+TEST_CASE("a gateway reloads checked settings at SIGHUP and keeps the old ones if the new ones are wrong")
+{
+    gateway_fleet fleet({.gateways = 1, .replicas = 1});
+    fleet.writeSettings(0, "log_level: nonsense\n");
+    fleet.gatewayProcess(0).signal(SIGHUP);
+    CHECK(fleet.send(0, "/safe/1", "a").status == 200);
+    fleet.writeSettings(0, "log_level: warning\n");
+    fleet.gatewayProcess(0).signal(SIGHUP);
+    CHECK(fleet.send(0, "/safe/1", "b").status == 200);
+    CHECK(fleet.gatewayProcess(0).running());
+}
+
+TEST_CASE("a gateway refuses bad input with the right status and goes on")
+{
+    gateway_fleet fleet({.gateways = 1, .replicas = 1});
+    const auto status = [&](const std::string &text) {
+        test_connection connection(fleet.callers(0));
+        connection.sendRaw(text);
+        return connection.receive().status;
+    };
+    CHECK(status("nonsense\r\n\r\n") == 400);
+    CHECK(status("POST /safe/1 HTTP/1.1\r\nHost: test\r\nX: " + std::string(8000, 'x') + "\r\n\r\n") == 431);
+    CHECK(status("POST /safe/1 HTTP/1.1\r\nHost: test\r\nContent-Length: 200000\r\n\r\n") == 413);
+    CHECK(status("POST /safe/1 HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == 400);
+    CHECK(status("POST /jobs/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: j\r\nContent-Length: 2\r\n\r\n{}") == 400);
+    test_connection slow(fleet.callers(0));
+    slow.sendRaw("POST /safe/1 HTTP/1.1\r\nHost: te");
+    CHECK(slow.closedByPeer());
+    CHECK(fleet.send(0, "/safe/1", "after").status == 200);
+}
--- /dev/null
+++ b/tests/standins/replica/replica_standin.cpp
@@ -0,0 +1,125 @@
+#include "replica_standin.h"
+
+#include "common/exchanges.h"
+
+namespace banyan::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration hangTime = std::chrono::hours(1);
+
+/// Counts a run while it is in progress.
+struct run_guard
+{
+    explicit run_guard(std::size_t &counter)
+        : m_counter(counter)
+    {
+        ++m_counter;
+    }
+    ~run_guard()
+    {
+        --m_counter;
+    }
+    run_guard(const run_guard &) = delete;
+    run_guard &operator=(const run_guard &) = delete;
+
+private:
+    std::size_t &m_counter;
+};
+
+} // namespace
+
+replica_standin::replica_standin(replica_standin_options options)
+    : m_options(std::move(options))
+{
+}
+
+void replica_standin::addRoutes(http_server &server)
+{
+    server.route("POST", "/standin/faults", [this](http_exchange &exchange) {
+        return handleFaults(exchange);
+    });
+    server.route("GET", "/standin/runs", [this](http_exchange &exchange) {
+        return handleRuns(exchange);
+    });
+    server.routeOthers([this](http_exchange &exchange) {
+        return handle(exchange);
+    });
+}
+
+task<> replica_standin::handle(http_exchange &exchange)
+{
+    const std::string body = co_await exchange.body(maximumBody);
+    const std::string expected = exchange.field("Expect-Instance");
+    if (!expected.empty() && expected != m_options.id) {
+        http_response response{.status = 421, .fields = {{"Instance-Id", m_options.id}}};
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (m_running >= m_options.slots) {
+        http_response response{.status = 503, .fields = {{"Not-Executed", "1"}}};
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const run_guard guard(m_running);
+    ++m_runs[exchange.requestId()];
+    if (m_mode == "hang") {
+        co_await sleepFor(hangTime);
+    }
+    if (m_mode == "reset" || m_mode == "hang") {
+        co_return;
+    }
+    if (exchange.field("Model").empty()) {
+        co_await answerWhole(exchange);
+    } else {
+        co_await answerStream(exchange);
+    }
+}
+
+task<> replica_standin::answerWhole(http_exchange &exchange)
+{
+    co_await sleepFor(m_options.eventTime);
+    http_response response{.status = m_mode == "impossible" ? 422U : 200U, .fields = {{"Response-Stamp", "stamp"}}};
+    response.body = "answer to " + exchange.requestId();
+    co_await exchange.respond(std::move(response));
+}
+
+task<> replica_standin::answerStream(http_exchange &exchange)
+{
+    if (m_mode == "impossible") {
+        co_await answerWhole(exchange);
+        co_return;
+    }
+    const std::string after = exchange.field("Last-Event-Id");
+    std::vector<http_field> fields{{"Response-Stamp", "stamp"}, {"Content-Type", "text/event-stream"}};
+    co_await exchange.begin(200, std::move(fields));
+    for (std::size_t id = after.empty() ? 1 : std::stoull(after) + 1; id <= m_options.events; ++id) {
+        co_await sleepFor(m_options.eventTime);
+        const std::string number = std::to_string(id);
+        const std::string event = "id: " + number + "\ndata: " + exchange.requestId() + "-" + number + "\n\n";
+        co_await exchange.write(event);
+    }
+    co_await exchange.finish();
+}
+
+task<> replica_standin::handleFaults(http_exchange &exchange)
+{
+    const json::object faults = co_await readObject(exchange);
+    assignIfPresent(m_mode, faults, "mode");
+    http_response response = noContent();
+    co_await exchange.respond(std::move(response));
+}
+
+task<> replica_standin::handleRuns(http_exchange &exchange)
+{
+    json::object runs;
+    for (const auto &[id, count] : m_runs) {
+        runs[id] = count;
+    }
+    http_response response = jsonResponse(200, runs);
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace banyan::standins
--- /dev/null
+++ b/tests/standins/replica/replica_standin.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "banyan/core/time.h"
+#include "banyan/io/http_exchange.h"
+#include "banyan/io/http_server.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace banyan::standins {
+
+/// Options of a replica_standin.
+struct replica_standin_options
+{
+    std::string id; ///< Its id in the store; other ids that a request expects are refused with 421.
+    std::size_t slots = 8; ///< Requests at once; more are refused as not run.
+    std::size_t events = 10; ///< Of a stream.
+    duration eventTime = std::chrono::milliseconds(20); ///< From one event to the next.
+};
+
+/// A replica of the users' platform by its protocol. A request with a Model field is answered by a stream, others whole.
+///
+/// POST /standin/faults takes "mode": up, reset (runs and closes without an answer), hang (runs and never answers) or
+/// impossible (422). GET /standin/runs answers how often each request id has run to its end or begun.
+class replica_standin
+{
+public:
+    explicit replica_standin(replica_standin_options options);
+
+    void addRoutes(http_server &server);
+
+private:
+    task<> handle(http_exchange &exchange);
+    task<> answerWhole(http_exchange &exchange);
+    task<> answerStream(http_exchange &exchange);
+    task<> handleFaults(http_exchange &exchange);
+    task<> handleRuns(http_exchange &exchange);
+
+    replica_standin_options m_options;
+    std::string m_mode = "up";
+    std::map<std::string, int> m_runs; ///< By request id.
+    std::size_t m_running = 0;
+};
+
+} // namespace banyan::standins
