Give each attempt a slot id of its own, and ask for another upstream when the granted one is not known; a fault soak

A release that was lost or came after the next attempt's claim of the same id was answered with the old grant: the run went on at an upstream whose slot was then freed, and the replicas' queues grew (attempts at the same upstream twice in the logs). Ruled out: the interval of reports (4 ms and 1.5 ms for each peer gave the same), missing verdicts (none in the log). An entry that does not know a granted upstream asked again at once and got the same one; it names it now.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -29,6 +29,8 @@
 constexpr int exitUsage = 2;
 constexpr duration balancerDelay = std::chrono::milliseconds(2500); // Two missed health checks, a second apart, and some travel.
 constexpr duration shutdownMargin = std::chrono::milliseconds(700); // Before the platform kills the process.
+constexpr duration upstreamConnectTimeout =
+    std::chrono::milliseconds(200); // Hundred times the usual; a machine that has gone does not answer.
 constexpr duration shutdownPoll = std::chrono::milliseconds(50);
 
 struct command_line
@@ -60,7 +62,7 @@
         , m_settingsFile(std::move(settingsFile))
         , m_settings(settings)
         , m_storeClient(context, {.idleConnectionsPerEndpoint = 8, .unacknowledgedTimeout = std::chrono::seconds(2)})
-        , m_upstreamClient(context, {.connectTimeout = std::chrono::milliseconds(300), .unacknowledgedTimeout = std::chrono::seconds(2)})
+        , m_upstreamClient(context, {.connectTimeout = upstreamConnectTimeout, .unacknowledgedTimeout = std::chrono::seconds(2)})
         , m_gateway(context, settings, platform::makeAdapter(m_storeClient, settings.store), m_upstreamClient)
         , m_callers(context, {.listen = settings.callerListen, .requestIdField = std::string(platform::wire::requestIdField)})
         , m_healthChecks(context, {.listen = settings.readyListen})
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -25,6 +25,7 @@
 
 namespace {
 
+constexpr duration tablePause = std::chrono::seconds(1); // An end that another node recorded is seen well within three seconds.
 constexpr duration takeoverInterval = std::chrono::milliseconds(250); // Between two looks for jobs without an owner.
 constexpr std::size_t takeoversAtOnce = 4; // Keeps a node from reading many jobs into memory at once.
 constexpr duration sweepInterval = std::chrono::seconds(10); // Between two looks for jobs whose time is over.
@@ -122,7 +123,7 @@
     auto follower = std::make_shared<table_follower>(
         m_ports.context,
         m_ports.store,
-        table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = std::chrono::milliseconds(400)},
+        table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = tablePause},
         observer());
     asio::co_spawn(m_ports.context, follower->run(), [follower](const std::exception_ptr &) {});
     asio::co_spawn(m_ports.context, takeOverLoop(shared_from_this()), asio::detached);
@@ -447,7 +448,8 @@
 
 request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
 {
-    return request_id(job.entry.id.text() + "/" + job.items[index].id + "#" + std::to_string(job.serial));
+    return request_id(job.entry.id.text() + "/" + job.items[index].id + "#" + std::to_string(job.serial) + "."
+                      + std::to_string(job.runs[index]));
 }
 
 /// Runs an item until it has a result or the job is not this node's any more.
@@ -481,18 +483,21 @@
     }
 }
 
-/// One run of an item, from the wait for a slot to its end.
+/// One run of an item, from the wait for a slot to its end. Each run has a slot id of its own, since the release of one may
+/// arrive after the claim of the next.
 task<item_step> listed_job_service::implementation::runOnce(job_pointer job, std::size_t index, const route &by, item_progress &progress)
 {
+    ++job->runs[index];
     const request_id id = slotId(*job, index);
     slot_request request{.id = id,
-                         .service = serviceFor(by, id),
+                         .service = serviceFor(by, request_id(job->items[index].id)),
                          .workClass = work_class::Batch,
                          .priority = by.priority,
                          .arrivedAt = currentTime(),
                          .target = job->entry.submittedAt + by.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow),
-                         .repeatable = true};
+                         .repeatable = true,
+                         .excluded = job->unknownUpstreams[index]};
     // Each run has a stop of its own, since a run that gives its slot back goes on later.
     job->stops[index] = stop_signal();
     auto onReclaim = [job, index] {
@@ -506,6 +511,9 @@
     const upstream_id upstream = granted->upstream;
     const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
+    if (registered == nullptr) {
+        job->unknownUpstreams[index].push_back(upstream);
+    }
     if (registered != nullptr && !job->stopped) {
         ++job->itemsInFlight;
         report = co_await sendItem(job, index, *registered, progress);
--- a/io/src/serving/peer_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -146,6 +146,7 @@
             }
             const std::optional<gateway_message> message = decodeGatewayMessage({m_buffer.data(), length}, currentTime());
             if (message) {
+                learnSender(*message, sender);
                 m_handler(*message);
             } else {
                 logEvent(log_level::Debug, "peer_message_malformed", {{"sender", sender.address().to_string()}});
@@ -153,6 +154,20 @@
         }
     }
 
+    /// A node that has started again at its address is known by its first report, before its registration is read.
+    void learnSender(const gateway_message &message, const udp::endpoint &sender)
+    {
+        const auto *const load = std::get_if<node_load>(&message);
+        const auto known = load == nullptr ? m_peers.end() : m_peers.find(load->sender);
+        if (load == nullptr || (known != m_peers.end() && known->second == sender)) {
+            return;
+        }
+        std::erase_if(m_peers, [&](const auto &entry) {
+            return entry.second == sender;
+        });
+        m_peers.insert_or_assign(load->sender, sender);
+    }
+
     peer_exchange_options m_options;
     report_source m_source;
     message_handler m_handler;
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -109,7 +109,7 @@
         , m_timer(relay.m_ports.context)
     {
         ++relay.m_inProgress;
-        m_slotId = request_id(m_request.id.text() + '#' + std::to_string(++relay.m_arrivals));
+        m_serial = ++relay.m_arrivals;
     }
     ~relayed_request()
     {
@@ -171,6 +171,7 @@
     /// One attempt, from the wait for a slot to its end. Returns whether the request has ended.
     task<bool> tryOnce()
     {
+        m_slotId = request_id(m_request.id.text() + '#' + std::to_string(m_serial) + '.' + std::to_string(++m_attempts));
         const slot_broker::slot_outcome outcome = co_await m_relay.m_ports.slots.acquire(slotRequest(), m_stop, nullptr);
         if (std::holds_alternative<std::monostate>(outcome)) {
             co_await stopped();
@@ -183,7 +184,9 @@
         const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
         const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
         if (registered == nullptr) {
+            // The placing node knows an upstream that this node does not know yet, or no longer.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
+            m_tried.push_back(upstream);
             co_return false;
         }
         const attempt_report report = co_await send(*registered);
@@ -454,7 +457,9 @@
     event_splitter m_splitter;
     std::uint64_t m_fingerprint;
     asio::steady_timer m_timer;
-    request_id m_slotId; ///< Unlike the request's own id never used twice.
+    std::uint64_t m_serial = 0; ///< Of the request at this node.
+    std::uint32_t m_attempts = 0;
+    request_id m_slotId; ///< Of the current attempt. Never used twice: its release may arrive after the next attempt's claim.
     stop_signal m_stop;
     stop_cause m_stopCause = stop_cause::None;
     std::vector<upstream_id> m_tried;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -20,6 +20,8 @@
         , serial(number)
         , items(std::move(jobItems))
         , stops(items.size())
+        , runs(items.size())
+        , unknownUpstreams(items.size())
         , changed(context)
     {
     }
@@ -38,6 +40,8 @@
     std::uint64_t serial; ///< Tells it from an earlier running of the same job at this node, of which runs may still be ending.
     std::vector<job_item> items;
     std::vector<stop_signal> stops; ///< One for each item.
+    std::vector<std::uint32_t> runs; ///< Of each item, so far.
+    std::vector<std::vector<upstream_id>> unknownUpstreams; ///< Of each item: granted, but not known to this node.
     std::vector<listed_result> results; ///< In their positions; the first `listed` are recorded.
     std::size_t listed = 0;
     std::size_t itemsInFlight = 0; ///< At upstreams.
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -42,9 +42,11 @@
 };
 
 gateway_fleet::gateway_fleet(const options &wanted)
+    : m_route(wanted.route)
 {
     m_store = std::make_unique<child_process>(child_process::options{.program = "tests/store_standin"});
     m_storeAddress = endpoint::parse(m_store->readyValue("address"));
+    m_storeForGateways = m_route ? m_route(m_storeAddress) : m_storeAddress;
     configure(1);
     for (std::size_t index = 0; index < wanted.replicas; ++index) {
         std::vector<std::string> arguments = {"--id", "replica-" + std::to_string(index)};
@@ -52,6 +54,7 @@
         m_replicas.push_back(
             std::make_unique<child_process>(child_process::options{.program = "tests/replica_standin", .arguments = arguments}));
         m_replicaAddresses.push_back(endpoint::parse(m_replicas.back()->readyValue("address")));
+        m_replicasForGateways.push_back(m_route ? m_route(m_replicaAddresses.back()) : m_replicaAddresses.back());
         registerReplica(index);
     }
     for (std::size_t index = 0; index < wanted.gateways; ++index) {
@@ -70,7 +73,7 @@
                             "vm: gateway-" + std::to_string(gateway)
                                 + "\nfailure_domain: d\ncaller_listen: 127.0.0.1:0\nready_listen: 127.0.0.1:0\npeer_listen: 127.0.0.1:0\n"
                                   "metrics_listen: 127.0.0.1:0\nshutdown_seconds: 8\nstore: "
-                                + m_storeAddress.toString() + "\n" + more);
+                                + m_storeForGateways.toString() + "\n" + more);
 }
 
 void gateway_fleet::startGateway()
@@ -169,7 +172,7 @@
     setRow("servers",
            "replica-" + std::to_string(index),
            json::object{{"service", "s"},
-                        {"address", m_replicaAddresses.at(index).toString()},
+                        {"address", m_replicasForGateways.at(index).toString()},
                         {"zone", "d"},
                         {"slots", 8},
                         {"state", state},
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
         std::size_t gateways = 2;
         std::size_t replicas = 2;
         std::vector<std::string> replicaArguments;
+        /// Maps the address of a stand-in to the one by which gateways reach it; empty: the same.
+        std::function<endpoint(const endpoint &)> route;
     };
 
     explicit gateway_fleet(const options &wanted);
@@ -63,11 +66,14 @@
 
     void setRow(const std::string &table, const std::string &key, const boost::json::value &value) const;
 
+    std::function<endpoint(const endpoint &)> m_route;
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_store;
     endpoint m_storeAddress;
+    endpoint m_storeForGateways;
     std::vector<std::unique_ptr<child_process>> m_replicas;
     std::vector<endpoint> m_replicaAddresses;
+    std::vector<endpoint> m_replicasForGateways;
     std::vector<std::unique_ptr<gateway_process>> m_gateways;
 };
 
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,370 @@
+#include "fault_proxy.h"
+#include "process/eventually.h"
+#include "process/gateway_fleet.h"
+#include "process/test_connection.h"
+#include "promises.h"
+
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <thread>
+
+namespace {
+
+using namespace banyan;
+using namespace banyan::process_tests;
+using namespace banyan::soak;
+using namespace std::chrono_literals;
+
+namespace json = boost::json;
+
+constexpr int clientThreads = 6;
+constexpr int itemsOfJob = 4;
+constexpr std::size_t events = 10; // Of a stream, as the stand-in makes them.
+constexpr std::chrono::seconds callPatience(8); // Beyond every deadline that a client names.
+constexpr std::chrono::seconds recoveryTime(30); // For accepted jobs to be complete after the last fault.
+
+/// The addresses at which live gateways serve callers.
+class live_gateways
+{
+public:
+    void replace(std::size_t slot, const endpoint &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_addresses.resize(std::max(m_addresses.size(), slot + 1));
+        m_addresses[slot] = address;
+    }
+
+    [[nodiscard]] endpoint any(std::mt19937 &generator) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_addresses[std::uniform_int_distribution<std::size_t>(0, m_addresses.size() - 1)(generator)];
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<endpoint> m_addresses;
+};
+
+std::string wholeStream(const std::string &id)
+{
+    std::string text;
+    for (std::size_t number = 1; number <= events; ++number) {
+        text += "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+/// A client that sends requests of all kinds to any gateway, and checks each answer.
+class soak_client
+{
+public:
+    soak_client(live_gateways &gateways, promises &told, int number, unsigned seed)
+        : m_gateways(gateways)
+        , m_told(told)
+        , m_generator(seed)
+        , m_number(number)
+    {
+    }
+
+    void run(const std::atomic<bool> &stop)
+    {
+        while (!stop) {
+            const std::string id = "c" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
+            switch (std::uniform_int_distribution<int>(0, 3)(m_generator)) {
+            case 0:
+                whole("/safe/1", id, false);
+                break;
+            case 1:
+                whole("/once/1", id, true);
+                break;
+            case 2:
+                stream(id);
+                break;
+            default:
+                job(id);
+            }
+        }
+    }
+
+private:
+    /// The answer, or status 0 if there was none.
+    http_response send(const std::string &path, const std::string &id, const std::vector<http_field> &more, const std::string &body)
+    {
+        http_request request{.method = "POST", .target = path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "3000"}}, .body = body};
+        request.fields.insert(request.fields.end(), more.begin(), more.end());
+        try {
+            return call(m_gateways.any(m_generator), request, callPatience);
+        } catch (const std::exception &) {
+            return {.status = 0}; // Gateways are killed and connections reset: no answer promises nothing.
+        }
+    }
+
+    void whole(const std::string &path, const std::string &id, bool once)
+    {
+        const http_response answer = send(path, id, {}, "q");
+        if (once) {
+            m_told.sentOnce(id, answer.status == 503 || answer.status == 429);
+        }
+        if (answer.status == 200 && answer.body != "answer to " + id) {
+            m_told.broken("request " + id + " got another answer: " + answer.body);
+        }
+        if (answer.status == 200) {
+            m_told.served();
+        }
+        if (answer.status == 404) {
+            m_told.broken("request " + id + " was answered 404 although its route exists");
+        }
+    }
+
+    void stream(const std::string &id)
+    {
+        const http_response answer = send("/stream/1", id, {{"Model", "m"}}, "q");
+        if (answer.status == 200 && answer.body != wholeStream(id)) {
+            m_told.broken("stream " + id + " ended as complete and is not whole");
+        }
+        if (answer.status == 200) {
+            m_told.served();
+        }
+    }
+
+    void job(const std::string &id)
+    {
+        json::array items;
+        for (int number = 0; number < itemsOfJob; ++number) {
+            items.push_back(json::object{{"id", id + "-" + std::to_string(number)},
+                                         {"path", "/jobs/run"},
+                                         {"headers", json::object{{"Model", "m"}}},
+                                         {"body", "cQ=="},
+                                         {"tokens", 10}});
+        }
+        const http_response answer = send("/jobs/" + id, id, {}, json::serialize(json::object{{"items", items}}));
+        if (answer.status == 202) {
+            m_told.accepted(id);
+            m_told.served();
+        }
+    }
+
+    live_gateways &m_gateways;
+    promises &m_told;
+    std::mt19937 m_generator;
+    int m_number;
+    int m_sent = 0;
+};
+
+/// The system under test, and the faults.
+class soak_run
+{
+public:
+    explicit soak_run(unsigned seed)
+        : m_generator(seed)
+        , m_fleet({.gateways = gatewayCount, .replicas = 3, .replicaArguments = {}, .route = [this](const endpoint &target) {
+                       m_proxies.push_back(std::make_unique<fault_proxy>(target));
+                       return m_proxies.back()->address();
+                   }})
+    {
+        for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
+            m_slots.push_back(slot);
+            m_gateways.replace(slot, m_fleet.callers(slot));
+        }
+    }
+
+    /// Returns the promises that were broken.
+    std::vector<std::string> run(unsigned seed, std::chrono::seconds time)
+    {
+        std::atomic<bool> stop = false;
+        std::vector<std::thread> threads;
+        for (int number = 0; number < clientThreads; ++number) {
+            threads.emplace_back([this, number, seed, &stop] {
+                soak_client(m_gateways, m_told, number, seed * 100 + static_cast<unsigned>(number)).run(stop);
+            });
+        }
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
+            fault();
+        }
+        calm();
+        stop = true;
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        check();
+        std::printf(
+            "seed=%u served=%zu jobs=%zu broken=%zu\n", seed, m_told.servedCount(), m_told.jobs().size(), m_told.brokenOnes().size());
+        return m_told.brokenOnes();
+    }
+
+private:
+    static constexpr std::size_t gatewayCount = 3;
+
+    int pick(int least, int most)
+    {
+        return std::uniform_int_distribution<int>(least, most)(m_generator);
+    }
+
+    child_process &gatewayAt(std::size_t slot)
+    {
+        return m_fleet.gatewayProcess(m_slots[slot]);
+    }
+
+    void note(const std::string &text)
+    {
+        std::printf("fault=%s\n", text.c_str());
+    }
+
+    void fault()
+    {
+        const auto slot = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
+        const auto proxy = static_cast<std::size_t>(pick(0, static_cast<int>(m_proxies.size()) - 1));
+        switch (pick(0, 6)) {
+        case 0:
+            note("kill gateway " + std::to_string(slot));
+            gatewayAt(slot).signal(SIGKILL);
+            restart(slot);
+            break;
+        case 1:
+            note("stop gateway " + std::to_string(slot));
+            gatewayAt(slot).signal(SIGTERM);
+            restart(slot);
+            break;
+        case 2:
+            note("pause gateway " + std::to_string(slot));
+            gatewayAt(slot).signal(SIGSTOP);
+            std::this_thread::sleep_for(std::chrono::milliseconds(pick(100, 2500)));
+            gatewayAt(slot).signal(SIGCONT);
+            break;
+        case 3:
+            m_fleet.setStoreFaults({{"mode", pick(0, 1) == 0 ? "busy" : "reset"}, {"lose_answers", pick(0, 3)}});
+            note("store answers with faults");
+            std::this_thread::sleep_for(std::chrono::milliseconds(pick(100, 2000)));
+            m_fleet.setStoreFaults({{"mode", "up"}});
+            break;
+        case 4:
+            m_fleet.setStoreFaults({{"lose_answers", pick(1, 6)}});
+            note("store loses answers");
+            break;
+        case 5:
+            note("upstream " + std::to_string(pick(0, 2)) + " loses answers");
+            replicaMode(static_cast<std::size_t>(pick(0, 2)), "reset");
+            break;
+        default:
+            spoil(*m_proxies[proxy]);
+        }
+    }
+
+    void spoil(fault_proxy &proxy)
+    {
+        const auto mode = static_cast<proxy_mode>(pick(1, 4));
+        note("connections, mode " + std::to_string(static_cast<int>(mode)));
+        proxy.setMode(mode, mode == proxy_mode::Delay ? std::chrono::milliseconds(pick(1, 100)) : 0ms);
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(100, 1500)));
+        proxy.setMode(proxy_mode::Pass);
+    }
+
+    void replicaMode(std::size_t index, const std::string &mode)
+    {
+        const json::object faults = {{"mode", mode}};
+        (void)call(m_fleet.replica(index), {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
+        if (mode != "up") {
+            std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 800)));
+            replicaMode(index, "up");
+        }
+    }
+
+    /// Starts another gateway in place of one; the old one goes on until its process has ended.
+    void restart(std::size_t slot)
+    {
+        m_fleet.startGateway();
+        m_slots[slot] = m_lastGateway++;
+        m_gateways.replace(slot, m_fleet.callers(m_slots[slot]));
+    }
+
+    void calm()
+    {
+        m_fleet.setStoreFaults({{"mode", "up"}, {"lose_answers", 0}});
+        for (const auto &proxy : m_proxies) {
+            proxy->setMode(proxy_mode::Pass);
+        }
+        for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
+            m_fleet.waitUntilReady(m_slots[slot]);
+        }
+    }
+
+    void check()
+    {
+        for (const auto &[id, promisedNotRun] : m_told.once()) {
+            const int runs = m_fleet.runsOf(id);
+            if (runs > 1 || (promisedNotRun && runs > 0)) {
+                m_told.broken("request " + id + " ran " + std::to_string(runs) + " times"
+                              + (promisedNotRun ? " after a promise of none" : ""));
+            }
+        }
+        for (const std::string &job : m_told.jobs()) {
+            checkJob(job);
+        }
+    }
+
+    /// An accepted job lists each item once, whole, the same at every gateway.
+    void checkJob(const std::string &job)
+    {
+        json::object found;
+        const bool complete = eventually(
+            [&] {
+                found = m_fleet.readJob(m_slots[0], job);
+                return found.contains("results") && found.at("results").as_array().size() == itemsOfJob;
+            },
+            recoveryTime);
+        if (!complete) {
+            m_told.broken("job " + job + " was accepted and is not complete: " + json::serialize(found));
+            return;
+        }
+        std::set<std::string> items;
+        for (const json::value &result : found.at("results").as_array()) {
+            items.insert(std::string(result.at("id").as_string()));
+            if (result.at("state").as_string() != "succeeded") {
+                m_told.broken("job " + job + " lists an error for an item that can be done");
+            }
+        }
+        if (items.size() != itemsOfJob || m_fleet.readJob(m_slots[1], job) != found) {
+            m_told.broken("job " + job + " lists an item twice, or differs between gateways");
+        }
+    }
+
+    std::mt19937 m_generator;
+    std::vector<std::unique_ptr<fault_proxy>> m_proxies;
+    gateway_fleet m_fleet;
+    live_gateways m_gateways;
+    promises m_told;
+    std::vector<std::size_t> m_slots; ///< Of each place the index of its gateway.
+    std::size_t m_lastGateway = gatewayCount;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine line("Runs gateways under random faults and checks what callers were promised.");
+        TCLAP::ValueArg<unsigned> seed("", "seed", "Of the first run.", false, 1, "N", line);
+        TCLAP::ValueArg<unsigned> runs("", "runs", "Runs, each with the next seed.", false, 1, "N", line);
+        TCLAP::ValueArg<unsigned> seconds("", "seconds", "Time of faults in each run.", false, 10, "S", line);
+        line.parse(argc, argv);
+        std::signal(SIGPIPE, SIG_IGN);
+        bool good = true;
+        for (unsigned run = 0; run < runs.getValue(); ++run) {
+            soak_run soak(seed.getValue() + run);
+            for (const std::string &broken : soak.run(seed.getValue() + run, std::chrono::seconds(seconds.getValue()))) {
+                std::printf("broken=\"%s\"\n", broken.c_str());
+                good = false;
+            }
+        }
+        return good ? 0 : 1;
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "soak failed: %s\n", error.what());
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/soak/promises.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace banyan::soak {
+
+/// What callers were told, gathered by many threads, and the promises that were broken.
+class promises
+{
+public:
+    /// A request that must not be repeated was sent; @p promisedNotRun: it was answered as not run.
+    void sentOnce(const std::string &id, bool promisedNotRun)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_once[id] = promisedNotRun;
+    }
+
+    void accepted(const std::string &job)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_jobs.insert(job);
+    }
+
+    void served()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_served;
+    }
+
+    void broken(const std::string &what)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_broken.push_back(what);
+    }
+
+    [[nodiscard]] std::map<std::string, bool> once() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_once;
+    }
+
+    [[nodiscard]] std::set<std::string> jobs() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_jobs;
+    }
+
+    [[nodiscard]] std::size_t servedCount() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_served;
+    }
+
+    [[nodiscard]] std::vector<std::string> brokenOnes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_broken;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, bool> m_once; ///< Whether the request was answered as not run.
+    std::set<std::string> m_jobs;
+    std::size_t m_served = 0;
+    std::vector<std::string> m_broken;
+};
+
+} // namespace banyan::soak
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -250,7 +250,7 @@
         exchange.onDisconnect([&] {
             disconnected = true;
         });
-        co_await fixture.sleep(200ms);
+        co_await fixture.sleep(generousTime);
     });
     fixture.setUpstreams({&upstream});
     fixture.service->start();
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -4,8 +4,11 @@
 
 #include "banyan/io/http_error.h"
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace banyan;
 using namespace banyan::tests;
 using namespace std::chrono_literals;
@@ -310,3 +313,48 @@
     CHECK(reached == 3);
     CHECK(fixture.nodes.front()->relay.recentlyLost(currentTime()).size() == 3);
 }
+
+TEST_CASE("request_relay uses a new slot id for each attempt, since a release may arrive after the next claim")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 3);
+    scripted_upstream upstream(fixture.context, "u1", closesWithoutAnswer);
+    fixture.setUpstreams({&upstream});
+    std::set<std::string> ids;
+    std::size_t claims = 0;
+    // Another node places the requests and refuses none: its verdicts are made up here.
+    serving_node &node = *fixture.nodes.front();
+    node.onSend = [&](const gateway_message &message) {
+        if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+            ids.insert(claim->request.id.text());
+            ++claims;
+            const slot_verdict verdict{.request = claim->request.id, .state = claim_state::Granted, .upstream = upstream_id("u1")};
+            asio::post(fixture.context, [&node, verdict] {
+                node.slots.received(verdict);
+            });
+        }
+    };
+    fixture.hearOtherNodes(node);
+    CHECK(fixture.call("id-1").status == 502);
+    CHECK(claims == 3);
+    CHECK(ids.size() == 3);
+}
+
+TEST_CASE("request_relay asks for another upstream when it is granted one that it does not know")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream good(fixture.context, "u1", answers(200, "answer"));
+    fixture.setUpstreams({&good});
+    serving_node &node = *fixture.nodes.front();
+    node.onSend = [&](const gateway_message &message) {
+        if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+            const bool knows = claim->request.excluded == std::vector<upstream_id>{upstream_id("unheard-of")};
+            const slot_verdict verdict{
+                .request = claim->request.id, .state = claim_state::Granted, .upstream = upstream_id(knows ? "u1" : "unheard-of")};
+            asio::post(fixture.context, [&node, verdict] {
+                node.slots.received(verdict);
+            });
+        }
+    };
+    fixture.hearOtherNodes(node);
+    CHECK(fixture.call("id-1").body == "answer");
+}
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -54,7 +54,7 @@
     std::vector<http_request> requests;
 };
 
-/// One node's serving layer. Messages to other nodes are lost.
+/// One node's serving layer. Messages to other nodes go to onSend, or are lost.
 struct serving_node
 {
     serving_node(asio::io_context &context, const std::string &name)
@@ -64,8 +64,11 @@
                  .scheduler = scheduler,
                  .board = board,
                  .send =
-                     [](const node_id &, const gateway_message &) {
-                         return false;
+                     [this](const node_id &, const gateway_message &message) {
+                         if (onSend) {
+                             onSend(message);
+                         }
+                         return static_cast<bool>(onSend);
                      }},
                 id)
         , client(context, {})
@@ -75,6 +78,7 @@
     }
 
     node_id id;
+    std::function<void(const gateway_message &message)> onSend;
     load_board board{std::chrono::seconds(2)};
     scheduler_host scheduler;
     slot_broker slots;
@@ -105,6 +109,14 @@
         return *nodes.back();
     }
 
+    /// Lets a node hear of so many others that one of them places all requests.
+    static void hearOtherNodes(serving_node &node)
+    {
+        for (int number = 0; number < 50; ++number) {
+            node.board.reported({.sender = node_id("other-" + std::to_string(number)), .sequence = 1}, currentTime());
+        }
+    }
+
     /// Runs a coroutine to its end.
     void run(const std::function<task<>()> &work)
     {
