--- a/io/include/banyan/io/serving/peer_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -38,7 +38,7 @@
 
     /// Replaces the other nodes. One whose reports come from another address, or from the address of another node, is known
     /// by what its reports say until the next call.
-    void setPeers(std::map<node_id, endpoint> peers);
+    void setPeers(const std::map<node_id, endpoint> &peers);
 
     /// Sends a message to one of them, without waiting. It may be lost. Returns false if the node is not known.
     bool send(const node_id &to, const gateway_message &message);
--- a/io/include/banyan/io/serving/scheduler_host.h
+++ b/io/include/banyan/io/serving/scheduler_host.h
@@ -77,7 +77,6 @@
     void decide(const request_id &request, const slot_outcome &outcome);
     void scheduleTick();
 
-    asio::io_context &m_context;
     request_scheduler m_scheduler;
     std::map<upstream_id, replica> m_upstreams;
     std::map<service_name, std::vector<const replica *>> m_byService;
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -96,6 +96,24 @@
         return m_table != nullptr && m_replicasKnown && !m_stopping;
     }
 
+private:
+    friend class gateway;
+
+    void follow(table_follower_options options, table_observer observer);
+    [[nodiscard]] table_observer configurationObserver();
+    [[nodiscard]] table_observer replicaObserver();
+    [[nodiscard]] table_observer gatewayObserver();
+    void configurationRead(const table_row &row);
+    void replicaChanged(const table_row &row);
+    void replicasChanged();
+    void gatewayRead(const table_row &row);
+    void gatewaysChanged();
+    static task<> registerSelf(std::shared_ptr<implementation> self);
+    [[nodiscard]] table_key ownRow() const;
+    node_load ownLoad();
+    void received(const gateway_message &message);
+    void loadReported(const node_load &load);
+
     asio::io_context &m_context;
     gateway_settings m_settings;
     gateway_platform m_platform;
@@ -121,22 +139,6 @@
     endpoint m_peerAddress;
     bool m_replicasKnown = false;
     bool m_stopping = false;
-
-private:
-    void follow(table_follower_options options, table_observer observer);
-    [[nodiscard]] table_observer configurationObserver();
-    [[nodiscard]] table_observer replicaObserver();
-    [[nodiscard]] table_observer gatewayObserver();
-    void configurationRead(const table_row &row);
-    void replicaChanged(const table_row &row);
-    void replicasChanged();
-    void gatewayRead(const table_row &row);
-    void gatewaysChanged();
-    static task<> registerSelf(std::shared_ptr<implementation> self);
-    [[nodiscard]] table_key ownRow() const;
-    node_load ownLoad();
-    void received(const gateway_message &message);
-    void loadReported(const node_load &load);
 };
 
 void gateway::implementation::start()
@@ -297,7 +299,7 @@
         }
     }
     logEvent(log_level::Info, "gateways_changed", {{"others", std::to_string(peers.size())}});
-    m_exchange.setPeers(std::move(peers));
+    m_exchange.setPeers(peers);
     m_jobs.setRegistered(registered);
 }
 
--- a/io/src/serving/peer_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -200,7 +200,7 @@
     return m_implementation->address();
 }
 
-void peer_exchange::setPeers(std::map<node_id, endpoint> peers)
+void peer_exchange::setPeers(const std::map<node_id, endpoint> &peers)
 {
     m_implementation->setPeers(peers);
 }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -83,6 +83,9 @@
         }
     }
 
+private:
+    friend class request_relay;
+
     request_relay_ports m_ports;
     upstream_protocol m_protocol;
     crash_guard m_crashes;
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -7,8 +7,7 @@
 namespace banyan {
 
 scheduler_host::scheduler_host(asio::io_context &context, const request_scheduler_options &options, load_board &board)
-    : m_context(context)
-    , m_scheduler(options, board)
+    : m_scheduler(options, board)
     , m_timer(context)
 {
 }
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -86,7 +86,10 @@
     void housekeep();
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
 
-    slot_broker_ports m_ports;
+    [[nodiscard]] scheduler_host &scheduler() const
+    {
+        return m_ports.scheduler;
+    }
 
 private:
     using claim_pointer = std::shared_ptr<own_claim>;
@@ -101,6 +104,7 @@
     void sendVerdict(const foreign_claim &claim, slot_verdict verdict);
     void endForeign(const foreign_key &key, attempt_outcome outcome);
 
+    slot_broker_ports m_ports;
     node_id m_self;
     std::map<request_id, claim_pointer> m_own;
     std::map<foreign_key, foreign_claim> m_foreign;
@@ -516,7 +520,7 @@
 
 scheduler_host &slot_broker::scheduler()
 {
-    return m_implementation->m_ports.scheduler;
+    return m_implementation->scheduler();
 }
 
 } // namespace banyan
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -177,6 +177,7 @@
     {
         std::atomic<bool> stop = false;
         std::vector<std::thread> threads;
+        threads.reserve(clientThreads);
         for (int number = 0; number < clientThreads; ++number) {
             threads.emplace_back([this, number, seed, &stop] {
                 soak_client(m_gateways, m_told, number, seed * 100 + static_cast<unsigned>(number)).run(stop);
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -98,7 +98,8 @@
     for (std::size_t id = after.empty() ? 1 : std::stoull(after) + 1; id <= m_options.events; ++id) {
         co_await sleepFor(m_options.eventTime);
         const std::string number = std::to_string(id);
-        const std::string event = "id: " + number + "\ndata: " + exchange.requestId() + "-" + number + "\n\n";
+        std::string event = "id: ";
+        event.append(number).append("\ndata: ").append(exchange.requestId()).append("-").append(number).append("\n\n");
         co_await exchange.write(event);
     }
     co_await exchange.finish();
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -27,7 +27,7 @@
             .timeLeft = 1500ms};
 }
 
-answer_kind kindOf(unsigned status, std::vector<http_field> fields)
+answer_kind kindOf(unsigned status, const std::vector<http_field> &fields)
 {
     return protocol.decodeHead(status, fields, runWith({})).kind;
 }
