--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -51,6 +51,9 @@
     /// The nodes that have reported within the memory.
     [[nodiscard]] std::vector<node_id> nodes() const;
 
+    /// Those of them that place requests for others.
+    [[nodiscard]] std::vector<node_id> placingNodes() const;
+
 private:
     struct report
     {
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -25,6 +25,7 @@
     node_id sender;
     std::uint64_t sequence = 0; ///< Grows with each message of a sender.
     std::map<upstream_key, upstream_usage> usage; ///< Of upstreams where it has any work or trouble.
+    bool placesRequests = true; ///< False while it stops: others place the requests of its cells.
     std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
     std::vector<lost_content> lost; ///< Within the last second or so.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims that it waits for or holds, at any node.
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -90,4 +90,15 @@
     return result;
 }
 
+std::vector<node_id> load_board::placingNodes() const
+{
+    std::vector<node_id> result;
+    for (const auto &[node, entry] : m_reports) {
+        if (entry.load.placesRequests) {
+            result.push_back(node);
+        }
+    }
+    return result;
+}
+
 } // namespace banyan
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -27,14 +27,12 @@
 constexpr duration unknownOverdueAfter = std::chrono::milliseconds(400); ///< While too few answers are known to compare with.
 constexpr duration longestOverdueAfter = std::chrono::seconds(1);
 constexpr duration longestLateWait = std::chrono::seconds(1); ///< For a place, of a run that will be late in any case.
-constexpr double waitShareOfSlack = 0.5; ///< Of the time left that an estimated wait may take; estimates are rough.
 constexpr double otherDomainScore = 0.06; ///< Busier by so much an upstream of the own failure domain is still preferred.
 constexpr double affinityScore = 0.12; ///< The same for one that has lately read the prompt's shared part.
 constexpr double slowScore = 0.3; ///< How much less a slow upstream is preferred, for each multiple of the usual time.
 constexpr double troubleScore = 0.5; ///< How much less one is preferred that failed lately, while it is not avoided altogether.
 constexpr double jitterScore = 0.02; ///< Lets nodes with the same view choose different upstreams.
 constexpr std::size_t rememberedPrefixes = 1024;
-constexpr std::uint32_t overcommitDivisor = 2; ///< Online runs beyond an upstream's slots: at most the slots over this.
 
 double toSeconds(duration value)
 {
@@ -274,8 +272,9 @@
     return score;
 }
 
-/// The lower, the better: a free slot first, then one held by batch work of this node, then one held by that of others,
-/// then a place in the upstream's own queue that still lets the answer begin in time. None if there is no such place.
+/// The lower, the better: a free slot first, then one held by batch work of this node, then one held by that of others.
+/// None if online work holds all slots: the run then waits here, where any slot that becomes free serves it, and not in the
+/// queue of one upstream.
 std::optional<double> request_scheduler::implementation::onlineScore(const service_state &service,
                                                                      const scheduled_upstream &upstream,
                                                                      const slot_request &request,
@@ -291,11 +290,7 @@
     if (work.online < slots) {
         return score + (upstream.batch > 0 ? 1 : 2);
     }
-    const std::uint32_t extra = work.online - slots + 1;
-    const double slack = toSeconds(latestStart(service, request) - now);
-    const double wait = extra * service.runSeconds / slots;
-    const bool inTime = wait <= slack * waitShareOfSlack && extra <= std::max(1U, slots / overcommitDivisor);
-    return inTime ? std::optional(score + 4) : std::nullopt;
+    return std::nullopt;
 }
 
 scheduled_upstream *request_scheduler::implementation::chooseOnline(service_state &service, const slot_request &request, time_point now)
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -58,6 +58,9 @@
     /// Frees the slots of nodes that have fallen silent.
     void housekeep();
 
+    /// Lets other nodes place the requests of this node's cells, as a step of a planned stop. Claims that come are still placed.
+    void stopPlacing();
+
     /// Hashes of the ids of all claims at other nodes, for this node's reports.
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -23,6 +23,7 @@
   waitingOnline @3 :UInt32;
   lost @4 :List(LostContent);
   claims @5 :List(UInt64);
+  stopping @6 :Bool;
 }
 
 struct SlotClaim {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -461,6 +461,8 @@
   inline bool hasClaims() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getClaims() const;
 
+  inline bool getStopping() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -524,6 +526,9 @@
   inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownClaims();
 
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1998,6 +2003,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool NodeLoad::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeLoad::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotClaim::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -340,6 +340,7 @@
     return {.sender = m_self,
             .sequence = ++m_sequence,
             .usage = m_scheduler.scheduler().usage(now),
+            .placesRequests = !m_stopping,
             .waitingOnline = m_scheduler.scheduler().waitingOnline(),
             .lost = m_relay.recentlyLost(now),
             .claims = m_slots.claims()};
@@ -476,6 +477,8 @@
 void gateway::beginStop()
 {
     m_implementation->m_stopping = true;
+    m_implementation->m_slots.stopPlacing();
+    m_implementation->m_exchange.changed();
 }
 
 task<> gateway::leave(duration jobTime)
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -61,6 +61,7 @@
     root.setSender(load.sender.text());
     root.setSequence(load.sequence);
     root.setWaitingOnline(load.waitingOnline);
+    root.setStopping(!load.placesRequests);
     auto usage = root.initUsage(static_cast<unsigned>(load.usage.size()));
     unsigned index = 0;
     for (const auto &[key, value] : load.usage) {
@@ -131,6 +132,7 @@
     node_load load{.sender = node_id(textOf(root.getSender())),
                    .sequence = root.getSequence(),
                    .usage = {},
+                   .placesRequests = !root.getStopping(),
                    .waitingOnline = root.getWaitingOnline(),
                    .lost = {},
                    .claims = {}};
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -84,6 +84,10 @@
     void received(const slot_release &release);
     void reported(const node_load &load);
     void housekeep();
+    void stopPlacing()
+    {
+        m_stopping = true;
+    }
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
 
     [[nodiscard]] scheduler_host &scheduler() const
@@ -109,6 +113,7 @@
     std::map<request_id, claim_pointer> m_own;
     std::map<foreign_key, foreign_claim> m_foreign;
     std::map<node_id, time_point> m_distrustedUntil;
+    bool m_stopping = false;
     std::mt19937_64 m_generator{std::random_device{}()};
 };
 
@@ -118,11 +123,13 @@
     std::erase_if(m_distrustedUntil, [&](const auto &entry) {
         return entry.second <= now;
     });
-    std::vector<node_id> nodes = m_ports.board.nodes();
+    std::vector<node_id> nodes = m_ports.board.placingNodes();
     std::erase_if(nodes, [&](const node_id &node) {
         return m_distrustedUntil.contains(node);
     });
-    nodes.push_back(m_self);
+    if (!m_stopping || nodes.empty()) {
+        nodes.push_back(m_self);
+    }
     return nodes;
 }
 
@@ -513,6 +520,11 @@
     m_implementation->housekeep();
 }
 
+void slot_broker::stopPlacing()
+{
+    m_implementation->stopPlacing();
+}
+
 std::vector<std::uint64_t> slot_broker::claims() const
 {
     return m_implementation->claims();
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -265,3 +265,18 @@
     // Its troubles count for two seconds more where another node has them, too.
     CHECK(countOf<slot_granted>(fixture.scheduler.tick(*due)) == 1);
 }
+
+TEST_CASE("request_scheduler queues online work itself and not at an upstream whose slots online work holds")
+{
+    scheduler_fixture fixture(2);
+    fixture.otherNode(4, 0, 1);
+    const slot_request request = fixture.online();
+    CHECK(fixture.scheduler.submit(request, start).empty());
+    fixture.otherNode(4, 0, 2);
+    node_load load{.sender = node_id("n2"), .sequence = 3, .usage = {{keyOf(upstream_id("u0")), {.online = 4}}}};
+    fixture.board.reported(load, start);
+    // A slot becomes free anywhere: the run goes there.
+    const slot_actions actions = fixture.scheduler.loadChanged(start + 20ms);
+    REQUIRE(countOf<slot_granted>(actions) == 1);
+    CHECK(std::get<slot_granted>(actions.front()).upstream == upstream_id("u1"));
+}
--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace banyan;
 using namespace std::chrono_literals;
@@ -85,6 +86,7 @@
             const node_load load{.sender = id,
                                  .sequence = ++member->sequence,
                                  .usage = member->scheduler.scheduler().usage(currentTime()),
+                                 .placesRequests = !stopping.contains(id),
                                  .claims = member->slots.claims()};
             for (const auto &[otherId, other] : nodes) {
                 if (otherId != id) {
@@ -162,6 +164,7 @@
     std::map<std::string, slot_broker::slot_outcome> outcomes;
     std::map<std::string, stop_signal> stops;
     std::map<std::string, bool> reclaimed;
+    std::set<node_id> stopping;
 };
 
 } // namespace
@@ -299,3 +302,18 @@
     CHECK(fixture.granted("r1"));
     CHECK(fixture.reclaimed["b1"]);
 }
+
+TEST_CASE("slot_broker claims nothing from a node that is stopping, and a stopping node lets others place its requests")
+{
+    broker_fixture fixture(1);
+    fixture.placer().slots.stopPlacing();
+    fixture.stopping.insert(fixture.placer().id);
+    fixture.report();
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(broker_fixture::inUse(fixture.other()) == 1);
+    fixture.acquire(fixture.placer(), broker_fixture::request("b1", work_class::Batch));
+    fixture.runFor(5ms);
+    CHECK(fixture.other().scheduler.scheduler().waitingBatch() == 1);
+}
