--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -125,7 +125,7 @@
     {
         watchClientAndTime();
         if (const auto until = m_relay.m_crashes.stoppedUntil(m_fingerprint, currentTime())) {
-            co_await end({.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *until - currentTime()});
+            co_await end(disposition::NotRun, end_reason::CrashesUpstreams, *until - currentTime());
             co_return;
         }
         try {
@@ -370,20 +370,19 @@
             co_return;
         }
         if (step == next_step::NotRun) {
-            co_await end({.what = disposition::NotRun, .reason = end_reason::RetriesExhausted, .retryAfter = notRunRetryAfter});
+            co_await end(disposition::NotRun, end_reason::RetriesExhausted, notRunRetryAfter);
             co_return;
         }
-        co_await end(
-            {.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = end_reason::AnswerLost});
+        co_await end(m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, end_reason::AnswerLost);
     }
 
     task<> refusedSlot(const slot_refused &refused)
     {
         if (m_retries.mayHaveRun()) {
-            co_await end({.what = m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, .reason = refused.reason});
+            co_await end(m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, refused.reason);
             co_return;
         }
-        co_await end({.what = disposition::NotRun, .reason = refused.reason, .retryAfter = refused.retryAfter});
+        co_await end(disposition::NotRun, refused.reason, refused.retryAfter);
     }
 
     /// Ends a request whose client has gone or whose time is up.
@@ -393,17 +392,15 @@
             ended({.what = disposition::Cancelled, .reason = end_reason::CancelledByCaller});
             co_return;
         }
-        final_result result{.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable, .retryAfter = notRunRetryAfter};
-        if (m_retries.mayHaveRun()) {
-            result.what = disposition::OutcomeUnknown;
-        }
-        co_await end(result);
+        const disposition what = m_retries.mayHaveRun() ? disposition::OutcomeUnknown : disposition::NotRun;
+        co_await end(what, end_reason::DeadlineUnreachable, notRunRetryAfter);
     }
 
     /// Ends a request without an upstream's answer: with one of our own, or by leaving the stream that has begun without its
     /// end, so that its connection closes.
-    task<> end(final_result result)
+    task<> end(disposition what, end_reason reason, std::optional<duration> retryAfter = std::nullopt)
     {
+        const final_result result{.what = what, .reason = reason, .retryAfter = retryAfter};
         m_timer.cancel();
         if (m_begun) {
             ended(result);
