--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -511,10 +511,11 @@
     const upstream_id upstream = granted->upstream;
     const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
-    if (registered == nullptr) {
+    const bool usable = registered != nullptr && !registered->draining;
+    if (!usable) {
         job->unknownUpstreams[index].push_back(upstream);
     }
-    if (registered != nullptr && !job->stopped) {
+    if (usable && !job->stopped) {
         ++job->itemsInFlight;
         report = co_await sendItem(job, index, *registered, progress);
         --job->itemsInFlight;
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -186,8 +186,8 @@
         }
         const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
         const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
-        if (registered == nullptr) {
-            // The placing node knows an upstream that this node does not know yet, or no longer.
+        if (registered == nullptr || registered->draining) {
+            // The placing node's list of upstreams may be older than this node's, or newer.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             m_tried.push_back(upstream);
             co_return false;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -41,7 +41,7 @@
     std::vector<job_item> items;
     std::vector<stop_signal> stops; ///< One for each item.
     std::vector<std::uint32_t> runs; ///< Of each item, so far.
-    std::vector<std::vector<upstream_id>> unknownUpstreams; ///< Of each item: granted, but not known to this node.
+    std::vector<std::vector<upstream_id>> unknownUpstreams; ///< Of each item: granted, but not known here or draining.
     std::vector<listed_result> results; ///< In their positions; the first `listed` are recorded.
     std::size_t listed = 0;
     std::size_t itemsInFlight = 0; ///< At upstreams.
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -358,3 +358,26 @@
     fixture.hearOtherNodes(node);
     CHECK(fixture.call("id-1").body == "answer");
 }
+
+TEST_CASE("request_relay sends nothing to an upstream that it knows to drain, although the placing node grants it")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream draining(fixture.context, "u1", answers(200, "from the draining one"));
+    scripted_upstream good(fixture.context, "u2", answers(200, "answer"));
+    fixture.setUpstreams({&draining, &good});
+    serving_node &node = *fixture.nodes.front();
+    fixture.upstreams.front().draining = true;
+    node.scheduler.setUpstreams(fixture.upstreams);
+    node.onSend = [&](const gateway_message &message) {
+        if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+            const upstream_id granted(claim->request.excluded.empty() ? "u1" : "u2");
+            const slot_verdict verdict{.request = claim->request.id, .state = claim_state::Granted, .upstream = granted};
+            asio::post(fixture.context, [&node, verdict] {
+                node.slots.received(verdict);
+            });
+        }
+    };
+    fixture.hearOtherNodes(node);
+    CHECK(fixture.call("id-1").body == "answer");
+    CHECK(draining.requests.empty());
+}
