Let a gateway place no requests for others while its list of upstreams is uncertain

A gateway that has not read the upstreams yet placed, too, and refused for want of any. Now a node says whether its list is up to date, and the others leave it out, unless most nodes are so, as in an outage of the store for all. Tests: load_board, slot_broker.

--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -51,8 +51,10 @@
     /// The nodes that have reported within the memory.
     [[nodiscard]] std::vector<node_id> nodes() const;
 
-    /// Those of them that place requests for others.
-    [[nodiscard]] std::vector<node_id> placingNodes() const;
+    /// The nodes that place requests, this one included if @p ownState allows it: those that are ready. If these are less
+    /// than half, the store is probably lost to all of them by and by: then also those whose list is uncertain, since a
+    /// few nodes cannot place the requests of all.
+    [[nodiscard]] std::vector<node_id> placingNodes(const node_id &self, placing_state ownState) const;
 
 private:
     struct report
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -19,13 +19,20 @@
     auto operator<=>(const lost_content &) const = default;
 };
 
+/// Whether a node places requests for others.
+enum class placing_state : std::uint8_t {
+    Ready,
+    UpstreamsUncertain, ///< Its list of upstreams is not there yet or may be out of date: used only if no node is ready.
+    Stopping, ///< Others place the requests of its cells.
+};
+
 /// What a node tells the others of its own work.
 struct node_load
 {
     node_id sender;
     std::uint64_t sequence = 0; ///< Grows with each message of a sender.
     std::map<upstream_key, upstream_usage> usage; ///< Of upstreams where it has any work or trouble.
-    bool placesRequests = true; ///< False while it stops: others place the requests of its cells.
+    placing_state placing = placing_state::Ready;
     std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
     std::vector<lost_content> lost; ///< Within the last second or so.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims that it waits for or holds, at any node.
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -90,15 +90,23 @@
     return result;
 }
 
-std::vector<node_id> load_board::placingNodes() const
+std::vector<node_id> load_board::placingNodes(const node_id &self, placing_state ownState) const
 {
-    std::vector<node_id> result;
-    for (const auto &[node, entry] : m_reports) {
-        if (entry.load.placesRequests) {
-            result.push_back(node);
+    std::vector<node_id> ready;
+    std::vector<node_id> uncertain;
+    const auto add = [&](const node_id &node, placing_state state) {
+        if (state != placing_state::Stopping) {
+            (state == placing_state::Ready ? ready : uncertain).push_back(node);
         }
+    };
+    for (const auto &[node, entry] : m_reports) {
+        add(node, entry.load.placing);
     }
-    return result;
+    add(self, ownState);
+    if (ready.size() < uncertain.size()) {
+        ready.insert(ready.end(), uncertain.begin(), uncertain.end());
+    }
+    return ready;
 }
 
 } // namespace banyan
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -58,8 +58,10 @@
     /// Frees the slots of nodes that have fallen silent.
     void housekeep();
 
-    /// Lets other nodes place the requests of this node's cells, as a step of a planned stop. Claims that come are still placed.
-    void stopPlacing();
+    /// Says whether this node places the requests of its cells, or lets others do so. Claims that come are still placed.
+    void setPlacing(placing_state state);
+
+    [[nodiscard]] placing_state placing() const;
 
     /// Hashes of the ids of all claims at other nodes, for this node's reports.
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -23,7 +23,7 @@
   waitingOnline @3 :UInt32;
   lost @4 :List(LostContent);
   claims @5 :List(UInt64);
-  stopping @6 :Bool;
+  placing @6 :UInt8;              # In the order of placing_state.
 }
 
 struct SlotClaim {
--- a/io/schema/serving.capnp.c++
+++ b/io/schema/serving.capnp.c++
@@ -156,7 +156,7 @@
   0, 2, i_880240bee09e440e, nullptr, nullptr, { &s_880240bee09e440e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<137> b_db6f9a50147d4dbd = {
+static const ::capnp::_::AlignedData<136> b_db6f9a50147d4dbd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     189,  77, 125,  20,  80, 154, 111, 219,
      14,   0,   0,   0,   1,   0,   2,   0,
@@ -216,13 +216,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     236,   0,   0,   0,   3,   0,   1,   0,
       8,   1,   0,   0,   2,   0,   1,   0,
-      6,   0,   0,   0,  96,   0,   0,   0,
+      6,   0,   0,   0,  12,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,  74,   0,   0,   0,
+      5,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      4,   1,   0,   0,   3,   0,   1,   0,
-     16,   1,   0,   0,   2,   0,   1,   0,
+      0,   1,   0,   0,   3,   0,   1,   0,
+     12,   1,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -285,13 +285,12 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 116, 111, 112, 112, 105, 110, 103,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
+    112, 108,  97,  99, 105, 110, 103,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -301,10 +300,10 @@
   &s_880240bee09e440e,
   &s_cb91456344c087d8,
 };
-static const uint16_t m_db6f9a50147d4dbd[] = {5, 4, 0, 1, 6, 2, 3};
+static const uint16_t m_db6f9a50147d4dbd[] = {5, 4, 6, 0, 1, 2, 3};
 static const uint16_t i_db6f9a50147d4dbd[] = {0, 1, 2, 3, 4, 5, 6};
 const ::capnp::_::RawSchema s_db6f9a50147d4dbd = {
-  0xdb6f9a50147d4dbd, b_db6f9a50147d4dbd.words, 137, d_db6f9a50147d4dbd, m_db6f9a50147d4dbd,
+  0xdb6f9a50147d4dbd, b_db6f9a50147d4dbd.words, 136, d_db6f9a50147d4dbd, m_db6f9a50147d4dbd,
   2, 7, i_db6f9a50147d4dbd, nullptr, nullptr, { &s_db6f9a50147d4dbd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -461,7 +461,7 @@
   inline bool hasClaims() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getClaims() const;
 
-  inline bool getStopping() const;
+  inline  ::uint8_t getPlacing() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -526,8 +526,8 @@
   inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownClaims();
 
-  inline bool getStopping();
-  inline void setStopping(bool value);
+  inline  ::uint8_t getPlacing();
+  inline void setPlacing( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2003,18 +2003,18 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool NodeLoad::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint8_t NodeLoad::Reader::getPlacing() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeLoad::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint8_t NodeLoad::Builder::getPlacing() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void NodeLoad::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void NodeLoad::Builder::setPlacing( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SlotClaim::Reader::hasSender() const {
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -106,6 +106,7 @@
     void configurationRead(const table_row &row);
     void replicaChanged(const table_row &row);
     void replicasChanged();
+    void updatePlacing();
     void gatewayRead(const table_row &row);
     void gatewaysChanged();
     static task<> registerSelf(std::shared_ptr<implementation> self);
@@ -138,6 +139,7 @@
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
     bool m_replicasKnown = false;
+    bool m_storeLost = false;
     bool m_stopping = false;
 };
 
@@ -154,6 +156,7 @@
     m_scheduler.onUsageChanged([this] {
         m_exchange.changed();
     });
+    updatePlacing();
     follow({.table = m_platform.configurationTable, .pause = configurationPause}, configurationObserver());
     follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
@@ -226,6 +229,7 @@
         m_registry.replaceAll(registered, currentTime());
         m_replicasKnown = true;
         replicasChanged();
+        updatePlacing();
     };
     observer.onChange = [this](const table_row &row) {
         replicaChanged(row);
@@ -233,10 +237,13 @@
     };
     observer.onLost = [this] {
         m_registry.storeLost();
+        m_storeLost = true;
+        updatePlacing();
         m_metrics.set("store_available", 0);
     };
     observer.onRegained = [this] {
         m_registry.storeRegained(currentTime());
+        m_storeLost = false;
         m_metrics.set("store_available", 1);
     };
     return observer;
@@ -260,6 +267,19 @@
     m_scheduler.setUpstreams(m_registry.replicas());
 }
 
+/// Leaves the requests of this node's cells to others unless its own list of upstreams is up to date.
+void gateway::implementation::updatePlacing()
+{
+    const bool listUpToDate = m_replicasKnown && !m_storeLost;
+    const placing_state state = m_stopping     ? placing_state::Stopping
+                                : listUpToDate ? placing_state::Ready
+                                               : placing_state::UpstreamsUncertain;
+    if (state != m_slots.placing()) {
+        m_slots.setPlacing(state);
+        m_exchange.changed();
+    }
+}
+
 table_observer gateway::implementation::gatewayObserver()
 {
     table_observer observer;
@@ -340,7 +360,7 @@
     return {.sender = m_self,
             .sequence = ++m_sequence,
             .usage = m_scheduler.scheduler().usage(now),
-            .placesRequests = !m_stopping,
+            .placing = m_slots.placing(),
             .waitingOnline = m_scheduler.scheduler().waitingOnline(),
             .lost = m_relay.recentlyLost(now),
             .claims = m_slots.claims()};
@@ -477,8 +497,7 @@
 void gateway::beginStop()
 {
     m_implementation->m_stopping = true;
-    m_implementation->m_slots.stopPlacing();
-    m_implementation->m_exchange.changed();
+    m_implementation->updatePlacing();
 }
 
 task<> gateway::leave(duration jobTime)
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -61,7 +61,7 @@
     root.setSender(load.sender.text());
     root.setSequence(load.sequence);
     root.setWaitingOnline(load.waitingOnline);
-    root.setStopping(!load.placesRequests);
+    root.setPlacing(static_cast<std::uint8_t>(load.placing));
     auto usage = root.initUsage(static_cast<unsigned>(load.usage.size()));
     unsigned index = 0;
     for (const auto &[key, value] : load.usage) {
@@ -132,7 +132,7 @@
     node_load load{.sender = node_id(textOf(root.getSender())),
                    .sequence = root.getSequence(),
                    .usage = {},
-                   .placesRequests = !root.getStopping(),
+                   .placing = static_cast<placing_state>(std::min(root.getPlacing(), static_cast<std::uint8_t>(placing_state::Stopping))),
                    .waitingOnline = root.getWaitingOnline(),
                    .lost = {},
                    .claims = {}};
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -84,9 +84,13 @@
     void received(const slot_release &release);
     void reported(const node_load &load);
     void housekeep();
-    void stopPlacing()
+    void setPlacing(placing_state state)
     {
-        m_stopping = true;
+        m_placing = state;
+    }
+    [[nodiscard]] placing_state placing() const
+    {
+        return m_placing;
     }
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
 
@@ -113,21 +117,21 @@
     std::map<request_id, claim_pointer> m_own;
     std::map<foreign_key, foreign_claim> m_foreign;
     std::map<node_id, time_point> m_distrustedUntil;
-    bool m_stopping = false;
+    placing_state m_placing = placing_state::Ready;
     std::mt19937_64 m_generator{std::random_device{}()};
 };
 
-/// The nodes that may place requests: this one and those heard lately that gave verdicts.
+/// The nodes that may place requests, without those that lately gave no verdict.
 std::vector<node_id> slot_broker::implementation::trustedNodes(time_point now)
 {
     std::erase_if(m_distrustedUntil, [&](const auto &entry) {
         return entry.second <= now;
     });
-    std::vector<node_id> nodes = m_ports.board.placingNodes();
+    std::vector<node_id> nodes = m_ports.board.placingNodes(m_self, m_placing);
     std::erase_if(nodes, [&](const node_id &node) {
         return m_distrustedUntil.contains(node);
     });
-    if (!m_stopping || nodes.empty()) {
+    if (nodes.empty()) {
         nodes.push_back(m_self);
     }
     return nodes;
@@ -520,9 +524,14 @@
     m_implementation->housekeep();
 }
 
-void slot_broker::stopPlacing()
+void slot_broker::setPlacing(placing_state state)
+{
+    m_implementation->setPlacing(state);
+}
+
+placing_state slot_broker::placing() const
 {
-    m_implementation->stopPlacing();
+    return m_implementation->placing();
 }
 
 std::vector<std::uint64_t> slot_broker::claims() const
--- a/tests/unit/serving/load_board_test.cpp
+++ b/tests/unit/serving/load_board_test.cpp
@@ -58,3 +58,25 @@
     CHECK(board.largestBatch(7).batch == 3);
     CHECK(board.largestBatch(7).node == node_id("b"));
 }
+
+TEST_CASE("load_board leaves placing to the nodes that are ready unless they are fewer than the others")
+{
+    load_board board(1s);
+    const node_id self("self");
+    node_load uncertain = load("a", 1, 0, 0);
+    uncertain.placing = placing_state::UpstreamsUncertain;
+    board.reported(uncertain, start);
+    board.reported(load("b", 1, 0, 0), start);
+    CHECK(board.placingNodes(self, placing_state::Ready) == std::vector<node_id>{node_id("b"), self});
+    CHECK(board.placingNodes(self, placing_state::Stopping) == std::vector<node_id>{node_id("b")});
+    CHECK(board.placingNodes(self, placing_state::UpstreamsUncertain) == std::vector<node_id>{node_id("b"), node_id("a"), self});
+}
+
+TEST_CASE("load_board names no placing node if all are stopping")
+{
+    load_board board(1s);
+    node_load stopping = load("a", 1, 0, 0);
+    stopping.placing = placing_state::Stopping;
+    board.reported(stopping, start);
+    CHECK(board.placingNodes(node_id("self"), placing_state::Stopping).empty());
+}
--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -86,7 +86,7 @@
             const node_load load{.sender = id,
                                  .sequence = ++member->sequence,
                                  .usage = member->scheduler.scheduler().usage(currentTime()),
-                                 .placesRequests = !stopping.contains(id),
+                                 .placing = member->slots.placing(),
                                  .claims = member->slots.claims()};
             for (const auto &[otherId, other] : nodes) {
                 if (otherId != id) {
@@ -164,7 +164,6 @@
     std::map<std::string, slot_broker::slot_outcome> outcomes;
     std::map<std::string, stop_signal> stops;
     std::map<std::string, bool> reclaimed;
-    std::set<node_id> stopping;
 };
 
 } // namespace
@@ -306,8 +305,7 @@
 TEST_CASE("slot_broker claims nothing from a node that is stopping, and a stopping node lets others place its requests")
 {
     broker_fixture fixture(1);
-    fixture.placer().slots.stopPlacing();
-    fixture.stopping.insert(fixture.placer().id);
+    fixture.placer().slots.setPlacing(placing_state::Stopping);
     fixture.report();
     fixture.acquire(fixture.other(), broker_fixture::request("r1"));
     fixture.runFor(5ms);
@@ -317,3 +315,30 @@
     fixture.runFor(5ms);
     CHECK(fixture.other().scheduler.scheduler().waitingBatch() == 1);
 }
+
+TEST_CASE("slot_broker leaves placing to a node that knows the upstreams while its own list may be out of date")
+{
+    broker_fixture fixture(1);
+    fixture.placer().slots.setPlacing(placing_state::UpstreamsUncertain);
+    fixture.report();
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(broker_fixture::inUse(fixture.other()) == 1);
+    fixture.acquire(fixture.placer(), broker_fixture::request("b1", work_class::Batch));
+    fixture.runFor(5ms);
+    CHECK(fixture.other().scheduler.scheduler().waitingBatch() == 1);
+}
+
+TEST_CASE("slot_broker places as before while the store is lost to all nodes")
+{
+    broker_fixture fixture(1);
+    for (const auto &[id, member] : fixture.nodes) {
+        member->slots.setPlacing(placing_state::UpstreamsUncertain);
+    }
+    fixture.report();
+    fixture.acquire(fixture.other(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(broker_fixture::inUse(fixture.placer()) == 1);
+}
