--- /dev/null
+++ b/bench/serving/site_model.cpp
@@ -0,0 +1,152 @@
+#include "site_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace banyan::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double onlineTokens = 169;
+constexpr double batchTokens = 1162;
+constexpr double firstByteSteps = 14; // 53 ms and the prompt's 4 ms.
+constexpr double wholeAnswerSpread = 0.5;
+constexpr double streamSpread = 0.4; // The sheets say 0.57, cut at 1.6 times the mean.
+constexpr load_shape burstShape{.low = 0.383, .burst = 1.87, .lowTime = 3400ms, .burstTime = 2400ms};
+
+service_model languageModel(std::string name, std::size_t upstreams, std::uint32_t slots, std::vector<double> speeds)
+{
+    return {.name = std::move(name),
+            .upstreams = upstreams,
+            .slots = slots,
+            .stepTime = 4200us,
+            .speeds = std::move(speeds),
+            .slowShare = 0.15,
+            .slowFactor = 2.5};
+}
+
+service_model application(std::string name, std::size_t upstreams)
+{
+    return {.name = std::move(name), .upstreams = upstreams, .slots = 6, .stepTime = 1ms, .slowShare = 0.15, .slowFactor = 2.5};
+}
+
+class_model streams(std::string name, double rate, double worth, double lateWorth)
+{
+    return {.name = std::move(name),
+            .rate = rate,
+            .target = 300ms,
+            .deadline = 5s,
+            .firstByteSteps = firstByteSteps,
+            .tokens = onlineTokens,
+            .tokenSpread = streamSpread,
+            .worth = worth,
+            .lateWorth = lateWorth};
+}
+
+class_model wholeAnswers(std::string name, double rate, double work, duration target, duration deadline, double lateWorth)
+{
+    return {.name = std::move(name),
+            .service = 1,
+            .rate = rate,
+            .target = target,
+            .deadline = deadline,
+            .firstByteSteps = work,
+            .tokens = 0,
+            .tokenSpread = wholeAnswerSpread,
+            .worth = 1,
+            .lateWorth = lateWorth,
+            .priority = 2};
+}
+
+job_model jobs(double rate)
+{
+    return {.rate = rate, .firstByteSteps = firstByteSteps, .tokens = batchTokens, .window = 18s};
+}
+
+} // namespace
+
+double load_shape::factorAt(time_point when) const
+{
+    return isBurst(when) ? burst : low;
+}
+
+bool load_shape::isBurst(time_point when) const
+{
+    return when.time_since_epoch() % (lowTime + burstTime) >= lowTime;
+}
+
+site_model siteNamed(std::string_view name)
+{
+    if (name == "niebla") {
+        return {.name = "niebla",
+                .nodes = 10,
+                .services = {languageModel("asesor", 18, 8, {1}), application("pedidos", 3)},
+                .classes = {streams("stock-check", 64.3, 1.7, 0.26),
+                            streams("price-check", 18.2, 1.7, 0.26),
+                            wholeAnswers("order-confirm", 26.8, 15, 100ms, 600ms, 0.5)},
+                .jobs = jobs(1.03),
+                .shape = burstShape};
+    }
+    if (name == "nekomori") {
+        return {.name = "nekomori",
+                .nodes = 13,
+                .services = {languageModel("rota-writer", 9, 8, {1, 1, 1.3}), application("visit-desk", 4)},
+                .classes = {streams("owner-query", 36.3, 3.3, 0.5),
+                            streams("sitter-note", 4.94, 3.3, 0.5),
+                            wholeAnswers("visit-confirm", 13.5, 30, 150ms, 1500ms, 0.1)},
+                .jobs = jobs(0.514),
+                .shape = burstShape,
+                .clientDelay = 1ms};
+    }
+    if (name == "niebla-grown") {
+        return {.name = "niebla-grown",
+                .nodes = 60,
+                .services = {languageModel("asesor", 90, 7, {1}), application("pedidos", 3)},
+                .classes = {streams("stock-check", 355, 1.4, 0.21),
+                            streams("price-check", 120, 1.4, 0.21),
+                            wholeAnswers("order-confirm", 153, 15, 200ms, 1s, 0.5)},
+                .jobs = jobs(5.91),
+                .shape = burstShape};
+    }
+    if (name == "nekomori-grown") {
+        return {.name = "nekomori-grown",
+                .nodes = 91,
+                .services = {languageModel("rota-writer", 60, 7, {1, 1, 1.3}), application("visit-desk", 5)},
+                .classes = {streams("owner-query", 246, 1.6, 0.23),
+                            streams("sitter-note", 69.6, 1.6, 0.23),
+                            wholeAnswers("visit-confirm", 103, 15, 200ms, 1500ms, 0.1)},
+                .jobs = jobs(3.94),
+                .shape = burstShape};
+    }
+    throw std::invalid_argument("expected the name of a site, found \"" + std::string(name) + "\"");
+}
+
+const std::vector<std::string> &siteNames()
+{
+    static const std::vector<std::string> names{"niebla", "nekomori", "niebla-grown", "nekomori-grown"};
+    return names;
+}
+
+double meanLoad(const site_model &site, std::size_t service)
+{
+    const service_model &upstreams = site.services[service];
+    double speed = 0;
+    for (const double factor : upstreams.speeds) {
+        speed += factor / static_cast<double>(upstreams.speeds.size());
+    }
+    const double slow = 1 + upstreams.slowShare * (upstreams.slowFactor - 1);
+    const double stepSeconds = std::chrono::duration<double>(upstreams.stepTime).count() * speed * slow;
+    double steps = 0;
+    for (const class_model &kind : site.classes) {
+        steps += kind.service == service ? kind.rate * (kind.firstByteSteps + kind.tokens) : 0;
+    }
+    if (site.jobs && site.jobs->service == service) {
+        steps += site.jobs->rate * site.jobs->items * (site.jobs->firstByteSteps + site.jobs->tokens);
+    }
+    return steps * stepSeconds / (static_cast<double>(upstreams.upstreams) * upstreams.slots);
+}
+
+} // namespace banyan::bench
--- /dev/null
+++ b/bench/serving/site_run.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "site_model.h"
+
+#include "banyan/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyan::bench {
+
+/// Who decides where a run goes.
+enum class placing_way {
+    Claims, ///< One node for each cell of upstreams, with the cell's only queue.
+    Reports, ///< Each node, by what the others report every 30 ms.
+    Random, ///< Each node, at random: the baseline.
+};
+
+/// The name in reports and on the command line.
+[[nodiscard]] std::string_view toString(placing_way way);
+
+/// Options of a run of a site.
+struct site_run_options
+{
+    placing_way way = placing_way::Claims;
+    duration warmUp = std::chrono::milliseconds(5800); ///< What begins before this does not count.
+    duration length = std::chrono::milliseconds(34800); ///< Arrivals end here.
+    double crashShare = 0; ///< Of the first service's upstreams that crash half-way, for 4 s.
+    duration window = std::chrono::milliseconds(200); ///< Of the course over time.
+    std::uint64_t seed = 1;
+};
+
+/// What came of one kind of request.
+struct class_result
+{
+    std::string name;
+    std::uint64_t owed = 0;
+    std::uint64_t onTime = 0;
+    std::uint64_t late = 0;
+    std::uint64_t onTimeAfterRefusal = 0; ///< At the second attempt, which began when the refusal had said.
+    std::uint64_t refused = 0; ///< At every attempt.
+    double credit = 0; ///< Over what on-time answers to all would earn.
+};
+
+/// A window of the run.
+struct window_result
+{
+    time_point from;
+    std::uint64_t owed = 0; ///< Online requests that began in it.
+    double credit = 0; ///< Theirs, over what they could earn.
+    std::uint64_t refusals = 0; ///< Of attempts.
+    std::uint32_t waiting = 0; ///< Online runs that wait, at its end.
+    std::uint32_t batchRunning = 0; ///< At its end.
+};
+
+/// What a run gave.
+struct site_result
+{
+    std::vector<class_result> classes;
+    std::vector<window_result> windows;
+    double onlineCredit = 0; ///< Over all kinds, by worth.
+    double burstCredit = 0; ///< The same of what began within bursts.
+    std::uint64_t itemsOwed = 0; ///< Batch items whose window has ended.
+    std::uint64_t itemsInTime = 0;
+    std::uint64_t reclaimed = 0; ///< Batch runs that gave their slot back.
+    std::uint64_t rejected = 0; ///< Runs that found their upstream full.
+};
+
+/// Runs @p site with the product's own scheduler; the same seed gives the same result.
+[[nodiscard]] site_result runSite(const site_model &site, const site_run_options &options);
+
+} // namespace banyan::bench
--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -45,8 +45,8 @@
     };
     [[nodiscard]] batch_holder largestBatch(upstream_key upstream) const;
 
-    /// Online requests that wait at other nodes.
-    [[nodiscard]] std::uint32_t waitingOnline() const;
+    /// Online requests for a service that wait at other nodes.
+    [[nodiscard]] std::uint32_t waitingOnline(service_key service) const;
 
     /// The nodes that have reported within the memory.
     [[nodiscard]] std::vector<node_id> nodes() const;
@@ -69,7 +69,7 @@
     duration m_memory;
     std::map<node_id, report> m_reports;
     std::unordered_map<upstream_key, total_usage> m_totals; ///< Kept up with the reports, since it is read for each choice.
-    std::uint32_t m_waitingOnline = 0;
+    std::unordered_map<service_key, std::uint32_t> m_waitingOnline;
 };
 
 } // namespace banyan
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -19,6 +19,8 @@
     auto operator<=>(const lost_content &) const = default;
 };
 
+using service_key = std::uint32_t; ///< Hash of a service's name.
+
 /// Whether a node places requests for others.
 enum class placing_state : std::uint8_t {
     Ready,
@@ -33,7 +35,7 @@
     std::uint64_t sequence = 0; ///< Grows with each message of a sender.
     std::map<upstream_key, upstream_usage> usage; ///< Of upstreams where it has any work or trouble.
     placing_state placing = placing_state::Ready;
-    std::uint32_t waitingOnline = 0; ///< Requests of all services that wait for a slot.
+    std::map<service_key, std::uint32_t> waitingOnline; ///< Requests that wait for a slot, by service.
     std::vector<lost_content> lost; ///< Within the last second or so.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims that it waits for or holds, at any node.
 
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/attempt_result.h"
+#include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/request_scheduler_options.h"
 #include "banyan/core/serving/slot_action.h"
@@ -36,8 +37,10 @@
 /// - bursts of online work: batch runs give up their slots at once, those of this node first; the others yield when they
 ///   see an upstream with more than its slots;
 /// - lulls: batch work fills all slots but those that online work will need before other nodes can react;
-/// - more online work than slots: what cannot begin in time is refused at once, with when to come back, spread over the
-///   time that the work before it takes;
+/// - more online work than slots: what cannot begin in time is refused at once, and comes back when the burst should be over
+///   (return_forecast);
+/// - more batch work than slots: what can still be done in time goes first (batch_order);
+/// - many nodes: a run goes where its node has an idle connection (held_connections);
 /// - upstreams that fail or fall silent: avoided on this node's own evidence or that of two nodes together.
 class request_scheduler
 {
@@ -79,6 +82,9 @@
     /// This node's own work in flight.
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
 
+    /// Online requests that wait for a slot, for this node's reports; services without any are left out.
+    [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
+
     /// Online requests that wait for a slot.
     [[nodiscard]] std::uint32_t waitingOnline() const;
 
@@ -93,4 +99,7 @@
 /// The key of an upstream in reports between nodes.
 [[nodiscard]] upstream_key keyOf(const upstream_id &upstream);
 
+/// The key of a service in reports between nodes.
+[[nodiscard]] service_key keyOf(const service_name &service);
+
 } // namespace banyan
--- a/core/include/banyan/core/serving/request_scheduler_options.h
+++ b/core/include/banyan/core/serving/request_scheduler_options.h
@@ -11,7 +11,6 @@
 struct request_scheduler_options
 {
     node_id self; ///< Breaks ties between nodes that could yield.
-    failure_domain domain; ///< Upstreams in it are preferred where others are as free.
     duration assumedFirstByte = std::chrono::milliseconds(80); ///< Until some have been measured.
     duration assumedRunTime = std::chrono::milliseconds(800); ///< Until some have been measured.
     duration reactionTime = std::chrono::milliseconds(50); ///< For other nodes' batch work to yield; slots for that long are kept free.
--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace banyan {
@@ -26,6 +27,10 @@
     bool begun = false; ///< An earlier attempt was sent, so that it waits on although it will be late.
     std::uint64_t prefixHash = 0; ///< Of the prompt's shared part; 0 for none.
     std::vector<upstream_id> excluded; ///< Used only if there is no other.
+    node_id holder; ///< The node that sends the run, whose connections it uses.
+    failure_domain domain; ///< Of that node.
+    duration ranBefore{}; ///< Of a batch run: time that the item has spent at upstreams in earlier runs, which it continues.
+    std::optional<time_point> firstRunAt; ///< Of a batch run: when the first of these was granted.
 
     auto operator<=>(const slot_request &) const = default;
 };
--- /dev/null
+++ b/core/src/serving/batch_order.cpp
@@ -0,0 +1,77 @@
+#include "batch_order.h"
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+constexpr double averageStep = 0.1; ///< Weight of a new measurement.
+constexpr double leastRemainingShare = 0.1; ///< Of the usual time, of a run that has taken longer than usual already.
+constexpr double comfortFactor = 1.2; ///< Over the usual time to the end: items differ in length.
+constexpr duration hopelessBonus = std::chrono::hours(24); ///< Above any time that a run can take.
+
+enum rank_group : std::uint32_t {
+    Begun,
+    Comfortable, ///< Not begun, with time enough.
+    Tight, ///< Not begun, and in time only if no burst comes between.
+    Hopeless,
+};
+
+double toSeconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+duration fromSeconds(double value)
+{
+    return duration(static_cast<std::int64_t>(value * 1e6));
+}
+
+void average(double &value, double measured)
+{
+    value = value > 0 ? value + averageStep * (measured - value) : measured;
+}
+
+} // namespace
+
+void batch_order::completed(duration runTime, duration elapsed)
+{
+    average(m_runSeconds, toSeconds(runTime));
+    average(m_elapsedSeconds, toSeconds(std::max(runTime, elapsed)));
+}
+
+duration batch_order::remainingAfter(duration ran) const
+{
+    return fromSeconds(std::max(m_runSeconds - toSeconds(ran), leastRemainingShare * m_runSeconds));
+}
+
+batch_order::rank batch_order::rankOf(const slot_request &request, time_point now) const
+{
+    const duration left = request.target - now;
+    const duration remaining = remainingAfter(request.ranBefore);
+    rank result{.hopeless = left < remaining, .priority = request.priority, .id = request.id};
+    if (result.hopeless) {
+        result.group = Hopeless;
+        result.urgency = remaining;
+    } else if (request.firstRunAt) {
+        result.group = Begun;
+        result.urgency = left - remaining;
+    } else if (toSeconds(left) >= comfortFactor * m_elapsedSeconds) {
+        result.group = Comfortable;
+        result.urgency = left;
+    } else {
+        result.group = Tight;
+        result.urgency = -left;
+    }
+    return result;
+}
+
+duration batch_order::reclaimOrder(const slot_request &request, time_point grantedAt, time_point now) const
+{
+    const duration remaining = remainingAfter(request.ranBefore + (now - grantedAt));
+    const bool hopeless = request.target - now < remaining;
+    return hopeless ? remaining + hopelessBonus : remaining;
+}
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/serving/batch_order.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "banyan/core/serving/slot_request.h"
+#include "banyan/core/time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace banyan {
+
+/// Which batch runs get the slots, and which give theirs back.
+///
+/// Load pattern: more batch work than fits between the bursts of online work. Served by their deadlines alone, all items
+/// would become late one after the other. So items that were begun are finished first while they can be in time; others
+/// begin only while enough of their window is left; those that cannot be in time any more wait until nothing else does.
+///
+/// The time that an item takes is learned: at upstreams, and from its first run to its end, which is longer since it gives
+/// its slot back in bursts.
+class batch_order
+{
+public:
+    /// The place of a waiting run; the least goes first.
+    struct rank
+    {
+        bool hopeless = false;
+        std::uint32_t priority = 0;
+        std::uint32_t group = 0;
+        duration urgency{};
+        request_id id;
+
+        auto operator<=>(const rank &) const = default;
+    };
+
+    /// Takes in an item that is complete: it spent @p runTime at upstreams, @p elapsed after its first run began.
+    void completed(duration runTime, duration elapsed);
+
+    /// The place of a run that waits.
+    [[nodiscard]] rank rankOf(const slot_request &request, time_point now) const;
+
+    /// How much sooner than others a run should give its slot back, which it was granted at @p grantedAt; the greatest goes
+    /// first: those that cannot be in time, then those with most left to do.
+    [[nodiscard]] duration reclaimOrder(const slot_request &request, time_point grantedAt, time_point now) const;
+
+private:
+    [[nodiscard]] duration remainingAfter(duration ran) const;
+
+    double m_runSeconds = 0; ///< Average; 0 while unknown.
+    double m_elapsedSeconds = 0;
+};
+
+} // namespace banyan
--- /dev/null
+++ b/core/src/serving/held_connections.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace banyan {
+
+/// Guesses which nodes hold an idle connection to which upstreams, by the runs that were placed.
+///
+/// Load pattern: many nodes in front of many upstreams, each pair used so rarely that its connection would be closed before
+/// the next use. A run that goes where its node has a connection saves the opening of one.
+class held_connections
+{
+public:
+    /// A run of @p node at @p upstream was granted: it uses a connection that is idle, if there is one.
+    void granted(const node_id &node, const upstream_id &upstream);
+
+    /// A run has ended; @p reusable if its connection stays open.
+    void released(const node_id &node, const upstream_id &upstream, bool reusable, time_point now);
+
+    /// Whether the node probably has an idle connection to the upstream.
+    [[nodiscard]] bool hasIdle(const node_id &node, const upstream_id &upstream, time_point now) const;
+
+    /// Forgets connections that have probably been closed.
+    void expire(time_point now);
+
+private:
+    struct idle_connections
+    {
+        std::uint32_t count = 0;
+        time_point lastUsed;
+    };
+
+    std::map<std::pair<node_id, upstream_id>, idle_connections> m_idle;
+};
+
+} // namespace banyan
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -30,7 +30,9 @@
         total.batch += usage.batch;
         total.troubledNodes += usage.troubled ? 1 : 0;
     }
-    m_waitingOnline += load.waitingOnline;
+    for (const auto &[service, count] : load.waitingOnline) {
+        m_waitingOnline[service] += count;
+    }
 }
 
 void load_board::subtract(const node_load &load)
@@ -44,7 +46,9 @@
             m_totals.erase(key);
         }
     }
-    m_waitingOnline -= load.waitingOnline;
+    for (const auto &[service, count] : load.waitingOnline) {
+        m_waitingOnline[service] -= count;
+    }
 }
 
 void load_board::expire(time_point now)
@@ -76,9 +80,10 @@
     return largest;
 }
 
-std::uint32_t load_board::waitingOnline() const
+std::uint32_t load_board::waitingOnline(service_key service) const
 {
-    return m_waitingOnline;
+    const auto entry = m_waitingOnline.find(service);
+    return entry == m_waitingOnline.end() ? 0 : entry->second;
 }
 
 std::vector<node_id> load_board::nodes() const
--- /dev/null
+++ b/core/src/serving/service_schedule.cpp
@@ -0,0 +1,71 @@
+#include "service_schedule.h"
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+constexpr double safeShare = 0.95; ///< Of runs that begin to answer within the safe time: the rest meets a slow upstream.
+constexpr std::size_t minimumFirstBytes = 16;
+
+std::vector<scheduled_upstream *> membersOf(const upstream_cell &cell, std::map<upstream_id, scheduled_upstream> &upstreams)
+{
+    std::vector<scheduled_upstream *> result;
+    for (auto &[id, upstream] : upstreams) {
+        if (upstream.isUsable() && cell.contains(id)) {
+            result.push_back(&upstream);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+double service_schedule::safeFirstByteSeconds() const
+{
+    return firstBytes.count() < minimumFirstBytes ? firstByteSeconds : std::max(firstByteSeconds, firstBytes.quantile(safeShare));
+}
+
+cell_schedule &service_schedule::cell(const upstream_cell &cell)
+{
+    const auto [entry, inserted] = cells.try_emplace(cell);
+    if (inserted) {
+        entry->second.members = membersOf(cell, upstreams);
+    }
+    return entry->second;
+}
+
+void service_schedule::upstreamsChanged()
+{
+    std::erase_if(upstreams, [](const auto &entry) {
+        return !entry.second.registered && entry.second.online + entry.second.batch == 0;
+    });
+    const std::uint32_t count = cellCountFor(upstreams.size());
+    std::erase_if(cells, [&](const auto &entry) {
+        return entry.first.count != count && entry.second.online.empty() && entry.second.batch.empty();
+    });
+    for (auto &[which, schedule] : cells) {
+        schedule.members = membersOf(which, upstreams);
+    }
+}
+
+std::uint32_t service_schedule::waitingOnline() const
+{
+    std::size_t count = 0;
+    for (const auto &[which, schedule] : cells) {
+        count += schedule.online.size();
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+std::uint32_t service_schedule::waitingBatch() const
+{
+    std::size_t count = 0;
+    for (const auto &[which, schedule] : cells) {
+        count += schedule.batch.size();
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+} // namespace banyan
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -11,6 +11,11 @@
   troubled @3 :Bool;
 }
 
+struct ServiceQueue {
+  service @0 :UInt32;             # Key of its name.
+  waiting @1 :UInt32;
+}
+
 struct LostContent {
   fingerprint @0 :UInt64;
   upstream @1 :UInt32;
@@ -20,7 +25,7 @@
   sender @0 :Text;
   sequence @1 :UInt64;
   usage @2 :List(UpstreamUsage);
-  waitingOnline @3 :UInt32;
+  waitingOnline @3 :List(ServiceQueue);
   lost @4 :List(LostContent);
   claims @5 :List(UInt64);
   placing @6 :UInt8;              # In the order of placing_state.
@@ -41,6 +46,9 @@
   repeatable @11 :Bool;
   prefixHash @12 :UInt64;
   excluded @13 :List(Text);
+  domain @14 :Text;
+  ranBefore @15 :Int64;           # Microseconds.
+  sinceFirstRun @16 :Int64;       # Microseconds; negative if there was none.
 }
 
 struct SlotVerdict {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(cb91456344c087d8);
+CAPNP_DECLARE_SCHEMA(989eed4629c727bf);
 CAPNP_DECLARE_SCHEMA(880240bee09e440e);
 CAPNP_DECLARE_SCHEMA(db6f9a50147d4dbd);
 CAPNP_DECLARE_SCHEMA(ada66ed97a785ca8);
@@ -52,6 +53,21 @@
   };
 };
 
+struct ServiceQueue {
+  ServiceQueue() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(989eed4629c727bf, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LostContent {
   LostContent() = delete;
 
@@ -75,7 +91,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -90,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 8, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -347,6 +363,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceQueue::Reader {
+public:
+  typedef ServiceQueue Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceQueue::Builder {
+public:
+  typedef ServiceQueue Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceQueue::Pipeline {
+public:
+  typedef ServiceQueue Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LostContent::Reader {
 public:
   typedef LostContent Reads;
@@ -453,7 +550,8 @@
   inline bool hasUsage() const;
   inline  ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>::Reader getUsage() const;
 
-  inline  ::uint32_t getWaitingOnline() const;
+  inline bool hasWaitingOnline() const;
+  inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Reader getWaitingOnline() const;
 
   inline bool hasLost() const;
   inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader getLost() const;
@@ -508,8 +606,12 @@
   inline void adoptUsage(::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamUsage,  ::capnp::Kind::STRUCT>> disownUsage();
 
-  inline  ::uint32_t getWaitingOnline();
-  inline void setWaitingOnline( ::uint32_t value);
+  inline bool hasWaitingOnline();
+  inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Builder getWaitingOnline();
+  inline void setWaitingOnline( ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Builder initWaitingOnline(unsigned int size);
+  inline void adoptWaitingOnline(::capnp::Orphan< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>> disownWaitingOnline();
 
   inline bool hasLost();
   inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder getLost();
@@ -604,6 +706,13 @@
   inline bool hasExcluded() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getExcluded() const;
 
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline  ::int64_t getRanBefore() const;
+
+  inline  ::int64_t getSinceFirstRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -691,6 +800,19 @@
   inline void adoptExcluded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownExcluded();
 
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline  ::int64_t getRanBefore();
+  inline void setRanBefore( ::int64_t value);
+
+  inline  ::int64_t getSinceFirstRun();
+  inline void setSinceFirstRun( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1807,6 +1929,34 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServiceQueue::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceQueue::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceQueue::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceQueue::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceQueue::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceQueue::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LostContent::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1917,104 +2067,124 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t NodeLoad::Reader::getWaitingOnline() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool NodeLoad::Reader::hasWaitingOnline() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t NodeLoad::Builder::getWaitingOnline() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool NodeLoad::Builder::hasWaitingOnline() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeLoad::Builder::setWaitingOnline( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getWaitingOnline() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getWaitingOnline() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setWaitingOnline( ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initWaitingOnline(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptWaitingOnline(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownWaitingOnline() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServiceQueue,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool NodeLoad::Reader::hasLost() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeLoad::Builder::hasLost() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getLost() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getLost() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void NodeLoad::Builder::setLost( ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initLost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void NodeLoad::Builder::adoptLost(
     ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownLost() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::LostContent,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool NodeLoad::Reader::hasClaims() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeLoad::Builder::hasClaims() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeLoad::Reader::getClaims() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::getClaims() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void NodeLoad::Builder::setClaims( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline void NodeLoad::Builder::setClaims(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::initClaims(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void NodeLoad::Builder::adoptClaims(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> NodeLoad::Builder::disownClaims() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline  ::uint8_t NodeLoad::Reader::getPlacing() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint8_t NodeLoad::Builder::getPlacing() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 inline void NodeLoad::Builder::setPlacing( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SlotClaim::Reader::hasSender() const {
@@ -2297,6 +2467,68 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool SlotClaim::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotClaim::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotClaim::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t SlotClaim::Reader::getRanBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotClaim::Builder::getRanBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setRanBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SlotClaim::Reader::getSinceFirstRun() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SlotClaim::Builder::getSinceFirstRun() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setSinceFirstRun( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotVerdict::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -60,7 +60,7 @@
         , m_upstreamClient(upstreamClient)
         , m_board(reportMemory)
         , m_registry(registryGrace)
-        , m_scheduler(context, {.self = m_self, .domain = settings.domain, .seed = std::random_device{}()}, m_board)
+        , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
         , m_slots({.context = context,
                    .scheduler = m_scheduler,
                    .board = m_board,
@@ -68,7 +68,8 @@
                        [this](const node_id &to, const gateway_message &message) {
                            return m_exchange.send(to, message);
                        }},
-                  m_self)
+                  m_self,
+                  settings.domain)
         , m_sender(upstreamClient, m_platform.protocol)
         , m_relay({.context = context, .slots = m_slots, .sender = m_sender, .metrics = m_metrics}, m_platform.protocol)
         , m_jobs({.context = context, .store = m_platform.store, .slots = m_slots, .sender = m_sender, .metrics = m_metrics},
@@ -361,7 +362,7 @@
             .sequence = ++m_sequence,
             .usage = m_scheduler.scheduler().usage(now),
             .placing = m_slots.placing(),
-            .waitingOnline = m_scheduler.scheduler().waitingOnline(),
+            .waitingOnline = m_scheduler.scheduler().waitingByService(),
             .lost = m_relay.recentlyLost(now),
             .claims = m_slots.claims()};
 }
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -449,7 +449,7 @@
 request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
 {
     return request_id(job.entry.id.text() + "/" + job.items[index].id + "#" + std::to_string(job.serial) + "."
-                      + std::to_string(job.runs[index]));
+                      + std::to_string(job.states[index].runs));
 }
 
 /// Runs an item until it has a result or the job is not this node's any more.
@@ -487,7 +487,8 @@
 /// arrive after the claim of the next.
 task<item_step> listed_job_service::implementation::runOnce(job_pointer job, std::size_t index, const route &by, item_progress &progress)
 {
-    ++job->runs[index];
+    item_state &state = job->states[index];
+    ++state.runs;
     const request_id id = slotId(*job, index);
     slot_request request{.id = id,
                          .service = serviceFor(by, request_id(job->items[index].id)),
@@ -497,13 +498,15 @@
                          .target = job->entry.submittedAt + by.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow),
                          .repeatable = true,
-                         .excluded = job->unknownUpstreams[index]};
+                         .excluded = state.unknownUpstreams,
+                         .ranBefore = state.ranBefore,
+                         .firstRunAt = state.firstRunAt};
     // Each run has a stop of its own, since a run that gives its slot back goes on later.
-    job->stops[index] = stop_signal();
+    state.stop = stop_signal();
     auto onReclaim = [job, index] {
-        job->stops[index].stop();
+        job->states[index].stop.stop();
     };
-    const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), job->stops[index], std::move(onReclaim));
+    const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), state.stop, std::move(onReclaim));
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     if (granted == nullptr) {
         co_return item_step::RunAgain;
@@ -513,12 +516,15 @@
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
     const bool usable = registered != nullptr && !registered->draining;
     if (!usable) {
-        job->unknownUpstreams[index].push_back(upstream);
+        state.unknownUpstreams.push_back(upstream);
     }
     if (usable && !job->stopped) {
         ++job->itemsInFlight;
+        const time_point begunAt = currentTime();
+        state.firstRunAt = state.firstRunAt.value_or(begunAt);
         report = co_await sendItem(job, index, *registered, progress);
         --job->itemsInFlight;
+        state.ranBefore += currentTime() - begunAt;
     }
     attempt_result result = report.result;
     if (report.staleConnection) {
@@ -573,7 +579,7 @@
         co_return;
     };
     const http_client::stream_timeouts timeouts{.firstByte = firstByteTimeout, .silence = silenceTimeout};
-    attempt_report report = co_await m_ports.sender.send(std::move(run), timeouts, std::move(observer), job->stops[index]);
+    attempt_report report = co_await m_ports.sender.send(std::move(run), timeouts, std::move(observer), job->states[index].stop);
     if (report.result.outcome == attempt_outcome::Succeeded && splitter.hasPartialEvent()) {
         report.result.outcome = attempt_outcome::Lost;
         report.error = "the stream ended within an event";
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -3,15 +3,27 @@
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
+#include "banyan/core/time.h"
 #include "banyan/io/async_event.h"
 #include "banyan/io/serving/stop_signal.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace banyan {
 
+/// The runs of an item at this node.
+struct item_state
+{
+    stop_signal stop; ///< Of the current run.
+    std::uint32_t runs = 0; ///< So far.
+    std::vector<upstream_id> unknownUpstreams; ///< Granted, but not known here or draining.
+    duration ranBefore{}; ///< Time that earlier runs have spent at upstreams.
+    std::optional<time_point> firstRunAt;
+};
+
 /// A job that this node runs.
 struct running_job
 {
@@ -19,9 +31,7 @@
         : entry(std::move(stored))
         , serial(number)
         , items(std::move(jobItems))
-        , stops(items.size())
-        , runs(items.size())
-        , unknownUpstreams(items.size())
+        , states(items.size())
         , changed(context)
     {
     }
@@ -30,8 +40,8 @@
     void stop()
     {
         stopped = true;
-        for (stop_signal &signal : stops) {
-            signal.stop();
+        for (item_state &state : states) {
+            state.stop.stop();
         }
         changed.notify();
     }
@@ -39,9 +49,7 @@
     job_entry entry;
     std::uint64_t serial; ///< Tells it from an earlier running of the same job at this node, of which runs may still be ending.
     std::vector<job_item> items;
-    std::vector<stop_signal> stops; ///< One for each item.
-    std::vector<std::uint32_t> runs; ///< Of each item, so far.
-    std::vector<std::vector<upstream_id>> unknownUpstreams; ///< Of each item: granted, but not known here or draining.
+    std::vector<item_state> states; ///< One for each item.
     std::vector<listed_result> results; ///< In their positions; the first `listed` are recorded.
     std::size_t listed = 0;
     std::size_t itemsInFlight = 0; ///< At upstreams.
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -60,7 +60,6 @@
 {
     root.setSender(load.sender.text());
     root.setSequence(load.sequence);
-    root.setWaitingOnline(load.waitingOnline);
     root.setPlacing(static_cast<std::uint8_t>(load.placing));
     auto usage = root.initUsage(static_cast<unsigned>(load.usage.size()));
     unsigned index = 0;
@@ -71,6 +70,13 @@
         entry.setBatch(static_cast<std::uint16_t>(value.batch));
         entry.setTroubled(value.troubled);
     }
+    auto waiting = root.initWaitingOnline(static_cast<unsigned>(load.waitingOnline.size()));
+    index = 0;
+    for (const auto &[service, count] : load.waitingOnline) {
+        auto entry = waiting[index++];
+        entry.setService(service);
+        entry.setWaiting(count);
+    }
     auto lost = root.initLost(static_cast<unsigned>(load.lost.size()));
     for (unsigned position = 0; position < load.lost.size(); ++position) {
         lost[position].setFingerprint(load.lost[position].fingerprint);
@@ -98,6 +104,9 @@
     root.setBegun(request.begun);
     root.setRepeatable(request.repeatable);
     root.setPrefixHash(request.prefixHash);
+    root.setDomain(request.domain.text());
+    root.setRanBefore(request.ranBefore.count());
+    root.setSinceFirstRun(request.firstRunAt ? (now - *request.firstRunAt).count() : -1);
     auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
         excluded.set(index, request.excluded[index].text().c_str());
@@ -133,12 +142,15 @@
                    .sequence = root.getSequence(),
                    .usage = {},
                    .placing = static_cast<placing_state>(std::min(root.getPlacing(), static_cast<std::uint8_t>(placing_state::Stopping))),
-                   .waitingOnline = root.getWaitingOnline(),
+                   .waitingOnline = {},
                    .lost = {},
                    .claims = {}};
     for (const auto entry : root.getUsage()) {
         load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .troubled = entry.getTroubled()};
     }
+    for (const auto entry : root.getWaitingOnline()) {
+        load.waitingOnline[entry.getService()] = entry.getWaiting();
+    }
     for (const auto entry : root.getLost()) {
         load.lost.push_back({.fingerprint = entry.getFingerprint(), .upstream = entry.getUpstream()});
     }
@@ -162,7 +174,13 @@
                                  .repeatable = root.getRepeatable(),
                                  .begun = root.getBegun(),
                                  .prefixHash = root.getPrefixHash(),
-                                 .excluded = {}}};
+                                 .excluded = {},
+                                 .holder = node_id(textOf(root.getSender())),
+                                 .domain = failure_domain(textOf(root.getDomain())),
+                                 .ranBefore = duration(root.getRanBefore())}};
+    if (root.getSinceFirstRun() >= 0) {
+        claim.request.firstRunAt = now - duration(root.getSinceFirstRun());
+    }
     for (const auto upstream : root.getExcluded()) {
         claim.request.excluded.emplace_back(textOf(upstream));
     }
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -67,9 +67,10 @@
 class slot_broker::implementation
 {
 public:
-    implementation(const slot_broker_ports &ports, node_id self)
+    implementation(const slot_broker_ports &ports, node_id self, failure_domain domain)
         : m_ports(ports)
         , m_self(std::move(self))
+        , m_domain(std::move(domain))
     {
     }
 
@@ -114,6 +115,7 @@
 
     slot_broker_ports m_ports;
     node_id m_self;
+    failure_domain m_domain;
     std::map<request_id, claim_pointer> m_own;
     std::map<foreign_key, foreign_claim> m_foreign;
     std::map<node_id, time_point> m_distrustedUntil;
@@ -165,6 +167,8 @@
 task<slot_broker::slot_outcome>
 slot_broker::implementation::acquire(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
 {
+    request.holder = m_self;
+    request.domain = m_domain;
     request.cell = chooseCell(request);
     const std::vector<node_id> nodes = trustedNodes(currentTime());
     const node_id placer = placingNode(request.service, request.cell, nodes);
@@ -472,8 +476,8 @@
     return result;
 }
 
-slot_broker::slot_broker(const slot_broker_ports &ports, node_id self)
-    : m_implementation(std::make_unique<implementation>(ports, std::move(self)))
+slot_broker::slot_broker(const slot_broker_ports &ports, node_id self, failure_domain domain)
+    : m_implementation(std::make_unique<implementation>(ports, std::move(self), std::move(domain)))
 {
 }
 
--- a/tests/unit/serving/load_board_test.cpp
+++ b/tests/unit/serving/load_board_test.cpp
@@ -14,7 +14,7 @@
     return {.sender = node_id(node),
             .sequence = sequence,
             .usage = {{7, {.online = online, .batch = batch, .troubled = troubled}}},
-            .waitingOnline = online};
+            .waitingOnline = {{3, online}}};
 }
 
 } // namespace
@@ -29,7 +29,7 @@
     CHECK(board.usageOf(7).batch == 1);
     CHECK(board.usageOf(7).troubledNodes == 1);
     CHECK(board.usageOf(8).online == 0);
-    CHECK(board.waitingOnline() == 5);
+    CHECK(board.waitingOnline(3) == 5);
 }
 
 TEST_CASE("load_board ignores a report that arrives after a later one")
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -17,7 +17,7 @@
 struct scheduler_fixture
 {
     load_board board{1500ms};
-    request_scheduler scheduler{{.self = node_id("n1"), .domain = failure_domain("d")}, board};
+    request_scheduler scheduler{{.self = node_id("n1")}, board};
     std::vector<replica> upstreams;
     int lastId = 0;
 
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -18,7 +18,7 @@
                          .sequence = 9,
                          .usage = {{1, {.online = 2, .batch = 3, .troubled = true}}, {4, {.online = 5}}},
                          .placing = placing_state::UpstreamsUncertain,
-                         .waitingOnline = 6,
+                         .waitingOnline = {{5, 6}},
                          .lost = {{.fingerprint = 7, .upstream = 8}},
                          .claims = {10, 11}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(load, senderNow), receiverNow);
@@ -40,12 +40,17 @@
                                  .repeatable = true,
                                  .begun = true,
                                  .prefixHash = 77,
-                                 .excluded = {upstream_id("u1"), upstream_id("u2")}}};
+                                 .excluded = {upstream_id("u1"), upstream_id("u2")},
+                                 .holder = node_id("n"),
+                                 .domain = failure_domain("d"),
+                                 .ranBefore = 3s,
+                                 .firstRunAt = senderNow - 7s}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(claim, senderNow), receiverNow);
     REQUIRE(read.has_value());
     claim.request.arrivedAt = receiverNow - 10ms;
     claim.request.target = receiverNow + 290ms;
     claim.request.deadline = receiverNow + 5s;
+    claim.request.firstRunAt = receiverNow - 7s;
     CHECK(*read == gateway_message(claim));
 }
 
--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -46,6 +46,8 @@
 
     asio::io_context context;
     bool cut = false;
+    std::optional<node_id> holdFor; ///< Messages to this node wait until releaseHeld().
+    std::vector<std::pair<node_id, gateway_message>> held;
     std::map<node_id, std::unique_ptr<node>> nodes;
     std::vector<replica> upstreams;
 
@@ -65,7 +67,9 @@
 
     bool deliver(const node_id &to, const gateway_message &message)
     {
-        if (!cut) {
+        if (holdFor == to) {
+            held.emplace_back(to, message);
+        } else if (!cut) {
             asio::post(context, [this, to, message] {
                 std::visit(
                     [&](const auto &value) {
@@ -79,6 +83,15 @@
         return true;
     }
 
+    /// Delivers the messages that were held, one right after the other.
+    void releaseHeld()
+    {
+        holdFor.reset();
+        for (const auto &[to, message] : std::exchange(held, {})) {
+            deliver(to, message);
+        }
+    }
+
     /// Lets every node report to the other one.
     void report()
     {
@@ -292,11 +305,16 @@
 {
     broker_fixture fixture(1);
     fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
-    // The claim arrives, is granted, and online work comes before the holder has seen the grant.
-    while (broker_fixture::inUse(fixture.placer()) == 0) {
-        fixture.context.run_one();
-    }
+    fixture.holdFor = fixture.other().id;
+    const auto runUntilHeld = [&](std::size_t count) {
+        while (fixture.held.size() < count) {
+            fixture.context.run_one();
+        }
+    };
+    runUntilHeld(1);
     fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    runUntilHeld(2);
+    fixture.releaseHeld();
     fixture.runFor(20ms);
     CHECK(fixture.granted("r1"));
     CHECK(fixture.reclaimed["b1"]);
