Count runs whose granting node has fallen silent at their holders, so that the next placing node knows them

Ruled out: charged processor time (the runs had none), the connection bonus (same without). A holder now counts such runs itself once the placing node has been silent for 0.6 s, when its own count ends.

--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -19,8 +19,8 @@
 class load_board
 {
 public:
-    /// @p memory is how long a report counts.
-    explicit load_board(duration memory);
+    /// @p memory is how long a node is known after its last report, @p usageMemory how long the work counts that it reported.
+    explicit load_board(duration memory, duration usageMemory = duration::max());
 
     /// Takes in a report; one that is older than the last of its sender is ignored. Returns whether it was taken.
     bool reported(const node_load &load, time_point now);
@@ -28,6 +28,9 @@
     /// Drops the reports of nodes that have been silent for too long.
     void expire(time_point now);
 
+    /// Whether the work that the node last reported does not count any more, or it is not known at all.
+    [[nodiscard]] bool isSilent(const node_id &node) const;
+
     /// What the other nodes together have in flight at an upstream.
     struct total_usage
     {
@@ -61,12 +64,14 @@
     {
         node_load load;
         time_point receivedAt;
+        bool counts = true; ///< In the totals.
     };
 
     void add(const node_load &load);
     void subtract(const node_load &load);
 
     duration m_memory;
+    duration m_usageMemory;
     std::map<node_id, report> m_reports;
     std::unordered_map<upstream_key, total_usage> m_totals; ///< Kept up with the reports, since it is read for each choice.
     std::unordered_map<service_key, std::uint32_t> m_waitingOnline;
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -58,6 +58,10 @@
     /// Forgets a run that waits; one that is unknown or has its slot is left as it is.
     void withdraw(const request_id &request);
 
+    /// Takes over a run that another node had granted a slot, which does not count it any more. It is ended like one that
+    /// was granted here.
+    void adopt(const slot_request &request, const upstream_id &upstream, bool answerHasBegun, time_point grantedAt);
+
     /// Reports the first byte of a run's answer.
     void firstByte(const request_id &request, time_point now);
 
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -1,9 +1,12 @@
 #include "banyan/core/serving/load_board.h"
 
+#include <algorithm>
+
 namespace banyan {
 
-load_board::load_board(duration memory)
+load_board::load_board(duration memory, duration usageMemory)
     : m_memory(memory)
+    , m_usageMemory(std::min(memory, usageMemory))
 {
 }
 
@@ -13,7 +16,9 @@
     if (entry == m_reports.end()) {
         m_reports.emplace(load.sender, report{.load = load, .receivedAt = now});
     } else if (entry->second.load.sequence < load.sequence) {
-        subtract(entry->second.load);
+        if (entry->second.counts) {
+            subtract(entry->second.load);
+        }
         entry->second = {.load = load, .receivedAt = now};
     } else {
         return false;
@@ -53,15 +58,23 @@
 
 void load_board::expire(time_point now)
 {
-    std::erase_if(m_reports, [&](const auto &entry) {
-        const bool isOld = now - entry.second.receivedAt > m_memory;
-        if (isOld) {
-            subtract(entry.second.load);
+    for (auto &[node, entry] : m_reports) {
+        if (entry.counts && now - entry.receivedAt > m_usageMemory) {
+            subtract(entry.load);
+            entry.counts = false;
         }
-        return isOld;
+    }
+    std::erase_if(m_reports, [&](const auto &entry) {
+        return now - entry.second.receivedAt > m_memory;
     });
 }
 
+bool load_board::isSilent(const node_id &node) const
+{
+    const auto entry = m_reports.find(node);
+    return entry == m_reports.end() || !entry->second.counts;
+}
+
 load_board::total_usage load_board::usageOf(upstream_key upstream) const
 {
     const auto total = m_totals.find(upstream);
@@ -73,7 +86,7 @@
     batch_holder largest;
     for (const auto &[node, entry] : m_reports) {
         const auto found = entry.load.usage.find(upstream);
-        if (found != entry.load.usage.end() && found->second.batch > largest.batch) {
+        if (entry.counts && found != entry.load.usage.end() && found->second.batch > largest.batch) {
             largest = {.batch = found->second.batch, .node = node};
         }
     }
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -61,6 +61,7 @@
     slot_actions setUpstreams(std::span<const replica> upstreams, time_point now);
     slot_actions submit(const slot_request &request, time_point now);
     void withdraw(const request_id &request);
+    void adopt(const slot_request &request, const upstream_id &upstream, bool answerHasBegun, time_point grantedAt);
     void firstByte(const request_id &request, std::optional<duration> measured, time_point now);
     slot_actions released(const request_id &request, const attempt_result &result, time_point now);
     slot_actions loadChanged(time_point now);
@@ -79,6 +80,7 @@
     void refuseIfHopeless(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
     void turnAway(const service_schedule &service, cell_schedule &cell, const slot_request &request, end_reason reason, time_point now);
     void grant(service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
+    granted_run &take(const slot_request &request, scheduled_upstream &upstream, time_point now);
     void makeRoom(const service_schedule &service, scheduled_upstream &upstream, std::uint32_t excess, time_point now);
     void yieldToOthers(const service_schedule &service, time_point now);
     void startWaiting(service_schedule &service, time_point now);
@@ -231,20 +233,44 @@
                                               const slot_request &request,
                                               scheduled_upstream &upstream,
                                               time_point now)
+{
+    m_choice.granted(request, upstream.info.id);
+    const granted_run &run = take(request, upstream, now);
+    m_firstByteDue.emplace(run.overdueAt, request.id);
+    m_actions.push_back(slot_granted{.request = request.id, .upstream = upstream.info.id});
+    const std::uint32_t total = m_choice.workAt(upstream).all();
+    if (request.workClass == work_class::Online && total > upstream.info.slots) {
+        makeRoom(service, upstream, total - upstream.info.slots, now);
+    }
+}
+
+/// Counts a run as one that has its slot.
+granted_run &request_scheduler::implementation::take(const slot_request &request, scheduled_upstream &upstream, time_point now)
 {
     const bool online = request.workClass == work_class::Online;
     (online ? upstream.online : upstream.batch) += 1;
     if (!online) {
         upstream.batchRuns.push_back(request.id);
     }
-    m_choice.granted(request, upstream.info.id);
-    const time_point overdueAt = now + overdueAfter(request.service);
-    m_runs.emplace(request.id, granted_run{.request = request, .upstream = upstream.info.id, .grantedAt = now, .overdueAt = overdueAt});
-    m_firstByteDue.emplace(overdueAt, request.id);
-    m_actions.push_back(slot_granted{.request = request.id, .upstream = upstream.info.id});
-    const std::uint32_t total = m_choice.workAt(upstream).all();
-    if (online && total > upstream.info.slots) {
-        makeRoom(service, upstream, total - upstream.info.slots, now);
+    const granted_run run{
+        .request = request, .upstream = upstream.info.id, .grantedAt = now, .overdueAt = now + overdueAfter(request.service)};
+    return m_runs.emplace(request.id, run).first->second;
+}
+
+void request_scheduler::implementation::adopt(const slot_request &request,
+                                              const upstream_id &upstream,
+                                              bool answerHasBegun,
+                                              time_point grantedAt)
+{
+    service_schedule &service = serviceOf(request.service);
+    const auto found = service.upstreams.find(upstream);
+    if (found == service.upstreams.end() || m_runs.contains(request.id)) {
+        return; // Of an upstream that has gone nothing needs to be counted.
+    }
+    granted_run &run = take(request, found->second, grantedAt);
+    run.firstByteSeen = answerHasBegun;
+    if (!answerHasBegun) {
+        m_firstByteDue.emplace(run.overdueAt, request.id);
     }
 }
 
@@ -558,6 +584,11 @@
     m_implementation->withdraw(request);
 }
 
+void request_scheduler::adopt(const slot_request &request, const upstream_id &upstream, bool answerHasBegun, time_point grantedAt)
+{
+    m_implementation->adopt(request, upstream, answerHasBegun, grantedAt);
+}
+
 void request_scheduler::firstByte(const request_id &request, time_point now)
 {
     m_implementation->firstByte(request, std::nullopt, now);
--- a/io/include/banyan/io/serving/peer_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -15,7 +15,7 @@
 struct peer_exchange_options
 {
     endpoint listen;
-    duration heartbeat = std::chrono::milliseconds(400); ///< Without a change a report is sent after this time.
+    duration heartbeat = std::chrono::milliseconds(250); ///< Without a change a report is sent after this time.
     duration shortestInterval = std::chrono::milliseconds(20); ///< Between two reports; grows with the number of peers.
     duration intervalPerPeer = std::chrono::microseconds(1500); ///< Bounds the datagrams that a node sends and receives in a second.
 };
--- a/io/include/banyan/io/serving/scheduler_host.h
+++ b/io/include/banyan/io/serving/scheduler_host.h
@@ -35,6 +35,13 @@
     /// Forgets a run that waits. Its decision is not called any more.
     void withdraw(const request_id &request);
 
+    /// Takes over a run that another node had granted a slot; @p onReclaim as for submit().
+    void adopt(const slot_request &request,
+               const upstream_id &upstream,
+               bool answerHasBegun,
+               time_point grantedAt,
+               std::function<void()> onReclaim);
+
     void firstByte(const request_id &request);
     /// The first byte came so long after the grant, as another node has measured it.
     void firstByteAfter(const request_id &request, duration taken);
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -56,7 +56,7 @@
     /// Takes in which claims another node still has; slots whose release was lost become free.
     void reported(const node_load &load);
 
-    /// Frees the slots of nodes that have fallen silent.
+    /// Frees the slots of nodes that have fallen silent, and takes over the count of those that such nodes have granted.
     void housekeep();
 
     /// Says whether this node places the requests of its cells, or lets others do so. Claims that come are still placed.
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -30,6 +30,7 @@
 namespace {
 
 constexpr duration reportMemory = std::chrono::milliseconds(1500); // Some heartbeats of other gateways.
+constexpr duration usageMemory = std::chrono::milliseconds(600); // Two heartbeats, and a lost datagram.
 constexpr duration registryGrace = std::chrono::seconds(2); // Upstreams that live register again within two seconds of the store's return.
 constexpr duration configurationPause = std::chrono::milliseconds(100);
 constexpr duration replicaPause = std::chrono::milliseconds(200);
@@ -37,7 +38,7 @@
 constexpr duration gatewayWait = std::chrono::seconds(4); // The list of gateways seldom changes, and a late change does little harm.
 constexpr duration registrationRetry = std::chrono::milliseconds(500);
 constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // One look at the board for the reports of many gateways.
-constexpr duration housekeepingInterval = std::chrono::milliseconds(250);
+constexpr duration housekeepingInterval = std::chrono::milliseconds(100);
 constexpr duration suspensionNoticed = std::chrono::seconds(1); // A timer that is so late means that the process stood still.
 const std::string gatewayTable = "gateways";
 
@@ -58,7 +59,7 @@
         , m_platform(std::move(platform))
         , m_self(newIncarnation(settings.vm))
         , m_upstreamClient(upstreamClient)
-        , m_board(reportMemory)
+        , m_board(reportMemory, usageMemory)
         , m_registry(registryGrace)
         , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
         , m_slots({.context = context,
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -32,6 +32,22 @@
     m_reclaimHandlers.erase(request);
 }
 
+void scheduler_host::adopt(const slot_request &request,
+                           const upstream_id &upstream,
+                           bool answerHasBegun,
+                           time_point grantedAt,
+                           std::function<void()> onReclaim)
+{
+    if (onReclaim) {
+        m_reclaimHandlers[request.id] = std::move(onReclaim);
+    }
+    m_scheduler.adopt(request, upstream, answerHasBegun, grantedAt);
+    scheduleTick();
+    if (m_usageChanged) {
+        m_usageChanged();
+    }
+}
+
 void scheduler_host::firstByte(const request_id &request)
 {
     m_scheduler.firstByte(request, currentTime());
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -41,6 +41,8 @@
     }
 
     node_id placer;
+    slot_request request;
+    upstream_id upstream; ///< Once it has its slot.
     std::optional<slot_verdict> verdict; ///< The last one.
     std::uint32_t verdicts = 0;
     async_event changed;
@@ -112,6 +114,7 @@
     void decided(const foreign_key &key, const slot_outcome &outcome);
     void sendVerdict(const foreign_claim &claim, slot_verdict verdict);
     void endForeign(const foreign_key &key, attempt_outcome outcome);
+    void adoptOrphans();
 
     slot_broker_ports m_ports;
     node_id m_self;
@@ -241,6 +244,7 @@
 {
     const auto own = std::make_shared<own_claim>(m_ports.context);
     own->placer = placer;
+    own->request = request;
     own->onReclaim = std::move(onReclaim);
     m_own[request.id] = own;
     stop.onStop([own] {
@@ -283,6 +287,7 @@
     }
     if (outcome && std::holds_alternative<slot_granted>(*outcome)) {
         own->holdsSlot = true;
+        own->upstream = std::get<slot_granted>(*outcome).upstream;
         own->grantedAt = currentTime();
         co_return outcome;
     }
@@ -452,8 +457,25 @@
     }
 }
 
+/// Counts the runs itself that a node has granted which has fallen silent: the node that places the cell's requests now learns
+/// of them by this node's reports.
+void slot_broker::implementation::adoptOrphans()
+{
+    for (auto entry = m_own.begin(); entry != m_own.end();) {
+        const claim_pointer own = entry->second;
+        if (!own->holdsSlot || !m_ports.board.isSilent(own->placer)) {
+            ++entry;
+            continue;
+        }
+        logEvent(log_level::Info, "slot_adopted", {{"request_id", entry->first.text()}, {"placer", own->placer.text()}});
+        entry = m_own.erase(entry);
+        m_ports.scheduler.adopt(own->request, own->upstream, own->hasBegun, own->grantedAt, std::move(own->onReclaim));
+    }
+}
+
 void slot_broker::implementation::housekeep()
 {
+    adoptOrphans();
     const std::vector<node_id> nodes = m_ports.board.nodes();
     const std::set<node_id> live(nodes.begin(), nodes.end());
     std::vector<foreign_key> ended;
--- a/tests/unit/serving/load_board_test.cpp
+++ b/tests/unit/serving/load_board_test.cpp
@@ -80,3 +80,20 @@
     board.reported(stopping, start);
     CHECK(board.placingNodes(node_id("self"), placing_state::Stopping).empty());
 }
+
+TEST_CASE("load_board counts the work of a node for a shorter time than it knows the node")
+{
+    load_board board(2s, 500ms);
+    board.reported(load("a", 1, 2, 3), start);
+    board.expire(start + 600ms);
+    CHECK(board.usageOf(7).online == 0);
+    CHECK(board.largestBatch(7).batch == 0);
+    CHECK(board.isSilent(node_id("a")));
+    CHECK(board.nodes() == std::vector<node_id>{node_id("a")});
+    board.reported(load("a", 2, 1, 0), start + 700ms);
+    CHECK(board.usageOf(7).online == 1);
+    CHECK_FALSE(board.isSilent(node_id("a")));
+    board.expire(start + 3s);
+    CHECK(board.usageOf(7).online == 0);
+    CHECK(board.nodes().empty());
+}
--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -360,3 +360,30 @@
     CHECK(fixture.granted("r1"));
     CHECK(broker_fixture::inUse(fixture.placer()) == 1);
 }
+
+TEST_CASE("slot_broker counts its runs itself when the node that granted them falls silent, until they end")
+{
+    broker_fixture fixture(3);
+    const slot_request online = broker_fixture::request("r1");
+    const slot_request batch = broker_fixture::request("b1", work_class::Batch);
+    broker_fixture::node &holder = fixture.other();
+    fixture.acquire(holder, online);
+    fixture.acquire(holder, batch);
+    fixture.runFor(5ms);
+    REQUIRE(fixture.granted("r1"));
+    REQUIRE(fixture.granted("b1"));
+    CHECK(broker_fixture::inUse(holder) == 0);
+    holder.board.expire(currentTime() + 1min);
+    holder.slots.housekeep();
+    CHECK(broker_fixture::inUse(holder) == 2);
+    CHECK(holder.slots.claims().empty());
+    // Its own online work takes the batch run's slot back as if it had granted it.
+    fixture.acquire(holder, broker_fixture::request("r2"));
+    fixture.acquire(holder, broker_fixture::request("r3"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r3"));
+    CHECK(fixture.reclaimed["b1"]);
+    holder.slots.released(batch.id, {.outcome = attempt_outcome::Cancelled});
+    holder.slots.released(online.id, {.outcome = attempt_outcome::Succeeded});
+    CHECK(broker_fixture::inUse(holder) == 2);
+}
