--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -7,7 +7,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace banyan {
@@ -30,7 +29,6 @@
     node_id holder; ///< The node that sends the run, whose connections it uses.
     failure_domain domain; ///< Of that node.
     duration ranBefore{}; ///< Of a batch run: time that the item has spent at upstreams in earlier runs, which it continues.
-    std::optional<time_point> firstRunAt; ///< Of a batch run: when the first of these was granted.
 
     auto operator<=>(const slot_request &) const = default;
 };
--- a/core/src/serving/batch_order.cpp
+++ b/core/src/serving/batch_order.cpp
@@ -8,13 +8,13 @@
 
 constexpr double averageStep = 0.1; ///< Weight of a new measurement.
 constexpr double leastRemainingShare = 0.1; ///< Of the usual time, of a run that has taken longer than usual already.
-constexpr double comfortFactor = 1.2; ///< Over the usual time to the end: items differ in length.
+constexpr double comfortFactor = 1.2; ///< Over the usual time at upstreams: items differ in length.
 constexpr duration hopelessBonus = std::chrono::hours(24); ///< Above any time that a run can take.
 
 enum rank_group : std::uint32_t {
     Begun,
     Comfortable, ///< Not begun, with time enough.
-    Tight, ///< Not begun, and in time only if no burst comes between.
+    Tight, ///< Not begun, and in time only if nothing comes between.
     Hopeless,
 };
 
@@ -35,10 +35,9 @@
 
 } // namespace
 
-void batch_order::completed(duration runTime, duration elapsed)
+void batch_order::completed(duration runTime)
 {
     average(m_runSeconds, toSeconds(runTime));
-    average(m_elapsedSeconds, toSeconds(std::max(runTime, elapsed)));
 }
 
 duration batch_order::remainingAfter(duration ran) const
@@ -54,10 +53,10 @@
     if (result.hopeless) {
         result.group = Hopeless;
         result.urgency = remaining;
-    } else if (request.firstRunAt) {
+    } else if (request.ranBefore > duration(0)) {
         result.group = Begun;
         result.urgency = left - remaining;
-    } else if (toSeconds(left) >= comfortFactor * m_elapsedSeconds) {
+    } else if (toSeconds(left) >= comfortFactor * m_runSeconds) {
         result.group = Comfortable;
         result.urgency = left;
     } else {
--- a/core/src/serving/batch_order.h
+++ b/core/src/serving/batch_order.h
@@ -14,8 +14,7 @@
 /// would become late one after the other. So items that were begun are finished first while they can be in time; others
 /// begin only while enough of their window is left; those that cannot be in time any more wait until nothing else does.
 ///
-/// The time that an item takes is learned: at upstreams, and from its first run to its end, which is longer since it gives
-/// its slot back in bursts.
+/// The time that an item takes at upstreams is learned.
 class batch_order
 {
 public:
@@ -31,8 +30,8 @@
         auto operator<=>(const rank &) const = default;
     };
 
-    /// Takes in an item that is complete: it spent @p runTime at upstreams, @p elapsed after its first run began.
-    void completed(duration runTime, duration elapsed);
+    /// Takes in an item that is complete, with the time that it spent at upstreams in all its runs.
+    void completed(duration runTime);
 
     /// The place of a run that waits.
     [[nodiscard]] rank rankOf(const slot_request &request, time_point now) const;
@@ -45,7 +44,6 @@
     [[nodiscard]] duration remainingAfter(duration ran) const;
 
     double m_runSeconds = 0; ///< Average; 0 while unknown.
-    double m_elapsedSeconds = 0;
 };
 
 } // namespace banyan
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -399,7 +399,7 @@
         if (run.request.workClass == work_class::Online) {
             average(service.runSeconds, toSeconds(now - run.grantedAt));
         } else if (result.outcome == attempt_outcome::Succeeded) {
-            service.batches.completed(run.request.ranBefore + (now - run.grantedAt), now - run.request.firstRunAt.value_or(run.grantedAt));
+            service.batches.completed(run.request.ranBefore + (now - run.grantedAt));
         }
         return;
     case attempt_outcome::Refused:
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -48,7 +48,6 @@
   excluded @13 :List(Text);
   domain @14 :Text;
   ranBefore @15 :Int64;           # Microseconds.
-  sinceFirstRun @16 :Int64;       # Microseconds; negative if there was none.
 }
 
 struct SlotVerdict {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -106,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -711,8 +711,6 @@
 
   inline  ::int64_t getRanBefore() const;
 
-  inline  ::int64_t getSinceFirstRun() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -810,9 +808,6 @@
   inline  ::int64_t getRanBefore();
   inline void setRanBefore( ::int64_t value);
 
-  inline  ::int64_t getSinceFirstRun();
-  inline void setSinceFirstRun( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2515,20 +2510,6 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t SlotClaim::Reader::getSinceFirstRun() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t SlotClaim::Builder::getSinceFirstRun() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void SlotClaim::Builder::setSinceFirstRun( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool SlotVerdict::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -499,8 +499,7 @@
                          .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow),
                          .repeatable = true,
                          .excluded = state.unknownUpstreams,
-                         .ranBefore = state.ranBefore,
-                         .firstRunAt = state.firstRunAt};
+                         .ranBefore = state.ranBefore};
     // Each run has a stop of its own, since a run that gives its slot back goes on later.
     state.stop = stop_signal();
     auto onReclaim = [job, index] {
@@ -521,7 +520,6 @@
     if (usable && !job->stopped) {
         ++job->itemsInFlight;
         const time_point begunAt = currentTime();
-        state.firstRunAt = state.firstRunAt.value_or(begunAt);
         report = co_await sendItem(job, index, *registered, progress);
         --job->itemsInFlight;
         state.ranBefore += currentTime() - begunAt;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace banyan {
@@ -21,7 +20,6 @@
     std::uint32_t runs = 0; ///< So far.
     std::vector<upstream_id> unknownUpstreams; ///< Granted, but not known here or draining.
     duration ranBefore{}; ///< Time that earlier runs have spent at upstreams.
-    std::optional<time_point> firstRunAt;
 };
 
 /// A job that this node runs.
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -106,7 +106,6 @@
     root.setPrefixHash(request.prefixHash);
     root.setDomain(request.domain.text());
     root.setRanBefore(request.ranBefore.count());
-    root.setSinceFirstRun(request.firstRunAt ? (now - *request.firstRunAt).count() : -1);
     auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
         excluded.set(index, request.excluded[index].text().c_str());
@@ -178,9 +177,6 @@
                                  .holder = node_id(textOf(root.getSender())),
                                  .domain = failure_domain(textOf(root.getDomain())),
                                  .ranBefore = duration(root.getRanBefore())}};
-    if (root.getSinceFirstRun() >= 0) {
-        claim.request.firstRunAt = now - duration(root.getSinceFirstRun());
-    }
     for (const auto upstream : root.getExcluded()) {
         claim.request.excluded.emplace_back(textOf(upstream));
     }
