--- a/bench/serving/site_run.cpp
+++ b/bench/serving/site_run.cpp
@@ -486,8 +486,8 @@
                 granted(*grant);
             } else if (const auto *const refusal = std::get_if<slot_refused>(&action)) {
                 refused(*refusal);
-            } else {
-                reclaimed(std::get<slot_reclaimed>(action));
+            } else if (const auto *const reclaim = std::get_if<slot_reclaimed>(&action)) {
+                reclaimed(*reclaim);
             }
         });
     }
--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -132,23 +132,25 @@
     ++m_ejections;
 }
 
-void outlier_detector::failed(const upstream_id &upstream, attempt_outcome outcome, time_point now)
+bool outlier_detector::failed(const upstream_id &upstream, attempt_outcome outcome, time_point now)
 {
     const auto entry = m_upstreams.find(upstream);
     if (entry == m_upstreams.end() || outcome == attempt_outcome::Refused) {
-        return;
+        return false;
     }
     upstream_record &record = entry->second;
     if (record.out && now < record.ejectedUntil) {
-        return;
+        return false;
     }
     const bool connecting = outcome == attempt_outcome::NotSent;
     record.connectFailures += connecting ? 1 : 0;
     record.failures += connecting ? 0 : 1;
     const bool enough = record.connectFailures >= m_options.connectFailuresInRow || record.failures >= m_options.failuresInRow;
-    if (record.out || enough) {
-        eject(record, m_options.failureEjection, false, now);
+    if (!record.out && !enough) {
+        return false;
     }
+    eject(record, m_options.failureEjection, false, now);
+    return true;
 }
 
 upstream_condition outlier_detector::conditionOf(const upstream_id &upstream, time_point now) const
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -55,8 +55,8 @@
     /// Takes in that an attempt has no first byte after slowAfter(). Returns true if the upstream is ejected by it.
     bool overdue(const upstream_id &upstream, time_point now);
 
-    /// Takes in a failed attempt.
-    void failed(const upstream_id &upstream, attempt_outcome outcome, time_point now);
+    /// Takes in a failed attempt. Returns true if the upstream is ejected by it.
+    bool failed(const upstream_id &upstream, attempt_outcome outcome, time_point now);
 
     /// Good, Ejected or Probing.
     [[nodiscard]] upstream_condition conditionOf(const upstream_id &upstream, time_point now) const;
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -77,6 +77,7 @@
     service_schedule &serviceOf(const service_name &name);
     [[nodiscard]] static time_point latestStart(const service_schedule &service, const slot_request &request);
     [[nodiscard]] duration expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
+    [[nodiscard]] refusal_basis basisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
     void refuseIfHopeless(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
     void turnAway(const service_schedule &service, cell_schedule &cell, const slot_request &request, end_reason reason, time_point now);
     void grant(service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
@@ -155,13 +156,18 @@
                                                          const cell_schedule &cell,
                                                          const slot_request &request) const
 {
-    std::uint32_t slots = 0;
-    for (const scheduled_upstream *const upstream : cell.members) {
-        slots += upstream->info.slots;
-    }
     const std::uint32_t elsewhere = request.cell.count <= 1 ? m_board.waitingOnline(keyOf(request.service)) : 0;
     const double ahead = static_cast<double>(cell.online.onTimeCount()) + elsewhere;
-    return fromSeconds(ahead * service.runSeconds / std::max(1U, slots));
+    return fromSeconds(ahead * service.runSeconds / std::max(1U, cell.slots()));
+}
+
+refusal_basis
+request_scheduler::implementation::basisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const
+{
+    return {.waiting = static_cast<std::uint32_t>(cell.online.onTimeCount()),
+            .slots = cell.slots(),
+            .expectedWait = expectedWait(service, cell, request),
+            .firstByte = fromSeconds(service.safeFirstByteSeconds())};
 }
 
 slot_actions request_scheduler::implementation::submit(const slot_request &request, time_point now)
@@ -194,8 +200,10 @@
 {
     if (!m_choice.hasAny(service, cell, request, now)) {
         cell.online.remove(request.id);
-        m_actions.push_back(
-            slot_refused{.request = request.id, .reason = end_reason::NoUpstream, .retryAfter = jittered(noUpstreamRetryAfter)});
+        m_actions.push_back(slot_refused{.request = request.id,
+                                         .reason = end_reason::NoUpstream,
+                                         .retryAfter = jittered(noUpstreamRetryAfter),
+                                         .basis = basisOf(service, cell, request)});
     } else if (!request.begun && now + expectedWait(service, cell, request) > latestStart(service, request)) {
         cell.online.remove(request.id);
         turnAway(service, cell, request, end_reason::Overloaded, now);
@@ -208,15 +216,12 @@
                                                  end_reason reason,
                                                  time_point now)
 {
-    std::uint32_t slots = 0;
-    for (const scheduled_upstream *const upstream : cell.members) {
-        slots += upstream->info.slots;
-    }
-    const return_forecast::situation situation{.expectedWait = expectedWait(service, cell, request),
+    const refusal_basis basis = basisOf(service, cell, request);
+    const return_forecast::situation situation{.expectedWait = basis.expectedWait,
                                                .longest = (request.deadline - now) / returnShare,
-                                               .slotsPerSecond = slots / service.runSeconds};
+                                               .slotsPerSecond = basis.slots / service.runSeconds};
     const duration retryAfter = cell.returns.comeBackAfter(situation, now, m_choice.generator());
-    m_actions.push_back(slot_refused{.request = request.id, .reason = reason, .retryAfter = retryAfter});
+    m_actions.push_back(slot_refused{.request = request.id, .reason = reason, .retryAfter = retryAfter, .basis = basis});
 }
 
 void request_scheduler::implementation::withdraw(const request_id &request)
@@ -376,7 +381,9 @@
     m_firstByteDue.erase({run.overdueAt, request});
     service_schedule &service = serviceOf(run.request.service);
     const duration taken = measured.value_or(now - run.grantedAt);
-    service.outliers.observed(run.upstream, latency_kind::FirstToken, taken, now);
+    if (service.outliers.observed(run.upstream, latency_kind::FirstToken, taken, now)) {
+        m_actions.push_back(upstream_ejected{.upstream = run.upstream, .forSlowness = true});
+    }
     average(service.firstByteSeconds, toSeconds(taken));
     service.firstBytes.add(toSeconds(taken));
     const auto upstream = service.upstreams.find(run.upstream);
@@ -409,7 +416,9 @@
     case attempt_outcome::Failed:
     case attempt_outcome::Lost:
     case attempt_outcome::TimedOut:
-        service.outliers.failed(run.upstream, result.outcome, now);
+        if (service.outliers.failed(run.upstream, result.outcome, now)) {
+            m_actions.push_back(upstream_ejected{.upstream = run.upstream});
+        }
         upstream.troubledAt = now;
         return;
     }
@@ -463,7 +472,9 @@
         const auto upstream = service.upstreams.find(run.upstream);
         if (upstream != service.upstreams.end()) {
             run.overdue = true;
-            service.outliers.overdue(run.upstream, now);
+            if (service.outliers.overdue(run.upstream, now)) {
+                m_actions.push_back(upstream_ejected{.upstream = run.upstream, .forSlowness = true});
+            }
             upstream->second.troubledAt = now;
         }
     }
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -1,6 +1,7 @@
 #include "service_schedule.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace banyan {
 
@@ -22,6 +23,13 @@
 
 } // namespace
 
+std::uint32_t cell_schedule::slots() const
+{
+    return std::accumulate(members.begin(), members.end(), 0U, [](std::uint32_t sum, const scheduled_upstream *upstream) {
+        return sum + upstream->info.slots;
+    });
+}
+
 double service_schedule::safeFirstByteSeconds() const
 {
     return firstBytes.count() < minimumFirstBytes ? firstByteSeconds : std::max(firstByteSeconds, firstBytes.quantile(safeShare));
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -23,6 +23,9 @@
     waiting_runs online;
     std::map<request_id, slot_request> batch;
     return_forecast returns;
+
+    /// Slots of its members.
+    [[nodiscard]] std::uint32_t slots() const;
 };
 
 /// What a node knows of a service: its upstreams, what waits for them, and what was measured.
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint32_t troubledNodes = 2; ///< Nodes, this one included, whose troubles together keep work from an upstream.
 constexpr double otherDomainScore = 0.06; ///< Busier by so much an upstream of the node's own failure domain is still preferred.
 constexpr double affinityScore = 0.12; ///< The same for one that has lately read the prompt's shared part.
-constexpr double connectionScore = 0.25; ///< The same for one with an idle connection; less than for a slow one.
+constexpr double connectionScore = 0.25; ///< The same for one with an idle connection; less than what a failure or slowness takes away.
 constexpr double slowScore = 0.3; ///< How much less a slow upstream is preferred, for each multiple of the usual time.
 constexpr double troubleScore = 0.5; ///< How much less one is preferred that failed lately, while it is not avoided altogether.
 constexpr double jitterScore = 0.02; ///< Lets nodes with the same view choose different upstreams.
@@ -104,8 +104,7 @@
     score += upstream.info.domain == request.domain ? 0 : otherDomainScore;
     score += isTroubled(upstream, now) ? troubleScore : 0;
     score -= cached != nullptr && *cached == upstream.info.id ? affinityScore : 0;
-    // What has failed lately may have closed its connections, and they are no reason to go there in any case.
-    score -= !isTroubled(upstream, now) && m_connections.hasIdle(request.holder, upstream.info.id, now) ? connectionScore : 0;
+    score -= m_connections.hasIdle(request.holder, upstream.info.id, now) ? connectionScore : 0;
     return score;
 }
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -48,6 +48,19 @@
     return node_id(vm.text() + "-" + std::to_string((std::uint64_t(source()) << 32U) | source()));
 }
 
+std::string placingName(placing_state state)
+{
+    switch (state) {
+    case placing_state::Ready:
+        return "ready";
+    case placing_state::UpstreamsUncertain:
+        return "upstreams_uncertain";
+    case placing_state::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 class gateway::implementation : public std::enable_shared_from_this<gateway::implementation>
@@ -277,6 +290,7 @@
                                 : listUpToDate ? placing_state::Ready
                                                : placing_state::UpstreamsUncertain;
     if (state != m_slots.placing()) {
+        logEvent(log_level::Info, "placing_changed", {{"state", placingName(state)}});
         m_slots.setPlacing(state);
         m_exchange.changed();
     }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -175,7 +175,9 @@
     task<bool> tryOnce()
     {
         m_slotId = request_id(m_request.id.text() + '#' + std::to_string(m_serial) + '.' + std::to_string(++m_attempts));
+        const time_point asked = currentTime();
         const slot_broker::slot_outcome outcome = co_await m_relay.m_ports.slots.acquire(slotRequest(), m_stop, nullptr);
+        m_waited += currentTime() - asked;
         if (std::holds_alternative<std::monostate>(outcome)) {
             co_await stopped();
             co_return true;
@@ -185,6 +187,7 @@
             co_return true;
         }
         const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
+        m_placer = std::get<slot_granted>(outcome).placer;
         const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
         if (registered == nullptr || registered->draining) {
             // The placing node's list of upstreams may be older than this node's, or newer.
@@ -424,6 +427,8 @@
                   {"configuration_version", std::to_string(m_version)},
                   {"service", m_service.text()},
                   {"upstreams", m_upstreams},
+                  {"placer", m_placer.text()},
+                  {"waited_us", std::to_string(m_waited.count())},
                   {"disposition", std::string(toString(result.what))},
                   {"reason", std::string(toString(result.reason))},
                   {"status", std::to_string(m_status)},
@@ -464,6 +469,8 @@
     stop_cause m_stopCause = stop_cause::None;
     std::vector<upstream_id> m_tried;
     std::string m_upstreams; ///< In the order of the attempts, for the log.
+    node_id m_placer; ///< That granted the last slot; empty for this node itself.
+    duration m_waited{}; ///< For slots.
     std::optional<time_point> m_firstByteAt;
     unsigned m_status = 0;
     bool m_begun = false; ///< The head of the answer has been sent.
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -285,9 +285,10 @@
     if (stop.stopped() && !outcome) {
         outcome = std::monostate();
     }
-    if (outcome && std::holds_alternative<slot_granted>(*outcome)) {
+    if (auto *const granted = outcome ? std::get_if<slot_granted>(&*outcome) : nullptr) {
+        granted->placer = placer;
         own->holdsSlot = true;
-        own->upstream = std::get<slot_granted>(*outcome).upstream;
+        own->upstream = granted->upstream;
         own->grantedAt = currentTime();
         co_return outcome;
     }
