--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -53,6 +53,9 @@
     /// @throws http_error
     [[nodiscard]] task<http_response> exchange(endpoint to, http_request request, duration timeout);
 
+    /// Changes how many unused connections to one endpoint are kept, for those that become unused from now on.
+    void setIdleConnectionsPerEndpoint(std::size_t count);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
--- a/io/include/banyan/io/operator_tool.h
+++ b/io/include/banyan/io/operator_tool.h
@@ -28,6 +28,8 @@
 /// operator_tool tool({}, std::cout, std::cerr);
 /// const tool_exit code = tool.run({"config", "show", "--operator-url", "http://127.0.0.1:7002", "--key", "..."});
 /// @endcode
+///
+/// "explain ID --log FILE" needs no node: it tells the story of a request from the log lines of gateways.
 class operator_tool
 {
 public:
@@ -37,6 +39,8 @@
     [[nodiscard]] tool_exit run(const std::vector<std::string> &arguments);
 
 private:
+    [[nodiscard]] tool_exit explainFromLogs(std::vector<std::string> arguments);
+
     operator_tool_options m_options;
     std::ostream &m_output;
     std::ostream &m_errors;
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -220,6 +220,11 @@
         return m_options;
     }
 
+    void setIdleConnectionsPerEndpoint(std::size_t count)
+    {
+        m_options.idleConnectionsPerEndpoint = count;
+    }
+
     /// An idle connection, or a new one. @throws http_error with NotSent
     task<connection_pointer> connect(endpoint to)
     {
@@ -307,6 +312,11 @@
 
 http_client::~http_client() = default;
 
+void http_client::setIdleConnectionsPerEndpoint(std::size_t count)
+{
+    m_implementation->setIdleConnectionsPerEndpoint(count);
+}
+
 std::uint64_t http_client::connectionsOpened() const
 {
     return m_implementation->opened();
--- a/io/src/operator_tool.cpp
+++ b/io/src/operator_tool.cpp
@@ -3,12 +3,18 @@
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/json_text.h"
+#include "banyan/io/log_story.h"
 #include "operator_command.h"
 #include "usage_error.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json/parse.hpp>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
 
 namespace banyan {
 
@@ -45,6 +51,19 @@
     return rest.empty() ? text : text + toText(rest);
 }
 
+bool isExplainFromLogs(const std::vector<std::string> &arguments)
+{
+    return !arguments.empty() && arguments.front() == "explain"
+           && std::find(arguments.begin(), arguments.end(), std::string("--log")) != arguments.end();
+}
+
+void addLines(std::istream &input, log_story &story)
+{
+    for (std::string line; std::getline(input, line);) {
+        story.add(line);
+    }
+}
+
 } // namespace
 
 operator_tool::operator_tool(operator_tool_options options, std::ostream &output, std::ostream &errors)
@@ -57,6 +76,9 @@
 tool_exit operator_tool::run(const std::vector<std::string> &arguments)
 {
     try {
+        if (isExplainFromLogs(arguments)) {
+            return explainFromLogs(arguments);
+        }
         const operator_command command = parseOperatorCommand(arguments, m_options);
         const http_response response = exchangeOnce(command);
         if (response.status >= firstRefusal) {
@@ -77,4 +99,32 @@
     }
 }
 
+tool_exit operator_tool::explainFromLogs(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Tells what the logs of gateways say of a request, a job or an item, and the cause of its end.", ' ', "0.1.0");
+    line.setExceptionHandling(false);
+    TCLAP::UnlabeledValueArg<std::string> id("id", "Id of the request, the job or the item.", true, "", "ID", line);
+    TCLAP::MultiArg<std::string> files("l", "log", "File with log lines; - for standard input.", true, "FILE", line);
+    try {
+        arguments.front() = "banyanctl explain";
+        line.parse(arguments);
+    } catch (const TCLAP::ArgException &error) {
+        throw usage_error(error.argId() + ": " + error.error());
+    }
+    log_story story(id.getValue());
+    for (const std::string &name : files.getValue()) {
+        if (name == "-") {
+            addLines(std::cin, story);
+            continue;
+        }
+        std::ifstream file(name);
+        if (!file) {
+            throw usage_error("--log: expected a file that can be read, found " + name);
+        }
+        addLines(file, story);
+    }
+    story.print(m_output);
+    return story.isEmpty() ? tool_exit::Refused : tool_exit::Done;
+}
+
 } // namespace banyan
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/gateway.h"
 
+#include "banyan/core/serving/connection_share.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/io/clock.h"
@@ -31,6 +32,7 @@
 
 constexpr duration reportMemory = std::chrono::milliseconds(1500); // Some heartbeats of other gateways.
 constexpr duration usageMemory = std::chrono::milliseconds(600); // Two heartbeats, and a lost datagram.
+constexpr std::size_t mostIdleConnections = 32; // To one upstream; more would hardly be used before they are closed.
 constexpr duration registryGrace = std::chrono::seconds(2); // Upstreams that live register again within two seconds of the store's return.
 constexpr duration configurationPause = std::chrono::milliseconds(100);
 constexpr duration replicaPause = std::chrono::milliseconds(200);
@@ -431,6 +433,10 @@
     }
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
     m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
+    if (m_table) {
+        const std::size_t share = idleConnectionShare(m_table->configuration(), m_board.nodes().size() + 1);
+        m_upstreamClient.setIdleConnectionsPerEndpoint(std::min(share, mostIdleConnections));
+    }
     m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
     m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
     m_housekeeping.expires_after(housekeepingInterval);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include "banyan/io/http_error.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -265,3 +266,43 @@
     CHECK(answer.field("Trace") == "t-1");
     CHECK(std::find(fields.begin(), fields.end(), http_field{"Other", "x"}) != fields.end());
 }
+
+TEST_CASE("http_client keeps no more unused connections to an endpoint than it may")
+{
+    asio::io_context context;
+    http_server server(context, {.listen = endpoint::parse("127.0.0.1:0")});
+    int waiting = 0;
+    server.routeOthers([&](http_exchange &exchange) -> task<> {
+        ++waiting;
+        while (waiting < 2) {
+            co_await asio::post(context, asio::use_awaitable);
+        }
+        http_response answer;
+        co_await exchange.respond(std::move(answer));
+    });
+    server.start();
+    http_client client(context, {});
+    client.setIdleConnectionsPerEndpoint(1);
+    const auto exchangeTwice = [&] {
+        waiting = 0;
+        int done = 0;
+        for (int number = 0; number < 2; ++number) {
+            asio::co_spawn(
+                context,
+                [&]() -> task<> {
+                    http_request request{.method = "GET", .target = "/any", .fields = {{"Host", "h"}}, .body = {}};
+                    (void)co_await client.exchange(server.address(), std::move(request), std::chrono::seconds(10));
+                    ++done;
+                },
+                asio::detached);
+        }
+        context.restart();
+        while (done < 2) {
+            context.run_one();
+        }
+    };
+    exchangeTwice();
+    CHECK(client.connectionsOpened() == 2);
+    exchangeTwice();
+    CHECK(client.connectionsOpened() == 3);
+}
