--- a/bench/serving/site_model.cpp
+++ b/bench/serving/site_model.cpp
@@ -14,6 +14,7 @@
 constexpr double batchTokens = 1162;
 constexpr double firstByteSteps = 14; // 53 ms and the prompt's 4 ms.
 constexpr double wholeAnswerSpread = 0.5;
+constexpr double batchSpread = 0.25;
 constexpr double streamSpread = 0.4; // The sheets say 0.57, cut at 1.6 times the mean.
 constexpr load_shape burstShape{.low = 0.383, .burst = 1.87, .lowTime = 3400ms, .burstTime = 2400ms};
 
@@ -63,7 +64,7 @@
 
 job_model jobs(double rate)
 {
-    return {.rate = rate, .firstByteSteps = firstByteSteps, .tokens = batchTokens, .window = 18s};
+    return {.rate = rate, .firstByteSteps = firstByteSteps, .tokens = batchTokens, .tokenSpread = batchSpread, .window = 18s};
 }
 
 } // namespace
--- a/bench/serving/site_model.h
+++ b/bench/serving/site_model.h
@@ -48,6 +48,7 @@
     double items = 10; ///< Of a job, in the mean.
     double firstByteSteps = 1; ///< Of each run, also of one that continues.
     double tokens = 1; ///< Of an item, in the mean.
+    double tokenSpread = 0; ///< Standard deviation over the mean.
     duration window{}; ///< In which all items of a job are due.
     std::uint32_t priority = 2;
 };
--- a/bench/serving/site_run.cpp
+++ b/bench/serving/site_run.cpp
@@ -93,6 +93,7 @@
     void scheduleReports();
     void scheduleWindows();
     void scheduleCrash();
+    [[nodiscard]] double sizeDrawn(double spread);
     void arrive(std::size_t kind);
     void submitAttempt(std::uint64_t workKey);
     void submitItem(std::uint64_t itemKey);
@@ -285,7 +286,9 @@
         const bool isOwed = counts(m_loop.now());
         for (std::int64_t item = 0; item < items; ++item) {
             const std::uint64_t key = ++m_lastWork;
-            m_items.emplace(key, item_work{.due = m_loop.now() + m_site.jobs->window, .tokensLeft = m_site.jobs->tokens});
+            m_items.emplace(key,
+                            item_work{.due = m_loop.now() + m_site.jobs->window,
+                                      .tokensLeft = m_site.jobs->tokens * sizeDrawn(m_site.jobs->tokenSpread)});
             m_result.itemsOwed += isOwed ? 1 : 0;
             submitItem(key);
         }
@@ -362,11 +365,17 @@
     });
 }
 
+/// A request's size over the mean.
+double site_simulation::sizeDrawn(double spread)
+{
+    return std::clamp(std::normal_distribution<double>(1, spread)(m_arrivals), 0.1, longestTokens);
+}
+
 void site_simulation::arrive(std::size_t kind)
 {
     const class_model &model = m_site.classes[kind];
     const std::uint64_t key = ++m_lastWork;
-    const double size = std::clamp(std::normal_distribution<double>(1, model.tokenSpread)(m_arrivals), 0.1, longestTokens);
+    const double size = sizeDrawn(model.tokenSpread);
     client_work work{.kind = kind, .begun = m_loop.now()};
     const bool streamed = model.tokens > 0;
     work.job = {.prefillSteps = streamed ? model.firstByteSteps : model.firstByteSteps * size, .tokens = model.tokens * size};
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -644,6 +644,12 @@
     try {
         const std::optional<row_version> version = co_await m_records.list(entry, static_cast<std::uint32_t>(job->listed), std::move(next));
         if (version) {
+            logEvent(log_level::Info,
+                     "results_recorded",
+                     {{"job", job->entry.id.text()},
+                      {"first", std::to_string(job->listed)},
+                      {"count", std::to_string(count)},
+                      {"job_version", std::to_string(entry.version)}});
             job->listed += count;
             if (entry.complete) {
                 entry.version = *version;
