Store every two seconds, and at a planned stop, how far a job's items have come, so that the next owner goes on from there

Ruled out: slots (free ones were filled at once), the order of items (the new jobs had the same wait). Tests: the next owner's run asks for the event after the stored one; a planned stop stores; a node that is no longer the owner stores nothing.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -83,7 +83,6 @@
         m_callers.start();
         m_healthChecks.start();
         m_metrics.start();
-        m_gateway.start();
         waitForSignal();
         logEvent(log_level::Info,
                  "started",
@@ -93,6 +92,7 @@
                   {"ready_address", m_healthChecks.address().toString()},
                   {"metrics_address", m_metrics.address().toString()},
                   {"store", m_settings.store.toString()}});
+        m_gateway.start();
     }
 
 private:
--- a/core/include/banyan/core/serving/item_progress.h
+++ b/core/include/banyan/core/serving/item_progress.h
@@ -11,6 +11,8 @@
 
 namespace banyan {
 
+struct item_checkpoint;
+
 /// Options of an item_progress.
 struct item_progress_options
 {
@@ -31,6 +33,9 @@
 public:
     explicit item_progress(const item_progress_options &options);
 
+    /// Goes on from what an earlier owner of the job has stored.
+    void restore(const item_checkpoint &stored);
+
     /// Takes in an event of the current run. Returns false if events before it are missing, so that the run is of no use.
     [[nodiscard]] bool event(const stream_event &event);
 
--- a/core/src/serving/item_progress.cpp
+++ b/core/src/serving/item_progress.cpp
@@ -1,5 +1,7 @@
 #include "banyan/core/serving/item_progress.h"
 
+#include "banyan/core/serving/item_checkpoint.h"
+
 #include <algorithm>
 
 namespace banyan {
@@ -17,6 +19,13 @@
 {
 }
 
+void item_progress::restore(const item_checkpoint &stored)
+{
+    m_position = stream_position(stored.lastEvent);
+    m_output = stored.output;
+    m_hasOutput = true;
+}
+
 bool item_progress::event(const stream_event &event)
 {
     switch (m_position.take(event)) {
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -65,6 +65,7 @@
 {
     node_id self;
     duration recordLifetime = std::chrono::seconds(240); ///< After submission; results can be read for the first half of it.
+    duration checkpointInterval = std::chrono::seconds(2); ///< A lost node costs so much of the work on each item.
 };
 
 /// What a listed_job_service works with; all of it must outlive the service.
--- a/io/include/banyan/io/serving/serving_codec.h
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/endpoint.h"
+#include "banyan/core/serving/item_checkpoint.h"
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
@@ -37,6 +38,9 @@
 [[nodiscard]] std::string encode(const std::vector<job_item> &items);
 [[nodiscard]] std::optional<std::vector<job_item>> decodeJobItems(std::string_view bytes);
 
+[[nodiscard]] std::string encode(const item_checkpoint &checkpoint);
+[[nodiscard]] std::optional<item_checkpoint> decodeItemCheckpoint(std::string_view bytes);
+
 [[nodiscard]] std::string encode(const listed_result &result);
 [[nodiscard]] std::optional<listed_result> decodeListedResult(std::string_view bytes);
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -113,6 +113,13 @@
   itemsInObject @7 :Bool;
 }
 
+struct ItemCheckpoint {
+  item @0 :Text;
+  lastEvent @1 :UInt64;
+  output @2 :Data;
+  ranBefore @3 :Int64;            # Microseconds.
+}
+
 struct ItemResult {
   item @0 :Text;
   succeeded @1 :Bool;
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(b6d6b3173e20a7df);
 CAPNP_DECLARE_SCHEMA(adbec2fc7f55467e);
 CAPNP_DECLARE_SCHEMA(ab20fbe5f383a6d2);
+CAPNP_DECLARE_SCHEMA(ff37c36633272a23);
 CAPNP_DECLARE_SCHEMA(8cd0a697c74ee374);
 
 }  // namespace schemas
@@ -255,6 +256,21 @@
   };
 };
 
+struct ItemCheckpoint {
+  ItemCheckpoint() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff37c36633272a23, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ItemResult {
   ItemResult() = delete;
 
@@ -1770,6 +1786,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class ItemCheckpoint::Reader {
+public:
+  typedef ItemCheckpoint Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem() const;
+  inline  ::capnp::Text::Reader getItem() const;
+
+  inline  ::uint64_t getLastEvent() const;
+
+  inline bool hasOutput() const;
+  inline  ::capnp::Data::Reader getOutput() const;
+
+  inline  ::int64_t getRanBefore() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ItemCheckpoint::Builder {
+public:
+  typedef ItemCheckpoint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem();
+  inline  ::capnp::Text::Builder getItem();
+  inline void setItem( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initItem(unsigned int size);
+  inline void adoptItem(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownItem();
+
+  inline  ::uint64_t getLastEvent();
+  inline void setLastEvent( ::uint64_t value);
+
+  inline bool hasOutput();
+  inline  ::capnp::Data::Builder getOutput();
+  inline void setOutput( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initOutput(unsigned int size);
+  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+
+  inline  ::int64_t getRanBefore();
+  inline void setRanBefore( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ItemCheckpoint::Pipeline {
+public:
+  typedef ItemCheckpoint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ItemResult::Reader {
 public:
   typedef ItemResult Reads;
@@ -3555,6 +3672,102 @@
       ::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ItemCheckpoint::Reader::hasItem() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ItemCheckpoint::Builder::hasItem() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ItemCheckpoint::Reader::getItem() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::getItem() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ItemCheckpoint::Builder::setItem( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::initItem(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ItemCheckpoint::Builder::adoptItem(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ItemCheckpoint::Builder::disownItem() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ItemCheckpoint::Reader::getLastEvent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ItemCheckpoint::Builder::getLastEvent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ItemCheckpoint::Builder::setLastEvent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ItemCheckpoint::Reader::hasOutput() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ItemCheckpoint::Builder::hasOutput() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ItemCheckpoint::Reader::getOutput() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ItemCheckpoint::Builder::getOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ItemCheckpoint::Builder::setOutput( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ItemCheckpoint::Builder::initOutput(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ItemCheckpoint::Builder::adoptOutput(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ItemCheckpoint::Builder::disownOutput() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ItemCheckpoint::Reader::getRanBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ItemCheckpoint::Builder::getRanBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ItemCheckpoint::Builder::setRanBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ItemResult::Reader::hasItem() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/job_records.cpp
+++ b/io/src/serving/job_records.cpp
@@ -15,9 +15,12 @@
 constexpr std::size_t partCount = 8; // Spreads transactions, which are serialised within a part.
 constexpr std::size_t maximumRowBytes = 48000; // Of a value; below the store's limit, which counts encoded bytes.
 constexpr std::size_t maximumRowsAtOnce = 500; // The store's own limit of a page.
+constexpr std::size_t maximumCheckpointBytes = std::size_t(500) << 10; // In one transaction, half of what the store takes.
+constexpr std::size_t maximumWritesAtOnce = 90; // The store takes 100 entries in a transaction.
 constexpr int positionDigits = 6;
 const std::string itemsTable = "job_items";
 const std::string resultsTable = "job_results";
+const std::string progressTable = "job_progress";
 
 const std::string &partOf(const job_id &id)
 {
@@ -52,6 +55,11 @@
     return {.table = resultsTable, .part = partOf(id), .key = id.text() + positionText(position, piece)};
 }
 
+table_key progressKey(const job_id &id, const std::string &item)
+{
+    return {.table = progressTable, .part = partOf(id), .key = id.text() + "/" + item};
+}
+
 std::uint32_t positionOf(const job_id &id, const table_row &row)
 {
     return static_cast<std::uint32_t>(std::stoul(row.name.key.substr(id.text().size() + 1, positionDigits)));
@@ -115,24 +123,68 @@
     co_return versionOf(co_await m_store.commit(std::move(change)));
 }
 
-task<std::optional<row_version>> job_records::list(job_entry entry, std::uint32_t first, std::vector<listed_result> results)
+task<std::optional<row_version>> job_records::list(job_entry entry, result_batch batch)
 {
     table_transaction change;
     change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
-    for (std::size_t index = 0; index < results.size(); ++index) {
-        const std::string bytes = encode(results[index]);
-        const auto position = static_cast<std::uint32_t>(first + index);
+    for (std::size_t index = 0; index < batch.results.size(); ++index) {
+        const std::string bytes = encode(batch.results[index]);
+        const auto position = static_cast<std::uint32_t>(batch.first + index);
         for (std::size_t piece = 0; piece * maximumRowBytes < bytes.size(); ++piece) {
             change.writes.push_back(
                 {.name = resultKey(entry.id, position, piece), .value = bytes.substr(piece * maximumRowBytes, maximumRowBytes)});
         }
     }
+    for (const std::string &item : batch.checkpointed) {
+        change.removals.push_back(progressKey(entry.id, item));
+    }
     if (entry.complete) {
         change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
     }
     co_return versionOf(co_await m_store.commit(std::move(change)));
 }
 
+task<std::optional<row_version>> job_records::saveProgress(job_entry entry, bool entryChanged, std::vector<item_checkpoint> checkpoints)
+{
+    table_transaction change;
+    change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
+    if (entryChanged) {
+        change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    }
+    std::size_t bytes = 0;
+    for (const item_checkpoint &checkpoint : checkpoints) {
+        std::string value = encode(checkpoint);
+        bytes += value.size();
+        if (value.size() <= maximumRowBytes && bytes <= maximumCheckpointBytes && change.writes.size() < maximumWritesAtOnce) {
+            change.writes.push_back({.name = progressKey(entry.id, checkpoint.item), .value = std::move(value)});
+        }
+    }
+    co_return versionOf(co_await m_store.commit(std::move(change)));
+}
+
+task<std::vector<item_checkpoint>> job_records::progress(job_id id)
+{
+    table_range range{.table = progressTable,
+                      .part = partOf(id),
+                      .from = id.text() + "/",
+                      .to = id.text() + "0", // "0" follows "/", with which every item begins.
+                      .limit = maximumRowsAtOnce};
+    std::vector<item_checkpoint> result;
+    for (bool more = true; more;) {
+        const table_page page = co_await m_store.read(range);
+        for (const table_row &row : page.rows) {
+            if (std::optional<item_checkpoint> checkpoint = decodeItemCheckpoint(row.value)) {
+                result.push_back(std::move(*checkpoint));
+            }
+        }
+        more = page.more && !page.rows.empty();
+        if (more) {
+            range.from = page.rows.back().name.key + '\0';
+        }
+    }
+    co_return result;
+}
+
 task<std::optional<job_entry>> job_records::find(job_id id)
 {
     const table_key key = entryKey(id);
@@ -200,25 +252,28 @@
     co_return results;
 }
 
-task<> job_records::remove(job_entry entry)
+/// Removes a job's rows of a table in which their keys begin with the job's id and a slash.
+task<> job_records::removeRows(std::string table, job_id id)
 {
-    table_range range{.table = resultsTable,
-                      .part = partOf(entry.id),
-                      .from = entry.id.text() + "/",
-                      .to = entry.id.text() + "0",
-                      .limit = maximumRowsAtOnce};
-    constexpr std::size_t removalsAtOnce = 90; // The store takes 100 entries in a transaction.
+    table_range range{
+        .table = std::move(table), .part = partOf(id), .from = id.text() + "/", .to = id.text() + "0", .limit = maximumRowsAtOnce};
     for (;;) {
         const table_page page = co_await m_store.read(range);
         if (page.rows.empty()) {
             break;
         }
         table_transaction change;
-        for (std::size_t index = 0; index < std::min(page.rows.size(), removalsAtOnce); ++index) {
+        for (std::size_t index = 0; index < std::min(page.rows.size(), maximumWritesAtOnce); ++index) {
             change.removals.push_back(page.rows[index].name);
         }
         co_await m_store.commit(std::move(change));
     }
+}
+
+task<> job_records::remove(job_entry entry)
+{
+    co_await removeRows(resultsTable, entry.id);
+    co_await removeRows(progressTable, entry.id);
     if (entry.itemsInObject) {
         co_await m_store.dropObject(objectName(entry.id));
     }
--- a/io/src/serving/job_records.h
+++ b/io/src/serving/job_records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "banyan/core/serving/item_checkpoint.h"
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
@@ -31,9 +32,25 @@
     /// Writes an entry if its row is still at the entry's version. Returns the new version, or nothing.
     [[nodiscard]] task<std::optional<row_version>> update(job_entry entry);
 
-    /// Records results from position @p first on, if the job's row is still at the entry's version; with the last one the
-    /// entry as well. Returns the transaction's version, or nothing.
-    [[nodiscard]] task<std::optional<row_version>> list(job_entry entry, std::uint32_t first, std::vector<listed_result> results);
+    /// Results of a job, to be recorded together.
+    struct result_batch
+    {
+        std::uint32_t first = 0; ///< Position of the first one.
+        std::vector<listed_result> results;
+        std::vector<std::string> checkpointed; ///< Items of which a checkpoint is stored, which is not needed any more.
+    };
+
+    /// Records results, if the job's row is still at the entry's version; with the last one the entry as well. Returns the
+    /// transaction's version, or nothing.
+    [[nodiscard]] task<std::optional<row_version>> list(job_entry entry, result_batch batch);
+
+    /// Stores how far items have come, if the job's row is still at the entry's version, and writes the entry if
+    /// @p entryChanged. What is too long for a row is left out. Returns the transaction's version, or nothing.
+    [[nodiscard]] task<std::optional<row_version>>
+    saveProgress(job_entry entry, bool entryChanged, std::vector<item_checkpoint> checkpoints);
+
+    /// What is stored of how far the job's items have come.
+    [[nodiscard]] task<std::vector<item_checkpoint>> progress(job_id id);
 
     [[nodiscard]] task<std::optional<job_entry>> find(job_id id);
 
@@ -47,6 +64,8 @@
     [[nodiscard]] task<> remove(job_entry entry);
 
 private:
+    [[nodiscard]] task<> removeRows(std::string table, job_id id);
+
     table_store m_store;
 };
 
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -88,7 +88,10 @@
 
     table_observer observer();
     void entryChanged(const job_entry &entry);
-    void begin(const job_entry &entry, std::vector<job_item> items, std::vector<listed_result> listed);
+    void begin(const job_entry &entry,
+               std::vector<job_item> items,
+               std::vector<listed_result> listed,
+               const std::vector<item_checkpoint> &checkpoints);
     void forget(const job_pointer &job, std::string_view how);
 
     static task<> takeOverLoop(self_pointer self);
@@ -100,6 +103,8 @@
     task<attempt_report> sendItem(job_pointer job, std::size_t index, const replica &upstream, item_progress &progress);
     void finish(const job_pointer &job, std::size_t index, listed_result result);
     static task<> listLoop(self_pointer self, job_pointer job);
+    static task<> checkpointLoop(self_pointer self, job_pointer job);
+    [[nodiscard]] static std::vector<std::string> checkpointedItems(const running_job &job, std::size_t count);
     task<bool> listNext(job_pointer job);
     task<> listRefused(job_pointer job);
     [[nodiscard]] static std::vector<listed_result> nextResults(const running_job &job);
@@ -163,13 +168,17 @@
     }
 }
 
-void listed_job_service::implementation::begin(const job_entry &entry, std::vector<job_item> items, std::vector<listed_result> listed)
+void listed_job_service::implementation::begin(const job_entry &entry,
+                                               std::vector<job_item> items,
+                                               std::vector<listed_result> listed,
+                                               const std::vector<item_checkpoint> &checkpoints)
 {
     if (m_running.contains(entry.id)) {
         return;
     }
     m_directory.stored(entry);
     auto job = std::make_shared<running_job>(m_ports.context, entry, std::move(items), ++m_begun);
+    job->restore(checkpoints);
     std::set<std::string> done;
     for (const listed_result &result : listed) {
         done.insert(result.item);
@@ -182,13 +191,15 @@
              {{"job", entry.id.text()},
               {"version", std::to_string(entry.version)},
               {"items", std::to_string(job->items.size())},
-              {"listed", std::to_string(job->listed)}});
+              {"listed", std::to_string(job->listed)},
+              {"checkpoints", std::to_string(checkpoints.size())}});
     for (std::size_t index = 0; index < job->items.size(); ++index) {
         if (!done.contains(job->items[index].id)) {
             asio::co_spawn(m_ports.context, runItem(shared_from_this(), job, index), asio::detached);
         }
     }
     asio::co_spawn(m_ports.context, listLoop(shared_from_this(), job), asio::detached);
+    asio::co_spawn(m_ports.context, checkpointLoop(shared_from_this(), job), asio::detached);
 }
 
 void listed_job_service::implementation::forget(const job_pointer &job, std::string_view how)
@@ -221,7 +232,7 @@
         acceptance = job_acceptance::Accepted;
         if (version) {
             entry.version = *version;
-            begin(entry, std::move(submission.items), {});
+            begin(entry, std::move(submission.items), {}, {});
         }
     } catch (const platform_unavailable &error) {
         acceptance = job_acceptance::NotAccepted;
@@ -405,9 +416,10 @@
                 more = !page.empty() && listed.size() + page.size() < entry.total;
                 listed.insert(listed.end(), page.begin(), page.end());
             }
+            const std::vector<item_checkpoint> checkpoints = co_await self->m_records.progress(entry.id);
             const job_entry *const known = self->m_directory.find(entry.id);
             if (!self->m_handingOver && known != nullptr && known->version == entry.version) {
-                self->begin(entry, std::move(items), std::move(listed));
+                self->begin(entry, std::move(items), std::move(listed), checkpoints);
             }
         }
     } catch (const platform_unavailable &error) {
@@ -455,7 +467,7 @@
 /// Runs an item until it has a result or the job is not this node's any more.
 task<> listed_job_service::implementation::runItem(self_pointer self, job_pointer job, std::size_t index)
 {
-    std::optional<item_progress> progress;
+    item_state &state = job->states[index];
     while (!job->stopped && !self->m_handingOver) {
         const std::shared_ptr<const route_table> table = self->m_table;
         const route *const by = table ? table->named(job->entry.route) : nullptr;
@@ -467,18 +479,22 @@
             co_await self->sleep(storeRetryDelay);
             continue;
         }
-        if (!progress) {
+        if (!state.progress) {
             const duration retention = by->retention > duration(0) ? by->retention : defaultRetention;
-            progress.emplace(item_progress_options{.maximumFailures = by->maximumAttempts, .giveUpAt = job->entry.submittedAt + retention});
+            state.progress.emplace(
+                item_progress_options{.maximumFailures = by->maximumAttempts, .giveUpAt = job->entry.submittedAt + retention});
+            if (state.restored) {
+                state.progress->restore(*state.restored);
+            }
         }
-        const item_step step = co_await self->runOnce(job, index, *by, *progress);
+        const item_step step = co_await self->runOnce(job, index, *by, *state.progress);
         if (step != item_step::RunAgain) {
             const bool succeeded = step == item_step::Succeeded;
-            self->finish(job, index, {.item = job->items[index].id, .succeeded = succeeded, .output = progress->output()});
+            self->finish(job, index, {.item = job->items[index].id, .succeeded = succeeded, .output = state.progress->output()});
             co_return;
         }
-        if (progress->delay() > duration(0)) {
-            co_await self->sleep(progress->delay());
+        if (state.progress->delay() > duration(0)) {
+            co_await self->sleep(state.progress->delay());
         }
     }
 }
@@ -586,11 +602,12 @@
 }
 
 /// Gives an item's result its position. It is listed once it is recorded.
-void listed_job_service::implementation::finish(const job_pointer &job, std::size_t, listed_result result)
+void listed_job_service::implementation::finish(const job_pointer &job, std::size_t index, listed_result result)
 {
     if (job->stopped) {
         return;
     }
+    job->states[index].hasResult = true;
     job->results.push_back(std::move(result));
     job->changed.notify();
 }
@@ -642,7 +659,9 @@
     entry.complete = job->listed + count == entry.total;
     std::string failure;
     try {
-        const std::optional<row_version> version = co_await m_records.list(entry, static_cast<std::uint32_t>(job->listed), std::move(next));
+        job_records::result_batch batch{
+            .first = static_cast<std::uint32_t>(job->listed), .results = std::move(next), .checkpointed = checkpointedItems(*job, count)};
+        const std::optional<row_version> version = co_await m_records.list(entry, std::move(batch));
         if (version) {
             logEvent(log_level::Info,
                      "results_recorded",
@@ -673,6 +692,46 @@
     co_return false;
 }
 
+/// Those of the next results to be recorded of which a checkpoint is stored.
+std::vector<std::string> listed_job_service::implementation::checkpointedItems(const running_job &job, std::size_t count)
+{
+    std::vector<std::string> result;
+    for (std::size_t position = job.listed; position < job.listed + count; ++position) {
+        for (std::size_t index = 0; index < job.items.size(); ++index) {
+            if (job.items[index].id == job.results[position].item && job.states[index].checkpointedEvent > 0) {
+                result.push_back(job.items[index].id);
+            }
+        }
+    }
+    return result;
+}
+
+/// Stores now and then how far the items have come, so that the next owner need not begin at their start.
+task<> listed_job_service::implementation::checkpointLoop(self_pointer self, job_pointer job)
+{
+    while (!job->stopped) {
+        co_await self->sleep(self->m_options.checkpointInterval);
+        const std::vector<item_checkpoint> checkpoints = job->newCheckpoints();
+        if (job->stopped || checkpoints.empty()) {
+            continue;
+        }
+        std::string failure;
+        try {
+            const std::optional<row_version> version = co_await self->m_records.saveProgress(job->entry, false, checkpoints);
+            if (version) {
+                job->checkpointed(checkpoints);
+            }
+        } catch (const platform_unavailable &error) {
+            failure = error.what();
+        } catch (const platform_outcome_unknown &error) {
+            failure = error.what();
+        }
+        if (!failure.empty()) {
+            logEvent(log_level::Info, "job_checkpoint_failed", {{"job", job->entry.id.text()}, {"reason", failure}});
+        }
+    }
+}
+
 /// The job's row has changed: by its end, by another owner, or by a transaction of ours whose answer was lost.
 task<> listed_job_service::implementation::listRefused(job_pointer job)
 {
@@ -711,10 +770,11 @@
     for (const auto &[id, job] : left) {
         job_entry entry = job->entry;
         entry.owner = node_id();
+        std::vector<item_checkpoint> checkpoints = job->newCheckpoints();
         forget(job, "given_back");
         std::string failure;
         try {
-            co_await m_records.update(entry);
+            co_await m_records.saveProgress(entry, true, std::move(checkpoints));
         } catch (const platform_unavailable &error) {
             failure = error.what();
         } catch (const platform_outcome_unknown &error) {
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -330,6 +330,27 @@
     });
 }
 
+std::string encode(const item_checkpoint &checkpoint)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::ItemCheckpoint>();
+    root.setItem(checkpoint.item);
+    root.setLastEvent(checkpoint.lastEvent);
+    root.setOutput(dataOf(checkpoint.output));
+    root.setRanBefore(checkpoint.ranBefore.count());
+    return packed(message);
+}
+
+std::optional<item_checkpoint> decodeItemCheckpoint(std::string_view bytes)
+{
+    return unpacked<schema::ItemCheckpoint>(bytes, [](schema::ItemCheckpoint::Reader root) {
+        return item_checkpoint{.item = textOf(root.getItem()),
+                               .lastEvent = root.getLastEvent(),
+                               .output = bytesOf(root.getOutput()),
+                               .ranBefore = duration(root.getRanBefore())};
+    });
+}
+
 std::string encode(const listed_result &result)
 {
     capnp::MallocMessageBuilder message;
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -33,12 +33,12 @@
 {
     std::unique_ptr<listed_job_service> service = makeService(*nodes.front());
 
-    std::unique_ptr<listed_job_service> makeService(serving_node &node)
+    std::unique_ptr<listed_job_service> makeService(serving_node &node, duration checkpointInterval = 1h)
     {
         auto result = std::make_unique<listed_job_service>(
             listed_job_ports{
                 .context = context, .store = store.port(), .slots = node.slots, .sender = node.sender, .metrics = node.metrics},
-            listed_job_options{.self = node.id});
+            listed_job_options{.self = node.id, .checkpointInterval = checkpointInterval});
         result->configure(jobRoutes());
         return result;
     }
@@ -62,6 +62,24 @@
         return acceptance;
     }
 
+    /// Items of which a checkpoint is stored.
+    std::size_t checkpoints()
+    {
+        std::size_t count = 0;
+        for (int part = 0; part < 8; ++part) {
+            count += store.tables.read({.table = "job_progress", .part = "p" + std::to_string(part), .from = {}, .to = {}, .limit = 100})
+                         .rows.size();
+        }
+        return count;
+    }
+
+    void pass(duration time)
+    {
+        run([&]() -> task<> {
+            co_await sleep(time);
+        });
+    }
+
     /// Changes a job's row in the store, as another node would.
     void changeEntry(const std::string &id, const std::function<void(job_entry &)> &change)
     {
@@ -358,3 +376,89 @@
     const auto other = fixture.makeService(fixture.addNode());
     CHECK(fixture.results(*other, "j1").results.empty());
 }
+
+namespace {
+
+/// Streams two of four events and then nothing more to the first request, and to later ones what they ask for.
+scripted_upstream::script hangsAfterTwo(job_fixture &fixture, int &requests)
+{
+    return [&](http_exchange &exchange) -> task<> {
+        if (++requests > 1) {
+            co_await streamsPieces(4)(exchange);
+            co_return;
+        }
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1) + eventText(2));
+        co_await fixture.sleep(generousTime);
+    };
+}
+
+std::string lastEventOf(const http_request &request)
+{
+    const auto found = std::find_if(request.fields.begin(), request.fields.end(), [](const http_field &field) {
+        return field.name == "Last-Event-Id";
+    });
+    return found == request.fields.end() ? "" : found->value;
+}
+
+} // namespace
+
+TEST_CASE("listed_job_service goes on with an item where the job's last owner had stored it, and removes what was stored")
+{
+    job_fixture fixture;
+    fixture.service = fixture.makeService(*fixture.nodes.front(), 10ms);
+    int requests = 0;
+    scripted_upstream upstream(fixture.context, "u1", hangsAfterTwo(fixture, requests));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    while (fixture.checkpoints() == 0) {
+        fixture.pass(1ms);
+    }
+    fixture.changeEntry("j1", [](job_entry &entry) {
+        entry.owner = node_id();
+    });
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    const job_results found = fixture.awaitResults(*other, "j1", 1);
+    CHECK(found.results.front().output == "piece-1\npiece-2\npiece-3\npiece-4");
+    REQUIRE(upstream.requests.size() == 2);
+    CHECK(lastEventOf(upstream.requests.back()) == "2");
+    CHECK(fixture.checkpoints() == 0);
+}
+
+TEST_CASE("listed_job_service stores at a planned stop how far its items have come")
+{
+    job_fixture fixture;
+    int requests = 0;
+    scripted_upstream upstream(fixture.context, "u1", hangsAfterTwo(fixture, requests));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    while (requests == 0) {
+        fixture.pass(1ms);
+    }
+    fixture.run([&]() -> task<> {
+        co_await fixture.service->handOver(100ms);
+    });
+    CHECK(fixture.checkpoints() == 1);
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    CHECK(fixture.awaitResults(*other, "j1", 1).results.front().output == "piece-1\npiece-2\npiece-3\npiece-4");
+    CHECK(lastEventOf(upstream.requests.back()) == "2");
+}
+
+TEST_CASE("listed_job_service stores no progress of a job that another node has taken over")
+{
+    job_fixture fixture;
+    fixture.service = fixture.makeService(*fixture.nodes.front(), 10ms);
+    int requests = 0;
+    scripted_upstream upstream(fixture.context, "u1", hangsAfterTwo(fixture, requests));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    fixture.changeEntry("j1", [](job_entry &entry) {
+        entry.owner = node_id("n2");
+    });
+    fixture.pass(100ms);
+    CHECK(requests == 1);
+    CHECK(fixture.checkpoints() == 0);
+}
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -87,6 +87,14 @@
     CHECK(decodeGatewayEntry(encode(gateway)) == gateway);
 }
 
+TEST_CASE("serving_codec keeps how far an item has come")
+{
+    const item_checkpoint checkpoint{.item = "i", .lastEvent = 7, .output = "a\nb", .ranBefore = 1500ms};
+    const std::optional<item_checkpoint> read = decodeItemCheckpoint(encode(checkpoint));
+    REQUIRE(read.has_value());
+    CHECK(*read == checkpoint);
+}
+
 TEST_CASE("serving_codec refuses bytes that are not well-formed")
 {
     const std::string whole = encode(node_load{.sender = node_id("n"), .sequence = 1}, senderNow);
