--- a/bench/serving/site_run.cpp
+++ b/bench/serving/site_run.cpp
@@ -25,6 +25,7 @@
 constexpr double promisedWaitShare = 1.0 / 3; ///< Of the time left: a client comes back no later than that.
 constexpr duration promptRefusal = 75ms; ///< A quarter of the streams' target: a refusal by then counts as prompt.
 constexpr duration crashTime = 4s;
+constexpr duration retryDelay = 2ms; ///< From an attempt that found its upstream full, or was lost, to the next one.
 constexpr std::uint32_t attemptsOfClients = 2;
 
 /// A client's request, over its attempts.
@@ -611,7 +612,11 @@
         client_work &work = client->second;
         work.runsLost += outcome == attempt_outcome::Lost ? 1 : 0;
         --work.attempts;
-        submitAttempt(run.work);
+        m_loop.after(retryDelay, [this, key = run.work] {
+            if (m_clients.contains(key)) {
+                submitAttempt(key);
+            }
+        });
     }
 }
 
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -196,10 +196,24 @@
 }
 
 TEST_CASE("request_relay does not take another request's answer")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    const auto answer = [](http_exchange &exchange) -> task<> {
+        http_response another = upstreamAnswer(200, "another's");
+        another.fields.push_back({"Request-Id", "id-2"});
+        co_await exchange.respond(std::move(another));
+    };
+    scripted_upstream upstream(fixture.context, "u1", answer, "X-Unused");
+    fixture.setUpstreams({&upstream});
+    CHECK(fixture.call("id-2").status == 200);
+    CHECK(fixture.call("id-1").status == 502);
+}
+
+TEST_CASE("request_relay does not take an encoded answer, which is not the upstream's own body")
 {
     relay_fixture fixture(request_kind::AtMostOnce);
     scripted_upstream upstream(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
-        http_response answer = upstreamAnswer(200, "another's");
+        http_response answer = upstreamAnswer(200, "encoded");
         answer.fields.push_back({"Content-Encoding", "gzip"});
         co_await exchange.respond(std::move(answer));
     });
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -32,9 +32,10 @@
 {
     using script = std::function<task<>(http_exchange &exchange)>;
 
-    scripted_upstream(asio::io_context &context, std::string name, script answer)
+    /// Answers carry the request's id in @p idField.
+    scripted_upstream(asio::io_context &context, std::string name, script answer, const std::string &idField = "Request-Id")
         : id(std::move(name))
-        , server(context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"})
+        , server(context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = idField})
     {
         server.routeOthers([this, answer = std::move(answer)](http_exchange &exchange) -> task<> {
             requests.push_back({.method = exchange.method(), .target = exchange.target(), .fields = exchange.fields(), .body = {}});
