--- a/tests/unit/operator_api_test.cpp
+++ b/tests/unit/operator_api_test.cpp
@@ -195,7 +195,7 @@
     std::ostringstream errors;
     operator_tool tool({}, output, errors);
     const std::string log = tests::sourceDirectory() + "/tests/data/gateway-day.log";
-    CHECK(tool.run({"explain", "eeba645aa61ec8d3", "--log", log}) == tool_exit::Done);
+    CHECK(tool.run({"explain", "37d01c312f105f27", "--log", log}) == tool_exit::Done);
     CHECK(output.str().find("cause: answered with 200 after a failed attempt") != std::string::npos);
     CHECK(tool.run({"explain", "unknown", "--log", log}) == tool_exit::Refused);
     CHECK(tool.run({"explain", "unknown", "--log", log + ".missing"}) == tool_exit::Usage);
