--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -49,6 +49,9 @@
     /// Open jobs that the store says this node owns.
     [[nodiscard]] std::vector<job_entry> owned() const;
 
+    /// Open jobs of a route.
+    [[nodiscard]] std::vector<job_entry> open(const std::string &route) const;
+
     /// Jobs that were submitted before @p before.
     [[nodiscard]] std::vector<job_entry> olderThan(time_point before) const;
 
--- a/core/include/banyan/core/serving/job_entry.h
+++ b/core/include/banyan/core/serving/job_entry.h
@@ -18,6 +18,7 @@
     std::string host; ///< Of the route; sent with each run.
     time_point submittedAt;
     std::uint32_t total = 0; ///< Items.
+    std::uint64_t tokensLeft = 0; ///< Of the items without a recorded result; kept up only while the route has a quota.
     node_id owner; ///< The node that runs it; empty if any node may take it.
     bool ended = false; ///< By its client: nothing of it is started any more.
     bool complete = false; ///< Every item has a result.
--- a/core/include/banyan/core/serving/job_item.h
+++ b/core/include/banyan/core/serving/job_item.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +15,7 @@
     std::string path; ///< Of the run at an upstream.
     std::vector<std::pair<std::string, std::string>> fields; ///< Header fields of the run.
     std::string body;
+    std::uint64_t tokens = 0; ///< Of the prompt and the longest output together, as its client declares them.
 
     auto operator<=>(const job_item &) const = default;
 };
--- /dev/null
+++ b/core/include/banyan/core/serving/quota_holding.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "banyan/core/identifier.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace banyan {
+
+/// Tokens of a route's quota that are set aside for a job, from before it is recorded until its last item has a result.
+struct quota_holding
+{
+    job_id job;
+    std::uint64_t tokens = 0; ///< Of its items without a result, when the holding was written.
+    std::uint64_t claim = 0; ///< Tells submissions of the same job apart: the one that holds the tokens may give them back.
+
+    auto operator<=>(const quota_holding &) const = default;
+};
+
+} // namespace banyan
--- a/core/include/banyan/core/serving/route.h
+++ b/core/include/banyan/core/serving/route.h
@@ -27,6 +27,7 @@
     std::uint32_t maximumAttempts = 1; ///< Upstreams that may run one request.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     duration completionWindow{}; ///< Of a job: time to its last result.
+    std::uint64_t maximumWaitingTokens = 0; ///< Of a job route: of all its jobs' items without a result together; 0 for no limit.
     duration retention{}; ///< Of a job: time after which its items may be given up.
 
     /// Whether a request may run again after an attempt that may have run.
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -114,6 +114,17 @@
     return result;
 }
 
+std::vector<job_entry> job_directory::open(const std::string &route) const
+{
+    std::vector<job_entry> result;
+    for (const auto &[id, entry] : m_jobs) {
+        if (entry.isOpen() && entry.route == route) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
 std::vector<job_entry> job_directory::olderThan(time_point before) const
 {
     std::vector<job_entry> result;
--- /dev/null
+++ b/core/src/serving/waiting_quota.cpp
@@ -0,0 +1,146 @@
+#include "banyan/core/serving/waiting_quota.h"
+
+#include "../seconds.h"
+#include "banyan/core/serving/job_directory.h"
+#include "banyan/core/serving/job_entry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyan {
+
+namespace {
+
+constexpr duration shortestReturn = std::chrono::milliseconds(250); ///< Less is no time for items to finish.
+constexpr duration longestReturn = std::chrono::seconds(10); ///< Forecasts beyond it are worth nothing.
+constexpr duration unknownReturn = std::chrono::seconds(1); ///< While no item has finished lately.
+constexpr double spreadOfReturn = 0.25; ///< Part of the time by which returns are varied.
+
+/// Tokens by job, of all that wait.
+std::map<job_id, std::uint64_t> tokensByJob(const std::string &route, const std::vector<quota_holding> &holdings, const job_directory &jobs)
+{
+    std::map<job_id, std::uint64_t> result;
+    for (const job_entry &entry : jobs.open(route)) {
+        result[entry.id] = entry.tokensLeft;
+    }
+    for (const quota_holding &holding : holdings) {
+        result[holding.job] = holding.tokens;
+    }
+    return result;
+}
+
+std::uint64_t sumOf(const std::map<job_id, std::uint64_t> &tokens)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[job, count] : tokens) {
+        sum += count;
+    }
+    return sum;
+}
+
+} // namespace
+
+waiting_quota::waiting_quota(waiting_quota_options options)
+    : m_options(std::move(options))
+{
+}
+
+waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<quota_holding> &wanted, time_point now)
+{
+    decision result{.fits = {}, .holdings = stillHeld(at, now), .waiting = 0};
+    std::map<job_id, std::uint64_t> counted = tokensByJob(m_options.route, result.holdings, at.jobs);
+    result.waiting = sumOf(counted);
+    for (const quota_holding &job : wanted) {
+        const auto known = counted.find(job.job);
+        const bool fits = known != counted.end() || result.waiting + job.tokens <= at.limit;
+        result.fits.push_back(fits);
+        if (!fits) {
+            continue;
+        }
+        quota_holding holding = job;
+        if (known == counted.end()) {
+            counted.emplace(job.job, job.tokens);
+            result.waiting += job.tokens;
+        } else {
+            holding.tokens = known->second;
+        }
+        std::erase_if(result.holdings, [&](const quota_holding &held) {
+            return held.job == job.job;
+        });
+        result.holdings.push_back(std::move(holding));
+    }
+    trim(result.holdings, at.jobs);
+    return result;
+}
+
+/// The holdings of jobs that have not ended, with the tokens that their jobs still need.
+std::vector<quota_holding> waiting_quota::stillHeld(const situation &at, time_point now)
+{
+    std::vector<quota_holding> result;
+    std::map<job_id, time_point> unrecorded;
+    for (quota_holding holding : at.stored) {
+        if (const job_entry *const entry = at.jobs.find(holding.job)) {
+            if (entry->isOpen()) {
+                holding.tokens = std::min(holding.tokens, entry->tokensLeft);
+                result.push_back(std::move(holding));
+            }
+        } else {
+            const bool isForgotten = this->isForgotten(holding.job, at.jobsCurrent, now);
+            unrecorded.emplace(holding.job, m_unrecordedSince.at(holding.job));
+            if (!isForgotten) {
+                result.push_back(std::move(holding));
+            }
+        }
+    }
+    m_unrecordedSince = std::move(unrecorded);
+    return result;
+}
+
+/// Whether a holding has gone so long without its job being recorded that it never will be.
+bool waiting_quota::isForgotten(const job_id &job, bool jobsCurrent, time_point now)
+{
+    const auto since = m_unrecordedSince.try_emplace(job, now).first;
+    if (!jobsCurrent) {
+        since->second = now;
+    }
+    return now - since->second >= m_options.unrecordedLifetime;
+}
+
+/// Leaves out the oldest holdings of recorded jobs beyond the row's room: these jobs are counted by their own rows.
+void waiting_quota::trim(std::vector<quota_holding> &holdings, const job_directory &jobs) const
+{
+    std::size_t excess = holdings.size() - std::min(holdings.size(), m_options.maximumHoldings);
+    std::erase_if(holdings, [&](const quota_holding &holding) {
+        const bool drop = excess > 0 && jobs.find(holding.job) != nullptr;
+        excess -= drop ? 1 : 0;
+        return drop;
+    });
+}
+
+void waiting_quota::finished(std::uint64_t tokens, time_point now)
+{
+    m_finished.emplace_back(now, tokens);
+    m_finishedTokens += tokens;
+    forgetOld(now);
+}
+
+void waiting_quota::forgetOld(time_point now)
+{
+    while (!m_finished.empty() && now - m_finished.front().first > m_options.rateWindow) {
+        m_finishedTokens -= m_finished.front().second;
+        m_finished.pop_front();
+    }
+}
+
+duration
+waiting_quota::comeBackAfter(std::uint64_t limit, std::uint64_t waiting, std::uint64_t tokens, time_point now, std::mt19937_64 &generator)
+{
+    forgetOld(now);
+    const double rate = static_cast<double>(m_finishedTokens) / toSeconds(m_options.rateWindow);
+    const double excess = static_cast<double>(waiting) + static_cast<double>(tokens) - static_cast<double>(limit);
+    const duration forecast = rate > 0 ? fromSeconds(std::min(toSeconds(longestReturn), std::max(0.0, excess) / rate)) : unknownReturn;
+    const duration after = std::clamp(forecast, shortestReturn, longestReturn);
+    return after + fromSeconds(toSeconds(after) * std::uniform_real_distribution<double>(0, spreadOfReturn)(generator));
+}
+
+} // namespace banyan
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace banyan {
@@ -35,9 +36,22 @@
 enum class job_acceptance {
     Accepted, ///< It is recorded, now or earlier.
     NotAccepted, ///< It is not recorded, and this sending never will be.
+    OverQuota, ///< Like NotAccepted: too many tokens wait on its route.
     Unknown, ///< It may be recorded.
 };
 
+/// The word for an acceptance in logs.
+[[nodiscard]] std::string_view toString(job_acceptance acceptance);
+
+/// The answer to a job's submission.
+struct submission_answer
+{
+    job_acceptance acceptance = job_acceptance::Unknown;
+    duration retryAfter{}; ///< When to send the job again, if it was not taken.
+
+    auto operator<=>(const submission_answer &) const = default;
+};
+
 /// Whether something that was asked for exists.
 enum class lookup_state {
     Found,
@@ -102,7 +116,7 @@
     /// Notes that a node lives.
     void heard(const node_id &node, time_point now);
 
-    [[nodiscard]] task<job_acceptance> accept(job_submission submission);
+    [[nodiscard]] task<submission_answer> accept(job_submission submission);
 
     /// Results from position @p after on; waits up to @p wait for the first.
     [[nodiscard]] task<job_results> results(job_id id, std::uint32_t after, duration wait);
--- a/io/include/banyan/io/serving/table_follower.h
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -37,6 +37,15 @@
     /// Follows until the process ends.
     [[nodiscard]] task<> run();
 
+    /// Takes in changes up to now, without waiting for the next regular call. @throws platform_unavailable
+    [[nodiscard]] task<> refresh();
+
+    /// Whether the table has been read and the last call was answered.
+    [[nodiscard]] bool isCurrent() const
+    {
+        return m_available && !m_historyLost;
+    }
+
     /// Whether the last call was answered.
     [[nodiscard]] bool available() const
     {
@@ -46,6 +55,7 @@
 private:
     task<> readAll();
     task<> followChanges();
+    void take(const table_changes &changes);
     task<> sleep(duration time);
     void answered();
     void failed(const std::string &reason);
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -96,6 +96,7 @@
   path @1 :Text;
   fields @2 :List(ItemField);
   body @3 :Data;
+  tokens @4 :UInt64;
 }
 
 struct JobItems {
@@ -111,6 +112,17 @@
   ended @5 :Bool;
   complete @6 :Bool;
   itemsInObject @7 :Bool;
+  tokensLeft @8 :UInt64;
+}
+
+struct QuotaHolding {
+  job @0 :Text;
+  tokens @1 :UInt64;
+  claim @2 :UInt64;
+}
+
+struct QuotaHoldings {
+  holdings @0 :List(QuotaHolding);
 }
 
 struct ItemCheckpoint {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -30,6 +30,8 @@
 CAPNP_DECLARE_SCHEMA(b6d6b3173e20a7df);
 CAPNP_DECLARE_SCHEMA(adbec2fc7f55467e);
 CAPNP_DECLARE_SCHEMA(ab20fbe5f383a6d2);
+CAPNP_DECLARE_SCHEMA(a75c7083340b8943);
+CAPNP_DECLARE_SCHEMA(972c041b2e6668f5);
 CAPNP_DECLARE_SCHEMA(ff37c36633272a23);
 CAPNP_DECLARE_SCHEMA(8cd0a697c74ee374);
 
@@ -219,7 +221,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b6d6b3173e20a7df, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b6d6b3173e20a7df, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -249,7 +251,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ab20fbe5f383a6d2, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ab20fbe5f383a6d2, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaHolding {
+  QuotaHolding() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a75c7083340b8943, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaHoldings {
+  QuotaHoldings() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(972c041b2e6668f5, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1497,6 +1529,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline  ::uint64_t getTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1553,6 +1587,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1696,6 +1733,8 @@
 
   inline bool getItemsInObject() const;
 
+  inline  ::uint64_t getTokensLeft() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1760,6 +1799,9 @@
   inline bool getItemsInObject();
   inline void setItemsInObject(bool value);
 
+  inline  ::uint64_t getTokensLeft();
+  inline void setTokensLeft( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1786,6 +1828,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaHolding::Reader {
+public:
+  typedef QuotaHolding Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+  inline  ::uint64_t getTokens() const;
+
+  inline  ::uint64_t getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaHolding::Builder {
+public:
+  typedef QuotaHolding Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
+
+  inline  ::uint64_t getClaim();
+  inline void setClaim( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaHolding::Pipeline {
+public:
+  typedef QuotaHolding Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaHoldings::Reader {
+public:
+  typedef QuotaHoldings Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHoldings() const;
+  inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Reader getHoldings() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaHoldings::Builder {
+public:
+  typedef QuotaHoldings Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHoldings();
+  inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Builder getHoldings();
+  inline void setHoldings( ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Builder initHoldings(unsigned int size);
+  inline void adoptHoldings(::capnp::Orphan< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>> disownHoldings();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaHoldings::Pipeline {
+public:
+  typedef QuotaHoldings Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ItemCheckpoint::Reader {
 public:
   typedef ItemCheckpoint Reads;
@@ -3466,6 +3680,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t JobItem::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobItem::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobItem::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool JobItems::Reader::hasItems() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3672,6 +3900,116 @@
       ::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t JobEntry::Reader::getTokensLeft() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobEntry::Builder::getTokensLeft() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobEntry::Builder::setTokensLeft( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaHolding::Reader::hasJob() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaHolding::Builder::hasJob() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaHolding::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaHolding::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaHolding::Builder::setJob( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaHolding::Builder::initJob(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaHolding::Builder::adoptJob(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaHolding::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaHolding::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaHolding::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaHolding::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaHolding::Reader::getClaim() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaHolding::Builder::getClaim() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaHolding::Builder::setClaim( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaHoldings::Reader::hasHoldings() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaHoldings::Builder::hasHoldings() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Reader QuotaHoldings::Reader::getHoldings() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Builder QuotaHoldings::Builder::getHoldings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaHoldings::Builder::setHoldings( ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>::Builder QuotaHoldings::Builder::initHoldings(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaHoldings::Builder::adoptHoldings(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>> QuotaHoldings::Builder::disownHoldings() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::QuotaHolding,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ItemCheckpoint::Reader::hasItem() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/job_listing.cpp
+++ b/io/src/serving/job_listing.cpp
@@ -69,10 +69,14 @@
     const std::size_t count = next.size();
     job_entry entry = job->entry;
     entry.complete = job->listed + count == entry.total;
+    entry.tokensLeft = job->tokensLeftAfter(job->listed + count);
+    const bool entryChanged = entry.complete || quotaOf(entry.route) > 0;
     std::string failure;
     try {
-        job_records::result_batch batch{
-            .first = static_cast<std::uint32_t>(job->listed), .results = std::move(next), .checkpointed = checkpointedItems(*job, count)};
+        job_records::result_batch batch{.first = static_cast<std::uint32_t>(job->listed),
+                                        .results = std::move(next),
+                                        .entryChanged = entryChanged,
+                                        .checkpointed = checkpointedItems(*job, count)};
         const std::optional<row_version> version = co_await m_records.list(entry, std::move(batch));
         if (version) {
             logEvent(log_level::Info,
@@ -82,9 +86,10 @@
                       {"count", std::to_string(count)},
                       {"job_version", std::to_string(entry.version)}});
             job->listed += count;
-            if (entry.complete) {
+            if (entryChanged) {
                 entry.version = *version;
                 job->entry = entry;
+                noteFinished(entry);
                 m_directory.stored(entry);
             }
             co_return true;
--- a/io/src/serving/job_records.cpp
+++ b/io/src/serving/job_records.cpp
@@ -139,7 +139,7 @@
     for (const std::string &item : batch.checkpointed) {
         change.removals.push_back(progressKey(entry.id, item));
     }
-    if (entry.complete) {
+    if (batch.entryChanged) {
         change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
     }
     co_return versionOf(co_await m_store.commit(std::move(change)));
--- a/io/src/serving/job_records.h
+++ b/io/src/serving/job_records.h
@@ -37,10 +37,11 @@
     {
         std::uint32_t first = 0; ///< Position of the first one.
         std::vector<listed_result> results;
+        bool entryChanged = false; ///< The entry is written as well.
         std::vector<std::string> checkpointed; ///< Items of which a checkpoint is stored, which is not needed any more.
     };
 
-    /// Records results, if the job's row is still at the entry's version; with the last one the entry as well. Returns the
+    /// Records results, if the job's row is still at the entry's version, and the entry if the batch says so. Returns the
     /// transaction's version, or nothing.
     [[nodiscard]] task<std::optional<row_version>> list(job_entry entry, result_batch batch);
 
--- a/io/src/serving/job_takeover.cpp
+++ b/io/src/serving/job_takeover.cpp
@@ -15,6 +15,7 @@
 
 constexpr duration takeoverInterval = std::chrono::milliseconds(250); // Between two looks for jobs without an owner.
 constexpr std::size_t takeoversAtOnce = 4; // Keeps a node from reading many jobs into memory at once.
+constexpr int attemptsToGiveBack = 3; // Against results of the same job that are being recorded.
 constexpr duration handOverPoll = std::chrono::milliseconds(50); // Between two looks for results that are being recorded.
 constexpr duration sweepInterval = std::chrono::seconds(10); // Between two looks for jobs whose time is over.
 
@@ -134,14 +135,11 @@
     }
     const std::map<job_id, job_pointer> left = m_running;
     for (const auto &[id, job] : left) {
-        job_entry entry = job->entry;
-        entry.owner = node_id();
         std::vector<item_checkpoint> checkpoints = job->newCheckpoints(currentTime());
         forget(job, "given_back");
         std::string failure;
         try {
-            const auto stored = co_await m_records.saveProgress(entry, true, std::move(checkpoints));
-            failure = stored ? "" : "its row has changed";
+            failure = co_await giveBack(job->entry, std::move(checkpoints));
         } catch (const platform_unavailable &error) {
             failure = error.what();
         } catch (const platform_outcome_unknown &error) {
@@ -153,4 +151,23 @@
     }
 }
 
+/// Records that any node may take a job. Results that were being recorded may have changed its row meanwhile. Returns why it could
+/// not be done, or nothing.
+task<std::string> listed_job_service::implementation::giveBack(job_entry entry, std::vector<item_checkpoint> checkpoints)
+{
+    for (int attempt = 0; attempt < attemptsToGiveBack; ++attempt) {
+        entry.owner = node_id();
+        const auto stored = co_await m_records.saveProgress(entry, true, checkpoints);
+        if (stored) {
+            co_return std::string();
+        }
+        const std::optional<job_entry> changed = co_await m_records.find(entry.id);
+        if (!changed || !changed->isOpen() || changed->owner != m_options.self) {
+            co_return std::string("its row has changed");
+        }
+        entry = *changed;
+    }
+    co_return std::string("its row has changed several times");
+}
+
 } // namespace banyan
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -4,6 +4,7 @@
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "job_records.h"
+#include "quota_reservations.h"
 #include "running_job.h"
 
 #include <map>
@@ -26,6 +27,22 @@
         , m_options(options)
         , m_records(ports.store)
         , m_directory({.self = options.self})
+        , m_jobsFollower(std::make_shared<table_follower>(
+              ports.context,
+              ports.store,
+              table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = tablePause},
+              observer()))
+        , m_quota(std::make_shared<quota_reservations>(quota_ports{.context = ports.context,
+                                                                   .store = ports.store,
+                                                                   .jobs = m_directory,
+                                                                   .jobsCurrent =
+                                                                       [follower = m_jobsFollower] {
+                                                                           return follower->isCurrent();
+                                                                       },
+                                                                   .refreshJobs =
+                                                                       [follower = m_jobsFollower] {
+                                                                           return follower->refresh();
+                                                                       }}))
     {
     }
 
@@ -42,7 +59,7 @@
     {
         m_directory.heard(node, now);
     }
-    task<job_acceptance> accept(job_submission submission);
+    task<submission_answer> accept(job_submission submission);
     task<job_results> results(job_id id, std::uint32_t after, duration wait);
     task<item_lookup> itemBody(job_id id, std::string item);
     task<lookup_state> end(job_id id);
@@ -53,6 +70,8 @@
     }
 
 private:
+    static constexpr duration tablePause =
+        std::chrono::seconds(1); ///< An end that another node recorded is seen well within three seconds.
     static constexpr duration storeRetryDelay = std::chrono::milliseconds(300); ///< After a call that the store did not do.
 
     using job_pointer = std::shared_ptr<running_job>;
@@ -60,6 +79,9 @@
 
     table_observer observer();
     void entryChanged(const job_entry &entry);
+    void noteFinished(const job_entry &entry);
+    [[nodiscard]] std::uint64_t quotaOf(const std::string &route) const;
+    task<submission_answer> record(job_submission submission, std::uint64_t tokens);
     void begin(const job_entry &entry,
                std::vector<job_item> items,
                std::vector<listed_result> listed,
@@ -69,6 +91,7 @@
     static task<> takeOverLoop(self_pointer self);
     task<> lookForJobs();
     static task<> takeOver(self_pointer self, job_entry entry);
+    task<std::string> giveBack(job_entry entry, std::vector<item_checkpoint> checkpoints);
     static task<> sweepLoop(self_pointer self);
     static task<> runItem(self_pointer self, job_pointer job, std::size_t index);
     task<item_step> runOnce(job_pointer job, std::size_t index, const route &by, item_progress &progress);
@@ -88,6 +111,8 @@
     listed_job_options m_options;
     job_records m_records;
     job_directory m_directory;
+    std::shared_ptr<table_follower> m_jobsFollower;
+    std::shared_ptr<quota_reservations> m_quota;
     std::shared_ptr<const route_table> m_table;
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -15,20 +15,31 @@
 
 namespace {
 
-constexpr duration tablePause = std::chrono::seconds(1); // An end that another node recorded is seen well within three seconds.
 constexpr duration readInterval = std::chrono::milliseconds(350); // Between two looks for a result that a reader waits for.
+constexpr duration storeReturnDelay = std::chrono::milliseconds(500); // After which a job should be sent again that could not be recorded.
+constexpr duration reservationLifetime = std::chrono::seconds(3); // Well below the time after which nodes drop it.
 constexpr int attemptsToEnd = 4; // Of the conditional write, against other nodes' changes of the row.
 
 } // namespace
 
+std::string_view toString(job_acceptance acceptance)
+{
+    switch (acceptance) {
+    case job_acceptance::Accepted:
+        return "accepted";
+    case job_acceptance::NotAccepted:
+        return "not_accepted";
+    case job_acceptance::OverQuota:
+        return "over_quota";
+    case job_acceptance::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 void listed_job_service::implementation::start()
 {
-    auto follower = std::make_shared<table_follower>(
-        m_ports.context,
-        m_ports.store,
-        table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = tablePause},
-        observer());
-    asio::co_spawn(m_ports.context, follower->run(), [follower](const std::exception_ptr &) {});
+    asio::co_spawn(m_ports.context, m_jobsFollower->run(), [follower = m_jobsFollower](const std::exception_ptr &) {});
     asio::co_spawn(m_ports.context, takeOverLoop(shared_from_this()), asio::detached);
     asio::co_spawn(m_ports.context, sweepLoop(shared_from_this()), asio::detached);
 }
@@ -53,9 +64,22 @@
     return result;
 }
 
+/// Takes in how many tokens of a route's quota an entry shows to be finished.
+void listed_job_service::implementation::noteFinished(const job_entry &entry)
+{
+    const job_entry *const known = m_directory.find(entry.id);
+    if (known != nullptr && known->isOpen() && known->version < entry.version) {
+        const std::uint64_t left = entry.isOpen() ? entry.tokensLeft : 0;
+        if (known->tokensLeft > left) {
+            m_quota->finished(entry.route, known->tokensLeft - left, currentTime());
+        }
+    }
+}
+
 /// Takes in a job's row; stops the job here if it is not this node's any more.
 void listed_job_service::implementation::entryChanged(const job_entry &entry)
 {
+    noteFinished(entry);
     m_directory.stored(entry);
     const auto running = m_running.find(entry.id);
     if (running == m_running.end() || running->second->entry.version >= entry.version) {
@@ -112,51 +136,89 @@
     m_running.erase(job->entry.id);
 }
 
-task<job_acceptance> listed_job_service::implementation::accept(job_submission submission)
+/// Sets a job's tokens aside if its route has a quota, and records it.
+task<submission_answer> listed_job_service::implementation::accept(job_submission submission)
 {
     if (m_running.contains(submission.id) || m_directory.find(submission.id) != nullptr) {
-        co_return job_acceptance::Accepted;
+        co_return submission_answer{.acceptance = job_acceptance::Accepted};
+    }
+    const std::string route = submission.route;
+    const std::uint64_t limit = quotaOf(route);
+    quota_holding holding{.job = submission.id, .claim = m_quota->newClaim()};
+    for (const job_item &item : submission.items) {
+        holding.tokens += item.tokens;
+    }
+    submission_answer answer{.acceptance = job_acceptance::NotAccepted, .retryAfter = storeReturnDelay};
+    if (limit == 0) {
+        answer = co_await record(std::move(submission), holding.tokens);
+        co_return answer;
     }
+    const time_point begunAt = currentTime();
+    const reservation reserved = co_await m_quota->reserve(route, limit, holding);
+    if (reserved.state == reservation_state::OverQuota) {
+        answer = {.acceptance = job_acceptance::OverQuota, .retryAfter = reserved.retryAfter};
+    } else if (reserved.state == reservation_state::Reserved) {
+        // After a suspension of this process other nodes may have dropped the holding.
+        if (currentTime() - begunAt < reservationLifetime) {
+            answer = co_await record(std::move(submission), holding.tokens);
+        }
+        if (answer.acceptance == job_acceptance::NotAccepted) {
+            m_quota->release(route, holding);
+        }
+    }
+    co_return answer;
+}
+
+/// Tokens that may wait on a route; 0 for no limit.
+std::uint64_t listed_job_service::implementation::quotaOf(const std::string &route) const
+{
+    const ::banyan::route *const by = m_table ? m_table->named(route) : nullptr;
+    return by == nullptr ? 0 : by->maximumWaitingTokens;
+}
+
+task<submission_answer> listed_job_service::implementation::record(job_submission submission, std::uint64_t tokens)
+{
     job_entry entry{.id = submission.id,
                     .route = submission.route,
                     .host = submission.host,
                     .submittedAt = currentTime(),
                     .total = static_cast<std::uint32_t>(submission.items.size()),
+                    .tokensLeft = tokens,
                     .owner = m_options.self};
-    job_acceptance acceptance = job_acceptance::Unknown;
+    submission_answer answer{.retryAfter = storeReturnDelay};
     std::string reason;
     try {
         const std::optional<row_version> version = co_await m_records.create(entry, submission.items);
-        acceptance = job_acceptance::Accepted;
+        answer.acceptance = job_acceptance::Accepted;
         if (version) {
             entry.version = *version;
             begin(entry, std::move(submission.items), {}, {});
         }
     } catch (const platform_unavailable &error) {
-        acceptance = job_acceptance::NotAccepted;
+        answer.acceptance = job_acceptance::NotAccepted;
         reason = error.what();
     } catch (const platform_outcome_unknown &error) {
         reason = error.what();
     }
-    if (acceptance == job_acceptance::Unknown) {
+    if (answer.acceptance == job_acceptance::Unknown) {
         // If the row is there, or comes later, the table's changes tell of it.
         try {
             const std::optional<job_entry> stored = co_await m_records.find(submission.id);
-            acceptance = stored ? job_acceptance::Accepted : job_acceptance::Unknown;
+            answer.acceptance = stored ? job_acceptance::Accepted : job_acceptance::Unknown;
         } catch (const platform_unavailable &error) {
             reason = error.what();
         }
     }
-    logEvent(acceptance == job_acceptance::Accepted ? log_level::Info : log_level::Warning,
+    logEvent(answer.acceptance == job_acceptance::Accepted ? log_level::Info : log_level::Warning,
              "job_submitted",
              {{"job", submission.id.text()},
               {"route", submission.route},
               {"version", std::to_string(entry.version)},
               {"items", std::to_string(entry.total)},
-              {"acceptance",
-               acceptance == job_acceptance::Accepted ? "accepted" : (acceptance == job_acceptance::Unknown ? "unknown" : "not_accepted")},
+              {"tokens", std::to_string(tokens)},
+              {"acceptance", std::string(toString(answer.acceptance))},
               {"reason", reason}});
-    co_return acceptance;
+    co_return answer;
 }
 
 task<std::optional<job_entry>> listed_job_service::implementation::lookUp(job_id id)
@@ -291,7 +353,7 @@
     m_implementation->heard(node, now);
 }
 
-task<job_acceptance> listed_job_service::accept(job_submission submission)
+task<submission_answer> listed_job_service::accept(job_submission submission)
 {
     return m_implementation->accept(std::move(submission));
 }
--- a/io/src/serving/running_job.cpp
+++ b/io/src/serving/running_job.cpp
@@ -1,6 +1,7 @@
 #include "running_job.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace banyan {
@@ -57,6 +58,19 @@
     }
 }
 
+std::uint64_t running_job::tokensLeftAfter(std::size_t count) const
+{
+    std::set<std::string> done;
+    for (std::size_t position = 0; position < count; ++position) {
+        done.insert(results[position].item);
+    }
+    std::uint64_t tokens = 0;
+    for (const job_item &item : items) {
+        tokens += done.contains(item.id) ? 0 : item.tokens;
+    }
+    return tokens;
+}
+
 void running_job::stop()
 {
     stopped = true;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -49,6 +49,9 @@
     /// Takes in that these checkpoints are stored.
     void checkpointed(const std::vector<item_checkpoint> &checkpoints);
 
+    /// Tokens of the items that have no result among the first @p count.
+    [[nodiscard]] std::uint64_t tokensLeftAfter(std::size_t count) const;
+
     /// Stops all items in flight.
     void stop();
 
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -278,6 +278,7 @@
     root.setEnded(entry.ended);
     root.setComplete(entry.complete);
     root.setItemsInObject(entry.itemsInObject);
+    root.setTokensLeft(entry.tokensLeft);
     return packed(message);
 }
 
@@ -289,6 +290,7 @@
                          .host = textOf(root.getHost()),
                          .submittedAt = time_point(duration(root.getSubmittedAt())),
                          .total = root.getTotal(),
+                         .tokensLeft = root.getTokensLeft(),
                          .owner = node_id(textOf(root.getOwner())),
                          .ended = root.getEnded(),
                          .complete = root.getComplete(),
@@ -306,6 +308,7 @@
         list[index].setId(item.id);
         list[index].setPath(item.path);
         list[index].setBody(dataOf(item.body));
+        list[index].setTokens(item.tokens);
         auto fields = list[index].initFields(static_cast<unsigned>(item.fields.size()));
         for (unsigned field = 0; field < item.fields.size(); ++field) {
             fields[field].setName(item.fields[field].first);
@@ -320,7 +323,11 @@
     return unpacked<schema::JobItems>(bytes, [](schema::JobItems::Reader root) {
         std::vector<job_item> items;
         for (const auto entry : root.getItems()) {
-            job_item item{.id = textOf(entry.getId()), .path = textOf(entry.getPath()), .fields = {}, .body = bytesOf(entry.getBody())};
+            job_item item{.id = textOf(entry.getId()),
+                          .path = textOf(entry.getPath()),
+                          .fields = {},
+                          .body = bytesOf(entry.getBody()),
+                          .tokens = entry.getTokens()};
             for (const auto field : entry.getFields()) {
                 item.fields.emplace_back(textOf(field.getName()), textOf(field.getValue()));
             }
@@ -330,6 +337,29 @@
     });
 }
 
+std::string encode(const std::vector<quota_holding> &holdings)
+{
+    capnp::MallocMessageBuilder message;
+    auto list = message.initRoot<schema::QuotaHoldings>().initHoldings(static_cast<unsigned>(holdings.size()));
+    for (unsigned index = 0; index < holdings.size(); ++index) {
+        list[index].setJob(holdings[index].job.text());
+        list[index].setTokens(holdings[index].tokens);
+        list[index].setClaim(holdings[index].claim);
+    }
+    return packed(message);
+}
+
+std::optional<std::vector<quota_holding>> decodeQuotaHoldings(std::string_view bytes)
+{
+    return unpacked<schema::QuotaHoldings>(bytes, [](schema::QuotaHoldings::Reader root) {
+        std::vector<quota_holding> holdings;
+        for (const auto entry : root.getHoldings()) {
+            holdings.push_back({.job = job_id(textOf(entry.getJob())), .tokens = entry.getTokens(), .claim = entry.getClaim()});
+        }
+        return holdings;
+    });
+}
+
 std::string encode(const item_checkpoint &checkpoint)
 {
     capnp::MallocMessageBuilder message;
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -81,11 +81,27 @@
         m_historyLost = true;
         co_return;
     }
+    take(changes);
+    co_await sleep(m_options.pause);
+}
+
+void table_follower::take(const table_changes &changes)
+{
     m_version = std::max(m_version, changes.version);
     for (const table_row &row : changes.rows) {
         m_observer.onChange(row);
     }
-    co_await sleep(m_options.pause);
+}
+
+task<> table_follower::refresh()
+{
+    if (!isCurrent()) {
+        co_return; // The regular calls read the whole table next.
+    }
+    const table_changes changes = co_await m_store.changes(m_options.table, m_version, duration(0));
+    if (!changes.historyLost) {
+        take(changes);
+    }
 }
 
 task<> table_follower::sleep(duration time)
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-std::shared_ptr<const route_table> jobRoutes()
+constexpr std::uint64_t tokensOfItem = 100;
+
+std::shared_ptr<const route_table> jobRoutes(std::uint64_t waitingTokens = 0)
 {
     return std::make_shared<const route_table>(serving_configuration{.version = 1,
                                                                      .routes = {{.name = "jobs",
@@ -25,6 +27,7 @@
                                                                                  .services = {{.service = service_name("s")}},
                                                                                  .maximumAttempts = 2,
                                                                                  .completionWindow = 18s,
+                                                                                 .maximumWaitingTokens = waitingTokens,
                                                                                  .retention = 60s}}});
 }
 
@@ -47,7 +50,8 @@
     {
         job_submission result{.id = job_id(id), .route = "jobs", .host = "h"};
         for (int number = 0; number < items; ++number) {
-            result.items.push_back({.id = id + "-" + std::to_string(number), .path = "/j/1", .fields = {}, .body = "question"});
+            result.items.push_back(
+                {.id = id + "-" + std::to_string(number), .path = "/j/1", .fields = {}, .body = "question", .tokens = tokensOfItem});
         }
         return result;
     }
@@ -57,7 +61,8 @@
         job_acceptance acceptance = job_acceptance::Unknown;
         run([&]() -> task<> {
             job_submission job = submission(id, items);
-            acceptance = co_await by.accept(std::move(job));
+            const submission_answer answer = co_await by.accept(std::move(job));
+            acceptance = answer.acceptance;
         });
         return acceptance;
     }
@@ -328,8 +333,8 @@
     job.items.front().body = std::string(200000, 'x') + std::string(1, '\0') + "end";
     fixture.run([&]() -> task<> {
         job_submission copy = job;
-        const job_acceptance acceptance = co_await fixture.service->accept(std::move(copy));
-        CHECK(acceptance == job_acceptance::Accepted);
+        const submission_answer answer = co_await fixture.service->accept(std::move(copy));
+        CHECK(answer.acceptance == job_acceptance::Accepted);
     });
     const auto other = fixture.makeService(fixture.addNode());
     for (listed_job_service *const service : {fixture.service.get(), other.get()}) {
@@ -465,3 +470,77 @@
     fixture.pass(50ms); // Some intervals between checkpoints.
     CHECK(fixture.checkpoints() == 0);
 }
+
+TEST_CASE("listed_job_service takes jobs up to the quota of their route over all nodes, and again once items have results")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    const auto other = fixture.makeService(fixture.addNode());
+    for (listed_job_service *const service : {fixture.service.get(), other.get()}) {
+        service->configure(jobRoutes(3 * tokensOfItem));
+        service->start();
+    }
+    fixture.pass(20ms); // Both have read the table of jobs.
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    CHECK(fixture.accept(*other, "j2", 2) == job_acceptance::OverQuota);
+    CHECK(fixture.accept(*other, "j3", 1) == job_acceptance::Accepted);
+    CHECK(fixture.accept(*fixture.service, "j4", 1) == job_acceptance::OverQuota);
+    CHECK(fixture.accept(*other, "j1", 2) == job_acceptance::Accepted); // Sent again.
+
+    fixture.setUpstreams({&upstream});
+    (void)fixture.awaitResults(*fixture.service, "j1", 2);
+    const auto acceptedAgain = [&] {
+        return fixture.accept(*other, "j2", 2) == job_acceptance::Accepted;
+    };
+    while (!acceptedAgain()) {
+        fixture.pass(20ms);
+    }
+    CHECK(fixture.results(*other, "j4").state == lookup_state::Missing);
+}
+
+TEST_CASE("listed_job_service gives a quota back that a job held which was not recorded or was ended")
+{
+    job_fixture fixture;
+    const auto other = fixture.makeService(fixture.addNode());
+    for (listed_job_service *const service : {fixture.service.get(), other.get()}) {
+        service->configure(jobRoutes(2 * tokensOfItem));
+        service->start();
+    }
+    fixture.pass(20ms);
+    fixture.store.refusedTable = "jobs";
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::NotAccepted);
+    fixture.store.refusedTable.clear();
+    while (fixture.accept(*other, "j2", 2) != job_acceptance::Accepted) {
+        fixture.pass(20ms);
+    }
+    lookup_state ended = lookup_state::NotSure;
+    fixture.run([&]() -> task<> {
+        ended = co_await fixture.service->end(job_id("j2"));
+    });
+    CHECK(ended == lookup_state::Found);
+    while (fixture.accept(*other, "j3", 2) != job_acceptance::Accepted) {
+        fixture.pass(20ms);
+    }
+}
+
+TEST_CASE("listed_job_service neither takes a job nor keeps its client waiting while the store cannot set its tokens aside")
+{
+    job_fixture fixture;
+    fixture.service->configure(jobRoutes(2 * tokensOfItem));
+    fixture.store.down = true;
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::NotAccepted);
+    fixture.store.down = false;
+    fixture.store.loseAnswers = 1;
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+}
+
+TEST_CASE("listed_job_service begins to count jobs from before a quota when their route gets one")
+{
+    job_fixture fixture;
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    CHECK(fixture.accept(*fixture.service, "j1", 2) == job_acceptance::Accepted);
+    other->configure(jobRoutes(2 * tokensOfItem));
+    fixture.pass(20ms);
+    CHECK(fixture.accept(*other, "j2", 1) == job_acceptance::OverQuota);
+}
--- a/tests/unit/serving/memory_store.h
+++ b/tests/unit/serving/memory_store.h
@@ -8,7 +8,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <string>
 
 namespace banyan::tests {
 
@@ -24,6 +26,7 @@
     bool down = false; ///< Nothing is done.
     int loseAnswers = 0; ///< So many commits take effect without an answer.
     int loseCommits = 0; ///< So many commits get no answer and take no effect.
+    std::string refusedTable; ///< Nothing is written to it.
     std::vector<duration> waits; ///< Of the calls for changes.
     standins::memory_tables tables;
 
@@ -32,6 +35,11 @@
         table_store store;
         store.commit = [this](table_transaction change) -> task<table_commit> {
             check();
+            if (std::any_of(change.writes.begin(), change.writes.end(), [this](const table_write &write) {
+                    return write.name.table == refusedTable;
+                })) {
+                throw platform_unavailable("this table takes no writes");
+            }
             if (loseCommits > 0) {
                 --loseCommits;
                 throw platform_outcome_unknown("lost on the way");
