--- a/bench/common/site_model.cpp
+++ b/bench/common/site_model.cpp
@@ -16,6 +16,9 @@
 constexpr double wholeAnswerSpread = 0.5;
 constexpr double batchSpread = 0.25;
 constexpr double streamSpread = 0.4; // The sheets say 0.57, cut at 1.6 times the mean.
+constexpr double verigaOnlineTokens = 224;
+constexpr double verigaBatchTokens = 1536;
+constexpr load_shape verigaShape{.low = 0.377, .burst = 1.84, .lowTime = 3800ms, .burstTime = 2800ms};
 constexpr load_shape burstShape{.low = 0.383, .burst = 1.87, .lowTime = 3400ms, .burstTime = 2400ms};
 
 service_model languageModel(std::string name, std::size_t upstreams, std::uint32_t slots, std::vector<double> speeds)
@@ -67,8 +70,30 @@
     return {.rate = rate, .firstByteSteps = firstByteSteps, .tokens = batchTokens, .tokenSpread = batchSpread, .window = 18s};
 }
 
+site_model veriga()
+{
+    site_model site{.name = "veriga",
+                    .nodes = 12,
+                    .services = {languageModel("assistant-llm", 12, 8, {1}), application("billing-app", 3)},
+                    .classes = {streams("wax-advice", 44.9, 6.4, 0.95),
+                                streams("parcel-help", 10.9, 6.4, 0.95),
+                                wholeAnswers("charge-confirm", 15.5, 15, 100ms, 600ms, 0.3)},
+                    .jobs = jobs(0.686),
+                    .shape = verigaShape};
+    site.services[0].stepTime = 3200us;
+    site.classes[0].tokens = verigaOnlineTokens;
+    site.classes[1].tokens = verigaOnlineTokens;
+    site.jobs->tokens = verigaBatchTokens;
+    return site;
+}
+
 } // namespace
 
+double job_model::rateAt(time_point when) const
+{
+    return when >= burstFrom && when < burstUntil ? rate * burst : rate;
+}
+
 double load_shape::factorAt(time_point when) const
 {
     return isBurst(when) ? burst : low;
@@ -122,12 +147,34 @@
                 .jobs = jobs(3.94),
                 .shape = burstShape};
     }
+    if (name == "niebla-large") {
+        return {.name = "niebla-large",
+                .nodes = 295,
+                .services = {languageModel("asesor", 163, 7, {1}), application("pedidos", 5)},
+                .classes = {streams("stock-check", 642, 1.4, 0.21),
+                            streams("price-check", 217, 1.4, 0.21),
+                            wholeAnswers("order-confirm", 278, 30, 200ms, 1200ms, 0.5)},
+                .jobs = jobs(10.7),
+                .shape = burstShape};
+    }
+    if (name == "veriga") {
+        return veriga();
+    }
+    if (name == "veriga-jobs") {
+        site_model site = veriga();
+        site.name = name;
+        site.jobs->burst = 30;
+        site.jobs->burstFrom = time_point(8s);
+        site.jobs->burstUntil = time_point(15s);
+        return site;
+    }
     throw std::invalid_argument("expected the name of a site, found \"" + std::string(name) + "\"");
 }
 
 const std::vector<std::string> &siteNames()
 {
-    static const std::vector<std::string> names{"niebla", "nekomori", "niebla-grown", "nekomori-grown"};
+    static const std::vector<std::string> names{
+        "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large", "veriga", "veriga-jobs"};
     return names;
 }
 
--- a/bench/common/site_model.h
+++ b/bench/common/site_model.h
@@ -51,6 +51,12 @@
     double tokenSpread = 0; ///< Standard deviation over the mean.
     duration window{}; ///< In which all items of a job are due.
     std::uint32_t priority = 2;
+    double burst = 1; ///< Times the rate, while a burst of jobs lasts.
+    time_point burstFrom;
+    time_point burstUntil;
+
+    /// Jobs a second at @p when.
+    [[nodiscard]] double rateAt(time_point when) const;
 };
 
 /// How the online rate changes: low first, then a burst, again and again.
@@ -81,7 +87,8 @@
     duration nodeDelay = std::chrono::microseconds(700); ///< One way, between nodes and to upstreams.
 };
 
-/// The sites of the milestones by name: "niebla", "nekomori", "niebla-grown", "nekomori-grown". The figures are those of
+/// The sites of the milestones by name: "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large",
+/// "veriga", and "veriga-jobs" with a burst of jobs up to its quota. The figures are those of
 /// the users' sheets. @throws std::invalid_argument for another name
 [[nodiscard]] site_model siteNamed(std::string_view name);
 
--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -276,12 +276,19 @@
 
 void site_simulation::scheduleJob()
 {
-    std::exponential_distribution<double> gap(m_site.jobs->rate);
+    const double highest = m_site.jobs->rate * std::max(1.0, m_site.jobs->burst);
+    std::exponential_distribution<double> gap(highest);
     const time_point next = m_loop.now() + seconds(gap(m_arrivals));
     if (next >= time_point(m_options.length)) {
         return;
     }
-    m_loop.at(next, [this] {
+    m_loop.at(next, [this, highest] {
+        const bool isThinned =
+            m_site.jobs->burst > 1 && std::uniform_real_distribution<double>()(m_arrivals) * highest >= m_site.jobs->rateAt(m_loop.now());
+        if (isThinned) {
+            scheduleJob();
+            return;
+        }
         const auto items = std::max<std::int64_t>(
             1, std::lround(std::normal_distribution<double>(m_site.jobs->items, 0.4 * m_site.jobs->items)(m_arrivals)));
         const bool isOwed = counts(m_loop.now());
--- a/core/include/banyan/core/serving/quota_holding.h
+++ b/core/include/banyan/core/serving/quota_holding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/time.h"
 
 #include <compare>
 #include <cstdint>
@@ -12,6 +13,7 @@
 {
     job_id job;
     std::uint64_t tokens = 0; ///< Of its items without a result, when the holding was written.
+    duration heldSince{}; ///< By the store's clock, which is the same for all nodes.
     std::uint64_t claim = 0; ///< Tells submissions of the same job apart: the one that holds the tokens may give them back.
 
     auto operator<=>(const quota_holding &) const = default;
--- a/core/include/banyan/core/serving/waiting_quota.h
+++ b/core/include/banyan/core/serving/waiting_quota.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,7 +28,7 @@
 /// Load pattern: bursts of jobs at many nodes at once, far beyond what the upstreams finish. The holdings of all jobs lie in one
 /// row of the store, which is only written under the condition that it has not changed, so that no two nodes give away the same
 /// tokens. Tokens come back without a write: each node leaves out what it knows to be finished from the jobs' own rows. Those
-/// may be late, in which case too much is counted, never too little.
+/// may be late, in which case too much is counted, never too little. The present time of a decision is the store's.
 class waiting_quota
 {
 public:
@@ -40,6 +39,7 @@
     {
         std::uint64_t limit = 0; ///< Tokens that may wait.
         std::vector<quota_holding> stored; ///< The holdings as they are in the store.
+        duration storeTime{}; ///< The present time by the store's clock.
         const job_directory &jobs;
         bool jobsCurrent = false; ///< The directory is not behind the store by more than its usual delay.
     };
@@ -54,7 +54,7 @@
 
     /// Decides on jobs in their order; one that does not fit leaves room for smaller ones after it. A job that is counted already
     /// fits, and the holding becomes that of its latest submission.
-    [[nodiscard]] decision decide(const situation &at, const std::vector<quota_holding> &wanted, time_point now);
+    [[nodiscard]] decision decide(const situation &at, const std::vector<quota_holding> &wanted) const;
 
     /// Takes in that items with so many tokens have got their results.
     void finished(std::uint64_t tokens, time_point now);
@@ -65,13 +65,11 @@
     comeBackAfter(std::uint64_t limit, std::uint64_t waiting, std::uint64_t tokens, time_point now, std::mt19937_64 &generator);
 
 private:
-    [[nodiscard]] std::vector<quota_holding> stillHeld(const situation &at, time_point now);
-    [[nodiscard]] bool isForgotten(const job_id &job, bool jobsCurrent, time_point now);
+    [[nodiscard]] std::vector<quota_holding> stillHeld(const situation &at) const;
     void trim(std::vector<quota_holding> &holdings, const job_directory &jobs) const;
     void forgetOld(time_point now);
 
     waiting_quota_options m_options;
-    std::map<job_id, time_point> m_unrecordedSince; ///< When a holding whose job is not recorded was first seen.
     std::deque<std::pair<time_point, std::uint64_t>> m_finished;
     std::uint64_t m_finishedTokens = 0; ///< Sum over m_finished.
 };
--- a/core/src/serving/waiting_quota.cpp
+++ b/core/src/serving/waiting_quota.cpp
@@ -5,6 +5,7 @@
 #include "banyan/core/serving/job_entry.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace banyan {
@@ -45,9 +46,9 @@
 {
 }
 
-waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<quota_holding> &wanted, time_point now)
+waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<quota_holding> &wanted) const
 {
-    decision result{.fits = {}, .holdings = stillHeld(at, now), .waiting = 0};
+    decision result{.fits = {}, .holdings = stillHeld(at), .waiting = 0};
     std::map<job_id, std::uint64_t> counted = tokensByJob(m_options.route, result.holdings, at.jobs);
     result.waiting = sumOf(counted);
     for (const quota_holding &job : wanted) {
@@ -58,6 +59,7 @@
             continue;
         }
         quota_holding holding = job;
+        holding.heldSince = at.storeTime;
         if (known == counted.end()) {
             counted.emplace(job.job, job.tokens);
             result.waiting += job.tokens;
@@ -73,39 +75,24 @@
     return result;
 }
 
-/// The holdings of jobs that have not ended, with the tokens that their jobs still need.
-std::vector<quota_holding> waiting_quota::stillHeld(const situation &at, time_point now)
+/// The holdings of jobs that have not ended, with the tokens that their jobs still need. A holding that has gone so long without
+/// its job being recorded that it never will be is left out.
+std::vector<quota_holding> waiting_quota::stillHeld(const situation &at) const
 {
     std::vector<quota_holding> result;
-    std::map<job_id, time_point> unrecorded;
     for (quota_holding holding : at.stored) {
         if (const job_entry *const entry = at.jobs.find(holding.job)) {
             if (entry->isOpen()) {
                 holding.tokens = std::min(holding.tokens, entry->tokensLeft);
                 result.push_back(std::move(holding));
             }
-        } else {
-            const bool isForgotten = this->isForgotten(holding.job, at.jobsCurrent, now);
-            unrecorded.emplace(holding.job, m_unrecordedSince.at(holding.job));
-            if (!isForgotten) {
-                result.push_back(std::move(holding));
-            }
+        } else if (!at.jobsCurrent || at.storeTime - holding.heldSince < m_options.unrecordedLifetime) {
+            result.push_back(std::move(holding));
         }
     }
-    m_unrecordedSince = std::move(unrecorded);
     return result;
 }
 
-/// Whether a holding has gone so long without its job being recorded that it never will be.
-bool waiting_quota::isForgotten(const job_id &job, bool jobsCurrent, time_point now)
-{
-    const auto since = m_unrecordedSince.try_emplace(job, now).first;
-    if (!jobsCurrent) {
-        since->second = now;
-    }
-    return now - since->second >= m_options.unrecordedLifetime;
-}
-
 /// Leaves out the oldest holdings of recorded jobs beyond the row's room: these jobs are counted by their own rows.
 void waiting_quota::trim(std::vector<quota_holding> &holdings, const job_directory &jobs) const
 {
--- a/io/include/banyan/io/serving/table_store.h
+++ b/io/include/banyan/io/serving/table_store.h
@@ -19,6 +19,7 @@
     std::vector<table_row> rows;
     bool more = false; ///< Rows follow the last one.
     row_version version = 0; ///< The newest of the store at that moment; changes after it can be followed.
+    duration storeTime{}; ///< That moment by the store's clock, which only goes forward.
 };
 
 /// Which rows of a part to read.
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -119,6 +119,7 @@
   job @0 :Text;
   tokens @1 :UInt64;
   claim @2 :UInt64;
+  heldSince @3 :Int64;            # Microseconds by the store's clock.
 }
 
 struct QuotaHoldings {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -266,7 +266,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a75c7083340b8943, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a75c7083340b8943, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1852,6 +1852,8 @@
 
   inline  ::uint64_t getClaim() const;
 
+  inline  ::int64_t getHeldSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1893,6 +1895,9 @@
   inline  ::uint64_t getClaim();
   inline void setClaim( ::uint64_t value);
 
+  inline  ::int64_t getHeldSince();
+  inline void setHeldSince( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3976,6 +3981,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t QuotaHolding::Reader::getHeldSince() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaHolding::Builder::getHeldSince() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaHolding::Builder::setHeldSince( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaHoldings::Reader::hasHoldings() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/quota_reservations.cpp
+++ b/io/src/serving/quota_reservations.cpp
@@ -64,6 +64,8 @@
     std::vector<quota_holding> released; ///< To be taken out of the stored holdings.
     std::vector<quota_holding> holdings; ///< As stored, if isRead.
     row_version version = 0;
+    duration storeTime{}; ///< Of the last reading, by the store's clock.
+    time_point readAt; ///< The same by this node's.
     bool isRead = false;
     time_point refreshedAt; ///< When holdings and directory were last brought up to date.
     bool isServed = false;
@@ -186,9 +188,12 @@
     for (const auto &submission : queue.waiting) {
         wanted.push_back(submission->wanted);
     }
-    const waiting_quota::situation at{
-        .limit = queue.limit, .stored = std::move(stored), .jobs = m_ports.jobs, .jobsCurrent = m_ports.jobsCurrent()};
-    return queue.quota.decide(at, wanted, currentTime());
+    const waiting_quota::situation at{.limit = queue.limit,
+                                      .stored = std::move(stored),
+                                      .storeTime = queue.storeTime + (currentTime() - queue.readAt),
+                                      .jobs = m_ports.jobs,
+                                      .jobsCurrent = m_ports.jobsCurrent()};
+    return queue.quota.decide(at, wanted);
 }
 
 task<> quota_reservations::readHoldings(std::shared_ptr<route_queue> queue)
@@ -196,6 +201,8 @@
     const table_key row = rowOf(queue->route);
     table_range range{.table = row.table, .part = row.part, .from = row.key, .to = row.key + '\0', .limit = 1};
     const table_page page = co_await m_ports.store.read(std::move(range));
+    queue->storeTime = page.storeTime;
+    queue->readAt = currentTime();
     queue->holdings.clear();
     queue->version = 0;
     if (!page.rows.empty()) {
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -345,6 +345,7 @@
         list[index].setJob(holdings[index].job.text());
         list[index].setTokens(holdings[index].tokens);
         list[index].setClaim(holdings[index].claim);
+        list[index].setHeldSince(holdings[index].heldSince.count());
     }
     return packed(message);
 }
@@ -354,7 +355,10 @@
     return unpacked<schema::QuotaHoldings>(bytes, [](schema::QuotaHoldings::Reader root) {
         std::vector<quota_holding> holdings;
         for (const auto entry : root.getHoldings()) {
-            holdings.push_back({.job = job_id(textOf(entry.getJob())), .tokens = entry.getTokens(), .claim = entry.getClaim()});
+            holdings.push_back({.job = job_id(textOf(entry.getJob())),
+                                .tokens = entry.getTokens(),
+                                .heldSince = duration(entry.getHeldSince()),
+                                .claim = entry.getClaim()});
         }
         return holdings;
     });
--- a/tests/unit/serving/waiting_quota_test.cpp
+++ b/tests/unit/serving/waiting_quota_test.cpp
@@ -14,7 +14,7 @@
 
 quota_holding holding(const std::string &job, std::uint64_t tokens)
 {
-    return {.job = job_id(job), .tokens = tokens, .claim = 1};
+    return {.job = job_id(job), .tokens = tokens, .heldSince = 1h, .claim = 1};
 }
 
 job_entry entryOf(const std::string &job, std::uint64_t tokensLeft, row_version version = 1)
@@ -31,9 +31,9 @@
     std::uint64_t limit = 100;
     bool jobsCurrent = true;
 
-    waiting_quota::decision decide(const std::vector<quota_holding> &wanted, time_point now = start)
+    waiting_quota::decision decide(const std::vector<quota_holding> &wanted, duration storeTime = 1h)
     {
-        return quota.decide({.limit = limit, .stored = stored, .jobs = jobs, .jobsCurrent = jobsCurrent}, wanted, now);
+        return quota.decide({.limit = limit, .stored = stored, .storeTime = storeTime, .jobs = jobs, .jobsCurrent = jobsCurrent}, wanted);
     }
 };
 
@@ -106,12 +106,10 @@
 {
     quota_fixture fixture;
     fixture.stored = {holding("a", 60)};
-    REQUIRE(fixture.decide({holding("b", 50)}).fits == std::vector<bool>{false});
+    CHECK(fixture.decide({holding("b", 50)}, 1h + 9s).fits == std::vector<bool>{false});
+    CHECK(fixture.decide({holding("b", 50)}, 1h + 10s).fits == std::vector<bool>{true});
     fixture.jobsCurrent = false;
-    CHECK(fixture.decide({holding("b", 50)}, start + 9s).fits == std::vector<bool>{false});
-    fixture.jobsCurrent = true;
-    CHECK(fixture.decide({holding("b", 50)}, start + 18s).fits == std::vector<bool>{false});
-    CHECK(fixture.decide({holding("b", 50)}, start + 19s).fits == std::vector<bool>{true});
+    CHECK(fixture.decide({holding("b", 50)}, 1h + 10s).fits == std::vector<bool>{false});
 }
 
 TEST_CASE("waiting_quota keeps its holdings within a row and counts the jobs of the others by their rows")
