--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -153,6 +153,9 @@
 {
     json::array routes = {
         routeJson("safe", "safe"), routeJson("once", "unsafe"), routeJson("stream", "streaming"), routeJson("jobs", "bulk")};
+    json::object limited = routeJson("limited", "bulk");
+    limited["cap"] = limitedTokens;
+    routes.push_back(std::move(limited));
     if (version > 1) {
         routes.push_back(routeJson("added", "safe"));
     }
@@ -193,19 +196,19 @@
     return call(callers(gateway), request);
 }
 
-http_response gateway_fleet::submitJob(std::size_t gateway, const std::string &id, int items) const
+http_response gateway_fleet::submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix) const
 {
     json::array list;
     for (int number = 0; number < items; ++number) {
         list.push_back(json::object{{"id", id + "-" + std::to_string(number)},
-                                    {"path", "/jobs/run"},
+                                    {"path", prefix + "run"},
                                     {"headers", json::object{{"Model", "m"}}},
                                     {"body", "cXVlc3Rpb24="},
-                                    {"tokens", 100}});
+                                    {"tokens", tokensOfItem}});
     }
     return call(callers(gateway),
                 {.method = "POST",
-                 .target = "/jobs/" + id,
+                 .target = prefix + id,
                  .fields = {{"Request-Id", id}, {"Content-Type", "application/json"}},
                  .body = json::serialize(json::object{{"items", list}})});
 }
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -17,7 +17,7 @@
 namespace banyan::process_tests {
 
 /// A store, replicas and gateways as processes, speaking the users' protocols, with a route of each kind: "/safe/",
-/// "/once/", "/stream/" (resumable) and "/jobs/" of the host "test".
+/// "/once/", "/stream/" (resumable), "/jobs/", and "/limited/" for jobs with a quota, of the host "test".
 class gateway_fleet
 {
 public:
@@ -30,6 +30,9 @@
         std::function<endpoint(const endpoint &)> route;
     };
 
+    static constexpr int tokensOfItem = 100;
+    static constexpr int limitedTokens = 300; ///< That may wait on the route "/limited/".
+
     explicit gateway_fleet(const options &wanted);
     ~gateway_fleet();
 
@@ -56,7 +59,9 @@
     /// Sends a request to a gateway.
     [[nodiscard]] http_response
     send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more = {}) const;
-    [[nodiscard]] http_response submitJob(std::size_t gateway, const std::string &id, int items) const;
+    /// Each item counts tokensOfItem.
+    [[nodiscard]] http_response
+    submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix = "/jobs/") const;
     [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
     /// How often a request has run, at all replicas that live.
     [[nodiscard]] int runsOf(const std::string &id) const;
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -181,3 +181,23 @@
     CHECK(slow.closedByPeer());
     CHECK(fleet.send(0, "/safe/1", "after").status == 200);
 }
+
+TEST_CASE("gateways keep a quota of jobs together and give it back, also when one of them is killed")
+{
+    gateway_fleet fleet({.gateways = 3, .replicas = 2, .replicaArguments = {"--events", "20", "--event-ms", "100"}});
+    REQUIRE(fleet.submitJob(0, "q1", 2, "/limited/").status == 202);
+    const http_response refused = fleet.submitJob(1, "q2", 2, "/limited/");
+    CHECK(refused.status == 429);
+    CHECK(std::stod(refused.field("Retry-After")) > 0);
+    CHECK(fleet.submitJob(2, "q3", 1, "/limited/").status == 202);
+    CHECK(fleet.submitJob(1, "q4", 1, "/limited/").status == 429);
+    CHECK(fleet.submitJob(1, "q1", 2, "/limited/").status == 202); // Sent again.
+    CHECK(fleet.submitJob(1, "j1", 5).status == 202); // Another route.
+    fleet.gatewayProcess(0).signal(SIGKILL);
+    CHECK(eventually([&] {
+        return fleet.submitJob(1, "q5", 3, "/limited/").status == 202;
+    }));
+    CHECK(resultsOf(fleet.readJob(1, "q1")) == 2);
+    CHECK(resultsOf(fleet.readJob(1, "q3")) == 1);
+    CHECK(fleet.readJob(2, "q2").at("status").to_number<int>() == 404);
+}
