--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -11,6 +11,8 @@
 
 namespace banyan {
 
+class report_hubs;
+
 /// Options of a job_directory.
 struct job_directory_options
 {
@@ -43,6 +45,9 @@
     /// Replaces the nodes that are registered. One that was and is not any more has ended, whenever it was last heard.
     void setRegistered(const std::set<node_id> &nodes);
 
+    /// Says which nodes hear all others; the rest go by registrations alone.
+    void setHubs(const report_hubs &hubs);
+
     /// Open jobs that this node should take over now, the oldest first.
     [[nodiscard]] std::vector<job_entry> toTakeOver(time_point now);
 
@@ -58,12 +63,15 @@
 private:
     [[nodiscard]] bool lives(const node_id &owner, time_point now) const;
     [[nodiscard]] duration patienceWith(const node_id &owner) const;
-    [[nodiscard]] bool isFirstChoice(const job_id &id, time_point now) const;
+    [[nodiscard]] bool hearsAll() const;
+    [[nodiscard]] bool isCandidate(const node_id &node, const job_entry &job, time_point now) const;
+    [[nodiscard]] bool isFirstChoice(const job_entry &job, time_point now) const;
 
     job_directory_options m_options;
     std::map<job_id, job_entry> m_jobs;
     std::map<node_id, time_point> m_heardAt;
     std::set<node_id> m_registered;
+    std::optional<std::set<node_id>> m_hubs; ///< None while all nodes hear all.
     std::set<node_id> m_ended; ///< Were registered once.
     std::map<job_id, time_point> m_orphanedAt; ///< When this node first saw the job without a living owner.
 };
--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -22,6 +22,9 @@
     /// @p memory is how long a node is known after its last report, @p usageMemory how long the work counts that it reported.
     explicit load_board(duration memory, duration usageMemory = duration::max());
 
+    /// Changes how long reported work counts.
+    void setUsageMemory(duration usageMemory);
+
     /// Takes in a report; one that is older than the last of its sender is ignored. Returns whether it was taken.
     bool reported(const node_load &load, time_point now);
 
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -1,5 +1,7 @@
 #include "banyan/core/serving/job_directory.h"
 
+#include "banyan/core/serving/report_hubs.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -57,11 +59,25 @@
     m_registered = nodes;
 }
 
+void job_directory::setHubs(const report_hubs &hubs)
+{
+    m_hubs = hubs.isMesh() ? std::nullopt : std::optional(hubs.hubs());
+}
+
+/// Whether a node's silence says that it has gone.
+bool job_directory::hearsAll() const
+{
+    return !m_hubs || m_hubs->contains(m_options.self);
+}
+
 bool job_directory::lives(const node_id &owner, time_point now) const
 {
     if (owner == m_options.self) {
         return true;
     }
+    if (!hearsAll() && !m_hubs->contains(owner)) {
+        return m_registered.contains(owner);
+    }
     const auto heardAt = m_heardAt.find(owner);
     return !m_ended.contains(owner) && heardAt != m_heardAt.end() && now - heardAt->second < m_options.ownerSilence;
 }
@@ -73,12 +89,28 @@
     return m_registered.contains(owner) && !m_heardAt.contains(owner) ? m_options.ownerSilence : duration(0);
 }
 
-/// Whether no other living node has a higher rendezvous weight for the job.
-bool job_directory::isFirstChoice(const job_id &id, time_point now) const
+/// Whether a node may be the first to take over a job that has no living owner. Only hubs know of an owner that has fallen silent.
+bool job_directory::isCandidate(const node_id &node, const job_entry &job, time_point now) const
+{
+    if (!m_hubs) {
+        return lives(node, now);
+    }
+    const bool allKnow = !m_registered.contains(job.owner);
+    return allKnow || (m_hubs->contains(node) && lives(node, now));
+}
+
+/// Whether no other candidate has a higher rendezvous weight for the job.
+bool job_directory::isFirstChoice(const job_entry &job, time_point now) const
 {
-    const std::uint64_t own = weightOf(id, m_options.self);
+    const std::uint64_t own = weightOf(job.id, m_options.self);
+    const auto goesBefore = [&](const node_id &node) {
+        return node != m_options.self && weightOf(job.id, node) > own && isCandidate(node, job, now);
+    };
+    if (m_hubs) {
+        return std::none_of(m_registered.begin(), m_registered.end(), goesBefore);
+    }
     return std::none_of(m_heardAt.begin(), m_heardAt.end(), [&](const auto &entry) {
-        return entry.first != m_options.self && lives(entry.first, now) && weightOf(id, entry.first) > own;
+        return goesBefore(entry.first);
     });
 }
 
@@ -93,7 +125,8 @@
         const time_point since = m_orphanedAt.try_emplace(id, now).first->second;
         const duration patience = patienceWith(entry.owner);
         const bool isDue = now - since >= patience;
-        if (isDue && (isFirstChoice(id, now) || now - since >= patience + m_options.secondChoice)) {
+        const bool isSecondChoice = hearsAll() && now - since >= patience + m_options.secondChoice;
+        if (isDue && (isSecondChoice || isFirstChoice(entry, now))) {
             result.push_back(entry);
         }
     }
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -10,6 +10,11 @@
 {
 }
 
+void load_board::setUsageMemory(duration usageMemory)
+{
+    m_usageMemory = std::min(m_memory, usageMemory);
+}
+
 bool load_board::reported(const node_load &load, time_point now)
 {
     const auto entry = m_reports.find(load.sender);
--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -20,6 +20,7 @@
     endpoint peerListen; ///< Key `peer_listen`: UDP between gateways.
     endpoint metricsListen; ///< Key `metrics_listen`: HTTP for metrics.
     endpoint store; ///< Key `store`: the platform's store.
+    double processorShare = 1; ///< Key `processor_share`: of a core, for this process; stronger VMs place the requests of others.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: from SIGTERM to the end of the process.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
     std::uint32_t logLinesPerSecond = 200; ///< Key `log_lines_per_second`.
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -20,6 +20,7 @@
 namespace banyan {
 
 class node_metrics;
+class report_hubs;
 class slot_broker;
 class upstream_sender;
 
@@ -110,6 +111,9 @@
     /// Replaces the routes, by which items are run.
     void configure(std::shared_ptr<const route_table> table);
 
+    /// Says which nodes hear all others, and so notice that a job's owner has gone.
+    void setHubs(const report_hubs &hubs);
+
     /// Replaces the nodes that are registered.
     void setRegistered(const std::set<node_id> &nodes);
 
--- a/io/include/banyan/io/serving/peer_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -16,11 +16,9 @@
 {
     endpoint listen;
     duration heartbeat = std::chrono::milliseconds(250); ///< Without a change a report is sent after this time.
-    duration shortestInterval = std::chrono::milliseconds(20); ///< Between two reports; grows with the number of peers.
-    duration intervalPerPeer = std::chrono::microseconds(1500); ///< Bounds the datagrams that a node sends and receives in a second.
 };
 
-/// Exchanges datagrams with the other gateways: reports of this node's work to all of them, by itself, and messages to one.
+/// Exchanges datagrams with the other gateways: reports of this node's work by itself, and messages to one.
 class peer_exchange
 {
 public:
@@ -40,6 +38,9 @@
     /// by what its reports say until the next call.
     void setPeers(const std::map<node_id, endpoint> &peers);
 
+    /// Replaces to which of them reports are sent, and the least time between two.
+    void setReports(std::function<bool(const node_id &peer)> reportsTo, duration shortestInterval);
+
     /// Sends a message to one of them, without waiting. It may be lost. Returns false if the node is not known.
     bool send(const node_id &to, const gateway_message &message);
 
--- a/io/include/banyan/io/serving/serving_codec.h
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -20,6 +20,7 @@
 {
     node_id id; ///< Of this start of the process.
     endpoint peerAddress;
+    double processorShare = 1; ///< Of a core.
 
     auto operator<=>(const gateway_entry &) const = default;
 };
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -15,6 +15,7 @@
 
 namespace banyan {
 
+class report_hubs;
 class stop_signal;
 
 /// What a slot_broker works with; all of it must outlive the broker.
@@ -24,6 +25,7 @@
     scheduler_host &scheduler; ///< Of this node.
     load_board &board;
     std::function<bool(const node_id &to, const gateway_message &message)> send; ///< Messages may be lost.
+    const report_hubs *hubs = nullptr; ///< Which nodes may place requests; all, if null.
 };
 
 /// Gets slots for this node's runs, and places those of other nodes for the cells that are this node's to place.
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -84,6 +84,7 @@
   id @0 :Text;
   address @1 :Text;
   port @2 :UInt16;
+  processorShare @3 :Float64 = 1;
 }
 
 struct ItemField {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -191,7 +191,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce39f8408de316ee, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce39f8408de316ee, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1338,6 +1338,8 @@
 
   inline  ::uint16_t getPort() const;
 
+  inline double getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1383,6 +1385,9 @@
   inline  ::uint16_t getPort();
   inline void setPort( ::uint16_t value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3481,6 +3486,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline double GatewayEntry::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+
+inline double GatewayEntry::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+inline void GatewayEntry::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, 4607182418800017408ull);
+}
+
 inline bool ItemField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -3,6 +3,7 @@
 #include "banyan/core/serving/connection_share.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
+#include "banyan/core/serving/report_hubs.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/log.h"
@@ -31,7 +32,6 @@
 namespace {
 
 constexpr duration reportMemory = std::chrono::milliseconds(1500); // Some heartbeats of other gateways.
-constexpr duration usageMemory = std::chrono::milliseconds(600); // Two heartbeats, and a lost datagram.
 constexpr duration registryGrace = std::chrono::seconds(2); // Upstreams that live register again within two seconds of the store's return.
 constexpr duration configurationPause = std::chrono::milliseconds(100);
 constexpr duration replicaPause = std::chrono::milliseconds(200);
@@ -41,6 +41,8 @@
 constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // One look at the board for the reports of many gateways.
 constexpr duration housekeepingInterval = std::chrono::milliseconds(100); // Silent nodes are noticed that much later.
 constexpr duration suspensionNoticed = std::chrono::seconds(1); // A timer that is so late means that the process stood still.
+constexpr duration lostMemory = std::chrono::seconds(1); // Some reports long, so that a lost datagram does no harm.
+constexpr std::size_t mostLostElsewhere = 64; // Bounds the reports; what is left out is reported by its node again.
 const std::string gatewayTable = "gateways";
 
 node_id newIncarnation(const vm_id &vm)
@@ -60,7 +62,8 @@
         , m_platform(std::move(platform))
         , m_self(newIncarnation(settings.vm))
         , m_upstreamClient(upstreamClient)
-        , m_board(reportMemory, usageMemory)
+        , m_hubs({.self = m_self})
+        , m_board(reportMemory, m_hubs.silence())
         , m_registry(registryGrace)
         , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
         , m_slots({.context = context,
@@ -69,7 +72,8 @@
                    .send =
                        [this](const node_id &to, const gateway_message &message) {
                            return m_exchange.send(to, message);
-                       }},
+                       },
+                   .hubs = &m_hubs},
                   m_self,
                   settings.domain)
         , m_sender(upstreamClient, m_platform.protocol)
@@ -114,6 +118,7 @@
     void gatewaysChanged();
     static task<> registerSelf(std::shared_ptr<implementation> self);
     [[nodiscard]] table_key ownRow() const;
+    std::vector<lost_content> lostToReport(time_point now);
     node_load ownLoad();
     void received(const gateway_message &message);
     void loadReported(const node_load &load);
@@ -124,6 +129,7 @@
     node_id m_self;
     http_client &m_upstreamClient;
     node_metrics m_metrics;
+    report_hubs m_hubs;
     load_board m_board;
     replica_registry m_registry;
     scheduler_host m_scheduler;
@@ -139,6 +145,7 @@
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< By row key.
+    std::vector<std::pair<time_point, lost_content>> m_lostElsewhere; ///< To be passed on.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
     bool m_replicasKnown = false;
@@ -316,14 +323,28 @@
 {
     std::set<node_id> registered;
     std::map<node_id, endpoint> peers;
+    std::map<node_id, double> processorShares;
     for (const auto &[key, entry] : m_gateways) {
         registered.insert(entry.id);
+        processorShares.emplace(entry.id, entry.processorShare);
         if (entry.peerAddress != m_peerAddress) {
             peers.emplace(entry.id, entry.peerAddress);
         }
     }
-    logEvent(log_level::Info, "gateways_changed", {{"others", std::to_string(peers.size())}});
+    m_hubs.setRegistered(processorShares);
+    logEvent(log_level::Info,
+             "gateways_changed",
+             {{"others", std::to_string(peers.size())},
+              {"hubs", std::to_string(m_hubs.hubs().size())},
+              {"is_hub", m_hubs.isHub(m_self) ? "true" : "false"}});
+    m_board.setUsageMemory(m_hubs.silence());
+    m_exchange.setReports(
+        [this](const node_id &peer) {
+            return m_hubs.reportsTo(peer);
+        },
+        m_hubs.interval());
     m_exchange.setPeers(peers);
+    m_jobs.setHubs(m_hubs);
     m_jobs.setRegistered(registered);
 }
 
@@ -338,7 +359,9 @@
     for (bool registered = false; !registered && !self->m_stopping;) {
         table_transaction change;
         change.writes.push_back(
-            {.name = self->ownRow(), .value = encode(gateway_entry{.id = self->m_self, .peerAddress = self->m_peerAddress})});
+            {.name = self->ownRow(),
+             .value = encode(gateway_entry{
+                 .id = self->m_self, .peerAddress = self->m_peerAddress, .processorShare = self->m_settings.processorShare})});
         std::string failure;
         try {
             co_await self->m_platform.store.commit(std::move(change));
@@ -358,6 +381,19 @@
     logEvent(log_level::Info, "gateway_registered", {{"node", self->m_self.text()}});
 }
 
+/// What this node has lost itself, and at a hub what it has heard of from nodes that report to hubs only.
+std::vector<lost_content> gateway::implementation::lostToReport(time_point now)
+{
+    std::vector<lost_content> result = m_relay.recentlyLost(now);
+    std::erase_if(m_lostElsewhere, [&](const auto &heard) {
+        return now - heard.first > lostMemory;
+    });
+    for (const auto &[at, lost] : m_lostElsewhere) {
+        result.push_back(lost);
+    }
+    return result;
+}
+
 node_load gateway::implementation::ownLoad()
 {
     const time_point now = currentTime();
@@ -366,7 +402,7 @@
             .usage = m_scheduler.scheduler().usage(now),
             .placing = m_slots.placing(),
             .waitingOnline = m_scheduler.scheduler().waitingByService(),
-            .lost = m_relay.recentlyLost(now),
+            .lost = lostToReport(now),
             .claims = m_slots.claims()};
 }
 
@@ -395,6 +431,9 @@
     m_slots.reported(load);
     for (const lost_content &lost : load.lost) {
         m_relay.lostElsewhere(lost, now);
+        if (!m_hubs.isHub(load.sender) && m_lostElsewhere.size() < mostLostElsewhere) {
+            m_lostElsewhere.emplace_back(now, lost);
+        }
     }
     if (!std::exchange(m_loadChangePending, true)) {
         m_loadChange.expires_after(loadChangeDelay);
@@ -420,7 +459,7 @@
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
     m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
     if (m_table) {
-        const std::size_t share = idleConnectionShare(m_table->configuration(), m_board.nodes().size() + 1);
+        const std::size_t share = idleConnectionShare(m_table->configuration(), std::max(m_board.nodes().size() + 1, m_gateways.size()));
         m_upstreamClient.setIdleConnectionsPerEndpoint(std::min(share, http_client_options().idleConnectionsPerEndpoint));
     }
     m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -10,15 +10,18 @@
 
 constexpr double shortestShutdown = 1; // Seconds.
 constexpr double longestShutdown = 3600; // Seconds.
+constexpr double leastProcessorShare = 0.01; // Of a core.
+constexpr double mostProcessorShare = 1024; // Of a core.
 constexpr std::uint64_t mostLogLines = 100000; // A second.
 
-constexpr std::array<std::string_view, 10> knownKeys = {"vm",
+constexpr std::array<std::string_view, 11> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
                                                         "peer_listen",
                                                         "metrics_listen",
                                                         "store",
+                                                        "processor_share",
                                                         "shutdown_seconds",
                                                         "log_level",
                                                         "log_lines_per_second"};
@@ -36,6 +39,9 @@
     settings.peerListen = reader.address("peer_listen");
     settings.metricsListen = reader.address("metrics_listen");
     settings.store = reader.address("store");
+    if (reader.has("processor_share")) {
+        settings.processorShare = reader.decimal("processor_share", leastProcessorShare, mostProcessorShare);
+    }
     if (reader.has("shutdown_seconds")) {
         const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", shortestShutdown, longestShutdown));
         settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -55,6 +55,10 @@
     {
         m_directory.setRegistered(nodes);
     }
+    void setHubs(const report_hubs &hubs)
+    {
+        m_directory.setHubs(hubs);
+    }
     void heard(const node_id &node, time_point now)
     {
         m_directory.heard(node, now);
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -343,6 +343,11 @@
     m_implementation->configure(std::move(table));
 }
 
+void listed_job_service::setHubs(const report_hubs &hubs)
+{
+    m_implementation->setHubs(hubs);
+}
+
 void listed_job_service::setRegistered(const std::set<node_id> &nodes)
 {
     m_implementation->setRegistered(nodes);
--- a/io/src/serving/peer_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -58,6 +58,12 @@
         changed();
     }
 
+    void setReports(std::function<bool(const node_id &)> reportsTo, duration shortestInterval)
+    {
+        m_reportsTo = std::move(reportsTo);
+        m_interval = shortestInterval;
+    }
+
     bool sendTo(const node_id &to, const gateway_message &message)
     {
         const auto peer = m_peers.find(to);
@@ -74,7 +80,7 @@
             return;
         }
         m_changed = true;
-        const auto earliest = m_sentAt + interval();
+        const auto earliest = m_sentAt + m_interval;
         const auto now = std::chrono::steady_clock::now();
         schedule(earliest > now ? std::chrono::duration_cast<duration>(earliest - now) : duration(0));
     }
@@ -88,11 +94,6 @@
     }
 
 private:
-    [[nodiscard]] duration interval() const
-    {
-        return std::max(m_options.shortestInterval, m_options.intervalPerPeer * static_cast<duration::rep>(m_peers.size()));
-    }
-
     void schedule(duration delay)
     {
         m_timer.expires_after(delay);
@@ -107,11 +108,13 @@
     {
         const std::string bytes = encode(m_source(), currentTime());
         for (const auto &[node, peer] : m_peers) {
-            sendBytes(peer, bytes);
+            if (!m_reportsTo || m_reportsTo(node)) {
+                sendBytes(peer, bytes);
+            }
         }
         m_changed = false;
         m_sentAt = std::chrono::steady_clock::now();
-        schedule(std::max(m_options.heartbeat, interval()));
+        schedule(std::max(m_options.heartbeat, m_interval));
     }
 
     void sendBytes(const udp::endpoint &peer, const std::string &bytes)
@@ -175,6 +178,8 @@
     asio::steady_timer m_timer;
     std::map<node_id, udp::endpoint> m_peers;
     std::array<char, maximumDatagram> m_buffer{};
+    std::function<bool(const node_id &)> m_reportsTo; ///< All, if it is empty.
+    duration m_interval = std::chrono::milliseconds(20); ///< Between two reports at the least.
     std::chrono::steady_clock::time_point m_sentAt;
     bool m_changed = false;
     bool m_stopped = false;
@@ -205,6 +210,11 @@
     m_implementation->setPeers(peers);
 }
 
+void peer_exchange::setReports(std::function<bool(const node_id &peer)> reportsTo, duration shortestInterval)
+{
+    m_implementation->setReports(std::move(reportsTo), shortestInterval);
+}
+
 bool peer_exchange::send(const node_id &to, const gateway_message &message)
 {
     return m_implementation->sendTo(to, message);
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -255,6 +255,7 @@
     root.setId(entry.id.text());
     root.setAddress(entry.peerAddress.address);
     root.setPort(entry.peerAddress.port);
+    root.setProcessorShare(entry.processorShare);
     return packed(message);
 }
 
@@ -262,7 +263,8 @@
 {
     return unpacked<schema::GatewayEntry>(bytes, [](schema::GatewayEntry::Reader root) {
         return gateway_entry{.id = node_id(textOf(root.getId())),
-                             .peerAddress = {.address = textOf(root.getAddress()), .port = root.getPort()}};
+                             .peerAddress = {.address = textOf(root.getAddress()), .port = root.getPort()},
+                             .processorShare = root.getProcessorShare()};
     });
 }
 
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/slot_broker.h"
 
+#include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
 #include "banyan/core/serving/run_id.h"
 #include "banyan/core/serving/upstream_cell.h"
@@ -150,7 +151,7 @@
     });
     std::vector<node_id> nodes = m_ports.board.placingNodes(m_self, m_placing);
     std::erase_if(nodes, [&](const node_id &node) {
-        return m_distrustedUntil.contains(node);
+        return m_distrustedUntil.contains(node) || (m_ports.hubs != nullptr && !m_ports.hubs->isHub(node));
     });
     if (nodes.empty()) {
         nodes.push_back(m_self);
--- a/tests/unit/serving/job_directory_test.cpp
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "banyan/core/serving/job_directory.h"
 
+#include "banyan/core/serving/report_hubs.h"
+
 #include <catch2/catch.hpp>
 
 using namespace banyan;
@@ -90,3 +92,39 @@
     REQUIRE(directory.find(job_id("j")) != nullptr);
     CHECK(directory.find(job_id("j"))->ended);
 }
+
+TEST_CASE("job_directory of a large fleet lets hubs alone take the jobs of an owner that has fallen silent")
+{
+    std::set<node_id> registered;
+    std::map<node_id, double> processorShares;
+    for (int number = 0; number < 200; ++number) {
+        registered.insert(node_id("n" + std::to_string(number)));
+        processorShares.emplace(node_id("n" + std::to_string(number)), number < 3 ? 0.5 : 0.12);
+    }
+    report_hubs hubs({.self = node_id("n0"), .hubs = 3});
+    hubs.setRegistered(processorShares);
+    const auto takers = [&](const std::string &owner, time_point now) {
+        std::set<std::string> result;
+        for (const node_id &self : registered) {
+            job_directory directory = directoryOf(self.text());
+            directory.setRegistered(registered);
+            directory.setHubs(hubs);
+            for (const node_id &hub : hubs.hubs()) {
+                directory.heard(hub, now);
+            }
+            directory.stored(entry("j", owner));
+            (void)directory.toTakeOver(now - 2s);
+            if (!directory.toTakeOver(now).empty()) {
+                result.insert(self.text());
+            }
+        }
+        return result;
+    };
+    const std::set<std::string> ofSilent = takers("n100", start + 10s);
+    REQUIRE(ofSilent.size() == 1); // The first choice among the hubs.
+    CHECK(hubs.isHub(node_id(*ofSilent.begin())));
+    // All know of a job that was given back; one of them takes it at first, and hubs do if that one has gone.
+    const std::set<std::string> ofGivenBack = takers("", start + 10s);
+    CHECK(ofGivenBack.size() <= 1 + hubs.hubs().size());
+    CHECK_FALSE(ofGivenBack.empty());
+}
