--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/job_entry.h"
+#include "banyan/core/serving/node_load.h"
 #include "banyan/core/time.h"
 
 #include <map>
@@ -39,8 +40,12 @@
     /// The job, if it is known.
     [[nodiscard]] const job_entry *find(const job_id &id) const;
 
-    /// Notes which nodes have been heard.
-    void heard(const node_id &node, time_point now);
+    /// Notes that a node has been heard, and what it says of itself. One that has lost the store cannot record results: unless this
+    /// node has lost it as well, the jobs of such a node are treated as those of one that has fallen silent.
+    void heard(const node_id &node, time_point now, placing_state state = placing_state::Ready);
+
+    /// Notes whether this node has the store.
+    void setOwnState(placing_state state);
 
     /// Replaces the nodes that are registered. One that was and is not any more has ended, whenever it was last heard.
     void setRegistered(const std::set<node_id> &nodes);
@@ -69,7 +74,9 @@
 
     job_directory_options m_options;
     std::map<job_id, job_entry> m_jobs;
-    std::map<node_id, time_point> m_heardAt;
+    std::map<node_id, time_point> m_heardAt; ///< When each could last record results.
+    std::set<node_id> m_leaving; ///< Heard, and stopping.
+    placing_state m_ownState = placing_state::Ready;
     std::set<node_id> m_registered;
     std::optional<std::set<node_id>> m_hubs; ///< None while all nodes hear all.
     std::set<node_id> m_ended; ///< Were registered once.
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -44,9 +44,20 @@
     return entry == m_jobs.end() ? nullptr : &entry->second;
 }
 
-void job_directory::heard(const node_id &node, time_point now)
+void job_directory::heard(const node_id &node, time_point now, placing_state state)
 {
+    if (state == placing_state::UpstreamsUncertain && m_ownState == placing_state::Ready) {
+        return;
+    }
     m_heardAt.insert_or_assign(node, now);
+    if (state == placing_state::Stopping) {
+        m_leaving.insert(node);
+    }
+}
+
+void job_directory::setOwnState(placing_state state)
+{
+    m_ownState = state;
 }
 
 void job_directory::setRegistered(const std::set<node_id> &nodes)
@@ -92,6 +103,9 @@
 /// Whether a node may be the first to take over a job that has no living owner. Only hubs know of an owner that has fallen silent.
 bool job_directory::isCandidate(const node_id &node, const job_entry &job, time_point now) const
 {
+    if (m_leaving.contains(node)) {
+        return false;
+    }
     if (!m_hubs) {
         return lives(node, now);
     }
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -3,6 +3,7 @@
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
+#include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/route_table.h"
 #include "banyan/core/time.h"
 #include "banyan/io/asio_types.h"
@@ -118,7 +119,10 @@
     void setRegistered(const std::set<node_id> &nodes);
 
     /// Notes that a node lives.
-    void heard(const node_id &node, time_point now);
+    void heard(const node_id &node, time_point now, placing_state state = placing_state::Ready);
+
+    /// Notes whether this node has the store.
+    void setOwnState(placing_state state);
 
     [[nodiscard]] task<submission_answer> accept(job_submission submission);
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -287,6 +287,7 @@
     if (state != m_slots.placing()) {
         logEvent(log_level::Info, "placing_changed", {{"state", std::string(toString(state))}});
         m_slots.setPlacing(state);
+        m_jobs.setOwnState(state);
         m_exchange.changed();
     }
 }
@@ -427,7 +428,7 @@
     if (!m_board.reported(load, now)) {
         return;
     }
-    m_jobs.heard(load.sender, now);
+    m_jobs.heard(load.sender, now, load.placing);
     m_slots.reported(load);
     for (const lost_content &lost : load.lost) {
         m_relay.lostElsewhere(lost, now);
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -59,9 +59,13 @@
     {
         m_directory.setHubs(hubs);
     }
-    void heard(const node_id &node, time_point now)
+    void heard(const node_id &node, time_point now, placing_state state)
     {
-        m_directory.heard(node, now);
+        m_directory.heard(node, now, state);
+    }
+    void setOwnState(placing_state state)
+    {
+        m_directory.setOwnState(state);
     }
     task<submission_answer> accept(job_submission submission);
     task<job_results> results(job_id id, std::uint32_t after, duration wait);
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -353,9 +353,14 @@
     m_implementation->setRegistered(nodes);
 }
 
-void listed_job_service::heard(const node_id &node, time_point now)
+void listed_job_service::heard(const node_id &node, time_point now, placing_state state)
 {
-    m_implementation->heard(node, now);
+    m_implementation->heard(node, now, state);
+}
+
+void listed_job_service::setOwnState(placing_state state)
+{
+    m_implementation->setOwnState(state);
 }
 
 task<submission_answer> listed_job_service::accept(job_submission submission)
--- a/tests/unit/serving/job_directory_test.cpp
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -128,3 +128,28 @@
     CHECK(ofGivenBack.size() <= 1 + hubs.hubs().size());
     CHECK_FALSE(ofGivenBack.empty());
 }
+
+TEST_CASE("job_directory takes over the jobs of a node that goes on but has lost the store, unless it has lost it itself")
+{
+    for (const placing_state own : {placing_state::Ready, placing_state::UpstreamsUncertain}) {
+        job_directory directory = directoryOf("n1");
+        directory.setOwnState(own);
+        directory.stored(entry("j", "n2"));
+        directory.heard(node_id("n2"), start);
+        for (time_point now = start; now < start + 3s; now += 100ms) {
+            directory.heard(node_id("n2"), now, placing_state::UpstreamsUncertain);
+        }
+        CHECK(directory.toTakeOver(start + 3s).size() == (own == placing_state::Ready ? 1 : 0));
+    }
+}
+
+TEST_CASE("job_directory does not leave a job to a node that is stopping")
+{
+    // Of the two other nodes each is the first choice for some jobs.
+    job_directory directory = directoryOf("n1");
+    directory.heard(node_id("n2"), start, placing_state::Stopping);
+    for (int number = 0; number < 20; ++number) {
+        directory.stored(entry("j" + std::to_string(number), ""));
+    }
+    CHECK(directory.toTakeOver(start).size() == 20);
+}
