Bound the bytes of an event and an item's output, and end runs whose bytes complete no event; tests of answers without end

Cause, looked for since the users named it: an upstream that sent bytes without the end of an event filled the gateway's memory until the request's deadline, and for a job's item, which has none, without limit; one that sent a byte now and then held an item for ever. Heads (8 kB) and whole answers (8 MB) were bounded already, which the tests now show.

--- a/core/include/banyan/core/serving/event_splitter.h
+++ b/core/include/banyan/core/serving/event_splitter.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/serving/stream_event.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,8 @@
 class event_splitter
 {
 public:
+    static constexpr std::size_t longestEvent = std::size_t(1) << 20; ///< Bytes; some hundred times what upstreams send.
+
     /// Takes in the next bytes. Returns the events that are complete now, in order.
     [[nodiscard]] std::vector<stream_event> add(std::string_view bytes);
 
@@ -21,6 +24,12 @@
         return !m_pending.empty();
     }
 
+    /// Whether the event that has begun is longer than any that an upstream makes: the rest of the stream is of no use.
+    [[nodiscard]] bool isTooLong() const
+    {
+        return m_pending.size() > longestEvent;
+    }
+
 private:
     std::string m_pending;
 };
--- a/core/src/serving/event_splitter.cpp
+++ b/core/src/serving/event_splitter.cpp
@@ -1,16 +1,17 @@
 #include "banyan/core/serving/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace banyan {
 
 namespace {
 
-/// The end of the event that begins at the front: behind its empty line. npos if it is not complete.
-std::size_t endOfEvent(std::string_view text)
+/// The end of the event that begins at the front: behind its empty line, which is not before @p from. npos if it is not complete.
+std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
-    const std::size_t bare = text.find("\n\n");
-    const std::size_t withReturns = text.find("\r\n\r\n");
+    const std::size_t bare = text.find("\n\n", from);
+    const std::size_t withReturns = text.find("\r\n\r\n", from);
     if (bare == std::string_view::npos && withReturns == std::string_view::npos) {
         return std::string_view::npos;
     }
@@ -52,10 +53,12 @@
 
 std::vector<stream_event> event_splitter::add(std::string_view bytes)
 {
+    constexpr std::size_t longestEnd = 4; // Of an event, which may be cut between two calls.
+    const std::size_t searched = m_pending.size() - std::min(m_pending.size(), longestEnd);
     m_pending += bytes;
     std::vector<stream_event> events;
     std::string_view rest = m_pending;
-    for (std::size_t end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+    for (std::size_t end = endOfEvent(rest, searched); end != std::string_view::npos; end = endOfEvent(rest, 0)) {
         events.push_back(parseEvent(rest.substr(0, end)));
         rest.remove_prefix(end);
     }
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -81,6 +81,7 @@
 {
     node_id self;
     duration recordLifetime = std::chrono::seconds(240); ///< After submission; results can be read for the first half of it.
+    duration eventTimeout = std::chrono::seconds(5); ///< A run whose bytes complete no event for so long is ended.
     duration checkpointInterval = std::chrono::seconds(2); ///< A lost node costs so much of the work on each item.
 };
 
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration firstByteTimeout = std::chrono::seconds(3); // Of an item's run, which may queue at its upstream.
 constexpr duration silenceTimeout = std::chrono::milliseconds(1500); // Many times the pause between two events of a slow upstream.
+constexpr std::size_t longestOutput = std::size_t(4) << 20; // Bytes of an item; its result has to fit into transactions of the store.
 constexpr duration defaultRetention = std::chrono::hours(1); // Of a route that has none.
 constexpr unsigned failedStatus = 500; // By which an upstream reports that the item itself has failed.
 
@@ -151,13 +152,23 @@
     const request_id slot = slotId(*job, index);
     event_splitter splitter;
     attempt_observer observer;
+    time_point lastEventAt = currentTime();
     observer.onBody = [&](std::string_view piece) -> task<> {
         m_ports.slots.firstByte(slot);
-        for (const stream_event &event : splitter.add(piece)) {
+        const time_point now = currentTime();
+        const std::vector<stream_event> events = splitter.add(piece);
+        for (const stream_event &event : events) {
             if (!progress.event(event)) {
                 throw http_error(sent_state::MaybeSent, false, "events are missing before event " + std::to_string(*event.id));
             }
         }
+        lastEventAt = events.empty() ? lastEventAt : now;
+        if (now - lastEventAt > m_options.eventTimeout) {
+            throw http_error(sent_state::MaybeSent, true, "bytes without an event for too long");
+        }
+        if (splitter.isTooLong() || progress.output().size() > longestOutput) {
+            throw http_error(sent_state::MaybeSent, false, "an event or output is longer than any upstream makes");
+        }
         co_return;
     };
     const http_client::stream_timeouts timeouts{.firstByte = firstByteTimeout, .silence = silenceTimeout};
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -281,6 +281,9 @@
             }
             complete += verdict == stream_position::verdict::PassOn ? event.bytes : std::string();
         }
+        if (m_splitter.isTooLong()) {
+            throw http_error(sent_state::MaybeSent, false, "an event is longer than any upstream makes");
+        }
         if (!complete.empty()) {
             co_await toClient(m_exchange.write(complete));
         }
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -36,12 +36,13 @@
 {
     std::unique_ptr<listed_job_service> service = makeService(*nodes.front());
 
-    std::unique_ptr<listed_job_service> makeService(serving_node &node, duration checkpointInterval = 1h)
+    std::unique_ptr<listed_job_service>
+    makeService(serving_node &node, duration checkpointInterval = 1h, duration eventTimeout = listed_job_options().eventTimeout)
     {
         auto result = std::make_unique<listed_job_service>(
             listed_job_ports{
                 .context = context, .store = store.port(), .slots = node.slots, .sender = node.sender, .metrics = node.metrics},
-            listed_job_options{.self = node.id, .checkpointInterval = checkpointInterval});
+            listed_job_options{.self = node.id, .eventTimeout = eventTimeout, .checkpointInterval = checkpointInterval});
         result->configure(jobRoutes());
         return result;
     }
@@ -544,3 +545,49 @@
     fixture.pass(20ms);
     CHECK(fixture.accept(*other, "j2", 1) == job_acceptance::OverQuota);
 }
+
+TEST_CASE("listed_job_service ends a run that sends a byte now and then but no event, and goes on elsewhere")
+{
+    job_fixture fixture;
+    const auto service = fixture.makeService(*fixture.nodes.front(), 1h, 100ms);
+    bool disconnected = false;
+    scripted_upstream stalled(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        exchange.onDisconnect([&disconnected] {
+            disconnected = true;
+        });
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1));
+        while (!disconnected) {
+            co_await exchange.write(":");
+            co_await fixture.sleep(10ms);
+        }
+    });
+    fixture.setUpstreams({&stalled});
+    REQUIRE(fixture.accept(*service, "j1", 1) == job_acceptance::Accepted);
+    fixture.awaitFirstEvents(stalled);
+    scripted_upstream good(fixture.context, "u2", streamsPieces(3));
+    fixture.setUpstreams({&good});
+    const job_results found = fixture.awaitResults(*service, "j1", 1);
+    CHECK(found.results.front().output == "piece-1\npiece-2\npiece-3");
+    CHECK(disconnected);
+}
+
+TEST_CASE("listed_job_service does not end a slow run that completes an event before its time is over")
+{
+    job_fixture fixture;
+    const auto service = fixture.makeService(*fixture.nodes.front(), 1h, 1500ms);
+    scripted_upstream slow(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        for (std::uint64_t id = 1; id <= 20; ++id) { // Together longer than the time for one event.
+            co_await fixture.sleep(100ms);
+            co_await exchange.write(eventText(id));
+        }
+        co_await exchange.finish();
+    });
+    fixture.setUpstreams({&slow});
+    REQUIRE(fixture.accept(*service, "j1", 1) == job_acceptance::Accepted);
+    CHECK(fixture.awaitResults(*service, "j1", 1).results.front().succeeded);
+    CHECK(slow.requests.size() == 1);
+}
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -4,7 +4,9 @@
 
 #include "banyan/io/http_error.h"
 
+#include "banyan/core/serving/event_splitter.h"
 #include <boost/asio/post.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <set>
@@ -395,3 +397,61 @@
     CHECK(fixture.call("id-1").body == "answer");
     CHECK(draining.requests.empty());
 }
+
+TEST_CASE("request_relay leaves an upstream whose event has no end, and goes on with the stream elsewhere")
+{
+    relay_fixture fixture(request_kind::Stream, true, 2);
+    std::size_t sent = 0;
+    scripted_upstream endless(fixture.context, "u1", [&sent](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1) + "id: 2\ndata: ");
+        const std::string piece(std::size_t(64) << 10, 'x');
+        for (;;) { // Until the caller closes.
+            co_await exchange.write(piece);
+            sent += piece.size();
+        }
+    });
+    scripted_upstream good(fixture.context, "u2", streams(4, true));
+    fixture.setUpstreams({&endless, &good});
+    for (int call = 0; call < 4; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).body == eventsUpTo(4));
+    }
+    REQUIRE_FALSE(endless.requests.empty());
+    constexpr std::size_t inBuffers = std::size_t(16) << 20; // Of the connection, on both sides.
+    CHECK(sent / endless.requests.size() <= event_splitter::longestEvent + inBuffers);
+}
+
+TEST_CASE("request_relay does not take an answer whose head has no end, and tries elsewhere")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 2);
+    scripted_upstream endless(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}, {"X", std::string(std::size_t(1) << 20, 'x')}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.finish();
+    });
+    scripted_upstream good(fixture.context, "u2", answers(200, "good"));
+    fixture.setUpstreams({&endless, &good});
+    for (int call = 0; call < 4; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).body == "good");
+    }
+    CHECK_FALSE(endless.requests.empty());
+}
+
+TEST_CASE("request_relay does not collect a whole answer without end")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 2);
+    scripted_upstream endless(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        for (;;) {
+            co_await exchange.write(std::string(std::size_t(64) << 10, 'x'));
+        }
+    });
+    scripted_upstream good(fixture.context, "u2", answers(200, "good"));
+    fixture.setUpstreams({&endless, &good});
+    for (int call = 0; call < 4; ++call) {
+        CHECK(fixture.call("id-" + std::to_string(call)).body == "good");
+    }
+    CHECK_FALSE(endless.requests.empty());
+}
