--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -304,8 +304,8 @@
 void request_scheduler::implementation::yieldToOthers(service_schedule &service, time_point now)
 {
     for (auto &[id, upstream] : service.upstreams) {
-        const std::uint32_t total = m_choice.workAt(upstream).all();
-        if (upstream.batch == 0 || total <= upstream.info.slots) {
+        const std::uint32_t total = upstream.batch == 0 ? 0 : m_choice.workAt(upstream).all();
+        if (total <= upstream.info.slots) {
             continue;
         }
         const load_board::batch_holder other = m_board.largestBatch(upstream.key);
