--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/slot_broker.h"
 
+#include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/serving/stop_signal.h"
@@ -32,13 +33,15 @@
                      .send =
                          [&fixture](const node_id &to, const gateway_message &message) {
                              return fixture.deliver(to, message);
-                         }},
+                         },
+                     .hubs = &hubs},
                     id,
                     failure_domain("d"))
         {
         }
 
         node_id id;
+        report_hubs hubs{{.self = id, .largestMesh = 1, .hubs = 1}};
         load_board board{10s};
         scheduler_host scheduler;
         slot_broker slots;
@@ -376,3 +379,21 @@
     holder.slots.released(online.id, {.outcome = attempt_outcome::Succeeded});
     CHECK(broker_fixture::inUse(holder) == 2);
 }
+
+TEST_CASE("slot_broker lets only hubs place requests in a large fleet, and a node by itself if it hears none")
+{
+    broker_fixture fixture(2);
+    const node_id hub = fixture.other().id;
+    const std::map<node_id, double> processorShares{{hub, 0.5}, {fixture.placer().id, 0.12}};
+    for (const auto &[id, member] : fixture.nodes) {
+        member->hubs.setRegistered(processorShares);
+    }
+    fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r1"));
+    CHECK(broker_fixture::inUse(*fixture.nodes.at(hub)) == 1);
+    fixture.nodes.at(hub)->hubs.setRegistered({{node_id("unheard"), 1}, {node_id("n1"), 0.1}, {node_id("n2"), 0.1}});
+    fixture.acquire(fixture.other(), broker_fixture::request("r2"));
+    fixture.runFor(5ms);
+    CHECK(fixture.granted("r2"));
+}
