--- a/core/src/serving/report_hubs.cpp
+++ b/core/src/serving/report_hubs.cpp
@@ -25,6 +25,7 @@
     // The strongest first; the hash spreads equal ones over the failure domains.
     using place = std::tuple<double, std::uint64_t, node_id>;
     std::vector<place> order;
+    order.reserve(processorShares.size());
     for (const auto &[node, share] : processorShares) {
         order.emplace_back(-share, XXH3_64bits(node.text().data(), node.text().size()), node);
     }
