--- a/io/src/serving/quota_reservations.cpp
+++ b/io/src/serving/quota_reservations.cpp
@@ -165,7 +165,7 @@
     // Submissions that arrive during the commit are not part of the decision.
     const std::size_t decided = decision.fits.size();
     const bool changes = !queue->released.empty() || std::find(decision.fits.begin(), decision.fits.end(), true) != decision.fits.end();
-    if (changes && !co_await store(queue, decision.holdings)) {
+    if (changes && !co_await storeHoldings(queue, decision.holdings)) {
         queue->isRead = false;
         roundFailed(*queue, "other nodes changed the holdings first", currentTime());
         co_await sleep(std::uniform_int_distribution<duration::rep>(0, conflictPause.count())(m_generator) * duration(1));
@@ -227,7 +227,7 @@
 }
 
 /// Replaces the stored holdings unless another node has changed them; returns whether it did.
-task<bool> quota_reservations::store(std::shared_ptr<route_queue> queue, std::vector<quota_holding> holdings)
+task<bool> quota_reservations::storeHoldings(std::shared_ptr<route_queue> queue, std::vector<quota_holding> holdings)
 {
     const std::size_t released = queue->released.size();
     table_transaction change;
--- a/io/src/serving/quota_reservations.h
+++ b/io/src/serving/quota_reservations.h
@@ -71,7 +71,7 @@
     task<> readHoldings(std::shared_ptr<route_queue> queue);
     task<> refresh(std::shared_ptr<route_queue> queue);
     [[nodiscard]] waiting_quota::decision decide(route_queue &queue) const;
-    task<bool> store(std::shared_ptr<route_queue> queue, std::vector<quota_holding> holdings);
+    task<bool> storeHoldings(std::shared_ptr<route_queue> queue, std::vector<quota_holding> holdings);
     void answer(route_queue &queue, const waiting_quota::decision &decision);
     void roundFailed(route_queue &queue, const std::string &reason, time_point givenUp);
     route_queue &queueOf(const std::string &route);
