Look at upstreams and gateways once for the changes of a call, and not at all for heartbeats

Each heartbeat is a change of the upstream's row; for each one all upstreams of the service were assigned to their cells anew. Ruled out: reports between nodes (wake-ups do not grow, 255 a second at 300).

--- a/core/include/banyan/core/serving/replica_registry.h
+++ b/core/include/banyan/core/serving/replica_registry.h
@@ -24,8 +24,8 @@
     /// Takes in a whole reading of the registrations.
     void replaceAll(const std::vector<replica> &registered, time_point now);
 
-    /// Takes in one registration, new or changed.
-    void registered(const replica &entry);
+    /// Takes in one registration. Returns whether it is new or differs from what was known.
+    bool registered(const replica &entry);
 
     /// Takes in that an entry is gone, or names no upstream any more.
     void removed(const upstream_id &id, time_point now);
--- a/core/include/banyan/core/serving/upstream_cell.h
+++ b/core/include/banyan/core/serving/upstream_cell.h
@@ -22,6 +22,9 @@
     auto operator<=>(const upstream_cell &) const = default;
 };
 
+/// The cell of an upstream whose service has so many cells.
+[[nodiscard]] upstream_cell cellOf(const upstream_id &upstream, std::uint32_t count);
+
 /// How many cells a service with so many upstreams has.
 [[nodiscard]] std::uint32_t cellCountFor(std::size_t upstreams);
 
--- a/core/src/serving/replica_registry.cpp
+++ b/core/src/serving/replica_registry.cpp
@@ -30,14 +30,17 @@
     }
 }
 
-void replica_registry::registered(const replica &entry)
+bool replica_registry::registered(const replica &entry)
 {
     const auto reused = m_reused.find(entry.id);
     if (reused != m_reused.end() && reused->second != entry.address) {
         m_reused.erase(reused);
     }
-    m_entries.insert_or_assign(entry.id, entry);
     m_missing.erase(entry.id);
+    const auto known = m_entries.find(entry.id);
+    const bool isSame = known != m_entries.end() && known->second == entry;
+    m_entries.insert_or_assign(entry.id, entry);
+    return !isSame;
 }
 
 void replica_registry::removed(const upstream_id &id, time_point now)
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 namespace banyan {
 
@@ -53,8 +54,18 @@
     std::erase_if(cells, [&](const auto &entry) {
         return entry.first.count != count && entry.second.online.empty() && entry.second.batch.empty();
     });
+    std::set<std::uint32_t> counts;
     for (auto &[which, schedule] : cells) {
-        schedule.members = membersOf(which, upstreams);
+        schedule.members.clear();
+        counts.insert(which.count);
+    }
+    for (auto &[id, upstream] : upstreams) {
+        for (const std::uint32_t cellCount : counts) {
+            const auto entry = cells.find(cellOf(id, cellCount));
+            if (upstream.isUsable() && entry != cells.end()) {
+                entry->second.members.push_back(&upstream);
+            }
+        }
     }
 }
 
--- a/core/src/serving/upstream_cell.cpp
+++ b/core/src/serving/upstream_cell.cpp
@@ -20,7 +20,13 @@
 
 bool upstream_cell::contains(const upstream_id &upstream) const
 {
-    return count <= 1 || hashOf(upstream.text()) % count == index;
+    return count <= 1 || cellOf(upstream, count).index == index;
+}
+
+upstream_cell cellOf(const upstream_id &upstream, std::uint32_t count)
+{
+    return count <= 1 ? upstream_cell()
+                      : upstream_cell{.index = static_cast<std::uint32_t>(hashOf(upstream.text()) % count), .count = count};
 }
 
 std::uint32_t cellCountFor(std::size_t upstreams)
--- a/io/include/banyan/io/serving/table_follower.h
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -24,6 +24,7 @@
 {
     std::function<void(const std::vector<table_row> &rows)> onAll; ///< Every row there is; all others are gone.
     std::function<void(const table_row &row)> onChange;
+    std::function<void()> onChangesTaken; ///< After the changes that one call has brought.
     std::function<void()> onLost; ///< The store does not answer.
     std::function<void()> onRegained; ///< It answers again; comes before the rows.
 };
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -149,6 +149,7 @@
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
     bool m_replicasKnown = false;
+    bool m_replicasChanged = false; ///< By rows that the present call has brought.
     bool m_storeLost = false;
     bool m_stopping = false;
 };
@@ -243,7 +244,12 @@
     };
     observer.onChange = [this](const table_row &row) {
         replicaChanged(row);
-        replicasChanged();
+    };
+    observer.onChangesTaken = [this] {
+        // Most changes are heartbeats, which change nothing here.
+        if (std::exchange(m_replicasChanged, false)) {
+            replicasChanged();
+        }
     };
     observer.onLost = [this] {
         m_registry.storeLost();
@@ -263,9 +269,10 @@
 {
     const std::optional<replica> entry = row.deleted ? std::nullopt : m_platform.decodeReplica(row);
     if (entry) {
-        m_registry.registered(*entry);
+        m_replicasChanged = m_registry.registered(*entry) || m_replicasChanged;
         return;
     }
+    m_replicasChanged = true;
     logEvent(log_level::Info,
              row.deleted ? "upstream_gone" : "upstream_row_unusable",
              {{"row", row.name.key}, {"version", std::to_string(row.version)}});
@@ -304,6 +311,8 @@
     };
     observer.onChange = [this](const table_row &row) {
         gatewayRead(row);
+    };
+    observer.onChangesTaken = [this] {
         gatewaysChanged();
     };
     return observer;
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -91,6 +91,9 @@
     for (const table_row &row : changes.rows) {
         m_observer.onChange(row);
     }
+    if (!changes.rows.empty() && m_observer.onChangesTaken) {
+        m_observer.onChangesTaken();
+    }
 }
 
 task<> table_follower::refresh()
--- a/tests/unit/serving/replica_registry_test.cpp
+++ b/tests/unit/serving/replica_registry_test.cpp
@@ -69,3 +69,14 @@
     registry.registered(upstream("a", 2));
     CHECK(count(registry) == 1);
 }
+
+TEST_CASE("replica_registry tells a registration that changes something from a heartbeat")
+{
+    replica_registry registry(grace);
+    CHECK(registry.registered(upstream("a")));
+    CHECK_FALSE(registry.registered(upstream("a")));
+    CHECK(registry.registered(upstream("a", 2)));
+    replica draining = upstream("a", 2);
+    draining.draining = true;
+    CHECK(registry.registered(draining));
+}
--- a/tests/unit/serving/table_follower_test.cpp
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -36,6 +36,10 @@
                         [this](const table_row &row) {
                             told.push_back((row.deleted ? "gone " : "set ") + row.name.key);
                         },
+                    .onChangesTaken =
+                        [this] {
+                            told.emplace_back("taken");
+                        },
                     .onLost =
                         [this] {
                             told.emplace_back("lost");
@@ -123,3 +127,16 @@
     const auto all = std::find(fixture.told.begin(), fixture.told.end(), "all 1");
     CHECK(regained < all);
 }
+
+TEST_CASE("table_follower says once when the changes of a call have been passed on")
+{
+    follower_fixture fixture;
+    fixture.runUntil([&] {
+        return fixture.wasTold("all 0");
+    });
+    fixture.store.tables.commit({.writes = {{.name = {table, "p", "a"}, .value = "v"}, {.name = {table, "p", "b"}, .value = "v"}}});
+    fixture.runUntil([&] {
+        return fixture.wasTold("taken");
+    });
+    CHECK(fixture.told == std::vector<std::string>{"all 0", "set a", "set b", "taken"});
+}
