Soak: one deadline for all accepted jobs, and each broken promise printed at once

A run that did not end within 240 s printed nothing: each job that was not complete was waited for by itself, up to 30 s, and what was found was printed at the end. The 30 s are now counted once from the last fault, which is stricter.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Returns the promises that were broken.
-    std::vector<std::string> run(unsigned seed, std::chrono::seconds time)
+    /// Returns whether all promises were kept.
+    bool run(unsigned seed, std::chrono::seconds time)
     {
         std::atomic<bool> stop = false;
         std::vector<std::thread> threads;
@@ -196,7 +196,7 @@
         check();
         std::printf(
             "seed=%u served=%zu jobs=%zu broken=%zu\n", seed, m_told.servedCount(), m_told.jobs().size(), m_told.brokenOnes().size());
-        return m_told.brokenOnes();
+        return m_told.brokenOnes().empty();
     }
 
 private:
@@ -304,13 +304,14 @@
                               + (promisedNotRun ? " after a promise of none" : ""));
             }
         }
+        const auto recovered = std::chrono::steady_clock::now() + recoveryTime;
         for (const std::string &job : m_told.jobs()) {
-            checkJob(job);
+            checkJob(job, recovered);
         }
     }
 
     /// An accepted job lists each item once, whole, the same at every gateway.
-    void checkJob(const std::string &job)
+    void checkJob(const std::string &job, std::chrono::steady_clock::time_point recovered)
     {
         json::object found;
         const bool complete = eventually(
@@ -318,7 +319,7 @@
                 found = m_fleet.readJob(m_slots[0], job);
                 return found.contains("results") && found.at("results").as_array().size() == itemsOfJob;
             },
-            recoveryTime);
+            std::max(0ms, std::chrono::duration_cast<std::chrono::milliseconds>(recovered - std::chrono::steady_clock::now())));
         if (!complete) {
             m_told.broken("job " + job + " was accepted and is not complete: " + json::serialize(found));
             return;
@@ -355,13 +356,11 @@
         TCLAP::ValueArg<unsigned> seconds("", "seconds", "Time of faults in each run.", false, 10, "S", line);
         line.parse(argc, argv);
         std::signal(SIGPIPE, SIG_IGN);
+        std::setvbuf(stdout, nullptr, _IOLBF, 0); // What was found is seen also if a run is ended from outside.
         bool good = true;
         for (unsigned run = 0; run < runs.getValue(); ++run) {
             soak_run soak(seed.getValue() + run);
-            for (const std::string &broken : soak.run(seed.getValue() + run, std::chrono::seconds(seconds.getValue()))) {
-                std::printf("broken=\"%s\"\n", broken.c_str());
-                good = false;
-            }
+            good = soak.run(seed.getValue() + run, std::chrono::seconds(seconds.getValue())) && good;
         }
         return good ? 0 : 1;
     } catch (const std::exception &error) {
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdio>
 #include <map>
 #include <mutex>
 #include <set>
@@ -34,6 +35,7 @@
     void broken(const std::string &what)
     {
         const std::lock_guard lock(m_mutex);
+        std::printf("broken=\"%s\"\n", what.c_str());
         m_broken.push_back(what);
     }
 
