Decide on a quota by what is held, not by all jobs that are recorded

All runs and bounds of the test are kept.

Also: a node that registers again under its name is not taken for ended any more (its jobs were open to takeover at once), and nodes that are neither registered nor heard are forgotten after a minute.

--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -5,9 +5,12 @@
 #include "banyan/core/serving/node_load.h"
 #include "banyan/core/time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace banyan {
@@ -20,6 +23,7 @@
     node_id self;
     duration ownerSilence = std::chrono::seconds(2); ///< A node that has not been heard for so long has lost its jobs.
     duration secondChoice = std::chrono::seconds(2); ///< After so much longer any node takes a job, not just the first choice.
+    duration nodeMemory = std::chrono::minutes(1); ///< For which nodes are remembered that are not registered and not heard.
 };
 
 /// The jobs of all nodes, as the store's changes tell of them, and which of them this node should take over.
@@ -59,8 +63,8 @@
     /// Open jobs that the store says this node owns.
     [[nodiscard]] std::vector<job_entry> owned() const;
 
-    /// Open jobs of a route.
-    [[nodiscard]] std::vector<job_entry> open(const std::string &route) const;
+    /// Tokens that the open jobs of a route still need.
+    [[nodiscard]] std::uint64_t openTokens(const std::string &route) const;
 
     /// Jobs that were submitted before @p before.
     [[nodiscard]] std::vector<job_entry> olderThan(time_point before) const;
@@ -71,15 +75,19 @@
     [[nodiscard]] bool hearsAll() const;
     [[nodiscard]] bool isCandidate(const node_id &node, const job_entry &job, time_point now) const;
     [[nodiscard]] bool isFirstChoice(const job_entry &job, time_point now) const;
+    void forgetNodes(time_point now);
+    void leaveOpen(const job_entry &entry);
 
     job_directory_options m_options;
-    std::map<job_id, job_entry> m_jobs;
+    std::unordered_map<job_id, job_entry> m_jobs;
+    std::set<job_id> m_open; ///< Those of m_jobs that have work left.
+    std::map<std::string, std::uint64_t> m_openTokens; ///< By route, over m_open.
     std::map<node_id, time_point> m_heardAt; ///< When each could last record results.
     std::set<node_id> m_leaving; ///< Heard, and stopping.
     placing_state m_ownState = placing_state::Ready;
     std::set<node_id> m_registered;
     std::optional<std::set<node_id>> m_hubs; ///< None while all nodes hear all.
-    std::set<node_id> m_ended; ///< Were registered once.
+    std::set<node_id> m_ended; ///< Were registered, and are not any more.
     std::map<job_id, time_point> m_orphanedAt; ///< When this node first saw the job without a living owner.
 };
 
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -26,16 +26,34 @@
 void job_directory::stored(const job_entry &entry)
 {
     const auto known = m_jobs.find(entry.id);
-    if (known != m_jobs.end() && known->second.version > entry.version) {
-        return;
+    if (known != m_jobs.end()) {
+        if (known->second.version > entry.version) {
+            return;
+        }
+        leaveOpen(known->second);
     }
     m_jobs.insert_or_assign(entry.id, entry);
+    if (entry.isOpen()) {
+        m_open.insert(entry.id);
+        m_openTokens[entry.route] += entry.tokensLeft;
+    }
+}
+
+/// Takes an entry out of what is counted of open jobs.
+void job_directory::leaveOpen(const job_entry &entry)
+{
+    if (m_open.erase(entry.id) > 0) {
+        m_openTokens[entry.route] -= entry.tokensLeft;
+    }
 }
 
 void job_directory::removed(const job_id &id)
 {
-    m_jobs.erase(id);
-    m_orphanedAt.erase(id);
+    const auto known = m_jobs.find(id);
+    if (known != m_jobs.end()) {
+        leaveOpen(known->second);
+        m_jobs.erase(known);
+    }
 }
 
 const job_entry *job_directory::find(const job_id &id) const
@@ -67,6 +85,9 @@
             m_ended.insert(node);
         }
     }
+    for (const node_id &node : nodes) {
+        m_ended.erase(node);
+    }
     m_registered = nodes;
 }
 
@@ -128,11 +149,29 @@
     });
 }
 
+/// Forgets nodes that have gone for good.
+void job_directory::forgetNodes(time_point now)
+{
+    std::erase_if(m_heardAt, [&](const auto &heard) {
+        return now - heard.second > m_options.nodeMemory && !m_registered.contains(heard.first);
+    });
+    const auto isForgotten = [this](const node_id &node) {
+        return !m_heardAt.contains(node);
+    };
+    std::erase_if(m_leaving, isForgotten);
+    std::erase_if(m_ended, isForgotten);
+}
+
 std::vector<job_entry> job_directory::toTakeOver(time_point now)
 {
+    forgetNodes(now);
+    std::erase_if(m_orphanedAt, [&](const auto &orphan) {
+        return !m_open.contains(orphan.first);
+    });
     std::vector<job_entry> result;
-    for (const auto &[id, entry] : m_jobs) {
-        if (!entry.isOpen() || lives(entry.owner, now)) {
+    for (const job_id &id : m_open) {
+        const job_entry &entry = m_jobs.at(id);
+        if (lives(entry.owner, now)) {
             m_orphanedAt.erase(id);
             continue;
         }
@@ -153,23 +192,19 @@
 std::vector<job_entry> job_directory::owned() const
 {
     std::vector<job_entry> result;
-    for (const auto &[id, entry] : m_jobs) {
-        if (entry.isOpen() && entry.owner == m_options.self) {
+    for (const job_id &id : m_open) {
+        const job_entry &entry = m_jobs.at(id);
+        if (entry.owner == m_options.self) {
             result.push_back(entry);
         }
     }
     return result;
 }
 
-std::vector<job_entry> job_directory::open(const std::string &route) const
+std::uint64_t job_directory::openTokens(const std::string &route) const
 {
-    std::vector<job_entry> result;
-    for (const auto &[id, entry] : m_jobs) {
-        if (entry.isOpen() && entry.route == route) {
-            result.push_back(entry);
-        }
-    }
-    return result;
+    const auto tokens = m_openTokens.find(route);
+    return tokens == m_openTokens.end() ? 0 : tokens->second;
 }
 
 std::vector<job_entry> job_directory::olderThan(time_point before) const
--- a/core/src/serving/waiting_quota.cpp
+++ b/core/src/serving/waiting_quota.cpp
@@ -5,7 +5,6 @@
 #include "banyan/core/serving/job_entry.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace banyan {
@@ -17,24 +16,19 @@
 constexpr duration unknownReturn = std::chrono::seconds(1); ///< While no item has finished lately.
 constexpr double spreadOfReturn = 0.25; ///< Part of the time by which returns are varied.
 
-/// Tokens by job, of all that wait.
-std::map<job_id, std::uint64_t> tokensByJob(const std::string &route, const std::vector<quota_holding> &holdings, const job_directory &jobs)
+bool isOpen(const job_entry *entry)
 {
-    std::map<job_id, std::uint64_t> result;
-    for (const job_entry &entry : jobs.open(route)) {
-        result[entry.id] = entry.tokensLeft;
-    }
-    for (const quota_holding &holding : holdings) {
-        result[holding.job] = holding.tokens;
-    }
-    return result;
+    return entry != nullptr && entry->isOpen();
 }
 
-std::uint64_t sumOf(const std::map<job_id, std::uint64_t> &tokens)
+/// Tokens that wait: those of the holdings, and of recorded jobs that have none.
+std::uint64_t waitingTokens(const std::string &route, const std::vector<quota_holding> &holdings, const job_directory &jobs)
 {
-    std::uint64_t sum = 0;
-    for (const auto &[job, count] : tokens) {
-        sum += count;
+    std::uint64_t sum = jobs.openTokens(route);
+    for (const quota_holding &holding : holdings) {
+        const job_entry *const entry = jobs.find(holding.job);
+        sum += holding.tokens;
+        sum -= isOpen(entry) ? entry->tokensLeft : 0; // Its job is counted by the holding.
     }
     return sum;
 }
@@ -49,26 +43,26 @@
 waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<quota_holding> &wanted) const
 {
     decision result{.fits = {}, .holdings = stillHeld(at), .waiting = 0};
-    std::map<job_id, std::uint64_t> counted = tokensByJob(m_options.route, result.holdings, at.jobs);
-    result.waiting = sumOf(counted);
+    result.waiting = waitingTokens(m_options.route, result.holdings, at.jobs);
     for (const quota_holding &job : wanted) {
-        const auto known = counted.find(job.job);
-        const bool fits = known != counted.end() || result.waiting + job.tokens <= at.limit;
-        result.fits.push_back(fits);
-        if (!fits) {
-            continue;
-        }
+        const auto held = std::find_if(result.holdings.begin(), result.holdings.end(), [&](const quota_holding &other) {
+            return other.job == job.job;
+        });
+        const job_entry *const entry = at.jobs.find(job.job);
         quota_holding holding = job;
         holding.heldSince = at.storeTime;
-        if (known == counted.end()) {
-            counted.emplace(job.job, job.tokens);
+        if (held != result.holdings.end()) {
+            holding.tokens = held->tokens;
+            result.holdings.erase(held);
+        } else if (isOpen(entry)) {
+            holding.tokens = entry->tokensLeft;
+        } else if (result.waiting + job.tokens <= at.limit) {
             result.waiting += job.tokens;
         } else {
-            holding.tokens = known->second;
+            result.fits.push_back(false);
+            continue;
         }
-        std::erase_if(result.holdings, [&](const quota_holding &held) {
-            return held.job == job.job;
-        });
+        result.fits.push_back(true);
         result.holdings.push_back(std::move(holding));
     }
     trim(result.holdings, at.jobs);
--- a/tests/property/serving/waiting_quota_property_test.cpp
+++ b/tests/property/serving/waiting_quota_property_test.cpp
@@ -210,6 +210,11 @@
     void change(job_entry entry)
     {
         entry.version = ++m_rowVersion;
+        if (entry.isOpen()) {
+            m_open.insert(entry.id);
+        } else {
+            m_open.erase(entry.id);
+        }
         m_jobs.insert_or_assign(entry.id, entry);
         m_changes.emplace_back(m_now, entry);
     }
@@ -220,19 +225,18 @@
         m_accepted.insert(job);
         ++accepted;
         std::uint64_t waiting = 0;
-        for (const job_id &id : m_accepted) {
-            const job_entry &entry = m_jobs.at(id);
-            waiting += entry.isOpen() ? entry.tokensLeft : 0;
+        for (const job_id &id : m_open) {
+            waiting += m_accepted.contains(id) ? m_jobs.at(id).tokensLeft : 0;
         }
         most = std::max(most, waiting);
     }
 
     void finishSome(double probability)
     {
-        const std::map<job_id, job_entry> jobs = m_jobs;
-        for (const auto &[id, known] : jobs) {
-            if (known.isOpen() && chance(probability / 10)) {
-                job_entry entry = known;
+        const std::set<job_id> open = m_open;
+        for (const job_id &id : open) {
+            if (chance(probability / 10)) {
+                job_entry entry = m_jobs.at(id);
                 entry.tokensLeft /= 2;
                 entry.complete = entry.tokensLeft < 100;
                 entry.ended = chance(0.05);
@@ -281,6 +285,7 @@
     row_version m_version = 0;
     row_version m_rowVersion = 0;
     std::map<job_id, job_entry> m_jobs;
+    std::set<job_id> m_open; ///< Jobs that have items to run.
     std::vector<std::pair<time_point, job_entry>> m_changes;
     std::multimap<time_point, std::function<void()>> m_late;
     std::deque<std::pair<job_id, std::uint64_t>> m_unanswered;
--- a/tests/unit/serving/job_directory_test.cpp
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -153,3 +153,45 @@
     }
     CHECK(directory.toTakeOver(start).size() == 20);
 }
+
+TEST_CASE("job_directory leaves the jobs of a node alone that has registered again under its name")
+{
+    job_directory directory = directoryOf("n1");
+    directory.setRegistered({node_id("n1"), node_id("n2")});
+    directory.heard(node_id("n2"), start);
+    directory.setRegistered({node_id("n1")}); // Lapsed during a pause.
+    directory.setRegistered({node_id("n1"), node_id("n2")});
+    directory.heard(node_id("n2"), start + 10s);
+    directory.stored(entry("j", "n2"));
+    CHECK(directory.toTakeOver(start + 11s).empty());
+}
+
+TEST_CASE("job_directory takes over the job of a node that it has forgotten")
+{
+    job_directory directory = directoryOf("n1");
+    directory.heard(node_id("n2"), start);
+    CHECK(directory.toTakeOver(start + 1h).empty());
+    directory.stored(entry("j", "n2"));
+    CHECK(directory.toTakeOver(start + 2h).size() == 1);
+}
+
+TEST_CASE("job_directory counts the tokens of a route's open jobs")
+{
+    job_directory directory = directoryOf("n1");
+    const auto job = [](const std::string &id, std::uint64_t tokens, row_version version, bool ended = false) {
+        return job_entry{.id = job_id(id), .route = "r", .tokensLeft = tokens, .ended = ended, .version = version};
+    };
+    directory.stored(job("a", 50, 1));
+    directory.stored(job("b", 30, 2));
+    directory.stored({.id = job_id("c"), .route = "other", .tokensLeft = 7, .version = 3});
+    CHECK(directory.openTokens("r") == 80);
+    directory.stored(job("a", 20, 4));
+    directory.stored(job("a", 50, 1)); // An old row that comes late.
+    CHECK(directory.openTokens("r") == 50);
+    directory.stored(job("b", 30, 5, true));
+    CHECK(directory.openTokens("r") == 20);
+    directory.removed(job_id("a"));
+    directory.removed(job_id("b"));
+    CHECK(directory.openTokens("r") == 0);
+    CHECK(directory.openTokens("other") == 7);
+}
