Store when a job came by the store's clock

Cause: job rows held the process's own time, which is the machine's clock at the process's start. All nodes see the store's clock; store_clock converts within the bounds of the calls, erring to later moments. The stand-in store now has a clock; it always answered 0, so that no process test saw a holding of the quota lapse.

--- a/io/src/serving/job_records.cpp
+++ b/io/src/serving/job_records.cpp
@@ -1,5 +1,6 @@
 #include "job_records.h"
 
+#include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/platform_error.h"
 #include "banyan/io/serving/serving_codec.h"
@@ -71,10 +72,24 @@
     return commit.committed ? std::optional(commit.version) : std::nullopt;
 }
 
+/// The same store; each page that is read from it sets the clock.
+table_store setting(std::shared_ptr<store_clock> clock, table_store store)
+{
+    table_store result = store;
+    result.read = [clock = std::move(clock), read = std::move(store.read)](table_range range) -> task<table_page> {
+        const time_point sentAt = currentTime();
+        table_page page = co_await read(std::move(range));
+        clock->observed(page.storeTime, sentAt, currentTime());
+        co_return page;
+    };
+    return result;
+}
+
 } // namespace
 
 job_records::job_records(table_store store)
-    : m_store(std::move(store))
+    : m_clock(std::make_shared<store_clock>())
+    , m_store(setting(m_clock, std::move(store)))
 {
 }
 
@@ -96,13 +111,27 @@
     return names;
 }
 
-std::optional<job_entry> job_records::entryOf(const table_row &row)
+std::optional<job_entry> job_records::entryOf(const table_row &row) const
+{
+    std::optional<job_entry> entry = decodeJobEntry(job_id(row.name.key), row.version, row.value);
+    if (entry) {
+        entry->submittedAt = m_clock->toLocalTime(entry->submittedAt.time_since_epoch());
+    }
+    return entry;
+}
+
+table_write job_records::writeOf(const job_entry &entry) const
 {
-    return decodeJobEntry(job_id(row.name.key), row.version, row.value);
+    job_entry stored = entry;
+    stored.submittedAt = time_point(m_clock->toStoreTime(entry.submittedAt));
+    return {.name = entryKey(entry.id), .value = encode(stored)};
 }
 
 task<std::optional<row_version>> job_records::create(job_entry entry, std::vector<job_item> items)
 {
+    if (!m_clock->isSet()) {
+        (void)co_await find(entry.id); // Its answer tells the store's time.
+    }
     std::string bytes = encode(items);
     entry.itemsInObject = bytes.size() > maximumRowBytes;
     table_transaction change;
@@ -112,7 +141,7 @@
     } else {
         change.writes.push_back({.name = itemsKey(entry.id), .value = std::move(bytes)});
     }
-    change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    change.writes.push_back(writeOf(entry));
     co_return versionOf(co_await m_store.commit(std::move(change)));
 }
 
@@ -120,7 +149,7 @@
 {
     table_transaction change;
     change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
-    change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+    change.writes.push_back(writeOf(entry));
     co_return versionOf(co_await m_store.commit(std::move(change)));
 }
 
@@ -140,7 +169,7 @@
         change.removals.push_back(progressKey(entry.id, item));
     }
     if (batch.entryChanged) {
-        change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+        change.writes.push_back(writeOf(entry));
     }
     co_return versionOf(co_await m_store.commit(std::move(change)));
 }
@@ -151,7 +180,7 @@
     table_transaction change;
     change.conditions.push_back({.name = entryKey(entry.id), .version = entry.version});
     if (entryChanged) {
-        change.writes.push_back({.name = entryKey(entry.id), .value = encode(entry)});
+        change.writes.push_back(writeOf(entry));
     }
     std::vector<item_checkpoint> stored;
     std::size_t bytes = 0;
--- a/io/src/serving/job_records.h
+++ b/io/src/serving/job_records.h
@@ -4,16 +4,19 @@
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
+#include "banyan/core/serving/store_clock.h"
 #include "banyan/io/serving/table_store.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace banyan {
 
-/// How jobs lie in the store: their rows, objects and keys. Errors are those of the table_store.
+/// How jobs lie in the store: their rows, objects and keys. Times are stored as the store's, and given as this process's.
+/// Errors are those of the table_store.
 class job_records
 {
 public:
@@ -23,8 +26,14 @@
     static const std::string &table();
     static const std::vector<std::string> &parts();
 
-    /// The entry in a row of that table; none if the row cannot be read.
-    [[nodiscard]] static std::optional<job_entry> entryOf(const table_row &row);
+    /// The store, for readers of rows that entryOf is to be asked about.
+    [[nodiscard]] const table_store &store() const
+    {
+        return m_store;
+    }
+
+    /// The entry in a row that was read by store(); none if the row cannot be read.
+    [[nodiscard]] std::optional<job_entry> entryOf(const table_row &row) const;
 
     /// Records a new job. Returns its version, or nothing if there is one of that id.
     [[nodiscard]] task<std::optional<row_version>> create(job_entry entry, std::vector<job_item> items);
@@ -67,7 +76,9 @@
 
 private:
     [[nodiscard]] task<> removeRows(std::string table, job_id id);
+    [[nodiscard]] table_write writeOf(const job_entry &entry) const;
 
+    std::shared_ptr<store_clock> m_clock; ///< Set by the calls of m_store.
     table_store m_store;
 };
 
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -29,7 +29,7 @@
         , m_directory({.self = options.self})
         , m_jobsFollower(std::make_shared<table_follower>(
               ports.context,
-              ports.store,
+              m_records.store(),
               table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = tablePause},
               observer()))
         , m_quota(std::make_shared<quota_reservations>(quota_ports{.context = ports.context,
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -47,7 +47,7 @@
 table_observer listed_job_service::implementation::observer()
 {
     const auto take = [this](const table_row &row) {
-        const std::optional<job_entry> entry = row.deleted ? std::nullopt : job_records::entryOf(row);
+        const std::optional<job_entry> entry = row.deleted ? std::nullopt : m_records.entryOf(row);
         if (entry) {
             entryChanged(*entry);
         } else if (row.deleted) {
--- a/tests/standins/common/memory_tables.cpp
+++ b/tests/standins/common/memory_tables.cpp
@@ -28,7 +28,7 @@
 
 table_page memory_tables::read(const table_range &range) const
 {
-    table_page page{.rows = {}, .more = false, .version = m_version};
+    table_page page{.rows = {}, .more = false, .version = m_version, .storeTime = clock()};
     for (auto row = m_rows.lower_bound({range.table, range.part, range.from}); row != m_rows.end(); ++row) {
         const table_key &name = row->first;
         if (name.table != range.table || name.part != range.part || (!range.to.empty() && name.key >= range.to)) {
--- a/tests/standins/common/memory_tables.h
+++ b/tests/standins/common/memory_tables.h
@@ -4,6 +4,8 @@
 #include "banyan/core/serving/table_transaction.h"
 #include "banyan/io/serving/table_store.h"
 
+#include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +36,10 @@
     }
 
     std::map<std::string, std::string> objects;
+    /// The store's clock: goes on steadily, from a start that is nobody else's.
+    std::function<duration()> clock = [start = std::chrono::steady_clock::now()] {
+        return std::chrono::hours(5) + std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - start);
+    };
 
 private:
     std::map<table_key, table_row> m_rows;
--- a/tests/standins/store/store_standin.cpp
+++ b/tests/standins/store/store_standin.cpp
@@ -148,7 +148,8 @@
     if (losesAnswer()) {
         co_return;
     }
-    http_response response = jsonResponse(result.committed ? 200 : 412, json::object{{"ver", m_tables.version()}, {"now_ms", 0}});
+    http_response response =
+        jsonResponse(result.committed ? 200 : 412, json::object{{"ver", m_tables.version()}, {"now_ms", nowMilliseconds()}});
     co_await exchange.respond(std::move(response));
 }
 
@@ -159,8 +160,8 @@
                                            .from = exchange.query("from").value_or(""),
                                            .to = exchange.query("to").value_or(""),
                                            .limit = numberOf(exchange, "limit", 500)});
-    http_response response =
-        jsonResponse(200, json::object{{"rows", rowsJson(page.rows)}, {"has_more", page.more}, {"ver", page.version}, {"now_ms", 0}});
+    http_response response = jsonResponse(
+        200, json::object{{"rows", rowsJson(page.rows)}, {"has_more", page.more}, {"ver", page.version}, {"now_ms", nowMilliseconds()}});
     co_await exchange.respond(std::move(response));
 }
 
@@ -174,8 +175,9 @@
         co_await sleepFor(pollInterval);
         changes = m_tables.changes(table, after);
     }
-    http_response response = jsonResponse(changes.historyLost ? 410 : 200,
-                                          json::object{{"rows", rowsJson(changes.rows)}, {"ver", changes.version}, {"now_ms", 0}});
+    http_response response =
+        jsonResponse(changes.historyLost ? 410 : 200,
+                     json::object{{"rows", rowsJson(changes.rows)}, {"ver", changes.version}, {"now_ms", nowMilliseconds()}});
     co_await exchange.respond(std::move(response));
 }
 
--- a/tests/standins/store/store_standin.h
+++ b/tests/standins/store/store_standin.h
@@ -34,6 +34,10 @@
     task<> handleSetRow(http_exchange &exchange);
     task<> handleForget(http_exchange &exchange);
     [[nodiscard]] bool losesAnswer();
+    [[nodiscard]] std::int64_t nowMilliseconds() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_tables.clock()).count();
+    }
 
     memory_tables m_tables;
     std::string m_mode = "up";
--- a/tests/unit/serving/job_records_test.cpp
+++ b/tests/unit/serving/job_records_test.cpp
@@ -1,11 +1,14 @@
 #include "serving/job_records.h"
 
+#include "banyan/io/clock.h"
+#include "banyan/io/serving/serving_codec.h"
 #include "serving_fixture.h"
 
 #include <catch2/catch.hpp>
 
 using namespace banyan;
 using namespace banyan::tests;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -18,8 +21,44 @@
     return {.item = item, .lastEvent = 1, .output = output};
 }
 
+/// The entry as its bytes are in the store.
+job_entry storedEntry(const memory_store &store, const job_id &id)
+{
+    for (const std::string &part : job_records::parts()) {
+        if (const std::optional<table_row> row = store.tables.find({.table = job_records::table(), .part = part, .key = id.text()})) {
+            return decodeJobEntry(id, row->version, row->value).value();
+        }
+    }
+    throw std::runtime_error("expected a row of job " + id.text() + ", found none");
+}
+
 } // namespace
 
+TEST_CASE("job_records stores when a job came by the store's clock, so that another process finds the same age")
+{
+    constexpr duration storeTime = 1000s;
+    serving_fixture fixture;
+    fixture.store.tables.clock = [] {
+        return storeTime;
+    };
+    job_records records(fixture.store.port());
+    const time_point submittedAt = currentTime();
+    std::optional<job_entry> found;
+    fixture.run([&]() -> task<> {
+        job_entry entry{.id = job_id("j"), .submittedAt = submittedAt, .total = 2};
+        std::vector<job_item> none;
+        (void)co_await records.create(std::move(entry), std::move(none));
+        found = co_await records.find(job_id("j"));
+    });
+
+    const duration stored = storedEntry(fixture.store, job_id("j")).submittedAt.time_since_epoch();
+    INFO("stored at " << stored.count() << " us of the store's time, expected about " << storeTime.count());
+    CHECK(stored > storeTime - 1h);
+    CHECK(stored < storeTime + 1h);
+    REQUIRE(found.has_value());
+    CHECK(found->submittedAt >= submittedAt);
+}
+
 TEST_CASE("job_records says which checkpoints were stored: those that fit a row")
 {
     serving_fixture fixture;
