--- a/io/src/serving/job_takeover.cpp
+++ b/io/src/serving/job_takeover.cpp
@@ -25,6 +25,7 @@
 {
     while (!self->m_handingOver) {
         co_await self->sleep(takeoverInterval);
+        self->observeSlots(currentTime());
         co_await self->lookForJobs();
     }
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -155,6 +155,35 @@
     int m_sent = 0;
 };
 
+/// Clients that send requests until the object's end, also when that is an exception's.
+class client_threads
+{
+public:
+    client_threads(live_gateways &gateways, promises &told, unsigned seed)
+    {
+        for (int number = 0; number < clientThreads; ++number) {
+            m_threads.emplace_back([this, &gateways, &told, number, seed] {
+                soak_client(gateways, told, number, seed * 100 + static_cast<unsigned>(number)).run(m_stop);
+            });
+        }
+    }
+
+    ~client_threads()
+    {
+        m_stop = true;
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    client_threads(const client_threads &) = delete;
+    client_threads &operator=(const client_threads &) = delete;
+
+private:
+    std::atomic<bool> m_stop = false;
+    std::vector<std::thread> m_threads;
+};
+
 /// The system under test, and the faults.
 class soak_run
 {
@@ -175,23 +204,14 @@
     /// Returns whether all promises were kept.
     bool run(unsigned seed, std::chrono::seconds time)
     {
-        std::atomic<bool> stop = false;
-        std::vector<std::thread> threads;
-        threads.reserve(clientThreads);
-        for (int number = 0; number < clientThreads; ++number) {
-            threads.emplace_back([this, number, seed, &stop] {
-                soak_client(m_gateways, m_told, number, seed * 100 + static_cast<unsigned>(number)).run(stop);
-            });
-        }
-        const auto end = std::chrono::steady_clock::now() + time;
-        while (std::chrono::steady_clock::now() < end) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
-            fault();
-        }
-        calm();
-        stop = true;
-        for (std::thread &thread : threads) {
-            thread.join();
+        {
+            const client_threads clients(m_gateways, m_told, seed);
+            const auto end = std::chrono::steady_clock::now() + time;
+            while (std::chrono::steady_clock::now() < end) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
+                fault();
+            }
+            calm();
         }
         check();
         std::printf(
--- a/tests/unit/serving/job_records_test.cpp
+++ b/tests/unit/serving/job_records_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr duration storeTime = 1000s;
+
 item_checkpoint checkpointOf(const std::string &item, std::size_t bytes)
 {
     std::string output;
@@ -36,7 +38,6 @@
 
 TEST_CASE("job_records stores when a job came by the store's clock, so that another process finds the same age")
 {
-    constexpr duration storeTime = 1000s;
     serving_fixture fixture;
     fixture.store.tables.clock = [] {
         return storeTime;
