--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -63,9 +63,6 @@
     /// Open jobs that the store says this node owns.
     [[nodiscard]] std::vector<job_entry> owned() const;
 
-    /// Open jobs of a route.
-    [[nodiscard]] std::vector<job_entry> open(const std::string &route) const;
-
     /// Tokens that the open jobs of a route still need.
     [[nodiscard]] std::uint64_t openTokens(const std::string &route) const;
 
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -83,14 +83,6 @@
     /// Without a first byte after this time a run at an upstream of the service counts as overdue.
     [[nodiscard]] duration overdueAfter(const service_name &service) const;
 
-    /// Slots of a service, and how many of them online work of all nodes holds, as far as it is known here.
-    struct occupancy
-    {
-        std::uint32_t slots = 0;
-        std::uint32_t online = 0;
-    };
-    [[nodiscard]] occupancy occupancyOf(const service_name &service) const;
-
     /// This node's own work in flight.
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
 
--- a/core/include/banyan/core/serving/waiting_quota.h
+++ b/core/include/banyan/core/serving/waiting_quota.h
@@ -37,19 +37,13 @@
     /// What a decision is made by.
     struct situation
     {
+        std::uint64_t limit = 0; ///< Tokens that may wait.
         std::vector<quota_holding> stored; ///< The holdings as they are in the store.
         duration storeTime{}; ///< The present time by the store's clock.
         const job_directory &jobs;
         bool jobsCurrent = false; ///< The directory is not behind the store by more than its usual delay.
     };
 
-    /// A job that asks for its tokens.
-    struct request
-    {
-        quota_holding holding;
-        std::uint64_t limit = 0; ///< Tokens that may wait with this job among them.
-    };
-
     /// Which jobs fit, and the holdings that have to be stored before they are accepted.
     struct decision
     {
@@ -60,7 +54,7 @@
 
     /// Decides on jobs in their order; one that does not fit leaves room for smaller ones after it. A job that is counted already
     /// fits, and the holding becomes that of its latest submission.
-    [[nodiscard]] decision decide(const situation &at, const std::vector<request> &wanted) const;
+    [[nodiscard]] decision decide(const situation &at, const std::vector<quota_holding> &wanted) const;
 
     /// Takes in that items with so many tokens have got their results.
     void finished(std::uint64_t tokens, time_point now);
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -201,18 +201,6 @@
     return result;
 }
 
-std::vector<job_entry> job_directory::open(const std::string &route) const
-{
-    std::vector<job_entry> result;
-    for (const job_id &id : m_open) {
-        const job_entry &entry = m_jobs.at(id);
-        if (entry.route == route) {
-            result.push_back(entry);
-        }
-    }
-    return result;
-}
-
 std::uint64_t job_directory::openTokens(const std::string &route) const
 {
     const auto tokens = m_openTokens.find(route);
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -61,7 +61,6 @@
     slot_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] duration overdueAfter(const service_name &service) const;
-    [[nodiscard]] occupancy occupancyOf(const service_name &service) const;
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
     [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
     [[nodiscard]] std::uint32_t waitingOnline() const;
@@ -515,22 +514,6 @@
     return std::min(slow.value_or(unknownOverdueAfter), longestOverdueAfter);
 }
 
-request_scheduler::occupancy request_scheduler::implementation::occupancyOf(const service_name &service) const
-{
-    occupancy result;
-    const auto entry = m_services.find(service);
-    if (entry == m_services.end()) {
-        return result;
-    }
-    for (const auto &[id, upstream] : entry->second.upstreams) {
-        if (upstream.isUsable()) {
-            result.slots += upstream.info.slots;
-            result.online += m_choice.workAt(upstream).online;
-        }
-    }
-    return result;
-}
-
 std::map<upstream_key, upstream_usage> request_scheduler::implementation::usage(time_point now) const
 {
     std::map<upstream_key, upstream_usage> result;
@@ -650,11 +633,6 @@
     return m_implementation->overdueAfter(service);
 }
 
-request_scheduler::occupancy request_scheduler::occupancyOf(const service_name &service) const
-{
-    return m_implementation->occupancyOf(service);
-}
-
 std::map<upstream_key, upstream_usage> request_scheduler::usage(time_point now) const
 {
     return m_implementation->usage(now);
--- a/core/src/serving/waiting_quota.cpp
+++ b/core/src/serving/waiting_quota.cpp
@@ -40,12 +40,11 @@
 {
 }
 
-waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<request> &wanted) const
+waiting_quota::decision waiting_quota::decide(const situation &at, const std::vector<quota_holding> &wanted) const
 {
     decision result{.fits = {}, .holdings = stillHeld(at), .waiting = 0};
     result.waiting = waitingTokens(m_options.route, result.holdings, at.jobs);
-    for (const request &asked : wanted) {
-        const quota_holding &job = asked.holding;
+    for (const quota_holding &job : wanted) {
         const auto held = std::find_if(result.holdings.begin(), result.holdings.end(), [&](const quota_holding &other) {
             return other.job == job.job;
         });
@@ -57,7 +56,7 @@
             result.holdings.erase(held);
         } else if (isOpen(entry)) {
             holding.tokens = entry->tokensLeft;
-        } else if (result.waiting + job.tokens <= asked.limit) {
+        } else if (result.waiting + job.tokens <= at.limit) {
             result.waiting += job.tokens;
         } else {
             result.fits.push_back(false);
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -118,9 +118,6 @@
         m_ports.slots.scheduler().addressReused(upstream);
     }
     const item_step step = progress.ended(outcomeOf(report), currentTime());
-    if (step == item_step::Succeeded && by.maximumWaitingTokens > 0 && !state.restored) {
-        m_forecasts[by.name].completed(job->items[index].tokens, state.ranBefore);
-    }
     if (report.result.outcome != attempt_outcome::Succeeded) {
         logEvent(log_level::Info,
                  "item_run_ended",
--- a/io/src/serving/job_listing.cpp
+++ b/io/src/serving/job_listing.cpp
@@ -70,8 +70,7 @@
     job_entry entry = job->entry;
     entry.complete = job->listed + count == entry.total;
     entry.tokensLeft = job->tokensLeftAfter(job->listed + count);
-    const route *const by = routeNamed(entry.route);
-    const bool entryChanged = entry.complete || (by != nullptr && by->maximumWaitingTokens > 0);
+    const bool entryChanged = entry.complete || quotaOf(entry.route) > 0;
     std::string failure;
     try {
         job_records::result_batch batch{.first = static_cast<std::uint32_t>(job->listed),
--- a/io/src/serving/job_takeover.cpp
+++ b/io/src/serving/job_takeover.cpp
@@ -25,7 +25,6 @@
 {
     while (!self->m_handingOver) {
         co_await self->sleep(takeoverInterval);
-        self->observeSlots(currentTime());
         co_await self->lookForJobs();
     }
 }
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "banyan/core/serving/job_directory.h"
-#include "banyan/core/serving/job_forecast.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "job_records.h"
@@ -17,7 +16,6 @@
 namespace banyan {
 
 struct replica;
-struct route;
 
 /// The jobs of a node. Its matters have a file each: submissions and readers (listed_job_service.cpp), whose job it is
 /// (job_takeover.cpp), the runs of items (item_runs.cpp), and what is recorded (job_listing.cpp).
@@ -90,9 +88,7 @@
     table_observer observer();
     void entryChanged(const job_entry &entry);
     void noteFinished(const job_entry &entry);
-    [[nodiscard]] const route *routeNamed(const std::string &name) const;
-    [[nodiscard]] std::uint64_t limitFor(const quota_holding &job, const route &by) const;
-    void observeSlots(time_point now);
+    [[nodiscard]] std::uint64_t quotaOf(const std::string &route) const;
     task<submission_answer> record(job_submission submission, std::uint64_t tokens);
     void begin(const job_entry &entry,
                std::vector<job_item> items,
@@ -126,7 +122,6 @@
     std::shared_ptr<table_follower> m_jobsFollower;
     std::shared_ptr<quota_reservations> m_quota;
     std::shared_ptr<const route_table> m_table;
-    std::map<std::string, job_forecast> m_forecasts; ///< By route, of those that have a quota.
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
     bool m_handingOver = false;
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -1,11 +1,8 @@
 #include "banyan/io/serving/listed_job_service.h"
 
-#include "banyan/core/serving/request_scheduler.h"
-#include "banyan/core/serving/route_table.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/platform_error.h"
-#include "banyan/io/serving/slot_broker.h"
 #include "listed_job_implementation.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -146,18 +143,18 @@
         co_return submission_answer{.acceptance = job_acceptance::Accepted};
     }
     const std::string route = submission.route;
-    const ::banyan::route *const by = routeNamed(route);
+    const std::uint64_t limit = quotaOf(route);
     quota_holding holding{.job = submission.id, .claim = m_quota->newClaim()};
     for (const job_item &item : submission.items) {
         holding.tokens += item.tokens;
     }
     submission_answer answer{.acceptance = job_acceptance::NotAccepted, .retryAfter = storeReturnDelay};
-    if (by == nullptr || by->maximumWaitingTokens == 0) {
+    if (limit == 0) {
         answer = co_await record(std::move(submission), holding.tokens);
         co_return answer;
     }
     const time_point begunAt = currentTime();
-    const reservation reserved = co_await m_quota->reserve(route, limitFor(holding, *by), holding);
+    const reservation reserved = co_await m_quota->reserve(route, limit, holding);
     if (reserved.state == reservation_state::OverQuota) {
         answer = {.acceptance = job_acceptance::OverQuota, .retryAfter = reserved.retryAfter};
     } else if (reserved.state == reservation_state::Reserved) {
@@ -172,48 +169,11 @@
     co_return answer;
 }
 
-/// The route in the present configuration; null if it has none of that name.
-const route *listed_job_service::implementation::routeNamed(const std::string &name) const
+/// Tokens that may wait on a route; 0 for no limit.
+std::uint64_t listed_job_service::implementation::quotaOf(const std::string &route) const
 {
-    return m_table ? m_table->named(name) : nullptr;
-}
-
-/// Tokens that may wait on the route with the job among them.
-std::uint64_t listed_job_service::implementation::limitFor(const quota_holding &job, const route &by) const
-{
-    const std::vector<job_entry> open = m_directory.open(by.name);
-    const job_forecast::situation at{.quota = by.maximumWaitingTokens, .tokens = job.tokens, .window = by.completionWindow, .open = open};
-    const auto known = m_forecasts.find(by.name);
-    const job_forecast forecast = known == m_forecasts.end() ? job_forecast() : known->second;
-    const time_point now = currentTime();
-    const std::uint64_t limit = forecast.limitFor(at, now);
-    if (limit < at.quota) {
-        const double rate = forecast.tokensPerSecond().value_or(0);
-        logEvent(log_level::Info,
-                 "job_forecast_late",
-                 {{"job", job.job.text()},
-                  {"route", by.name},
-                  {"tokens", std::to_string(job.tokens)},
-                  {"tokens_in_time", std::to_string(forecast.tokensInTime(at, rate, now))},
-                  {"tokens_per_second", std::to_string(static_cast<std::uint64_t>(rate))},
-                  {"limit", std::to_string(limit)}});
-    }
-    return limit;
-}
-
-/// Takes in how much of the upstreams online work holds now.
-void listed_job_service::implementation::observeSlots(time_point now)
-{
-    for (auto &[name, forecast] : m_forecasts) {
-        const route *const by = routeNamed(name);
-        request_scheduler::occupancy sum;
-        for (const weighted_service &service : by ? by->services : std::vector<weighted_service>()) {
-            const request_scheduler::occupancy one = m_ports.slots.scheduler().scheduler().occupancyOf(service.service);
-            sum.slots += one.slots;
-            sum.online += one.online;
-        }
-        forecast.observed(sum.slots, sum.online, now);
-    }
+    const ::banyan::route *const by = m_table ? m_table->named(route) : nullptr;
+    return by == nullptr ? 0 : by->maximumWaitingTokens;
 }
 
 task<submission_answer> listed_job_service::implementation::record(job_submission submission, std::uint64_t tokens)
--- a/io/src/serving/quota_reservations.cpp
+++ b/io/src/serving/quota_reservations.cpp
@@ -35,14 +35,14 @@
 /// A submission that waits for its tokens.
 struct quota_reservations::waiting_submission
 {
-    waiting_submission(asio::io_context &context, waiting_quota::request request, time_point until)
-        : wanted(std::move(request))
+    waiting_submission(asio::io_context &context, quota_holding holding, time_point until)
+        : wanted(std::move(holding))
         , deadline(until)
         , done(context)
     {
     }
 
-    waiting_quota::request wanted;
+    quota_holding wanted;
     time_point deadline;
     std::optional<reservation> outcome;
     async_event done;
@@ -59,6 +59,7 @@
 
     std::string route;
     waiting_quota quota;
+    std::uint64_t limit = 0;
     std::vector<std::shared_ptr<waiting_submission>> waiting;
     std::vector<quota_holding> released; ///< To be taken out of the stored holdings.
     std::vector<quota_holding> holdings; ///< As stored, if isRead.
@@ -96,9 +97,9 @@
 
 task<reservation> quota_reservations::reserve(std::string route, std::uint64_t limit, quota_holding wanted)
 {
-    waiting_quota::request request{.holding = std::move(wanted), .limit = limit};
-    auto submission = std::make_shared<waiting_submission>(m_ports.context, std::move(request), currentTime() + submissionTime);
+    auto submission = std::make_shared<waiting_submission>(m_ports.context, std::move(wanted), currentTime() + submissionTime);
     route_queue &queue = queueOf(route);
+    queue.limit = limit;
     queue.waiting.push_back(submission);
     wake(route);
     while (!submission->outcome) {
@@ -183,11 +184,12 @@
             return released.job == holding.job && released.claim == holding.claim;
         });
     });
-    std::vector<waiting_quota::request> wanted;
+    std::vector<quota_holding> wanted;
     for (const auto &submission : queue.waiting) {
         wanted.push_back(submission->wanted);
     }
-    const waiting_quota::situation at{.stored = std::move(stored),
+    const waiting_quota::situation at{.limit = queue.limit,
+                                      .stored = std::move(stored),
                                       .storeTime = queue.storeTime + (currentTime() - queue.readAt),
                                       .jobs = m_ports.jobs,
                                       .jobsCurrent = m_ports.jobsCurrent()};
@@ -249,15 +251,14 @@
         reservation outcome{.state = reservation_state::Reserved};
         if (!decision.fits[index]) {
             outcome = {.state = reservation_state::OverQuota,
-                       .retryAfter = queue.quota.comeBackAfter(
-                           submission.wanted.limit, decision.waiting, submission.wanted.holding.tokens, now, m_generator)};
+                       .retryAfter = queue.quota.comeBackAfter(queue.limit, decision.waiting, submission.wanted.tokens, now, m_generator)};
             logEvent(log_level::Info,
                      "job_over_quota",
-                     {{"job", submission.wanted.holding.job.text()},
+                     {{"job", submission.wanted.job.text()},
                       {"route", queue.route},
-                      {"tokens", std::to_string(submission.wanted.holding.tokens)},
+                      {"tokens", std::to_string(submission.wanted.tokens)},
                       {"waiting", std::to_string(decision.waiting)},
-                      {"limit", std::to_string(submission.wanted.limit)},
+                      {"limit", std::to_string(queue.limit)},
                       {"holdings_version", std::to_string(queue.version)},
                       {"age_us", std::to_string((now - queue.refreshedAt).count())},
                       {"retry_after_us", std::to_string(outcome.retryAfter.count())}});
@@ -276,7 +277,7 @@
         if (over) {
             logEvent(log_level::Warning,
                      "quota_not_reserved",
-                     {{"job", submission->wanted.holding.job.text()}, {"route", queue.route}, {"reason", reason}});
+                     {{"job", submission->wanted.job.text()}, {"route", queue.route}, {"reason", reason}});
             submission->outcome = reservation{};
             submission->done.notify();
         }
--- a/io/src/serving/quota_reservations.h
+++ b/io/src/serving/quota_reservations.h
@@ -50,7 +50,7 @@
 public:
     explicit quota_reservations(quota_ports ports);
 
-    /// Sets tokens aside for a job of @p route if no more than @p limit wait with it. @p wanted.claim has to be new.
+    /// Sets tokens aside for a job of @p route, of which @p limit may wait. @p wanted.claim has to be new.
     [[nodiscard]] task<reservation> reserve(std::string route, std::uint64_t limit, quota_holding wanted);
 
     /// Gives tokens back for a job that was not recorded. If the store cannot be reached, they come back by themselves later.
--- a/tests/property/serving/waiting_quota_property_test.cpp
+++ b/tests/property/serving/waiting_quota_property_test.cpp
@@ -87,7 +87,7 @@
     {
         return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
             read(*node);
-            const waiting_quota::decision decision = decide(*node, {.job = job_id("last"), .tokens = limit, .claim = 1});
+            const waiting_quota::decision decision = decide(*node, {{.job = job_id("last"), .tokens = limit, .claim = 1}});
             return decision.fits == std::vector<bool>{true};
         });
     }
@@ -115,10 +115,11 @@
         node.version = m_version;
     }
 
-    waiting_quota::decision decide(quota_node &node, const quota_holding &wanted)
+    waiting_quota::decision decide(quota_node &node, const std::vector<quota_holding> &wanted)
     {
-        return node.quota.decide({.stored = node.holdings, .storeTime = m_now.time_since_epoch(), .jobs = node.jobs, .jobsCurrent = true},
-                                 {{.holding = wanted, .limit = limit}});
+        return node.quota.decide(
+            {.limit = limit, .stored = node.holdings, .storeTime = m_now.time_since_epoch(), .jobs = node.jobs, .jobsCurrent = true},
+            wanted);
     }
 
     bool commit(quota_node &node, const std::vector<quota_holding> &holdings)
@@ -151,7 +152,7 @@
         // Nodes decide by what they last read, and find out by their commit that it was old.
         const quota_holding holding{.job = job, .tokens = tokens, .claim = ++m_claims};
         for (int attempt = 0; attempt < 4; ++attempt) {
-            const waiting_quota::decision decision = decide(node, holding);
+            const waiting_quota::decision decision = decide(node, {holding});
             if (!decision.fits.front()) {
                 read(node);
                 continue;
--- a/tests/unit/serving/waiting_quota_test.cpp
+++ b/tests/unit/serving/waiting_quota_test.cpp
@@ -33,12 +33,7 @@
 
     waiting_quota::decision decide(const std::vector<quota_holding> &wanted, duration storeTime = 1h)
     {
-        std::vector<waiting_quota::request> requests;
-        requests.reserve(wanted.size());
-        for (const quota_holding &holding : wanted) {
-            requests.push_back({.holding = holding, .limit = limit});
-        }
-        return quota.decide({.stored = stored, .storeTime = storeTime, .jobs = jobs, .jobsCurrent = jobsCurrent}, requests);
+        return quota.decide({.limit = limit, .stored = stored, .storeTime = storeTime, .jobs = jobs, .jobsCurrent = jobsCurrent}, wanted);
     }
 };
 
