--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -15,6 +15,21 @@
 /// Packing may hide large runs of zeros; nothing that is stored or sent unpacks to more.
 constexpr std::uint64_t maximumUnpackedWords = std::uint64_t(2) << 20;
 constexpr int maximumNesting = 8;
+/// Of the times in messages; more counts as that, so that sums with the present time fit.
+constexpr duration longestSpan = std::chrono::hours(24);
+
+/// Of the moments in rows, from the beginning of their clocks.
+constexpr duration latestMoment = std::chrono::hours(24) * 366 * 1000;
+
+duration spanOf(std::int64_t microseconds)
+{
+    return std::clamp(duration(microseconds), -longestSpan, longestSpan);
+}
+
+duration momentOf(std::int64_t microseconds)
+{
+    return std::clamp(duration(microseconds), -latestMoment, latestMoment);
+}
 
 std::string packed(capnp::MessageBuilder &message)
 {
@@ -166,9 +181,9 @@
                                  .service = service_name(textOf(root.getService())),
                                  .workClass = root.getBatch() ? work_class::Batch : work_class::Online,
                                  .priority = root.getPriority(),
-                                 .arrivedAt = now - duration(root.getSinceArrival()),
-                                 .target = now + duration(root.getUntilTarget()),
-                                 .deadline = now + duration(root.getUntilDeadline()),
+                                 .arrivedAt = now - spanOf(root.getSinceArrival()),
+                                 .target = now + spanOf(root.getUntilTarget()),
+                                 .deadline = now + spanOf(root.getUntilDeadline()),
                                  .cell = {.index = root.getCellIndex(), .count = root.getCellCount()},
                                  .repeatable = root.getRepeatable(),
                                  .begun = root.getBegun(),
@@ -176,7 +191,7 @@
                                  .excluded = {},
                                  .holder = node_id(textOf(root.getSender())),
                                  .domain = failure_domain(textOf(root.getDomain())),
-                                 .ranBefore = duration(root.getRanBefore())}};
+                                 .ranBefore = spanOf(root.getRanBefore())}};
     for (const auto upstream : root.getExcluded()) {
         claim.request.excluded.emplace_back(textOf(upstream));
     }
@@ -191,7 +206,7 @@
             .state = static_cast<claim_state>(state),
             .upstream = upstream_id(textOf(root.getUpstream())),
             .reason = static_cast<end_reason>(reason),
-            .retryAfter = duration(root.getRetryAfter())};
+            .retryAfter = spanOf(root.getRetryAfter())};
 }
 
 slot_release read(schema::SlotRelease::Reader root)
@@ -206,7 +221,7 @@
 {
     return {.sender = node_id(textOf(root.getSender())),
             .request = request_id(textOf(root.getRequest())),
-            .firstByte = duration(root.getFirstByte())};
+            .firstByte = spanOf(root.getFirstByte())};
 }
 
 } // namespace
@@ -290,7 +305,7 @@
         return job_entry{.id = id,
                          .route = textOf(root.getRoute()),
                          .host = textOf(root.getHost()),
-                         .submittedAt = time_point(duration(root.getSubmittedAt())),
+                         .submittedAt = time_point(momentOf(root.getSubmittedAt())),
                          .total = root.getTotal(),
                          .tokensLeft = root.getTokensLeft(),
                          .owner = node_id(textOf(root.getOwner())),
@@ -359,7 +374,7 @@
         for (const auto entry : root.getHoldings()) {
             holdings.push_back({.job = job_id(textOf(entry.getJob())),
                                 .tokens = entry.getTokens(),
-                                .heldSince = duration(entry.getHeldSince()),
+                                .heldSince = momentOf(entry.getHeldSince()),
                                 .claim = entry.getClaim()});
         }
         return holdings;
@@ -383,7 +398,7 @@
         return item_checkpoint{.item = textOf(root.getItem()),
                                .lastEvent = root.getLastEvent(),
                                .output = bytesOf(root.getOutput()),
-                               .ranBefore = duration(root.getRanBefore())};
+                               .ranBefore = spanOf(root.getRanBefore())};
     });
 }
 
