--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -31,6 +31,9 @@
 class request_relay
 {
 public:
+    /// For which other nodes are told of a loss: some reports long, so that a lost datagram does no harm.
+    static constexpr duration lossMemory = std::chrono::seconds(1);
+
     request_relay(const request_relay_ports &ports, upstream_protocol protocol);
     ~request_relay();
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -41,7 +41,6 @@
 constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // One look at the board for the reports of many gateways.
 constexpr duration housekeepingInterval = std::chrono::milliseconds(100); // Silent nodes are noticed that much later.
 constexpr duration suspensionNoticed = std::chrono::seconds(1); // A timer that is so late means that the process stood still.
-constexpr duration lostMemory = std::chrono::seconds(1); // Some reports long, so that a lost datagram does no harm.
 constexpr std::size_t mostLostElsewhere = 64; // Bounds the reports; what is left out is reported by its node again.
 const std::string gatewayTable = "gateways";
 
@@ -396,7 +395,7 @@
 {
     std::vector<lost_content> result = m_relay.recentlyLost(now);
     std::erase_if(m_lostElsewhere, [&](const auto &heard) {
-        return now - heard.first > lostMemory;
+        return now - heard.first > request_relay::lossMemory;
     });
     for (const auto &[at, lost] : m_lostElsewhere) {
         result.push_back(lost);
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -27,7 +27,6 @@
 
 namespace {
 
-constexpr duration lostMemory = std::chrono::seconds(1); // For which the other nodes are told of a loss, since datagrams may be lost.
 constexpr std::uint32_t crashLimit = 3; // Upstreams that one content may crash before it is refused.
 constexpr duration crashMemory = std::chrono::seconds(60); // Longer than a client goes on sending the same content.
 constexpr duration defaultTimeout = std::chrono::seconds(60); // Of a request that names no time and whose route has none.
@@ -71,7 +70,7 @@
         m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
         crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, now);
         std::erase_if(m_lost, [&](const noted_loss &loss) {
-            return now - loss.at > lostMemory;
+            return now - loss.at > lossMemory;
         });
         m_lost.push_back({.content = {.fingerprint = fingerprint, .upstream = keyOf(upstream)}, .at = now});
     }
@@ -503,7 +502,7 @@
 {
     std::vector<lost_content> result;
     for (const noted_loss &loss : m_implementation->m_lost) {
-        if (now - loss.at <= lostMemory) {
+        if (now - loss.at <= lossMemory) {
             result.push_back(loss.content);
         }
     }
--- a/tests/property/serving/decoders_property_test.cpp
+++ b/tests/property/serving/decoders_property_test.cpp
@@ -59,7 +59,8 @@
         {"service":"b","weight":10}]}],"services":[{"name":"a","health_path":"/health","max_conns":170}],"limits":{"max_header_bytes":
         16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})",
     R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":4})",
-    R"({"items":[{"id":"i1","path":"/p/1","headers":{"Model":"m"},"body":"AAEC/w==","tokens":940}]})"};
+    R"({"items":[{"id":"i1","path":"/p/1","headers":{"Model":"m"},"body":"AAEC/w==","tokens":940},
+        {"id":"i2","path":"/p/1","body":"","tokens":10},{"id":"i3","path":"/p/1","body":"","tokens":20}]})"};
 
 class mutation
 {
