--- a/io/include/banyan/io/log_story.h
+++ b/io/include/banyan/io/log_story.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "banyan/io/log_line.h"
+
 #include <ostream>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace banyan {
@@ -36,25 +37,13 @@
     void print(std::ostream &out) const;
 
 private:
-    struct entry
-    {
-        std::string source; ///< The prefix.
-        double seconds = 0; ///< Of the day.
-        std::string event;
-        std::vector<std::pair<std::string, std::string>> fields;
-
-        [[nodiscard]] std::string value(std::string_view name) const;
-        [[nodiscard]] std::string upstream() const;
-    };
-
-    [[nodiscard]] static bool read(std::string_view line, entry &result);
-    [[nodiscard]] bool concerns(const entry &line) const;
-    [[nodiscard]] std::string causeOf(const entry &end) const;
-    [[nodiscard]] std::string placeOf(const entry &end) const;
+    [[nodiscard]] bool concerns(const log_line &line) const;
+    [[nodiscard]] std::string causeOf(const log_line &end) const;
+    [[nodiscard]] std::string placeOf(const log_line &end) const;
 
     std::string m_id;
-    std::vector<entry> m_own; ///< That name the request.
-    std::vector<entry> m_upstreamEvents; ///< Of all upstreams.
+    std::vector<log_line> m_own; ///< That name the request.
+    std::vector<log_line> m_upstreamEvents; ///< Of all upstreams.
 };
 
 } // namespace banyan
--- a/io/include/banyan/io/operator_tool.h
+++ b/io/include/banyan/io/operator_tool.h
@@ -40,6 +40,7 @@
 
 private:
     [[nodiscard]] tool_exit explainFromLogs(std::vector<std::string> arguments);
+    [[nodiscard]] tool_exit countCauses(std::vector<std::string> arguments);
 
     operator_tool_options m_options;
     std::ostream &m_output;
--- a/io/src/operator_command.cpp
+++ b/io/src/operator_command.cpp
@@ -354,6 +354,7 @@
     for (const command_definition &command : commands()) {
         text += "  " + joined(command.words) + "\n      " + command.help + "\n";
     }
+    text += "  causes\n      Counts in log lines of gateways, with --log FILE, why online requests were not answered in time.\n";
     return text;
 }
 
--- a/io/src/operator_tool.cpp
+++ b/io/src/operator_tool.cpp
@@ -3,6 +3,7 @@
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/json_text.h"
+#include "banyan/io/late_causes.h"
 #include "banyan/io/log_story.h"
 #include "operator_command.h"
 #include "usage_error.h"
@@ -57,10 +58,36 @@
            && std::find(arguments.begin(), arguments.end(), std::string("--log")) != arguments.end();
 }
 
-void addLines(std::istream &input, log_story &story)
+/// Reads the arguments of a command that needs no node. Returns false if they ask for help, which has been printed then.
+bool parse(TCLAP::CmdLine &line, const std::string &command, std::vector<std::string> arguments)
 {
-    for (std::string line; std::getline(input, line);) {
-        story.add(line);
+    arguments.front() = command;
+    try {
+        line.parse(arguments);
+    } catch (const TCLAP::ArgException &error) {
+        throw usage_error(error.argId() + ": " + error.error());
+    } catch (const TCLAP::ExitException &) {
+        return false;
+    }
+    return true;
+}
+
+/// Gives the lines of files to @p reader; - stands for standard input.
+template<typename Reader>
+void addFiles(const std::vector<std::string> &names, Reader &reader)
+{
+    for (const std::string &name : names) {
+        std::ifstream file;
+        if (name != "-") {
+            file.open(name);
+            if (!file) {
+                throw usage_error("--log: expected a file that can be read, found " + name);
+            }
+        }
+        std::istream &input = name == "-" ? std::cin : file;
+        for (std::string line; std::getline(input, line);) {
+            reader.add(line);
+        }
     }
 }
 
@@ -79,6 +106,9 @@
         if (isExplainFromLogs(arguments)) {
             return explainFromLogs(arguments);
         }
+        if (!arguments.empty() && arguments.front() == "causes") {
+            return countCauses(arguments);
+        }
         const operator_command command = parseOperatorCommand(arguments, m_options);
         const http_response response = exchangeOnce(command);
         if (response.status >= firstRefusal) {
@@ -105,26 +135,27 @@
     line.setExceptionHandling(false);
     TCLAP::UnlabeledValueArg<std::string> id("id", "Id of the request, the job or the item.", true, "", "ID", line);
     TCLAP::MultiArg<std::string> files("", "log", "File with log lines; - for standard input.", true, "FILE", line);
-    try {
-        arguments.front() = "banyanctl explain";
-        line.parse(arguments);
-    } catch (const TCLAP::ArgException &error) {
-        throw usage_error(error.argId() + ": " + error.error());
+    if (!parse(line, "banyanctl explain", std::move(arguments))) {
+        return tool_exit::Done;
     }
     log_story story(id.getValue());
-    for (const std::string &name : files.getValue()) {
-        if (name == "-") {
-            addLines(std::cin, story);
-            continue;
-        }
-        std::ifstream file(name);
-        if (!file) {
-            throw usage_error("--log: expected a file that can be read, found " + name);
-        }
-        addLines(file, story);
-    }
+    addFiles(files.getValue(), story);
     story.print(m_output);
     return story.isEmpty() ? tool_exit::Refused : tool_exit::Done;
 }
 
+tool_exit operator_tool::countCauses(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Counts in the logs of gateways why online requests were not answered in time.", ' ', "0.1.0");
+    line.setExceptionHandling(false);
+    TCLAP::MultiArg<std::string> files("", "log", "File with log lines; - for standard input.", true, "FILE", line);
+    if (!parse(line, "banyanctl causes", std::move(arguments))) {
+        return tool_exit::Done;
+    }
+    late_causes causes;
+    addFiles(files.getValue(), causes);
+    causes.print(m_output);
+    return causes.counts().empty() ? tool_exit::Refused : tool_exit::Done;
+}
+
 } // namespace banyan
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -435,6 +435,7 @@
                   {"disposition", std::string(toString(result.what))},
                   {"reason", std::string(toString(result.reason))},
                   {"status", std::to_string(m_status)},
+                  {"target_us", std::to_string(m_route.target.count())},
                   {"first_byte_us", std::to_string(firstByte.count())},
                   {"taken_us", std::to_string(taken.count())}});
     }
--- a/tests/unit/operator_api_test.cpp
+++ b/tests/unit/operator_api_test.cpp
@@ -200,4 +200,18 @@
     CHECK(tool.run({"explain", "unknown", "--log", log}) == tool_exit::Refused);
     CHECK(tool.run({"explain", "unknown", "--log", log + ".missing"}) == tool_exit::Usage);
     CHECK(tool.run({"explain", "--log", log}) == tool_exit::Usage);
+    CHECK(tool.run({"explain", "--log", log, "--help"}) == tool_exit::Done);
+}
+
+TEST_CASE("causes counts late requests from log files, without a node")
+{
+    std::ostringstream output;
+    std::ostringstream errors;
+    operator_tool tool({}, output, errors);
+    const std::string log = tests::sourceDirectory() + "/tests/data/gateway-day.log";
+    CHECK(tool.run({"causes", "--log", log}) == tool_exit::Done);
+    CHECK(output.str().find("cause=\"refused: overloaded\"") != std::string::npos);
+    CHECK(tool.run({"causes", "--log", log + ".missing"}) == tool_exit::Usage);
+    CHECK(tool.run({"causes"}) == tool_exit::Usage);
+    CHECK(tool.run({"causes", "--help"}) == tool_exit::Done);
 }
