--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -268,7 +268,8 @@
                              .arrivedAt = now,
                              .target = now + 1h,
                              .deadline = now + 2h};
-        outcome = co_await node.slots.acquire(std::move(request), stop, [] {});
+        std::function<void()> onReclaim = [] {};
+        outcome = co_await node.slots.acquire(std::move(request), stop, std::move(onReclaim));
     });
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     REQUIRE(granted != nullptr);
