--- a/tests/unit/serving/slot_broker_test.cpp
+++ b/tests/unit/serving/slot_broker_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -173,6 +174,22 @@
         }
     }
 
+    /// Runs until a condition holds, for a generous time at most.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        for (const time_point end = currentTime() + tests::generousTime; !condition() && currentTime() < end;) {
+            runFor(1ms);
+        }
+    }
+
+    /// Runs until it is known what came of a request.
+    void runUntilDecided(const std::string &id)
+    {
+        runUntil([this, id] {
+            return outcomes.contains(id);
+        });
+    }
+
     [[nodiscard]] bool granted(const std::string &id) const
     {
         const auto outcome = outcomes.find(id);
@@ -191,7 +208,7 @@
     broker_fixture fixture(2);
     fixture.acquire(fixture.other(), broker_fixture::request("r1"));
     fixture.acquire(fixture.placer(), broker_fixture::request("r2"));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     REQUIRE(fixture.granted("r2"));
     // One queue stands before the upstreams: the two runs are at different ones.
@@ -204,10 +221,12 @@
 {
     broker_fixture fixture(1);
     fixture.acquire(fixture.other(), broker_fixture::request("r1"));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     fixture.other().slots.released(request_id("r1"), {.outcome = attempt_outcome::Succeeded});
-    fixture.runFor(5ms);
+    fixture.runUntil([&] {
+        return broker_fixture::inUse(fixture.placer()) == 0;
+    });
     CHECK(broker_fixture::inUse(fixture.placer()) == 0);
 }
 
@@ -215,7 +234,7 @@
 {
     broker_fixture fixture(1);
     fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("b1");
     REQUIRE(fixture.granted("b1"));
     fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
     fixture.runFor(5ms);
@@ -282,7 +301,7 @@
 {
     broker_fixture fixture(1);
     fixture.acquire(fixture.other(), broker_fixture::request("r1"));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     fixture.cut = true;
     fixture.other().slots.released(request_id("r1"), {.outcome = attempt_outcome::Succeeded});
@@ -308,7 +327,7 @@
     broker_fixture fixture(1);
     fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
     fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     CHECK(fixture.placer().scheduler.scheduler().waitingBatch() == 1);
     fixture.stops["b1"].stop();
@@ -323,7 +342,7 @@
     std::vector<replica> none;
     fixture.placer().scheduler.setUpstreams(none);
     fixture.acquire(fixture.other(), broker_fixture::request("r1"));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(std::holds_alternative<slot_refused>(fixture.outcomes["r1"]));
     CHECK(std::get<slot_refused>(fixture.outcomes["r1"]).reason == end_reason::NoUpstream);
 }
@@ -332,11 +351,11 @@
 {
     broker_fixture fixture(1);
     fixture.acquire(fixture.other(), broker_fixture::request("b1", work_class::Batch));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("b1");
     REQUIRE(fixture.granted("b1"));
     fixture.cut = true;
     fixture.acquire(fixture.placer(), broker_fixture::request("r1"));
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     CHECK_FALSE(fixture.reclaimed["b1"]);
     fixture.cut = false;
@@ -401,7 +420,7 @@
     broker_fixture::node &holder = fixture.other();
     fixture.acquire(holder, online);
     fixture.acquire(holder, batch);
-    fixture.runFor(5ms);
+    fixture.runUntilDecided("r1");
     REQUIRE(fixture.granted("r1"));
     REQUIRE(fixture.granted("b1"));
     CHECK(broker_fixture::inUse(holder) == 0);
