--- a/tests/unit/serving/job_directory_test.cpp
+++ b/tests/unit/serving/job_directory_test.cpp
@@ -175,6 +175,26 @@
     CHECK(directory.toTakeOver(start + 2h).size() == 1);
 }
 
+TEST_CASE("job_directory forgets that a node was stopping once it has long been silent, and leaves it its share of jobs when it is back")
+{
+    constexpr std::size_t jobs = 20;
+    job_directory directory = directoryOf("n1");
+    for (std::size_t number = 0; number < jobs; ++number) {
+        directory.stored(entry("j" + std::to_string(number), ""));
+    }
+    directory.heard(node_id("n2"), start, placing_state::Stopping);
+    CHECK(directory.toTakeOver(start).size() == jobs);
+    (void)directory.toTakeOver(start + 1h);
+    directory.heard(node_id("n2"), start + 1h);
+    for (std::size_t number = jobs; number < 2 * jobs; ++number) {
+        directory.stored(entry("j" + std::to_string(number), ""));
+    }
+    const std::size_t taken = directory.toTakeOver(start + 1h).size();
+    INFO("took over " << taken << " of " << 2 * jobs); // The first ones are due for any node by now, the new ones are not.
+    CHECK(taken > jobs);
+    CHECK(taken < 2 * jobs);
+}
+
 TEST_CASE("job_directory counts the tokens of a route's open jobs")
 {
     job_directory directory = directoryOf("n1");
