--- a/io/src/serving/job_records.h
+++ b/io/src/serving/job_records.h
@@ -32,6 +32,12 @@
         return m_store;
     }
 
+    /// The store's time, as the calls of store() tell it.
+    [[nodiscard]] const store_clock &clock() const
+    {
+        return *m_clock;
+    }
+
     /// The entry in a row that was read by store(); none if the row cannot be read.
     [[nodiscard]] std::optional<job_entry> entryOf(const table_row &row) const;
 
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -33,7 +33,8 @@
               table_follower_options{.table = job_records::table(), .parts = job_records::parts(), .pause = tablePause},
               observer()))
         , m_quota(std::make_shared<quota_reservations>(quota_ports{.context = ports.context,
-                                                                   .store = ports.store,
+                                                                   .store = m_records.store(),
+                                                                   .clock = m_records.clock(),
                                                                    .jobs = m_directory,
                                                                    .jobsCurrent =
                                                                        [follower = m_jobsFollower] {
--- a/io/src/serving/quota_reservations.cpp
+++ b/io/src/serving/quota_reservations.cpp
@@ -1,6 +1,7 @@
 #include "quota_reservations.h"
 
 #include "banyan/core/serving/job_directory.h"
+#include "banyan/core/serving/store_clock.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/platform_error.h"
@@ -64,8 +65,6 @@
     std::vector<quota_holding> released; ///< To be taken out of the stored holdings.
     std::vector<quota_holding> holdings; ///< As stored, if isRead.
     row_version version = 0;
-    duration storeTime{}; ///< Of the last reading, by the store's clock.
-    time_point readAt; ///< The same by this node's.
     bool isRead = false;
     time_point refreshedAt; ///< When holdings and directory were last brought up to date.
     bool isServed = false;
@@ -190,7 +189,7 @@
     }
     const waiting_quota::situation at{.limit = queue.limit,
                                       .stored = std::move(stored),
-                                      .storeTime = queue.storeTime + (currentTime() - queue.readAt),
+                                      .storeTime = m_ports.clock.toStoreTime(currentTime()),
                                       .jobs = m_ports.jobs,
                                       .jobsCurrent = m_ports.jobsCurrent()};
     return queue.quota.decide(at, wanted);
@@ -201,8 +200,6 @@
     const table_key row = rowOf(queue->route);
     table_range range{.table = row.table, .part = row.part, .from = row.key, .to = row.key + '\0', .limit = 1};
     const table_page page = co_await m_ports.store.read(std::move(range));
-    queue->storeTime = page.storeTime;
-    queue->readAt = currentTime();
     queue->holdings.clear();
     queue->version = 0;
     if (!page.rows.empty()) {
--- a/io/src/serving/quota_reservations.h
+++ b/io/src/serving/quota_reservations.h
@@ -18,6 +18,7 @@
 namespace banyan {
 
 class job_directory;
+class store_clock;
 
 /// How an attempt to set tokens aside has ended.
 enum class reservation_state {
@@ -38,6 +39,7 @@
 {
     asio::io_context &context;
     table_store store;
+    const store_clock &clock; ///< Set by the calls of the store.
     const job_directory &jobs;
     std::function<bool()> jobsCurrent; ///< Whether the directory is up to date but for its usual delay.
     std::function<task<>()> refreshJobs; ///< Brings it up to date. @throws platform_unavailable
