--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -196,6 +196,12 @@
     return call(callers(gateway), request);
 }
 
+http_response gateway_fleet::sendCrashing(std::size_t gateway, const std::string &path, const std::string &id) const
+{
+    return call(callers(gateway),
+                {.method = "POST", .target = path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "5000"}}, .body = "crashes replicas"});
+}
+
 http_response gateway_fleet::submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix) const
 {
     json::array list;
@@ -229,4 +235,10 @@
     return runs;
 }
 
+std::size_t gateway_fleet::rowsOf(const std::string &table) const
+{
+    const http_response answer = call(m_storeAddress, {.target = "/-/rows-get?table=" + table + "&part="});
+    return json::parse(answer.body).as_object().at("rows").as_array().size();
+}
+
 } // namespace banyan::process_tests
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -56,15 +56,19 @@
     void registerReplica(std::size_t index, const std::string &state = "ready") const;
     void setStoreFaults(const boost::json::object &faults) const;
 
-    /// Sends a request to a gateway.
+    /// Sends a request to a gateway, with a body of its own.
     [[nodiscard]] http_response
     send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more = {}) const;
+    /// Sends a request with a body under which replicas crash.
+    [[nodiscard]] http_response sendCrashing(std::size_t gateway, const std::string &path, const std::string &id) const;
     /// Each item counts tokensOfItem.
     [[nodiscard]] http_response
     submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix = "/jobs/") const;
     [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
     /// How often a request has run, at all replicas that live.
     [[nodiscard]] int runsOf(const std::string &id) const;
+    /// How many rows the store holds in a table.
+    [[nodiscard]] std::size_t rowsOf(const std::string &table) const;
 
 private:
     struct gateway_process;
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -201,3 +201,32 @@
     CHECK(resultsOf(fleet.readJob(1, "q3")) == 1);
     CHECK(fleet.readJob(2, "q2").at("status").to_number<int>() == 404);
 }
+
+TEST_CASE("a content under which three replicas crashed stays refused when all gateways are started anew")
+{
+    gateway_fleet fleet({.gateways = 2, .replicas = 8});
+    const auto runsOfAll = [&](int attempts) {
+        int runs = 0;
+        for (int number = 0; number < attempts; ++number) {
+            runs += fleet.runsOf("crashing-" + std::to_string(number));
+        }
+        return runs;
+    };
+    int sent = 0;
+    REQUIRE(eventually([&] {
+        return fleet.sendCrashing(0, "/once/1", "crashing-" + std::to_string(sent++)).status == 503;
+    }));
+    const int runsUntilStopped = runsOfAll(sent);
+    CHECK(eventually([&] {
+        return fleet.rowsOf("stopped_contents") == 1;
+    }));
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        fleet.gatewayProcess(gateway).signal(SIGKILL);
+        fleet.gatewayProcess(gateway).waitForExit();
+    }
+    fleet.startGateway();
+    fleet.waitUntilReady(2);
+    CHECK(fleet.sendCrashing(2, "/once/1", "crashing-" + std::to_string(sent++)).status == 503);
+    CHECK(runsOfAll(sent) == runsUntilStopped);
+    CHECK(fleet.send(2, "/once/1", "other").status == 200);
+}
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr duration hangTime = std::chrono::hours(1);
+constexpr std::string_view crashMark = "crashes replicas"; // A body that holds it ends the connection of its run.
 
 /// Counts a run while it is in progress.
 struct run_guard
@@ -68,7 +69,7 @@
     if (m_mode == "hang") {
         co_await sleepFor(hangTime);
     }
-    if (m_mode == "reset" || m_mode == "hang") {
+    if (m_mode == "reset" || m_mode == "hang" || body.find(crashMark) != std::string::npos) {
         co_return;
     }
     if (exchange.field("Model").empty()) {
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -20,9 +20,9 @@
 {
     crash_guard guard({.memory = std::chrono::minutes(10)});
     guard.setUpstreamCount(8);
-    CHECK_FALSE(guard.lost(content, upstreamNumber(1), start));
+    CHECK(guard.lost(content, upstreamNumber(1), start) == loss_verdict::Counted);
     CHECK(guard.isSuspect(content, start));
-    CHECK(guard.lost(content, upstreamNumber(2), start));
+    CHECK(guard.lost(content, upstreamNumber(2), start) == loss_verdict::Stopped);
     CHECK(guard.stoppedUntil(content, start) == start + std::chrono::minutes(10));
     CHECK_FALSE(guard.stoppedUntil(content, start + std::chrono::minutes(10)).has_value());
 }
@@ -31,9 +31,9 @@
 {
     crash_guard guard({});
     guard.setUpstreamCount(8);
-    CHECK_FALSE(guard.lost(content, upstreamNumber(1), start));
+    CHECK(guard.lost(content, upstreamNumber(1), start) == loss_verdict::Counted);
     guard.answered(content);
-    CHECK_FALSE(guard.lost(content, upstreamNumber(2), start));
+    CHECK(guard.lost(content, upstreamNumber(2), start) == loss_verdict::Counted);
 }
 
 TEST_CASE("crash_guard blames no content when half of a cell is lost at once")
@@ -55,3 +55,32 @@
     CHECK(guard.stopped(start) == std::vector<stopped_fingerprint>{{.fingerprint = content, .until = until}});
     CHECK(guard.stopped(until).empty());
 }
+
+TEST_CASE("crash_guard goes on refusing a stopped content while more upstreams are lost")
+{
+    crash_guard guard({.limit = 3});
+    guard.setUpstreamCount(8);
+    for (int number = 1; number <= 3; ++number) {
+        guard.lost(content, upstreamNumber(number), start);
+    }
+    REQUIRE(guard.stoppedUntil(content, start).has_value());
+    for (int number = 4; number <= 6; ++number) {
+        guard.lost(content + 1, upstreamNumber(number), start + std::chrono::milliseconds(500));
+    }
+    CHECK(guard.stoppedUntil(content, start + std::chrono::seconds(1)).has_value());
+}
+
+TEST_CASE("crash_guard finds contents that together crash most upstreams within seconds")
+{
+    constexpr int contents = 3;
+    crash_guard guard({.limit = 3});
+    guard.setUpstreamCount(13);
+    for (int loss = 0; loss < 4 * contents; ++loss) {
+        const std::uint64_t fingerprint = content + static_cast<std::uint64_t>(loss % contents);
+        guard.lost(fingerprint, upstreamNumber(loss), start + loss * std::chrono::milliseconds(100));
+    }
+    for (std::uint64_t number = 0; number < contents; ++number) {
+        INFO("content " << number);
+        CHECK(guard.stoppedUntil(content + number, start + std::chrono::seconds(2)).has_value());
+    }
+}
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -46,7 +46,7 @@
         front.start();
     }
 
-    http_response call(const std::string &id, duration deadline = 5s)
+    http_response call(const std::string &id, duration deadline = 5s, const std::string &body = "question")
     {
         http_response answer;
         run([&]() -> task<> {
@@ -55,7 +55,7 @@
                 .method = "POST",
                 .target = "/x/1?q=2",
                 .fields = {{"Host", "h"}, {"Request-Id", id}, {"Deadline-Ms", std::to_string(milliseconds)}, {"Custom", "kept"}},
-                .body = "question"};
+                .body = body};
             answer = co_await caller.exchange(front.address(), std::move(request), generousTime);
         });
         return answer;
@@ -86,6 +86,39 @@
     co_return;
 }
 
+const std::string crashingBody = "crashes its upstream";
+
+/// Upstreams that answer all requests but those with crashingBody, under which they close the connection.
+std::vector<std::unique_ptr<scripted_upstream>> crashingUpstreams(asio::io_context &context, int count)
+{
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    for (int number = 0; number < count; ++number) {
+        const auto requests = std::make_shared<const std::vector<http_request> *>(nullptr);
+        auto script = [requests](http_exchange &exchange) -> task<> {
+            if ((*requests)->back().body != crashingBody) {
+                http_response answer = upstreamAnswer(200, "answer");
+                co_await exchange.respond(std::move(answer));
+            }
+        };
+        upstreams.push_back(std::make_unique<scripted_upstream>(context, "u" + std::to_string(number), std::move(script)));
+        *requests = &upstreams.back()->requests;
+    }
+    return upstreams;
+}
+
+/// How many requests with crashingBody have reached upstreams.
+std::size_t crashesOf(const std::vector<std::unique_ptr<scripted_upstream>> &upstreams)
+{
+    std::size_t count = 0;
+    for (const auto &upstream : upstreams) {
+        count +=
+            static_cast<std::size_t>(std::count_if(upstream->requests.begin(), upstream->requests.end(), [](const http_request &request) {
+                return request.body == crashingBody;
+            }));
+    }
+    return count;
+}
+
 scripted_upstream::script refuses()
 {
     return [](http_exchange &exchange) -> task<> {
@@ -308,6 +341,25 @@
     CHECK(reused.front() == upstream_id("u1"));
 }
 
+TEST_CASE("request_relay counts upstreams that a content crashes on connections that were idle before")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 1);
+    const std::vector<std::unique_ptr<scripted_upstream>> upstreams = crashingUpstreams(fixture.context, 8);
+    std::vector<const scripted_upstream *> pointers;
+    for (const auto &upstream : upstreams) {
+        pointers.push_back(upstream.get());
+        fixture.setUpstreams({upstream.get()}); // So that each gets a connection that is kept.
+        REQUIRE(fixture.call("warm-" + upstream->id).status == 200);
+    }
+    fixture.setUpstreams(pointers);
+    for (int call = 0; call < 12; ++call) {
+        (void)fixture.call("id-" + std::to_string(call), 5s, crashingBody);
+    }
+    CHECK(crashesOf(upstreams) == 3);
+    CHECK(fixture.call("last", 5s, crashingBody).status == 503);
+    CHECK(fixture.call("other", 5s, "question").status == 200);
+}
+
 TEST_CASE("request_relay refuses a content that has crashed three upstreams")
 {
     relay_fixture fixture(request_kind::Idempotent, false, 1);
