Count an upstream that is lost under a content also if the connection had been idle

Cause: a loss before the first byte on a connection that had been idle was taken for an idle connection closed by the upstream, and not counted; since held_connections runs go where there is an idle connection, so most crashes came this way. Evidence: 11 crashes where 3 are allowed, 8 of them with idle_connection=true and no content_lost. Ruled out as the cause of these 8: forgetting and taking back, since one node ran all the time and no verdict was excused. Why this works: every loss counts, and a content that was lost once is sent on new connections only, so that a closed idle connection speaks against a content once at the most.

--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -41,6 +41,12 @@
     std::function<void()> m_close;
 };
 
+/// Which connections a request may be sent on.
+enum class connection_choice {
+    IdleOrNew,
+    New, ///< A failure then cannot come from an idle connection that the peer has closed.
+};
+
 /// HTTP/1.1 towards outside systems, with reused connections.
 class http_client
 {
@@ -80,7 +86,8 @@
                                 http_request request,
                                 stream_timeouts timeouts,
                                 stream_handler handler,
-                                std::shared_ptr<http_cancellation> cancellation);
+                                std::shared_ptr<http_cancellation> cancellation,
+                                connection_choice choice = connection_choice::IdleOrNew);
 
 private:
     class implementation;
--- a/io/include/banyan/io/serving/upstream_run.h
+++ b/io/include/banyan/io/serving/upstream_run.h
@@ -25,6 +25,7 @@
     std::string body;
     std::optional<std::uint64_t> resumeAfter; ///< Last event of a stream that the client or this node has.
     std::optional<duration> timeLeft; ///< For the whole answer.
+    bool onNewConnection = false; ///< So that a loss cannot come from an idle connection that the upstream has closed.
 };
 
 } // namespace banyan
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -225,11 +225,13 @@
         m_options.idleConnectionsPerEndpoint = count;
     }
 
-    /// An idle connection, or a new one. @throws http_error with NotSent
-    task<connection_pointer> connect(endpoint to)
+    /// @throws http_error with NotSent
+    task<connection_pointer> connect(endpoint to, connection_choice choice)
     {
-        if (connection_pointer reused = takeIdle(to)) {
-            co_return reused;
+        if (choice == connection_choice::IdleOrNew) {
+            if (connection_pointer reused = takeIdle(to)) {
+                co_return reused;
+            }
         }
         auto connection = std::make_shared<client_connection>(m_context);
         connection->stream.expires_after(m_options.connectTimeout);
@@ -324,7 +326,7 @@
 
 task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
 {
-    const connection_pointer connection = co_await m_implementation->connect(to);
+    const connection_pointer connection = co_await m_implementation->connect(to, connection_choice::IdleOrNew);
     const auto pending = co_await writeRequest(connection, to, std::move(request), timeout);
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_implementation->options().maximumBody);
@@ -346,10 +348,11 @@
                            http_request request,
                            stream_timeouts timeouts,
                            stream_handler handler,
-                           std::shared_ptr<http_cancellation> cancellation)
+                           std::shared_ptr<http_cancellation> cancellation,
+                           connection_choice choice)
 {
     refuseCancelled(cancellation.get());
-    const connection_pointer connection = co_await m_implementation->connect(to);
+    const connection_pointer connection = co_await m_implementation->connect(to, choice);
     refuseCancelled(cancellation.get());
     if (cancellation) {
         cancellation->m_close = [weak = std::weak_ptr(connection)] {
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -236,7 +236,8 @@
                          .fields = m_request.fields,
                          .body = m_request.body,
                          .resumeAfter = m_position.last(),
-                         .timeLeft = std::max(duration(0), m_deadline - now)};
+                         .timeLeft = std::max(duration(0), m_deadline - now),
+                         .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now)};
         const http_client::stream_timeouts timeouts{
             .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service), now),
             .silence = m_retries.silenceTimeout(now)};
@@ -326,7 +327,7 @@
             co_await answer(report);
             co_return true;
         }
-        if (outcome == attempt_outcome::Lost && !report.staleConnection) {
+        if (outcome == attempt_outcome::Lost) {
             m_relay.noteLost(m_fingerprint, upstream, now);
         }
         const next_step step = m_retries.ended(outcome, now);
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -76,8 +76,9 @@
         report.body += piece;
     };
     const endpoint address = run.address;
+    const connection_choice choice = run.onNewConnection ? connection_choice::New : connection_choice::IdleOrNew;
     try {
-        co_await m_client.stream(address, m_protocol.encodeRun(run), timeouts, std::move(handler), cancellation);
+        co_await m_client.stream(address, m_protocol.encodeRun(run), timeouts, std::move(handler), cancellation, choice);
         report.result.outcome = outcomeOf(*report.head);
     } catch (const http_error &error) {
         report.result.outcome = outcomeOf(error, stop.stopped());
