Count losses under a content also while many upstreams are lost at once, and take no stop back that others decided

Cause: when half of all known upstreams were lost within two seconds no loss was counted, and suspicions and stops of these seconds were dropped. Several such requests at once bring that about themselves, so the protection ended when it was needed most. Evidence: of 3 contents with 4 crashes each within 1.2 s none was stopped; a stop ended when three other upstreams were lost. Why this works: a loss in a mass loss counts less (limitInMassLoss, 3) but counts; what other nodes have stopped does not rest on these losses and stays. In a gateway three losses now always stop; banyand's limit of two still is excused in a mass loss.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -9,7 +9,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -20,9 +19,10 @@
 struct crash_guard_options
 {
     std::uint32_t limit = 2; ///< Upstreams that may be lost under a content before it is stopped.
+    std::uint32_t limitInMassLoss = 3; ///< The same, counting those that were lost in a mass loss.
     duration memory = std::chrono::minutes(10); ///< How long suspicions and stops last.
     duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
-    std::size_t massLoss = 3; ///< Upstreams lost in that time from which on no content is blamed; at least half of the cell.
+    std::size_t massLoss = 3; ///< Upstreams lost in that time that make a mass loss; at least half of the cell.
     std::size_t maximumEntries = 4096; ///< Contents remembered; older ones are forgotten first.
 };
 
@@ -30,7 +30,7 @@
 enum class loss_verdict {
     Known, ///< It was counted before.
     Counted,
-    Excused, ///< Too many upstreams were lost at the same time for a content to be blamed.
+    Excused, ///< Counted, but many upstreams were lost at the same time.
     Stopped, ///< Counted, and enough: the content is refused from now on.
 };
 
@@ -41,8 +41,9 @@
 ///
 /// A crash loses all attempts of an upstream at once, so that each of their contents becomes a suspect. Suspects are to
 /// run with at most one of them on an upstream: whichever loses a second upstream is then the cause, and the others
-/// complete and are cleared. When many upstreams are lost at about the same time, their failure domain is to blame and no
-/// content is.
+/// complete and are cleared. When many upstreams are lost at about the same time, their failure domain may be to blame, so
+/// that more losses are needed to stop a content. They are still counted: contents that crash upstreams can cause a mass
+/// loss themselves.
 class crash_guard
 {
 public:
@@ -73,16 +74,24 @@
     [[nodiscard]] std::vector<stopped_fingerprint> stopped(time_point now) const;
 
 private:
+    struct noted_loss
+    {
+        time_point at;
+        bool inMassLoss = false;
+    };
     struct record
     {
-        std::set<upstream_id> upstreams;
-        time_point lostAt;
-        std::optional<time_point> stoppedUntil;
+        std::map<upstream_id, noted_loss> losses;
+        time_point lostAt; ///< The last time.
+        std::optional<time_point> stoppedUntil; ///< For these losses.
+        std::optional<time_point> stopToldUntil; ///< By stop().
     };
 
     record &recordOf(std::uint64_t fingerprint);
     [[nodiscard]] bool isMassLoss(const upstream_id &upstream, time_point now);
-    void forgetSince(time_point from);
+    void excuseSince(time_point from);
+    [[nodiscard]] static std::optional<time_point> stopOf(const record &value);
+    [[nodiscard]] bool isEnough(const record &value) const;
     [[nodiscard]] bool expired(const record &value, time_point now) const;
 
     crash_guard_options m_options;
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -39,7 +39,15 @@
 
 bool crash_guard::expired(const record &value, time_point now) const
 {
-    return value.upstreams.empty() || now - value.lostAt >= m_options.memory;
+    return value.losses.empty() || now - value.lostAt >= m_options.memory;
+}
+
+bool crash_guard::isEnough(const record &value) const
+{
+    const auto blamed = std::count_if(value.losses.begin(), value.losses.end(), [](const auto &entry) {
+        return !entry.second.inMassLoss;
+    });
+    return static_cast<std::size_t>(blamed) >= m_options.limit || value.losses.size() >= m_options.limitInMassLoss;
 }
 
 void crash_guard::setUpstreamCount(std::size_t count)
@@ -56,16 +64,20 @@
     return m_lostUpstreams.size() >= m_options.massLoss && 2 * m_lostUpstreams.size() >= m_upstreamCount;
 }
 
-/// Takes back suspicions and stops that came with a mass loss.
-void crash_guard::forgetSince(time_point from)
+/// Marks losses as part of a mass loss, and takes back the stops that rest on them.
+void crash_guard::excuseSince(time_point from)
 {
-    const auto recent = [&](std::uint64_t fingerprint) {
-        const auto entry = m_records.find(fingerprint);
-        return entry != m_records.end() && !entry->second.upstreams.empty() && entry->second.lostAt >= from;
-    };
-    std::erase_if(m_order, [&](std::uint64_t fingerprint) {
-        return recent(fingerprint) && m_records.erase(fingerprint) > 0;
-    });
+    for (auto &[fingerprint, entry] : m_records) {
+        if (entry.losses.empty() || entry.lostAt < from) {
+            continue;
+        }
+        for (auto &[upstream, noted] : entry.losses) {
+            noted.inMassLoss = noted.inMassLoss || noted.at >= from;
+        }
+        if (!isEnough(entry)) {
+            entry.stoppedUntil.reset();
+        }
+    }
 }
 
 loss_verdict crash_guard::lost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
@@ -73,27 +85,30 @@
     if (fingerprint == 0) {
         return loss_verdict::Known;
     }
-    if (isMassLoss(upstream, now)) {
-        forgetSince(now - m_options.massLossWindow);
-        return loss_verdict::Excused;
+    const bool inMassLoss = isMassLoss(upstream, now);
+    if (inMassLoss) {
+        excuseSince(now - m_options.massLossWindow);
     }
     record &entry = recordOf(fingerprint);
     if (expired(entry, now)) {
-        entry.upstreams.clear();
+        entry.losses.clear();
     }
-    const bool isNew = entry.upstreams.insert(upstream).second;
+    const bool isNew = entry.losses.insert({upstream, {.at = now, .inMassLoss = inMassLoss}}).second;
     entry.lostAt = now;
-    if (entry.upstreams.size() < m_options.limit) {
-        return isNew ? loss_verdict::Counted : loss_verdict::Known;
+    if (isEnough(entry)) {
+        entry.stoppedUntil = now + m_options.memory;
+        return isNew ? loss_verdict::Stopped : loss_verdict::Known;
     }
-    entry.stoppedUntil = now + m_options.memory;
-    return isNew ? loss_verdict::Stopped : loss_verdict::Known;
+    if (!isNew) {
+        return loss_verdict::Known;
+    }
+    return inMassLoss ? loss_verdict::Excused : loss_verdict::Counted;
 }
 
 void crash_guard::answered(std::uint64_t fingerprint)
 {
     const auto entry = m_records.find(fingerprint);
-    if (entry != m_records.end() && !entry->second.stoppedUntil) {
+    if (entry != m_records.end() && !stopOf(entry->second)) {
         m_records.erase(entry);
         std::erase(m_order, fingerprint);
     }
@@ -102,36 +117,45 @@
 bool crash_guard::isSuspect(std::uint64_t fingerprint, time_point now) const
 {
     const auto entry = m_records.find(fingerprint);
-    return entry != m_records.end() && !expired(entry->second, now);
+    if (entry == m_records.end() || expired(entry->second, now)) {
+        return false;
+    }
+    return std::any_of(entry->second.losses.begin(), entry->second.losses.end(), [](const auto &noted) {
+        return !noted.second.inMassLoss;
+    });
 }
 
 std::size_t crash_guard::lossesOf(std::uint64_t fingerprint) const
 {
     const auto entry = m_records.find(fingerprint);
-    return entry == m_records.end() ? 0 : entry->second.upstreams.size();
+    return entry == m_records.end() ? 0 : entry->second.losses.size();
+}
+
+std::optional<time_point> crash_guard::stopOf(const record &value)
+{
+    return std::max(value.stoppedUntil, value.stopToldUntil); // None is less than any time.
 }
 
 std::optional<time_point> crash_guard::stoppedUntil(std::uint64_t fingerprint, time_point now) const
 {
     const auto entry = m_records.find(fingerprint);
-    if (entry == m_records.end() || !entry->second.stoppedUntil || *entry->second.stoppedUntil <= now) {
-        return std::nullopt;
-    }
-    return entry->second.stoppedUntil;
+    const std::optional<time_point> until = entry == m_records.end() ? std::nullopt : stopOf(entry->second);
+    return until && *until > now ? until : std::nullopt;
 }
 
 void crash_guard::stop(std::uint64_t fingerprint, time_point until)
 {
     record &entry = recordOf(fingerprint);
-    entry.stoppedUntil = std::max(entry.stoppedUntil.value_or(until), until);
+    entry.stopToldUntil = std::max(entry.stopToldUntil.value_or(until), until);
 }
 
 std::vector<stopped_fingerprint> crash_guard::stopped(time_point now) const
 {
     std::vector<stopped_fingerprint> result;
     for (const auto &[fingerprint, entry] : m_records) {
-        if (entry.stoppedUntil && *entry.stoppedUntil > now) {
-            result.push_back({.fingerprint = fingerprint, .until = *entry.stoppedUntil});
+        const std::optional<time_point> until = stopOf(entry);
+        if (until && *until > now) {
+            result.push_back({.fingerprint = fingerprint, .until = *until});
         }
     }
     std::sort(result.begin(), result.end());
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -84,3 +84,14 @@
         CHECK(guard.stoppedUntil(content + number, start + std::chrono::seconds(2)).has_value());
     }
 }
+
+TEST_CASE("crash_guard does not take back in a mass loss what others have stopped")
+{
+    crash_guard guard({.limit = 3});
+    guard.setUpstreamCount(6);
+    guard.stop(content, start + std::chrono::seconds(60));
+    for (int number = 1; number <= 4; ++number) {
+        guard.lost(content + static_cast<std::uint64_t>(number % 2), upstreamNumber(number), start);
+    }
+    CHECK(guard.stoppedUntil(content, start + std::chrono::seconds(1)).has_value());
+}
