Keep what is known of a content when its stop ends and when many others are lost

A stop was forgotten when it ended, so that three more upstreams could be lost under the content every minute; and with 4,096 other contents that were lost it was forgotten at once. Now one more loss after a stop stops the content again, for twice as long, an answer clears it, and contents that are stopped are the last to be forgotten. 'crash_guard stops a content again after one more loss…' and 'crash_guard forgets no stop for the losses of other contents' failed before (Counted for Stopped; no stop) and pass.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -20,10 +20,10 @@
 {
     std::uint32_t limit = 2; ///< Upstreams that may be lost under a content before it is stopped.
     std::uint32_t limitInMassLoss = 3; ///< The same, counting those that were lost in a mass loss.
-    duration memory = std::chrono::minutes(10); ///< How long suspicions and stops last.
+    duration memory = std::chrono::minutes(10); ///< How long suspicions and first stops last; each further stop lasts twice as long.
     duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
     std::size_t massLoss = 3; ///< Upstreams lost in that time that make a mass loss; at least half of the cell.
-    std::size_t maximumEntries = 4096; ///< Contents remembered; older ones are forgotten first.
+    std::size_t maximumEntries = 4096; ///< Contents remembered; older ones that are not stopped are forgotten first.
 };
 
 /// What a crash_guard makes of a loss.
@@ -56,7 +56,7 @@
     loss_verdict lost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now);
 
     /// Takes in that an attempt of @p fingerprint was answered.
-    void answered(std::uint64_t fingerprint);
+    void answered(std::uint64_t fingerprint, time_point now);
 
     /// Whether an attempt of @p fingerprint has been lost lately and none answered since.
     [[nodiscard]] bool isSuspect(std::uint64_t fingerprint, time_point now) const;
@@ -68,7 +68,7 @@
     [[nodiscard]] std::optional<time_point> stoppedUntil(std::uint64_t fingerprint, time_point now) const;
 
     /// Refuses a content until @p until, or longer if it is refused for longer already.
-    void stop(std::uint64_t fingerprint, time_point until);
+    void stop(std::uint64_t fingerprint, time_point until, time_point now);
 
     /// All contents that are refused at @p now.
     [[nodiscard]] std::vector<stopped_fingerprint> stopped(time_point now) const;
@@ -85,9 +85,12 @@
         time_point lostAt; ///< The last time.
         std::optional<time_point> stoppedUntil; ///< For these losses.
         std::optional<time_point> stopToldUntil; ///< By stop().
+        std::uint32_t stops = 0; ///< For these losses, so far.
     };
 
-    record &recordOf(std::uint64_t fingerprint);
+    record &recordOf(std::uint64_t fingerprint, time_point now);
+    void forgetOne(time_point now);
+    [[nodiscard]] duration nextStop(const record &value) const;
     [[nodiscard]] bool isMassLoss(const upstream_id &upstream, time_point now);
     void excuseSince(time_point from);
     [[nodiscard]] static std::optional<time_point> stopOf(const record &value);
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -4,6 +4,12 @@
 
 namespace banyan {
 
+namespace {
+
+constexpr std::uint32_t mostDoublings = 4; // Of the time for which a content is stopped.
+
+} // namespace
+
 std::string_view toString(loss_verdict value)
 {
     switch (value) {
@@ -24,24 +30,45 @@
 {
 }
 
-crash_guard::record &crash_guard::recordOf(std::uint64_t fingerprint)
+crash_guard::record &crash_guard::recordOf(std::uint64_t fingerprint, time_point now)
 {
-    const auto [entry, inserted] = m_records.try_emplace(fingerprint);
-    if (inserted) {
-        m_order.push_back(fingerprint);
-        while (m_order.size() > m_options.maximumEntries) {
-            m_records.erase(m_order.front());
-            m_order.pop_front();
+    if (!m_records.contains(fingerprint)) {
+        if (m_order.size() >= m_options.maximumEntries) {
+            forgetOne(now);
         }
+        m_order.push_back(fingerprint);
     }
-    return entry->second;
+    record &entry = m_records[fingerprint];
+    if (expired(entry, now)) {
+        entry = {};
+    }
+    return entry;
+}
+
+/// Forgets the oldest content that is not stopped; if all are, the oldest.
+void crash_guard::forgetOne(time_point now)
+{
+    auto oldest = std::find_if(m_order.begin(), m_order.end(), [&](std::uint64_t fingerprint) {
+        return !stoppedUntil(fingerprint, now);
+    });
+    oldest = oldest == m_order.end() ? m_order.begin() : oldest;
+    m_records.erase(*oldest);
+    m_order.erase(oldest);
 }
 
 bool crash_guard::expired(const record &value, time_point now) const
 {
+    if (const std::optional<time_point> until = stopOf(value)) {
+        return now - *until >= m_options.memory;
+    }
     return value.losses.empty() || now - value.lostAt >= m_options.memory;
 }
 
+duration crash_guard::nextStop(const record &value) const
+{
+    return m_options.memory * (1U << std::min(value.stops, mostDoublings));
+}
+
 bool crash_guard::isEnough(const record &value) const
 {
     const auto blamed = std::count_if(value.losses.begin(), value.losses.end(), [](const auto &entry) {
@@ -76,6 +103,7 @@
         }
         if (!isEnough(entry)) {
             entry.stoppedUntil.reset();
+            entry.stops = 0;
         }
     }
 }
@@ -89,15 +117,16 @@
     if (inMassLoss) {
         excuseSince(now - m_options.massLossWindow);
     }
-    record &entry = recordOf(fingerprint);
-    if (expired(entry, now)) {
-        entry.losses.clear();
-    }
+    record &entry = recordOf(fingerprint, now);
     const bool isNew = entry.losses.insert({upstream, {.at = now, .inMassLoss = inMassLoss}}).second;
     entry.lostAt = now;
-    if (isEnough(entry)) {
-        entry.stoppedUntil = now + m_options.memory;
-        return isNew ? loss_verdict::Stopped : loss_verdict::Known;
+    const std::optional<time_point> until = stopOf(entry);
+    const bool isStopped = until && *until > now;
+    const bool stopHasEnded = until && !isStopped;
+    if (!isStopped && (stopHasEnded || isEnough(entry))) {
+        entry.stoppedUntil = now + nextStop(entry);
+        ++entry.stops;
+        return loss_verdict::Stopped;
     }
     if (!isNew) {
         return loss_verdict::Known;
@@ -105,10 +134,10 @@
     return inMassLoss ? loss_verdict::Excused : loss_verdict::Counted;
 }
 
-void crash_guard::answered(std::uint64_t fingerprint)
+void crash_guard::answered(std::uint64_t fingerprint, time_point now)
 {
     const auto entry = m_records.find(fingerprint);
-    if (entry != m_records.end() && !stopOf(entry->second)) {
+    if (entry != m_records.end() && !stoppedUntil(fingerprint, now)) {
         m_records.erase(entry);
         std::erase(m_order, fingerprint);
     }
@@ -143,9 +172,9 @@
     return until && *until > now ? until : std::nullopt;
 }
 
-void crash_guard::stop(std::uint64_t fingerprint, time_point until)
+void crash_guard::stop(std::uint64_t fingerprint, time_point until, time_point now)
 {
-    record &entry = recordOf(fingerprint);
+    record &entry = recordOf(fingerprint, now);
     entry.stopToldUntil = std::max(entry.stopToldUntil.value_or(until), until);
 }
 
--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -604,7 +604,7 @@
     }
     request.mayHaveRun = request.mayHaveRun || !certainlyNotRun(result.outcome);
     if (isAnswer(result.outcome)) {
-        m_crashes.answered(request.request.fingerprint);
+        m_crashes.answered(request.request.fingerprint, now);
         if (!request.chosen) {
             choose(request, attempt);
         }
@@ -835,9 +835,9 @@
     return m_implementation->crashes().stopped(now);
 }
 
-void dispatcher::stopFingerprint(std::uint64_t fingerprint, time_point until)
+void dispatcher::stopFingerprint(std::uint64_t fingerprint, time_point until, time_point now)
 {
-    m_implementation->crashes().stop(fingerprint, until);
+    m_implementation->crashes().stop(fingerprint, until, now);
 }
 
 std::vector<upstream_status> dispatcher::upstreams(time_point now) const
--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -164,7 +164,7 @@
             m_stopped.insert_or_assign(fingerprint, until);
         }
         for (const auto &[id, cell] : m_cells) {
-            cell->decisions.stopFingerprint(fingerprint, until);
+            cell->decisions.stopFingerprint(fingerprint, until, currentTime());
         }
     }
 
@@ -237,7 +237,7 @@
             return stopped.second <= now;
         });
         for (const auto &[fingerprint, until] : m_stopped) {
-            cell->decisions.stopFingerprint(fingerprint, until);
+            cell->decisions.stopFingerprint(fingerprint, until, currentTime());
         }
         if (m_draining) {
             perform(cell, cell->decisions.drain(currentTime()));
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -323,7 +323,7 @@
         release(upstream, report);
         const attempt_outcome outcome = report.result.outcome;
         if (outcome == attempt_outcome::Succeeded || outcome == attempt_outcome::Answered) {
-            m_relay.m_crashes.answered(m_fingerprint);
+            m_relay.m_crashes.answered(m_fingerprint, now);
             co_await answer(report);
             co_return true;
         }
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -32,7 +32,7 @@
     crash_guard guard({});
     guard.setUpstreamCount(8);
     CHECK(guard.lost(content, upstreamNumber(1), start) == loss_verdict::Counted);
-    guard.answered(content);
+    guard.answered(content, start);
     CHECK(guard.lost(content, upstreamNumber(2), start) == loss_verdict::Counted);
 }
 
@@ -51,7 +51,7 @@
 {
     crash_guard guard({});
     const time_point until = start + std::chrono::minutes(3);
-    guard.stop(content, until);
+    guard.stop(content, until, start);
     CHECK(guard.stopped(start) == std::vector<stopped_fingerprint>{{.fingerprint = content, .until = until}});
     CHECK(guard.stopped(until).empty());
 }
@@ -89,9 +89,49 @@
 {
     crash_guard guard({.limit = 3});
     guard.setUpstreamCount(6);
-    guard.stop(content, start + std::chrono::seconds(60));
+    guard.stop(content, start + std::chrono::seconds(60), start);
     for (int number = 1; number <= 4; ++number) {
         guard.lost(content + static_cast<std::uint64_t>(number % 2), upstreamNumber(number), start);
     }
     CHECK(guard.stoppedUntil(content, start + std::chrono::seconds(1)).has_value());
 }
+
+TEST_CASE("crash_guard stops a content again after one more loss, for twice as long, when its stop has ended")
+{
+    const duration memory = std::chrono::seconds(60);
+    crash_guard guard({.limit = 3, .memory = memory});
+    guard.setUpstreamCount(20);
+    for (int number = 1; number <= 3; ++number) {
+        guard.lost(content, upstreamNumber(number), start);
+    }
+    const time_point later = start + memory + std::chrono::seconds(1);
+    REQUIRE_FALSE(guard.stoppedUntil(content, later).has_value());
+    CHECK(guard.lost(content, upstreamNumber(1), later) == loss_verdict::Stopped);
+    CHECK(guard.stoppedUntil(content, later) == later + 2 * memory);
+}
+
+TEST_CASE("crash_guard clears a content whose stop has ended when it is answered")
+{
+    const duration memory = std::chrono::seconds(60);
+    crash_guard guard({.limit = 3, .memory = memory});
+    guard.setUpstreamCount(20);
+    for (int number = 1; number <= 3; ++number) {
+        guard.lost(content, upstreamNumber(number), start);
+    }
+    const time_point later = start + memory + std::chrono::seconds(1);
+    guard.answered(content, later);
+    CHECK(guard.lost(content, upstreamNumber(4), later) == loss_verdict::Counted);
+}
+
+TEST_CASE("crash_guard forgets no stop for the losses of other contents")
+{
+    crash_guard guard({.limit = 3, .maximumEntries = 100});
+    guard.setUpstreamCount(1000);
+    for (int number = 1; number <= 3; ++number) {
+        guard.lost(content, upstreamNumber(number), start);
+    }
+    for (int other = 0; other < 1000; ++other) {
+        guard.lost(content + 1 + static_cast<std::uint64_t>(other), upstreamNumber(4), start);
+    }
+    CHECK(guard.stoppedUntil(content, start).has_value());
+}
