Keep stopped contents in the store, so that nodes that start later refuse them too

Cause: stops lived in the memory of processes, and losses are told for one second; whoever was not there then knew nothing. Why this works: the node that decides a stop writes a row, others do so in its place after two seconds; every node follows the table and is not ready before it has read it. Rows hold no times, so that no clocks are compared; they are removed by version when the stop is over. Cost: a call each 4 s and node.

--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -3,12 +3,14 @@
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/route_table.h"
+#include "banyan/core/stopped_fingerprint.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/serving/client_request.h"
 #include "banyan/io/serving/upstream_protocol.h"
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace banyan {
@@ -50,6 +52,15 @@
     /// Takes in what another node has lost, as told by @p seenBy.
     void lostElsewhere(const lost_content &lost, const node_id &seenBy, time_point now);
 
+    /// All contents that are refused at @p now.
+    [[nodiscard]] std::vector<stopped_fingerprint> stoppedContents(time_point now) const;
+
+    /// Those that were stopped for a loss that this node has seen itself.
+    [[nodiscard]] const std::set<std::uint64_t> &contentsStoppedHere() const;
+
+    /// Refuses a content that another node has stopped.
+    void stopContent(std::uint64_t fingerprint, time_point now);
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- /dev/null
+++ b/io/src/serving/content_stops.cpp
@@ -0,0 +1,142 @@
+#include "content_stops.h"
+
+#include "banyan/io/clock.h"
+#include "banyan/io/log.h"
+#include "banyan/io/platform_error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+
+namespace banyan {
+
+namespace {
+
+const std::string stopTable = "stopped_contents";
+constexpr duration tablePause = std::chrono::milliseconds(200); // Between two calls for changes.
+constexpr duration tableWait = std::chrono::seconds(4); // For a change; stops are rare.
+constexpr duration retryDelay = std::chrono::milliseconds(500); // After a commit that failed.
+constexpr std::size_t mostWrites = 50; // In one transaction; the store takes up to a hundred entries.
+
+table_key rowOf(std::uint64_t fingerprint)
+{
+    return {.table = stopTable, .part = {}, .key = std::to_string(fingerprint)};
+}
+
+std::optional<std::uint64_t> fingerprintOf(const table_row &row)
+{
+    const std::string &key = row.name.key;
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), value);
+    return error == std::errc() && end == key.data() + key.size() ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+content_stops::content_stops(content_stops_ports ports)
+    : m_ports(std::move(ports))
+    , m_records({}, std::random_device{}())
+{
+}
+
+void content_stops::start()
+{
+    auto follower = std::make_shared<table_follower>(
+        m_ports.context, m_ports.store, table_follower_options{.table = stopTable, .pause = tablePause, .wait = tableWait}, observer());
+    asio::co_spawn(m_ports.context, follower->run(), [follower](const std::exception_ptr &) {});
+}
+
+table_observer content_stops::observer()
+{
+    table_observer result;
+    result.onAll = [self = shared_from_this()](const std::vector<table_row> &rows) {
+        std::set<std::uint64_t> gone = self->m_records.known();
+        for (const table_row &row : rows) {
+            gone.erase(fingerprintOf(row).value_or(0));
+            self->take(row, currentTime());
+        }
+        for (const std::uint64_t fingerprint : gone) {
+            self->m_records.removed(fingerprint);
+        }
+        self->m_isKnown = true;
+    };
+    result.onChange = [self = shared_from_this()](const table_row &row) {
+        self->take(row, currentTime());
+    };
+    return result;
+}
+
+void content_stops::take(const table_row &row, time_point now)
+{
+    const std::optional<std::uint64_t> fingerprint = fingerprintOf(row);
+    if (!fingerprint) {
+        logEvent(log_level::Warning, "content_stop_malformed", {{"row", row.name.key}, {"version", std::to_string(row.version)}});
+    } else if (row.deleted) {
+        m_records.removed(*fingerprint);
+    } else if (m_records.stored(*fingerprint, row.version)) {
+        m_ports.stop(*fingerprint, now);
+        logEvent(log_level::Info,
+                 "content_stop_read",
+                 {{"fingerprint", row.name.key}, {"recorded_by", row.value}, {"version", std::to_string(row.version)}});
+    }
+}
+
+void content_stops::housekeep(time_point now)
+{
+    const std::vector<stopped_fingerprint> stopped = m_ports.stopped(now);
+    const std::vector<std::uint64_t> due = m_records.due(stopped, m_ports.decidedHere(), now);
+    const std::vector<outdated_stop> outdated = m_records.outdated(stopped, now);
+    if (m_isCommitting || now < m_retryAt || (due.empty() && outdated.empty())) {
+        return;
+    }
+    std::vector<table_transaction> changes;
+    if (!due.empty()) {
+        changes.emplace_back();
+        for (std::size_t index = 0; index < std::min(due.size(), mostWrites); ++index) {
+            changes.back().writes.push_back({.name = rowOf(due[index]), .value = m_ports.self.text()});
+        }
+    }
+    // One by one: a row that another node has written again must not keep the others.
+    for (std::size_t index = 0; index < std::min(outdated.size(), mostWrites); ++index) {
+        const table_key row = rowOf(outdated[index].fingerprint);
+        table_transaction removal;
+        removal.conditions.push_back({.name = row, .version = outdated[index].version});
+        removal.removals.push_back(row);
+        changes.push_back(std::move(removal));
+    }
+    m_isCommitting = true;
+    asio::co_spawn(m_ports.context, commit(shared_from_this(), std::move(changes)), asio::detached);
+}
+
+task<> content_stops::commit(std::shared_ptr<content_stops> self, std::vector<table_transaction> changes)
+{
+    std::string failure;
+    for (table_transaction &change : changes) {
+        const std::vector<table_write> writes = change.writes;
+        try {
+            const table_commit done = co_await self->m_ports.store.commit(std::move(change));
+            for (const table_write &write : writes) {
+                // The node has stopped it already; the change that follows has the same version.
+                self->m_records.stored(*fingerprintOf({.name = write.name}), done.version);
+            }
+        } catch (const platform_unavailable &error) {
+            failure = error.what();
+        } catch (const platform_outcome_unknown &error) {
+            failure = error.what(); // Writing it again does no harm.
+        }
+        if (!failure.empty()) {
+            break;
+        }
+    }
+    self->m_isCommitting = false;
+    // Rows that were removed are known to be gone with the change that follows.
+    self->m_retryAt = currentTime() + retryDelay;
+    if (!failure.empty()) {
+        logEvent(log_level::Warning, "content_stop_not_recorded", {{"reason", failure}});
+    }
+}
+
+} // namespace banyan
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -17,6 +17,7 @@
 #include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
+#include "content_stops.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -77,6 +78,21 @@
                   settings.domain)
         , m_sender(upstreamClient, m_platform.protocol)
         , m_relay({.context = context, .slots = m_slots, .sender = m_sender, .metrics = m_metrics}, m_platform.protocol)
+        , m_stops(std::make_shared<content_stops>(content_stops_ports{.context = context,
+                                                                      .store = m_platform.store,
+                                                                      .self = m_self,
+                                                                      .stopped =
+                                                                          [this](time_point now) {
+                                                                              return m_relay.stoppedContents(now);
+                                                                          },
+                                                                      .decidedHere =
+                                                                          [this] {
+                                                                              return m_relay.contentsStoppedHere();
+                                                                          },
+                                                                      .stop =
+                                                                          [this](std::uint64_t fingerprint, time_point now) {
+                                                                              m_relay.stopContent(fingerprint, now);
+                                                                          }}))
         , m_jobs({.context = context, .store = m_platform.store, .slots = m_slots, .sender = m_sender, .metrics = m_metrics},
                  {.self = m_self})
         , m_exchange(
@@ -99,7 +115,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return m_table != nullptr && m_replicasKnown && !m_stopping;
+        return m_table != nullptr && m_replicasKnown && m_stops->isKnown() && !m_stopping;
     }
 
 private:
@@ -135,6 +151,7 @@
     slot_broker m_slots;
     upstream_sender m_sender;
     request_relay m_relay;
+    std::shared_ptr<content_stops> m_stops;
     listed_job_service m_jobs;
     peer_exchange m_exchange;
     asio::steady_timer m_housekeeping;
@@ -170,6 +187,7 @@
     follow({.table = m_platform.configurationTable, .pause = configurationPause}, configurationObserver());
     follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
+    m_stops->start();
     m_jobs.start();
     asio::co_spawn(m_context, registerSelf(shared_from_this()), asio::detached);
     housekeep();
@@ -462,6 +480,7 @@
     m_housekeptAt = now;
     m_board.expire(now);
     m_slots.housekeep();
+    m_stops->housekeep(now);
     if (m_registry.tick(now)) {
         replicasChanged();
     }
@@ -522,7 +541,10 @@
     if (m_implementation->m_table == nullptr) {
         return "no configuration";
     }
-    return m_implementation->m_replicasKnown ? "ready" : "no list of upstreams";
+    if (!m_implementation->m_replicasKnown) {
+        return "no list of upstreams";
+    }
+    return m_implementation->m_stops->isKnown() ? "ready" : "no list of stopped contents";
 }
 
 std::shared_ptr<const route_table> gateway::routes() const
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -68,7 +68,13 @@
     void noteLost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
     {
         m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
-        crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, "self", now);
+        const bool isStopped = crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, "self", now) == loss_verdict::Stopped;
+        std::erase_if(m_stoppedHere, [&](std::uint64_t earlier) {
+            return !m_crashes.stoppedUntil(earlier, now);
+        });
+        if (isStopped) {
+            m_stoppedHere.insert(fingerprint);
+        }
         std::erase_if(m_lost, [&](const noted_loss &loss) {
             return now - loss.at > lossMemory;
         });
@@ -76,11 +82,11 @@
     }
 
     /// Upstreams are told apart by their keys, which is what other nodes know of them.
-    void crashed(const lost_content &lost, std::string_view seenBy, time_point now)
+    loss_verdict crashed(const lost_content &lost, std::string_view seenBy, time_point now)
     {
         const loss_verdict verdict = m_crashes.lost(lost.fingerprint, upstream_id(std::to_string(lost.upstream)), now);
         if (verdict == loss_verdict::Known) {
-            return; // Reports repeat what they tell.
+            return verdict; // Reports repeat what they tell.
         }
         m_ports.metrics.count("content_loss_" + std::string(toString(verdict)));
         logEvent(verdict == loss_verdict::Stopped ? log_level::Warning : log_level::Info,
@@ -90,6 +96,7 @@
                   {"seen_by", std::string(seenBy)},
                   {"verdict", std::string(toString(verdict))},
                   {"upstreams_lost", std::to_string(m_crashes.lossesOf(lost.fingerprint))}});
+        return verdict;
     }
 
 private:
@@ -98,6 +105,7 @@
     request_relay_ports m_ports;
     upstream_protocol m_protocol;
     crash_guard m_crashes;
+    std::set<std::uint64_t> m_stoppedHere; ///< By losses that this node has seen.
     std::deque<noted_loss> m_lost;
     std::size_t m_inProgress = 0;
     std::uint64_t m_arrivals = 0;
@@ -536,7 +544,22 @@
 
 void request_relay::lostElsewhere(const lost_content &lost, const node_id &seenBy, time_point now)
 {
-    m_implementation->crashed(lost, seenBy.text(), now);
+    (void)m_implementation->crashed(lost, seenBy.text(), now);
+}
+
+std::vector<stopped_fingerprint> request_relay::stoppedContents(time_point now) const
+{
+    return m_implementation->m_crashes.stopped(now);
+}
+
+const std::set<std::uint64_t> &request_relay::contentsStoppedHere() const
+{
+    return m_implementation->m_stoppedHere;
+}
+
+void request_relay::stopContent(std::uint64_t fingerprint, time_point now)
+{
+    m_implementation->m_crashes.stop(fingerprint, now + crashMemory, now);
 }
 
 } // namespace banyan
