Look before each attempt whether a request's content has been stopped, not only when the request arrives

'request_relay does not try a content again that others have stopped meanwhile' failed before (5 requests reached upstreams where 1 is allowed) and passes. The request ends with 502 if an attempt may have run, else with 503 and when to come back.

--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace banyan {
@@ -49,6 +50,9 @@
     /// Contents whose attempts were lost within the last second, for the other nodes.
     [[nodiscard]] std::vector<lost_content> recentlyLost(time_point now) const;
 
+    /// Names the content of a request. Contents that crash upstreams are told by it.
+    [[nodiscard]] static std::uint64_t fingerprint(std::string_view target, std::string_view body);
+
     /// Takes in what another node has lost, as told by @p seenBy.
     void lostElsewhere(const lost_content &lost, const node_id &seenBy, time_point now);
 
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -31,12 +31,6 @@
 constexpr duration crashMemory = std::chrono::seconds(60); // Longer than a client goes on sending the same content.
 constexpr duration defaultTimeout = std::chrono::seconds(60); // Of a request that names no time and whose route has none.
 
-std::uint64_t fingerprintOf(const client_request &request)
-{
-    const std::uint64_t path = XXH3_64bits(request.target.data(), request.target.size());
-    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), path);
-}
-
 /// Why a request was stopped before its answer was complete.
 enum class stop_cause {
     None,
@@ -65,10 +59,11 @@
 
     class relayed_request;
 
-    void noteLost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
+    void noteLost(std::uint64_t fingerprint, const replica &upstream, time_point now)
     {
+        const lost_content lost{.fingerprint = fingerprint, .upstream = keyOf(upstream.id)};
         m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
-        const bool isStopped = crashed({.fingerprint = fingerprint, .upstream = keyOf(upstream)}, "self", now) == loss_verdict::Stopped;
+        const bool isStopped = crashed(lost, "self", now) == loss_verdict::Stopped;
         std::erase_if(m_stoppedHere, [&](std::uint64_t earlier) {
             return !m_crashes.stoppedUntil(earlier, now);
         });
@@ -78,7 +73,7 @@
         std::erase_if(m_lost, [&](const noted_loss &loss) {
             return now - loss.at > lossMemory;
         });
-        m_lost.push_back({.content = {.fingerprint = fingerprint, .upstream = keyOf(upstream)}, .at = now});
+        m_lost.push_back({.content = lost, .at = now});
     }
 
     /// Upstreams are told apart by their keys, which is what other nodes know of them.
@@ -125,7 +120,7 @@
         , m_deadline(deadlineOf(m_request, by))
         , m_retries(by, m_deadline)
         , m_position(m_request.resumeAfter)
-        , m_fingerprint(fingerprintOf(m_request))
+        , m_fingerprint(fingerprint(m_request.target, m_request.body))
         , m_timer(relay.m_ports.context)
     {
         ++relay.m_inProgress;
@@ -142,8 +137,7 @@
     {
         watchClientAndTime();
         if (const auto until = m_relay.m_crashes.stoppedUntil(m_fingerprint, currentTime())) {
-            logContentRefused(*until);
-            co_await end(disposition::NotRun, end_reason::CrashesUpstreams, *until - currentTime());
+            co_await refuseContent(*until);
             co_return;
         }
         try {
@@ -207,14 +201,27 @@
         const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
         m_placer = std::get<slot_granted>(outcome).placer;
         const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
+        if (const auto until = m_relay.m_crashes.stoppedUntil(m_fingerprint, currentTime())) {
+            m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
+            co_await refuseContent(*until);
+            co_return true;
+        }
         if (registered == nullptr || registered->draining) {
             // The placing node's list of upstreams may be older than this node's, or newer.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             m_tried.push_back(upstream);
             co_return false;
         }
-        const attempt_report report = co_await send(*registered);
-        co_return co_await attemptEnded(upstream, report);
+        const replica sentTo = *registered; // The list may change while the attempt lasts.
+        const attempt_report report = co_await send(sentTo);
+        co_return co_await attemptEnded(sentTo, report);
+    }
+
+    /// Ends a request whose content is stopped.
+    task<> refuseContent(time_point until)
+    {
+        logContentRefused(until);
+        co_await endNow(end_reason::CrashesUpstreams, until - currentTime());
     }
 
     [[nodiscard]] slot_request slotRequest() const
@@ -317,8 +324,9 @@
     }
 
     /// Decides what follows an attempt. Returns whether the request has ended.
-    task<bool> attemptEnded(const upstream_id &upstream, attempt_report report)
+    task<bool> attemptEnded(const replica &sentTo, attempt_report report)
     {
+        const upstream_id &upstream = sentTo.id;
         const time_point now = currentTime();
         const bool isWhole = report.error.empty();
         if (isWhole && report.head->kind == answer_kind::Success && m_splitter.hasPartialEvent()) {
@@ -336,7 +344,7 @@
             co_return true;
         }
         if (outcome == attempt_outcome::Lost) {
-            m_relay.noteLost(m_fingerprint, upstream, now);
+            m_relay.noteLost(m_fingerprint, sentTo, now);
         }
         const next_step step = m_retries.ended(outcome, now);
         logAttempt(upstream, report, step);
@@ -402,12 +410,18 @@
     }
 
     task<> refusedSlot(const slot_refused &refused)
+    {
+        co_await endNow(refused.reason, refused.retryAfter);
+    }
+
+    /// Ends a request that gets no further attempt; it is called not run only if no attempt may have run.
+    task<> endNow(end_reason reason, duration retryAfter)
     {
         if (m_retries.mayHaveRun()) {
-            co_await end(m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, refused.reason);
+            co_await end(m_route.isRepeatable() ? disposition::Failed : disposition::OutcomeUnknown, reason);
             co_return;
         }
-        co_await end(disposition::NotRun, refused.reason, refused.retryAfter);
+        co_await end(disposition::NotRun, reason, retryAfter);
     }
 
     /// Ends a request whose client has gone or whose time is up.
@@ -531,6 +545,11 @@
     return m_implementation->m_inProgress;
 }
 
+std::uint64_t request_relay::fingerprint(std::string_view target, std::string_view body)
+{
+    return XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(target.data(), target.size()));
+}
+
 std::vector<lost_content> request_relay::recentlyLost(time_point now) const
 {
     std::vector<lost_content> result;
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -360,6 +360,25 @@
     CHECK(fixture.call("other", 5s, "question").status == 200);
 }
 
+TEST_CASE("request_relay does not try a content again that others have stopped meanwhile")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 5);
+    const auto stopElsewhere = [&](http_exchange &) -> task<> {
+        for (upstream_key lost = 1; lost <= 3; ++lost) {
+            fixture.nodes.front()->relay.lostElsewhere(
+                {.fingerprint = fixture.nodes.front()->relay.fingerprint("/x/1?q=2", crashingBody), .upstream = lost},
+                node_id("other"),
+                currentTime());
+        }
+        co_return;
+    };
+    scripted_upstream first(fixture.context, "u1", stopElsewhere);
+    scripted_upstream second(fixture.context, "u2", stopElsewhere);
+    fixture.setUpstreams({&first, &second});
+    CHECK(fixture.call("id-1", 5s, crashingBody).status == 502); // It has run once.
+    CHECK(first.requests.size() + second.requests.size() == 1);
+}
+
 TEST_CASE("request_relay refuses a content that has crashed three upstreams")
 {
     relay_fixture fixture(request_kind::Idempotent, false, 1);
