Tell the starts of an upstream apart when losses under a content are counted

The registration's time of start is part of a loss's key now; an entry whose time of start is no whole number names no upstream. 'request_relay counts an upstream that crashes again after it has started again under its id' failed before (6 crashes where 3 are allowed) and passes.

--- a/core/include/banyan/core/serving/replica.h
+++ b/core/include/banyan/core/serving/replica.h
@@ -11,7 +11,8 @@
 /// An upstream as it registers itself.
 struct replica
 {
-    upstream_id id; ///< Of this start of the upstream.
+    upstream_id id; ///< An upstream may start again under the id that it had.
+    std::uint64_t startedAt = 0; ///< Tells its starts apart: milliseconds since 1970; 0 if it does not say.
     service_name service;
     endpoint address; ///< May belong to another upstream after this one has ended.
     failure_domain domain;
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -103,6 +103,9 @@
 /// The key of an upstream in reports between nodes.
 [[nodiscard]] upstream_key keyOf(const upstream_id &upstream);
 
+/// The same for one start of an upstream.
+[[nodiscard]] upstream_key keyOfStart(const replica &upstream);
+
 /// The key of a service in reports between nodes.
 [[nodiscard]] service_key keyOf(const service_name &service);
 
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -35,6 +35,11 @@
     return XXH32(upstream.text().data(), upstream.text().size(), 0);
 }
 
+upstream_key keyOfStart(const replica &upstream)
+{
+    return keyOf(upstream_id(upstream.id.text() + "/" + std::to_string(upstream.startedAt)));
+}
+
 service_key keyOf(const service_name &service)
 {
     return XXH32(service.text().data(), service.text().size(), 0);
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -61,7 +61,7 @@
 
     void noteLost(std::uint64_t fingerprint, const replica &upstream, time_point now)
     {
-        const lost_content lost{.fingerprint = fingerprint, .upstream = keyOf(upstream.id)};
+        const lost_content lost{.fingerprint = fingerprint, .upstream = keyOfStart(upstream)};
         m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
         const bool isStopped = crashed(lost, "self", now) == loss_verdict::Stopped;
         std::erase_if(m_stoppedHere, [&](std::uint64_t earlier) {
--- a/tests/unit/platform/row_codec_test.cpp
+++ b/tests/unit/platform/row_codec_test.cpp
@@ -60,7 +60,7 @@
 TEST_CASE("decodeReplica reads an upstream's registration")
 {
     const std::optional<replica> entry = platform::decodeReplica(rowOf(
-        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining","cold_left_ms":0,"seq":4})"));
+        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining","cold_left_ms":0,"seq":4,"born":1764800000123})"));
     REQUIRE(entry.has_value());
     CHECK(entry->id == upstream_id("i-1"));
     CHECK(entry->service == service_name("s"));
@@ -68,6 +68,7 @@
     CHECK(entry->domain == failure_domain("z"));
     CHECK(entry->slots == 8);
     CHECK(entry->draining);
+    CHECK(entry->startedAt == 1764800000123);
 }
 
 TEST_CASE("decodeReplica names no upstream for an entry that another writer has left")
@@ -77,6 +78,7 @@
                                    R"({"service":"s","address":"nowhere","slots":8,"state":"ready"})",
                                    R"({"service":7,"address":"10.1.0.9:8080","slots":8,"state":"ready"})",
                                    R"({"service":"s","address":"10.1.0.9:8080","slots":"8","state":"ready"})",
+                                   R"({"service":"s","address":"10.1.0.9:8080","slots":8,"state":"ready","born":"then"})",
                                    R"({"service":"s","address":"10.1.0.9:8080","slots":8})"}) {
         CHECK_FALSE(platform::decodeReplica(rowOf(text)).has_value());
     }
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -379,6 +379,19 @@
     CHECK(first.requests.size() + second.requests.size() == 1);
 }
 
+TEST_CASE("request_relay counts an upstream that crashes again after it has started again under its id")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 1);
+    const std::vector<std::unique_ptr<scripted_upstream>> upstreams = crashingUpstreams(fixture.context, 1);
+    for (std::uint64_t start = 1; start <= 6; ++start) {
+        replica registered = upstreams.front()->info("s");
+        registered.startedAt = start;
+        fixture.nodes.front()->scheduler.setUpstreams(std::vector<replica>{registered});
+        (void)fixture.call("id-" + std::to_string(start), 5s, crashingBody);
+    }
+    CHECK(crashesOf(upstreams) == 3);
+}
+
 TEST_CASE("request_relay refuses a content that has crashed three upstreams")
 {
     relay_fixture fixture(request_kind::Idempotent, false, 1);
