Take an upstream for an item again as soon as it is usable here

'listed_job_service takes an upstream for an item again that was not usable when it was granted before' failed before and passes. Ruled out in the gateway: the stop of contents that crash upstreams does not apply to items ('listed_job_service runs an item again however many upstreams have crashed under it' passed before).

--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -28,6 +28,11 @@
     return otherError ? attempt_outcome::Lost : report.result.outcome;
 }
 
+bool isUsable(const replica *upstream)
+{
+    return upstream != nullptr && !upstream->draining;
+}
+
 } // namespace
 
 request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
@@ -77,6 +82,9 @@
     item_state &state = job->states[index];
     ++state.runs;
     const request_id id = slotId(*job, index);
+    std::erase_if(state.unusableUpstreams, [this](const upstream_id &upstream) {
+        return isUsable(m_ports.slots.scheduler().find(upstream));
+    });
     slot_request request{.id = id,
                          .service = serviceFor(by, request_id(job->items[index].id)),
                          .workClass = work_class::Batch,
@@ -85,7 +93,7 @@
                          .target = job->entry.submittedAt + by.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(by.retention, by.completionWindow),
                          .repeatable = true,
-                         .excluded = state.unknownUpstreams,
+                         .excluded = state.unusableUpstreams,
                          .ranBefore = state.ranBefore};
     // Each run has a stop of its own, since a run that gives its slot back goes on later.
     state.stop = stop_signal();
@@ -100,9 +108,10 @@
     const upstream_id upstream = granted->upstream;
     const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
-    const bool usable = registered != nullptr && !registered->draining;
+    const bool usable = isUsable(registered);
     if (!usable) {
-        state.unknownUpstreams.push_back(upstream);
+        state.unusableUpstreams.push_back(upstream);
+        report.error = "granted, but not known here or draining";
     }
     if (usable && !job->stopped) {
         state.sentAt = currentTime();
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -22,7 +22,7 @@
 {
     stop_signal stop; ///< Of the current run.
     std::uint32_t runs = 0; ///< So far.
-    std::vector<upstream_id> unknownUpstreams; ///< Granted, but not known here or draining.
+    std::vector<upstream_id> unusableUpstreams; ///< Granted, but not known here or draining.
     duration ranBefore{}; ///< Time that earlier runs have spent at upstreams.
     std::optional<time_point> sentAt; ///< While a run is at an upstream.
     std::optional<item_progress> progress; ///< Once it has been tried.
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -591,3 +591,60 @@
     CHECK(fixture.awaitResults(*service, "j1", 1).results.front().succeeded);
     CHECK(slow.requests.size() == 1);
 }
+
+TEST_CASE("listed_job_service runs an item again however many upstreams have crashed under it")
+{
+    job_fixture fixture;
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<const scripted_upstream *> pointers;
+    constexpr std::size_t mostCrashes = 5;
+    std::size_t crashes = 0;
+    for (int number = 0; number < 4; ++number) {
+        auto script = [&crashes, piecesOf = streamsPieces(3)](http_exchange &exchange) -> task<> {
+            if (crashes < mostCrashes) {
+                ++crashes;
+                co_return;
+            }
+            co_await piecesOf(exchange);
+        };
+        upstreams.push_back(std::make_unique<scripted_upstream>(fixture.context, "u" + std::to_string(number), std::move(script)));
+        pointers.push_back(upstreams.back().get());
+    }
+    fixture.setUpstreams(pointers);
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    const job_results found = fixture.awaitResults(*fixture.service, "j1", 1);
+    CHECK(found.results.front().succeeded);
+    CHECK(found.results.front().output == "piece-1\npiece-2\npiece-3");
+    CHECK(crashes == mostCrashes);
+}
+
+TEST_CASE("listed_job_service takes an upstream for an item again that was not usable when it was granted before")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(3));
+    fixture.setUpstreams({&upstream});
+    serving_node &node = *fixture.nodes.front();
+    fixture.upstreams.front().draining = true;
+    node.scheduler.setUpstreams(fixture.upstreams);
+    std::vector<std::vector<upstream_id>> excluded; // In each claim.
+    node.onSend = [&](const gateway_message &message) {
+        if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+            excluded.push_back(claim->request.excluded);
+            slot_verdict verdict{.request = claim->request.id, .state = claim_state::Granted, .upstream = upstream_id("u1")};
+            if (excluded.size() == 2) { // Excluded, but usable from now on.
+                verdict = {.request = claim->request.id, .state = claim_state::Refused, .reason = end_reason::Overloaded};
+                fixture.upstreams.front().draining = false;
+                node.scheduler.setUpstreams(fixture.upstreams);
+            }
+            asio::post(fixture.context, [&node, verdict] {
+                node.slots.received(verdict);
+            });
+        }
+    };
+    fixture.hearOtherNodes(node);
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    CHECK(fixture.awaitResults(*fixture.service, "j1", 1).results.front().succeeded);
+    REQUIRE(excluded.size() == 3);
+    CHECK(excluded[1] == std::vector<upstream_id>{upstream_id("u1")});
+    CHECK(excluded[2].empty());
+}
