banyand: blame no batch work for lost upstreams

Cause: the guard against contents that crash upstreams did not tell batch from online work. 'dispatcher blames no batch work for lost upstreams, and goes on placing it' failed before (the second loss ended the item) and passes. Left open: an item is still given up as retries_exhausted after three runs of four attempts that were all lost.

--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -114,6 +114,7 @@
     void finishWithoutAnswer(request_state &request, end_reason reason, std::optional<duration> retryAfter);
     void finishQueued(end_reason reason, std::optional<duration> retryAfter);
     void cancelAttempt(attempt_id attempt);
+    [[nodiscard]] bool isStoppedByLoss(const dispatch_request &request, const upstream_id &upstream, time_point now);
     [[nodiscard]] bool attemptsUsedUp(const request_state &request) const;
     void attemptFailed(request_state &request, const attempt_result &result, time_point now);
     void retryLater(request_state &request, duration delay, time_point now);
@@ -215,7 +216,7 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
     } else if (!m_upstreams.hasUsable(now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
-    } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now)) {
+    } else if (const auto stoppedUntil = m_crashes.stoppedUntil(request.fingerprint, now); online && stoppedUntil) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
     } else if (queueOf(request.workClass).size() >= queueLimit) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = overloadRetryAfter});
@@ -612,9 +613,7 @@
     } else {
         request.tried.insert(ended.upstream);
         m_upstreams.outliers().failed(ended.upstream, result.outcome, now);
-        if (result.outcome == attempt_outcome::Lost
-            && m_crashes.lost(request.request.fingerprint, ended.upstream, now) != loss_verdict::Excused
-            && m_crashes.stoppedUntil(request.request.fingerprint, now)) {
+        if (result.outcome == attempt_outcome::Lost && isStoppedByLoss(request.request, ended.upstream, now)) {
             request.stopped = true;
             ++m_counters.crashesStopped;
         }
@@ -624,6 +623,14 @@
     return takeActions();
 }
 
+/// Whether the content is stopped now that an upstream was lost under it. Batch work is never blamed: it is owed however many
+/// upstreams were lost while they ran it.
+bool dispatcher::implementation::isStoppedByLoss(const dispatch_request &request, const upstream_id &upstream, time_point now)
+{
+    return request.workClass == work_class::Online && m_crashes.lost(request.fingerprint, upstream, now) != loss_verdict::Excused
+           && m_crashes.stoppedUntil(request.fingerprint, now);
+}
+
 /// Online work ends after a number of failures of any kind. Batch work has time and counts only failures that may be its
 /// own: a refusal or a failed connection says nothing about the item.
 bool dispatcher::implementation::attemptsUsedUp(const request_state &request) const
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -205,3 +205,23 @@
     CHECK(running == 6);
     CHECK(only<start_attempt>(cell.submit(requestNamed("short"), start)).size() == 1);
 }
+
+TEST_CASE("dispatcher blames no batch work for lost upstreams, and goes on placing it")
+{
+    dispatcher cell = makeCell({.crashLimit = 2});
+    dispatch_request request = requestNamed("item", work_class::Batch);
+    request.fingerprint = 7;
+    std::vector<start_attempt> started = only<start_attempt>(cell.submit(request, start));
+    for (int loss = 0; loss < 3; ++loss) {
+        REQUIRE(started.size() == 1);
+        const dispatch_actions ended =
+            cell.attemptEnded(started[0].attempt, {.outcome = attempt_outcome::Lost}, cell.nextWakeUp().value_or(start));
+        REQUIRE(only<finish_request>(ended).empty());
+        started = only<start_attempt>(ended);
+        for (int tick = 0; tick < 10 && started.empty(); ++tick) {
+            started = only<start_attempt>(cell.tick(cell.nextWakeUp().value()));
+        }
+    }
+    request.id = request_id("the same content again");
+    CHECK(only<finish_request>(cell.submit(request, start)).empty());
+}
