Do not blame a content that was answered a moment ago for lost upstreams

A content that crashes the upstreams that run it is never answered, so one that was answered within ten seconds is not blamed, and a node that answered it does not take another node's stop over. 'request_relay goes on serving a popular content when some of its runs are lost with their upstreams' failed before (503 at the fourth call and 'after') and passes.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -21,6 +21,7 @@
     std::uint32_t limit = 2; ///< Upstreams that may be lost under a content before it is stopped.
     std::uint32_t limitInMassLoss = 3; ///< The same, counting those that were lost in a mass loss.
     duration memory = std::chrono::minutes(10); ///< How long suspicions and first stops last; each further stop lasts twice as long.
+    duration innocence = std::chrono::seconds(10); ///< How long a content is not blamed after it was answered.
     duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
     std::size_t massLoss = 3; ///< Upstreams lost in that time that make a mass loss; at least half of the cell.
     std::size_t maximumEntries = 4096; ///< Contents remembered; older ones that are not stopped are forgotten first.
@@ -32,6 +33,7 @@
     Counted,
     Excused, ///< Counted, but many upstreams were lost at the same time.
     Stopped, ///< Counted, and enough: the content is refused from now on.
+    Innocent, ///< Not counted, since the content was answered a moment ago.
 };
 
 /// The verdict's name in logs, for example "counted".
@@ -55,7 +57,8 @@
     /// Takes in that an attempt of @p fingerprint was lost.
     loss_verdict lost(std::uint64_t fingerprint, const upstream_id &upstream, time_point now);
 
-    /// Takes in that an attempt of @p fingerprint was answered.
+    /// Takes in that an attempt of @p fingerprint was answered. Many callers may send the same content, so that some of its
+    /// runs are lost for other reasons.
     void answered(std::uint64_t fingerprint, time_point now);
 
     /// Whether an attempt of @p fingerprint has been lost lately and none answered since.
@@ -67,7 +70,7 @@
     /// Until when the content is refused; none if it is not.
     [[nodiscard]] std::optional<time_point> stoppedUntil(std::uint64_t fingerprint, time_point now) const;
 
-    /// Refuses a content until @p until, or longer if it is refused for longer already.
+    /// Refuses a content until @p until, or longer if it is refused for longer already; not if it was answered a moment ago.
     void stop(std::uint64_t fingerprint, time_point until, time_point now);
 
     /// All contents that are refused at @p now.
@@ -90,6 +93,7 @@
 
     record &recordOf(std::uint64_t fingerprint, time_point now);
     void forgetOne(time_point now);
+    [[nodiscard]] bool isInnocent(std::uint64_t fingerprint, time_point now) const;
     [[nodiscard]] duration nextStop(const record &value) const;
     [[nodiscard]] bool isMassLoss(const upstream_id &upstream, time_point now);
     void excuseSince(time_point from);
@@ -102,6 +106,8 @@
     std::map<upstream_id, time_point> m_lostUpstreams; ///< When each was lost last, within the window.
     std::size_t m_upstreamCount = 0;
     std::deque<std::uint64_t> m_order; ///< Of their first being noted.
+    std::unordered_map<std::uint64_t, time_point> m_answeredAt;
+    std::deque<std::uint64_t> m_answerOrder; ///< Of their first answers.
 };
 
 } // namespace banyan
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -21,6 +21,8 @@
         return "excused";
     case loss_verdict::Stopped:
         return "stopped";
+    case loss_verdict::Innocent:
+        return "innocent";
     }
     return "unknown";
 }
@@ -117,6 +119,9 @@
     if (inMassLoss) {
         excuseSince(now - m_options.massLossWindow);
     }
+    if (isInnocent(fingerprint, now)) {
+        return loss_verdict::Innocent;
+    }
     record &entry = recordOf(fingerprint, now);
     const bool isNew = entry.losses.insert({upstream, {.at = now, .inMassLoss = inMassLoss}}).second;
     entry.lostAt = now;
@@ -134,8 +139,21 @@
     return inMassLoss ? loss_verdict::Excused : loss_verdict::Counted;
 }
 
+bool crash_guard::isInnocent(std::uint64_t fingerprint, time_point now) const
+{
+    const auto answer = m_answeredAt.find(fingerprint);
+    return answer != m_answeredAt.end() && now - answer->second < m_options.innocence;
+}
+
 void crash_guard::answered(std::uint64_t fingerprint, time_point now)
 {
+    if (m_answeredAt.insert_or_assign(fingerprint, now).second) {
+        m_answerOrder.push_back(fingerprint);
+    }
+    if (m_answerOrder.size() > m_options.maximumEntries) {
+        m_answeredAt.erase(m_answerOrder.front());
+        m_answerOrder.pop_front();
+    }
     const auto entry = m_records.find(fingerprint);
     if (entry != m_records.end() && !stoppedUntil(fingerprint, now)) {
         m_records.erase(entry);
@@ -174,6 +192,9 @@
 
 void crash_guard::stop(std::uint64_t fingerprint, time_point until, time_point now)
 {
+    if (isInnocent(fingerprint, now)) {
+        return;
+    }
     record &entry = recordOf(fingerprint, now);
     entry.stopToldUntil = std::max(entry.stopToldUntil.value_or(until), until);
 }
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -360,6 +360,31 @@
     CHECK(fixture.call("other", 5s, "question").status == 200);
 }
 
+TEST_CASE("request_relay goes on serving a popular content when some of its runs are lost with their upstreams")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 1);
+    bool loses = false;
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<const scripted_upstream *> pointers;
+    for (int number = 0; number < 8; ++number) {
+        auto script = [&loses, answer = answers(200, "answer")](http_exchange &exchange) -> task<> {
+            if (!loses) {
+                co_await answer(exchange);
+            }
+        };
+        upstreams.push_back(std::make_unique<scripted_upstream>(fixture.context, "u" + std::to_string(number), std::move(script)));
+        pointers.push_back(upstreams.back().get());
+    }
+    fixture.setUpstreams(pointers);
+    REQUIRE(fixture.call("before").status == 200);
+    loses = true;
+    for (int call = 0; call < 6; ++call) {
+        CHECK(fixture.call("lost-" + std::to_string(call)).status == 502);
+    }
+    loses = false;
+    CHECK(fixture.call("after").status == 200);
+}
+
 TEST_CASE("request_relay does not try a content again that others have stopped meanwhile")
 {
     relay_fixture fixture(request_kind::Idempotent, false, 5);
