--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -238,7 +238,7 @@
 std::size_t gateway_fleet::rowsOf(const std::string &table) const
 {
     const http_response answer = call(m_storeAddress, {.target = "/-/rows-get?table=" + table + "&part="});
-    return json::parse(answer.body).as_object().at("rows").as_array().size();
+    return answer.status == 200 ? json::parse(answer.body).as_object().at("rows").as_array().size() : 0;
 }
 
 } // namespace banyan::process_tests
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -67,7 +67,7 @@
     [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
     /// How often a request has run, at all replicas that live.
     [[nodiscard]] int runsOf(const std::string &id) const;
-    /// How many rows the store holds in a table.
+    /// How many rows the store holds in a table; 0 if it does not say.
     [[nodiscard]] std::size_t rowsOf(const std::string &table) const;
 
 private:
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <optional>
 #include <random>
 #include <thread>
 
@@ -25,6 +26,8 @@
 constexpr int itemsOfJob = 4;
 constexpr std::size_t events = 10; // Of a stream, as the stand-in makes them.
 constexpr std::chrono::seconds callPatience(8); // Beyond every deadline that a client names.
+constexpr std::chrono::seconds stopSpread(3); // After the store has a stop, for all gateways to know it.
+constexpr int mostCrashesAfterStop = 3;
 constexpr std::chrono::seconds recoveryTime(30); // For accepted jobs to be complete after the last fault.
 
 /// The addresses at which live gateways serve callers.
@@ -74,7 +77,7 @@
     {
         while (!stop) {
             const std::string id = "c" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
-            switch (std::uniform_int_distribution<int>(0, 3)(m_generator)) {
+            switch (std::uniform_int_distribution<int>(0, 4)(m_generator)) {
             case 0:
                 whole("/safe/1", id, false);
                 break;
@@ -84,6 +87,10 @@
             case 2:
                 stream(id);
                 break;
+            case 3:
+                m_told.sentCrashing(id);
+                (void)send("/safe/1", id, {}, "crashes replicas");
+                break;
             default:
                 job(id);
             }
@@ -210,6 +217,7 @@
             while (std::chrono::steady_clock::now() < end) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
                 fault();
+                noteStop();
             }
             calm();
         }
@@ -315,8 +323,29 @@
         }
     }
 
+    /// Notes when a stop of the content that crashes replicas was first seen in the store.
+    void noteStop()
+    {
+        if (!m_stoppedAt && m_fleet.rowsOf("stopped_contents") > 0) {
+            m_stoppedAt = std::chrono::steady_clock::now();
+            note("stop of the crashing content is stored");
+        }
+    }
+
+    void checkCrashing()
+    {
+        int runs = 0;
+        for (const std::string &id : m_told.crashingSince(m_stoppedAt.value_or(std::chrono::steady_clock::now()) + stopSpread)) {
+            runs += m_fleet.runsOf(id);
+        }
+        if (runs > mostCrashesAfterStop) {
+            m_told.broken("the content that crashes replicas ran " + std::to_string(runs) + " times after its stop was stored");
+        }
+    }
+
     void check()
     {
+        checkCrashing();
         for (const auto &[id, promisedNotRun] : m_told.once()) {
             const int runs = m_fleet.runsOf(id);
             if (runs > 1 || (promisedNotRun && runs > 0)) {
@@ -361,6 +390,7 @@
     gateway_fleet m_fleet;
     live_gateways m_gateways;
     promises m_told;
+    std::optional<std::chrono::steady_clock::time_point> m_stoppedAt;
     std::vector<std::size_t> m_slots; ///< Of each place the index of its gateway.
     std::size_t m_lastGateway = gatewayCount;
 };
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdio>
 #include <map>
 #include <mutex>
@@ -20,6 +21,26 @@
         m_once[id] = promisedNotRun;
     }
 
+    /// A request with the content that crashes replicas was sent.
+    void sentCrashing(const std::string &id)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_crashing[id] = std::chrono::steady_clock::now();
+    }
+
+    /// Those sent later than @p from.
+    [[nodiscard]] std::vector<std::string> crashingSince(std::chrono::steady_clock::time_point from) const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::string> result;
+        for (const auto &[id, sentAt] : m_crashing) {
+            if (sentAt > from) {
+                result.push_back(id);
+            }
+        }
+        return result;
+    }
+
     void accepted(const std::string &job)
     {
         const std::lock_guard lock(m_mutex);
@@ -66,6 +87,7 @@
 private:
     mutable std::mutex m_mutex;
     std::map<std::string, bool> m_once; ///< Whether the request was answered as not run.
+    std::map<std::string, std::chrono::steady_clock::time_point> m_crashing;
     std::set<std::string> m_jobs;
     std::size_t m_served = 0;
     std::vector<std::string> m_broken;
