Send nothing new to an upstream that says in an answer that it leaves

Before, a gateway learnt it only from the registration. Change: the adapter decodes the field once (answer_head::upstreamLeaves), from every answer to the request of that run, and does not pass it on. The registry of upstreams takes that start for draining from then on: no older view, outage or other node takes it back, and another start under the id or at the address is not concerned. So waiting requests, retries, granted slots that are not used yet, items and resumed streams go elsewhere, idle connections are closed, and what runs ends. The starts that a node has heard of itself are in its reports, so that the placing nodes grant no more slots there; a declined grant is logged and counts as no attempt. If all upstreams of a service leave, requests are refused at once with when to come back. Tests: 'a replica that says only in its answers that it leaves gets no new work, and what runs there ends well' and 'requests are refused at once when every replica of their service leaves' (real processes, the replica stand-in says it in answers only) failed before and pass; replica_registry (unit, and a property over views in any order, 3,000 runs by hand), decodeHead.

--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -41,6 +41,7 @@
     placing_state placing = placing_state::Ready;
     std::map<service_key, std::uint32_t> waitingOnline; ///< Requests that wait for a slot, by service.
     std::vector<lost_content> lost; ///< Within the last second or so.
+    std::vector<upstream_key> leaving; ///< Starts of upstreams that have told the sender in an answer that they leave.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims that it waits for or holds, at any node.
 
     auto operator<=>(const node_load &) const = default;
--- a/core/include/banyan/core/serving/replica_registry.h
+++ b/core/include/banyan/core/serving/replica_registry.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/replica.h"
+#include "banyan/core/serving/upstream_usage.h"
 #include "banyan/core/time.h"
 
 #include <map>
@@ -33,6 +34,17 @@
     /// Another upstream answers at the entry's address: it is not used until it is registered with another address.
     void addressReused(const upstream_id &id);
 
+    /// Takes in that a start of an upstream has said in an answer that it leaves, to this node or, with @p told, to another one.
+    /// It counts as draining from now on, whatever its registration says; other starts under its id do not. Returns whether
+    /// this is new.
+    bool leaving(upstream_key start, bool told, time_point now);
+
+    /// Registered starts that have told this node itself that they leave, for its reports.
+    [[nodiscard]] std::vector<upstream_key> heardLeaving() const;
+
+    /// Registered starts that leave, as far as this node knows from answers.
+    [[nodiscard]] std::size_t leavingCount() const;
+
     /// The store does not answer any more, or answers again.
     void storeLost();
     void storeRegained(time_point now);
@@ -43,16 +55,26 @@
     /// When tick() is next needed, if at all.
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
 
-    /// Every upstream that may be used or is draining.
+    /// Every upstream that may be used or is draining, by its registration or by what it has said.
     [[nodiscard]] std::vector<replica> replicas() const;
 
 private:
+    struct leaving_start
+    {
+        time_point since;
+        bool told = false; ///< Only by other nodes.
+    };
+
     [[nodiscard]] bool keepsMissing(time_point now) const;
+    [[nodiscard]] bool hasSaidLeaving(const replica &entry) const;
+    [[nodiscard]] std::vector<replica> leavingEntries() const;
+    void forgetOldLeaving(time_point now);
 
     duration m_grace;
     std::map<upstream_id, replica> m_entries;
     std::set<upstream_id> m_missing; ///< Kept until m_graceEnd.
     std::map<upstream_id, endpoint> m_reused;
+    std::map<upstream_key, leaving_start> m_leaving;
     bool m_storeAway = false;
     std::optional<time_point> m_graceEnd;
 };
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -104,6 +104,7 @@
 [[nodiscard]] upstream_key keyOf(const upstream_id &upstream);
 
 /// The same for one start of an upstream.
+[[nodiscard]] upstream_key keyOfStart(const upstream_id &upstream, std::uint64_t startedAt);
 [[nodiscard]] upstream_key keyOfStart(const replica &upstream);
 
 /// The key of a service in reports between nodes.
--- a/core/src/serving/replica_registry.cpp
+++ b/core/src/serving/replica_registry.cpp
@@ -1,7 +1,17 @@
 #include "banyan/core/serving/replica_registry.h"
 
+#include "banyan/core/serving/request_scheduler.h"
+
+#include <set>
+
 namespace banyan {
 
+namespace {
+
+constexpr duration leavingMemory = std::chrono::hours(1); // Of starts that are not registered; far longer than one takes to leave.
+
+} // namespace
+
 replica_registry::replica_registry(duration grace)
     : m_grace(grace)
 {
@@ -62,6 +72,64 @@
     }
 }
 
+bool replica_registry::leaving(upstream_key start, bool told, time_point now)
+{
+    const auto known = m_leaving.find(start);
+    if (known != m_leaving.end()) {
+        const bool heardFirst = known->second.told && !told;
+        known->second.told = known->second.told && told;
+        return heardFirst;
+    }
+    forgetOldLeaving(now);
+    m_leaving.emplace(start, leaving_start{.since = now, .told = told});
+    return true;
+}
+
+bool replica_registry::hasSaidLeaving(const replica &entry) const
+{
+    return !m_leaving.empty() && m_leaving.contains(keyOfStart(entry));
+}
+
+/// Forgets starts that have not been registered for long; those that are registered leave for as long as they live.
+void replica_registry::forgetOldLeaving(time_point now)
+{
+    std::set<upstream_key> registeredStarts;
+    for (const replica &entry : leavingEntries()) {
+        registeredStarts.insert(keyOfStart(entry));
+    }
+    std::erase_if(m_leaving, [&](const auto &entry) {
+        return !registeredStarts.contains(entry.first) && now - entry.second.since >= leavingMemory;
+    });
+}
+
+std::vector<replica> replica_registry::leavingEntries() const
+{
+    std::vector<replica> result;
+    for (const auto &[id, entry] : m_entries) {
+        if (hasSaidLeaving(entry)) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+std::vector<upstream_key> replica_registry::heardLeaving() const
+{
+    std::vector<upstream_key> result;
+    for (const replica &entry : leavingEntries()) {
+        const upstream_key start = keyOfStart(entry);
+        if (!m_leaving.at(start).told) {
+            result.push_back(start);
+        }
+    }
+    return result;
+}
+
+std::size_t replica_registry::leavingCount() const
+{
+    return leavingEntries().size();
+}
+
 void replica_registry::storeLost()
 {
     m_storeAway = true;
@@ -100,6 +168,7 @@
     for (const auto &[id, entry] : m_entries) {
         if (!m_reused.contains(id)) {
             result.push_back(entry);
+            result.back().draining = entry.draining || hasSaidLeaving(entry);
         }
     }
     return result;
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -35,9 +35,14 @@
     return XXH32(upstream.text().data(), upstream.text().size(), 0);
 }
 
+upstream_key keyOfStart(const upstream_id &upstream, std::uint64_t startedAt)
+{
+    return keyOf(upstream_id(upstream.text() + "/" + std::to_string(startedAt)));
+}
+
 upstream_key keyOfStart(const replica &upstream)
 {
-    return keyOf(upstream_id(upstream.id.text() + "/" + std::to_string(upstream.startedAt)));
+    return keyOfStart(upstream.id, upstream.startedAt);
 }
 
 service_key keyOf(const service_name &service)
--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -62,6 +62,9 @@
     /// Changes how many unused connections to one endpoint are kept, for those that become unused from now on.
     void setIdleConnectionsPerEndpoint(std::size_t count);
 
+    /// Closes the unused connections to an endpoint.
+    void closeIdle(const endpoint &to);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
--- a/io/include/banyan/io/serving/answer_head.h
+++ b/io/include/banyan/io/serving/answer_head.h
@@ -22,6 +22,7 @@
     answer_kind kind = answer_kind::Unusable;
     unsigned status = 0;
     std::vector<http_field> fields; ///< To be passed on.
+    bool upstreamLeaves = false; ///< It says that it is about to end and takes no new work.
     bool isEventStream = false;
 };
 
--- a/io/include/banyan/io/serving/upstream_run.h
+++ b/io/include/banyan/io/serving/upstream_run.h
@@ -17,6 +17,7 @@
 {
     request_id id;
     upstream_id upstream; ///< Any other upstream at the address must not run it.
+    std::uint64_t startedAt = 0; ///< Of the upstream, by its registration.
     endpoint address;
     std::string method;
     std::string target; ///< Path and query.
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -44,9 +44,13 @@
     [[nodiscard]] task<attempt_report>
     send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
 
+    /// Calls @p handler with each run whose answer says that its upstream leaves, as soon as the answer's head has come.
+    void onUpstreamLeaves(std::function<void(const upstream_run &run, unsigned status)> handler);
+
 private:
     http_client &m_client;
     upstream_protocol m_protocol;
+    std::function<void(const upstream_run &run, unsigned status)> m_upstreamLeaves;
 };
 
 } // namespace banyan
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -29,6 +29,7 @@
   lost @4 :List(LostContent);
   claims @5 :List(UInt64);
   placing @6 :UInt8;              # In the order of placing_state.
+  leaving @7 :List(UInt32);       # Keys of starts of upstreams.
 }
 
 struct SlotClaim {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -94,7 +94,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -609,6 +609,9 @@
 
   inline  ::uint8_t getPlacing() const;
 
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -679,6 +682,14 @@
   inline  ::uint8_t getPlacing();
   inline void setPlacing( ::uint8_t value);
 
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLeaving(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2523,6 +2534,44 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeLoad::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeLoad::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void NodeLoad::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeLoad::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool SlotClaim::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -259,6 +259,11 @@
         }
     }
 
+    void closeIdle(const endpoint &to)
+    {
+        m_idle.erase(to);
+    }
+
     [[nodiscard]] std::uint64_t opened() const
     {
         return m_opened;
@@ -319,6 +324,11 @@
     m_implementation->setIdleConnectionsPerEndpoint(count);
 }
 
+void http_client::closeIdle(const endpoint &to)
+{
+    m_implementation->closeIdle(to);
+}
+
 std::uint64_t http_client::connectionsOpened() const
 {
     return m_implementation->opened();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -4,6 +4,7 @@
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
+#include "banyan/core/serving/request_scheduler.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/log.h"
@@ -128,6 +129,8 @@
     void configurationRead(const table_row &row);
     void replicaChanged(const table_row &row);
     void replicasChanged();
+    void upstreamLeaves(const upstream_run &run, unsigned status);
+    void toldLeaving(const node_load &load, time_point now);
     void updatePlacing();
     void gatewayRead(const table_row &row);
     void gatewaysChanged();
@@ -180,6 +183,9 @@
         m_registry.addressReused(upstream);
         replicasChanged();
     });
+    m_sender.onUpstreamLeaves([this](const upstream_run &run, unsigned status) {
+        upstreamLeaves(run, status);
+    });
     m_scheduler.onUsageChanged([this] {
         m_exchange.changed();
     });
@@ -299,6 +305,45 @@
 void gateway::implementation::replicasChanged()
 {
     m_scheduler.setUpstreams(m_registry.replicas());
+    m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
+}
+
+/// Takes in that an upstream has said that it leaves: it gets no new work from here, whatever the store or other nodes say.
+void gateway::implementation::upstreamLeaves(const upstream_run &run, unsigned status)
+{
+    if (!m_registry.leaving(keyOfStart(run.upstream, run.startedAt), false, currentTime())) {
+        return;
+    }
+    const auto usage = m_scheduler.scheduler().usage(currentTime());
+    const auto work = usage.find(keyOf(run.upstream));
+    const std::uint32_t inProgress = work == usage.end() ? 0 : work->second.online + work->second.batch;
+    logEvent(log_level::Info,
+             "upstream_leaving",
+             {{"upstream", run.upstream.text()},
+              {"started_at_ms", std::to_string(run.startedAt)},
+              {"told_by", "self"},
+              {"request_id", run.id.text()},
+              {"status", std::to_string(status)},
+              {"in_progress", std::to_string(inProgress)}});
+    m_metrics.count("upstream_leaving");
+    m_upstreamClient.closeIdle(run.address);
+    replicasChanged();
+    m_exchange.changed();
+}
+
+/// Takes in which upstreams have told another node that they leave, so that this one grants no more slots there.
+void gateway::implementation::toldLeaving(const node_load &load, time_point now)
+{
+    bool changed = false;
+    for (const upstream_key start : load.leaving) {
+        if (m_registry.leaving(start, true, now)) {
+            changed = true;
+            logEvent(log_level::Info, "upstream_leaving", {{"upstream_key", std::to_string(start)}, {"told_by", load.sender.text()}});
+        }
+    }
+    if (changed) {
+        replicasChanged();
+    }
 }
 
 /// Leaves the requests of this node's cells to others unless its own list of upstreams is up to date.
@@ -430,6 +475,7 @@
             .placing = m_slots.placing(),
             .waitingOnline = m_scheduler.scheduler().waitingByService(),
             .lost = lostToReport(now),
+            .leaving = m_registry.heardLeaving(),
             .claims = m_slots.claims()};
 }
 
@@ -456,6 +502,7 @@
     }
     m_jobs.heard(load.sender, now, load.placing);
     m_slots.reported(load);
+    toldLeaving(load, now);
     for (const lost_content &lost : load.lost) {
         m_relay.lostElsewhere(lost, load.sender, now);
         if (!m_hubs.isHub(load.sender) && m_lostElsewhere.size() < mostLostElsewhere) {
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -147,6 +147,7 @@
     const job_item &item = job->items[index];
     upstream_run run{.id = request_id(item.id),
                      .upstream = upstream.id,
+                     .startedAt = upstream.startedAt,
                      .address = upstream.address,
                      .method = "POST",
                      .target = item.path,
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -210,6 +210,12 @@
             // The placing node's list of upstreams may be older than this node's, or newer.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             m_tried.push_back(upstream);
+            logEvent(log_level::Info,
+                     "grant_declined",
+                     {{"request_id", m_request.id.text()},
+                      {"upstream", upstream.text()},
+                      {"placer", m_placer.text()},
+                      {"reason", registered == nullptr ? "not_registered" : "draining"}});
             co_return false;
         }
         const replica sentTo = *registered; // The list may change while the attempt lasts.
@@ -244,6 +250,7 @@
         const time_point now = currentTime();
         upstream_run run{.id = m_request.id,
                          .upstream = upstream.id,
+                         .startedAt = upstream.startedAt,
                          .address = upstream.address,
                          .method = m_request.method,
                          .target = m_request.target,
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -97,6 +97,10 @@
         lost[position].setFingerprint(load.lost[position].fingerprint);
         lost[position].setUpstream(load.lost[position].upstream);
     }
+    auto leaving = root.initLeaving(static_cast<unsigned>(load.leaving.size()));
+    for (unsigned position = 0; position < load.leaving.size(); ++position) {
+        leaving.set(position, load.leaving[position]);
+    }
     auto claims = root.initClaims(static_cast<unsigned>(load.claims.size()));
     for (unsigned position = 0; position < load.claims.size(); ++position) {
         claims.set(position, load.claims[position]);
@@ -158,6 +162,7 @@
                    .placing = static_cast<placing_state>(std::min(root.getPlacing(), static_cast<std::uint8_t>(placing_state::Stopping))),
                    .waitingOnline = {},
                    .lost = {},
+                   .leaving = {},
                    .claims = {}};
     for (const auto entry : root.getUsage()) {
         load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .troubled = entry.getTroubled()};
@@ -168,6 +173,9 @@
     for (const auto entry : root.getLost()) {
         load.lost.push_back({.fingerprint = entry.getFingerprint(), .upstream = entry.getUpstream()});
     }
+    for (const upstream_key start : root.getLeaving()) {
+        load.leaving.push_back(start);
+    }
     for (const std::uint64_t claim : root.getClaims()) {
         load.claims.push_back(claim);
     }
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -47,6 +47,11 @@
 {
 }
 
+void upstream_sender::onUpstreamLeaves(std::function<void(const upstream_run &run, unsigned status)> handler)
+{
+    m_upstreamLeaves = std::move(handler);
+}
+
 task<attempt_report>
 upstream_sender::send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
 {
@@ -58,6 +63,9 @@
     http_client::stream_handler handler;
     handler.onHead = [&](unsigned status, const std::vector<http_field> &fields) -> task<> {
         report.head = m_protocol.decodeHead(status, fields, run);
+        if (report.head->upstreamLeaves && m_upstreamLeaves) {
+            m_upstreamLeaves(run, status);
+        }
         if (report.head->kind == answer_kind::Unusable) {
             throw http_error(sent_state::MaybeSent, false, "not an answer to this request, status " + std::to_string(status));
         }
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -187,6 +187,12 @@
     (void)call(m_storeAddress, {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
 }
 
+void gateway_fleet::setReplicaMode(std::size_t index, const std::string &mode) const
+{
+    const json::object faults = {{"mode", mode}};
+    (void)call(replica(index), {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
+}
+
 http_response
 gateway_fleet::send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more) const
 {
@@ -235,6 +241,14 @@
     return runs;
 }
 
+double gateway_fleet::metricOf(std::size_t gateway, const std::string &state) const
+{
+    const std::string text = call(metrics(gateway), {.target = "/metrics"}).body;
+    const std::string name = "banyan_state{name=\"" + state + "\"} ";
+    const std::size_t found = text.find(name);
+    return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size()));
+}
+
 std::size_t gateway_fleet::rowsOf(const std::string &table) const
 {
     const http_response answer = call(m_storeAddress, {.target = "/-/rows-get?table=" + table + "&part="});
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -55,6 +55,7 @@
     /// Writes a replica's registration.
     void registerReplica(std::size_t index, const std::string &state = "ready") const;
     void setStoreFaults(const boost::json::object &faults) const;
+    void setReplicaMode(std::size_t index, const std::string &mode) const;
 
     /// Sends a request to a gateway, with a body of its own.
     [[nodiscard]] http_response
@@ -67,6 +68,8 @@
     [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
     /// How often a request has run, at all replicas that live.
     [[nodiscard]] int runsOf(const std::string &id) const;
+    /// A gauge of banyan_state; 0 if there is none.
+    [[nodiscard]] double metricOf(std::size_t gateway, const std::string &state) const;
     /// How many rows the store holds in a table; 0 if it does not say.
     [[nodiscard]] std::size_t rowsOf(const std::string &table) const;
 
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -230,3 +230,48 @@
     CHECK(runsOfAll(sent) == runsUntilStopped);
     CHECK(fleet.send(2, "/once/1", "other").status == 200);
 }
+
+TEST_CASE("a replica that says only in its answers that it leaves gets no new work, and what runs there ends well")
+{
+    gateway_fleet fleet({.gateways = 2, .replicas = 2, .replicaArguments = {"--events", "20", "--event-ms", "50"}});
+    const auto runsAtLeaving = [&] {
+        return json::parse(call(fleet.replica(0), {.target = "/standin/runs"}).body).as_object().size();
+    };
+    REQUIRE(fleet.submitJob(0, "j1", 6).status == 202);
+    REQUIRE(eventually([&] {
+        return runsAtLeaving() > 0;
+    }));
+    fleet.setReplicaMode(0, "leaving");
+    // Each gateway hears of it by an answer of its own, or from the other one.
+    REQUIRE(eventually([&] {
+        for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+            (void)fleet.send(gateway, "/safe/1", "load");
+        }
+        return fleet.metricOf(0, "upstreams_leaving") == 1 && fleet.metricOf(1, "upstreams_leaving") == 1;
+    }));
+    const std::size_t before = runsAtLeaving();
+    for (int number = 0; number < 10; ++number) {
+        for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+            const std::string id = std::to_string(number) + "-" + std::to_string(gateway);
+            CHECK(fleet.send(gateway, "/safe/1", "whole-" + id).status == 200);
+        }
+    }
+    CHECK(fleet.send(0, "/stream/1", "stream", streamed).body == wholeStream("stream", 20));
+    REQUIRE(fleet.submitJob(1, "j2", 6).status == 202);
+    CHECK(eventually([&] {
+        return resultsOf(fleet.readJob(1, "j1")) == 6 && resultsOf(fleet.readJob(1, "j2")) == 6;
+    }));
+    CHECK(runsAtLeaving() == before);
+    CHECK(fleet.send(0, "/safe/1", "fields").field("Server-Leaving").empty());
+}
+
+TEST_CASE("requests are refused at once when every replica of their service leaves")
+{
+    gateway_fleet fleet({.gateways = 1, .replicas = 1});
+    fleet.setReplicaMode(0, "leaving");
+    CHECK(fleet.send(0, "/safe/1", "a").status == 200);
+    const http_response refused = fleet.send(0, "/safe/1", "b");
+    CHECK(refused.status == 503);
+    CHECK(std::stod(refused.field("Retry-After")) > 0);
+    CHECK(fleet.runsOf("b") == 0);
+}
--- /dev/null
+++ b/tests/property/serving/leaving_upstreams_property_test.cpp
@@ -0,0 +1,101 @@
+#include "banyan/core/serving/replica_registry.h"
+#include "banyan/core/serving/request_scheduler.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace banyan;
+
+namespace {
+
+constexpr int upstreamCount = 4;
+constexpr std::uint64_t startCount = 3;
+
+/// A start of an upstream, as some view of the store shows it.
+replica anyStart()
+{
+    const int number = *rc::gen::inRange(0, upstreamCount);
+    return {.id = upstream_id("u" + std::to_string(number)),
+            .startedAt = *rc::gen::inRange<std::uint64_t>(1, startCount + 1),
+            .service = service_name("s"),
+            .address = {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(number + 1)},
+            .draining = *rc::gen::inRange(0, 4) == 0};
+}
+
+std::vector<replica> anyView()
+{
+    std::map<upstream_id, replica> view;
+    for (int entries = *rc::gen::inRange(0, upstreamCount + 1); entries > 0; --entries) {
+        const replica entry = anyStart();
+        view.insert_or_assign(entry.id, entry);
+    }
+    std::vector<replica> result;
+    for (const auto &[id, entry] : view) {
+        result.push_back(entry);
+    }
+    return result;
+}
+
+/// A registry, and which starts it was told to leave.
+struct leaving_model
+{
+    replica_registry registry{std::chrono::seconds(2)};
+    std::set<upstream_key> left;
+    time_point now{};
+
+    void step()
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 600));
+        switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+            registry.replaceAll(anyView(), now);
+            break;
+        case 1:
+        case 2:
+            registry.registered(anyStart());
+            break;
+        case 3:
+            registry.removed(anyStart().id, now);
+            break;
+        case 4:
+            registry.storeLost();
+            break;
+        case 5:
+            registry.storeRegained(now);
+            break;
+        default:
+            const upstream_key start = keyOfStart(anyStart());
+            registry.leaving(start, *rc::gen::inRange(0, 2) == 0, now);
+            left.insert(start);
+        }
+        registry.tick(now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("replica_registry gives no start that has said that it leaves as usable, in any order of views and outages")
+{
+    rc::prop("draining if it has said so, and not for the sake of another start", [] {
+        leaving_model model;
+        std::map<upstream_id, bool> drains;
+        for (int steps = 60; steps > 0; --steps) {
+            model.step();
+            for (const replica &entry : model.registry.replicas()) {
+                RC_ASSERT(entry.draining || !model.left.contains(keyOfStart(entry)));
+            }
+        }
+        for (int number = 0; number < upstreamCount; ++number) {
+            // A start that nobody has heard of is used at once, whatever its upstream was before.
+            const replica fresh{.id = upstream_id("u" + std::to_string(number)), .startedAt = startCount + 1, .service = service_name("s")};
+            model.registry.registered(fresh);
+        }
+        for (const replica &entry : model.registry.replicas()) {
+            RC_ASSERT(!entry.draining);
+        }
+    });
+}
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -55,12 +55,12 @@
     const std::string body = co_await exchange.body(maximumBody);
     const std::string expected = exchange.field("Expect-Instance");
     if (!expected.empty() && expected != m_options.id) {
-        http_response response{.status = 421, .fields = {{"Instance-Id", m_options.id}}};
+        http_response response{.status = 421, .fields = answerFields({{"Instance-Id", m_options.id}})};
         co_await exchange.respond(std::move(response));
         co_return;
     }
     if (m_running >= m_options.slots) {
-        http_response response{.status = 503, .fields = {{"Not-Executed", "1"}}};
+        http_response response{.status = 503, .fields = answerFields({{"Not-Executed", "1"}})};
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -79,10 +79,18 @@
     }
 }
 
+std::vector<http_field> replica_standin::answerFields(std::vector<http_field> fields) const
+{
+    if (m_mode == "leaving") {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    return fields;
+}
+
 task<> replica_standin::answerWhole(http_exchange &exchange)
 {
     co_await sleepFor(m_options.eventTime);
-    http_response response{.status = m_mode == "impossible" ? 422U : 200U, .fields = {{"Response-Stamp", "stamp"}}};
+    http_response response{.status = m_mode == "impossible" ? 422U : 200U, .fields = answerFields({{"Response-Stamp", "stamp"}})};
     response.body = "answer to " + exchange.requestId();
     co_await exchange.respond(std::move(response));
 }
@@ -94,7 +102,7 @@
         co_return;
     }
     const std::string after = exchange.field("Last-Event-Id");
-    std::vector<http_field> fields{{"Response-Stamp", "stamp"}, {"Content-Type", "text/event-stream"}};
+    std::vector<http_field> fields = answerFields({{"Response-Stamp", "stamp"}, {"Content-Type", "text/event-stream"}});
     co_await exchange.begin(200, std::move(fields));
     for (std::size_t id = after.empty() ? 1 : std::stoull(after) + 1; id <= m_options.events; ++id) {
         co_await sleepFor(m_options.eventTime);
--- a/tests/standins/replica/replica_standin.h
+++ b/tests/standins/replica/replica_standin.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace banyan::standins {
 
@@ -21,8 +22,8 @@
 
 /// A replica of the users' platform by its protocol. A request with a Model field is answered by a stream, others whole.
 ///
-/// POST /standin/faults takes "mode": up, reset (runs and closes without an answer), hang (runs and never answers) or
-/// impossible (422). GET /standin/runs answers how often each request id has run to its end or begun.
+/// POST /standin/faults takes "mode": up, reset (runs and closes without an answer), hang (runs and never answers),
+/// impossible (422) or leaving (says so in all its answers, and nowhere else). GET /standin/runs answers how often each request id has run to its end or begun.
 class replica_standin
 {
 public:
@@ -32,6 +33,7 @@
 
 private:
     task<> handle(http_exchange &exchange);
+    [[nodiscard]] std::vector<http_field> answerFields(std::vector<http_field> fields) const;
     task<> answerWhole(http_exchange &exchange);
     task<> answerStream(http_exchange &exchange);
     task<> handleFaults(http_exchange &exchange);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -162,6 +162,30 @@
     CHECK(text == "one two");
 }
 
+TEST_CASE("http_client opens a new connection after the idle ones were closed, or if it is asked to")
+{
+    server_fixture fixture;
+    const auto open = [&](connection_choice choice) {
+        fixture.run([&]() -> task<> {
+            http_client::stream_handler handler;
+            handler.onHead = [](unsigned, const std::vector<http_field> &) -> task<> {
+                co_return;
+            };
+            handler.onPiece = [](std::string_view) -> task<> {
+                co_return;
+            };
+            http_request request{.target = "/stream"};
+            co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, nullptr, choice);
+        });
+        return fixture.client.connectionsOpened();
+    };
+    CHECK(open(connection_choice::IdleOrNew) == 1);
+    CHECK(open(connection_choice::IdleOrNew) == 1);
+    CHECK(open(connection_choice::New) == 2);
+    fixture.client.closeIdle(fixture.server.address());
+    CHECK(open(connection_choice::IdleOrNew) == 3);
+}
+
 TEST_CASE("http_client reports a cut answer as an error after sending")
 {
     server_fixture fixture;
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -85,6 +85,29 @@
     CHECK(head.fields == std::vector<http_field>{{"Request-Id", "id-1"}, {"Response-Stamp", "s"}, {"Content-Type", "text/event-stream"}});
 }
 
+TEST_CASE("decodeHead tells of every kind of answer whether the upstream leaves, and does not pass it on")
+{
+    const http_field id{"Request-Id", "id-1"};
+    const http_field stamp{"Response-Stamp", "s"};
+    const auto leaves = [&](unsigned status, std::vector<http_field> fields) {
+        fields.push_back({"Server-Leaving", "1"});
+        const answer_head head = protocol.decodeHead(status, fields, runWith({}));
+        CHECK(std::none_of(head.fields.begin(), head.fields.end(), [](const http_field &field) {
+            return field.name == "Server-Leaving";
+        }));
+        return head.upstreamLeaves;
+    };
+    CHECK(leaves(200, {id, stamp}));
+    CHECK(leaves(200, {id, stamp, {"Content-Type", "text/event-stream"}}));
+    CHECK(leaves(500, {id, stamp}));
+    CHECK(leaves(422, {id, stamp}));
+    CHECK(leaves(503, {{"Not-Executed", "1"}}));
+    CHECK(leaves(429, {id}));
+    CHECK(leaves(421, {{"Instance-Id", "u-2"}}));
+    CHECK_FALSE(leaves(200, {{"Request-Id", "id-2"}, stamp})); // Of an earlier request.
+    CHECK_FALSE(protocol.decodeHead(200, {id, stamp}, runWith({})).upstreamLeaves);
+}
+
 TEST_CASE("encodeEnd promises not run only for what did not run, and says when to come back")
 {
     const http_response refused = protocol.encodeEnd({.what = disposition::NotRun, .reason = end_reason::Overloaded, .retryAfter = 250ms});
--- a/tests/unit/serving/replica_registry_test.cpp
+++ b/tests/unit/serving/replica_registry_test.cpp
@@ -1,4 +1,5 @@
 #include "banyan/core/serving/replica_registry.h"
+#include "banyan/core/serving/request_scheduler.h"
 
 #include <catch2/catch.hpp>
 
@@ -80,3 +81,60 @@
     draining.draining = true;
     CHECK(registry.registered(draining));
 }
+
+TEST_CASE("replica_registry takes a start that says that it leaves for draining, whatever its registration says")
+{
+    replica_registry registry(grace);
+    replica leaving = upstream("a");
+    leaving.startedAt = 7;
+    registry.replaceAll({leaving, upstream("b")}, start);
+    CHECK(registry.leaving(keyOfStart(leaving), false, start));
+    CHECK_FALSE(registry.leaving(keyOfStart(leaving), false, start));
+    registry.replaceAll({leaving, upstream("b")}, start + 1s); // An older view, or one that never says it.
+    registry.storeLost();
+    registry.storeRegained(start + 2s);
+    registry.registered(leaving);
+    REQUIRE(count(registry) == 2);
+    CHECK(registry.replicas()[0].draining);
+    CHECK_FALSE(registry.replicas()[1].draining);
+    CHECK(registry.leavingCount() == 1);
+}
+
+TEST_CASE("replica_registry uses a new start under the id or at the address of one that left")
+{
+    replica_registry registry(grace);
+    replica left = upstream("a");
+    left.startedAt = 7;
+    registry.replaceAll({left}, start);
+    registry.leaving(keyOfStart(left), false, start);
+    replica next = left;
+    next.startedAt = 8;
+    registry.registered(next);
+    REQUIRE(count(registry) == 1);
+    CHECK_FALSE(registry.replicas().front().draining);
+    registry.leaving(keyOfStart(left), false, start + 1s); // A late answer of the old start.
+    CHECK_FALSE(registry.replicas().front().draining);
+    CHECK(registry.heardLeaving().empty());
+}
+
+TEST_CASE("replica_registry reports only the starts that have told this node itself that they leave")
+{
+    replica_registry registry(grace);
+    registry.replaceAll({upstream("a"), upstream("b")}, start);
+    CHECK(registry.leaving(keyOfStart(upstream("a")), true, start));
+    CHECK(registry.leaving(keyOfStart(upstream("b")), false, start));
+    CHECK(registry.heardLeaving() == std::vector<upstream_key>{keyOfStart(upstream("b"))});
+    CHECK(registry.leaving(keyOfStart(upstream("a")), false, start)); // Now it has.
+    CHECK(registry.heardLeaving().size() == 2);
+}
+
+TEST_CASE("replica_registry remembers that a start leaves for as long as it is registered")
+{
+    replica_registry registry(grace);
+    registry.replaceAll({upstream("a")}, start);
+    registry.leaving(keyOfStart(upstream("a")), false, start);
+    registry.leaving(keyOfStart(upstream("gone")), false, start);
+    registry.leaving(keyOfStart(upstream("other")), false, start + 24h); // Also for a node that stood still all the while.
+    CHECK(registry.replicas().front().draining);
+    CHECK(registry.leaving(keyOfStart(upstream("gone")), false, start + 24h)); // It was forgotten.
+}
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -20,6 +20,7 @@
                          .placing = placing_state::UpstreamsUncertain,
                          .waitingOnline = {{5, 6}},
                          .lost = {{.fingerprint = 7, .upstream = 8}},
+                         .leaving = {3, 4},
                          .claims = {10, 11}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(load, senderNow), receiverNow);
     REQUIRE(read.has_value());
