Count an upstream that ends silently under a content once its end is known

An attempt without any answer is remembered for ten seconds and counted as a loss if the start of its upstream vanishes from the registrations meanwhile; a slow upstream that lives is not blamed on anybody.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -24,6 +24,7 @@
     duration innocence = std::chrono::seconds(10); ///< How long a content is not blamed after it was answered.
     duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
     std::size_t massLoss = 3; ///< Upstreams lost in that time that make a mass loss; at least half of the cell.
+    duration unansweredMemory = std::chrono::seconds(10); ///< For the end of an upstream to become known.
     std::size_t maximumEntries = 4096; ///< Contents remembered; older ones that are not stopped are forgotten first.
 };
 
@@ -64,6 +65,13 @@
     /// Whether an attempt of @p fingerprint has been lost lately and none answered since.
     [[nodiscard]] bool isSuspect(std::uint64_t fingerprint, time_point now) const;
 
+    /// Takes in that an attempt of @p fingerprint was given up without an answer: an upstream that ends silently looks like this.
+    void unanswered(std::uint64_t fingerprint, const upstream_id &upstream, time_point now);
+
+    /// Takes in that an upstream has ended. Returns the contents that it had left unanswered shortly before, each of which it is
+    /// to be counted for with lost().
+    [[nodiscard]] std::vector<std::uint64_t> upstreamEnded(const upstream_id &upstream, time_point now);
+
     /// How many upstreams have been lost under the content.
     [[nodiscard]] std::size_t lossesOf(std::uint64_t fingerprint) const;
 
@@ -106,6 +114,13 @@
     std::map<upstream_id, time_point> m_lostUpstreams; ///< When each was lost last, within the window.
     std::size_t m_upstreamCount = 0;
     std::deque<std::uint64_t> m_order; ///< Of their first being noted.
+    struct unanswered_attempt
+    {
+        std::uint64_t fingerprint = 0;
+        upstream_id upstream;
+        time_point at;
+    };
+    std::deque<unanswered_attempt> m_unanswered; ///< By time.
     std::unordered_map<std::uint64_t, time_point> m_answeredAt;
     std::deque<std::uint64_t> m_answerOrder; ///< Of their first answers.
 };
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "banyan/core/crash_guard.h"
 
 #include <algorithm>
+#include <set>
 
 namespace banyan {
 
@@ -161,6 +162,26 @@
     }
 }
 
+void crash_guard::unanswered(std::uint64_t fingerprint, const upstream_id &upstream, time_point now)
+{
+    if (m_unanswered.size() >= m_options.maximumEntries) {
+        m_unanswered.pop_front();
+    }
+    m_unanswered.push_back({.fingerprint = fingerprint, .upstream = upstream, .at = now});
+}
+
+std::vector<std::uint64_t> crash_guard::upstreamEnded(const upstream_id &upstream, time_point now)
+{
+    std::erase_if(m_unanswered, [&](const unanswered_attempt &attempt) {
+        return now - attempt.at >= m_options.unansweredMemory;
+    });
+    std::set<std::uint64_t> contents;
+    std::erase_if(m_unanswered, [&](const unanswered_attempt &attempt) {
+        return attempt.upstream == upstream && (contents.insert(attempt.fingerprint), true);
+    });
+    return {contents.begin(), contents.end()};
+}
+
 bool crash_guard::isSuspect(std::uint64_t fingerprint, time_point now) const
 {
     const auto entry = m_records.find(fingerprint);
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -56,6 +56,9 @@
     /// Takes in what another node has lost, as told by @p seenBy.
     void lostElsewhere(const lost_content &lost, const node_id &seenBy, time_point now);
 
+    /// Takes in that a start of an upstream is not registered any more.
+    void upstreamEnded(upstream_key start, time_point now);
+
     /// All contents that are refused at @p now.
     [[nodiscard]] std::vector<stopped_fingerprint> stoppedContents(time_point now) const;
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -164,6 +164,7 @@
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< By row key.
+    std::set<upstream_key> m_registeredStarts; ///< Of upstreams.
     std::vector<std::pair<time_point, lost_content>> m_lostElsewhere; ///< To be passed on.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
@@ -304,7 +305,17 @@
 
 void gateway::implementation::replicasChanged()
 {
-    m_scheduler.setUpstreams(m_registry.replicas());
+    const std::vector<replica> replicas = m_registry.replicas();
+    std::set<upstream_key> starts;
+    for (const replica &entry : replicas) {
+        starts.insert(keyOfStart(entry));
+    }
+    for (const upstream_key start : std::exchange(m_registeredStarts, starts)) {
+        if (!starts.contains(start)) {
+            m_relay.upstreamEnded(start, currentTime());
+        }
+    }
+    m_scheduler.setUpstreams(replicas);
     m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
 }
 
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -53,15 +53,27 @@
     implementation(const request_relay_ports &ports, upstream_protocol protocol)
         : m_ports(ports)
         , m_protocol(std::move(protocol))
-        , m_crashes({.limit = crashLimit, .memory = crashMemory})
+        , m_crashes({.limit = crashLimit, .limitInMassLoss = crashLimit, .memory = crashMemory})
     {
     }
 
     class relayed_request;
 
-    void noteLost(std::uint64_t fingerprint, const replica &upstream, time_point now)
+    void noteUnanswered(std::uint64_t fingerprint, upstream_key start, time_point now)
     {
-        const lost_content lost{.fingerprint = fingerprint, .upstream = keyOfStart(upstream)};
+        m_crashes.unanswered(fingerprint, idOf(start), now);
+    }
+
+    void upstreamEnded(upstream_key start, time_point now)
+    {
+        for (const std::uint64_t fingerprint : m_crashes.upstreamEnded(idOf(start), now)) {
+            noteLost(fingerprint, start, now);
+        }
+    }
+
+    void noteLost(std::uint64_t fingerprint, upstream_key start, time_point now)
+    {
+        const lost_content lost{.fingerprint = fingerprint, .upstream = start};
         m_crashes.setUpstreamCount(m_ports.slots.scheduler().upstreamCount());
         const bool isStopped = crashed(lost, "self", now) == loss_verdict::Stopped;
         std::erase_if(m_stoppedHere, [&](std::uint64_t earlier) {
@@ -76,10 +88,15 @@
         m_lost.push_back({.content = lost, .at = now});
     }
 
-    /// Upstreams are told apart by their keys, which is what other nodes know of them.
+    /// Starts of upstreams are told apart by their keys, which is what other nodes know of them.
+    static upstream_id idOf(upstream_key start)
+    {
+        return upstream_id(std::to_string(start));
+    }
+
     loss_verdict crashed(const lost_content &lost, std::string_view seenBy, time_point now)
     {
-        const loss_verdict verdict = m_crashes.lost(lost.fingerprint, upstream_id(std::to_string(lost.upstream)), now);
+        const loss_verdict verdict = m_crashes.lost(lost.fingerprint, idOf(lost.upstream), now);
         if (verdict == loss_verdict::Known) {
             return verdict; // Reports repeat what they tell.
         }
@@ -351,7 +368,9 @@
             co_return true;
         }
         if (outcome == attempt_outcome::Lost) {
-            m_relay.noteLost(m_fingerprint, sentTo, now);
+            m_relay.noteLost(m_fingerprint, keyOfStart(sentTo), now);
+        } else if (!report.head && (outcome == attempt_outcome::TimedOut || outcome == attempt_outcome::Cancelled)) {
+            m_relay.noteUnanswered(m_fingerprint, keyOfStart(sentTo), now);
         }
         const next_step step = m_retries.ended(outcome, now);
         logAttempt(upstream, report, step);
@@ -573,6 +592,11 @@
     (void)m_implementation->crashed(lost, seenBy.text(), now);
 }
 
+void request_relay::upstreamEnded(upstream_key start, time_point now)
+{
+    m_implementation->upstreamEnded(start, now);
+}
+
 std::vector<stopped_fingerprint> request_relay::stoppedContents(time_point now) const
 {
     return m_implementation->m_crashes.stopped(now);
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -154,3 +154,17 @@
     }
     CHECK(guard.stoppedUntil(content, later).has_value());
 }
+
+TEST_CASE("crash_guard counts attempts without an answer once their upstream is known to have ended")
+{
+    crash_guard guard({.limit = 3, .unansweredMemory = std::chrono::seconds(10)});
+    guard.setUpstreamCount(20);
+    guard.unanswered(content, upstreamNumber(1), start);
+    guard.unanswered(content, upstreamNumber(1), start);
+    guard.unanswered(content + 1, upstreamNumber(2), start);
+    CHECK(guard.lossesOf(content) == 0);
+    const time_point soon = start + std::chrono::seconds(9);
+    CHECK(guard.upstreamEnded(upstreamNumber(1), soon) == std::vector<std::uint64_t>{content});
+    CHECK(guard.upstreamEnded(upstreamNumber(1), soon).empty());
+    CHECK(guard.upstreamEnded(upstreamNumber(2), start + std::chrono::seconds(11)).empty());
+}
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -5,6 +5,7 @@
 #include "banyan/io/http_error.h"
 
 #include "banyan/core/serving/event_splitter.h"
+#include "banyan/core/serving/request_scheduler.h"
 #include <boost/asio/post.hpp>
 
 #include <catch2/catch.hpp>
@@ -360,6 +361,49 @@
     CHECK(fixture.call("other", 5s, "question").status == 200);
 }
 
+TEST_CASE("request_relay sends a content that was lost once on new connections only")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 2);
+    const std::vector<std::unique_ptr<scripted_upstream>> upstreams = crashingUpstreams(fixture.context, 2);
+    for (const auto &upstream : upstreams) {
+        fixture.setUpstreams({upstream.get()});
+        REQUIRE(fixture.call("warm-" + upstream->id).status == 200);
+    }
+    fixture.setUpstreams({upstreams[0].get(), upstreams[1].get()});
+    const http_client &client = fixture.nodes.front()->client;
+    const std::uint64_t before = client.connectionsOpened();
+    (void)fixture.call("id-1", 5s, crashingBody); // Two attempts, the first on an idle connection.
+    CHECK(crashesOf(upstreams) == 2);
+    CHECK(client.connectionsOpened() == before + 1);
+}
+
+TEST_CASE("request_relay counts upstreams that end silently under a content")
+{
+    relay_fixture fixture(request_kind::Idempotent, false, 1, 60ms);
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<const scripted_upstream *> pointers;
+    for (int number = 0; number < 8; ++number) {
+        auto silent = [&fixture](http_exchange &) -> task<> {
+            co_await fixture.sleep(200ms);
+        };
+        upstreams.push_back(std::make_unique<scripted_upstream>(fixture.context, "u" + std::to_string(number), std::move(silent)));
+        pointers.push_back(upstreams.back().get());
+    }
+    for (int call = 0; call < 6; ++call) {
+        fixture.setUpstreams(pointers);
+        (void)fixture.call("id-" + std::to_string(call), 5s, crashingBody);
+        const auto hit = std::find_if(pointers.begin(), pointers.end(), [](const scripted_upstream *upstream) {
+            return !upstream->requests.empty();
+        });
+        if (hit != pointers.end()) {
+            fixture.nodes.front()->relay.upstreamEnded(keyOfStart((*hit)->info("s")), currentTime());
+            pointers.erase(hit);
+        }
+    }
+    CHECK(crashesOf(upstreams) == 3);
+    CHECK(fixture.call("last", 5s, crashingBody).status == 503);
+}
+
 TEST_CASE("request_relay goes on serving a popular content when some of its runs are lost with their upstreams")
 {
     relay_fixture fixture(request_kind::Idempotent, false, 1);
