--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -170,7 +170,7 @@
                     {"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 15000}}}});
 }
 
-void gateway_fleet::registerReplica(std::size_t index, const std::string &state) const
+void gateway_fleet::registerReplica(std::size_t index, const std::string &state, int startedAt) const
 {
     setRow("servers",
            "replica-" + std::to_string(index),
@@ -179,6 +179,7 @@
                         {"zone", "d"},
                         {"slots", 8},
                         {"state", state},
+                        {"born", startedAt},
                         {"seq", 1}});
 }
 
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -52,8 +52,8 @@
 
     /// Puts a configuration with that version; later versions have one more route, "/added/".
     void configure(int version) const;
-    /// Writes a replica's registration.
-    void registerReplica(std::size_t index, const std::string &state = "ready") const;
+    /// Writes a replica's registration; another time of start makes it a new start of the replica.
+    void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = 0) const;
     void setStoreFaults(const boost::json::object &faults) const;
     void setReplicaMode(std::size_t index, const std::string &mode) const;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::seconds callPatience(8); // Beyond every deadline that a client names.
 constexpr std::chrono::seconds stopSpread(3); // After the store has a stop, for all gateways to know it.
 constexpr int mostCrashesAfterStop = 3;
+constexpr std::chrono::milliseconds timeToHear(1500); // For every gateway to hear, by an answer or a report, that a replica leaves.
 constexpr std::chrono::seconds recoveryTime(30); // For accepted jobs to be complete after the last fault.
 
 /// The addresses at which live gateways serve callers.
@@ -249,7 +250,7 @@
     {
         const auto slot = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
         const auto proxy = static_cast<std::size_t>(pick(0, static_cast<int>(m_proxies.size()) - 1));
-        switch (pick(0, 6)) {
+        switch (pick(0, 7)) {
         case 0:
             note("kill gateway " + std::to_string(slot));
             gatewayAt(slot).signal(SIGKILL);
@@ -280,11 +281,36 @@
             note("upstream " + std::to_string(pick(0, 2)) + " loses answers");
             replicaMode(static_cast<std::size_t>(pick(0, 2)), "reset");
             break;
+        case 6:
+            leave(static_cast<std::size_t>(pick(0, 2)));
+            break;
         default:
             spoil(*m_proxies[proxy]);
         }
     }
 
+    /// A replica leaves, says so in its answers only, and comes back as a new start.
+    void leave(std::size_t index)
+    {
+        note("replica " + std::to_string(index) + " leaves");
+        m_fleet.setReplicaMode(index, "leaving");
+        std::this_thread::sleep_for(timeToHear);
+        const std::size_t before = runsAt(index);
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(100, 800)));
+        const std::size_t after = runsAt(index);
+        if (after > before + clientThreads) {
+            m_told.broken("a replica that had long said that it leaves got " + std::to_string(after - before) + " more requests");
+        }
+        m_fleet.setReplicaMode(index, "up");
+        m_fleet.registerReplica(index, "ready", ++m_starts);
+    }
+
+    /// Requests that a replica has begun so far.
+    [[nodiscard]] std::size_t runsAt(std::size_t index) const
+    {
+        return json::parse(call(m_fleet.replica(index), {.target = "/standin/runs"}).body).as_object().size();
+    }
+
     void spoil(fault_proxy &proxy)
     {
         const auto mode = static_cast<proxy_mode>(pick(1, 4));
@@ -393,6 +419,7 @@
     std::optional<std::chrono::steady_clock::time_point> m_stoppedAt;
     std::vector<std::size_t> m_slots; ///< Of each place the index of its gateway.
     std::size_t m_lastGateway = gatewayCount;
+    int m_starts = 0; ///< Of replicas, after the first ones.
 };
 
 } // namespace
