--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -31,6 +31,24 @@
 constexpr duration crashMemory = std::chrono::seconds(60); // Longer than a client goes on sending the same content.
 constexpr duration defaultTimeout = std::chrono::seconds(60); // Of a request that names no time and whose route has none.
 
+/// The counter of what was made of a loss.
+std::string_view counterOf(loss_verdict verdict)
+{
+    switch (verdict) {
+    case loss_verdict::Known:
+        return "content_loss_known";
+    case loss_verdict::Counted:
+        return "content_loss_counted";
+    case loss_verdict::Excused:
+        return "content_loss_excused";
+    case loss_verdict::Stopped:
+        return "content_loss_stopped";
+    case loss_verdict::Innocent:
+        return "content_loss_innocent";
+    }
+    return "content_loss_unknown";
+}
+
 /// Why a request was stopped before its answer was complete.
 enum class stop_cause {
     None,
@@ -100,7 +118,7 @@
         if (verdict == loss_verdict::Known) {
             return verdict; // Reports repeat what they tell.
         }
-        m_ports.metrics.count("content_loss_" + std::string(toString(verdict)));
+        m_ports.metrics.count(counterOf(verdict));
         logEvent(verdict == loss_verdict::Stopped ? log_level::Warning : log_level::Info,
                  "content_lost",
                  {{"fingerprint", std::to_string(lost.fingerprint)},
