Do not blame a content for a minute after it was answered

Ten seconds are shorter than an outage of the network to the upstreams, after which a popular content would have been stopped. A content that crashes upstreams is never answered, so that the longer time costs nothing there.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -21,7 +21,7 @@
     std::uint32_t limit = 2; ///< Upstreams that may be lost under a content before it is stopped.
     std::uint32_t limitInMassLoss = 3; ///< The same, counting those that were lost in a mass loss.
     duration memory = std::chrono::minutes(10); ///< How long suspicions and first stops last; each further stop lasts twice as long.
-    duration innocence = std::chrono::seconds(10); ///< How long a content is not blamed after it was answered.
+    duration innocence = std::chrono::seconds(60); ///< How long a content is not blamed after it was answered: longer than most outages.
     duration massLossWindow = std::chrono::seconds(2); ///< Losses within this time count as one event where they hit many upstreams.
     std::size_t massLoss = 3; ///< Upstreams lost in that time that make a mass loss; at least half of the cell.
     duration unansweredMemory = std::chrono::seconds(10); ///< For the end of an upstream to become known.
