--- a/tests/property/serving/leaving_upstreams_property_test.cpp
+++ b/tests/property/serving/leaving_upstreams_property_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <vector>
@@ -33,10 +34,10 @@
         const replica entry = anyStart();
         view.insert_or_assign(entry.id, entry);
     }
-    std::vector<replica> result;
-    for (const auto &[id, entry] : view) {
-        result.push_back(entry);
-    }
+    std::vector<replica> result(view.size());
+    std::transform(view.begin(), view.end(), result.begin(), [](const auto &entry) {
+        return entry.second;
+    });
     return result;
 }
 
