Leave a row of a stopped content to the nodes that keep to its stop

Found while reading: a node that holds a content for innocent removed the row of another node's stop, which that node wrote again, about once a second. 'stop_records leaves a row to the nodes that keep to its stop' failed before (removed after the spread).

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -99,6 +99,13 @@
         std::uint32_t stops = 0; ///< For these losses, so far.
     };
 
+    struct unanswered_attempt
+    {
+        std::uint64_t fingerprint = 0;
+        upstream_id upstream;
+        time_point at;
+    };
+
     record &recordOf(std::uint64_t fingerprint, time_point now);
     void forgetOne(time_point now);
     [[nodiscard]] bool isInnocent(std::uint64_t fingerprint, time_point now) const;
@@ -114,12 +121,6 @@
     std::map<upstream_id, time_point> m_lostUpstreams; ///< When each was lost last, within the window.
     std::size_t m_upstreamCount = 0;
     std::deque<std::uint64_t> m_order; ///< Of their first being noted.
-    struct unanswered_attempt
-    {
-        std::uint64_t fingerprint = 0;
-        upstream_id upstream;
-        time_point at;
-    };
     std::deque<unanswered_attempt> m_unanswered; ///< By time.
     std::unordered_map<std::uint64_t, time_point> m_answeredAt;
     std::deque<std::uint64_t> m_answerOrder; ///< Of their first answers.
--- a/core/include/banyan/core/serving/stop_records.h
+++ b/core/include/banyan/core/serving/stop_records.h
@@ -19,6 +19,7 @@
 {
     duration standInDelay = std::chrono::seconds(2); ///< After which other nodes record a stop in place of the one that decided it.
     duration spread = std::chrono::seconds(2); ///< Over which nodes that do the same spread it, so that mostly one does.
+    duration abandonedAfter = std::chrono::minutes(10); ///< For which a row is left to others whose stop this node does not keep to.
     std::size_t mostRecords = 1000; ///< Rows in the store; more stops stay with the nodes that know them.
 };
 
@@ -61,7 +62,7 @@
     struct record
     {
         row_version version = 0;
-        std::optional<time_point> until; ///< Of the stop that the row stands for; none until due() has seen it.
+        std::optional<time_point> until; ///< Of the stop that the row stands for; none while this node does not keep to it.
     };
 
     [[nodiscard]] duration someTime();
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace banyan {
 
@@ -172,13 +173,19 @@
 
 std::vector<std::uint64_t> crash_guard::upstreamEnded(const upstream_id &upstream, time_point now)
 {
-    std::erase_if(m_unanswered, [&](const unanswered_attempt &attempt) {
-        return now - attempt.at >= m_options.unansweredMemory;
-    });
     std::set<std::uint64_t> contents;
-    std::erase_if(m_unanswered, [&](const unanswered_attempt &attempt) {
-        return attempt.upstream == upstream && (contents.insert(attempt.fingerprint), true);
-    });
+    std::deque<unanswered_attempt> others;
+    for (unanswered_attempt &attempt : m_unanswered) {
+        if (now - attempt.at >= m_options.unansweredMemory) {
+            continue;
+        }
+        if (attempt.upstream == upstream) {
+            contents.insert(attempt.fingerprint);
+        } else {
+            others.push_back(std::move(attempt));
+        }
+    }
+    m_unanswered = std::move(others);
     return {contents.begin(), contents.end()};
 }
 
--- a/core/src/serving/stop_records.cpp
+++ b/core/src/serving/stop_records.cpp
@@ -76,7 +76,10 @@
     for (const auto &[fingerprint, entry] : m_records) {
         if (current.contains(fingerprint)) {
             m_removeAt.erase(fingerprint);
-        } else if (m_removeAt.try_emplace(fingerprint, now + someTime()).first->second <= now) {
+            continue;
+        }
+        const duration delay = entry.until ? someTime() : m_options.abandonedAfter;
+        if (m_removeAt.try_emplace(fingerprint, now + delay).first->second <= now) {
             result.push_back({.fingerprint = fingerprint, .version = entry.version});
         }
     }
--- a/tests/unit/serving/stop_records_test.cpp
+++ b/tests/unit/serving/stop_records_test.cpp
@@ -55,6 +55,7 @@
 {
     stop_records records({.spread = 2s}, 1);
     records.stored(content, 5);
+    CHECK(records.due(stops, {}, start).empty());
     CHECK(records.outdated(stops, start).empty());
     const std::vector<outdated_stop> expected = {{.fingerprint = content, .version = 5}};
     (void)records.outdated({}, start + 60s);
@@ -74,3 +75,12 @@
     }
     CHECK(records.due(many, here, start).size() == 2);
 }
+
+TEST_CASE("stop_records leaves a row to the nodes that keep to its stop")
+{
+    stop_records records({.abandonedAfter = 600s}, 1);
+    records.stored(content, 5); // The content is innocent here.
+    CHECK(records.outdated({}, start).empty());
+    CHECK(records.outdated({}, start + 599s).empty());
+    CHECK(records.outdated({}, start + 600s).size() == 1);
+}
