--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <future>
 #include <set>
+#include <thread>
+#include <utility>
 
 using namespace banyan;
 using namespace banyan::process_tests;
@@ -249,7 +251,12 @@
         }
         return fleet.metricOf(0, "upstreams_leaving") == 1 && fleet.metricOf(1, "upstreams_leaving") == 1;
     }));
-    const std::size_t before = runsAtLeaving();
+    std::size_t before = runsAtLeaving();
+    REQUIRE(eventually([&] { // What was sent just before has arrived.
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        const std::size_t last = std::exchange(before, runsAtLeaving());
+        return before == last;
+    }));
     for (int number = 0; number < 10; ++number) {
         for (std::size_t gateway = 0; gateway < 2; ++gateway) {
             const std::string id = std::to_string(number) + "-" + std::to_string(gateway);
