A process test sends to the replica that leaves, whatever was slow before

Traced: an upstream that was slow before gets none of a load of single requests while another one has an idle connection, so that nobody can hear of it. The gateways kept their promise.

--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -239,6 +239,7 @@
     const auto runsAtLeaving = [&] {
         return json::parse(call(fleet.replica(0), {.target = "/standin/runs"}).body).as_object().size();
     };
+    fleet.registerReplica(1, "draining"); // So that requests reach the other one, however slow it was before.
     REQUIRE(fleet.submitJob(0, "j1", 6).status == 202);
     REQUIRE(eventually([&] {
         return runsAtLeaving() > 0;
@@ -251,6 +252,12 @@
         }
         return fleet.metricOf(0, "upstreams_leaving") == 1 && fleet.metricOf(1, "upstreams_leaving") == 1;
     }));
+    fleet.registerReplica(1, "ready");
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        REQUIRE(eventually([&] {
+            return fleet.send(gateway, "/safe/1", "ready").status == 200;
+        }));
+    }
     std::size_t before = runsAtLeaving();
     REQUIRE(eventually([&] { // What was sent just before has arrived.
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
