Tell which rate limits upstreams name in their answers

An upstream in need names in its answers how many requests a second it takes. Nothing read it, and no log could tell whether a limit had been named. The statement is decoded from the head of each answer of the upstream itself, kept for each incarnation (upstream_limits), logged when it changes (upstream_limit) and counted.

--- a/io/include/banyan/io/serving/answer_head.h
+++ b/io/include/banyan/io/serving/answer_head.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "banyan/core/serving/rate_statement.h"
 #include "banyan/io/http_message.h"
 
 #include <vector>
@@ -23,6 +24,7 @@
     unsigned status = 0;
     std::vector<http_field> fields; ///< Header fields to forward to the client.
     bool upstreamLeaves = false; ///< The upstream reports that it is about to shut down and accepts no new work.
+    rate_statement rate; ///< What the upstream says about the rate of requests that it accepts.
     bool isEventStream = false;
     answer_framing framing = answer_framing::Length;
 };
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -53,10 +53,14 @@
     /// received.
     void onUpstreamLeaves(std::function<void(const upstream_run &run, unsigned status)> handler);
 
+    /// Calls @p handler with what each answer says about its upstream's rate, as soon as the head of the answer has been received.
+    void onRateStatement(std::function<void(const upstream_run &run, const answer_head &head)> handler);
+
 private:
     http_client &m_client;
     upstream_protocol m_protocol;
     std::function<void(const upstream_run &run, unsigned status)> m_upstreamLeaves;
+    std::function<void(const upstream_run &run, const answer_head &head)> m_rateStatement;
 };
 
 } // namespace banyan
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -5,6 +5,7 @@
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/upstream_limits.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/log.h"
@@ -139,6 +140,7 @@
     void replicasChanged();
     void upstreamLeaves(const upstream_run &run, unsigned status);
     void recordRemoteLeaving(const node_load &load, time_point now);
+    void rateStated(const upstream_run &run, const answer_head &head);
     void updateSchedulingState();
     void applyGatewayRow(const table_row &row);
     void gatewaysChanged();
@@ -161,6 +163,7 @@
     report_hubs m_hubs;
     load_board m_board;
     replica_registry m_registry;
+    upstream_limits m_limits;
     scheduler_host m_scheduler;
     slot_broker m_slots;
     upstream_sender m_sender;
@@ -199,6 +202,9 @@
     m_sender.onUpstreamLeaves([this](const upstream_run &run, unsigned status) {
         upstreamLeaves(run, status);
     });
+    m_sender.onRateStatement([this](const upstream_run &run, const answer_head &head) {
+        rateStated(run, head);
+    });
     m_scheduler.onUsageChanged([this] {
         m_exchange.requestReport();
     });
@@ -356,6 +362,29 @@
     m_exchange.requestReport();
 }
 
+/// Records what an answer to this node says about the rate that its upstream accepts.
+void gateway::implementation::rateStated(const upstream_run &run, const answer_head &head)
+{
+    if (head.rate.malformed) {
+        logEvent(log_level::Info, "upstream_limit_malformed", {{"upstream", run.upstream.text()}, {"request_id", run.id.text()}});
+    }
+    const upstream_limits::change change = m_limits.record(keyOfStart(run.upstream, run.startedAt), head.rate, currentTime());
+    if (change == upstream_limits::change::None) {
+        return;
+    }
+    m_metrics.count("upstream_limit_changed");
+    m_metrics.set("upstreams_limited", static_cast<double>(m_limits.limitedCount()));
+    logEvent(log_level::Info,
+             "upstream_limit",
+             {{"upstream", run.upstream.text()},
+              {"started_at_ms", std::to_string(run.startedAt)},
+              {"change", std::string(toString(change))},
+              {"per_second", std::to_string(head.rate.perSecond)},
+              {"told_by", "self"},
+              {"request_id", run.id.text()},
+              {"status", std::to_string(head.status)}});
+}
+
 /// Records which upstreams reported to another node that they are leaving, so that this node grants no more slots there.
 void gateway::implementation::recordRemoteLeaving(const node_load &load, time_point now)
 {
@@ -585,6 +614,8 @@
     if (m_registry.tick(now)) {
         replicasChanged();
     }
+    m_limits.expire(m_registeredIncarnations, now);
+    m_metrics.set("upstreams_limited", static_cast<double>(m_limits.limitedCount()));
     m_metrics.set("stopped_parts", static_cast<double>(m_parts.guard().stopped(now).size()));
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
     m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -52,6 +52,11 @@
     m_upstreamLeaves = std::move(handler);
 }
 
+void upstream_sender::onRateStatement(std::function<void(const upstream_run &run, const answer_head &head)> handler)
+{
+    m_rateStatement = std::move(handler);
+}
+
 std::vector<std::uint64_t> upstream_sender::sharedParts(const std::vector<http_field> &fields) const
 {
     return m_protocol.sharedParts ? m_protocol.sharedParts(fields) : std::vector<std::uint64_t>();
@@ -71,6 +76,9 @@
         if (report.head->upstreamLeaves && m_upstreamLeaves) {
             m_upstreamLeaves(run, head.status);
         }
+        if (m_rateStatement) {
+            m_rateStatement(run, *report.head);
+        }
         if (report.head->kind == answer_kind::Unusable) {
             throw http_error(sent_state::MaybeSent, false, "not an answer to this request, status " + std::to_string(head.status));
         }
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -2,6 +2,8 @@
 
 #include "common/exchanges.h"
 
+#include "banyan/io/clock.h"
+
 namespace banyan::standins {
 
 namespace json = boost::json;
@@ -46,6 +48,9 @@
     server.route("GET", "/standin/runs", [this](http_exchange &exchange) {
         return handleRuns(exchange);
     });
+    server.route("GET", "/standin/arrivals", [this](http_exchange &exchange) {
+        return handleArrivals(exchange);
+    });
     server.routeOthers([this](http_exchange &exchange) {
         return handle(exchange);
     });
@@ -54,6 +59,7 @@
 task<> replica_standin::handle(http_exchange &exchange)
 {
     const std::string body = co_await exchange.body(maximumBody);
+    m_arrivals.push_back(currentTime());
     const std::string expected = exchange.field("Expect-Instance");
     if (!expected.empty() && expected != m_options.id) {
         http_response response{.status = 421, .fields = answerFields({{"Instance-Id", m_options.id}})};
@@ -87,6 +93,9 @@
     if (m_mode == "leaving") {
         fields.push_back({"Server-Leaving", "1"});
     }
+    if (!m_limit.empty()) {
+        fields.push_back({"Server-Limit", m_limit});
+    }
     return fields;
 }
 
@@ -122,6 +131,7 @@
 {
     const json::object faults = co_await readObject(exchange);
     assignIfPresent(m_mode, faults, "mode");
+    assignIfPresent(m_limit, faults, "limit");
     http_response response = noContent();
     co_await exchange.respond(std::move(response));
 }
@@ -136,4 +146,14 @@
     co_await exchange.respond(std::move(response));
 }
 
+task<> replica_standin::handleArrivals(http_exchange &exchange)
+{
+    json::array arrivals;
+    for (const time_point arrival : m_arrivals) {
+        arrivals.emplace_back(std::chrono::duration_cast<std::chrono::milliseconds>(arrival.time_since_epoch()).count());
+    }
+    http_response response = jsonResponse(200, arrivals);
+    co_await exchange.respond(std::move(response));
+}
+
 } // namespace banyan::standins
--- a/tests/standins/replica/replica_standin.h
+++ b/tests/standins/replica/replica_standin.h
@@ -23,7 +23,9 @@
 /// A replica of the users' platform by its protocol. A request with a Model field is answered by a stream, others whole.
 ///
 /// POST /standin/faults takes "mode": up, reset (runs and closes without an answer), hang (runs and never answers),
-/// impossible (422), unframed (answers have neither a length nor chunks) or leaving (says so in all its answers, and nowhere else). GET /standin/runs answers how often each request id has run to its end or begun.
+/// impossible (422), unframed (answers have neither a length nor chunks) or leaving (says so in all its answers, and nowhere else),
+/// and "limit": the text that all its answers name as their rate limit, empty for none. GET /standin/runs answers how often each
+/// request id has run to its end or begun, GET /standin/arrivals when each request arrived, in milliseconds of a steady clock.
 class replica_standin
 {
 public:
@@ -38,9 +40,12 @@
     task<> answerStream(http_exchange &exchange);
     task<> handleFaults(http_exchange &exchange);
     task<> handleRuns(http_exchange &exchange);
+    task<> handleArrivals(http_exchange &exchange);
 
     replica_standin_options m_options;
     std::string m_mode = "up";
+    std::string m_limit; ///< Rate limit that its answers name; empty for none.
+    std::vector<time_point> m_arrivals; ///< Of all requests, also those that it refuses.
     std::map<std::string, int> m_runs; ///< By request id.
     std::size_t m_running = 0;
 };
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -159,3 +159,55 @@
                        {.item = "b", .succeeded = true, .output = std::string(600000, 'y')}};
     CHECK(platform::encodeResults(results, 0).find(R"("next":1)") != std::string::npos);
 }
+
+TEST_CASE("decodeHead tells the rate limit that any answer of the upstream itself names")
+{
+    using content = rate_statement::content;
+    const http_field id{"Request-Id", "id-1"};
+    const http_field stamp{"Response-Stamp", "s"};
+    const auto said = [&](unsigned status, std::vector<http_field> fields) {
+        fields.push_back({"server-limit", "2.5"});
+        return protocol.decodeHead({.status = status, .fields = std::move(fields)}, runWith({})).rate;
+    };
+    const rate_statement limited{.what = content::Limited, .perSecond = 2.5};
+    for (const unsigned status : {200U, 422U, 500U, 503U, 504U}) {
+        CHECK(said(status, {id, stamp}) == limited);
+    }
+    CHECK(said(503, {id, {"Not-Executed", "1"}}) == limited);
+    CHECK(said(429, {{"Not-Executed", "1"}}) == limited);
+    // An answer to another request, or of another upstream at the address, says nothing of this one.
+    CHECK(said(200, {{"Request-Id", "id-2"}, stamp}) == rate_statement());
+    CHECK(said(421, {{"Instance-Id", "u-2"}}) == rate_statement());
+    CHECK(said(421, {id, {"Instance-Id", "u-2"}}) == rate_statement());
+}
+
+TEST_CASE("decodeHead takes the lowest readable limit, and an unreadable one neither for a limit nor for its end")
+{
+    using content = rate_statement::content;
+    const auto said = [&](const std::vector<std::string> &values) {
+        std::vector<http_field> fields{{"Request-Id", "id-1"}, {"Response-Stamp", "s"}};
+        for (const std::string &value : values) {
+            fields.push_back({"Server-Limit", value});
+        }
+        return protocol.decodeHead({.status = 200, .fields = std::move(fields)}, runWith({})).rate;
+    };
+    CHECK(said({}) == rate_statement{.what = content::Unlimited});
+    CHECK(said({"0"}) == rate_statement{.what = content::Limited, .perSecond = 0});
+    CHECK(said({" 12 "}) == rate_statement{.what = content::Limited, .perSecond = 12});
+    CHECK(said({"1" + std::string(30, '0')}) == rate_statement{.what = content::Limited, .perSecond = 1e6});
+    CHECK(said({"3", "2"}) == rate_statement{.what = content::Limited, .perSecond = 2});
+    for (const std::string unreadable : {"", "-1", "-0", "inf", "nan", "1e3", "2,5", "2 3", "many"}) {
+        CHECK(said({unreadable}) == rate_statement{.what = content::Nothing, .malformed = true});
+        CHECK(said({unreadable, "2"}) == rate_statement{.what = content::Limited, .perSecond = 2, .malformed = true});
+    }
+}
+
+TEST_CASE("decodeHead keeps what concerns gateways only from the client")
+{
+    const answer_head head = protocol.decodeHead(
+        {.status = 200, .fields = {{"Request-Id", "id-1"}, {"Response-Stamp", "s"}, {"Server-Limit", "2"}, {"Server-Leaving", "1"}}},
+        runWith({}));
+    CHECK(std::none_of(head.fields.begin(), head.fields.end(), [](const http_field &field) {
+        return field.name.starts_with("Server-");
+    }));
+}
