--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -106,6 +106,11 @@
     }
 }
 
+std::size_t gateway_fleet::gatewayCount() const
+{
+    return m_gateways.size();
+}
+
 endpoint gateway_fleet::callers(std::size_t gateway) const
 {
     return m_gateways.at(gateway)->callers;
@@ -204,6 +209,22 @@
     (void)call(replica(index), {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
 }
 
+void gateway_fleet::setReplicaLimit(std::size_t index, const std::string &limit) const
+{
+    const json::object faults = {{"limit", limit}};
+    (void)call(replica(index), {.method = "POST", .target = "/standin/faults", .body = json::serialize(faults)});
+}
+
+std::vector<std::int64_t> gateway_fleet::arrivalsAt(std::size_t index) const
+{
+    std::vector<std::int64_t> result;
+    const json::value arrivals = json::parse(call(replica(index), {.target = "/standin/arrivals"}).body);
+    for (const json::value &arrival : arrivals.as_array()) {
+        result.push_back(arrival.as_int64());
+    }
+    return result;
+}
+
 http_response
 gateway_fleet::send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more) const
 {
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
     explicit gateway_fleet(const options &wanted);
     ~gateway_fleet();
 
+    /// Number of gateways started so far.
+    [[nodiscard]] std::size_t gatewayCount() const;
     [[nodiscard]] endpoint callers(std::size_t gateway) const;
     [[nodiscard]] endpoint readiness(std::size_t gateway) const;
     [[nodiscard]] endpoint metrics(std::size_t gateway) const;
@@ -59,6 +62,11 @@
     void setStoreFaults(const boost::json::object &faults) const;
     void setReplicaMode(std::size_t index, const std::string &mode) const;
 
+    /// Sets the rate limit that all answers of a replica name; empty for none.
+    void setReplicaLimit(std::size_t index, const std::string &limit) const;
+    /// When each request arrived at a replica, in milliseconds of a steady clock.
+    [[nodiscard]] std::vector<std::int64_t> arrivalsAt(std::size_t index) const;
+
     /// Sends a request to a gateway, with a body of its own.
     [[nodiscard]] http_response
     send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more = {}) const;
