--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -2,6 +2,8 @@
 
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/part_loss.h"
+#include "banyan/core/serving/reported_limit.h"
+#include "banyan/core/serving/share_lease.h"
 #include "banyan/core/serving/upstream_usage.h"
 
 #include <compare>
@@ -45,6 +47,8 @@
     std::vector<upstream_key> leaving; ///< Incarnations of upstreams that announced in an answer to the sender that they leave.
     std::vector<part_loss> lostParts; ///< Prompt parts of runs that were lost before their answer had begun, within about the last second.
     std::vector<std::uint64_t> provenParts; ///< Hashes of suspected prompt parts that were answered.
+    std::vector<reported_limit> limits; ///< Rate limits that upstreams named in answers to the sender lately.
+    std::vector<share_lease> leases; ///< The sender's shares of rate limits that other nodes may use.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims, at any node, that the sender waits for or holds.
 
     auto operator<=>(const node_load &) const = default;
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/attempt_result.h"
+#include "banyan/core/serving/allowed_rate.h"
 #include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/request_scheduler_options.h"
@@ -40,6 +41,8 @@
 /// - more online work than slots: a run that cannot start in time is rejected at once, and its client is told to retry when
 ///   the burst is expected to be over (retry_after_estimator);
 /// - more batch work than slots: items that can still complete in time run first (batch_order);
+/// - upstreams that limit their rate: they are used up to their rates, by online work first, and what exceeds them runs
+///   elsewhere or is rejected like work that exceeds the slots;
 /// - many nodes: a run prefers an upstream to which its node has an idle connection (held_connections);
 /// - upstreams that fail or do not respond: avoided on the evidence of this node alone or of two nodes together.
 class request_scheduler
@@ -52,6 +55,10 @@
     /// Replaces the upstreams. Runs in flight at a removed upstream continue.
     [[nodiscard]] slot_actions setUpstreams(std::span<const replica> upstreams, time_point now);
 
+    /// Replaces the rates at which this node may start runs at upstreams that limit their rate. All
+    /// other upstreams are unlimited. Runs wait for a rate-limited upstream as they do for a slot.
+    [[nodiscard]] slot_actions setAllowedRates(const std::map<upstream_id, allowed_rate> &rates, time_point now);
+
     /// Adds a run that needs a slot. @throws std::invalid_argument if a run with this id is already waiting or running
     [[nodiscard]] slot_actions submit(const slot_request &request, time_point now);
 
--- a/core/include/banyan/core/serving/slot_action.h
+++ b/core/include/banyan/core/serving/slot_action.h
@@ -29,6 +29,8 @@
     std::uint32_t slots = 0; ///< Slots of the cell's upstreams that accept new work.
     duration expectedWait{}; ///< Expected wait of the run for a slot.
     duration firstByte{}; ///< 95th percentile of the time to first byte.
+    double startsPerSecond = 0; ///< Runs per second that these upstreams can start, by their slots and rate limits.
+    std::uint32_t limited = 0; ///< Number of these upstreams whose rate is limited.
 
     auto operator<=>(const rejection_basis &) const = default;
 };
--- a/core/include/banyan/core/token_bucket.h
+++ b/core/include/banyan/core/token_bucket.h
@@ -18,6 +18,15 @@
     {
     }
 
+    /// A bucket without tokens at @p now. The rate may be 0.
+    [[nodiscard]] static token_bucket startingEmpty(double ratePerSecond, double burst, time_point now)
+    {
+        token_bucket bucket(ratePerSecond, burst);
+        bucket.m_tokens = 0;
+        bucket.m_refilled = now;
+        return bucket;
+    }
+
     /// Changes the rate from @p now on.
     void setRate(double ratePerSecond, time_point now)
     {
@@ -25,6 +34,44 @@
         m_rate = ratePerSecond;
     }
 
+    /// Changes the rate and the burst from @p now on. Tokens beyond the burst are dropped.
+    void setRate(double ratePerSecond, double burst, time_point now)
+    {
+        setRate(ratePerSecond, now);
+        m_burst = burst;
+        m_tokens = std::min(m_tokens, burst);
+    }
+
+    [[nodiscard]] double rate() const
+    {
+        return m_rate;
+    }
+
+    [[nodiscard]] double burst() const
+    {
+        return m_burst;
+    }
+
+    /// Number of tokens at @p now.
+    [[nodiscard]] double available(time_point now) const
+    {
+        token_bucket copy = *this;
+        copy.refill(now);
+        return copy.m_tokens;
+    }
+
+    /// When there are so many tokens, of which the burst is the most; time_point::max() if never.
+    [[nodiscard]] time_point whenAvailable(double tokens) const
+    {
+        constexpr double longestWait = 1e6; // Seconds.
+        const double missing = std::max(0.0, std::min(tokens, m_burst) - m_tokens);
+        if (missing > m_rate * longestWait) {
+            return time_point::max();
+        }
+        const double seconds = missing > 0 ? missing / m_rate : 0;
+        return m_refilled + std::chrono::ceil<duration>(std::chrono::duration<double>(seconds));
+    }
+
     /// Takes a token if one is available; returns whether it did.
     [[nodiscard]] bool take(time_point now)
     {
@@ -36,14 +83,17 @@
         return true;
     }
 
+    /// Takes a token even if there is none; the next ones then come later.
+    void spend(time_point now)
+    {
+        refill(now);
+        m_tokens -= 1;
+    }
+
     /// When the next token becomes available; not after @p now if one is available.
     [[nodiscard]] time_point nextToken(time_point now) const
     {
-        if (m_tokens >= 1) {
-            return now;
-        }
-        const double missing = (1 - m_tokens) / m_rate;
-        return m_refilled + std::chrono::ceil<duration>(std::chrono::duration<double>(missing));
+        return m_tokens >= 1 ? now : whenAvailable(1);
     }
 
 private:
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -21,6 +22,7 @@
 constexpr duration defaultOverdueAfter = std::chrono::milliseconds(400); ///< Used while too few answers have been measured.
 constexpr duration maximumOverdueAfter = std::chrono::seconds(1);
 constexpr duration maximumLateWait = std::chrono::seconds(1); ///< Longest wait for a slot of a run that will be late in any case.
+constexpr duration longestExpectedWait = std::chrono::hours(1); ///< Also the expected wait where nothing can start.
 constexpr int retryAfterDivisor = 3; ///< Clients retry within 1/3 of their remaining time; later, too little time would be left.
 
 void updateAverage(double &value, double measured)
@@ -62,6 +64,7 @@
     }
 
     slot_actions setUpstreams(std::span<const replica> upstreams, time_point now);
+    slot_actions setAllowedRates(const std::map<upstream_id, allowed_rate> &rates, time_point now);
     slot_actions submit(const slot_request &request, time_point now);
     void cancel(const request_id &request);
     void adopt(const slot_request &request, const upstream_id &upstream, bool answerHasBegun, time_point grantedAt);
@@ -78,17 +81,14 @@
 
 private:
     service_schedule &serviceOf(const service_name &name);
+    void applyAllowedRate(scheduled_upstream &upstream, time_point now) const;
+    void considerNextStarts(const service_schedule &service, const std::function<void(time_point)> &consider) const;
     [[nodiscard]] static time_point latestStart(const service_schedule &service, const slot_request &request);
     [[nodiscard]] duration expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
     [[nodiscard]] rejection_basis
     rejectionBasisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
     void rejectIfUnschedulable(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
-    void reject(const service_schedule &service,
-                cell_schedule &cell,
-                const slot_request &request,
-                end_reason reason,
-                const rejection_basis &basis,
-                time_point now);
+    void reject(cell_schedule &cell, const slot_request &request, end_reason reason, const rejection_basis &basis, time_point now);
     void grant(service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
     granted_run &recordGrant(const slot_request &request, scheduled_upstream &upstream, time_point now);
     void reclaimBatchSlots(const service_schedule &service, scheduled_upstream &upstream, std::uint32_t excess, time_point now);
@@ -109,6 +109,7 @@
     std::mt19937_64 m_generator;
     upstream_choice m_choice;
     std::map<service_name, service_schedule> m_services;
+    std::map<upstream_id, allowed_rate> m_allowedRates;
     std::map<request_id, granted_run> m_runs;
     std::set<std::pair<time_point, request_id>> m_firstByteDeadlines; ///< Times at which runs without a first byte become overdue.
     slot_actions m_actions;
@@ -134,9 +135,13 @@
     }
     for (const replica &info : upstreams) {
         scheduled_upstream &upstream = serviceOf(info.service).upstreams[info.id];
+        if (upstream.info.startedAt != info.startedAt) {
+            upstream.starts.reset(); // A limit belongs to the incarnation that named it.
+        }
         upstream.info = info;
         upstream.key = keyOf(info.id);
         upstream.registered = true;
+        applyAllowedRate(upstream, now);
     }
     for (auto &[name, service] : m_services) {
         service.upstreamsChanged();
@@ -152,6 +157,33 @@
     return takeActions();
 }
 
+slot_actions request_scheduler::implementation::setAllowedRates(const std::map<upstream_id, allowed_rate> &rates, time_point now)
+{
+    m_allowedRates = rates;
+    for (auto &[name, service] : m_services) {
+        for (auto &[id, upstream] : service.upstreams) {
+            applyAllowedRate(upstream, now);
+        }
+        scheduleWaiting(service, now);
+    }
+    return takeActions();
+}
+
+/// Begins, changes or ends the limit on the rate of starts at an upstream.
+void request_scheduler::implementation::applyAllowedRate(scheduled_upstream &upstream, time_point now) const
+{
+    const auto allowed = m_allowedRates.find(upstream.info.id);
+    if (allowed == m_allowedRates.end()) {
+        upstream.starts.reset();
+        return;
+    }
+    if (upstream.starts) {
+        upstream.starts->setRate(allowed->second, now);
+    } else {
+        upstream.starts.emplace(allowed->second, now);
+    }
+}
+
 /// The latest time at which a run can start and still meet its target. If the target is out of reach: the latest start for its
 /// deadline, at most maximumLateWait after its arrival.
 time_point request_scheduler::implementation::latestStart(const service_schedule &service, const slot_request &request)
@@ -172,7 +204,8 @@
 {
     const std::uint32_t waitingElsewhere = request.cell.count <= 1 ? m_board.waitingOnline(keyOf(request.service)) : 0;
     const double ahead = static_cast<double>(cell.online.onTimeCount()) + waitingElsewhere;
-    return fromSeconds(ahead * service.runSeconds / std::max(1U, cell.slots()));
+    const double startsPerSecond = cell.startsPerSecond(service.runSeconds);
+    return ahead < startsPerSecond * toSeconds(longestExpectedWait) ? fromSeconds(ahead / startsPerSecond) : longestExpectedWait;
 }
 
 rejection_basis request_scheduler::implementation::rejectionBasisOf(const service_schedule &service,
@@ -182,7 +215,9 @@
     return {.waiting = static_cast<std::uint32_t>(cell.online.onTimeCount()),
             .slots = cell.slots(),
             .expectedWait = expectedWait(service, cell, request),
-            .firstByte = fromSeconds(service.tailFirstByteSeconds())};
+            .firstByte = fromSeconds(service.tailFirstByteSeconds()),
+            .startsPerSecond = cell.startsPerSecond(service.runSeconds),
+            .limited = cell.limitedMembers()};
 }
 
 slot_actions request_scheduler::implementation::submit(const slot_request &request, time_point now)
@@ -220,12 +255,11 @@
             .request = request.id, .reason = end_reason::NoUpstream, .retryAfter = jittered(noUpstreamRetryAfter), .basis = basis});
     } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request)) {
         cell.online.remove(request.id);
-        reject(service, cell, request, end_reason::Overloaded, basis, now);
+        reject(cell, request, end_reason::Overloaded, basis, now);
     }
 }
 
-void request_scheduler::implementation::reject(const service_schedule &service,
-                                               cell_schedule &cell,
+void request_scheduler::implementation::reject(cell_schedule &cell,
                                                const slot_request &request,
                                                end_reason reason,
                                                const rejection_basis &basis,
@@ -233,7 +267,7 @@
 {
     const retry_after_estimator::load_conditions conditions{.expectedWait = basis.expectedWait,
                                                             .maximumRetryAfter = (request.deadline - now) / retryAfterDivisor,
-                                                            .slotsPerSecond = basis.slots / service.runSeconds};
+                                                            .slotsPerSecond = basis.startsPerSecond};
     const duration retryAfter = cell.retryEstimator.retryAfter(conditions, now, m_generator);
     m_actions.push_back(slot_rejected{.request = request.id, .reason = reason, .retryAfter = retryAfter, .basis = basis});
 }
@@ -255,6 +289,9 @@
 {
     m_choice.granted(request, upstream.info.id);
     const granted_run &run = recordGrant(request, upstream, now);
+    if (upstream.starts) {
+        upstream.starts->recordStart(now);
+    }
     m_firstByteDeadlines.emplace(run.overdueAt, request.id);
     m_actions.push_back(slot_granted{.request = request.id, .upstream = upstream.info.id});
     const std::uint32_t total = m_choice.workAt(upstream).all();
@@ -364,7 +401,7 @@
         }
     }
     while (const std::optional<slot_request> expired = cell.online.takeExpired(now)) {
-        reject(service, cell, *expired, end_reason::DeadlineUnreachable, rejectionBasisOf(service, cell, *expired), now);
+        reject(cell, *expired, end_reason::DeadlineUnreachable, rejectionBasisOf(service, cell, *expired), now);
     }
 }
 
@@ -517,11 +554,27 @@
         }
         if (hasWaiting) {
             consider(service.outliers.nextEjectionEnd(m_lastScheduledAt));
+            considerNextStarts(service, consider);
         }
     }
     return next;
 }
 
+/// Passes the times at which rate-limited upstreams that allowed no start at the last scheduling will allow one.
+void request_scheduler::implementation::considerNextStarts(const service_schedule &service,
+                                                           const std::function<void(time_point)> &consider) const
+{
+    const work_class waiting = service.waitingOnline() > 0 ? work_class::Online : work_class::Batch;
+    for (const auto &[id, upstream] : service.upstreams) {
+        if (upstream.isUsable() && !upstream.mayStart(waiting, m_lastScheduledAt)) {
+            const time_point at = upstream.starts->whenMayStart(waiting);
+            if (at != time_point::max()) {
+                consider(std::max(at, m_lastScheduledAt + duration(1)));
+            }
+        }
+    }
+}
+
 duration request_scheduler::implementation::overdueAfter(const service_name &service) const
 {
     const auto entry = m_services.find(service);
@@ -599,6 +652,11 @@
     return m_implementation->setUpstreams(upstreams, now);
 }
 
+slot_actions request_scheduler::setAllowedRates(const std::map<upstream_id, allowed_rate> &rates, time_point now)
+{
+    return m_implementation->setAllowedRates(rates, now);
+}
+
 slot_actions request_scheduler::submit(const slot_request &request, time_point now)
 {
     return m_implementation->submit(request, now);
--- a/core/src/serving/scheduled_upstream.h
+++ b/core/src/serving/scheduled_upstream.h
@@ -4,7 +4,9 @@
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/core/serving/upstream_usage.h"
 #include "banyan/core/time.h"
+#include "start_budget.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -22,12 +24,26 @@
     std::optional<time_point> degradedAt; ///< Last failed or overdue attempt; empty after an answer that was not overdue.
     double firstByteSeconds = 0; ///< Moving average of the time to first byte; 0 before the first measurement.
     std::vector<request_id> batchRuns; ///< Batch runs that hold a slot.
+    std::optional<start_budget> starts; ///< Limits how often this node starts runs; set while the upstream's rate is limited.
 
     /// Whether the upstream accepts new work.
     [[nodiscard]] bool isUsable() const
     {
         return registered && !info.draining;
     }
+
+    /// Whether the upstream's rate allows to start a run.
+    [[nodiscard]] bool mayStart(work_class workClass, time_point now) const
+    {
+        return !starts || starts->mayStart(workClass, now);
+    }
+
+    /// Runs per second that can be started here if each takes @p runSeconds.
+    [[nodiscard]] double startsPerSecond(double runSeconds) const
+    {
+        const double bySlots = info.slots / runSeconds;
+        return starts ? std::min(bySlots, starts->startsPerSecond()) : bySlots;
+    }
 };
 
 /// A run that holds a slot.
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -31,6 +31,20 @@
     });
 }
 
+double cell_schedule::startsPerSecond(double runSeconds) const
+{
+    return std::accumulate(members.begin(), members.end(), 0.0, [&](double sum, const scheduled_upstream *upstream) {
+        return sum + upstream->startsPerSecond(runSeconds);
+    });
+}
+
+std::uint32_t cell_schedule::limitedMembers() const
+{
+    return static_cast<std::uint32_t>(std::count_if(members.begin(), members.end(), [](const scheduled_upstream *upstream) {
+        return upstream->starts.has_value();
+    }));
+}
+
 double service_schedule::tailFirstByteSeconds() const
 {
     return firstBytes.count() < minimumFirstBytes ? firstByteSeconds : std::max(firstByteSeconds, firstBytes.quantile(tailQuantile));
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -26,6 +26,12 @@
 
     /// The number of slots of its members.
     [[nodiscard]] std::uint32_t slots() const;
+
+    /// Runs per second that its members can start, by their slots and rate limits, if each run takes @p runSeconds.
+    [[nodiscard]] double startsPerSecond(double runSeconds) const;
+
+    /// The number of members whose rate is limited.
+    [[nodiscard]] std::uint32_t limitedMembers() const;
 };
 
 /// The scheduling state of a service on one node: upstreams, waiting runs and measurements.
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -16,6 +16,7 @@
 constexpr double connectionScore = 0.25; ///< Bonus for an idle connection; less than the penalties for failure and slowness.
 constexpr double slowScore = 0.3; ///< Penalty per multiple by which the time to first byte exceeds the average, at most once.
 constexpr double degradedScore = 0.5; ///< Penalty of a degraded upstream that is not avoided altogether.
+constexpr double limitedScore = 0.3; ///< Bonus of a rate-limited upstream for work that its rate should be used for, else a penalty.
 constexpr double jitterScore = 0.02; ///< Random part, so that nodes with the same view choose different upstreams.
 constexpr std::size_t rememberedPrefixes = 1024;
 constexpr duration expiryInterval = std::chrono::seconds(1); ///< Interval between two expiry passes over the held connections.
@@ -112,18 +113,24 @@
 /// this node, then one held by batch work of other nodes. Empty if online work holds all slots: the run then waits on this
 /// node, where it can use any slot that becomes free, and not in the queue of one upstream.
 std::optional<double> upstream_choice::onlineScore(const service_schedule &service,
+                                                   const cell_schedule &cell,
                                                    const scheduled_upstream &upstream,
                                                    const slot_request &request,
                                                    time_point now)
 {
     constexpr double ownBatchScore = 2; // Greater than any score of an upstream with a free slot.
     constexpr double otherBatchScore = 4;
+    constexpr double reservedScore = 1; // Greater than any score of an upstream with a free slot and no limit.
     const total_work work = workAt(upstream);
     const std::uint32_t slots = std::max(1U, upstream.info.slots);
-    if (work.online >= slots) {
+    if (work.online >= slots || !upstream.mayStart(work_class::Online, now)) {
         return std::nullopt;
     }
-    const double score = static_cast<double>(work.all()) / slots + preference(service, upstream, request, now);
+    double score = static_cast<double>(work.all()) / slots + preference(service, upstream, request, now);
+    if (upstream.starts) {
+        // A batch run uses a slot for longer, and so makes more of a request that a limited upstream accepts.
+        score += cell.batch.empty() && upstream.starts->isWithinLimit(now) ? -limitedScore : reservedScore;
+    }
     if (work.all() < slots) {
         return score;
     }
@@ -136,7 +143,7 @@
     scheduled_upstream *best = nullptr;
     double bestScore = 0;
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
-        const std::optional<double> score = onlineScore(service, *upstream, request, now);
+        const std::optional<double> score = onlineScore(service, cell, *upstream, request, now);
         if (score && (best == nullptr || *score < bestScore)) {
             best = upstream;
             bestScore = *score;
@@ -158,11 +165,13 @@
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
         const total_work work = workAt(*upstream);
         online += work.online;
-        if (work.all() >= upstream->info.slots || isAvoided(service, *upstream, request, now)) {
+        if (work.all() >= upstream->info.slots || !upstream->mayStart(work_class::Batch, now)
+            || isAvoided(service, *upstream, request, now)) {
             continue;
         }
         free += upstream->info.slots - work.all();
-        const double score = static_cast<double>(work.all()) / upstream->info.slots + preference(service, *upstream, request, now);
+        const double score = static_cast<double>(work.all()) / upstream->info.slots + preference(service, *upstream, request, now)
+                             - (upstream->starts ? limitedScore : 0);
         if (best == nullptr || score < bestScore) {
             best = upstream;
             bestScore = score;
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -66,8 +66,11 @@
     candidates(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     [[nodiscard]] double
     preference(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
-    [[nodiscard]] std::optional<double>
-    onlineScore(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
+    [[nodiscard]] std::optional<double> onlineScore(const service_schedule &service,
+                                                    const cell_schedule &cell,
+                                                    const scheduled_upstream &upstream,
+                                                    const slot_request &request,
+                                                    time_point now);
 
     const load_board &m_board;
     std::mt19937_64 &m_generator;
--- a/io/include/banyan/io/serving/scheduler_host.h
+++ b/io/include/banyan/io/serving/scheduler_host.h
@@ -54,6 +54,9 @@
     /// Replaces the registered upstreams.
     void setUpstreams(std::span<const replica> upstreams);
 
+    /// Replaces the rates at which this node may start runs at upstreams that limit their rate.
+    void setAllowedRates(const std::map<upstream_id, allowed_rate> &rates);
+
     /// Returns the upstream, or null if it is not registered.
     [[nodiscard]] const replica *find(const upstream_id &upstream) const;
 
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -70,6 +70,9 @@
 
     [[nodiscard]] scheduling_state schedulingState() const;
 
+    /// The node from which this node claims the slots of a cell.
+    [[nodiscard]] node_id schedulingNodeFor(const service_name &service, const upstream_cell &cell);
+
     /// Hashes of the request ids of all claims at other nodes, for this node's load reports.
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -27,6 +27,18 @@
   upstream @2 :UInt32;
 }
 
+struct UpstreamLimit {
+  upstream @0 :UInt32;            # Key of its start.
+  perSecond @1 :Float32;
+  ended @2 :Bool;
+  age @3 :Int64;                  # Microseconds since the answer that said so.
+}
+
+struct ShareLease {
+  cell @0 :UInt32;                # Key of the cell.
+  holder @1 :UInt32;              # Key of the node that may use the share.
+}
+
 struct NodeLoad {
   sender @0 :Text;
   sequence @1 :UInt64;
@@ -38,6 +50,8 @@
   leaving @7 :List(UInt32);       # Keys of starts of upstreams.
   lostParts @8 :List(PartLoss);
   provenParts @9 :List(UInt64);
+  limits @10 :List(UpstreamLimit);
+  leases @11 :List(ShareLease);
 }
 
 struct SlotClaim {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -20,6 +20,8 @@
 CAPNP_DECLARE_SCHEMA(989eed4629c727bf);
 CAPNP_DECLARE_SCHEMA(880240bee09e440e);
 CAPNP_DECLARE_SCHEMA(aa16eaa51b7eed57);
+CAPNP_DECLARE_SCHEMA(ac85f29b859d28fe);
+CAPNP_DECLARE_SCHEMA(c35aec0cb1e00724);
 CAPNP_DECLARE_SCHEMA(db6f9a50147d4dbd);
 CAPNP_DECLARE_SCHEMA(ada66ed97a785ca8);
 CAPNP_DECLARE_SCHEMA(8a72c1d09e774052);
@@ -102,6 +104,36 @@
   };
 };
 
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac85f29b859d28fe, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ShareLease {
+  ShareLease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c35aec0cb1e00724, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeLoad {
   NodeLoad() = delete;
 
@@ -110,7 +142,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -675,6 +707,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimit::Reader {
+public:
+  typedef UpstreamLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline float getPerSecond() const;
+
+  inline bool getEnded() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimit::Builder {
+public:
+  typedef UpstreamLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimit::Pipeline {
+public:
+  typedef UpstreamLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ShareLease::Reader {
+public:
+  typedef ShareLease Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCell() const;
+
+  inline  ::uint32_t getHolder() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ShareLease::Builder {
+public:
+  typedef ShareLease Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCell();
+  inline void setCell( ::uint32_t value);
+
+  inline  ::uint32_t getHolder();
+  inline void setHolder( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ShareLease::Pipeline {
+public:
+  typedef ShareLease Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeLoad::Reader {
 public:
   typedef NodeLoad Reads;
@@ -720,6 +924,12 @@
   inline bool hasProvenParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getProvenParts() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasLeases() const;
+  inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -813,6 +1023,20 @@
   inline void adoptProvenParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownProvenParts();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasLeases();
+  inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Builder getLeases();
+  inline void setLeases( ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
+  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>> disownLeases();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2497,6 +2721,90 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t UpstreamLimit::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLimit::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float UpstreamLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float UpstreamLimit::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimit::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamLimit::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLimit::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ShareLease::Reader::getCell() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ShareLease::Builder::getCell() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ShareLease::Builder::setCell( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ShareLease::Reader::getHolder() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ShareLease::Builder::getHolder() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ShareLease::Builder::setHolder( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeLoad::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2809,6 +3117,74 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool NodeLoad::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setLimits( ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool NodeLoad::Reader::hasLeases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasLeases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getLeases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setLeases( ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initLeases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptLeases(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline bool SlotClaim::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -1,10 +1,12 @@
 #include "banyan/io/serving/gateway.h"
 
 #include "banyan/core/serving/connection_share.h"
+#include "banyan/core/serving/limit_shares.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/upstream_cell.h"
 #include "banyan/core/serving/upstream_limits.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
@@ -68,6 +70,7 @@
         , m_hubs({.self = m_self})
         , m_board(reportRetention, m_hubs.reportTimeout())
         , m_registry(registryGrace)
+        , m_shares({.self = m_self})
         , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
         , m_slots({.context = context,
                    .scheduler = m_scheduler,
@@ -141,6 +144,11 @@
     void upstreamLeaves(const upstream_run &run, unsigned status);
     void recordRemoteLeaving(const node_load &load, time_point now);
     void rateStated(const upstream_run &run, const answer_head &head);
+    void recordRemoteLimits(const node_load &load, time_point now);
+    void forEachLimited(time_point now, const std::function<void(const replica &upstream, cell_key cell, double rate)> &visit);
+    [[nodiscard]] std::vector<share_lease> leasesToReport(time_point now);
+    void applyRateLimits();
+    [[nodiscard]] std::set<upstream_key> registeredIncarnations() const;
     void updateSchedulingState();
     void applyGatewayRow(const table_row &row);
     void gatewaysChanged();
@@ -164,6 +172,7 @@
     load_board m_board;
     replica_registry m_registry;
     upstream_limits m_limits;
+    limit_shares m_shares;
     scheduler_host m_scheduler;
     slot_broker m_slots;
     upstream_sender m_sender;
@@ -179,7 +188,9 @@
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< Registered gateways by row key.
-    std::set<upstream_key> m_registeredIncarnations; ///< Incarnations of upstreams.
+    std::map<upstream_key, upstream_id> m_registeredStarts; ///< Registered incarnations of upstreams.
+    std::map<cell_key, double> m_loggedShares; ///< This node's part of the rate limits, by cell, as logged last.
+    std::map<upstream_id, allowed_rate> m_appliedRates; ///< Rates that the scheduler keeps to.
     std::vector<std::pair<time_point, lost_content>> m_remoteLosses; ///< Losses to forward, with the time of their report.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
@@ -324,17 +335,18 @@
 void gateway::implementation::replicasChanged()
 {
     const std::vector<replica> replicas = m_registry.replicas();
-    std::set<upstream_key> incarnations;
+    std::map<upstream_key, upstream_id> incarnations;
     for (const replica &entry : replicas) {
-        incarnations.insert(keyOfStart(entry));
+        incarnations.emplace(keyOfStart(entry), entry.id);
     }
-    for (const upstream_key incarnation : std::exchange(m_registeredIncarnations, incarnations)) {
+    for (const auto &[incarnation, id] : std::exchange(m_registeredStarts, incarnations)) {
         if (!incarnations.contains(incarnation)) {
             m_relay.upstreamEnded(incarnation, currentTime());
             m_parts.recordUpstreamEnd(incarnation, currentTime());
         }
     }
     m_scheduler.setUpstreams(replicas);
+    applyRateLimits();
     m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
 }
 
@@ -383,6 +395,88 @@
               {"told_by", "self"},
               {"request_id", run.id.text()},
               {"status", std::to_string(head.status)}});
+    applyRateLimits();
+    m_exchange.requestReport();
+}
+
+std::set<upstream_key> gateway::implementation::registeredIncarnations() const
+{
+    std::set<upstream_key> result;
+    for (const auto &[incarnation, id] : m_registeredStarts) {
+        result.insert(incarnation);
+    }
+    return result;
+}
+
+/// Records what answers to another node have said about rates, and which shares of limits it lets this node use.
+void gateway::implementation::recordRemoteLimits(const node_load &load, time_point now)
+{
+    m_shares.record(load.sender, load.leases, now);
+    for (const reported_limit &limit : load.limits) {
+        const upstream_limits::change change = m_limits.recordReport(limit, now);
+        if (change == upstream_limits::change::Named || change == upstream_limits::change::Ended) {
+            logEvent(log_level::Info,
+                     "upstream_limit",
+                     {{"upstream_key", std::to_string(limit.start)},
+                      {"change", std::string(toString(change))},
+                      {"per_second", std::to_string(limit.perSecond)},
+                      {"told_by", load.sender.text()},
+                      {"age_us", std::to_string(limit.age.count())}});
+        }
+    }
+}
+
+/// Visits the registered upstreams that are limited or recovering, with their cells and the rates for all nodes together.
+void gateway::implementation::forEachLimited(time_point now,
+                                             const std::function<void(const replica &upstream, cell_key cell, double rate)> &visit)
+{
+    for (const auto &[start, rate] : m_limits.allowedRates(now)) {
+        const auto registered = m_registeredStarts.find(start);
+        const replica *const upstream = registered == m_registeredStarts.end() ? nullptr : m_scheduler.find(registered->second);
+        if (upstream != nullptr) {
+            const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(upstream->service).size());
+            visit(*upstream, keyOf(upstream->service, cellOf(upstream->id, cells)), rate);
+        }
+    }
+}
+
+/// Leases of this node's shares of rate limits to the nodes from which it claims slots.
+std::vector<share_lease> gateway::implementation::leasesToReport(time_point now)
+{
+    std::map<cell_key, node_id> claimedFrom;
+    forEachLimited(now, [&](const replica &upstream, cell_key cell, double) {
+        if (!claimedFrom.contains(cell)) {
+            const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(upstream.service).size());
+            claimedFrom.emplace(cell, m_slots.schedulingNodeFor(upstream.service, cellOf(upstream.id, cells)));
+        }
+    });
+    return m_shares.renew(claimedFrom, now);
+}
+
+/// Gives the scheduler this node's part of all rate limits.
+void gateway::implementation::applyRateLimits()
+{
+    const time_point now = currentTime();
+    // A node that has just started reports before the others have read its registration.
+    m_shares.setNodeCount(m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1));
+    std::map<upstream_id, allowed_rate> rates;
+    std::map<cell_key, double> shares;
+    forEachLimited(now, [&](const replica &upstream, cell_key cell, double rate) {
+        const double share = m_shares.shareOf(cell, now);
+        shares[cell] = share;
+        rates.emplace(upstream.id, allowedRateOf(rate, share));
+    });
+    for (const auto &[cell, share] : shares) {
+        const auto before = m_loggedShares.find(cell);
+        if (before == m_loggedShares.end() || before->second != share) {
+            logEvent(log_level::Info, "limit_share_changed", {{"cell_key", std::to_string(cell)}, {"share", std::to_string(share)}});
+        }
+    }
+    m_loggedShares = std::move(shares);
+    if (!rates.empty() || !m_appliedRates.empty()) {
+        m_scheduler.setAllowedRates(rates);
+    }
+    m_appliedRates = std::move(rates);
 }
 
 /// Records which upstreams reported to another node that they are leaving, so that this node grants no more slots there.
@@ -465,6 +559,7 @@
               {"hubs", std::to_string(m_hubs.hubs().size())},
               {"is_hub", m_hubs.isHub(m_self) ? "true" : "false"}});
     m_board.setUsageRetention(m_hubs.reportTimeout());
+    m_shares.setLeaseTime(m_hubs.reportTimeout());
     m_exchange.configureReports(
         [this](const node_id &peer) {
             return m_hubs.reportsTo(peer);
@@ -558,6 +653,8 @@
             .leaving = m_registry.locallyObservedLeaving(),
             .lostParts = m_parts.guard().lossesToReport(now),
             .provenParts = m_parts.guard().proofsToReport(now),
+            .limits = m_limits.toReport(now),
+            .leases = leasesToReport(now),
             .claims = m_slots.claims()};
 }
 
@@ -585,6 +682,7 @@
     m_jobs.recordReport(load.sender, now, load.schedulingState);
     m_slots.reported(load);
     recordRemoteLeaving(load, now);
+    recordRemoteLimits(load, now);
     for (const lost_content &lost : load.lost) {
         m_relay.recordRemoteLoss(lost, load.sender, now);
         if (!m_hubs.isHub(load.sender) && m_remoteLosses.size() < maximumRemoteLosses) {
@@ -596,6 +694,7 @@
         m_loadChangeTimer.expires_after(loadChangeDelay);
         m_loadChangeTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) {
             self->m_loadChangePending = false;
+            self->applyRateLimits();
             self->m_scheduler.loadChanged();
         });
     }
@@ -614,7 +713,11 @@
     if (m_registry.tick(now)) {
         replicasChanged();
     }
-    m_limits.expire(m_registeredIncarnations, now);
+    m_shares.expire(now);
+    if (!m_limits.empty()) {
+        m_limits.expire(registeredIncarnations(), now);
+    }
+    applyRateLimits();
     m_metrics.set("upstreams_limited", static_cast<double>(m_limits.limitedCount()));
     m_metrics.set("stopped_parts", static_cast<double>(m_parts.guard().stopped(now).size()));
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -79,6 +79,11 @@
     perform(m_scheduler.setUpstreams(upstreams, currentTime()));
 }
 
+void scheduler_host::setAllowedRates(const std::map<upstream_id, allowed_rate> &rates)
+{
+    perform(m_scheduler.setAllowedRates(rates, currentTime()));
+}
+
 const replica *scheduler_host::find(const upstream_id &upstream) const
 {
     const auto entry = m_upstreams.find(upstream);
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -21,6 +21,8 @@
 /// Timestamps in rows are clamped to this time from the epoch of their clock.
 constexpr duration latestTimestamp = std::chrono::hours(24) * 366 * 1000;
 
+constexpr float highestRate = 1e6; // Requests per second; the adapter names no higher limit.
+
 duration spanOf(std::int64_t microseconds)
 {
     return std::clamp(duration(microseconds), -longestSpan, longestSpan);
@@ -111,6 +113,18 @@
     for (unsigned position = 0; position < load.leaving.size(); ++position) {
         leaving.set(position, load.leaving[position]);
     }
+    auto limits = root.initLimits(static_cast<unsigned>(load.limits.size()));
+    for (unsigned position = 0; position < load.limits.size(); ++position) {
+        limits[position].setUpstream(load.limits[position].start);
+        limits[position].setPerSecond(static_cast<float>(load.limits[position].perSecond));
+        limits[position].setEnded(load.limits[position].ended);
+        limits[position].setAge(load.limits[position].age.count());
+    }
+    auto leases = root.initLeases(static_cast<unsigned>(load.leases.size()));
+    for (unsigned position = 0; position < load.leases.size(); ++position) {
+        leases[position].setCell(load.leases[position].cell);
+        leases[position].setHolder(load.leases[position].holder);
+    }
     auto claims = root.initClaims(static_cast<unsigned>(load.claims.size()));
     for (unsigned position = 0; position < load.claims.size(); ++position) {
         claims.set(position, load.claims[position]);
@@ -176,6 +190,8 @@
                    .leaving = {},
                    .lostParts = {},
                    .provenParts = {},
+                   .limits = {},
+                   .leases = {},
                    .claims = {}};
     for (const auto entry : root.getUsage()) {
         load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .degraded = entry.getTroubled()};
@@ -195,6 +211,19 @@
     for (const upstream_key upstream : root.getLeaving()) {
         load.leaving.push_back(upstream);
     }
+    for (const auto entry : root.getLimits()) {
+        // The negated comparison also leaves out what is not a number.
+        if (!(entry.getPerSecond() >= 0 && entry.getPerSecond() <= highestRate)) {
+            continue;
+        }
+        load.limits.push_back({.start = entry.getUpstream(),
+                               .ended = entry.getEnded(),
+                               .perSecond = entry.getPerSecond(),
+                               .age = std::max(duration(0), spanOf(entry.getAge()))});
+    }
+    for (const auto entry : root.getLeases()) {
+        load.leases.push_back({.cell = entry.getCell(), .holder = entry.getHolder()});
+    }
     for (const std::uint64_t claim : root.getClaims()) {
         load.claims.push_back(claim);
     }
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -79,6 +79,8 @@
               {"slots", std::to_string(rejected.basis.slots)},
               {"expected_wait_us", std::to_string(rejected.basis.expectedWait.count())},
               {"first_byte_us", std::to_string(rejected.basis.firstByte.count())},
+              {"starts_per_second", std::to_string(rejected.basis.startsPerSecond)},
+              {"limited", std::to_string(rejected.basis.limited)},
               {"retry_after_us", std::to_string(rejected.retryAfter.count())}});
 }
 
@@ -115,6 +117,10 @@
         return m_schedulingState;
     }
     [[nodiscard]] std::vector<std::uint64_t> claims() const;
+    [[nodiscard]] node_id schedulingNodeFor(const service_name &service, const upstream_cell &cell)
+    {
+        return schedulingNodeOf(service, cell, schedulingCandidates(currentTime()));
+    }
 
     [[nodiscard]] scheduler_host &scheduler() const
     {
@@ -599,6 +605,11 @@
     return m_implementation->schedulingState();
 }
 
+node_id slot_broker::schedulingNodeFor(const service_name &service, const upstream_cell &cell)
+{
+    return m_implementation->schedulingNodeFor(service, cell);
+}
+
 std::vector<std::uint64_t> slot_broker::claims() const
 {
     return m_implementation->claims();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::seconds stopSpread(3); // After the store has a stop, for all gateways to know it.
 constexpr int mostCrashesAfterStop = 3;
 constexpr std::chrono::milliseconds timeToHear(1500); // For every gateway to hear, by an answer or a report, that a replica leaves.
+constexpr std::chrono::milliseconds limitWatch(2000); // Half of the time for which the users allow half as much again and five.
 constexpr std::chrono::seconds recoveryTime(30); // For accepted jobs to be complete after the last fault.
 
 /// The addresses at which live gateways serve callers.
@@ -268,7 +269,7 @@
     {
         const auto slot = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
         const auto proxy = static_cast<std::size_t>(pick(0, static_cast<int>(m_proxies.size()) - 1));
-        switch (pick(0, 7)) {
+        switch (pick(0, 8)) {
         case 0:
             note("kill gateway " + std::to_string(slot));
             gatewayAt(slot).signal(SIGKILL);
@@ -303,6 +304,9 @@
         case 6:
             leave(static_cast<std::size_t>(pick(0, 2)));
             break;
+        case 7:
+            limitRate(static_cast<std::size_t>(pick(0, 2)), slot);
+            break;
         default:
             spoil(*m_proxies[proxy]);
         }
@@ -324,6 +328,28 @@
         m_fleet.registerReplica(index, "ready", ++m_starts);
     }
 
+    /// A replica names a rate limit in its answers, changes it, and is in need no more. A gateway may be killed meanwhile.
+    void limitRate(std::size_t index, std::size_t slot)
+    {
+        const double limit = pick(0, 5) * 0.5;
+        note("replica " + std::to_string(index) + " takes " + std::to_string(limit) + " requests a second");
+        m_fleet.setReplicaLimit(index, std::to_string(pick(1, 9)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(100, 500)));
+        m_fleet.setReplicaLimit(index, std::to_string(limit));
+        std::this_thread::sleep_for(timeToHear);
+        const std::size_t before = m_fleet.arrivalsAt(index).size();
+        if (pick(0, 1) == 0) {
+            gatewayAt(slot).signal(SIGKILL);
+            restart(slot);
+        }
+        std::this_thread::sleep_for(limitWatch);
+        const std::size_t arrived = m_fleet.arrivalsAt(index).size() - before;
+        if (static_cast<double>(arrived) > 1.5 * limit * 4 + 5) {
+            m_told.broken("a replica that takes " + std::to_string(limit) + " requests a second got " + std::to_string(arrived));
+        }
+        m_fleet.setReplicaLimit(index, "");
+    }
+
     /// Requests that a replica has begun so far.
     [[nodiscard]] std::size_t runsAt(std::size_t index) const
     {
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -2,8 +2,6 @@
 
 #include "common/exchanges.h"
 
-#include "banyan/io/clock.h"
-
 namespace banyan::standins {
 
 namespace json = boost::json;
@@ -59,7 +57,7 @@
 task<> replica_standin::handle(http_exchange &exchange)
 {
     const std::string body = co_await exchange.body(maximumBody);
-    m_arrivals.push_back(currentTime());
+    m_arrivals.push_back(std::chrono::steady_clock::now());
     const std::string expected = exchange.field("Expect-Instance");
     if (!expected.empty() && expected != m_options.id) {
         http_response response{.status = 421, .fields = answerFields({{"Instance-Id", m_options.id}})};
@@ -149,7 +147,7 @@
 task<> replica_standin::handleArrivals(http_exchange &exchange)
 {
     json::array arrivals;
-    for (const time_point arrival : m_arrivals) {
+    for (const std::chrono::steady_clock::time_point arrival : m_arrivals) {
         arrivals.emplace_back(std::chrono::duration_cast<std::chrono::milliseconds>(arrival.time_since_epoch()).count());
     }
     http_response response = jsonResponse(200, arrivals);
--- a/tests/standins/replica/replica_standin.h
+++ b/tests/standins/replica/replica_standin.h
@@ -4,6 +4,7 @@
 #include "banyan/io/http_exchange.h"
 #include "banyan/io/http_server.h"
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -45,7 +46,7 @@
     replica_standin_options m_options;
     std::string m_mode = "up";
     std::string m_limit; ///< Rate limit that its answers name; empty for none.
-    std::vector<time_point> m_arrivals; ///< Of all requests, also those that it refuses.
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals; ///< Of all requests, also those that it refuses.
     std::map<std::string, int> m_runs; ///< By request id.
     std::size_t m_running = 0;
 };
