Show that streams go on at another software version than the one that began them

To tell the hypotheses apart, request_ended names the versions of its upstreams and the request whose stream it takes up; the version of a registration is read. No scheduling changes. The stand-in replica has a version and names it in its events.

--- a/core/include/banyan/core/serving/replica.h
+++ b/core/include/banyan/core/serving/replica.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace banyan {
 
@@ -16,6 +17,8 @@
     service_name service;
     endpoint address; ///< Another upstream may use the address after this one has ended.
     failure_domain domain;
+    std::string
+        softwareVersion; ///< Version of the upstream's program; empty if it does not say. Streams of two versions do not fit together.
     std::uint32_t slots = 1; ///< Number of requests that it runs concurrently.
     bool draining = false; ///< Accepts no new work.
 
--- a/io/include/banyan/io/serving/client_request.h
+++ b/io/include/banyan/io/serving/client_request.h
@@ -22,6 +22,7 @@
     std::string body;
     std::optional<duration> timeLeft; ///< How long the client waits, counted from arrivedAt.
     std::optional<std::uint64_t> resumeAfter; ///< Last stream event that the client has received.
+    std::optional<request_id> resumes; ///< Request that began the stream which this one takes up.
     std::uint64_t prefixHash = 0; ///< Hash of the prompt prefix shared with other requests; 0 if none.
     time_point arrivedAt;
 };
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -332,6 +332,7 @@
             };
         }
         m_upstreams += (m_upstreams.empty() ? "" : ">") + upstream.id.text();
+        m_versions += (m_versions.empty() ? "" : ">") + upstream.softwareVersion;
         return m_relay.m_ports.sender.send(std::move(run), timeouts, std::move(observer), m_stop);
     }
 
@@ -588,6 +589,8 @@
                   {"configuration_version", std::to_string(m_version)},
                   {"service", m_service.text()},
                   {"upstreams", m_upstreams},
+                  {"versions", m_versions},
+                  {"resumes", m_request.resumes ? m_request.resumes->text() : ""},
                   {"placer", m_schedulingNode.text()},
                   {"waited_us", std::to_string(m_slotWaitTime.count())},
                   {"disposition", std::string(toString(result.what))},
@@ -658,6 +661,7 @@
     stop_cause m_stopCause = stop_cause::None;
     std::vector<upstream_id> m_tried;
     std::string m_upstreams; ///< Upstreams in the order of the attempts, for the log.
+    std::string m_versions; ///< Their software versions.
     node_id m_schedulingNode; ///< Node that granted the last slot; empty for this node.
     duration m_slotWaitTime{}; ///< Total time spent waiting for slots.
     std::optional<time_point> m_firstByteAt;
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -52,6 +52,10 @@
     for (std::size_t index = 0; index < wanted.replicas; ++index) {
         std::vector<std::string> arguments = {"--id", "replica-" + std::to_string(index)};
         arguments.insert(arguments.end(), wanted.replicaArguments.begin(), wanted.replicaArguments.end());
+        if (index < wanted.versions.size()) {
+            arguments.insert(arguments.end(), {"--software", wanted.versions[index]});
+        }
+        m_versions.push_back(index < wanted.versions.size() ? wanted.versions[index] : "v1");
         m_replicas.push_back(
             std::make_unique<child_process>(child_process::options{.program = "tests/replica_standin", .arguments = arguments}));
         m_replicaAddresses.push_back(endpoint::parse(m_replicas.back()->readyValue("address")));
@@ -151,6 +155,11 @@
     sendRow({{"table", table}, {"key", key}, {"value", value}});
 }
 
+void gateway_fleet::unregisterReplica(std::size_t index) const
+{
+    sendRow({{"table", "servers"}, {"key", "replica-" + std::to_string(index)}, {"deleted", true}});
+}
+
 void gateway_fleet::registerText(const std::string &id, const std::string &text) const
 {
     sendRow({{"table", "servers"}, {"key", id}, {"text", text}});
@@ -192,6 +201,7 @@
            json::object{{"service", "s"},
                         {"address", m_replicasForGateways.at(index).toString()},
                         {"zone", "d"},
+                        {"version", m_versions.at(index)},
                         {"slots", 8},
                         {"state", state},
                         {"born", startedAt},
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -27,6 +27,7 @@
         std::size_t gateways = 2;
         std::size_t replicas = 2;
         std::vector<std::string> replicaArguments;
+        std::vector<std::string> versions; ///< Software versions of the replicas, in their order; events then name them.
         /// Maps the address of a stand-in to the one by which gateways reach it; empty: the same.
         std::function<endpoint(const endpoint &)> route;
     };
@@ -57,6 +58,8 @@
     void configure(int version) const;
     /// Writes a replica's registration; another time of start makes it a new start of the replica.
     void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = 0) const;
+    /// Removes a replica's registration.
+    void unregisterReplica(std::size_t index) const;
     /// Writes any text as a registration, as another writer might.
     void registerText(const std::string &id, const std::string &text) const;
     void setStoreFaults(const boost::json::object &faults) const;
@@ -98,6 +101,7 @@
     endpoint m_storeForGateways;
     std::vector<std::unique_ptr<child_process>> m_replicas;
     std::vector<endpoint> m_replicaAddresses;
+    std::vector<std::string> m_versions;
     std::vector<endpoint> m_replicasForGateways;
     std::vector<std::unique_ptr<gateway_process>> m_gateways;
 };
--- a/tests/standins/replica/main.cpp
+++ b/tests/standins/replica/main.cpp
@@ -13,13 +13,16 @@
         TCLAP::ValueArg<std::string> id("", "id", "Its id in the store.", true, "", "ID", line);
         TCLAP::ValueArg<std::size_t> events("", "events", "Events of a stream.", false, 10, "N", line);
         TCLAP::ValueArg<unsigned> time("", "event-ms", "Time from one event to the next.", false, 20, "MS", line);
+        TCLAP::ValueArg<std::string> version("", "software", "Version of its software; named in its events.", false, "", "TEXT", line);
         line.parse(argc, argv);
         asio::io_context context;
         http_server_options options = listen.options();
         options.requestIdField = "Request-Id";
         http_server server(context, options);
-        standins::replica_standin replica(
-            {.id = id.getValue(), .events = events.getValue(), .eventTime = std::chrono::milliseconds(time.getValue())});
+        standins::replica_standin replica({.id = id.getValue(),
+                                           .version = version.getValue(),
+                                           .events = events.getValue(),
+                                           .eventTime = std::chrono::milliseconds(time.getValue())});
         replica.addRoutes(server);
         standins::serveUntilTerminated(context, server);
     } catch (const std::exception &error) {
--- a/tests/standins/replica/replica_standin.h
+++ b/tests/standins/replica/replica_standin.h
@@ -16,6 +16,7 @@
 struct replica_standin_options
 {
     std::string id; ///< Its id in the store; other ids that a request expects are refused with 421.
+    std::string version; ///< Of its software; if set, its events name it.
     std::size_t slots = 8; ///< Requests at once; more are refused as not run.
     std::size_t events = 10; ///< Of a stream.
     duration eventTime = std::chrono::milliseconds(20); ///< From one event to the next.
