--- a/core/include/banyan/core/final_result.h
+++ b/core/include/banyan/core/final_result.h
@@ -30,6 +30,8 @@
     Draining, ///< This node is shutting down.
     StoreUnavailable, ///< The request needs a record, and the platform's store does not answer.
     CancelledByCaller,
+    VersionUnknown, ///< Nobody knows which software version began the stream that the request takes up.
+    VersionGone, ///< No upstream of the version that began the stream is left; the stream has to begin anew.
 };
 
 /// The reason's name in logs, metrics and error bodies, for example "deadline_unreachable".
--- a/core/include/banyan/core/serving/item_progress.h
+++ b/core/include/banyan/core/serving/item_progress.h
@@ -36,6 +36,24 @@
     /// Resumes from the checkpoint stored by an earlier owner of the job.
     void restore(const item_checkpoint &checkpoint);
 
+    /// Begins a run at an upstream of @p version, which must be version() if there is one.
+    void beginRun(const std::string &version);
+
+    /// Drops the output, so that the next run begins at the start. The events of two software versions do not fit together.
+    void restart();
+
+    /// Whether there is output that a run has to continue.
+    [[nodiscard]] bool hasOutput() const
+    {
+        return m_hasOutput;
+    }
+
+    /// The software version that made the output; empty if there is none or its version is not known.
+    [[nodiscard]] const std::string &version() const
+    {
+        return m_version;
+    }
+
     /// Adds an event of the current run. Returns false if events before it are missing, so that the run cannot be used.
     [[nodiscard]] bool addEvent(const stream_event &event);
 
@@ -68,6 +86,8 @@
     item_progress_options m_options;
     stream_position m_position;
     std::string m_output;
+    std::string m_version; ///< Of the upstreams that made the output.
+    std::string m_runVersion; ///< Of the current run's upstream.
     bool m_hasOutput = false;
     std::uint32_t m_failures = 0; ///< Failures reported by upstreams.
     std::uint32_t m_runsWithoutProgress = 0; ///< Consecutive runs without progress that ended for other reasons.
--- a/core/include/banyan/core/serving/replica.h
+++ b/core/include/banyan/core/serving/replica.h
@@ -22,6 +22,12 @@
     std::uint32_t slots = 1; ///< Number of requests that it runs concurrently.
     bool draining = false; ///< Accepts no new work.
 
+    /// Whether a run that needs @p version, or any if that is empty, may be sent to it.
+    [[nodiscard]] bool hasVersion(const std::string &version) const
+    {
+        return version.empty() || softwareVersion == version;
+    }
+
     auto operator<=>(const replica &) const = default;
 };
 
--- a/core/include/banyan/core/serving/slot_action.h
+++ b/core/include/banyan/core/serving/slot_action.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -17,6 +18,7 @@
 {
     request_id request;
     upstream_id upstream;
+    std::string version = {}; ///< The upstream's software version, as known to the node that granted the slot.
     node_id schedulingNode = {}; ///< The node that granted the slot, if that is another node.
 
     auto operator<=>(const slot_granted &) const = default;
--- a/core/include/banyan/core/serving/slot_message.h
+++ b/core/include/banyan/core/serving/slot_message.h
@@ -8,6 +8,7 @@
 #include "banyan/core/time.h"
 
 #include <compare>
+#include <string>
 #include <variant>
 
 namespace banyan {
@@ -35,6 +36,7 @@
     request_id request;
     claim_state state = claim_state::Waiting;
     upstream_id upstream; ///< Set with Granted.
+    std::string version; ///< The upstream's software version. Set with Granted.
     end_reason reason = end_reason::None; ///< Set with Rejected.
     duration retryAfter{}; ///< Set with Rejected.
 
--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/stream_origin.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "banyan/core/time.h"
 #include "banyan/core/work_class.h"
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace banyan {
@@ -25,6 +27,9 @@
     bool repeatable = false; ///< May run again, so it may probe an ejected upstream that has possibly not recovered.
     bool sentBefore = false; ///< An earlier attempt was sent, so the run keeps waiting even if it will be late.
     std::uint64_t prefixHash = 0; ///< Hash of the prompt's shared prefix; 0 if there is none.
+    stream_key stream = 0; ///< The resumable stream that the run begins or continues; 0 if there is none.
+    bool continues = false; ///< Whether an earlier run has begun the stream, or the output of the item.
+    std::string version; ///< Software version that the upstream must have; empty for any.
     std::vector<upstream_id> excluded; ///< Upstreams to use only if there is no other.
     node_id holder; ///< The node that sends the run over its own connections.
     failure_domain domain; ///< Failure domain of the holder.
--- a/core/src/final_result.cpp
+++ b/core/src/final_result.cpp
@@ -27,6 +27,10 @@
         return "store_unavailable";
     case end_reason::CancelledByCaller:
         return "cancelled_by_caller";
+    case end_reason::VersionUnknown:
+        return "version_unknown";
+    case end_reason::VersionGone:
+        return "version_gone";
     }
     return "unknown";
 }
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -96,6 +96,10 @@
     void scheduleWaiting(service_schedule &service, time_point now);
     void scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now);
     void scheduleBatch(service_schedule &service, cell_schedule &cell, time_point now);
+    [[nodiscard]] static const slot_request *firstBatchRun(const service_schedule &service,
+                                                           const cell_schedule &cell,
+                                                           const std::set<std::string> &excludedVersions,
+                                                           time_point now);
     void recordResult(service_schedule &service,
                       scheduled_upstream &upstream,
                       const granted_run &run,
@@ -203,8 +207,9 @@
                                                          const slot_request &request) const
 {
     const std::uint32_t waitingElsewhere = request.cell.count <= 1 ? m_board.waitingOnline(keyOf(request.service)) : 0;
-    const double ahead = static_cast<double>(cell.online.onTimeCount()) + waitingElsewhere;
-    const double startsPerSecond = cell.startsPerSecond(service.runSeconds);
+    // Most of the queue does not wait for the upstreams of one version.
+    const double ahead = request.version.empty() ? static_cast<double>(cell.online.onTimeCount()) + waitingElsewhere : 1;
+    const double startsPerSecond = cell.startsPerSecond(service.runSeconds, request.version);
     return ahead < startsPerSecond * toSeconds(longestExpectedWait) ? fromSeconds(ahead / startsPerSecond) : longestExpectedWait;
 }
 
@@ -213,10 +218,10 @@
                                                                     const slot_request &request) const
 {
     return {.waiting = static_cast<std::uint32_t>(cell.online.onTimeCount()),
-            .slots = cell.slots(),
+            .slots = cell.slots(request.version),
             .expectedWait = expectedWait(service, cell, request),
             .firstByte = fromSeconds(service.tailFirstByteSeconds()),
-            .startsPerSecond = cell.startsPerSecond(service.runSeconds),
+            .startsPerSecond = cell.startsPerSecond(service.runSeconds, request.version),
             .limited = cell.limitedMembers()};
 }
 
@@ -251,8 +256,11 @@
     const rejection_basis basis = rejectionBasisOf(service, cell, request);
     if (!m_choice.hasCandidate(service, cell, request, now)) {
         cell.online.remove(request.id);
-        m_actions.push_back(slot_rejected{
-            .request = request.id, .reason = end_reason::NoUpstream, .retryAfter = jittered(noUpstreamRetryAfter), .basis = basis});
+        const bool isBound = !request.version.empty(); // A stream that cannot go on is to begin anew at once.
+        m_actions.push_back(slot_rejected{.request = request.id,
+                                          .reason = isBound ? end_reason::VersionGone : end_reason::NoUpstream,
+                                          .retryAfter = isBound ? duration(0) : jittered(noUpstreamRetryAfter),
+                                          .basis = basis});
     } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request)) {
         cell.online.remove(request.id);
         reject(cell, request, end_reason::Overloaded, basis, now);
@@ -293,7 +301,7 @@
         upstream.starts->recordStart(now);
     }
     m_firstByteDeadlines.emplace(run.overdueAt, request.id);
-    m_actions.push_back(slot_granted{.request = request.id, .upstream = upstream.info.id});
+    m_actions.push_back(slot_granted{.request = request.id, .upstream = upstream.info.id, .version = upstream.info.softwareVersion});
     const std::uint32_t total = m_choice.workAt(upstream).all();
     if (request.workClass == work_class::Online && total > upstream.info.slots) {
         reclaimBatchSlots(service, upstream, total - upstream.info.slots, now);
@@ -382,14 +390,15 @@
 
 void request_scheduler::implementation::scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now)
 {
-    // If one run finds no slot, no other run with the same repeatability and no exclusions finds one.
+    // If one run finds no slot, no other run with the same repeatability, no exclusions and for any version finds one.
     bool fullForRepeatable = false;
     bool fullForOthers = false;
     for (auto entry = cell.online.inOrder().begin(); entry != cell.online.inOrder().end();) {
         const slot_request request = entry->second;
         ++entry;
         bool &full = request.repeatable ? fullForRepeatable : fullForOthers;
-        if (full && request.excluded.empty()) {
+        const bool isTypical = request.excluded.empty() && request.version.empty();
+        if (full && isTypical) {
             continue;
         }
         scheduled_upstream *const upstream = m_choice.selectForOnline(service, cell, request, now);
@@ -397,7 +406,7 @@
             cell.online.remove(request.id);
             grant(service, request, *upstream, now);
         } else {
-            full = full || request.excluded.empty();
+            full = full || isTypical;
         }
     }
     while (const std::optional<slot_request> expired = cell.online.takeExpired(now)) {
@@ -407,18 +416,42 @@
 
 void request_scheduler::implementation::scheduleBatch(service_schedule &service, cell_schedule &cell, time_point now)
 {
-    while (!cell.batch.empty() && service.waitingOnline() == 0) {
-        const auto first = std::min_element(cell.batch.begin(), cell.batch.end(), [&](const auto &left, const auto &right) {
-            return service.batchOrder.rankOf(left.second, now) < service.batchOrder.rankOf(right.second, now);
-        });
-        const slot_request request = first->second;
+    std::set<std::string> fullVersions; // Versions whose upstreams have no slot for a batch run that is bound to them.
+    while (service.waitingOnline() == 0) {
+        const slot_request *const first = firstBatchRun(service, cell, fullVersions, now);
+        if (first == nullptr) {
+            return;
+        }
+        const slot_request request = *first;
         scheduled_upstream *const upstream = m_choice.selectForBatch(service, cell, request, m_options.reactionTime, now);
-        if (upstream == nullptr) {
+        if (upstream != nullptr) {
+            cell.batch.erase(request.id);
+            grant(service, request, *upstream, now);
+        } else if (request.version.empty()) {
             return;
+        } else if (m_choice.hasCandidate(service, cell, request, now)) {
+            fullVersions.insert(request.version);
+        } else {
+            cell.batch.erase(request.id);
+            m_actions.push_back(slot_rejected{.request = request.id, .reason = end_reason::VersionGone});
+        }
+    }
+}
+
+/// The waiting batch run that comes first, without those that are bound to one of the versions; null if there is none.
+const slot_request *request_scheduler::implementation::firstBatchRun(const service_schedule &service,
+                                                                     const cell_schedule &cell,
+                                                                     const std::set<std::string> &excludedVersions,
+                                                                     time_point now)
+{
+    const slot_request *first = nullptr;
+    for (const auto &[id, request] : cell.batch) {
+        const bool isExcluded = !request.version.empty() && excludedVersions.contains(request.version);
+        if (!isExcluded && (first == nullptr || service.batchOrder.rankOf(request, now) < service.batchOrder.rankOf(*first, now))) {
+            first = &request;
         }
-        cell.batch.erase(first);
-        grant(service, request, *upstream, now);
     }
+    return first;
 }
 
 void request_scheduler::implementation::firstByte(const request_id &request, std::optional<duration> measured, time_point now)
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -24,17 +24,17 @@
 
 } // namespace
 
-std::uint32_t cell_schedule::slots() const
+std::uint32_t cell_schedule::slots(const std::string &version) const
 {
-    return std::accumulate(members.begin(), members.end(), 0U, [](std::uint32_t sum, const scheduled_upstream *upstream) {
-        return sum + upstream->info.slots;
+    return std::accumulate(members.begin(), members.end(), 0U, [&](std::uint32_t sum, const scheduled_upstream *upstream) {
+        return upstream->info.hasVersion(version) ? sum + upstream->info.slots : sum;
     });
 }
 
-double cell_schedule::startsPerSecond(double runSeconds) const
+double cell_schedule::startsPerSecond(double runSeconds, const std::string &version) const
 {
     return std::accumulate(members.begin(), members.end(), 0.0, [&](double sum, const scheduled_upstream *upstream) {
-        return sum + upstream->startsPerSecond(runSeconds);
+        return upstream->info.hasVersion(version) ? sum + upstream->startsPerSecond(runSeconds) : sum;
     });
 }
 
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace banyan {
@@ -24,11 +25,12 @@
     std::map<request_id, slot_request> batch;
     retry_after_estimator retryEstimator;
 
-    /// The number of slots of its members.
-    [[nodiscard]] std::uint32_t slots() const;
+    /// The number of slots of its members, or of those of one software version.
+    [[nodiscard]] std::uint32_t slots(const std::string &version = {}) const;
 
-    /// Runs per second that its members can start, by their slots and rate limits, if each run takes @p runSeconds.
-    [[nodiscard]] double startsPerSecond(double runSeconds) const;
+    /// Runs per second that its members, or those of one software version, can start, by their slots and rate limits, if each run
+    /// takes @p runSeconds.
+    [[nodiscard]] double startsPerSecond(double runSeconds, const std::string &version = {}) const;
 
     /// The number of members whose rate is limited.
     [[nodiscard]] std::uint32_t limitedMembers() const;
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -63,7 +63,7 @@
     return m_board.usageOf(upstream.key).degradedNodes + (isDegraded(upstream, now) ? 1 : 0) >= avoidanceThreshold;
 }
 
-/// The upstreams for a request: those that are not avoided; if none, the avoided ones; if none, the excluded ones.
+/// The upstreams for a request, of the version that it needs: those that are not avoided; if none, the avoided ones; if none, the excluded ones.
 std::vector<scheduled_upstream *>
 upstream_choice::candidates(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const
 {
@@ -71,6 +71,9 @@
     std::vector<scheduled_upstream *> avoided;
     std::vector<scheduled_upstream *> tried;
     for (scheduled_upstream *const upstream : cell.members) {
+        if (!upstream->info.hasVersion(request.version)) {
+            continue;
+        }
         if (isExcluded(request, upstream->info.id)) {
             tried.push_back(upstream);
         } else if (isAvoided(service, *upstream, request, now)) {
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -20,6 +20,7 @@
 class part_watch;
 class node_metrics;
 class slot_broker;
+class stream_versions;
 class upstream_sender;
 
 /// Dependencies of a request_relay; all of them must outlive it.
@@ -30,6 +31,7 @@
     upstream_sender &sender;
     part_watch &parts;
     node_metrics &metrics;
+    stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
 };
 
 /// Forwards client requests to upstreams, retries failed attempts and returns the answers. Requests whose content keeps crashing
--- a/io/include/banyan/io/serving/serving_codec.h
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -5,7 +5,9 @@
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
+#include "banyan/core/serving/origin_row.h"
 #include "banyan/core/serving/quota_reservation.h"
+#include "banyan/core/serving/served_version.h"
 #include "banyan/core/serving/slot_message.h"
 
 #include <optional>
@@ -46,6 +48,12 @@
 [[nodiscard]] std::string encode(const item_checkpoint &checkpoint);
 [[nodiscard]] std::optional<item_checkpoint> decodeItemCheckpoint(std::string_view bytes);
 
+[[nodiscard]] std::string encode(const std::vector<served_version> &versions);
+[[nodiscard]] std::optional<std::vector<served_version>> decodeServedVersions(std::string_view bytes);
+
+[[nodiscard]] std::string encode(const origin_row &row);
+[[nodiscard]] std::optional<origin_row> decodeOriginRow(std::string_view bytes);
+
 [[nodiscard]] std::string encode(const listed_result &result);
 [[nodiscard]] std::optional<listed_result> decodeListedResult(std::string_view bytes);
 
--- a/io/include/banyan/io/serving/slot_broker.h
+++ b/io/include/banyan/io/serving/slot_broker.h
@@ -17,6 +17,7 @@
 
 class report_hubs;
 class stop_signal;
+class stream_versions;
 
 /// Dependencies of a slot_broker. All of them must outlive the broker.
 struct slot_broker_ports
@@ -25,6 +26,7 @@
     scheduler_host &scheduler; ///< Scheduler of this node.
     load_board &board;
     std::function<bool(const node_id &to, const gateway_message &message)> send; ///< Sends a message, which may be lost.
+    stream_versions *versions = nullptr; ///< Binds runs that continue a stream to its version; if null, only their own field does.
     const report_hubs *hubs = nullptr; ///< Determines which nodes may schedule requests; every node may if null.
 };
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -71,6 +71,9 @@
   excluded @13 :List(Text);
   domain @14 :Text;
   ranBefore @15 :Int64;           # Microseconds.
+  stream @16 :UInt64;
+  continues @17 :Bool;
+  version @18 :Text;
 }
 
 struct SlotVerdict {
@@ -79,6 +82,7 @@
   upstream @2 :Text;
   reason @3 :UInt8;               # In the order of end_reason.
   retryAfter @4 :Int64;           # Microseconds.
+  version @5 :Text;
 }
 
 struct SlotRelease {
@@ -155,6 +159,34 @@
   lastEvent @1 :UInt64;
   output @2 :Data;
   ranBefore @3 :Int64;            # Microseconds.
+  version @4 :Text;
+}
+
+struct ServedVersion {
+  version @0 :Text;
+  ended @1 :Bool;
+  endedAt @2 :Int64;              # Microseconds by the store's clock.
+}
+
+struct ServiceVersions {
+  versions @0 :List(ServedVersion);
+}
+
+struct OriginName {
+  service @0 :Text;
+  version @1 :Text;
+}
+
+struct BegunStream {
+  stream @0 :UInt64;
+  origin @1 :UInt16;              # Position in the row's names.
+}
+
+struct OriginRow {
+  writtenAt @0 :Int64;            # Microseconds by the store's clock.
+  sequence @1 :UInt64;
+  names @2 :List(OriginName);
+  streams @3 :List(BegunStream);
 }
 
 struct ItemResult {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -36,6 +36,11 @@
 CAPNP_DECLARE_SCHEMA(a75c7083340b8943);
 CAPNP_DECLARE_SCHEMA(972c041b2e6668f5);
 CAPNP_DECLARE_SCHEMA(ff37c36633272a23);
+CAPNP_DECLARE_SCHEMA(cc301c8944488456);
+CAPNP_DECLARE_SCHEMA(dda9490869651dc2);
+CAPNP_DECLARE_SCHEMA(a9d9ddd33cf97e95);
+CAPNP_DECLARE_SCHEMA(98fd7b841055180e);
+CAPNP_DECLARE_SCHEMA(efe08312ae0c489b);
 CAPNP_DECLARE_SCHEMA(8cd0a697c74ee374);
 
 }  // namespace schemas
@@ -157,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -172,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a72c1d09e774052, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8a72c1d09e774052, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -344,7 +349,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff37c36633272a23, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ff37c36633272a23, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServedVersion {
+  ServedVersion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cc301c8944488456, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServiceVersions {
+  ServiceVersions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dda9490869651dc2, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginName {
+  OriginName() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9d9ddd33cf97e95, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BegunStream {
+  BegunStream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(98fd7b841055180e, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginRow {
+  OriginRow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efe08312ae0c489b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1117,6 +1197,13 @@
 
   inline  ::int64_t getRanBefore() const;
 
+  inline  ::uint64_t getStream() const;
+
+  inline bool getContinues() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1214,6 +1301,19 @@
   inline  ::int64_t getRanBefore();
   inline void setRanBefore( ::int64_t value);
 
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool getContinues();
+  inline void setContinues(bool value);
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1269,6 +1369,9 @@
 
   inline  ::int64_t getRetryAfter() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1320,6 +1423,13 @@
   inline  ::int64_t getRetryAfter();
   inline void setRetryAfter( ::int64_t value);
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2395,6 +2505,9 @@
 
   inline  ::int64_t getRanBefore() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2443,6 +2556,13 @@
   inline  ::int64_t getRanBefore();
   inline void setRanBefore( ::int64_t value);
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2469,9 +2589,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ItemResult::Reader {
+class ServedVersion::Reader {
 public:
-  typedef ItemResult Reads;
+  typedef ServedVersion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2486,13 +2606,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItem() const;
-  inline  ::capnp::Text::Reader getItem() const;
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-  inline bool getSucceeded() const;
+  inline bool getEnded() const;
 
-  inline bool hasOutput() const;
-  inline  ::capnp::Data::Reader getOutput() const;
+  inline  ::int64_t getEndedAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2506,9 +2625,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ItemResult::Builder {
+class ServedVersion::Builder {
 public:
-  typedef ItemResult Builds;
+  typedef ServedVersion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2522,22 +2641,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItem();
-  inline  ::capnp::Text::Builder getItem();
-  inline void setItem( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initItem(unsigned int size);
-  inline void adoptItem(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownItem();
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
-  inline bool getSucceeded();
-  inline void setSucceeded(bool value);
+  inline bool getEnded();
+  inline void setEnded(bool value);
 
-  inline bool hasOutput();
-  inline  ::capnp::Data::Builder getOutput();
-  inline void setOutput( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initOutput(unsigned int size);
-  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+  inline  ::int64_t getEndedAt();
+  inline void setEndedAt( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2549,9 +2664,9 @@
 };
 
 #if !CAPNP_LITE
-class ItemResult::Pipeline {
+class ServedVersion::Pipeline {
 public:
-  typedef ItemResult Pipelines;
+  typedef ServedVersion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2565,122 +2680,572 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class ServiceVersions::Reader {
+public:
+  typedef ServiceVersions Reads;
 
-inline  ::uint32_t UpstreamUsage::Reader::getKey() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t UpstreamUsage::Builder::getKey() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setKey( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint16_t UpstreamUsage::Reader::getOnline() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t UpstreamUsage::Builder::getOnline() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setOnline( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Reader getVersions() const;
 
-inline  ::uint16_t UpstreamUsage::Reader::getBatch() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint16_t UpstreamUsage::Builder::getBatch() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setBatch( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+class ServiceVersions::Builder {
+public:
+  typedef ServiceVersions Builds;
 
-inline bool UpstreamUsage::Reader::getTroubled() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline bool UpstreamUsage::Builder::getTroubled() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void UpstreamUsage::Builder::setTroubled(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t ServiceQueue::Reader::getService() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasVersions();
+  inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>> disownVersions();
 
-inline  ::uint32_t ServiceQueue::Builder::getService() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ServiceQueue::Builder::setService( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::uint32_t ServiceQueue::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+class ServiceVersions::Pipeline {
+public:
+  typedef ServiceVersions Pipelines;
 
-inline  ::uint32_t ServiceQueue::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ServiceQueue::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-inline  ::uint64_t LostContent::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t LostContent::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LostContent::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+class OriginName::Reader {
+public:
+  typedef OriginName Reads;
 
-inline  ::uint32_t LostContent::Reader::getUpstream() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t LostContent::Builder::getUpstream() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void LostContent::Builder::setUpstream( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t PartLoss::Reader::getPart() const {
-  return _reader.getDataField< ::uint64_t>(
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OriginName::Builder {
+public:
+  typedef OriginName Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OriginName::Pipeline {
+public:
+  typedef OriginName Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class BegunStream::Reader {
+public:
+  typedef BegunStream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint16_t getOrigin() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BegunStream::Builder {
+public:
+  typedef BegunStream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint16_t getOrigin();
+  inline void setOrigin( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BegunStream::Pipeline {
+public:
+  typedef BegunStream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class OriginRow::Reader {
+public:
+  typedef OriginRow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWrittenAt() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Reader getNames() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OriginRow::Builder {
+public:
+  typedef OriginRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWrittenAt();
+  inline void setWrittenAt( ::int64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasNames();
+  inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Builder getNames();
+  inline void setNames( ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>> disownNames();
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>> disownStreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OriginRow::Pipeline {
+public:
+  typedef OriginRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ItemResult::Reader {
+public:
+  typedef ItemResult Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem() const;
+  inline  ::capnp::Text::Reader getItem() const;
+
+  inline bool getSucceeded() const;
+
+  inline bool hasOutput() const;
+  inline  ::capnp::Data::Reader getOutput() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ItemResult::Builder {
+public:
+  typedef ItemResult Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem();
+  inline  ::capnp::Text::Builder getItem();
+  inline void setItem( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initItem(unsigned int size);
+  inline void adoptItem(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownItem();
+
+  inline bool getSucceeded();
+  inline void setSucceeded(bool value);
+
+  inline bool hasOutput();
+  inline  ::capnp::Data::Builder getOutput();
+  inline void setOutput( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initOutput(unsigned int size);
+  inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownOutput();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ItemResult::Pipeline {
+public:
+  typedef ItemResult Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t UpstreamUsage::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamUsage::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamUsage::Reader::getOnline() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamUsage::Builder::getOnline() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setOnline( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t UpstreamUsage::Reader::getBatch() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamUsage::Builder::getBatch() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setBatch( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamUsage::Reader::getTroubled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamUsage::Builder::getTroubled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setTroubled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceQueue::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceQueue::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceQueue::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceQueue::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceQueue::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceQueue::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LostContent::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LostContent::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LostContent::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LostContent::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LostContent::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LostContent::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartLoss::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
@@ -3513,6 +4078,68 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SlotClaim::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotClaim::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotClaim::Reader::getContinues() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotClaim::Builder::getContinues() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setContinues(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotClaim::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotClaim::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotClaim::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SlotClaim::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotClaim::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SlotClaim::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotClaim::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool SlotVerdict::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3623,6 +4250,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotVerdict::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotVerdict::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotVerdict::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SlotVerdict::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotVerdict::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SlotVerdict::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotVerdict::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool SlotRelease::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4806,6 +5467,328 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ItemCheckpoint::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ItemCheckpoint::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ItemCheckpoint::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ItemCheckpoint::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ItemCheckpoint::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ItemCheckpoint::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ServedVersion::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServedVersion::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServedVersion::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServedVersion::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServedVersion::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServedVersion::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServedVersion::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServedVersion::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServedVersion::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServedVersion::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServedVersion::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ServedVersion::Reader::getEndedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServedVersion::Builder::getEndedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServedVersion::Builder::setEndedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceVersions::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceVersions::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Reader ServiceVersions::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Builder ServiceVersions::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceVersions::Builder::setVersions( ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>::Builder ServiceVersions::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceVersions::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>> ServiceVersions::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::ServedVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OriginName::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginName::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OriginName::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OriginName::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginName::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OriginName::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OriginName::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OriginName::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OriginName::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginName::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OriginName::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OriginName::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OriginName::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OriginName::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OriginName::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OriginName::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t BegunStream::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BegunStream::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BegunStream::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BegunStream::Reader::getOrigin() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BegunStream::Builder::getOrigin() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BegunStream::Builder::setOrigin( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t OriginRow::Reader::getWrittenAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t OriginRow::Builder::getWrittenAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OriginRow::Builder::setWrittenAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OriginRow::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OriginRow::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OriginRow::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OriginRow::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginRow::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Reader OriginRow::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Builder OriginRow::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginRow::Builder::setNames( ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>::Builder OriginRow::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OriginRow::Builder::adoptNames(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>> OriginRow::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::OriginName,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OriginRow::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginRow::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Reader OriginRow::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Builder OriginRow::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OriginRow::Builder::setStreams( ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>::Builder OriginRow::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OriginRow::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>> OriginRow::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::BegunStream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ItemResult::Reader::hasItem() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -20,6 +20,7 @@
 #include "banyan/io/serving/scheduler_host.h"
 #include "banyan/io/serving/serving_codec.h"
 #include "banyan/io/serving/slot_broker.h"
+#include "banyan/io/serving/stream_versions.h"
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
@@ -72,6 +73,14 @@
         , m_registry(registryGrace)
         , m_shares({.self = m_self})
         , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
+        , m_versions({.context = context,
+                      .store = m_platform.store,
+                      .metrics = m_metrics,
+                      .self = m_self,
+                      .recordsService =
+                          [this](const service_name &service) {
+                              return m_slots.schedulingNodeFor(service, firstCellOf(service)) == m_self;
+                          }})
         , m_slots({.context = context,
                    .scheduler = m_scheduler,
                    .board = m_board,
@@ -79,12 +88,15 @@
                        [this](const node_id &to, const gateway_message &message) {
                            return m_exchange.send(to, message);
                        },
+                   .versions = &m_versions,
                    .hubs = &m_hubs},
                   m_self,
                   settings.domain)
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
-        , m_relay({.context = context, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics}, m_platform.protocol)
+        , m_relay(
+              {.context = context, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics, .versions = &m_versions},
+              m_platform.protocol)
         , m_quarantine(std::make_shared<content_quarantine>(
               content_quarantine_ports{.context = context,
                                        .store = m_platform.store,
@@ -148,6 +160,7 @@
     void forEachLimited(time_point now, const std::function<void(const replica &upstream, cell_key cell, double rate)> &visit);
     [[nodiscard]] std::vector<share_lease> leasesToReport(time_point now);
     void applyRateLimits();
+    [[nodiscard]] upstream_cell firstCellOf(const service_name &service) const;
     [[nodiscard]] std::set<upstream_key> registeredIncarnations() const;
     void updateSchedulingState();
     void applyGatewayRow(const table_row &row);
@@ -174,6 +187,7 @@
     upstream_limits m_limits;
     limit_shares m_shares;
     scheduler_host m_scheduler;
+    stream_versions m_versions;
     slot_broker m_slots;
     upstream_sender m_sender;
     part_watch m_parts;
@@ -224,6 +238,7 @@
     follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
     m_quarantine->start();
+    m_versions.start();
     m_jobs.start();
     asio::co_spawn(m_context, registerSelf(shared_from_this()), asio::detached);
     housekeep();
@@ -345,6 +360,7 @@
             m_parts.recordUpstreamEnd(incarnation, currentTime());
         }
     }
+    m_versions.setUpstreams(replicas);
     m_scheduler.setUpstreams(replicas);
     applyRateLimits();
     m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
@@ -399,6 +415,12 @@
     m_exchange.requestReport();
 }
 
+upstream_cell gateway::implementation::firstCellOf(const service_name &service) const
+{
+    const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(service).size());
+    return cells <= 1 ? upstream_cell() : upstream_cell{.index = 0, .count = cells};
+}
+
 std::set<upstream_key> gateway::implementation::registeredIncarnations() const
 {
     std::set<upstream_key> result;
@@ -710,6 +732,7 @@
     m_board.expire(now);
     m_slots.handleLostNodes();
     m_quarantine->housekeep(now);
+    m_versions.housekeep();
     if (m_registry.tick(now)) {
         replicasChanged();
     }
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -5,6 +5,7 @@
 #include "banyan/io/clock.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/log.h"
+#include "banyan/io/node_metrics.h"
 #include "banyan/io/serving/part_watch.h"
 #include "banyan/io/serving/request_relay.h"
 #include "banyan/io/serving/slot_broker.h"
@@ -53,6 +54,14 @@
     return upstream != nullptr && !upstream->draining;
 }
 
+/// Whether an upstream of the service can continue the output so far.
+bool canBeContinued(const item_progress &progress, const std::vector<const replica *> &upstreams)
+{
+    return !progress.version().empty() && std::any_of(upstreams.begin(), upstreams.end(), [&](const replica *upstream) {
+        return isUsable(upstream) && upstream->softwareVersion == progress.version();
+    });
+}
+
 } // namespace
 
 std::vector<http_field> listed_job_service::implementation::fieldsOf(const job_item &item)
@@ -129,14 +138,26 @@
     std::erase_if(state.unusableUpstreams, [this](const upstream_id &upstream) {
         return isUsable(m_ports.slots.scheduler().find(upstream));
     });
+    const service_name &service = serviceFor(jobRoute, request_id(job->items[index].id));
+    if (progress.hasOutput() && !canBeContinued(progress, m_ports.slots.scheduler().upstreamsOf(service))) {
+        logEvent(log_level::Info,
+                 "item_restarted",
+                 {{"job", job->entry.id.text()}, {"item", job->items[index].id}, {"version", progress.version()}});
+        m_ports.metrics.count("item_restarted");
+        progress.restart();
+        state.earlierRunTime = duration(0);
+        state.checkpointedEvent = 0;
+    }
     slot_request request{.id = id,
-                         .service = serviceFor(jobRoute, request_id(job->items[index].id)),
+                         .service = service,
                          .workClass = work_class::Batch,
                          .priority = jobRoute.priority,
                          .arrivedAt = currentTime(),
                          .target = job->entry.submittedAt + jobRoute.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(jobRoute.retention, jobRoute.completionWindow),
                          .repeatable = true,
+                         .continues = progress.hasOutput(),
+                         .version = progress.version(),
                          .excluded = state.unusableUpstreams,
                          .earlierRunTime = state.earlierRunTime};
     // Each run has its own stop signal, since an item whose slot was reclaimed runs again later.
@@ -147,12 +168,15 @@
     const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), state.stopSignal, std::move(onReclaim));
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     if (granted == nullptr) {
+        if (std::holds_alternative<slot_rejected>(outcome)) {
+            co_await sleep(storeRetryDelay); // The scheduling node knows less of the upstreams than this one, or more.
+        }
         co_return item_step::RunAgain;
     }
     const upstream_id upstream = granted->upstream;
     const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
-    const bool usable = isUsable(registered);
+    const bool usable = isUsable(registered) && registered->hasVersion(progress.version());
     if (!usable) {
         state.unusableUpstreams.push_back(upstream);
         report.error = "granted, but not known here or draining";
@@ -210,6 +234,7 @@
     std::size_t eventCount = 0;
     const request_id slot = slotId(*job, index);
     event_splitter splitter;
+    progress.beginRun(upstream.softwareVersion);
     attempt_observer observer;
     time_point lastEventAt = currentTime();
     observer.onBody = [&](std::string_view piece) -> task<> {
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -2,12 +2,9 @@
 
 #include "attempt_names.h"
 #include "banyan/core/crash_guard.h"
-#include "banyan/core/serving/event_boundary.h"
-#include "banyan/core/serving/event_splitter.h"
 #include "banyan/core/serving/request_scheduler.h"
 #include "banyan/core/serving/retry_policy.h"
 #include "banyan/core/serving/run_id.h"
-#include "banyan/core/serving/stream_position.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/http_exchange.h"
@@ -16,7 +13,9 @@
 #include "banyan/io/serving/part_watch.h"
 #include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/stop_signal.h"
+#include "banyan/io/serving/stream_versions.h"
 #include "banyan/io/serving/upstream_sender.h"
+#include "relayed_stream.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <xxhash.h>
@@ -162,16 +161,19 @@
         , m_request(std::move(request))
         , m_route(matchedRoute)
         , m_version(version)
-        , m_service(serviceFor(matchedRoute, m_request.id))
+        , m_service(serviceFor(matchedRoute, m_request.resumes.value_or(m_request.id))) // The id that chose it for the stream.
         , m_deadline(deadlineOf(m_request, matchedRoute))
         , m_retries(matchedRoute, m_deadline)
-        , m_position(m_request.resumeAfter)
+        , m_stream(m_request, matchedRoute)
         , m_fingerprint(fingerprint(m_request.target, m_request.body))
         , m_promptRun({.content = m_fingerprint, .parts = relay.m_ports.sender.sharedParts(m_request.fields)})
         , m_timer(relay.m_ports.context)
     {
         ++relay.m_inProgress;
         m_serial = ++relay.m_arrivals;
+        if (m_stream.continues() && relay.m_ports.versions != nullptr) {
+            (void)bindTo(relay.m_ports.versions->originOf(m_stream.key()));
+        }
     }
     ~relayed_request()
     {
@@ -242,18 +244,22 @@
             co_return true;
         }
         if (const auto *const rejection = std::get_if<slot_rejected>(&outcome)) {
+            if (rejection->reason == end_reason::VersionUnknown && co_await lookUpOrigin()) {
+                co_return false;
+            }
             co_await endRejected(*rejection);
             co_return true;
         }
-        const upstream_id upstream = std::get<slot_granted>(outcome).upstream;
-        m_schedulingNode = std::get<slot_granted>(outcome).schedulingNode;
+        const slot_granted granted = std::get<slot_granted>(outcome);
+        const upstream_id &upstream = granted.upstream;
+        m_schedulingNode = granted.schedulingNode;
         const replica *const registered = m_relay.m_ports.slots.scheduler().find(upstream);
         if (const auto until = quarantinedUntil()) {
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             co_await rejectQuarantined(*until);
             co_return true;
         }
-        if (registered == nullptr || registered->draining) {
+        if (const std::string_view reason = reasonToDecline(registered, granted); !reason.empty()) {
             // The scheduling node's list of upstreams may be older or newer than this node's.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             m_tried.push_back(upstream);
@@ -262,14 +268,60 @@
                      {{"request_id", m_request.id.text()},
                       {"upstream", upstream.text()},
                       {"placer", m_schedulingNode.text()},
-                      {"reason", registered == nullptr ? "not_registered" : "draining"}});
+                      {"reason", std::string(reason)}});
             co_return false;
         }
+        if (m_stream.continues() && m_stream.version().empty()) {
+            if (granted.version.empty()) {
+                m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
+                co_await endWithoutAttempt(end_reason::VersionUnknown, duration(0));
+                co_return true;
+            }
+            m_stream.bind(granted.version);
+        }
         const replica sentTo = *registered; // Copied because the list may change during the attempt.
         const attempt_report report = co_await send(sentTo);
         co_return co_await attemptEnded(sentTo, report);
     }
 
+    /// Why a granted slot must not be used, by this node's own list; empty if it may.
+    [[nodiscard]] std::string_view reasonToDecline(const replica *registered, const slot_granted &granted) const
+    {
+        if (registered == nullptr) {
+            return "not_registered";
+        }
+        if (registered->draining) {
+            return "draining";
+        }
+        // The upstream may have started again with another version, under the same id.
+        const bool isOther = m_stream.key() != 0 && !registered->hasVersion(granted.version);
+        return isOther || (m_stream.continues() && !registered->hasVersion(m_stream.version())) ? "version" : "";
+    }
+
+    /// Binds a stream that the client takes up to what began it. Returns whether it may go on there by the route.
+    [[nodiscard]] bool bindTo(const std::optional<stream_origin> &origin)
+    {
+        const bool isAllowed =
+            origin && std::any_of(m_route.services.begin(), m_route.services.end(), [&](const weighted_service &service) {
+                return service.service == origin->service;
+            });
+        if (isAllowed) {
+            m_service = origin->service;
+            m_stream.bind(origin->version);
+        }
+        return isAllowed;
+    }
+
+    /// Asks the store, once, what began the stream that the client takes up. Returns whether the request can go on.
+    task<bool> lookUpOrigin()
+    {
+        if (m_relay.m_ports.versions == nullptr || std::exchange(m_lookedUp, true)) {
+            co_return false;
+        }
+        const std::optional<stream_origin> origin = co_await m_relay.m_ports.versions->lookUp(m_stream.key());
+        co_return m_stopCause == stop_cause::None &&bindTo(origin);
+    }
+
     /// Until when the request's content or a part of its prompt is quarantined.
     [[nodiscard]] std::optional<time_point> quarantinedUntil() const
     {
@@ -297,6 +349,9 @@
                 .repeatable = m_route.isRepeatable(),
                 .sentBefore = m_retries.attempts() > 0,
                 .prefixHash = m_request.prefixHash,
+                .stream = m_stream.key(),
+                .continues = m_stream.continues(),
+                .version = m_stream.continues() ? m_stream.version() : std::string(),
                 .excluded = m_tried};
     }
 
@@ -312,16 +367,13 @@
                          .host = m_request.host,
                          .fields = m_request.fields,
                          .body = m_request.body,
-                         .resumeAfter = m_position.last(),
+                         .resumeAfter = m_stream.lastEvent(),
                          .timeLeft = std::max(duration(0), m_deadline - now),
                          .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now) || wasTriedAt(upstream.id)};
         const http_client::stream_timeouts timeouts{
             .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service), now),
             .silence = m_retries.nextByteTimeout(now)};
-        m_splitter = event_splitter();
-        m_boundary = event_boundary();
-        m_pieces = 0;
-        m_hasEvent = false;
+        m_stream.beginRun(upstream.softwareVersion);
         attempt_observer observer;
         if (m_route.kind == request_kind::Stream) {
             observer.onHead = [this](const answer_head &head) -> task<> {
@@ -344,16 +396,10 @@
 
     task<> beginStream(const answer_head &head)
     {
-        if (m_headSent && m_isEventStream && !head.isEventStream) {
-            throw http_error(sent_state::MaybeSent, false, "the answer does not continue the stream");
-        }
-        if (std::exchange(m_headSent, true)) {
-            co_return;
+        if (m_stream.addHead(head)) {
+            m_status = head.status;
+            co_await writeToClient(m_exchange.begin(head.status, head.fields, head.framing));
         }
-        m_isEventStream = head.isEventStream;
-        m_status = head.status;
-        m_clientFraming = head.framing;
-        co_await writeToClient(m_exchange.begin(head.status, head.fields, head.framing));
     }
 
     /// Writes to the client. A failure means that the client has disconnected, and ends the attempt.
@@ -367,34 +413,20 @@
         }
     }
 
-    /// Forwards bytes of the current run; on a resumable stream only whole events, so that another run can continue after them.
+    /// Forwards bytes of the current run.
     task<> forwardToClient(std::string_view piece)
     {
         recordFirstByte();
-        if (++m_pieces == piecesOfBegunAnswer) {
+        const bool hasBegun = m_stream.continues();
+        const std::string bytes = m_stream.add(piece);
+        if (m_stream.pieces() == piecesOfBegunAnswer) {
             m_relay.m_ports.parts.recordProof(m_promptRun, currentTime());
         }
-        if (!m_route.resumable) {
-            m_boundary.add(piece);
-            co_await writeToClient(m_exchange.write(piece));
-            co_return;
-        }
-        std::string complete;
-        const std::vector<stream_event> events = m_splitter.add(piece);
-        m_hasEvent = m_hasEvent || !events.empty();
-        for (const stream_event &event : events) {
-            const stream_position::action verdict = m_position.advance(event);
-            if (verdict == stream_position::action::Gap) {
-                throw http_error(sent_state::MaybeSent, false, "events are missing before event " + std::to_string(*event.id));
-            }
-            complete += verdict == stream_position::action::Forward ? event.bytes : std::string();
-            m_hasEventWithoutId = m_hasEventWithoutId || (!event.id && !event.data.empty());
-        }
-        if (m_splitter.isTooLong()) {
-            throw http_error(sent_state::MaybeSent, false, "an event is longer than any upstream makes");
+        if (!hasBegun && m_stream.continues() && m_relay.m_ports.versions != nullptr) {
+            m_relay.m_ports.versions->recordOrigin(m_stream.key(), {.service = m_service, .version = m_stream.version()});
         }
-        if (!complete.empty()) {
-            co_await writeToClient(m_exchange.write(complete));
+        if (!bytes.empty()) {
+            co_await writeToClient(m_exchange.write(bytes));
         }
     }
 
@@ -407,30 +439,13 @@
         }
     }
 
-    /// Why a stream that HTTP takes for complete is not known to be; empty if it is.
-    [[nodiscard]] std::string doubtAboutEnd(const answer_head &head) const
-    {
-        const bool isStream = m_route.kind == request_kind::Stream && head.kind == answer_kind::Success;
-        if (isStream && (m_splitter.hasPartialEvent() || (head.isEventStream && !m_boundary.isBetweenEvents()))) {
-            return "the stream ended within an event";
-        }
-        if (!isStream || provesEnd(head.framing)) {
-            return {};
-        }
-        // Otherwise the client gets the stream as it came, and knows of its end what is known here.
-        if (provesEnd(m_clientFraming)) {
-            return "nothing marks the end of a stream that has begun with a frame";
-        }
-        return m_route.resumable && !m_hasEvent ? "the stream has no event and nothing marks its end" : std::string();
-    }
-
     /// Decides whether to retry after an attempt or to end the request. Returns whether the request has ended.
     task<bool> attemptEnded(const replica &sentTo, attempt_report report)
     {
         const upstream_id &upstream = sentTo.id;
         const time_point now = currentTime();
         if (report.error.empty()) {
-            report.error = doubtAboutEnd(*report.head);
+            report.error = m_stream.doubtAboutEnd(*report.head);
             report.result.outcome = report.error.empty() ? report.result.outcome : attempt_outcome::Lost;
         }
         if (report.head && m_route.kind != request_kind::Stream) {
@@ -448,13 +463,13 @@
         if (outcome == attempt_outcome::Succeeded) { // A failure or rejection may come before the upstream has begun.
             m_relay.m_ports.parts.recordProof(m_promptRun, now);
         }
-        if (outcome == attempt_outcome::Succeeded || (isRejection && !m_headSent)) {
+        if (outcome == attempt_outcome::Succeeded || (isRejection && !m_stream.headSent())) {
             co_await answer(report);
             co_return true;
         }
         if (outcome == attempt_outcome::Lost) {
             m_relay.recordLostAttempt(m_fingerprint, keyOfStart(sentTo), now);
-            if (m_pieces < piecesOfBegunAnswer) {
+            if (m_stream.pieces() < piecesOfBegunAnswer) {
                 m_relay.m_ports.parts.recordLoss(m_promptRun, keyOfStart(sentTo), now);
             }
         } else if (outcome == attempt_outcome::TimedOut || outcome == attempt_outcome::Cancelled) {
@@ -466,7 +481,7 @@
             co_await endStopped();
             co_return true;
         }
-        if (step == next_step::TryAgain && canContinue() && !isRejection) {
+        if (step == next_step::TryAgain && m_stream.canContinue() && !isRejection) {
             m_tried.push_back(upstream);
             co_return false;
         }
@@ -480,16 +495,11 @@
         if (!report.head) {
             m_relay.recordUnansweredAttempt(m_fingerprint, upstream, now);
         }
-        if (m_pieces < piecesOfBegunAnswer) {
+        if (m_stream.pieces() < piecesOfBegunAnswer) {
             m_relay.m_ports.parts.recordUnanswered(m_promptRun, upstream, now);
         }
     }
 
-    [[nodiscard]] bool canContinue() const
-    {
-        return !m_headSent || (m_route.resumable && !m_hasEventWithoutId);
-    }
-
     /// Frees the slot. A loss on a connection that the upstream may have closed while idle does not count against it.
     void release(const upstream_id &upstream, const attempt_report &report)
     {
@@ -509,7 +519,7 @@
     {
         m_timer.cancel();
         const final_result result{.what = disposition::Completed};
-        if (m_headSent) {
+        if (m_stream.headSent()) {
             co_await m_exchange.finish();
         } else {
             recordFirstByte();
@@ -523,7 +533,8 @@
 
     task<> endAfterAttempt(const attempt_report &report, next_step step)
     {
-        const bool isUpstreamFailure = report.head && report.head->kind == answer_kind::Failure && report.error.empty() && !m_headSent;
+        const bool isUpstreamFailure =
+            report.head && report.head->kind == answer_kind::Failure && report.error.empty() && !m_stream.headSent();
         if (isUpstreamFailure) {
             co_await answer(report);
             co_return;
@@ -567,7 +578,7 @@
     {
         const final_result result{.what = what, .reason = reason, .retryAfter = retryAfter};
         m_timer.cancel();
-        if (m_headSent) {
+        if (m_stream.headSent()) {
             recordEnd(result);
             co_return;
         }
@@ -643,14 +654,8 @@
     service_name m_service;
     time_point m_deadline;
     retry_policy m_retries;
-    stream_position m_position;
-    event_splitter m_splitter; ///< Of the current run of a resumable stream.
-    event_boundary m_boundary; ///< Of another stream.
-    std::uint32_t m_pieces = 0; ///< Of the current run's body.
-    bool m_hasEventWithoutId = false; ///< Forwarded to the client; another run could not continue after it.
-    bool m_hasEvent = false; ///< Whether the current run has brought a whole event; of a resumable stream.
-    bool m_isEventStream = false; ///< Whether the answer to the client is an event stream.
-    answer_framing m_clientFraming = answer_framing::Chunks; ///< Of the answer to the client.
+    relayed_stream m_stream;
+    bool m_lookedUp = false; ///< Whether the store was asked what began the stream.
     std::uint64_t m_fingerprint;
     prompt_run m_promptRun;
     asio::steady_timer m_timer;
@@ -667,7 +672,6 @@
     std::optional<time_point> m_firstByteAt;
     unsigned m_status = 0;
     std::optional<answer_framing> m_framing; ///< Of the last answer, for the log.
-    bool m_headSent = false; ///< Whether the head of the answer has been sent to the client.
 };
 
 request_relay::request_relay(const request_relay_ports &ports, upstream_protocol protocol)
--- a/io/src/serving/running_job.cpp
+++ b/io/src/serving/running_job.cpp
@@ -45,7 +45,8 @@
             result.push_back({.item = items[index].id,
                               .lastEvent = *last,
                               .output = state.progress->output(),
-                              .ranBefore = state.earlierRunTime + running});
+                              .ranBefore = state.earlierRunTime + running,
+                              .version = state.progress->version()});
         }
     }
     return result;
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -149,6 +149,9 @@
     root.setPrefixHash(request.prefixHash);
     root.setDomain(request.domain.text());
     root.setRanBefore(request.earlierRunTime.count());
+    root.setStream(request.stream);
+    root.setContinues(request.continues);
+    root.setVersion(request.version);
     auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
         excluded.set(index, request.excluded[index].text().c_str());
@@ -162,6 +165,7 @@
     root.setUpstream(verdict.upstream.text());
     root.setReason(static_cast<std::uint8_t>(verdict.reason));
     root.setRetryAfter(verdict.retryAfter.count());
+    root.setVersion(verdict.version);
 }
 
 void write(schema::SlotRelease::Builder root, const slot_release &release, time_point)
@@ -244,6 +248,9 @@
                                  .repeatable = root.getRepeatable(),
                                  .sentBefore = root.getBegun(),
                                  .prefixHash = root.getPrefixHash(),
+                                 .stream = root.getStream(),
+                                 .continues = root.getContinues(),
+                                 .version = textOf(root.getVersion()),
                                  .excluded = {},
                                  .holder = node_id(textOf(root.getSender())),
                                  .domain = failure_domain(textOf(root.getDomain())),
@@ -257,10 +264,11 @@
 slot_verdict read(schema::SlotVerdict::Reader root)
 {
     const auto state = std::min(root.getState(), static_cast<std::uint8_t>(claim_state::Reclaimed));
-    const auto reason = std::min(root.getReason(), static_cast<std::uint8_t>(end_reason::CancelledByCaller));
+    const auto reason = std::min(root.getReason(), static_cast<std::uint8_t>(end_reason::VersionGone));
     return {.request = request_id(textOf(root.getRequest())),
             .state = static_cast<claim_state>(state),
             .upstream = upstream_id(textOf(root.getUpstream())),
+            .version = textOf(root.getVersion()),
             .reason = static_cast<end_reason>(reason),
             .retryAfter = spanOf(root.getRetryAfter())};
 }
@@ -445,6 +453,7 @@
     root.setLastEvent(checkpoint.lastEvent);
     root.setOutput(dataOf(checkpoint.output));
     root.setRanBefore(checkpoint.ranBefore.count());
+    root.setVersion(checkpoint.version);
     return pack(message);
 }
 
@@ -454,7 +463,77 @@
         return item_checkpoint{.item = textOf(root.getItem()),
                                .lastEvent = root.getLastEvent(),
                                .output = bytesOf(root.getOutput()),
-                               .ranBefore = spanOf(root.getRanBefore())};
+                               .ranBefore = spanOf(root.getRanBefore()),
+                               .version = textOf(root.getVersion())};
+    });
+}
+
+std::string encode(const std::vector<served_version> &versions)
+{
+    capnp::MallocMessageBuilder message;
+    auto list = message.initRoot<schema::ServiceVersions>().initVersions(static_cast<unsigned>(versions.size()));
+    for (unsigned index = 0; index < versions.size(); ++index) {
+        list[index].setVersion(versions[index].version);
+        list[index].setEnded(versions[index].endedAt.has_value());
+        list[index].setEndedAt(versions[index].endedAt.value_or(duration(0)).count());
+    }
+    return pack(message);
+}
+
+std::optional<std::vector<served_version>> decodeServedVersions(std::string_view bytes)
+{
+    return unpack<schema::ServiceVersions>(bytes, [](schema::ServiceVersions::Reader root) {
+        std::vector<served_version> versions;
+        for (const auto entry : root.getVersions()) {
+            const auto endedAt = entry.getEnded() ? std::optional(timestampOf(entry.getEndedAt())) : std::nullopt;
+            versions.push_back({.version = textOf(entry.getVersion()), .endedAt = endedAt});
+        }
+        return versions;
+    });
+}
+
+std::string encode(const origin_row &row)
+{
+    std::vector<stream_origin> names;
+    std::vector<std::uint16_t> positions;
+    for (const auto &[stream, origin] : row.streams) {
+        auto known = std::find(names.begin(), names.end(), origin);
+        if (known == names.end()) {
+            known = names.insert(names.end(), origin);
+        }
+        positions.push_back(static_cast<std::uint16_t>(known - names.begin()));
+    }
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::OriginRow>();
+    root.setWrittenAt(row.writtenAt.count());
+    root.setSequence(row.sequence);
+    auto nameList = root.initNames(static_cast<unsigned>(names.size()));
+    for (unsigned index = 0; index < names.size(); ++index) {
+        nameList[index].setService(names[index].service.text());
+        nameList[index].setVersion(names[index].version);
+    }
+    auto streams = root.initStreams(static_cast<unsigned>(row.streams.size()));
+    for (unsigned index = 0; index < row.streams.size(); ++index) {
+        streams[index].setStream(row.streams[index].first);
+        streams[index].setOrigin(positions[index]);
+    }
+    return pack(message);
+}
+
+std::optional<origin_row> decodeOriginRow(std::string_view bytes)
+{
+    return unpack<schema::OriginRow>(bytes, [](schema::OriginRow::Reader root) {
+        std::vector<stream_origin> names;
+        for (const auto name : root.getNames()) {
+            names.push_back({.service = service_name(textOf(name.getService())), .version = textOf(name.getVersion())});
+        }
+        origin_row row{.writtenAt = timestampOf(root.getWrittenAt()), .sequence = root.getSequence(), .streams = {}};
+        for (const auto entry : root.getStreams()) {
+            if (entry.getOrigin() < names.size()) {
+                row.streams.emplace_back(entry.getStream(), names[entry.getOrigin()]);
+            }
+        }
+        return row;
     });
 }
 
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -8,6 +8,7 @@
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/serving/stop_signal.h"
+#include "banyan/io/serving/stream_versions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <xxhash.h>
@@ -59,8 +60,8 @@
 struct incoming_claim
 {
     node_id holder;
-    request_id request; ///< Id of the run at its holder; see schedulerRequestId().
-    std::optional<upstream_id> granted; ///< Upstream of the granted slot; nullopt while the claim waits.
+    slot_request request; ///< The run, by its id at its holder; see schedulerRequestId().
+    std::optional<slot_granted> granted; ///< The granted slot; nullopt while the claim waits.
     time_point since; ///< Time of the claim, or of the grant once the slot is granted.
     bool reclaimed = false; ///< Whether the granted slot has been reclaimed; the verdict is repeated until the run ends.
 };
@@ -136,6 +137,8 @@
     task<> waitFor(claim_pointer claim, duration time);
     static std::optional<slot_outcome> outcomeOf(const slot_verdict &verdict);
     [[nodiscard]] request_id schedulerRequestId(const incoming_claim_key &key) const;
+    [[nodiscard]] bool bindToVersion(slot_request &request) const;
+    void recordGrant(const slot_request &request, const slot_granted &granted) const;
     void decided(const incoming_claim_key &key, const slot_outcome &outcome);
     void sendVerdict(const incoming_claim &claim, slot_verdict verdict);
     void endIncomingClaim(const incoming_claim_key &key, attempt_outcome outcome);
@@ -222,10 +225,28 @@
     co_return co_await acquireLocally(std::move(request), stop, std::move(onReclaim));
 }
 
+/// Binds a run that continues a stream to the version that began it. Returns false if this node does not know the version.
+bool slot_broker::implementation::bindToVersion(slot_request &request) const
+{
+    return m_ports.versions == nullptr || m_ports.versions->bind(request);
+}
+
+void slot_broker::implementation::recordGrant(const slot_request &request, const slot_granted &granted) const
+{
+    if (m_ports.versions != nullptr) {
+        m_ports.versions->recordGrant(request, granted.version);
+    }
+}
+
 /// Gets a slot from this node's own scheduler.
 task<slot_broker::slot_outcome>
 slot_broker::implementation::acquireLocally(slot_request request, stop_signal &stop, std::function<void()> onReclaim)
 {
+    if (!bindToVersion(request)) {
+        const slot_rejected unknown{.request = request.id, .reason = end_reason::VersionUnknown};
+        logRejection(unknown, m_self, request.id);
+        co_return unknown;
+    }
     const auto decided = std::make_shared<async_event>(m_ports.context);
     const auto outcome = std::make_shared<std::optional<slot_outcome>>();
     const request_id id = request.id;
@@ -247,6 +268,8 @@
     stop.onStop(nullptr);
     if (const auto *const rejected = std::get_if<slot_rejected>(&**outcome)) {
         logRejection(*rejected, m_self, id);
+    } else if (const auto *const granted = std::get_if<slot_granted>(&**outcome)) {
+        recordGrant(request, *granted);
     }
     co_return **outcome;
 }
@@ -255,7 +278,7 @@
 {
     switch (verdict.state) {
     case claim_state::Granted:
-        return slot_granted{.request = verdict.request, .upstream = verdict.upstream};
+        return slot_granted{.request = verdict.request, .upstream = verdict.upstream, .version = verdict.version};
     case claim_state::Rejected:
         return slot_rejected{.request = verdict.request, .reason = verdict.reason, .retryAfter = verdict.retryAfter};
     case claim_state::Waiting:
@@ -377,13 +400,20 @@
         slot_verdict verdict{.request = claim.request.id};
         if (existing->second.granted) {
             verdict.state = claim_state::Granted;
-            verdict.upstream = *existing->second.granted;
+            verdict.upstream = existing->second.granted->upstream;
+            verdict.version = existing->second.granted->version;
         }
         sendVerdict(existing->second, verdict);
         return;
     }
-    m_incomingClaims.emplace(key, incoming_claim{.holder = claim.sender, .request = claim.request.id, .since = currentTime()});
     slot_request request = claim.request;
+    if (!bindToVersion(request)) {
+        const slot_rejected unknown{.request = request.id, .reason = end_reason::VersionUnknown};
+        logRejection(unknown, claim.sender, request.id);
+        m_ports.send(claim.sender, slot_verdict{.request = request.id, .state = claim_state::Rejected, .reason = unknown.reason});
+        return;
+    }
+    m_incomingClaims.emplace(key, incoming_claim{.holder = claim.sender, .request = request, .since = currentTime()});
     request.id = schedulerRequestId(key);
     auto onDecision = [this, key](const slot_outcome &outcome) {
         decided(key, outcome);
@@ -411,10 +441,12 @@
     }
     slot_verdict verdict{.request = key.second};
     if (const auto *const granted = std::get_if<slot_granted>(&outcome)) {
-        entry->second.granted = granted->upstream;
+        entry->second.granted = *granted;
         entry->second.since = currentTime();
+        recordGrant(entry->second.request, *granted);
         verdict.state = claim_state::Granted;
         verdict.upstream = granted->upstream;
+        verdict.version = granted->version;
         sendVerdict(entry->second, verdict);
     } else if (const auto *const rejected = std::get_if<slot_rejected>(&outcome)) {
         logRejection(*rejected, key.first, key.second);
--- a/tests/process/stream_versions_test.cpp
+++ b/tests/process/stream_versions_test.cpp
@@ -31,7 +31,7 @@
     const std::string mark = "data: ";
     for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1)) {
         const std::size_t begin = at + mark.size();
-        versions.insert(text.substr(begin, text.find('-', begin) - begin));
+        versions.insert(text.substr(begin, text.find(':', begin) - begin));
     }
     return versions;
 }
@@ -190,6 +190,9 @@
 TEST_CASE("streams of the only version in service are taken up after the loss of all gateways, without a record")
 {
     gateway_fleet fleet({.gateways = 2, .replicas = 2, .replicaArguments = pauseBetweenEvents, .versions = {"v1", "v1"}});
+    REQUIRE(eventually([&] {
+        return fleet.rowsOf("service_versions") == 1;
+    }));
     const std::vector<broken_stream> streams = breakStreams(fleet, 0, 6, "s");
     killAllGateways(fleet, 2);
     CHECK(takeUpAll(fleet, 2, streams) == 6);
@@ -229,8 +232,8 @@
         const json::object whole = fleet.readJob(1, job);
         for (const json::value &result : whole.at("results").as_array()) {
             const std::string output(result.at("output").as_string());
-            const bool hasFirst = output.find("v1-") != std::string::npos;
-            const bool hasSecond = output.find("v2-") != std::string::npos;
+            const bool hasFirst = output.find("v1:") != std::string::npos;
+            const bool hasSecond = output.find("v2:") != std::string::npos;
             CHECK(result.at("state").as_string() == "succeeded");
             CHECK(hasFirst != hasSecond);
         }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -54,15 +54,29 @@
     std::vector<endpoint> m_addresses;
 };
 
-std::string wholeStream(const std::string &id)
+/// Software versions of the replicas. Each event names the one that made it.
+const std::vector<std::string> versions = {"v1", "v2", "v1"};
+
+/// The events of a stream after the first ones, as an upstream of a version makes them for a request.
+std::string eventsAfter(std::size_t last, const std::string &id, const std::string &version)
 {
     std::string text;
-    for (std::size_t number = 1; number <= events; ++number) {
-        text += "id: " + std::to_string(number) + "\ndata: " + id + "-" + std::to_string(number) + "\n\n";
+    for (std::size_t number = last + 1; number <= events; ++number) {
+        text.append("id: ").append(std::to_string(number)).append("\ndata: ").append(version).append(":").append(id);
+        text.append("-").append(std::to_string(number)).append("\n\n");
     }
     return text;
 }
 
+/// The version that made the first event in a text; that of an upstream that makes no events if there is none.
+std::string versionIn(const std::string &text)
+{
+    const std::string mark = "data: ";
+    const std::size_t begin = text.find(mark);
+    return begin == std::string::npos ? versions.front()
+                                      : text.substr(begin + mark.size(), text.find(':', begin + mark.size()) - begin - mark.size());
+}
+
 /// A client that sends requests of all kinds to any gateway, and checks each answer.
 class soak_client
 {
@@ -87,7 +101,11 @@
                 whole("/once/1", id, true);
                 break;
             case 2:
-                stream(id);
+                if (m_sent % 2 == 0) {
+                    stream(id);
+                } else {
+                    takenUpStream(id);
+                }
                 break;
             case 3:
                 crashing(id);
@@ -150,7 +168,7 @@
     {
         const http_response answer = send("/stream/1", id, {{"Model", "m"}, {"Prompt-Prefix", "shared:9,sound:9,own:9"}}, id);
         const bool endsInEvent = !answer.body.empty() && !answer.body.ends_with("\n\n");
-        if (answer.status == 200 && (endsInEvent || !isSound(answer, wholeStream(id)))) {
+        if (answer.status == 200 && (endsInEvent || !isSound(answer, eventsAfter(0, id, versionIn(answer.body))))) {
             m_told.broken("stream " + id + " ended as complete and is not whole");
         }
         if (answer.status == 200) {
@@ -158,6 +176,41 @@
         }
     }
 
+    /// A stream whose connection breaks after some events, and that goes on at any gateway.
+    void takenUpStream(const std::string &id)
+    {
+        constexpr std::size_t eventsBefore = 3;
+        std::string begun;
+        try {
+            test_connection connection(m_gateways.any(m_generator), callPatience);
+            connection.send({.method = "POST",
+                             .target = "/stream/1",
+                             .fields = {{"Request-Id", id}, {"Deadline-Ms", "3000"}, {"Model", "m"}},
+                             .body = id});
+            if (connection.receiveHead().status != 200) {
+                return;
+            }
+            while (begun.find("id: " + std::to_string(eventsBefore) + "\n") == std::string::npos) {
+                const std::string piece = connection.receivePiece();
+                if (piece.empty()) {
+                    return;
+                }
+                begun += piece;
+            }
+        } catch (const std::exception &) {
+            return;
+        }
+        const std::string second = id + "-again";
+        const http_response answer =
+            send("/stream/1", second, {{"Model", "m"}, {"Last-Event-Id", std::to_string(eventsBefore)}, {"Resumes", id}}, id);
+        if (answer.status == 200 && !isSound(answer, eventsAfter(eventsBefore, second, versionIn(begun)))) {
+            m_told.broken("stream " + id + " of " + versionIn(begun) + " went on as " + answer.body);
+        }
+        if (answer.status == 200) {
+            m_told.served();
+        }
+    }
+
     void job(const std::string &id)
     {
         json::array items;
@@ -217,7 +270,11 @@
 public:
     explicit soak_run(unsigned seed)
         : m_generator(seed)
-        , m_fleet({.gateways = gatewayCount, .replicas = 3, .replicaArguments = {}, .route = [this](const endpoint &target) {
+        , m_fleet({.gateways = gatewayCount,
+                   .replicas = 3,
+                   .replicaArguments = {},
+                   .versions = versions,
+                   .route = [this](const endpoint &target) {
                        m_proxies.push_back(std::make_unique<fault_proxy>(target));
                        return m_proxies.back()->address();
                    }})
@@ -450,6 +507,10 @@
             if (result.at("state").as_string() != "succeeded") {
                 m_told.broken("job " + job + " lists an error for an item that can be done");
             }
+            const std::string output(result.at("output").as_string());
+            if (output.find("v1:") != std::string::npos && output.find("v2:") != std::string::npos) {
+                m_told.broken("job " + job + " lists an item with events of two versions");
+            }
         }
         if (items.size() != itemsOfJob || m_fleet.readJob(m_slots[1], job) != found) {
             m_told.broken("job " + job + " lists an item twice, or differs between gateways");
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -119,8 +119,8 @@
         co_await sleepFor(m_options.eventTime);
         const std::string number = std::to_string(id);
         std::string event = "id: ";
-        const std::string &source = m_options.version.empty() ? exchange.requestId() : m_options.version;
-        event.append(number).append("\ndata: ").append(source).append("-").append(number).append("\n\n");
+        const std::string prefix = m_options.version.empty() ? "" : m_options.version + ":";
+        event.append(number).append("\ndata: ").append(prefix).append(exchange.requestId()).append("-").append(number).append("\n\n");
         co_await exchange.write(event);
     }
     co_await exchange.finish();
--- a/tests/unit/raw_upstream.h
+++ b/tests/unit/raw_upstream.h
@@ -54,7 +54,8 @@
         std::vector<replica> result;
         result.reserve(ids.size());
         for (const std::string &id : ids) {
-            result.push_back({.id = upstream_id(id), .service = service_name("s"), .address = address(), .slots = 4});
+            result.push_back(
+                {.id = upstream_id(id), .service = service_name("s"), .address = address(), .softwareVersion = "v1", .slots = 4});
         }
         return result;
     }
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -48,7 +48,7 @@
 
     [[nodiscard]] replica info(const std::string &service) const
     {
-        return {.id = upstream_id(id), .service = service_name(service), .address = server.address(), .slots = 4};
+        return {.id = upstream_id(id), .service = service_name(service), .address = server.address(), .softwareVersion = "v1", .slots = 4};
     }
 
     std::string id;
--- /dev/null
+++ b/tests/unit/serving/stream_continuity_test.cpp
@@ -0,0 +1,152 @@
+#include "banyan/core/serving/stream_continuity.h"
+
+#include "banyan/core/serving/replica.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{};
+const service_name service("s");
+constexpr duration storeStart = 1000s;
+constexpr stream_key stream = 42;
+
+replica upstream(const std::string &id, const std::string &version)
+{
+    return {.id = upstream_id(id), .service = service, .softwareVersion = version};
+}
+
+slot_request takeUp(stream_key key = stream)
+{
+    return {.id = request_id("r"), .service = service, .stream = key, .continues = true};
+}
+
+/// A node that has read the record of the service's versions.
+struct continuity_fixture
+{
+    stream_continuity continuity;
+
+    explicit continuity_fixture(const std::vector<std::string> &registered, const std::vector<served_version> &recorded)
+    {
+        std::vector<replica> upstreams;
+        for (const std::string &version : registered) {
+            upstreams.push_back(upstream("u" + std::to_string(upstreams.size()), version));
+        }
+        continuity.versions().setUpstreams(upstreams, storeStart);
+        continuity.versions().applyRecord(service, recorded);
+        continuity.versions().setLoaded();
+    }
+
+    /// The version to which an unknown stream is bound; "unknown" if it must not go on.
+    std::string boundTo(stream_key key = stream, std::optional<duration> storeNow = storeStart)
+    {
+        slot_request run = takeUp(key);
+        return continuity.bind(run, storeNow) ? run.version : "unknown";
+    }
+};
+
+} // namespace
+
+TEST_CASE("stream_continuity leaves a run that continues nothing, or whose version is known, as it is")
+{
+    continuity_fixture fixture({"v1", "v2"}, {{.version = "v1"}, {.version = "v2"}});
+    slot_request begins = takeUp();
+    begins.continues = false;
+    CHECK(fixture.continuity.bind(begins, storeStart));
+    CHECK(begins.version.empty());
+    slot_request bound = takeUp();
+    bound.version = "v2";
+    CHECK(fixture.continuity.bind(bound, storeStart));
+    CHECK(bound.version == "v2");
+}
+
+TEST_CASE("stream_continuity binds a stream to the version at which its first run was granted")
+{
+    continuity_fixture fixture({"v1", "v2"}, {{.version = "v1"}, {.version = "v2"}});
+    slot_request begins = takeUp();
+    begins.continues = false;
+    fixture.continuity.recordGrant(begins, "v1", storeStart, start);
+    CHECK(fixture.boundTo() == "v1");
+    // The first run brought nothing, and the next one was granted elsewhere.
+    fixture.continuity.recordGrant(begins, "v2", storeStart, start + 1s);
+    CHECK(fixture.boundTo() == "v2");
+    CHECK(fixture.continuity.takeUnstored().size() == 2);
+}
+
+TEST_CASE("stream_continuity does not continue an unknown stream while several versions may have begun it")
+{
+    CHECK(continuity_fixture({"v1", "v2"}, {{.version = "v1"}, {.version = "v2"}}).boundTo() == "unknown");
+    CHECK(continuity_fixture({"v1"}, {{.version = "v1"}, {.version = "v2"}}).boundTo() == "unknown");
+    CHECK(continuity_fixture({"v1", "v2"}, {{.version = "v1"}}).boundTo() == "unknown");
+}
+
+TEST_CASE("stream_continuity continues an unknown stream at the only version that can have begun it")
+{
+    continuity_fixture fixture({"v1", "v1"}, {{.version = "v1"}});
+    CHECK(fixture.boundTo() == "v1");
+    CHECK(fixture.boundTo(stream, std::nullopt) == "unknown"); // Without the store's clock nothing is proven.
+    slot_request begins = takeUp();
+    begins.continues = false;
+    fixture.continuity.recordGrant(begins, "v1", storeStart, start);
+    CHECK_FALSE(fixture.continuity.hasUnstored());
+}
+
+TEST_CASE("stream_continuity takes a version whose upstreams have left into account for as long as its streams are taken up")
+{
+    const std::vector<served_version> recorded{{.version = "v1", .endedAt = storeStart - 59s}, {.version = "v2"}};
+    CHECK(continuity_fixture({"v2"}, recorded).boundTo() == "unknown");
+    CHECK(continuity_fixture({"v2"}, recorded).boundTo(stream, storeStart + 2s) == "v2");
+}
+
+TEST_CASE("stream_continuity proves nothing without a record, and nothing of upstreams that do not say their version")
+{
+    CHECK(continuity_fixture({"v1"}, {}).boundTo() == "unknown");
+    CHECK(continuity_fixture({""}, {{.version = ""}}).boundTo() == "unknown");
+    CHECK(continuity_fixture({"v1", ""}, {{.version = ""}, {.version = "v1"}}).boundTo() == "unknown");
+}
+
+TEST_CASE("stream_continuity forgets a stream after its retention")
+{
+    continuity_fixture fixture({"v1", "v2"}, {{.version = "v1"}, {.version = "v2"}});
+    fixture.continuity.recordOrigin(stream, {.service = service, .version = "v1"}, start);
+    fixture.continuity.expire(start + 60s);
+    CHECK(fixture.boundTo() == "v1");
+    fixture.continuity.expire(start + 61s);
+    CHECK(fixture.boundTo() == "unknown");
+    CHECK(fixture.continuity.knownStreams() == 0);
+}
+
+TEST_CASE("stream_origins forgets the oldest streams first when there are too many")
+{
+    stream_origins origins({.maximumStreams = 2});
+    for (stream_key key = 1; key <= 3; ++key) {
+        origins.record(key, {.service = service, .version = "v1"}, start + key * 1ms);
+    }
+    CHECK_FALSE(origins.find(1));
+    CHECK(origins.find(2));
+    CHECK(origins.find(3));
+}
+
+TEST_CASE("version_history has a version recorded when it comes, when it leaves, and when its streams have ended")
+{
+    version_history history;
+    history.setLoaded();
+    history.setUpstreams(std::vector{upstream("a", "v1")}, storeStart);
+    std::optional<std::vector<served_version>> due = history.dueRecord(service, storeStart);
+    REQUIRE(due == std::vector<served_version>{{.version = "v1"}});
+    history.applyRecord(service, *due);
+    CHECK_FALSE(history.dueRecord(service, storeStart + 1s));
+    history.setUpstreams(std::vector{upstream("a", "v1"), upstream("b", "v2")}, storeStart + 2s);
+    due = history.dueRecord(service, storeStart + 2s);
+    REQUIRE(due == std::vector<served_version>{{.version = "v1"}, {.version = "v2"}});
+    history.applyRecord(service, *due);
+    history.setUpstreams(std::vector{upstream("b", "v2")}, storeStart + 3s);
+    due = history.dueRecord(service, storeStart + 4s);
+    REQUIRE(due == std::vector<served_version>{{.version = "v1", .endedAt = storeStart + 4s}, {.version = "v2"}});
+    history.applyRecord(service, *due);
+    CHECK_FALSE(history.dueRecord(service, storeStart + 5s));
+    CHECK(history.dueRecord(service, storeStart + 65s) == std::vector<served_version>{{.version = "v2"}});
+}
