Answer every request that is read in the grace of a planned stop, and begin none that cannot be finished

Requests whose last byte came late in the grace were passed on, also those that must not be repeated, and cut without an answer when the process ended: at the end of the time nothing told the callers. Now a request that may outlast the grace is refused with 503 at once (one that must not be repeated from the signal on, others after new connections have ended), what is in progress is answered before the end, and bodies that are not complete by then are answered with 503. A request whose time is over before its body is complete is not sent any more.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -31,6 +31,7 @@
 constexpr duration shutdownMargin = std::chrono::milliseconds(700); // Before the platform kills the process.
 constexpr duration upstreamConnectTimeout =
     std::chrono::milliseconds(200); // Hundred times the usual; a machine that has gone does not answer.
+constexpr duration answerMargin = std::chrono::milliseconds(300); // For the last answers to reach their callers before the process ends.
 constexpr duration shutdownPoll = std::chrono::milliseconds(50);
 
 struct command_line
@@ -143,7 +144,9 @@
         const time_point begun = currentTime();
         const time_point end = begun + std::max(shutdownPoll, m_settings.shutdownTime - shutdownMargin);
         logEvent(log_level::Info, "stop_begun", {{"requests_in_progress", std::to_string(m_gateway.relay().inProgress())}});
+        const time_point lastAnswers = std::max(begun, end - answerMargin);
         m_gateway.beginShutdown();
+        m_gateway.relay().beginShutdown(std::min(lastAnswers, begun + balancerDelay), lastAnswers);
         m_callers.closeAfterAnswers();
         bool left = false;
         asio::co_spawn(
@@ -152,7 +155,11 @@
             });
         co_await sleepUntil(std::min(end, begun + balancerDelay));
         m_callers.stopAccepting();
+        bool refusedUnread = false;
         while ((m_callers.inProgress() > 0 || !left) && currentTime() < end) {
+            if (currentTime() >= lastAnswers && !std::exchange(refusedUnread, true)) {
+                m_callers.refuseUnreadBodies();
+            }
             co_await sleepUntil(currentTime() + shutdownPoll);
         }
         logEvent(log_level::Info, "stopped", {{"requests_left", std::to_string(m_gateway.relay().inProgress())}});
--- a/io/include/banyan/io/http_server.h
+++ b/io/include/banyan/io/http_server.h
@@ -61,6 +61,10 @@
     /// Stops listening; requests in progress go on, idle connections are closed.
     void stopAccepting();
 
+    /// Answers the requests whose bodies are not complete with 503, as not run. For servers whose handlers read whole bodies before
+    /// they act on them.
+    void refuseUnreadBodies();
+
     /// Open connections.
     [[nodiscard]] std::size_t connections() const;
 
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -53,6 +53,10 @@
     /// Number of requests in progress.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// Ends every request by @p end, with an answer that says what is known, also those in progress. A request that may take
+    /// longer is not begun any more: one that must not be repeated from now on, any other from @p lastStart on.
+    void beginShutdown(time_point lastStart, time_point end);
+
     /// Losses observed by this node within lossReportPeriod, to be reported to other nodes.
     [[nodiscard]] std::vector<lost_content> recentlyLost(time_point now) const;
 
--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -53,9 +53,13 @@
             m_parser.get().body().data = piece.data();
             m_parser.get().body().size = piece.size();
             m_connection->stream.expires_after(m_options.bodyTimeout);
-            boost::system::error_code error;
-            co_await boost::beast::http::async_read_some(
-                m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+            boost::system::error_code error = asio::error::operation_aborted;
+            if (!m_connection->refusesBody) {
+                m_connection->readsBody = true;
+                co_await boost::beast::http::async_read_some(
+                    m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+                m_connection->readsBody = false;
+            }
             if (error && error != boost::beast::http::error::need_buffer) {
                 co_await refuseBody(error);
             }
@@ -273,6 +277,13 @@
     task<> refuseBody(boost::system::error_code error)
     {
         closeAfterwards();
+        if (m_connection->refusesBody && !m_answered) {
+            http_response answer =
+                errorAnswer(503, "shutting_down", "The server shuts down; send the request to another one.", run_claim::NotRun);
+            answer.fields.push_back({.name = "Retry-After", .value = "0"});
+            co_await sendWhole(std::move(answer));
+            throw http_body_error("expected the whole body before the shutdown");
+        }
         if (error == boost::beast::error::timeout) {
             // The timeout has closed the socket: nothing can be answered any more.
             throw http_body_error("expected the rest of the body, found silence until the timeout");
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -100,6 +100,16 @@
         }
     }
 
+    void refuseUnreadBodies()
+    {
+        for (const connection_pointer &connection : m_connections) {
+            connection->refusesBody = true;
+            if (connection->readsBody) {
+                connection->stream.cancel();
+            }
+        }
+    }
+
     [[nodiscard]] std::size_t inProgress() const
     {
         return m_inProgress;
@@ -340,6 +350,11 @@
     m_implementation->stopAccepting();
 }
 
+void http_server::refuseUnreadBodies()
+{
+    m_implementation->refuseUnreadBodies();
+}
+
 std::size_t http_server::inProgress() const
 {
     return m_implementation->inProgress();
--- a/io/src/server_connection.h
+++ b/io/src/server_connection.h
@@ -25,6 +25,8 @@
     boost::beast::flat_buffer buffer;
     bool idle = true; ///< Between two requests.
     bool resetsAtEnd = false;
+    bool readsBody = false; ///< Waits for more of a request's body.
+    bool refusesBody = false; ///< The server shuts down before the body is complete.
     bool watching = false; ///< A wait for readability is outstanding.
     std::function<void()> disconnectHandler;
 };
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -143,7 +143,9 @@
     crash_guard m_crashes;
     std::set<std::uint64_t> m_locallyQuarantined; ///< Fingerprints quarantined because of losses that this node observed.
     std::deque<recorded_loss> m_recentLosses;
-    std::size_t m_inProgress = 0;
+    std::set<relayed_request *> m_active; ///< Requests in progress.
+    std::optional<time_point> m_lastStart; ///< Set while the node shuts down; see beginShutdown().
+    time_point m_end;
     std::uint64_t m_arrivals = 0;
 };
 
@@ -169,7 +171,7 @@
         , m_promptRun({.content = m_fingerprint, .parts = relay.m_ports.sender.sharedParts(m_request.fields)})
         , m_timer(relay.m_ports.context)
     {
-        ++relay.m_inProgress;
+        relay.m_active.insert(this);
         m_serial = ++relay.m_arrivals;
         if (m_stream.continues() && relay.m_ports.versions != nullptr) {
             (void)bindTo(relay.m_ports.versions->originOf(m_stream.key()));
@@ -177,13 +179,21 @@
     }
     ~relayed_request()
     {
-        --m_relay.m_inProgress;
+        m_relay.m_active.erase(this);
     }
     relayed_request(const relayed_request &) = delete;
     relayed_request &operator=(const relayed_request &) = delete;
 
     task<> run()
     {
+        if (!canFinish(currentTime())) {
+            co_await endWithoutAttempt(end_reason::Draining, duration(0)); // Another node can take it at once.
+            co_return;
+        }
+        if (m_deadline <= currentTime()) { // Its body has taken all the time that there was.
+            co_await endWithoutAttempt(end_reason::DeadlineUnreachable, notRunRetryAfter);
+            co_return;
+        }
         watchClientAndTime();
         if (const auto until = quarantinedUntil()) {
             co_await rejectQuarantined(*until);
@@ -200,6 +210,15 @@
         }
     }
 
+    /// Ends the request at @p end at the latest.
+    void endBy(time_point end)
+    {
+        if (end < m_deadline) {
+            m_deadline = end;
+            startTimer();
+        }
+    }
+
 private:
     static time_point deadlineOf(const client_request &request, const route &matchedRoute)
     {
@@ -215,6 +234,20 @@
                 self->stop(stop_cause::ClientGone);
             }
         });
+        if (m_relay.m_lastStart) {
+            m_deadline = std::min(m_deadline, m_relay.m_end);
+        }
+        startTimer();
+    }
+
+    /// Whether the request can be answered before this node has shut down, or may be tried and repeated.
+    [[nodiscard]] bool canFinish(time_point now) const
+    {
+        return !m_relay.m_lastStart || m_deadline <= m_relay.m_end || (m_route.isRepeatable() && now < *m_relay.m_lastStart);
+    }
+
+    void startTimer()
+    {
         m_timer.expires_after(std::max(duration(0), m_deadline - currentTime()));
         m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
@@ -692,7 +725,16 @@
 
 std::size_t request_relay::inProgress() const
 {
-    return m_implementation->m_inProgress;
+    return m_implementation->m_active.size();
+}
+
+void request_relay::beginShutdown(time_point lastStart, time_point end)
+{
+    m_implementation->m_lastStart = lastStart;
+    m_implementation->m_end = end;
+    for (implementation::relayed_request *const request : m_implementation->m_active) {
+        request->endBy(end);
+    }
 }
 
 std::uint64_t request_relay::fingerprint(std::string_view target, std::string_view body)
