Do not take a grant whose run brought nothing for the beginning of a stream

A grant binds a stream now only after the gateway that relays it has told that its client got an event; else the store is asked, and rows that disagree make the stream unknown.

--- a/core/include/banyan/core/serving/slot_message.h
+++ b/core/include/banyan/core/serving/slot_message.h
@@ -53,12 +53,13 @@
     auto operator<=>(const slot_release &) const = default;
 };
 
-/// Reports that the first byte of a run's answer has arrived.
+/// Reports that the first byte of a run's answer has arrived, or that the run has begun a stream.
 struct slot_progress
 {
     node_id sender;
     request_id request;
     duration firstByte{}; ///< Time from the grant to the first byte.
+    bool hasBegunStream = false; ///< The client has got an event of the stream.
 
     auto operator<=>(const slot_progress &) const = default;
 };
--- a/core/include/banyan/core/serving/stream_continuity.h
+++ b/core/include/banyan/core/serving/stream_continuity.h
@@ -31,9 +31,15 @@
     /// up are to be stored; see takeUnstored().
     void recordGrant(const slot_request &run, const std::string &version, std::optional<duration> storeNow, time_point now);
 
-    /// Records what began a stream, as this node or another one has observed it.
+    /// Records what has begun a stream, as the node that relays it has observed.
     void recordOrigin(stream_key stream, const stream_origin &origin, time_point now);
 
+    /// Whether more than one version may have begun a stream of the service, as far as this node knows.
+    [[nodiscard]] bool isMixed(const service_name &service, std::optional<duration> storeNow) const
+    {
+        return !storeNow || !m_versions.onlyVersion(service, *storeNow);
+    }
+
     /// What began a stream, if this node knows it.
     [[nodiscard]] std::optional<stream_origin> originOf(stream_key stream) const
     {
--- a/core/src/serving/stream_continuity.cpp
+++ b/core/src/serving/stream_continuity.cpp
@@ -23,19 +23,22 @@
         return;
     }
     const stream_origin origin{.service = run.service, .version = version};
-    if (run.continues && m_origins.find(run.stream) == origin) {
-        return;
+    if (run.continues) {
+        if (m_origins.find(run.stream) == origin) {
+            return;
+        }
+        m_origins.recordBegun(run.stream, origin, now);
+    } else {
+        m_origins.recordGrant(run.stream, origin, now);
     }
-    m_origins.record(run.stream, origin, now);
-    const bool isProven = storeNow && m_versions.onlyVersion(run.service, *storeNow);
-    if (!isProven && m_unstored.size() < maximumUnstored) {
+    if (isMixed(run.service, storeNow) && m_unstored.size() < maximumUnstored) {
         m_unstored.emplace_back(run.stream, origin);
     }
 }
 
 void stream_continuity::recordOrigin(stream_key stream, const stream_origin &origin, time_point now)
 {
-    m_origins.record(stream, origin, now);
+    m_origins.recordBegun(stream, origin, now);
 }
 
 std::vector<std::pair<stream_key, stream_origin>> stream_continuity::takeUnstored()
--- a/io/include/banyan/io/serving/stream_versions.h
+++ b/io/include/banyan/io/serving/stream_versions.h
@@ -51,9 +51,12 @@
     /// Records that a run was granted a slot at an upstream of @p version.
     void recordGrant(const slot_request &run, const std::string &version);
 
-    /// Records what began a stream that this node relays.
+    /// Records what has begun a stream, as the node that relays it has observed.
     void recordOrigin(stream_key stream, const stream_origin &origin);
 
+    /// Whether more than one version may have begun a stream of the service, as far as this node knows.
+    [[nodiscard]] bool isMixed(const service_name &service) const;
+
     /// What began a stream, if this node knows it.
     [[nodiscard]] std::optional<stream_origin> originOf(stream_key stream) const;
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -95,6 +95,7 @@
   sender @0 :Text;
   request @1 :Text;
   firstByte @2 :Int64;            # Microseconds from the grant on.
+  begunStream @3 :Bool;
 }
 
 struct GatewayMessage {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -207,7 +207,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a28ac355f73eeeb9, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a28ac355f73eeeb9, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1577,6 +1577,8 @@
 
   inline  ::int64_t getFirstByte() const;
 
+  inline bool getBegunStream() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1622,6 +1624,9 @@
   inline  ::int64_t getFirstByte();
   inline void setFirstByte( ::int64_t value);
 
+  inline bool getBegunStream();
+  inline void setBegunStream(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4448,6 +4453,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotProgress::Reader::getBegunStream() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotProgress::Builder::getBegunStream() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void SlotProgress::Builder::setBegunStream(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::banyan::schema::GatewayMessage::Which GatewayMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -456,7 +456,11 @@
             m_relay.m_ports.parts.recordProof(m_promptRun, currentTime());
         }
         if (!hasBegun && m_stream.continues() && m_relay.m_ports.versions != nullptr) {
-            m_relay.m_ports.versions->recordOrigin(m_stream.key(), {.service = m_service, .version = m_stream.version()});
+            const stream_origin origin{.service = m_service, .version = m_stream.version()};
+            m_relay.m_ports.versions->recordOrigin(m_stream.key(), origin);
+            if (m_relay.m_ports.versions->isMixed(m_service)) {
+                m_relay.m_ports.slots.streamBegun(m_slotId);
+            }
         }
         if (!bytes.empty()) {
             co_await writeToClient(m_exchange.write(bytes));
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -180,6 +180,7 @@
     root.setSender(progress.sender.text());
     root.setRequest(progress.request.text());
     root.setFirstByte(progress.firstByte.count());
+    root.setBegunStream(progress.hasBegunStream);
 }
 
 node_load read(schema::NodeLoad::Reader root)
@@ -285,7 +286,8 @@
 {
     return {.sender = node_id(textOf(root.getSender())),
             .request = request_id(textOf(root.getRequest())),
-            .firstByte = spanOf(root.getFirstByte())};
+            .firstByte = spanOf(root.getFirstByte()),
+            .hasBegunStream = root.getBegunStream()};
 }
 
 } // namespace
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -102,6 +102,7 @@
     task<std::optional<slot_outcome>>
     claim(slot_request request, node_id schedulingNode, stop_signal &stop, std::function<void()> onReclaim);
     void firstByte(const request_id &request);
+    void streamBegun(const request_id &request);
     void released(const request_id &request, const attempt_result &result);
     void received(const slot_claim &claim);
     void received(const slot_verdict &verdict);
@@ -376,6 +377,16 @@
     }
 }
 
+/// Tells the node that granted the slot that its grant has begun the stream. A lost message leaves that node without the origin, and
+/// a taker of the stream with a look-up in the store.
+void slot_broker::implementation::streamBegun(const request_id &request)
+{
+    const auto claim = m_outgoingClaims.find(request);
+    if (claim != m_outgoingClaims.end()) {
+        m_ports.send(claim->second->schedulingNode, slot_progress{.sender = m_self, .request = request, .hasBegunStream = true});
+    }
+}
+
 void slot_broker::implementation::released(const request_id &request, const attempt_result &result)
 {
     const auto claim = m_outgoingClaims.extract(request);
@@ -493,8 +504,15 @@
 void slot_broker::implementation::received(const slot_progress &progress)
 {
     const incoming_claim_key key(progress.sender, progress.request);
-    if (m_incomingClaims.contains(key)) {
+    const auto claim = m_incomingClaims.find(key);
+    if (claim == m_incomingClaims.end()) {
+        return;
+    }
+    const auto &[holder, request, granted, since, reclaimed] = claim->second;
+    if (!progress.hasBegunStream) {
         m_ports.scheduler.firstByteAfter(schedulerRequestId(key), progress.firstByte);
+    } else if (m_ports.versions != nullptr && granted && request.stream != 0) {
+        m_ports.versions->recordOrigin(request.stream, {.service = request.service, .version = granted->version});
     }
 }
 
@@ -592,6 +610,11 @@
     m_implementation->firstByte(request);
 }
 
+void slot_broker::streamBegun(const request_id &request)
+{
+    m_implementation->streamBegun(request);
+}
+
 void slot_broker::released(const request_id &request, const attempt_result &result)
 {
     m_implementation->released(request, result);
--- a/io/src/serving/stream_versions.cpp
+++ b/io/src/serving/stream_versions.cpp
@@ -86,7 +86,11 @@
             co_await m_read.wait();
         }
         --m_lookUps;
-        const std::optional<stream_origin> origin = m_continuity.originOf(stream);
+        const auto stored = m_stored.find(stream);
+        const auto origin = m_readings == readings || stored == m_stored.end() ? std::nullopt : std::optional(stored->second);
+        if (origin) {
+            m_continuity.recordOrigin(stream, *origin, currentTime());
+        }
         m_ports.metrics.count(origin ? "stream_origin_found" : "stream_origin_missing");
         co_return origin;
     }
@@ -271,7 +275,8 @@
         }
     }
 
-    /// Takes over what other nodes have stored. A stream that two writers give different origins is unknown.
+    /// Takes over what all nodes have stored. A stream to which two writers give different origins is unknown: the run of one of
+    /// their grants has begun it.
     void applyOrigins(const std::vector<table_row> &rows)
     {
         struct stored_origin
@@ -301,9 +306,10 @@
                 }
             }
         }
+        m_stored.clear();
         for (const auto &[stream, known] : found) {
-            if (!known.isAmbiguous && !m_continuity.originOf(stream)) {
-                m_continuity.recordOrigin(stream, known.origin, currentTime());
+            if (!known.isAmbiguous) {
+                m_stored.emplace(stream, known.origin);
             }
         }
         removeRows(std::move(outdated));
@@ -341,6 +347,7 @@
     stream_continuity m_continuity;
     store_clock m_clock;
     std::map<std::string, row_version> m_rowVersions; ///< Of the recorded versions, by service.
+    std::map<stream_key, stream_origin> m_stored; ///< What the last reading has found. Not valid for streams that begin later.
     origin_row m_row; ///< The row to which this node adds streams.
     duration m_rowBegunAt{};
     async_event m_read; ///< Notified when a reading has ended, and when a waiting request's time is up.
@@ -385,6 +392,11 @@
     m_implementation->continuity().recordOrigin(stream, origin, currentTime());
 }
 
+bool stream_versions::isMixed(const service_name &service) const
+{
+    return m_implementation->continuity().isMixed(service, m_implementation->storeNow());
+}
+
 std::optional<stream_origin> stream_versions::originOf(stream_key stream) const
 {
     return m_implementation->continuity().originOf(stream);
