--- a/io/src/serving/stream_versions.cpp
+++ b/io/src/serving/stream_versions.cpp
@@ -111,8 +111,8 @@
             return;
         }
         for (const service_name &service : m_continuity.versions().services()) {
-            const auto due = m_ports.recordsService(service) ? m_continuity.versions().dueRecord(service, *now) : std::nullopt;
-            if (due) {
+            const auto due = m_continuity.versions().dueRecord(service, *now);
+            if (due && m_ports.recordsService(service)) {
                 m_recording = true;
                 asio::co_spawn(m_ports.context, recordVersions(shared_from_this(), service, *due), asio::detached);
                 return;
@@ -263,7 +263,7 @@
         if (failure.empty()) {
             self->applyOrigins(rows);
             ++self->m_readings;
-        } else {
+        } else if (self->m_lookUps > 0) {
             logEvent(log_level::Warning, "stream_origins_not_read", {{"reason", failure}});
         }
         self->m_readFailed = !failure.empty();
