--- a/core/src/serving/limit_shares.cpp
+++ b/core/src/serving/limit_shares.cpp
@@ -79,7 +79,7 @@
     }
     std::size_t shares = 0;
     const auto own = m_own.find(cell);
-    if (own != m_own.end() && own->second.holder == m_options.self && now >= own->second.leasedUntil) {
+    if (own != m_own.end() && own->second.holder == m_options.self) {
         ++shares;
     }
     const auto received = m_received.find(cell);
