--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -1,13 +1,11 @@
 #include "banyan/io/serving/gateway.h"
 
 #include "banyan/core/serving/connection_share.h"
-#include "banyan/core/serving/limit_shares.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
 #include "banyan/core/serving/upstream_cell.h"
-#include "banyan/core/serving/upstream_limits.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/log.h"
@@ -24,6 +22,7 @@
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
+#include "upstream_rates.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -71,7 +70,6 @@
         , m_hubs({.self = m_self})
         , m_board(reportRetention, m_hubs.reportTimeout())
         , m_registry(registryGrace)
-        , m_shares({.self = m_self})
         , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
         , m_versions({.context = context,
                       .store = m_platform.store,
@@ -92,6 +90,7 @@
                    .hubs = &m_hubs},
                   m_self,
                   settings.domain)
+        , m_rates({.scheduler = m_scheduler, .slots = m_slots, .metrics = m_metrics, .self = m_self})
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
         , m_relay(
@@ -155,13 +154,7 @@
     void replicasChanged();
     void upstreamLeaves(const upstream_run &run, unsigned status);
     void recordRemoteLeaving(const node_load &load, time_point now);
-    void rateStated(const upstream_run &run, const answer_head &head);
-    void recordRemoteLimits(const node_load &load, time_point now);
-    void forEachLimited(time_point now, const std::function<void(const replica &upstream, cell_key cell, double rate)> &visit);
-    [[nodiscard]] std::vector<share_lease> leasesToReport(time_point now);
-    void applyRateLimits();
     [[nodiscard]] upstream_cell firstCellOf(const service_name &service) const;
-    [[nodiscard]] std::set<upstream_key> registeredIncarnations() const;
     void updateSchedulingState();
     void applyGatewayRow(const table_row &row);
     void gatewaysChanged();
@@ -184,11 +177,10 @@
     report_hubs m_hubs;
     load_board m_board;
     replica_registry m_registry;
-    upstream_limits m_limits;
-    limit_shares m_shares;
     scheduler_host m_scheduler;
     stream_versions m_versions;
     slot_broker m_slots;
+    upstream_rates m_rates;
     upstream_sender m_sender;
     part_watch m_parts;
     request_relay m_relay;
@@ -202,9 +194,7 @@
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< Registered gateways by row key.
-    std::map<upstream_key, upstream_id> m_registeredStarts; ///< Registered incarnations of upstreams.
-    std::map<cell_key, double> m_loggedShares; ///< This node's part of the rate limits, by cell, as logged last.
-    std::map<upstream_id, allowed_rate> m_appliedRates; ///< Rates that the scheduler keeps to.
+    std::set<upstream_key> m_registeredIncarnations; ///< Incarnations of upstreams.
     std::vector<std::pair<time_point, lost_content>> m_remoteLosses; ///< Losses to forward, with the time of their report.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
@@ -228,7 +218,9 @@
         upstreamLeaves(run, status);
     });
     m_sender.onRateStatement([this](const upstream_run &run, const answer_head &head) {
-        rateStated(run, head);
+        if (m_rates.record(run, head, currentTime())) {
+            m_exchange.requestReport();
+        }
     });
     m_scheduler.onUsageChanged([this] {
         m_exchange.requestReport();
@@ -350,11 +342,11 @@
 void gateway::implementation::replicasChanged()
 {
     const std::vector<replica> replicas = m_registry.replicas();
-    std::map<upstream_key, upstream_id> incarnations;
+    std::set<upstream_key> incarnations;
     for (const replica &entry : replicas) {
-        incarnations.emplace(keyOfStart(entry), entry.id);
+        incarnations.insert(keyOfStart(entry));
     }
-    for (const auto &[incarnation, id] : std::exchange(m_registeredStarts, incarnations)) {
+    for (const upstream_key incarnation : std::exchange(m_registeredIncarnations, incarnations)) {
         if (!incarnations.contains(incarnation)) {
             m_relay.upstreamEnded(incarnation, currentTime());
             m_parts.recordUpstreamEnd(incarnation, currentTime());
@@ -362,7 +354,7 @@
     }
     m_versions.setUpstreams(replicas);
     m_scheduler.setUpstreams(replicas);
-    applyRateLimits();
+    m_rates.setUpstreams(replicas, currentTime());
     m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
 }
 
@@ -390,117 +382,12 @@
     m_exchange.requestReport();
 }
 
-/// Records what an answer to this node says about the rate that its upstream accepts.
-void gateway::implementation::rateStated(const upstream_run &run, const answer_head &head)
-{
-    if (head.rate.malformed) {
-        logEvent(log_level::Info, "upstream_limit_malformed", {{"upstream", run.upstream.text()}, {"request_id", run.id.text()}});
-    }
-    const upstream_limits::change change = m_limits.record(keyOfStart(run.upstream, run.startedAt), head.rate, currentTime());
-    if (change == upstream_limits::change::None) {
-        return;
-    }
-    m_metrics.count("upstream_limit_changed");
-    m_metrics.set("upstreams_limited", static_cast<double>(m_limits.limitedCount()));
-    logEvent(log_level::Info,
-             "upstream_limit",
-             {{"upstream", run.upstream.text()},
-              {"started_at_ms", std::to_string(run.startedAt)},
-              {"change", std::string(toString(change))},
-              {"per_second", std::to_string(head.rate.perSecond)},
-              {"told_by", "self"},
-              {"request_id", run.id.text()},
-              {"status", std::to_string(head.status)}});
-    applyRateLimits();
-    m_exchange.requestReport();
-}
-
 upstream_cell gateway::implementation::firstCellOf(const service_name &service) const
 {
     const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(service).size());
     return cells <= 1 ? upstream_cell() : upstream_cell{.index = 0, .count = cells};
 }
 
-std::set<upstream_key> gateway::implementation::registeredIncarnations() const
-{
-    std::set<upstream_key> result;
-    for (const auto &[incarnation, id] : m_registeredStarts) {
-        result.insert(incarnation);
-    }
-    return result;
-}
-
-/// Records what answers to another node have said about rates, and which shares of limits it lets this node use.
-void gateway::implementation::recordRemoteLimits(const node_load &load, time_point now)
-{
-    m_shares.record(load.sender, load.leases, now);
-    for (const reported_limit &limit : load.limits) {
-        const upstream_limits::change change = m_limits.recordReport(limit, now);
-        if (change == upstream_limits::change::Named || change == upstream_limits::change::Ended) {
-            logEvent(log_level::Info,
-                     "upstream_limit",
-                     {{"upstream_key", std::to_string(limit.start)},
-                      {"change", std::string(toString(change))},
-                      {"per_second", std::to_string(limit.perSecond)},
-                      {"told_by", load.sender.text()},
-                      {"age_us", std::to_string(limit.age.count())}});
-        }
-    }
-}
-
-/// Visits the registered upstreams that are limited or recovering, with their cells and the rates for all nodes together.
-void gateway::implementation::forEachLimited(time_point now,
-                                             const std::function<void(const replica &upstream, cell_key cell, double rate)> &visit)
-{
-    for (const auto &[start, rate] : m_limits.allowedRates(now)) {
-        const auto registered = m_registeredStarts.find(start);
-        const replica *const upstream = registered == m_registeredStarts.end() ? nullptr : m_scheduler.find(registered->second);
-        if (upstream != nullptr) {
-            const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(upstream->service).size());
-            visit(*upstream, keyOf(upstream->service, cellOf(upstream->id, cells)), rate);
-        }
-    }
-}
-
-/// Leases of this node's shares of rate limits to the nodes from which it claims slots.
-std::vector<share_lease> gateway::implementation::leasesToReport(time_point now)
-{
-    std::map<cell_key, node_id> claimedFrom;
-    forEachLimited(now, [&](const replica &upstream, cell_key cell, double) {
-        if (!claimedFrom.contains(cell)) {
-            const std::uint32_t cells = cellCountFor(m_scheduler.upstreamsOf(upstream.service).size());
-            claimedFrom.emplace(cell, m_slots.schedulingNodeFor(upstream.service, cellOf(upstream.id, cells)));
-        }
-    });
-    return m_shares.renew(claimedFrom, now);
-}
-
-/// Gives the scheduler this node's part of all rate limits.
-void gateway::implementation::applyRateLimits()
-{
-    const time_point now = currentTime();
-    // A node that has just started reports before the others have read its registration.
-    m_shares.setNodeCount(m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1));
-    std::map<upstream_id, allowed_rate> rates;
-    std::map<cell_key, double> shares;
-    forEachLimited(now, [&](const replica &upstream, cell_key cell, double rate) {
-        const double share = m_shares.shareOf(cell, now);
-        shares[cell] = share;
-        rates.emplace(upstream.id, allowedRateOf(rate, share));
-    });
-    for (const auto &[cell, share] : shares) {
-        const auto before = m_loggedShares.find(cell);
-        if (before == m_loggedShares.end() || before->second != share) {
-            logEvent(log_level::Info, "limit_share_changed", {{"cell_key", std::to_string(cell)}, {"share", std::to_string(share)}});
-        }
-    }
-    m_loggedShares = std::move(shares);
-    if (!rates.empty() || !m_appliedRates.empty()) {
-        m_scheduler.setAllowedRates(rates);
-    }
-    m_appliedRates = std::move(rates);
-}
-
 /// Records which upstreams reported to another node that they are leaving, so that this node grants no more slots there.
 void gateway::implementation::recordRemoteLeaving(const node_load &load, time_point now)
 {
@@ -581,7 +468,6 @@
               {"hubs", std::to_string(m_hubs.hubs().size())},
               {"is_hub", m_hubs.isHub(m_self) ? "true" : "false"}});
     m_board.setUsageRetention(m_hubs.reportTimeout());
-    m_shares.setLeaseTime(m_hubs.reportTimeout());
     m_exchange.configureReports(
         [this](const node_id &peer) {
             return m_hubs.reportsTo(peer);
@@ -675,8 +561,8 @@
             .leaving = m_registry.locallyObservedLeaving(),
             .lostParts = m_parts.guard().lossesToReport(now),
             .provenParts = m_parts.guard().proofsToReport(now),
-            .limits = m_limits.toReport(now),
-            .leases = leasesToReport(now),
+            .limits = m_rates.limitsToReport(now),
+            .leases = m_rates.leasesToReport(now),
             .claims = m_slots.claims()};
 }
 
@@ -704,7 +590,7 @@
     m_jobs.recordReport(load.sender, now, load.schedulingState);
     m_slots.reported(load);
     recordRemoteLeaving(load, now);
-    recordRemoteLimits(load, now);
+    m_rates.recordReport(load, now);
     for (const lost_content &lost : load.lost) {
         m_relay.recordRemoteLoss(lost, load.sender, now);
         if (!m_hubs.isHub(load.sender) && m_remoteLosses.size() < maximumRemoteLosses) {
@@ -716,7 +602,7 @@
         m_loadChangeTimer.expires_after(loadChangeDelay);
         m_loadChangeTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) {
             self->m_loadChangePending = false;
-            self->applyRateLimits();
+            self->m_rates.apply(currentTime());
             self->m_scheduler.loadChanged();
         });
     }
@@ -736,12 +622,9 @@
     if (m_registry.tick(now)) {
         replicasChanged();
     }
-    m_shares.expire(now);
-    if (!m_limits.empty()) {
-        m_limits.expire(registeredIncarnations(), now);
-    }
-    applyRateLimits();
-    m_metrics.set("upstreams_limited", static_cast<double>(m_limits.limitedCount()));
+    // A node that has just started reports before the others have read its registration.
+    m_rates.setNodes(m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1), m_hubs.reportTimeout());
+    m_rates.apply(now);
     m_metrics.set("stopped_parts", static_cast<double>(m_parts.guard().stopped(now).size()));
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
     m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
