--- a/tests/process/stream_versions_test.cpp
+++ b/tests/process/stream_versions_test.cpp
@@ -126,8 +126,10 @@
 TEST_CASE("a stream whose upstream crashes goes on in the same answer only at the version that began it")
 {
     gateway_fleet fleet({.gateways = 2, .replicas = 4, .replicaArguments = pauseBetweenEvents, .versions = twoVersions});
+    constexpr int count = 12;
     std::vector<std::future<http_response>> answers;
-    for (int number = 0; number < 12; ++number) {
+    answers.reserve(count);
+    for (int number = 0; number < count; ++number) {
         answers.push_back(std::async(std::launch::async, [&fleet, number] {
             return fleet.send(static_cast<std::size_t>(number % 2), "/stream/1", "s" + std::to_string(number), {{"Model", "m"}});
         }));
