--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -352,7 +352,10 @@
             co_return false;
         }
         const std::optional<stream_origin> origin = co_await m_relay.m_ports.versions->lookUp(m_stream.key());
-        co_return m_stopCause == stop_cause::None &&bindTo(origin);
+        if (m_stopCause != stop_cause::None) {
+            co_return false;
+        }
+        co_return bindTo(origin);
     }
 
     /// Until when the request's content or a part of its prompt is quarantined.
