--- a/tests/unit/serving/stream_continuity_test.cpp
+++ b/tests/unit/serving/stream_continuity_test.cpp
@@ -32,6 +32,7 @@
     explicit continuity_fixture(const std::vector<std::string> &registered, const std::vector<served_version> &recorded)
     {
         std::vector<replica> upstreams;
+        upstreams.reserve(registered.size());
         for (const std::string &version : registered) {
             upstreams.push_back(upstream("u" + std::to_string(upstreams.size()), version));
         }
