--- a/core/include/banyan/core/serving/version_history.h
+++ b/core/include/banyan/core/serving/version_history.h
@@ -58,11 +58,16 @@
         std::vector<served_version> recorded;
     };
 
+    [[nodiscard]] bool isLoaded() const
+    {
+        return m_hasUpstreams && m_hasRecords;
+    }
     [[nodiscard]] std::vector<served_version> versionsOf(const service_versions &service, duration storeNow) const;
 
     version_history_options m_options;
     std::map<service_name, service_versions> m_services;
-    bool m_isLoaded = false;
+    bool m_hasUpstreams = false; ///< Whether the registered upstreams are known.
+    bool m_hasRecords = false; ///< Whether the records of all services have been read.
 };
 
 } // namespace banyan
--- a/core/src/serving/version_history.cpp
+++ b/core/src/serving/version_history.cpp
@@ -13,6 +13,7 @@
 
 void version_history::setUpstreams(std::span<const replica> upstreams, std::optional<duration> storeNow)
 {
+    m_hasUpstreams = true;
     std::map<service_name, std::set<std::string>> registered;
     for (const replica &upstream : upstreams) {
         registered[upstream.service].insert(upstream.softwareVersion);
@@ -36,7 +37,7 @@
 
 void version_history::setLoaded()
 {
-    m_isLoaded = true;
+    m_hasRecords = true;
 }
 
 /// The versions in service, and those whose streams may still be taken up.
@@ -66,7 +67,7 @@
 std::optional<std::string> version_history::onlyVersion(const service_name &service, duration storeNow) const
 {
     const auto found = m_services.find(service);
-    if (!m_isLoaded || found == m_services.end()) {
+    if (!isLoaded() || found == m_services.end()) {
         return std::nullopt;
     }
     const std::vector<served_version> versions = versionsOf(found->second, storeNow);
@@ -80,7 +81,7 @@
 std::optional<std::vector<served_version>> version_history::dueRecord(const service_name &service, duration storeNow) const
 {
     const auto found = m_services.find(service);
-    if (!m_isLoaded || found == m_services.end()) {
+    if (!isLoaded() || found == m_services.end()) {
         return std::nullopt;
     }
     std::vector<served_version> versions = versionsOf(found->second, storeNow);
--- a/tests/unit/serving/stream_continuity_test.cpp
+++ b/tests/unit/serving/stream_continuity_test.cpp
@@ -139,6 +139,20 @@
     CHECK(origins.find(3));
 }
 
+TEST_CASE("version_history neither proves nor records anything before it knows both the upstreams and the records")
+{
+    version_history withoutUpstreams;
+    withoutUpstreams.applyRecord(service, {{.version = "v1"}});
+    withoutUpstreams.setLoaded();
+    CHECK_FALSE(withoutUpstreams.onlyVersion(service, storeStart));
+    CHECK_FALSE(withoutUpstreams.dueRecord(service, storeStart));
+    version_history withoutRecords;
+    withoutRecords.setUpstreams(std::vector{upstream("a", "v1")}, storeStart);
+    withoutRecords.applyRecord(service, {{.version = "v1"}});
+    CHECK_FALSE(withoutRecords.onlyVersion(service, storeStart));
+    CHECK_FALSE(withoutRecords.dueRecord(service, storeStart));
+}
+
 TEST_CASE("version_history has a version recorded when it comes, when it leaves, and when its streams have ended")
 {
     version_history history;
