Review: the stand-ins note results that clients read, and end without noise

Seen: tasks of the stand-ins were pending when their loop was closed, and record.txt did not hold the results that were read.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,8 +7,8 @@
 import base64
 import json
 import os
+import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -277,6 +277,7 @@
         self.channels = set()
         self.record, self.store = record, store
         self.weights = weights
+        self.leaving = False  # Whether all answers say that the replica leaves.
         self.name, self.service, self.slots = name, service, slots
         self.events, self.event_s, self.work_s = events, event_s, work_s
         self.running = 0
@@ -316,6 +317,8 @@
         line, fields, _ = message
         request = fields.get("request-id", "")
         common = {"Request-Id": request, "Weight-Versions": str(self.weights)}
+        if self.leaving:
+            common["Server-Leaving"] = "1"
         if fields.get("expect-instance", self.name) != self.name:
             self.record.note("replica %s answers 421 to %s: other instance" % (self.name, request))
             writer.write(encode(421, common, b""))
@@ -465,12 +468,16 @@
 
 async def results(gateway, job, timeout=3.0):
     """All results of a batch submission, read from the start; None if it cannot be read."""
-    found = []
+    record, found = gateway.record, []
     while True:
         status, body = await call(gateway.callers, "GET", "/-/lots/%s?after=%d" % (job, len(found)), timeout=timeout)
         if status != 200:
+            record.note("client: results of %s from gateway %d: %d" % (job, gateway.index, status))
             return None
         page = json.loads(body)
+        states = [result["state"] for result in page["results"]]
+        record.note("client: results of %s from gateway %d: 200, total %d, from %d: %s"
+                    % (job, gateway.index, page["total"], len(found), states))
         found += page["results"]
         if not page["results"] or len(found) == page["total"]:
             return found
@@ -480,25 +487,32 @@
     """Runs a case, a coroutine that gets its record, a folder for files, the list of processes to end and whether to disturb."""
     record = Record(folder)
     gateways = []
+
+    async def bounded(directory):
+        try:
+            return await asyncio.wait_for(case(record, directory, gateways, disruption), 115)
+        finally:
+            for gateway in gateways:
+                gateway.end()
+            await asyncio.sleep(0.2)  # The stand-ins see the ends of their connections.
+
     if not os.path.exists(GATEWAY):
         record.say("cannot run: target/banyan-gateway is missing")
         sys.exit(UNABLE)
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(UNABLE))
     with tempfile.TemporaryDirectory() as directory:
         try:
-            result = asyncio.run(asyncio.wait_for(case(record, directory, gateways, disruption), 115))
+            result = asyncio.run(bounded(directory))
         except (Unable, asyncio.TimeoutError, OSError) as error:
             record.say("cannot run: %r" % error)
             result = UNABLE
         finally:
             for gateway in gateways:
                 gateway.end()
-            if os.environ.get("KEEP_LOGS"):
-                os.makedirs(os.environ["KEEP_LOGS"], exist_ok=True)
-                for name in sorted(os.listdir(directory)):
-                    if name.endswith(".log"):
-                        with open(os.path.join(directory, name), encoding="utf-8", errors="replace") as file, \
-                                open(os.path.join(os.environ["KEEP_LOGS"], name), "w", encoding="utf-8") as copy:
-                            copy.write(file.read())
+            keep = os.environ.get("KEEP_LOGS")  # A folder for the logs of the gateways.
+            if keep:
+                os.makedirs(keep, exist_ok=True)
+                for gateway in gateways:
+                    shutil.copy(gateway.log, keep)
     record.say({HELD: "the rule held", BROKEN: "the rule was broken"}.get(result, "the case could not run"))
     sys.exit(result)
