--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,6 +9,8 @@
 import os
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -18,6 +20,8 @@
 GATEWAY = os.path.join(REPOSITORY, "target", "banyan-gateway")
 TX_SECONDS = 0.005
 READ_SECONDS = 0.004
+HEARTBEAT_SECONDS = 1.2
+QUEUE = 8  # Requests that a replica keeps waiting beyond its slots.
 
 HELD, BROKEN, UNABLE = 0, 1, 2
 
@@ -128,8 +132,10 @@
     def set_json(self, table, key, value):
         """A write of the operator or of a replica; its return is the store's ack."""
         text = base64.b64encode(json.dumps(value).encode()).decode()
+        is_heartbeat = (table, "", key) in self.rows and table == "servers"
         self.write([((table, "", key), text)], [])
-        self.record.note("store: ack of %s/%s: %s" % (table, key, json.dumps(value)))
+        if not is_heartbeat:
+            self.record.note("store: ack of %s/%s: %s" % (table, key, json.dumps(value)))
 
     def remove(self, table, key):
         self.write([], [(table, "", key)])
@@ -210,6 +216,8 @@
         conditions = change.get("precondition", [])
         puts = change.get("puts", [])
         removals = change.get("remove", [])
+        if len({entry["part"] for entry in conditions + puts + removals}) > 1 or len(conditions + puts + removals) > 100:
+            return self.reply(400, {})
         if any(entry["table"] in ("op", "servers") for entry in puts + removals):
             return self.reply(403, {})
         if any(self.rows.get(name(entry), (None, 0))[1] != entry["ver"] for entry in conditions):
@@ -281,21 +289,37 @@
         self.name, self.service, self.slots = name, service, slots
         self.events, self.event_s, self.work_s = events, event_s, work_s
         self.running = 0
+        self.waiting = 0
         self.runs = []  # Pairs of the time at which a request arrived to be run, and its id.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.seq = 0
         self.register()
+        self.beats = asyncio.get_running_loop().create_task(self.beat())
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            self.register()
+
+    def leave(self):
+        """Leaves without having said that it drains: its entry is removed, and it serves on."""
+        self.beats.cancel()
+        self.store.remove("servers", self.name)
 
     def register(self, state="ready"):
+        self.seq += 1
         address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.store.set_json("servers", self.name, {
             "service": self.service, "address": address, "zone": "zone-a", "version": "v1", "slots": self.slots,
-            "state": state, "cold_left_ms": 0, "seq": 1, "born": 1700000000000})
+            "state": state, "cold_left_ms": 0, "seq": self.seq, "born": 1700000000000})
 
     def reset(self, request):
         """Resets the channel on which a request runs."""
         self.record.note("the channel of %s to replica %s is reset" % (request, self.name))
+        connection = self.busy[request].get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.busy[request].transport.abort()
 
     async def serve(self, reader, writer):
@@ -321,15 +345,19 @@
             common["Server-Leaving"] = "1"
         if fields.get("expect-instance", self.name) != self.name:
             self.record.note("replica %s answers 421 to %s: other instance" % (self.name, request))
-            writer.write(encode(421, common, b""))
+            writer.write(encode(421, dict(common, **{"Instance-Id": self.name}), b""))
             return
         if fields.get("expect-version", str(self.weights)) != str(self.weights):
             self.record.note("replica %s answers 421 to %s: other version of the weights" % (self.name, request))
-            writer.write(encode(421, common, b""))
+            writer.write(encode(421, dict(common, **{"Instance-Id": self.name, "Not-Executed": "1"}), b""))
             return
-        if self.running >= self.slots:
+        if self.waiting >= QUEUE:
             writer.write(encode(503, dict(common, **{"Not-Executed": "1"}), b""))
             return
+        self.waiting += 1
+        while self.running >= self.slots:
+            await asyncio.sleep(0.005)
+        self.waiting -= 1
         self.running += 1
         self.busy[request] = writer
         self.runs.append((self.record.now(), request))
@@ -483,7 +511,7 @@
             return found
 
 
-def run(case, folder, disruption=os.environ.get("TROUBLE", "1") != "0"):
+def run(case, folder, disruption):
     """Runs a case, a coroutine that gets its record, a folder for files, the list of processes to end and whether to disturb."""
     record = Record(folder)
     gateways = []
