--- a/review/beyond/replaced-machines/case.py
+++ b/review/beyond/replaced-machines/case.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "common"))
 from standins import BROKEN, HELD, Gateway, Replica, Store, configuration, results, route, run, submit, Unable
 
 REPLACED = int(os.environ.get("REPLACED", "104"))
@@ -75,4 +75,4 @@
     return BROKEN if calm else HELD
 
 
-run(case, os.path.dirname(os.path.abspath(__file__)))
+run(case, os.path.dirname(os.path.abspath(__file__)), disruption=os.environ.get("TROUBLE", "1") != "0")
