--- a/review/3/case.py
+++ b/review/3/case.py
@@ -58,4 +58,4 @@
     return BROKEN if calm else HELD
 
 
-run(case, os.path.dirname(os.path.abspath(__file__)))
+run(case, os.path.dirname(os.path.abspath(__file__)), disruption=os.environ.get("TROUBLE", "1") != "0")
