Refute lost connections of upstreams that run on

Cause: part_guard and crash_guard took a lost connection for the crash of its upstream. Three of them stopped the prompt part or the content that the runs had in common, and what is stopped is not run, so that no answer could clear it.

Evidence: part_lost three times, then part_stopped, then nothing, while the upstreams' registrations went on.

Why it works: a loss still counts at once, but a registration that the same start of the upstream has written after the loss refutes it, and a stop ends when the remaining losses would not have decided it. table_follower says since when the changes of a call can have been made. Rows of stopped parts name the lost upstreams, so that a gateway that has only read the row can end the stop too.

--- a/core/include/banyan/core/crash_guard.h
+++ b/core/include/banyan/core/crash_guard.h
@@ -73,6 +73,10 @@
     /// of them to recordLoss().
     [[nodiscard]] std::vector<std::uint64_t> takeUnanswered(const upstream_id &upstream, time_point now);
 
+    /// Records that an upstream was still running at @p aliveAt, which refutes earlier losses at it, and ends quarantines that the
+    /// other losses would not have decided. Returns the contents whose losses are refuted.
+    std::vector<std::uint64_t> recordAlive(const upstream_id &upstream, time_point aliveAt);
+
     /// Number of upstreams lost while running the content.
     [[nodiscard]] std::size_t lossCount(std::uint64_t fingerprint) const;
 
@@ -82,6 +86,9 @@
     /// Quarantines a content until @p until, or longer if it already is; has no effect within the exemption after an answer.
     void quarantine(std::uint64_t fingerprint, time_point until, time_point now);
 
+    /// Ends what quarantine() has begun, but not a quarantine decided from the losses recorded here.
+    void withdraw(std::uint64_t fingerprint);
+
     /// All contents that are quarantined at @p now.
     [[nodiscard]] std::vector<quarantined_fingerprint> quarantined(time_point now) const;
 
@@ -95,6 +102,7 @@
     {
         std::map<upstream_id, recorded_loss> losses;
         time_point lostAt; ///< Time of the last loss.
+        time_point decidedAt; ///< Time of the loss that has decided the last quarantine.
         std::optional<time_point> decidedUntil; ///< End of the quarantine decided from these losses.
         std::optional<time_point> notifiedUntil; ///< End of the quarantine set by quarantine().
         std::uint32_t quarantineCount = 0; ///< Number of quarantines decided from these losses.
@@ -115,6 +123,7 @@
     void markMassLossSince(time_point from);
     [[nodiscard]] static std::optional<time_point> quarantineEnd(const record &value);
     [[nodiscard]] bool reachesThreshold(const record &value) const;
+    void reconsider(record &entry, time_point refutedLossAt) const;
     [[nodiscard]] bool expired(const record &value, time_point now) const;
 
     crash_guard_options m_options;
--- a/core/include/banyan/core/serving/part_guard.h
+++ b/core/include/banyan/core/serving/part_guard.h
@@ -41,6 +41,9 @@
 /// - Parts that were lost at the same upstreams cannot be told apart: they are stopped together, and only requests that hold all of
 ///   them are rejected. An answer to a request that holds some of them tells them apart, as do further losses.
 ///
+/// A lost connection does not show that its upstream has crashed. A loss counts at once, since a crash must not be repeated while
+/// it is being confirmed, and is refuted when the same start of its upstream proves to run on. A stop that depends on it ends then.
+///
 /// Nodes exchange their losses, and proofs of parts that are suspected.
 class part_guard
 {
@@ -66,16 +69,25 @@
     /// Counts the runs that an ended upstream left unanswered as lost. Returns the parts that are stopped because of them.
     std::vector<std::uint64_t> recordUpstreamEnd(upstream_key upstream, time_point now);
 
+    /// Records that a start of an upstream was still running at @p aliveAt, which refutes earlier losses at it. Returns the parts whose
+    /// stop ends because the other losses would not have decided it.
+    std::vector<std::uint64_t> recordAlive(upstream_key upstream, time_point aliveAt, time_point now);
+
     /// Until when a request with these parts is to be rejected; none if it is not.
     [[nodiscard]] std::optional<time_point> stoppedUntil(const prompt_run &run, time_point now) const;
 
     /// Stops a part that another node has stopped, unless it was answered here lately. Requests are rejected if they hold the parts
-    /// in @p together as well; for a part that is stopped here already, those that both nodes know of.
-    void stop(std::uint64_t part, const std::set<std::uint64_t> &together, time_point now);
+    /// in @p together as well; for a part that is stopped here already, those that both nodes know of. The stop was decided from
+    /// losses at @p lostUpstreams; without them nothing but an answer ends it early.
+    void
+    stop(std::uint64_t part, const std::set<std::uint64_t> &together, time_point now, const std::set<upstream_key> &lostUpstreams = {});
 
     /// The parts that cannot be told apart from a stopped one.
     [[nodiscard]] std::set<std::uint64_t> stoppedTogetherWith(std::uint64_t part) const;
 
+    /// The upstreams whose loss has decided the stop of a part, without those that run on.
+    [[nodiscard]] std::set<upstream_key> stoppedBecauseOf(std::uint64_t part) const;
+
     /// All parts that are stopped at @p now.
     [[nodiscard]] std::vector<quarantined_fingerprint> stopped(time_point now) const;
 
@@ -99,9 +111,11 @@
     [[nodiscard]] std::size_t lossCount(std::uint64_t part) const;
 
 private:
+    using loss_times = std::map<upstream_key, time_point>; ///< Lost upstreams, and when each loss became known.
+
     struct suspicion
     {
-        std::set<upstream_key> upstreams; ///< Lost with runs of the part, and not explained by another one.
+        loss_times losses; ///< Of upstreams with runs of the part, not explained by another one.
         std::set<std::uint64_t> contents; ///< Of these runs; at most minimumContents.
         time_point lostAt; ///< Time of the last loss.
         bool isLocal = false; ///< Whether this node has observed one of the losses.
@@ -111,6 +125,9 @@
         time_point until;
         std::uint32_t count = 0; ///< Number of stops so far.
         std::set<std::uint64_t> together; ///< Parts that a request has to hold as well to be rejected.
+        loss_times losses; ///< From which the stop was decided; refuted ones are removed.
+        std::set<std::uint64_t> contents; ///< Of the lost runs; at most minimumContents.
+        std::size_t requiredLosses = 0; ///< With fewer losses the stop ends.
     };
     struct unanswered_run
     {
@@ -131,6 +148,8 @@
     [[nodiscard]] std::vector<std::uint64_t> lostLike(std::uint64_t part) const;
     void stopTogether(const std::vector<std::uint64_t> &parts, time_point now);
     stop_record &renewStop(std::uint64_t part, time_point now);
+    void addLosses(stop_record &entry, const suspicion &evidence) const;
+    void release(std::uint64_t part, time_point now);
     void explain(upstream_key upstream, time_point now);
     void forgetOld(time_point now);
     void reportLosses(const std::vector<part_loss> &losses, time_point now);
--- a/core/src/crash_guard.cpp
+++ b/core/src/crash_guard.cpp
@@ -132,6 +132,7 @@
     const bool isQuarantined = until && *until > now;
     const bool quarantineHasEnded = until && !isQuarantined;
     if (!isQuarantined && (quarantineHasEnded || reachesThreshold(entry))) {
+        entry.decidedAt = now;
         entry.decidedUntil = now + nextQuarantine(entry);
         ++entry.quarantineCount;
         return loss_verdict::Quarantined;
@@ -142,6 +143,48 @@
     return inMassLoss ? loss_verdict::CountedInMassLoss : loss_verdict::Counted;
 }
 
+std::vector<std::uint64_t> crash_guard::recordAlive(const upstream_id &upstream, time_point aliveAt)
+{
+    const auto lost = m_lostUpstreams.find(upstream);
+    if (lost != m_lostUpstreams.end() && lost->second < aliveAt) {
+        m_lostUpstreams.erase(lost);
+    }
+    std::vector<std::uint64_t> result;
+    for (auto &[fingerprint, entry] : m_records) {
+        const auto loss = entry.losses.find(upstream);
+        if (loss != entry.losses.end() && loss->second.at < aliveAt) {
+            const time_point lostAt = loss->second.at;
+            entry.losses.erase(loss);
+            reconsider(entry, lostAt);
+            result.push_back(fingerprint);
+        }
+    }
+    return result;
+}
+
+/// Ends the quarantine that the remaining losses would not have decided.
+void crash_guard::reconsider(record &entry, time_point refutedLossAt) const
+{
+    if (!entry.decidedUntil) {
+        return;
+    }
+    if (!reachesThreshold(entry)) {
+        entry.decidedUntil.reset();
+        entry.quarantineCount = 0;
+    } else if (entry.quarantineCount > 1 && refutedLossAt == entry.decidedAt) {
+        entry.decidedUntil = entry.decidedAt; // A single loss has renewed it.
+        --entry.quarantineCount;
+    }
+}
+
+void crash_guard::withdraw(std::uint64_t fingerprint)
+{
+    const auto entry = m_records.find(fingerprint);
+    if (entry != m_records.end()) {
+        entry->second.notifiedUntil.reset();
+    }
+}
+
 bool crash_guard::isExempt(std::uint64_t fingerprint, time_point now) const
 {
     const auto answer = m_answeredAt.find(fingerprint);
--- a/core/src/serving/part_guard.cpp
+++ b/core/src/serving/part_guard.cpp
@@ -30,6 +30,15 @@
     }));
 }
 
+/// Whether the first map has all keys of the second one.
+template<typename Map>
+bool hasKeysOf(const Map &map, const Map &others)
+{
+    return std::includes(map.begin(), map.end(), others.begin(), others.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+}
+
 } // namespace
 
 part_guard::part_guard(const part_guard_options &options)
@@ -99,7 +108,7 @@
         });
     }
     suspicion &entry = m_suspects[loss.part];
-    bool isNew = entry.upstreams.insert(loss.upstream).second;
+    bool isNew = entry.losses.try_emplace(loss.upstream, now).second;
     if (entry.contents.size() < m_options.minimumContents) {
         isNew = entry.contents.insert(loss.content).second || isNew;
     }
@@ -137,7 +146,7 @@
     const auto earlier = m_stops.find(part);
     if (earlier != m_stops.end() && earlier->second.until > now) {
         // It is stopped together with others, and was lost without them.
-        return entry.upstreams.size() >= m_options.confirmThreshold && !isOutdone(entry);
+        return entry.losses.size() >= m_options.confirmThreshold && !isOutdone(entry);
     }
     if (earlier != m_stops.end()) {
         const std::vector<std::uint64_t> like = lostLike(part);
@@ -146,26 +155,25 @@
             return true; // Its stop has ended, and it goes on.
         }
     }
-    return entry.contents.size() >= m_options.minimumContents && entry.upstreams.size() >= m_options.stopThreshold && !isOutdone(entry);
+    return entry.contents.size() >= m_options.minimumContents && entry.losses.size() >= m_options.stopThreshold && !isOutdone(entry);
 }
 
 /// Whether another part was lost wherever this one was, and elsewhere.
 bool part_guard::isOutdone(const suspicion &entry) const
 {
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &other) {
-        const std::set<upstream_key> &upstreams = other.second.upstreams;
-        return upstreams.size() > entry.upstreams.size()
-               && std::includes(upstreams.begin(), upstreams.end(), entry.upstreams.begin(), entry.upstreams.end());
+        const loss_times &losses = other.second.losses;
+        return losses.size() > entry.losses.size() && hasKeysOf(losses, entry.losses);
     });
 }
 
 /// The parts that were lost at the same upstreams as this one, itself included.
 std::vector<std::uint64_t> part_guard::lostLike(std::uint64_t part) const
 {
-    const std::set<upstream_key> &upstreams = m_suspects.at(part).upstreams;
+    const loss_times &losses = m_suspects.at(part).losses;
     std::vector<std::uint64_t> result;
     for (const auto &[other, entry] : m_suspects) {
-        if (entry.upstreams == upstreams) {
+        if (entry.losses.size() == losses.size() && hasKeysOf(entry.losses, losses)) {
             result.push_back(other);
         }
     }
@@ -175,17 +183,18 @@
 
 void part_guard::stopTogether(const std::vector<std::uint64_t> &parts, time_point now)
 {
-    const std::set<upstream_key> upstreams = m_suspects.at(parts.front()).upstreams;
+    const loss_times losses = m_suspects.at(parts.front()).losses;
     for (const std::uint64_t part : parts) {
         if (m_suspects.at(part).isLocal) {
             m_locallyStopped.insert(part);
         }
         stop_record &entry = renewStop(part, now);
+        addLosses(entry, m_suspects.at(part));
         entry.together = {parts.begin(), parts.end()};
         entry.together.erase(part);
         m_suspects.erase(part);
     }
-    for (const upstream_key upstream : upstreams) {
+    for (const auto &[upstream, at] : losses) {
         explain(upstream, now);
     }
 }
@@ -199,11 +208,72 @@
         });
     }
     stop_record &entry = m_stops[part];
+    if (entry.until <= now) {
+        entry.losses.clear(); // They have decided the stop that has ended.
+    }
     entry.until = now + m_options.stopDuration * (1U << std::min(entry.count, maximumDoublings));
     ++entry.count;
     return entry;
 }
 
+void part_guard::addLosses(stop_record &entry, const suspicion &evidence) const
+{
+    entry.losses.insert(evidence.losses.begin(), evidence.losses.end());
+    entry.contents.insert(evidence.contents.begin(), evidence.contents.end());
+    entry.requiredLosses = std::min(m_options.stopThreshold, entry.losses.size());
+}
+
+std::vector<std::uint64_t> part_guard::recordAlive(upstream_key upstream, time_point aliveAt, time_point now)
+{
+    const auto refute = [&](loss_times &losses) {
+        const auto found = losses.find(upstream);
+        const bool isRefuted = found != losses.end() && found->second < aliveAt;
+        if (isRefuted) {
+            losses.erase(found);
+        }
+        return isRefuted;
+    };
+    for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
+        const bool isCleared = refute(entry->second.losses) && entry->second.losses.empty();
+        entry = isCleared ? m_suspects.erase(entry) : std::next(entry);
+    }
+    (void)refute(m_explained);
+    std::erase_if(m_reportedLosses, [&](const auto &entry) {
+        return entry.second.upstream == upstream && entry.first < aliveAt;
+    });
+    std::vector<std::uint64_t> released;
+    for (auto &[part, entry] : m_stops) {
+        if (refute(entry.losses) && entry.until > now && entry.losses.size() < entry.requiredLosses) {
+            released.push_back(part);
+        }
+    }
+    for (const std::uint64_t part : released) {
+        release(part, now);
+    }
+    return released;
+}
+
+/// Ends a stop that its losses do not justify any more. They make the part a suspect again, as before the stop.
+void part_guard::release(std::uint64_t part, time_point now)
+{
+    m_locallyStopped.erase(part);
+    stop_record &entry = m_stops.at(part);
+    const loss_times losses = std::exchange(entry.losses, {});
+    if (!losses.empty()) {
+        suspicion &suspect = m_suspects[part];
+        suspect.losses.insert(losses.begin(), losses.end());
+        suspect.contents.insert(entry.contents.begin(), entry.contents.end());
+        suspect.lostAt = now;
+    }
+    for (const auto &[upstream, at] : losses) {
+        m_explained.erase(upstream);
+    }
+    entry.until = now;
+    if (--entry.count == 0) {
+        m_stops.erase(part);
+    }
+}
+
 /// Takes the loss of an upstream from all suspects, since a stopped part explains it.
 void part_guard::explain(upstream_key upstream, time_point now)
 {
@@ -214,8 +284,8 @@
     }
     m_explained[upstream] = now;
     for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
-        entry->second.upstreams.erase(upstream);
-        entry = entry->second.upstreams.empty() ? m_suspects.erase(entry) : std::next(entry);
+        entry->second.losses.erase(upstream);
+        entry = entry->second.losses.empty() ? m_suspects.erase(entry) : std::next(entry);
     }
 }
 
@@ -334,7 +404,10 @@
     return until;
 }
 
-void part_guard::stop(std::uint64_t part, const std::set<std::uint64_t> &together, time_point now)
+void part_guard::stop(std::uint64_t part,
+                      const std::set<std::uint64_t> &together,
+                      time_point now,
+                      const std::set<upstream_key> &lostUpstreams)
 {
     if (isProven(part, now)) {
         reportProof(part, now);
@@ -353,12 +426,19 @@
         }
     }
     const auto suspect = m_suspects.find(part);
+    suspicion evidence;
     if (suspect != m_suspects.end()) {
-        const std::set<upstream_key> upstreams = std::move(suspect->second.upstreams);
+        evidence = std::move(suspect->second);
         m_suspects.erase(suspect);
-        for (const upstream_key upstream : upstreams) {
-            explain(upstream, now);
+    }
+    for (const auto &[upstream, at] : evidence.losses) {
+        explain(upstream, now);
+    }
+    if (!lostUpstreams.empty()) {
+        for (const upstream_key upstream : lostUpstreams) {
+            evidence.losses.try_emplace(upstream, now);
         }
+        addLosses(entry, evidence);
     }
 }
 
@@ -368,6 +448,18 @@
     return found == m_stops.end() ? std::set<std::uint64_t>() : found->second.together;
 }
 
+std::set<upstream_key> part_guard::stoppedBecauseOf(std::uint64_t part) const
+{
+    std::set<upstream_key> result;
+    const auto found = m_stops.find(part);
+    if (found != m_stops.end()) {
+        for (const auto &[upstream, at] : found->second.losses) {
+            result.insert(upstream);
+        }
+    }
+    return result;
+}
+
 std::vector<quarantined_fingerprint> part_guard::stopped(time_point now) const
 {
     std::vector<quarantined_fingerprint> result;
@@ -383,7 +475,7 @@
 std::size_t part_guard::lossCount(std::uint64_t part) const
 {
     const auto found = m_suspects.find(part);
-    return found == m_suspects.end() ? 0 : found->second.upstreams.size();
+    return found == m_suspects.end() ? 0 : found->second.losses.size();
 }
 
 void part_guard::forgetOld(time_point now)
--- a/io/include/banyan/io/serving/part_watch.h
+++ b/io/include/banyan/io/serving/part_watch.h
@@ -21,6 +21,7 @@
     void recordProof(const prompt_run &run, time_point now);
     void recordUnanswered(const prompt_run &run, upstream_key upstream, time_point now);
     void recordUpstreamEnd(upstream_key upstream, time_point now);
+    void recordAlive(upstream_key upstream, time_point aliveAt, time_point now);
     [[nodiscard]] std::optional<time_point> stoppedUntil(const prompt_run &run, time_point now) const;
 
     /// Records what node @p sender has reported, and reports what is new in it to other nodes if @p forward is set.
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -69,6 +69,9 @@
     /// Records that an incarnation of an upstream is no longer registered. Its unanswered attempts then count as lost.
     void upstreamEnded(upstream_key incarnation, time_point now);
 
+    /// Records that an incarnation of an upstream was still running at @p aliveAt, so that it has not crashed before.
+    void upstreamAlive(upstream_key incarnation, time_point aliveAt);
+
     /// All contents that are quarantined at @p now.
     [[nodiscard]] std::vector<quarantined_fingerprint> quarantinedContents(time_point now) const;
 
@@ -78,6 +81,9 @@
     /// Quarantines a content that another node has quarantined.
     void quarantineContent(std::uint64_t fingerprint, time_point now);
 
+    /// Ends what quarantineContent() has begun, since the other node has withdrawn it.
+    void withdrawQuarantine(std::uint64_t fingerprint);
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/io/include/banyan/io/serving/table_follower.h
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "banyan/core/time.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/serving/table_store.h"
 
@@ -23,6 +24,8 @@
 struct table_observer
 {
     std::function<void(const std::vector<table_row> &rows)> onSnapshot; ///< All rows of the table; rows that are missing have been removed.
+    /// Called before the changes of a call are passed to onChange: all of them were made at @p since or later.
+    std::function<void(time_point since)> onChangesRead;
     std::function<void(const table_row &row)> onChange;
     std::function<void()> onChangesApplied; ///< Called after the changes returned by one call have been passed to onChange.
     std::function<void()> onLost; ///< The store has stopped answering.
@@ -56,7 +59,7 @@
 private:
     task<> readAll();
     task<> followChanges();
-    void applyChanges(const table_changes &changes);
+    void applyChanges(const table_changes &changes, time_point since, time_point calledAt);
     task<> sleep(duration time);
     void recordCallSuccess();
     void recordCallFailure(const std::string &reason);
@@ -66,6 +69,7 @@
     table_follower_options m_options;
     table_observer m_observer;
     row_version m_version = 0;
+    time_point m_versionSince; ///< The store had m_version at that time or later.
     bool m_available = true;
     bool m_historyLost = true;
 };
--- a/io/src/serving/content_quarantine.cpp
+++ b/io/src/serving/content_quarantine.cpp
@@ -101,6 +101,7 @@
 {
     m_records.removeRow(fingerprint);
     m_rowTexts.erase(fingerprint);
+    m_ports.withdraw(fingerprint);
 }
 
 /// Parts of which this node, which has decided their stop, knows more than their rows say: fewer parts are stopped together with
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -115,6 +115,10 @@
                                        .quarantine =
                                            [this](std::uint64_t fingerprint, const std::string &text, time_point now) {
                                                quarantine(fingerprint, text, now);
+                                           },
+                                       .withdraw =
+                                           [this](std::uint64_t fingerprint) {
+                                               m_relay.withdrawQuarantine(fingerprint);
                                            }}))
         , m_jobs(
               {.context = context, .store = m_platform.store, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics},
@@ -151,6 +155,7 @@
     [[nodiscard]] table_observer gatewayObserver();
     void applyConfiguration(const table_row &row);
     void replicaChanged(const table_row &row);
+    void recordHeartbeat(const replica &entry);
     void replicasChanged();
     void upstreamLeaves(const upstream_run &run, unsigned status);
     void recordRemoteLeaving(const node_load &load, time_point now);
@@ -200,6 +205,7 @@
     endpoint m_peerAddress;
     bool m_replicasLoaded = false;
     bool m_replicasChanged = false; ///< Whether rows of the current call for changes have changed the registry.
+    time_point m_replicasChangedSince; ///< The changes of the current call were made then or later.
     bool m_storeLost = false;
     bool m_shuttingDown = false;
 };
@@ -302,6 +308,9 @@
         replicasChanged();
         updateSchedulingState();
     };
+    observer.onChangesRead = [this](time_point since) {
+        m_replicasChangedSince = since;
+    };
     observer.onChange = [this](const table_row &row) {
         replicaChanged(row);
     };
@@ -330,6 +339,7 @@
     const std::optional<replica> entry = row.deleted ? std::nullopt : m_platform.decodeReplica(row);
     if (entry) {
         m_replicasChanged = m_registry.recordRegistration(*entry) || m_replicasChanged;
+        recordHeartbeat(*entry);
         return;
     }
     m_replicasChanged = true;
@@ -339,6 +349,17 @@
     m_registry.recordRemoval(upstream_id(row.name.key), currentTime());
 }
 
+/// An upstream that has written its registration was running then: connections that were lost before were not lost by a crash.
+void gateway::implementation::recordHeartbeat(const replica &entry)
+{
+    if (entry.startedAt == 0) {
+        return; // A restart under the same id could not be told apart.
+    }
+    const upstream_key incarnation = keyOfStart(entry);
+    m_relay.upstreamAlive(incarnation, m_replicasChangedSince);
+    m_parts.recordAlive(incarnation, m_replicasChangedSince, currentTime());
+}
+
 void gateway::implementation::replicasChanged()
 {
     const std::vector<replica> replicas = m_registry.replicas();
--- a/io/src/serving/part_watch.cpp
+++ b/io/src/serving/part_watch.cpp
@@ -10,6 +10,24 @@
 namespace {
 
 constexpr std::string_view partMark = "part"; // Begins the text; the parts that were stopped together with it follow.
+constexpr std::string_view lossMark = " at"; // Then come the keys of the upstreams whose loss has decided the stop.
+
+/// Removes the decimal numbers, each after a space, that a text begins with, and returns them.
+template<typename Number>
+std::set<Number> takeNumbers(std::string_view &text)
+{
+    std::set<Number> result;
+    Number value = 0;
+    while (text.starts_with(' ')) {
+        const auto [end, error] = std::from_chars(text.data() + 1, text.data() + text.size(), value);
+        if (error != std::errc()) {
+            break;
+        }
+        result.insert(value);
+        text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    }
+    return result;
+}
 
 } // namespace
 
@@ -54,6 +72,14 @@
     logStops(m_guard.recordUpstreamEnd(upstream, now), "self");
 }
 
+void part_watch::recordAlive(upstream_key upstream, time_point aliveAt, time_point now)
+{
+    for (const std::uint64_t part : m_guard.recordAlive(upstream, aliveAt, now)) {
+        m_metrics.count("part_released");
+        logEvent(log_level::Info, "part_released", {{"part", std::to_string(part)}, {"running_upstream_key", std::to_string(upstream)}});
+    }
+}
+
 std::optional<time_point> part_watch::stoppedUntil(const prompt_run &run, time_point now) const
 {
     return m_guard.stoppedUntil(run, now);
@@ -78,6 +104,11 @@
     for (const std::uint64_t other : m_guard.stoppedTogetherWith(part)) {
         text.append(" ").append(std::to_string(other));
     }
+    const std::set<upstream_key> lost = m_guard.stoppedBecauseOf(part);
+    text.append(lost.empty() ? std::string_view() : lossMark);
+    for (const upstream_key upstream : lost) {
+        text.append(" ").append(std::to_string(upstream));
+    }
     return text;
 }
 
@@ -88,17 +119,13 @@
         return false;
     }
     rest.remove_prefix(partMark.size());
-    std::set<std::uint64_t> together;
-    std::uint64_t other = 0;
-    while (rest.starts_with(' ')) {
-        const auto [end, error] = std::from_chars(rest.data() + 1, rest.data() + rest.size(), other);
-        if (error != std::errc()) {
-            break;
-        }
-        together.insert(other);
-        rest.remove_prefix(static_cast<std::size_t>(end - rest.data()));
+    const auto together = takeNumbers<std::uint64_t>(rest);
+    std::set<upstream_key> lost;
+    if (rest.starts_with(lossMark)) {
+        rest.remove_prefix(lossMark.size());
+        lost = takeNumbers<upstream_key>(rest);
     }
-    m_guard.stop(part, together, now);
+    m_guard.stop(part, together, now, lost);
     return true;
 }
 
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -95,6 +95,21 @@
         }
     }
 
+    void upstreamAlive(upstream_key incarnation, time_point aliveAt)
+    {
+        std::erase_if(m_recentLosses, [&](const recorded_loss &loss) {
+            return loss.content.upstream == incarnation && loss.at < aliveAt;
+        });
+        for (const std::uint64_t fingerprint : m_crashes.recordAlive(idOf(incarnation), aliveAt)) {
+            m_ports.metrics.count("content_loss_refuted");
+            logEvent(log_level::Info,
+                     "content_loss_refuted",
+                     {{"fingerprint", std::to_string(fingerprint)},
+                      {"upstream_key", std::to_string(incarnation)},
+                      {"upstreams_lost", std::to_string(m_crashes.lossCount(fingerprint))}});
+        }
+    }
+
     void recordLostAttempt(std::uint64_t fingerprint, upstream_key incarnation, time_point now)
     {
         const lost_content lost{.fingerprint = fingerprint, .upstream = incarnation};
@@ -770,6 +785,11 @@
     m_implementation->upstreamEnded(incarnation, now);
 }
 
+void request_relay::upstreamAlive(upstream_key incarnation, time_point aliveAt)
+{
+    m_implementation->upstreamAlive(incarnation, aliveAt);
+}
+
 std::vector<quarantined_fingerprint> request_relay::quarantinedContents(time_point now) const
 {
     return m_implementation->m_crashes.quarantined(now);
@@ -785,4 +805,9 @@
     m_implementation->m_crashes.quarantine(fingerprint, now + contentQuarantineDuration, now);
 }
 
+void request_relay::withdrawQuarantine(std::uint64_t fingerprint)
+{
+    m_implementation->m_crashes.withdraw(fingerprint);
+}
+
 } // namespace banyan
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/table_follower.h"
 
+#include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/platform_error.h"
 
@@ -50,6 +51,7 @@
 
 task<> table_follower::readAll()
 {
+    const time_point calledAt = currentTime();
     std::vector<table_row> rows;
     std::optional<row_version> version;
     for (const std::string &part : m_options.parts) {
@@ -66,6 +68,7 @@
     }
     recordCallSuccess();
     m_version = version.value_or(0);
+    m_versionSince = calledAt;
     m_historyLost = false;
     m_observer.onSnapshot(rows);
 }
@@ -74,6 +77,8 @@
 {
     // While the store is unavailable, poll without a wait: its return must be detected at once, not with the next change.
     const duration wait = m_available ? m_options.wait : duration(0);
+    const time_point calledAt = currentTime();
+    const time_point since = m_versionSince;
     const table_changes changes = co_await m_store.changes(m_options.table, m_version, wait);
     recordCallSuccess();
     if (changes.historyLost) {
@@ -81,13 +86,20 @@
         m_historyLost = true;
         co_return;
     }
-    applyChanges(changes);
+    applyChanges(changes, since, calledAt);
     co_await sleep(m_options.pause);
 }
 
-void table_follower::applyChanges(const table_changes &changes)
+/// Applies the changes of a call that began at @p calledAt; they were made at @p since or later.
+void table_follower::applyChanges(const table_changes &changes, time_point since, time_point calledAt)
 {
-    m_version = std::max(m_version, changes.version);
+    if (changes.version >= m_version) {
+        m_version = changes.version;
+        m_versionSince = std::max(m_versionSince, calledAt);
+    }
+    if (m_observer.onChangesRead) {
+        m_observer.onChangesRead(since);
+    }
     for (const table_row &row : changes.rows) {
         m_observer.onChange(row);
     }
@@ -101,9 +113,11 @@
     if (!isCurrent()) {
         co_return; // The next regular call reads the whole table.
     }
+    const time_point calledAt = currentTime();
+    const time_point since = m_versionSince;
     const table_changes changes = co_await m_store.changes(m_options.table, m_version, duration(0));
     if (!changes.historyLost) {
-        applyChanges(changes);
+        applyChanges(changes, since, calledAt);
     }
 }
 
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -250,13 +250,21 @@
                 {.method = "POST", .target = path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "5000"}}, .body = "crashes replicas"});
 }
 
-http_response gateway_fleet::submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix) const
-{
+http_response gateway_fleet::submitJob(std::size_t gateway,
+                                       const std::string &id,
+                                       int items,
+                                       const std::string &prefix,
+                                       const std::string &promptParts) const
+{
+    json::object headers{{"Model", "m"}};
+    if (!promptParts.empty()) {
+        headers["Prompt-Prefix"] = promptParts;
+    }
     json::array list;
     for (int number = 0; number < items; ++number) {
         list.push_back(json::object{{"id", id + "-" + std::to_string(number)},
-                                    {"path", prefix + "run"},
-                                    {"headers", json::object{{"Model", "m"}}},
+                                    {"path", prefix + "run" + (promptParts.empty() ? "" : "-" + std::to_string(number))},
+                                    {"headers", headers},
                                     {"body", "cXVlc3Rpb24="},
                                     {"tokens", tokensOfItem}});
     }
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -32,6 +32,7 @@
         std::function<endpoint(const endpoint &)> route;
     };
 
+    static constexpr int firstStart = 1; ///< Time of start that replicas register with.
     static constexpr int tokensOfItem = 100;
     static constexpr int limitedTokens = 300; ///< That may wait on the route "/limited/".
 
@@ -57,7 +58,7 @@
     /// Puts a configuration with that version; later versions have one more route, "/added/".
     void configure(int version) const;
     /// Writes a replica's registration; another time of start makes it a new start of the replica.
-    void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = 0) const;
+    void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = firstStart) const;
     /// Removes a replica's registration.
     void unregisterReplica(std::size_t index) const;
     /// Writes any text as a registration, as another writer might.
@@ -75,9 +76,12 @@
     send(std::size_t gateway, const std::string &path, const std::string &id, const std::vector<http_field> &more = {}) const;
     /// Sends a request with a body under which replicas crash.
     [[nodiscard]] http_response sendCrashing(std::size_t gateway, const std::string &path, const std::string &id) const;
-    /// Each item counts tokensOfItem.
-    [[nodiscard]] http_response
-    submitJob(std::size_t gateway, const std::string &id, int items, const std::string &prefix = "/jobs/") const;
+    /// Each item counts tokensOfItem. With @p promptParts, items have these and a path each, so that their contents differ.
+    [[nodiscard]] http_response submitJob(std::size_t gateway,
+                                          const std::string &id,
+                                          int items,
+                                          const std::string &prefix = "/jobs/",
+                                          const std::string &promptParts = {}) const;
     [[nodiscard]] boost::json::object readJob(std::size_t gateway, const std::string &id) const;
     /// How often a request has run, at all replicas that live.
     [[nodiscard]] int runsOf(const std::string &id) const;
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -318,6 +318,39 @@
     CHECK(fleet.send(2, "/stream/1", "other", {{"Model", "m"}, {"Prompt-Prefix", "a:200,b:40,own:7"}}).status == 200);
 }
 
+// Guards against items that wait for a minute because connections to running replicas were reset.
+TEST_CASE("items go on soon after the connections of their runs were cut, since their replicas run on")
+{
+    constexpr std::size_t replicas = 3;
+    constexpr int items = 6;
+    gateway_fleet fleet({.gateways = 2, .replicas = replicas});
+    const auto beat = [&] {
+        for (std::size_t index = 0; index < replicas; ++index) {
+            fleet.registerReplica(index);
+        }
+    };
+    for (std::size_t index = 0; index < replicas; ++index) {
+        fleet.setReplicaMode(index, "reset");
+    }
+    REQUIRE(fleet.submitJob(0, "j1", items, "/jobs/", "shared:200,own:9").status == 202);
+    REQUIRE(eventually([&] {
+        return fleet.metricOf(0, "stopped_parts") == 1 && fleet.metricOf(1, "stopped_parts") == 1;
+    }));
+    REQUIRE(eventually([&] {
+        return fleet.hasRowThatBegins("stopped_contents", "cGFy"); // "par" in base64.
+    }));
+    for (std::size_t index = 0; index < replicas; ++index) {
+        fleet.setReplicaMode(index, "up");
+    }
+    CHECK(eventually([&] {
+        beat();
+        return resultsOf(fleet.readJob(1, "j1")) == items;
+    }));
+    CHECK(eventually([&] {
+        return fleet.rowsOf("stopped_contents") == 0;
+    }));
+}
+
 TEST_CASE("a replica that says only in its answers that it leaves gets no new work, and what runs there ends well")
 {
     gateway_fleet fleet({.gateways = 2, .replicas = 2, .replicaArguments = {"--events", "20", "--event-ms", "50"}});
--- a/tests/property/serving/part_guard_property_test.cpp
+++ b/tests/property/serving/part_guard_property_test.cpp
@@ -18,6 +18,7 @@
 constexpr duration runTime = 500ms;
 constexpr duration downTime = 2s; // Of a crashed upstream.
 constexpr duration reportInterval = 200ms;
+constexpr duration heartbeatInterval = 1200ms; // Of an upstream, in which nodes see that it runs.
 constexpr duration bound = 3s; // After the fifth crash, for stopping the part; twice that for serving what is sound.
 constexpr std::uint64_t deadly = 1000;
 constexpr std::uint64_t newParts = 2000; ///< From here on parts that come once.
@@ -30,6 +31,7 @@
     double deadlyShare = 0.1;
     double reportLoss = 0.1; ///< Share of the reports that do not arrive.
     double restarts = 0; ///< Of a node, a second.
+    double resets = 0; ///< Of all connections to a running upstream, a second and upstream.
     bool deadlyPartFirst = false;
 };
 
@@ -56,6 +58,8 @@
             restartNodes();
             arrive();
             progress();
+            resetConnections();
+            beat();
             exchangeReports();
             followRows();
         }
@@ -66,6 +70,22 @@
     std::size_t rejectedAfterBound = 0; ///< and those of them that were rejected.
     std::size_t crashes = 0;
 
+    /// Lets connections be left alone from now on.
+    void endResets()
+    {
+        m_scenario.resets = 0;
+    }
+
+    /// Number of stops of parts, over all nodes.
+    [[nodiscard]] std::size_t stops() const
+    {
+        std::size_t result = 0;
+        for (const auto &guard : m_guards) {
+            result += guard->stopped(m_now).size();
+        }
+        return result;
+    }
+
 private:
     struct active_run
     {
@@ -83,6 +103,12 @@
         std::vector<active_run> runs;
     };
 
+    struct stop_row
+    {
+        std::set<std::uint64_t> together;
+        std::set<upstream_key> lostUpstreams;
+    };
+
     double chance()
     {
         return std::uniform_real_distribution<double>(0, 1)(m_generator);
@@ -105,8 +131,8 @@
             m_startedAt[node] = m_now;
             auto &guard = m_guards[node];
             guard = std::make_unique<part_guard>(part_guard_options());
-            for (const auto &[part, together] : m_rows) {
-                guard->stop(part, together, m_now);
+            for (const auto &[part, row] : m_rows) {
+                guard->stop(part, row.together, m_now, row.lostUpstreams);
             }
         }
     }
@@ -177,11 +203,47 @@
         }
     }
 
+    void resetConnections()
+    {
+        std::vector<active_run> again;
+        for (upstream &entry : m_upstreams) {
+            if (chance() < m_scenario.resets * std::chrono::duration<double>(step).count()) {
+                loseRuns(entry, again);
+                entry.runs.clear();
+            }
+        }
+        for (active_run &run : again) {
+            ++run.attempt;
+            send(std::move(run));
+        }
+    }
+
+    void beat()
+    {
+        if (m_now < m_beatAt) {
+            return;
+        }
+        m_beatAt = m_now + heartbeatInterval;
+        for (const upstream &entry : m_upstreams) {
+            for (const auto &guard : m_guards) {
+                if (entry.upAt <= m_now) {
+                    (void)guard->recordAlive(entry.key, m_now - step, m_now);
+                }
+            }
+        }
+    }
+
     void crash(upstream &entry, std::vector<active_run> &again)
     {
         if (++crashes == 5) {
             m_fifthCrash = m_now;
         }
+        loseRuns(entry, again);
+        entry = {.key = ++m_lastKey, .upAt = m_now + downTime, .runs = {}};
+    }
+
+    void loseRuns(upstream &entry, std::vector<active_run> &again)
+    {
         for (active_run &run : entry.runs) {
             if (!run.hasBegun) {
                 (void)m_guards[run.node]->recordLoss(run.request, entry.key, m_now);
@@ -190,7 +252,6 @@
                 again.push_back(std::move(run));
             }
         }
-        entry = {.key = ++m_lastKey, .upAt = m_now + downTime, .runs = {}};
     }
 
     void exchangeReports()
@@ -225,14 +286,15 @@
         });
         for (const auto &guard : m_guards) {
             for (const std::uint64_t part : guard->locallyStopped()) {
-                if (m_rows.emplace(part, guard->stoppedTogetherWith(part)).second) {
+                const stop_row row{.together = guard->stoppedTogetherWith(part), .lostUpstreams = guard->stoppedBecauseOf(part)};
+                if (m_rows.emplace(part, row).second) {
                     notifyOfRow(part);
                 }
             }
-            for (auto &[part, together] : m_rows) {
+            for (auto &[part, row] : m_rows) {
                 const std::set<std::uint64_t> known = guard->stoppedTogetherWith(part);
-                if (guard->isPart(part) && known.size() < together.size()) {
-                    together = known;
+                if (guard->isPart(part) && known.size() < row.together.size()) {
+                    row.together = known;
                     notifyOfRow(part);
                 }
             }
@@ -242,7 +304,7 @@
     void notifyOfRow(std::uint64_t part)
     {
         for (const auto &reader : m_guards) {
-            reader->stop(part, m_rows.at(part), m_now);
+            reader->stop(part, m_rows.at(part).together, m_now, m_rows.at(part).lostUpstreams);
         }
     }
 
@@ -251,7 +313,8 @@
     std::vector<std::unique_ptr<part_guard>> m_guards;
     std::vector<upstream> m_upstreams;
     std::map<std::size_t, time_point> m_startedAt; ///< Of nodes that were restarted.
-    std::map<std::uint64_t, std::set<std::uint64_t>> m_rows;
+    std::map<std::uint64_t, stop_row> m_rows;
+    time_point m_beatAt{};
     time_point m_start{1h};
     time_point m_now{m_start};
     time_point m_reportAt{m_start};
@@ -279,3 +342,21 @@
         RC_CLASSIFY(fleet.rejectedAfterBound > 0);
     });
 }
+
+TEST_CASE("part_guard stops nothing for longer than two heartbeats when only connections are reset")
+{
+    rc::prop("a fleet of nodes without a part that crashes upstreams", [] {
+        scenario wanted{.seed = *rc::gen::arbitrary<std::uint32_t>(), .deadlyShare = 0};
+        wanted.nodes = *rc::gen::inRange<std::size_t>(1, 14);
+        wanted.reportLoss = *rc::gen::inRange(0, 30) / 100.0;
+        wanted.restarts = *rc::gen::inRange(0, 3);
+        wanted.resets = *rc::gen::inRange(2, 20) / 2.0;
+        fleet_simulation fleet(wanted);
+        fleet.run(5s);
+        fleet.endResets();
+        const std::size_t before = fleet.stops();
+        fleet.run(2 * heartbeatInterval + step);
+        RC_ASSERT(fleet.stops() == 0U);
+        RC_CLASSIFY(before > 0);
+    });
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -525,7 +525,7 @@
     std::optional<std::chrono::steady_clock::time_point> m_stoppedAt;
     std::vector<std::size_t> m_slots; ///< Of each place the index of its gateway.
     std::size_t m_lastGateway = gatewayCount;
-    int m_starts = 0; ///< Of replicas, after the first ones.
+    int m_starts = gateway_fleet::firstStart; ///< Of replicas, after the first ones.
     bool m_leavesFramesOut = false; ///< The last fault of an upstream's answers, which alternate.
 };
 
--- a/tests/unit/crash_guard_test.cpp
+++ b/tests/unit/crash_guard_test.cpp
@@ -168,3 +168,47 @@
     CHECK(guard.takeUnanswered(upstreamNumber(1), soon).empty());
     CHECK(guard.takeUnanswered(upstreamNumber(2), start + std::chrono::seconds(11)).empty());
 }
+
+// Guards against refusing a sound content for a minute after connections to running upstreams were reset.
+TEST_CASE("crash_guard ends a quarantine when the upstreams that seemed to have crashed prove to run on")
+{
+    crash_guard guard({.quarantineThreshold = 3});
+    guard.setUpstreamCount(20);
+    for (int number = 1; number <= 3; ++number) {
+        guard.recordLoss(content, upstreamNumber(number), start);
+    }
+    REQUIRE(guard.quarantinedUntil(content, start));
+    CHECK(guard.recordAlive(upstreamNumber(1), start).empty()); // It may have crashed at that moment.
+    REQUIRE(guard.quarantinedUntil(content, start));
+    const time_point later = start + std::chrono::seconds(1);
+    CHECK(guard.recordAlive(upstreamNumber(1), later) == std::vector<std::uint64_t>{content});
+    CHECK_FALSE(guard.quarantinedUntil(content, later));
+    CHECK(guard.lossCount(content) == 2);
+    CHECK(guard.recordLoss(content, upstreamNumber(4), later) == loss_verdict::Quarantined);
+}
+
+TEST_CASE("crash_guard ends the renewal of a quarantine when the only loss behind it is refuted")
+{
+    crash_guard guard({.quarantineThreshold = 3, .quarantineDuration = std::chrono::seconds(60)});
+    guard.setUpstreamCount(20);
+    for (int number = 1; number <= 3; ++number) {
+        guard.recordLoss(content, upstreamNumber(number), start);
+    }
+    const time_point ended = start + std::chrono::seconds(61);
+    REQUIRE(guard.recordLoss(content, upstreamNumber(4), ended) == loss_verdict::Quarantined);
+    const time_point later = ended + std::chrono::seconds(1);
+    (void)guard.recordAlive(upstreamNumber(4), later);
+    CHECK_FALSE(guard.quarantinedUntil(content, later));
+}
+
+TEST_CASE("crash_guard ends the quarantine of another node when that one withdraws it, and not its own")
+{
+    crash_guard guard({.quarantineThreshold = 1});
+    guard.setUpstreamCount(20);
+    guard.quarantine(content, start + std::chrono::minutes(1), start);
+    guard.withdraw(content);
+    CHECK_FALSE(guard.quarantinedUntil(content, start));
+    guard.recordLoss(content, upstreamNumber(1), start);
+    guard.withdraw(content);
+    CHECK(guard.quarantinedUntil(content, start));
+}
--- a/tests/unit/serving/content_quarantine_test.cpp
+++ b/tests/unit/serving/content_quarantine_test.cpp
@@ -17,6 +17,7 @@
 {
     std::string text = "part 1 2";
     std::vector<std::string> applied; ///< Texts of the rows that were read.
+    std::vector<std::uint64_t> withdrawn; ///< Keys of the rows that are gone.
     std::shared_ptr<content_quarantine> quarantine = std::make_shared<content_quarantine>(
         content_quarantine_ports{.context = context,
                                  .store = store.port(),
@@ -36,6 +37,10 @@
                                  .quarantine =
                                      [this](std::uint64_t, const std::string &rowText, time_point) {
                                          applied.push_back(rowText);
+                                     },
+                                 .withdraw =
+                                     [this](std::uint64_t fingerprint) {
+                                         withdrawn.push_back(fingerprint);
                                      }});
 
     /// Lets the node record what is due, and returns the part's row.
@@ -65,3 +70,15 @@
     fixture.text = "part 1 2"; // Knows less than the row.
     CHECK(fixture.rowAfterHousekeeping() == "part 1 by n1");
 }
+
+TEST_CASE("content_quarantine withdraws what a row has stopped when another node removes the row")
+{
+    quarantine_fixture fixture;
+    fixture.quarantine->start();
+    (void)fixture.rowAfterHousekeeping();
+    fixture.store.tables.commit({.removals = {{"stopped_contents", "", std::to_string(part)}}});
+    fixture.run([&]() -> task<> {
+        co_await fixture.sleep(500ms);
+    });
+    CHECK(fixture.withdrawn == std::vector<std::uint64_t>{part});
+}
--- a/tests/unit/serving/part_guard_test.cpp
+++ b/tests/unit/serving/part_guard_test.cpp
@@ -211,6 +211,71 @@
     CHECK_FALSE(fixture.isStopped({sound}));
 }
 
+// Guards against refusing a sound part for a minute after connections to running upstreams were reset.
+TEST_CASE("part_guard ends a stop when the upstreams that seemed to have crashed prove to run on")
+{
+    guard_fixture fixture;
+    (void)fixture.crash({{deadly}});
+    (void)fixture.crash({{deadly}});
+    CHECK(fixture.crash({{deadly}}) == std::vector<std::uint64_t>{deadly});
+    REQUIRE(fixture.guard.stoppedBecauseOf(deadly) == std::set<upstream_key>{1, 2, 3});
+    const time_point lostAt = fixture.now;
+    fixture.now += 1s;
+    SECTION("what shows only that an upstream ran before the loss refutes nothing")
+    {
+        CHECK(fixture.guard.recordAlive(1, lostAt, fixture.now).empty());
+        CHECK(fixture.isStopped({deadly}));
+    }
+    SECTION("the losses that remain count on")
+    {
+        CHECK(fixture.guard.recordAlive(2, fixture.now, fixture.now) == std::vector<std::uint64_t>{deadly});
+        CHECK_FALSE(fixture.isStopped({deadly}));
+        CHECK(fixture.guard.lossCount(deadly) == 2);
+        CHECK(fixture.guard.locallyStopped().empty());
+        CHECK(fixture.crash({{deadly}}) == std::vector<std::uint64_t>{deadly});
+        fixture.now += 59s;
+        CHECK(fixture.isStopped({deadly}));
+        fixture.now += 2s;
+        CHECK_FALSE(fixture.isStopped({deadly})); // The stop that has ended early does not make this one longer.
+    }
+    SECTION("losses that are refuted are not reported either")
+    {
+        for (upstream_key upstream = 1; upstream <= 3; ++upstream) {
+            (void)fixture.guard.recordAlive(upstream, fixture.now, fixture.now);
+        }
+        CHECK(fixture.guard.lossesToReport(fixture.now).empty());
+        CHECK(fixture.guard.lossCount(deadly) == 0);
+    }
+}
+
+TEST_CASE("part_guard ends the renewal of a stop when the only loss behind it is refuted")
+{
+    guard_fixture fixture;
+    for (int crash = 0; crash < 3; ++crash) {
+        (void)fixture.crash({{deadly}});
+    }
+    fixture.now += 61s;
+    REQUIRE(fixture.crash({{deadly}}) == std::vector<std::uint64_t>{deadly});
+    fixture.now += 1s;
+    CHECK(fixture.guard.recordAlive(fixture.lastUpstream(), fixture.now, fixture.now) == std::vector<std::uint64_t>{deadly});
+    CHECK_FALSE(fixture.isStopped({deadly}));
+    CHECK(fixture.crash({{deadly}}) == std::vector<std::uint64_t>{deadly}); // It was stopped before, and goes on.
+}
+
+TEST_CASE("part_guard ends a stop that another node has recorded when the upstreams that the record names run on")
+{
+    guard_fixture fixture;
+    fixture.guard.stop(deadly, {}, fixture.now, {1, 2, 3});
+    const time_point readAt = fixture.now;
+    fixture.now += 1s;
+    CHECK(fixture.guard.recordAlive(1, readAt, fixture.now).empty());
+    CHECK(fixture.guard.recordAlive(1, fixture.now, fixture.now) == std::vector<std::uint64_t>{deadly});
+    CHECK_FALSE(fixture.isStopped({deadly}));
+    fixture.guard.stop(sound, {}, fixture.now); // A record without upstreams, as older nodes write them.
+    CHECK(fixture.guard.recordAlive(1, fixture.now + 1s, fixture.now + 1s).empty());
+    CHECK(fixture.isStopped({sound}));
+}
+
 TEST_CASE("part_guard is bounded whatever it is told")
 {
     guard_fixture fixture;
--- a/tests/unit/serving/table_follower_test.cpp
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/table_follower.h"
 
+#include "banyan/io/clock.h"
 #include "memory_store.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,7 @@
     memory_store store{context};
     std::vector<std::string> notifications;
     int appliedCalls = 0; ///< Number of calls that returned changes.
+    time_point changedSince; ///< By the last call.
     table_follower follower;
 
     follower_fixture()
@@ -33,6 +35,10 @@
                         [this](const std::vector<table_row> &rows) {
                             notifications.push_back("all " + std::to_string(rows.size()));
                         },
+                    .onChangesRead =
+                        [this](time_point since) {
+                            changedSince = since;
+                        },
                     .onChange =
                         [this](const table_row &row) {
                             notifications.push_back((row.deleted ? "gone " : "set ") + row.name.key);
@@ -142,3 +148,35 @@
     CHECK(fixture.notifications == std::vector<std::string>{"all 0", "set a", "set b"});
     CHECK(fixture.appliedCalls == 1);
 }
+
+TEST_CASE("table_follower says since when changes may have been made: from the beginning of the call before")
+{
+    follower_fixture fixture;
+    fixture.runUntil([&] {
+        return !fixture.store.waits.empty();
+    });
+    const time_point firstChange = currentTime();
+    fixture.set("p", "a");
+    fixture.runUntil([&] {
+        return fixture.wasNotified("set a");
+    });
+    CHECK(fixture.changedSince < firstChange);
+    const std::size_t calls = fixture.store.waits.size();
+    fixture.runUntil([&] {
+        return fixture.store.waits.size() > calls;
+    });
+    fixture.set("p", "b");
+    fixture.runUntil([&] {
+        return fixture.wasNotified("set b");
+    });
+    CHECK(fixture.changedSince < firstChange); // The change may be older than the first one's answer.
+    const std::size_t next = fixture.store.waits.size();
+    fixture.runUntil([&] {
+        return fixture.store.waits.size() > next;
+    });
+    fixture.set("p", "c");
+    fixture.runUntil([&] {
+        return fixture.wasNotified("set c");
+    });
+    CHECK(fixture.changedSince > firstChange);
+}
