Take a single failed call for no outage of the store

Cause: table_follower took one time-out for the loss of the store, and kept registrations that were missing afterwards, since they may have expired in an outage. Beside it, the call after a time-out took the next idle connection of the pool, which was as silent.

Evidence: store_lost 2.4 s after the silence, store_regained 0.2 s later, the last request 2 s after that.

Why it works: a store is lost when two calls in a row have failed. After the first failure the follower asks again within 60 ms and goes on from the version that it has, so that a removal counts as one. After a time-out the client closes idle connections to the same address.

--- a/io/include/banyan/io/serving/table_follower.h
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -4,6 +4,7 @@
 #include "banyan/io/asio_types.h"
 #include "banyan/io/serving/table_store.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
     std::vector<std::string> parts = {""};
     duration pause = std::chrono::milliseconds(100); ///< Between two calls, so that one call returns many changes.
     duration wait = std::chrono::milliseconds(1500); ///< Longest wait for a change; an unresponsive connection is detected soon after.
+    duration confirmationDelay = std::chrono::milliseconds(40); ///< As retryDelay, after the first failure in a row.
     duration retryDelay = std::chrono::milliseconds(250); ///< Mean delay after a failed call, with a jitter of up to half of it.
 };
 
@@ -28,7 +30,7 @@
     std::function<void(time_point since)> onChangesRead;
     std::function<void(const table_row &row)> onChange;
     std::function<void()> onChangesApplied; ///< Called after the changes returned by one call have been passed to onChange.
-    std::function<void()> onLost; ///< The store has stopped answering.
+    std::function<void()> onLost; ///< The store has stopped answering: two calls in a row have failed.
     std::function<void()> onRegained; ///< The store answers again; called before onSnapshot.
 };
 
@@ -44,13 +46,13 @@
     /// Applies the changes up to now without waiting for the next regular call. @throws platform_unavailable
     [[nodiscard]] task<> refresh();
 
-    /// Whether the rows are complete and the last call succeeded.
+    /// Whether the rows are complete and the last regular call succeeded.
     [[nodiscard]] bool isCurrent() const
     {
-        return m_available && !m_historyLost;
+        return m_failures == 0 && !m_historyLost;
     }
 
-    /// Whether the last call succeeded.
+    /// Whether the store answers, as far as this follower knows.
     [[nodiscard]] bool available() const
     {
         return m_available;
@@ -70,6 +72,7 @@
     table_observer m_observer;
     row_version m_version = 0;
     time_point m_versionSince; ///< The store had m_version at that time or later.
+    std::uint32_t m_failures = 0; ///< Failed calls since the last one that succeeded.
     bool m_available = true;
     bool m_historyLost = true;
 };
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -354,6 +354,10 @@
     parser.body_limit(m_implementation->options().maximumBody);
     boost::system::error_code error;
     co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error == beast::error::timeout) {
+        // Connections may go silent together, without being closed.
+        m_implementation->closeIdle(to);
+    }
     if (error) {
         fail(sent_state::MaybeSent, error, "read", connection->reused && connection->buffer.size() == 0);
     }
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t pageRows = 500; // Maximum of the store.
+constexpr std::uint32_t failuresOfLoss = 2; // Failed calls in a row after which the store counts as lost.
 
 duration jittered(duration value)
 {
@@ -44,7 +45,7 @@
         }
         if (!failure.empty()) {
             recordCallFailure(failure);
-            co_await sleep(jittered(m_options.retryDelay));
+            co_await sleep(jittered(m_available ? m_options.confirmationDelay : m_options.retryDelay));
         }
     }
 }
@@ -75,8 +76,8 @@
 
 task<> table_follower::followChanges()
 {
-    // While the store is unavailable, poll without a wait: its return must be detected at once, not with the next change.
-    const duration wait = m_available ? m_options.wait : duration(0);
+    // After a failure, poll without a wait: whether the store answers must be known at once, not with the next change.
+    const duration wait = m_failures == 0 ? m_options.wait : duration(0);
     const time_point calledAt = currentTime();
     const time_point since = m_versionSince;
     const table_changes changes = co_await m_store.changes(m_options.table, m_version, wait);
@@ -130,6 +131,7 @@
 
 void table_follower::recordCallSuccess()
 {
+    m_failures = 0;
     if (!std::exchange(m_available, true)) {
         logEvent(log_level::Info, "store_regained", {{"table", m_options.table}, {"version", std::to_string(m_version)}});
         if (m_observer.onRegained) {
@@ -140,8 +142,15 @@
     }
 }
 
+/// A single failure may be that of a connection. Only a further one, of a call of its own, shows that the store does not answer.
 void table_follower::recordCallFailure(const std::string &reason)
 {
+    ++m_failures;
+    if (m_failures < failuresOfLoss) {
+        logEvent(
+            log_level::Info, "store_call_failed", {{"table", m_options.table}, {"version", std::to_string(m_version)}, {"reason", reason}});
+        return;
+    }
     if (std::exchange(m_available, false)) {
         logEvent(
             log_level::Warning, "store_lost", {{"table", m_options.table}, {"version", std::to_string(m_version)}, {"reason", reason}});
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -3,10 +3,13 @@
 #include "unit/raw_upstream.h"
 
 #include "banyan/io/http_client.h"
+#include "banyan/io/http_error.h"
 #include "banyan/io/platform_client.h"
 #include "banyan/io/platform_error.h"
 #include "banyan/io/serving/table_store.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -86,3 +89,40 @@
         CHECK_THROWS_AS(fixture.run(client.getObject("o")), platform_unavailable);
     }
 }
+
+TEST_CASE("the store's client uses no older connection after a call has timed out, since they may have gone silent together")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nobject";
+    asio::io_context context;
+    raw_upstream store(context, [&](const std::string &, std::size_t number) -> raw_answer {
+        return number == 2 ? raw_answer{.end = connection_end::Silent} : raw_answer{.bytes = answer};
+    });
+    http_client client(context, {});
+    std::vector<std::string> outcomes;
+    const auto call = [&]() -> task<> {
+        std::string outcome;
+        try {
+            http_request request{.target = "/o"};
+            const http_response response = co_await client.exchange(store.address(), std::move(request), 50ms);
+            outcome = response.body;
+        } catch (const http_error &error) {
+            outcome = error.timedOut() ? "timed out" : error.what();
+        }
+        outcomes.push_back(outcome);
+    };
+    const auto runUntilOutcomes = [&](std::size_t count) {
+        while (outcomes.size() < count) {
+            context.run_one();
+        }
+    };
+    asio::co_spawn(context, call(), asio::detached);
+    asio::co_spawn(context, call(), asio::detached); // On a connection of its own.
+    runUntilOutcomes(2);
+    REQUIRE(client.connectionsOpened() == 2);
+    asio::co_spawn(context, call(), asio::detached);
+    runUntilOutcomes(3);
+    asio::co_spawn(context, call(), asio::detached);
+    runUntilOutcomes(4);
+    CHECK(outcomes == std::vector<std::string>{"object", "object", "timed out", "object"});
+    CHECK(client.connectionsOpened() == 3);
+}
--- a/tests/unit/serving/memory_store.h
+++ b/tests/unit/serving/memory_store.h
@@ -24,6 +24,7 @@
     }
 
     bool down = false; ///< All calls fail without effect.
+    int failCalls = 0; ///< Number of next calls that fail without effect.
     int loseAnswers = 0; ///< Number of next commits that take effect but whose answer is lost.
     int loseCommits = 0; ///< Number of next commits that get no answer and take no effect.
     std::string rejectedTable; ///< Commits that write to this table fail.
@@ -89,8 +90,12 @@
     }
 
 private:
-    void check() const
+    void check()
     {
+        if (failCalls > 0) {
+            --failCalls;
+            throw platform_unavailable("the connection was lost");
+        }
         if (down) {
             throw platform_unavailable("the store is down");
         }
--- a/tests/unit/serving/table_follower_test.cpp
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -30,7 +30,7 @@
     follower_fixture()
         : follower(context,
                    store.port(),
-                   {.table = table, .parts = {"p", "q"}, .pause = 1ms, .wait = 200ms, .retryDelay = 2ms},
+                   {.table = table, .parts = {"p", "q"}, .pause = 1ms, .wait = 200ms, .confirmationDelay = 1ms, .retryDelay = 2ms},
                    {.onSnapshot =
                         [this](const std::vector<table_row> &rows) {
                             notifications.push_back("all " + std::to_string(rows.size()));
@@ -135,6 +135,30 @@
     CHECK(regained < all);
 }
 
+// Guards against keeping removed upstreams because a connection to the store went silent.
+TEST_CASE("table_follower takes a single failed call for no loss of the store, and goes on with the changes")
+{
+    follower_fixture fixture;
+    fixture.set("p", "a");
+    fixture.runUntil([&] {
+        return !fixture.store.waits.empty();
+    });
+    fixture.store.failCalls = 1;
+    fixture.runUntil([&] {
+        return fixture.store.failCalls == 0;
+    });
+    fixture.store.tables.commit({.removals = {{table, "p", "a"}}});
+    fixture.runUntil([&] {
+        return fixture.wasNotified("gone a");
+    });
+    CHECK(fixture.notifications == std::vector<std::string>{"all 1", "gone a"});
+    const auto immediate = std::find(fixture.store.waits.begin(), fixture.store.waits.end(), duration(0));
+    CHECK(immediate != fixture.store.waits.end());
+    fixture.runUntil([&] {
+        return fixture.store.waits.back() == 200ms;
+    });
+}
+
 TEST_CASE("table_follower calls onChangesApplied once after the changes of a call")
 {
     follower_fixture fixture;
