Soak: releases while a gateway is out of step

The soak could not show the streams that were joined at gateways out of step (ORDER): its replicas were of two versions from the beginning, so that no list ever named one only.

Each run begins with replicas of one version and a release while one gateway is suspended, cut off or without the store; more come at random. Ten streams begin elsewhere and are taken up there. Items are checked for any two versions. Take-ups that went on, and that did not, are printed.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,11 +6,15 @@
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <future>
+#include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace {
@@ -24,6 +28,7 @@
 
 constexpr int clientThreads = 6;
 constexpr int itemsOfJob = 4;
+constexpr int streamsOfRelease = 10; // That are taken up at a gateway which has not seen the release.
 constexpr std::size_t events = 10; // Of a stream, as the stand-in makes them.
 constexpr std::chrono::seconds callPatience(8); // Beyond every deadline that a client names.
 constexpr std::chrono::seconds stopSpread(3); // After the store has a stop, for all gateways to know it.
@@ -54,8 +59,8 @@
     std::vector<endpoint> m_addresses;
 };
 
-/// Software versions of the replicas. Each event names the one that made it.
-const std::vector<std::string> versions = {"v1", "v2", "v1"};
+/// Software versions of the first replicas; later ones have further versions. Each event names the one that made it.
+const std::vector<std::string> versions = {"v1", "v1", "v1"};
 
 /// The events of a stream after the first ones, as an upstream of a version makes them for a request.
 std::string eventsAfter(std::size_t last, const std::string &id, const std::string &version)
@@ -77,6 +82,16 @@
                                       : text.substr(begin + mark.size(), text.find(':', begin + mark.size()) - begin - mark.size());
 }
 
+/// The versions that the lines of an item's output name.
+std::set<std::string> versionsOfLines(const std::string &output)
+{
+    std::set<std::string> result;
+    for (std::size_t begin = 0; begin < output.size(); begin = std::min(output.find('\n', begin), output.size() - 1) + 1) {
+        result.insert(output.substr(begin, output.find(':', begin) - begin));
+    }
+    return result;
+}
+
 /// A client that sends requests of all kinds to any gateway, and checks each answer.
 class soak_client
 {
@@ -101,7 +116,7 @@
                 whole("/once/1", id, true);
                 break;
             case 2:
-                if (m_sent % 2 == 0) {
+                if (m_sent % 3 == 0) {
                     stream(id);
                 } else {
                     takenUpStream(id);
@@ -116,14 +131,66 @@
         }
     }
 
+    /// Begins a stream at a gateway and breaks its connection. Returns its events so far, empty if it did not get them.
+    static std::string beginStream(const std::string &id, const endpoint &gateway)
+    {
+        std::string begun;
+        try {
+            test_connection connection(gateway, callPatience);
+            connection.send({.method = "POST",
+                             .target = "/stream/1",
+                             .fields = {{"Request-Id", id}, {"Deadline-Ms", "3000"}, {"Model", "m"}},
+                             .body = id});
+            if (connection.receiveHead().status != 200) {
+                return {};
+            }
+            while (begun.find("id: " + std::to_string(eventsBefore) + "\n") == std::string::npos) {
+                const std::string piece = connection.receivePiece();
+                if (piece.empty()) {
+                    return {};
+                }
+                begun += piece;
+            }
+        } catch (const std::exception &) {
+            return {};
+        }
+        return begun;
+    }
+
+    /// Takes a stream up at a gateway, and checks that it goes on at the version that began it.
+    void takeUpStream(const std::string &id, const std::string &begun, const endpoint &gateway)
+    {
+        const std::string second = id + "-again";
+        const std::vector<http_field> more = {{"Model", "m"}, {"Last-Event-Id", std::to_string(eventsBefore)}, {"Resumes", id}};
+        const http_response answer = sendTo(gateway, "/stream/1", second, more, id);
+        if (answer.status == 200 && !isSound(answer, eventsAfter(eventsBefore, second, versionIn(begun)))) {
+            m_told.broken("stream " + id + " of " + versionIn(begun) + " went on as " + answer.body);
+        }
+        m_told.tookUp(answer.status == 200);
+        if (answer.status == 200) {
+            m_told.served();
+        }
+    }
+
 private:
-    /// The answer, or status 0 if there was none.
+    static constexpr std::size_t eventsBefore = 3; ///< Events of a stream before its connection breaks.
+
     http_response send(const std::string &path, const std::string &id, const std::vector<http_field> &more, const std::string &body)
+    {
+        return sendTo(m_gateways.any(m_generator), path, id, more, body);
+    }
+
+    /// The answer, or status 0 if there was none.
+    static http_response sendTo(const endpoint &gateway,
+                                const std::string &path,
+                                const std::string &id,
+                                const std::vector<http_field> &more,
+                                const std::string &body)
     {
         http_request request{.method = "POST", .target = path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "3000"}}, .body = body};
         request.fields.insert(request.fields.end(), more.begin(), more.end());
         try {
-            return call(m_gateways.any(m_generator), request, callPatience);
+            return call(gateway, request, callPatience);
         } catch (const std::exception &) {
             return {.status = 0}; // Gateways are killed and connections reset: no answer promises nothing.
         }
@@ -179,35 +246,9 @@
     /// A stream whose connection breaks after some events, and that goes on at any gateway.
     void takenUpStream(const std::string &id)
     {
-        constexpr std::size_t eventsBefore = 3;
-        std::string begun;
-        try {
-            test_connection connection(m_gateways.any(m_generator), callPatience);
-            connection.send({.method = "POST",
-                             .target = "/stream/1",
-                             .fields = {{"Request-Id", id}, {"Deadline-Ms", "3000"}, {"Model", "m"}},
-                             .body = id});
-            if (connection.receiveHead().status != 200) {
-                return;
-            }
-            while (begun.find("id: " + std::to_string(eventsBefore) + "\n") == std::string::npos) {
-                const std::string piece = connection.receivePiece();
-                if (piece.empty()) {
-                    return;
-                }
-                begun += piece;
-            }
-        } catch (const std::exception &) {
-            return;
-        }
-        const std::string second = id + "-again";
-        const http_response answer =
-            send("/stream/1", second, {{"Model", "m"}, {"Last-Event-Id", std::to_string(eventsBefore)}, {"Resumes", id}}, id);
-        if (answer.status == 200 && !isSound(answer, eventsAfter(eventsBefore, second, versionIn(begun)))) {
-            m_told.broken("stream " + id + " of " + versionIn(begun) + " went on as " + answer.body);
-        }
-        if (answer.status == 200) {
-            m_told.served();
+        const std::string begun = beginStream(id, m_gateways.any(m_generator));
+        if (!begun.empty()) {
+            takeUpStream(id, begun, m_gateways.any(m_generator));
         }
     }
 
@@ -274,10 +315,19 @@
                    .replicas = 3,
                    .replicaArguments = {},
                    .versions = versions,
-                   .route = [this](const endpoint &target) {
-                       m_proxies.push_back(std::make_unique<fault_proxy>(target));
-                       return m_proxies.back()->address();
-                   }})
+                   .route =
+                       [this](const endpoint &target) {
+                           m_proxies.push_back(std::make_unique<fault_proxy>(target));
+                           return m_proxies.back()->address();
+                       },
+                   .storeRoute =
+                       [this](std::size_t gateway, const endpoint &target) {
+                           auto &proxy = m_storeProxies[gateway];
+                           if (!proxy) {
+                               proxy = std::make_unique<fault_proxy>(target);
+                           }
+                           return proxy->address();
+                       }})
     {
         for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
             m_slots.push_back(slot);
@@ -291,6 +341,7 @@
         {
             const client_threads clients(m_gateways, m_told, seed);
             const auto end = std::chrono::steady_clock::now() + time;
+            releaseFirst();
             while (std::chrono::steady_clock::now() < end) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
                 fault();
@@ -299,8 +350,13 @@
             calm();
         }
         check();
-        std::printf(
-            "seed=%u served=%zu jobs=%zu broken=%zu\n", seed, m_told.servedCount(), m_told.jobs().size(), m_told.brokenOnes().size());
+        std::printf("seed=%u served=%zu resumed=%zu not_resumed=%zu jobs=%zu broken=%zu\n",
+                    seed,
+                    m_told.servedCount(),
+                    m_told.resumedCount(),
+                    m_told.notResumedCount(),
+                    m_told.jobs().size(),
+                    m_told.brokenOnes().size());
         return m_told.brokenOnes().empty();
     }
 
@@ -326,7 +382,7 @@
     {
         const auto slot = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
         const auto proxy = static_cast<std::size_t>(pick(0, static_cast<int>(m_proxies.size()) - 1));
-        switch (pick(0, 8)) {
+        switch (pick(0, 10)) {
         case 0:
             note("kill gateway " + std::to_string(slot));
             gatewayAt(slot).signal(SIGKILL);
@@ -355,20 +411,116 @@
             break;
         case 5:
             m_leavesFramesOut = !m_leavesFramesOut;
-            note("upstream " + std::to_string(pick(0, 2)) + (m_leavesFramesOut ? " leaves frames out" : " loses answers"));
-            replicaMode(static_cast<std::size_t>(pick(0, 2)), m_leavesFramesOut ? "unframed" : "reset");
+            note(std::string("an upstream ") + (m_leavesFramesOut ? "leaves frames out" : "loses answers"));
+            replicaMode(anyReplica(), m_leavesFramesOut ? "unframed" : "reset");
             break;
         case 6:
-            leave(static_cast<std::size_t>(pick(0, 2)));
+            leave(anyReplica());
             break;
         case 7:
-            limitRate(static_cast<std::size_t>(pick(0, 2)), slot);
+            limitRate(anyReplica(), slot);
+            break;
+        case 8:
+        case 9:
+            release(slot);
             break;
         default:
             spoil(*m_proxies[proxy]);
         }
     }
 
+    /// The release after which more than one version counts for the rest of the run.
+    void releaseFirst()
+    {
+        const bool isRecorded = eventually([this] {
+            return m_fleet.rowsOf("service_versions") == 1;
+        });
+        if (!isRecorded) {
+            m_told.broken("the version of the first replicas was not recorded");
+        }
+        std::this_thread::sleep_for(300ms); // For all gateways to read it.
+        release(static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1)));
+    }
+
+    /// A replica of a new software version joins while one gateway is out of step, and the oldest one leaves.
+    void release(std::size_t slot)
+    {
+        const int way = pick(0, 2);
+        const std::string version = "v" + std::to_string(++m_lastVersion);
+        note("release of " + version + ", gateway " + std::to_string(slot) + " out of step, way " + std::to_string(way));
+        fault_proxy &store = *m_storeProxies.at(m_slots[slot]);
+        if (way == 0) {
+            gatewayAt(slot).signal(SIGSTOP);
+        } else {
+            store.setMode(proxy_mode::Silent);
+        }
+        m_replicas.push_back(m_fleet.startReplica(version));
+        m_fleet.registerReplica(m_replicas.back());
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(300, 1500)));
+        std::vector<std::future<std::string>> begun = beginStreams((slot + 1) % gatewayCount, version);
+        for (const std::future<std::string> &stream : begun) {
+            stream.wait();
+        }
+        if (way == 1) { // Cut off: it does not hear the others either.
+            signalOthers(slot, SIGSTOP);
+        } else if (way == 0) {
+            gatewayAt(slot).signal(SIGCONT);
+        }
+        takeUpStreams(slot, version, std::move(begun));
+        signalOthers(slot, SIGCONT);
+        m_fleet.unregisterReplica(m_replicas.front()); // It serves on for a while.
+        m_replicas.erase(m_replicas.begin());
+        gatewayAt(slot).signal(SIGCONT);
+        store.setMode(proxy_mode::Pass);
+    }
+
+    /// Begins streams at one gateway.
+    std::vector<std::future<std::string>> beginStreams(std::size_t slot, const std::string &release)
+    {
+        std::vector<std::future<std::string>> begun;
+        for (int number = 0; number < streamsOfRelease; ++number) {
+            begun.push_back(std::async(std::launch::async, [gateway = m_fleet.callers(m_slots[slot]), id = idOfStream(release, number)] {
+                return soak_client::beginStream(id, gateway);
+            }));
+        }
+        return begun;
+    }
+
+    /// Takes streams up at one gateway, all at a time.
+    void takeUpStreams(std::size_t slot, const std::string &release, std::vector<std::future<std::string>> begun)
+    {
+        std::vector<std::future<void>> takers;
+        for (int number = 0; number < streamsOfRelease; ++number) {
+            const std::string text = begun[static_cast<std::size_t>(number)].get();
+            if (!text.empty()) {
+                takers.push_back(std::async(std::launch::async,
+                                            [this, gateway = m_fleet.callers(m_slots[slot]), id = idOfStream(release, number), text] {
+                                                soak_client(m_gateways, m_told, clientThreads, 0).takeUpStream(id, text, gateway);
+                                            }));
+            }
+        }
+    }
+
+    static std::string idOfStream(const std::string &release, int number)
+    {
+        return "release-" + release + "-" + std::to_string(number);
+    }
+
+    void signalOthers(std::size_t slot, int number)
+    {
+        for (std::size_t other = 0; other < gatewayCount; ++other) {
+            if (other != slot) {
+                gatewayAt(other).signal(number);
+            }
+        }
+    }
+
+    /// A replica that is registered.
+    std::size_t anyReplica()
+    {
+        return m_replicas[static_cast<std::size_t>(pick(0, static_cast<int>(m_replicas.size()) - 1))];
+    }
+
     /// A replica leaves, says so in its answers only, and comes back as a new start.
     void leave(std::size_t index)
     {
@@ -508,8 +660,8 @@
                 m_told.broken("job " + job + " lists an error for an item that can be done");
             }
             const std::string output(result.at("output").as_string());
-            if (output.find("v1:") != std::string::npos && output.find("v2:") != std::string::npos) {
-                m_told.broken("job " + job + " lists an item with events of two versions");
+            if (versionsOfLines(output).size() > 1) {
+                m_told.broken("job " + job + " lists an item with events of several versions: " + output);
             }
         }
         if (items.size() != itemsOfJob || m_fleet.readJob(m_slots[1], job) != found) {
@@ -519,12 +671,15 @@
 
     std::mt19937 m_generator;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
+    std::map<std::size_t, std::unique_ptr<fault_proxy>> m_storeProxies; ///< By gateway, before the store's common one.
     gateway_fleet m_fleet;
     live_gateways m_gateways;
     promises m_told;
     std::optional<std::chrono::steady_clock::time_point> m_stoppedAt;
     std::vector<std::size_t> m_slots; ///< Of each place the index of its gateway.
     std::size_t m_lastGateway = gatewayCount;
+    std::vector<std::size_t> m_replicas{0, 1, 2}; ///< Those that are registered, by the time at which they joined.
+    std::size_t m_lastVersion = 1;
     int m_starts = gateway_fleet::firstStart; ///< Of replicas, after the first ones.
     bool m_leavesFramesOut = false; ///< The last fault of an upstream's answers, which alternate.
 };
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -53,6 +53,25 @@
         ++m_served;
     }
 
+    /// A client has taken its stream up again.
+    void tookUp(bool served)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++(served ? m_resumed : m_notResumed);
+    }
+
+    [[nodiscard]] std::size_t resumedCount() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_resumed;
+    }
+
+    [[nodiscard]] std::size_t notResumedCount() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_notResumed;
+    }
+
     void broken(const std::string &what)
     {
         const std::lock_guard lock(m_mutex);
@@ -90,6 +109,8 @@
     std::map<std::string, std::chrono::steady_clock::time_point> m_crashing;
     std::set<std::string> m_jobs;
     std::size_t m_served = 0;
+    std::size_t m_resumed = 0; ///< Streams that went on when their clients took them up,
+    std::size_t m_notResumed = 0; ///< and those that did not.
     std::vector<std::string> m_broken;
 };
 
