Bound what is read ahead of an HTTP parser

Cause: the parser keeps what has come until the end of the line, and the connection's buffer had no limit. Heads, bodies and events had theirs.

--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
+constexpr std::size_t readAheadBytes = std::size_t(64) << 10; // Bounds what is kept of an answer whose framing goes on without end.
 constexpr unsigned maximumStatusCode = 999;
 constexpr std::size_t bodyBesideAnswerBytes = std::size_t(32) << 10; // A longer body is sent while the answer is already read.
 constexpr duration keepAliveMargin = std::chrono::seconds(1); // Before the peer's own timeout, so that no request crosses its close.
@@ -38,7 +39,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{readAheadBytes};
     bool reused = false; ///< It has served a request before.
     std::optional<duration> idleLimit; ///< What the peer allows, less a margin.
 };
