Follow the linter in new code

A returned optional that could not be moved, containers that reserve, a parameter by reference and a text by append; no change of behaviour.

--- a/io/src/serving/stream_versions.cpp
+++ b/io/src/serving/stream_versions.cpp
@@ -197,7 +197,7 @@
     /// What this node knows of a stream, also by a reading of the store that began after the stream was asked for.
     [[nodiscard]] std::optional<stream_origin> known(stream_key stream, const service_name &service, std::uint64_t reading) const
     {
-        if (const std::optional<stream_origin> remembered = m_continuity.originOf(stream)) {
+        if (std::optional<stream_origin> remembered = m_continuity.originOf(stream)) {
             return remembered;
         }
         if (m_lastSuccess < reading) {
--- a/tests/process/out_of_step_test.cpp
+++ b/tests/process/out_of_step_test.cpp
@@ -101,6 +101,7 @@
     fixture.fleet.gatewayProcess(outOfStep).signal(SIGSTOP);
     const std::vector<broken_stream> streams = fixture.release();
     std::vector<std::future<http_response>> answers;
+    answers.reserve(streams.size());
     for (const broken_stream &stream : streams) {
         answers.push_back(std::async(std::launch::async, [&fixture, &stream] {
             return takeUp(fixture.fleet, outOfStep, stream.id + "-again", stream.id, stream.text);
--- a/tests/process/silent_connections_test.cpp
+++ b/tests/process/silent_connections_test.cpp
@@ -49,6 +49,7 @@
     int sendUntil(std::chrono::steady_clock::time_point end)
     {
         std::vector<std::future<int>> failures;
+        failures.reserve(clients);
         for (int client = 0; client < clients; ++client) {
             failures.push_back(std::async(std::launch::async, [this, end] {
                 int failed = 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -478,6 +478,7 @@
     std::vector<std::future<std::string>> beginStreams(std::size_t slot, const std::string &release)
     {
         std::vector<std::future<std::string>> begun;
+        begun.reserve(streamsOfRelease);
         for (int number = 0; number < streamsOfRelease; ++number) {
             begun.push_back(std::async(std::launch::async, [gateway = m_fleet.callers(m_slots[slot]), id = idOfStream(release, number)] {
                 return soak_client::beginStream(id, gateway);
@@ -661,7 +662,7 @@
             }
             const std::string output(result.at("output").as_string());
             if (versionsOfLines(output).size() > 1) {
-                m_told.broken("job " + job + " lists an item with events of several versions: " + output);
+                m_told.broken(std::string("job ").append(job).append(" lists an item with events of several versions: ").append(output));
             }
         }
         if (items.size() != itemsOfJob || m_fleet.readJob(m_slots[1], job) != found) {
--- a/tests/unit/endless_bytes_test.cpp
+++ b/tests/unit/endless_bytes_test.cpp
@@ -30,7 +30,7 @@
 class endless_upstream
 {
 public:
-    endless_upstream(asio::io_context &context, std::string beginning, std::string repeated)
+    endless_upstream(asio::io_context &context, std::string beginning, const std::string &repeated)
         : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
         , m_beginning(std::move(beginning))
     {
