--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -28,8 +28,7 @@
 constexpr duration lingerTime = std::chrono::seconds(2); // For a peer to read the last answer and close.
 constexpr std::size_t lingerBytes = std::size_t(64) << 20; // Of a refused body that is read and dropped.
 constexpr std::size_t firstReadBytes = 4096;
-constexpr std::size_t readAheadBytes = std::size_t(64)
-                                       << 10; // Beside a head; bounds what is kept of a body whose framing goes on without end.
+constexpr std::size_t readAheadBytes = 65536; // Beside a head. Bounds what is kept of a body whose framing goes on without end.
 constexpr duration headWriteTimeout = std::chrono::seconds(30); // For a slow reader to take the refusal of its head.
 constexpr duration acceptPause = std::chrono::milliseconds(50); // After a failed accept, for example with no free descriptor.
 
--- a/io/src/serving/quota_reservations.h
+++ b/io/src/serving/quota_reservations.h
@@ -42,8 +42,8 @@
     const store_clock &clock; ///< Set by each read of the store.
     const job_directory &jobs;
     std::function<bool()> jobsCurrent; ///< Whether the directory lags behind the store by no more than its usual delay.
-    std::function<task<bool>()>
-        refreshJobs; ///< Brings the directory up to date; see jobsCurrent for the result. @throws platform_unavailable
+    /// Brings the directory up to date, as far as the store allows; jobsCurrent tells. @throws platform_unavailable
+    std::function<task<bool>()> refreshJobs;
 };
 
 /// Reserves tokens of routes' quotas in the store for jobs that this node is about to accept. Submissions that arrive during a
