--- a/core/include/banyan/core/serving/route.h
+++ b/core/include/banyan/core/serving/route.h
@@ -29,6 +29,7 @@
     duration completionWindow{}; ///< Time from the submission of a job to its last result.
     std::uint64_t maximumWaitingTokens = 0; ///< Token limit for all items of a job route without a result; 0 for no limit.
     duration retention{}; ///< Time after which the items of a job may be abandoned.
+    bool isPublic = false; ///< Serves requests without a key.
 
     /// Whether a request may be retried after an attempt that may have run.
     [[nodiscard]] bool isRepeatable() const
--- a/core/include/banyan/core/serving/serving_configuration.h
+++ b/core/include/banyan/core/serving/serving_configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/organisation.h"
 #include "banyan/core/serving/route.h"
 #include "banyan/core/time.h"
 
@@ -39,6 +40,7 @@
     std::vector<route> routes;
     std::map<service_name, service_limits> services;
     client_limits limits;
+    std::vector<organisation> organisations; ///< Sorted by name. If there are any, requests on routes that are not public need a key.
 
     auto operator<=>(const serving_configuration &) const = default;
 };
--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/caller_key.h"
+#include "banyan/core/serving/request_size.h"
 #include "banyan/core/serving/stream_origin.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "banyan/core/time.h"
@@ -34,6 +36,8 @@
     node_id holder; ///< The node that sends the run over its own connections.
     failure_domain domain; ///< Failure domain of the holder.
     duration earlierRunTime{}; ///< For a batch run: time that earlier runs of the item, which this run continues, spent at upstreams.
+    caller_key caller = 0; ///< Whose share of the upstreams the run uses.
+    request_size size; ///< As the caller states it.
 
     auto operator<=>(const slot_request &) const = default;
 };
--- a/io/include/banyan/io/serving/client_request.h
+++ b/io/include/banyan/io/serving/client_request.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/caller_key.h"
+#include "banyan/core/serving/request_size.h"
 #include "banyan/core/time.h"
 #include "banyan/io/http_message.h"
 
@@ -24,6 +26,10 @@
     std::optional<std::uint64_t> resumeAfter; ///< Last stream event that the client has received.
     std::optional<request_id> resumes; ///< Request that began the stream which this one takes up.
     std::uint64_t prefixHash = 0; ///< Hash of the prompt prefix shared with other requests; 0 if none.
+    caller_id organisation; ///< Whose key the request has; empty if there is none.
+    std::optional<std::uint32_t> priority; ///< Of the organisation; replaces the priority of the route.
+    caller_key caller = 0; ///< Whose share of the upstreams the request uses.
+    request_size size; ///< As the caller states it.
     time_point arrivedAt;
 };
 
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -9,6 +9,7 @@
   online @1 :UInt16;
   batch @2 :UInt16;
   troubled @3 :Bool;
+  remaining @4 :UInt32;           # Milliseconds.
 }
 
 struct ServiceQueue {
@@ -74,6 +75,9 @@
   stream @16 :UInt64;
   continues @17 :Bool;
   version @18 :Text;
+  caller @19 :UInt64;             # Whose share of the upstreams it uses.
+  promptTokens @20 :UInt32;       # As the caller states it, like the one after it.
+  outputTokens @21 :UInt32;
 }
 
 struct SlotVerdict {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -163,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 10, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -491,6 +491,8 @@
 
   inline bool getTroubled() const;
 
+  inline  ::uint32_t getRemaining() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -531,6 +533,9 @@
   inline bool getTroubled();
   inline void setTroubled(bool value);
 
+  inline  ::uint32_t getRemaining();
+  inline void setRemaining( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1222,6 +1227,12 @@
   inline bool hasVersion() const;
   inline  ::capnp::Text::Reader getVersion() const;
 
+  inline  ::uint64_t getCaller() const;
+
+  inline  ::uint32_t getPromptTokens() const;
+
+  inline  ::uint32_t getOutputTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1332,6 +1343,15 @@
   inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
+  inline  ::uint64_t getCaller();
+  inline void setCaller( ::uint64_t value);
+
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getOutputTokens();
+  inline void setOutputTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3327,6 +3347,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t UpstreamUsage::Reader::getRemaining() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamUsage::Builder::getRemaining() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamUsage::Builder::setRemaining( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ServiceQueue::Reader::getService() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4279,6 +4313,48 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SlotClaim::Reader::getCaller() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotClaim::Builder::getCaller() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setCaller( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotVerdict::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -393,7 +393,7 @@
         return {.id = m_slotId,
                 .service = m_service,
                 .workClass = work_class::Online,
-                .priority = m_route.priority,
+                .priority = m_request.priority.value_or(m_route.priority),
                 .arrivedAt = m_request.arrivedAt,
                 .target = m_request.arrivedAt + m_route.target,
                 .deadline = m_deadline,
@@ -403,7 +403,9 @@
                 .stream = m_stream.key(),
                 .continues = m_stream.continues(),
                 .version = m_stream.continues() ? m_stream.version() : std::string(),
-                .excluded = m_tried};
+                .excluded = m_tried,
+                .caller = m_request.caller,
+                .size = m_request.size};
     }
 
     task<attempt_report> send(const replica &upstream)
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -86,6 +86,7 @@
         entry.setOnline(static_cast<std::uint16_t>(value.online));
         entry.setBatch(static_cast<std::uint16_t>(value.batch));
         entry.setTroubled(value.degraded);
+        entry.setRemaining(value.remainingWork);
     }
     auto waiting = root.initWaitingOnline(static_cast<unsigned>(load.waitingOnline.size()));
     index = 0;
@@ -152,6 +153,9 @@
     root.setStream(request.stream);
     root.setContinues(request.continues);
     root.setVersion(request.version);
+    root.setCaller(request.caller);
+    root.setPromptTokens(request.size.promptTokens);
+    root.setOutputTokens(request.size.maximumOutputTokens);
     auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
         excluded.set(index, request.excluded[index].text().c_str());
@@ -199,7 +203,8 @@
                    .leases = {},
                    .claims = {}};
     for (const auto entry : root.getUsage()) {
-        load.usage[entry.getKey()] = {.online = entry.getOnline(), .batch = entry.getBatch(), .degraded = entry.getTroubled()};
+        load.usage[entry.getKey()] = {
+            .online = entry.getOnline(), .batch = entry.getBatch(), .degraded = entry.getTroubled(), .remainingWork = entry.getRemaining()};
     }
     for (const auto entry : root.getWaitingOnline()) {
         load.waitingOnline[entry.getService()] = entry.getWaiting();
@@ -255,7 +260,9 @@
                                  .excluded = {},
                                  .holder = node_id(textOf(root.getSender())),
                                  .domain = failure_domain(textOf(root.getDomain())),
-                                 .earlierRunTime = spanOf(root.getRanBefore())}};
+                                 .earlierRunTime = spanOf(root.getRanBefore()),
+                                 .caller = root.getCaller(),
+                                 .size = {.promptTokens = root.getPromptTokens(), .maximumOutputTokens = root.getOutputTokens()}}};
     for (const auto upstream : root.getExcluded()) {
         claim.request.excluded.emplace_back(textOf(upstream));
     }
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -16,7 +16,7 @@
 {
     const node_load load{.sender = node_id("n"),
                          .sequence = 9,
-                         .usage = {{1, {.online = 2, .batch = 3, .degraded = true}}, {4, {.online = 5}}},
+                         .usage = {{1, {.online = 2, .batch = 3, .degraded = true, .remainingWork = 420}}, {4, {.online = 5}}},
                          .schedulingState = scheduling_state::UpstreamsUncertain,
                          .waitingOnline = {{5, 6}},
                          .lost = {{.fingerprint = 7, .upstream = 8}},
@@ -46,7 +46,9 @@
                                  .excluded = {upstream_id("u1"), upstream_id("u2")},
                                  .holder = node_id("n"),
                                  .domain = failure_domain("d"),
-                                 .earlierRunTime = 3s}};
+                                 .earlierRunTime = 3s,
+                                 .caller = 78,
+                                 .size = {.promptTokens = 1460, .maximumOutputTokens = 80}}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(claim, senderNow), receiverNow);
     REQUIRE(read.has_value());
     claim.request.arrivedAt = receiverNow - 10ms;
