Refuse a bound stream at once if its version is unread

The gateway claimed slots for a version whose upstreams it had not read, declined each grant as "not_registered" and claimed the next one until the deadline could not be met. Now it looks at its own list first, and a declined grant tells it the version that the granting node remembers.

--- a/core/include/banyan/core/final_result.h
+++ b/core/include/banyan/core/final_result.h
@@ -32,6 +32,7 @@
     CancelledByCaller,
     VersionUnknown, ///< Nobody knows which software version began the stream that the request takes up.
     VersionGone, ///< No upstream of the version that began the stream is left; the stream has to begin anew.
+    VersionUnread, ///< This node has read no upstream of the version that began the stream; another node may have.
 };
 
 /// The reason's name in logs, metrics and error bodies, for example "deadline_unreachable".
--- a/core/src/final_result.cpp
+++ b/core/src/final_result.cpp
@@ -31,6 +31,8 @@
         return "version_unknown";
     case end_reason::VersionGone:
         return "version_gone";
+    case end_reason::VersionUnread:
+        return "version_unread";
     }
     return "unknown";
 }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -23,6 +23,7 @@
 #include <algorithm>
 #include <deque>
 #include <utility>
+#include <vector>
 
 namespace banyan {
 
@@ -283,6 +284,10 @@
     /// Makes one attempt, including the wait for a slot. Returns whether the request has ended.
     task<bool> tryOnce()
     {
+        if (isOfUnreadVersion()) {
+            co_await endWithoutAttempt(end_reason::VersionUnread, duration(0)); // Another node may have read its upstreams.
+            co_return true;
+        }
         m_slotId = runId(m_request.id.text(), m_serial, ++m_attempts);
         const time_point askedAt = currentTime();
         const slot_broker::slot_outcome outcome = co_await m_relay.m_ports.slots.acquire(slotRequest(), m_stop, nullptr);
@@ -311,6 +316,9 @@
             // The scheduling node's list of upstreams may be older or newer than this node's.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
             m_tried.push_back(upstream);
+            if (m_stream.continues() && m_stream.version().empty()) {
+                m_stream.bind(granted.version);
+            }
             logEvent(log_level::Info,
                      "grant_declined",
                      {{"request_id", m_request.id.text()},
@@ -332,6 +340,19 @@
         co_return co_await attemptEnded(sentTo, report);
     }
 
+    /// Whether the stream can go on only at a version of which this node's own list has no upstream that accepts work. The slots
+    /// that a node in step would grant at such upstreams would all be declined here.
+    [[nodiscard]] bool isOfUnreadVersion() const
+    {
+        if (!m_stream.continues() || m_stream.version().empty()) {
+            return false;
+        }
+        const std::vector<const replica *> &upstreams = m_relay.m_ports.slots.scheduler().upstreamsOf(m_service);
+        return std::none_of(upstreams.begin(), upstreams.end(), [&](const replica *upstream) {
+            return !upstream->draining && upstream->hasVersion(m_stream.version());
+        });
+    }
+
     /// Why a granted slot must not be used, by this node's own list; empty if it may.
     [[nodiscard]] std::string_view reasonToDecline(const replica *registered, const slot_granted &granted) const
     {
--- a/tests/unit/serving/relayed_stream_test.cpp
+++ b/tests/unit/serving/relayed_stream_test.cpp
@@ -7,6 +7,8 @@
 
 #include "relay_fixture.h"
 
+#include <boost/asio/post.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <string>
@@ -126,3 +128,31 @@
     CHECK(upstream.requests.empty());
     CHECK(fixture.call("new").status == 200);
 }
+
+// Guards against declining one grant after another at upstreams that this node has not read.
+TEST_CASE("request_relay refuses a stream at once if this node knows no upstream of the version that began it")
+{
+    relay_fixture fixture(request_kind::Stream, true);
+    scripted_upstream upstream(fixture.context, "u1", answersStream);
+    fixture.setUpstreams({&upstream});
+    serving_node &node = *fixture.nodes.front();
+    serving_fixture::recordOtherNodes(node);
+    int claims = 0;
+    node.onSend = [&](const gateway_message &message) {
+        if (const auto *const claim = std::get_if<slot_claim>(&message)) {
+            const slot_verdict verdict{.request = claim->request.id,
+                                       .state = claim_state::Granted,
+                                       .upstream = upstream_id("unread-" + std::to_string(++claims)),
+                                       .version = "newer"};
+            asio::post(fixture.context, [&node, verdict] {
+                node.slots.received(verdict);
+            });
+        }
+    };
+    const std::vector<http_field> takeUp = {{"Last-Event-Id", "3"}, {"Resumes", "first"}};
+    const http_response answer = fixture.call("second", generousTime, "question", takeUp);
+    CHECK(answer.status == 503);
+    CHECK(answer.field("Retry-After") == "0.000");
+    CHECK(claims == 1);
+    CHECK(upstream.requests.empty());
+}
