--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,9 @@
     /// Number of requests in progress.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// When the first caller was answered by an upstream; empty before.
+    [[nodiscard]] std::optional<time_point> firstAnswerAt() const;
+
     /// Ends every request by @p end, with an answer that says what is known, also those in progress. A request that may take
     /// longer is not begun any more: one that must not be repeated from now on, any other from @p lastStart on.
     void beginShutdown(time_point lastStart, time_point end);
--- a/io/src/serving/content_quarantine.cpp
+++ b/io/src/serving/content_quarantine.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <charconv>
 #include <random>
+#include <utility>
 
 namespace banyan {
 
@@ -65,7 +66,9 @@
         for (const std::uint64_t fingerprint : gone) {
             self->removeRow(fingerprint);
         }
-        self->m_isLoaded = true;
+        if (!std::exchange(self->m_isLoaded, true) && self->m_ports.loaded) {
+            self->m_ports.loaded();
+        }
     };
     result.onChange = [self = shared_from_this()](const table_row &row) {
         self->applyRow(row, currentTime());
--- a/io/src/serving/content_quarantine.h
+++ b/io/src/serving/content_quarantine.h
@@ -28,6 +28,7 @@
         rowText; ///< What a row says beside the node that recorded it; for contents nothing.
     /// Quarantines what another node has quarantined; @p text is the row's.
     std::function<void(std::uint64_t fingerprint, const std::string &text, time_point now)> quarantine;
+    std::function<void()> loaded; ///< Called when the table has been read for the first time.
     std::function<void(std::uint64_t fingerprint)> withdraw; ///< Called when the row that a quarantine came from is gone.
 };
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -5,6 +5,7 @@
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/start_steps.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
@@ -128,6 +129,10 @@
                                            [this](std::uint64_t fingerprint, const std::string &text, time_point now) {
                                                quarantine(fingerprint, text, now);
                                            },
+                                       .loaded =
+                                           [this] {
+                                               reachStep(start_step::StoppedContents, currentTime());
+                                           },
                                        .withdraw =
                                            [this](std::uint64_t fingerprint) {
                                                m_relay.withdrawQuarantine(fingerprint);
@@ -184,6 +189,7 @@
     node_load ownLoad();
     void received(const gateway_message &message);
     void loadReported(const node_load &load);
+    void reachStep(start_step step, time_point now);
 
     asio::io_context &m_context;
     gateway_settings m_settings;
@@ -208,6 +214,7 @@
     asio::steady_timer m_loadChangeTimer;
     bool m_loadChangePending = false;
     time_point m_lastHousekeeping;
+    start_steps m_startSteps{currentTime()};
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< Registered gateways by row key.
@@ -300,6 +307,7 @@
     m_metrics.set("configuration_version", static_cast<double>(configuration->version));
     m_table = std::make_shared<const route_table>(std::move(*configuration));
     m_jobs.configure(m_table);
+    reachStep(start_step::Configuration, currentTime());
     if (m_configurationHandler) {
         m_configurationHandler(m_table->configuration());
     }
@@ -321,6 +329,7 @@
         m_replicasLoaded = true;
         replicasChanged();
         updateSchedulingState();
+        reachStep(start_step::Upstreams, currentTime());
     };
     observer.onChangesRead = [this](time_point since) {
         m_replicasChangedSince = since;
@@ -463,6 +472,7 @@
             applyGatewayRow(row);
         }
         gatewaysChanged();
+        reachStep(start_step::Gateways, currentTime());
     };
     observer.onChange = [this](const table_row &row) {
         applyGatewayRow(row);
@@ -544,6 +554,7 @@
         }
     }
     logEvent(log_level::Info, "gateway_registered", {{"node", self->m_self.text()}});
+    self->reachStep(start_step::Registered, currentTime());
 }
 
 /// Losses that this node observed itself, and those received from nodes that are not hubs. The latter report to hubs only, so
@@ -647,9 +658,40 @@
     }
 }
 
+/// Records a step of the start, and that the gateway is ready once nothing is missing any more.
+void gateway::implementation::reachStep(start_step step, time_point now)
+{
+    if (!m_startSteps.reach(step, now)) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(*m_startSteps.taken(step)).count();
+    m_metrics.set("start_" + std::string(toString(step)) + "_seconds", seconds);
+    if (step == start_step::Ready || step == start_step::FirstAnswer) {
+        const auto taken = [this](start_step reached) {
+            const std::optional<duration> time = m_startSteps.taken(reached);
+            return time ? std::to_string(time->count()) : std::string();
+        };
+        logEvent(log_level::Info,
+                 step == start_step::Ready ? "gateway_ready" : "gateway_serves",
+                 {{"configuration_us", taken(start_step::Configuration)},
+                  {"upstreams_us", taken(start_step::Upstreams)},
+                  {"stopped_contents_us", taken(start_step::StoppedContents)},
+                  {"gateways_us", taken(start_step::Gateways)},
+                  {"registered_us", taken(start_step::Registered)},
+                  {"ready_us", taken(start_step::Ready)},
+                  {"first_answer_us", taken(start_step::FirstAnswer)}});
+    }
+    if (isReady()) {
+        reachStep(start_step::Ready, now);
+    }
+}
+
 void gateway::implementation::housekeep()
 {
     const time_point now = currentTime();
+    if (const std::optional<time_point> answered = m_relay.firstAnswerAt()) {
+        reachStep(start_step::FirstAnswer, *answered);
+    }
     if (now - m_lastHousekeeping > housekeepingInterval + suspensionThreshold) {
         logEvent(log_level::Warning, "process_was_suspended", {{"for_us", std::to_string((now - m_lastHousekeeping).count())}});
     }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -163,6 +163,7 @@
     std::optional<time_point> m_lastStart; ///< Set while the node shuts down; see beginShutdown().
     time_point m_end;
     std::uint64_t m_arrivals = 0;
+    std::optional<time_point> m_firstAnswerAt;
 };
 
 /// State of one request from its arrival to its answer.
@@ -593,6 +594,9 @@
     /// Forwards a complete answer, or finishes a stream.
     task<> answer(const attempt_report &report)
     {
+        if (!m_relay.m_firstAnswerAt) {
+            m_relay.m_firstAnswerAt = currentTime();
+        }
         m_timer.cancel();
         const final_result result{.what = disposition::Completed};
         if (m_stream.headSent()) {
@@ -771,6 +775,11 @@
     return m_implementation->m_active.size();
 }
 
+std::optional<time_point> request_relay::firstAnswerAt() const
+{
+    return m_implementation->m_firstAnswerAt;
+}
+
 void request_relay::beginShutdown(time_point lastStart, time_point end)
 {
     m_implementation->m_lastStart = lastStart;
