Keys of organisations, and a lease that ends them in time

Cause: nothing read the organisations of a configuration, so that requests ran under any key, upstreams got the key and not the organisation, and a gateway that could not reach the store would have gone on with keys that were taken away.

Change: row_codec reads organisations and public routes; keys become HMAC-SHA256 digests at once. caller_admission takes a request by the keys of the newest configuration, for as long as its last reading proves them (key_lease, key_check), and refuses with 401 only after a reading that began after the arrival. Upstreams get the holder's name instead of what the client sent. Jobs belong to an organisation, and their items run as its own on any gateway. Setting revocation_seconds.

The property and process tests were not run yet.

--- a/core/include/banyan/core/final_result.h
+++ b/core/include/banyan/core/final_result.h
@@ -33,6 +33,7 @@
     VersionUnknown, ///< Nobody knows which software version began the stream that the request takes up.
     VersionGone, ///< No upstream of the version that began the stream is left; the stream has to begin anew.
     VersionUnread, ///< This node has read no upstream of the version that began the stream; another node may have.
+    KeyUnproven, ///< The key of the request may have been taken away.
 };
 
 /// The reason's name in logs, metrics and error bodies, for example "deadline_unreachable".
--- a/core/include/banyan/core/serving/caller_key.h
+++ b/core/include/banyan/core/serving/caller_key.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "banyan/core/identifier.h"
+
 #include <cstdint>
 
 namespace banyan {
@@ -8,4 +10,7 @@
 /// the configuration has no organisations, of what the requests of one caller have in common. 0 if that is not known.
 using caller_key = std::uint64_t;
 
+/// The key of an organisation; 0 for an empty name.
+[[nodiscard]] caller_key callerKeyOf(const caller_id &organisation);
+
 } // namespace banyan
--- a/core/include/banyan/core/serving/job_entry.h
+++ b/core/include/banyan/core/serving/job_entry.h
@@ -16,6 +16,7 @@
     job_id id;
     std::string route; ///< Name of the route that received the job.
     std::string host; ///< Host of the route, sent with each run.
+    caller_id organisation; ///< Whose key submitted the job; empty if none did.
     time_point submittedAt;
     std::uint32_t total = 0; ///< Number of items.
     std::uint64_t tokensLeft = 0; ///< Tokens of the items without a recorded result; updated only while the route has a quota.
--- a/core/include/banyan/core/serving/serving_configuration.h
+++ b/core/include/banyan/core/serving/serving_configuration.h
@@ -40,7 +40,8 @@
     std::vector<route> routes;
     std::map<service_name, service_limits> services;
     client_limits limits;
-    std::vector<organisation> organisations; ///< Sorted by name. If there are any, requests on routes that are not public need a key.
+    std::vector<organisation> organisations; ///< Sorted by name.
+    bool requiresKeys = false; ///< Requests on routes that are not public need a key of an organisation.
 
     auto operator<=>(const serving_configuration &) const = default;
 };
--- a/core/src/final_result.cpp
+++ b/core/src/final_result.cpp
@@ -33,6 +33,8 @@
         return "version_gone";
     case end_reason::VersionUnread:
         return "version_unread";
+    case end_reason::KeyUnproven:
+        return "key_unproven";
     }
     return "unknown";
 }
--- a/core/src/serving/route_table.cpp
+++ b/core/src/serving/route_table.cpp
@@ -20,6 +20,7 @@
 
 route_table::route_table(serving_configuration configuration)
     : m_configuration(std::move(configuration))
+    , m_keys(m_configuration.organisations, m_configuration.requiresKeys)
 {
     for (const route &entry : m_configuration.routes) {
         m_routesByHost[entry.host].push_back(&entry);
@@ -43,6 +44,31 @@
     return match == found->second.end() ? nullptr : *match;
 }
 
+bool route_table::hasPublicJobs(std::string_view host) const
+{
+    bool found = false;
+    const auto routes = m_routesByHost.find(hostWithoutPort(host));
+    if (routes == m_routesByHost.end()) {
+        return false;
+    }
+    for (const route *const entry : routes->second) {
+        if (entry->kind == request_kind::Job && !entry->isPublic) {
+            return false;
+        }
+        found = found || entry->kind == request_kind::Job;
+    }
+    return found;
+}
+
+const organisation *route_table::findOrganisation(const caller_id &name) const
+{
+    const std::vector<organisation> &all = m_configuration.organisations;
+    const auto found = std::lower_bound(all.begin(), all.end(), name, [](const organisation &entry, const caller_id &wanted) {
+        return entry.name < wanted;
+    });
+    return found == all.end() || found->name != name ? nullptr : &*found;
+}
+
 const route *route_table::findByName(std::string_view name) const
 {
     const auto match = std::find_if(m_configuration.routes.begin(), m_configuration.routes.end(), [&](const route &entry) {
--- a/io/include/banyan/io/serving/client_request.h
+++ b/io/include/banyan/io/serving/client_request.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/caller_key.h"
+#include "banyan/core/serving/key_digest.h"
 #include "banyan/core/serving/request_size.h"
 #include "banyan/core/time.h"
 #include "banyan/io/http_message.h"
@@ -27,6 +28,7 @@
     std::optional<request_id> resumes; ///< Request that began the stream which this one takes up.
     std::uint64_t prefixHash = 0; ///< Hash of the prompt prefix shared with other requests; 0 if none.
     caller_id organisation; ///< Whose key the request has; empty if there is none.
+    std::optional<key_digest> key; ///< The key under which the request runs; none if its route is public or no key is required.
     std::optional<std::uint32_t> priority; ///< Of the organisation; replaces the priority of the route.
     caller_key caller = 0; ///< Whose share of the upstreams the request uses.
     request_size size; ///< As the caller states it.
--- a/io/include/banyan/io/serving/gateway.h
+++ b/io/include/banyan/io/serving/gateway.h
@@ -16,8 +16,10 @@
 
 namespace banyan {
 
+class caller_admission;
 class http_client;
 class http_exchange;
+class key_digester;
 class listed_job_service;
 class node_metrics;
 class request_relay;
@@ -31,7 +33,7 @@
     std::string configurationKey; ///< Key of the row with the newest configuration.
     std::string replicaTable;
     /// The decoders return nullopt for rows that cannot be read.
-    std::function<std::optional<serving_configuration>(const table_row &row)> decodeConfiguration;
+    std::function<std::optional<serving_configuration>(const table_row &row, const key_digester &digester)> decodeConfiguration;
     std::function<std::optional<replica>(const table_row &row)> decodeReplica;
 };
 
@@ -56,6 +58,7 @@
     /// The routes in force; null until a configuration has been read.
     [[nodiscard]] std::shared_ptr<const route_table> routes() const;
 
+    [[nodiscard]] caller_admission &callers();
     [[nodiscard]] request_relay &relay();
     [[nodiscard]] listed_job_service &jobs();
     [[nodiscard]] node_metrics &metrics();
--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -22,6 +22,7 @@
     endpoint store; ///< Key `store`: the platform's store.
     double processorShare = 1; ///< Key `processor_share`: cores for this process; stronger VMs schedule the requests of others.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: time from SIGTERM to the end of the process.
+    duration revocationTime{}; ///< Key `revocation_seconds`: after which no request under a key that was taken away runs; 0 for no limit.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
     std::uint32_t logLinesPerSecond = 200; ///< Key `log_lines_per_second`: limit of the log rate.
 
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/job_access.h"
 #include "banyan/core/serving/job_item.h"
 #include "banyan/core/serving/listed_result.h"
 #include "banyan/core/serving/node_load.h"
@@ -32,6 +33,7 @@
     job_id id; ///< Chosen by the client; the same each time it sends the job.
     std::string route; ///< Name of the route that matched the submission.
     std::string host;
+    caller_id organisation; ///< Whose key the submission has; empty if there is none.
     std::vector<job_item> items;
 };
 
@@ -39,6 +41,7 @@
 enum class job_acceptance {
     Accepted, ///< The job is recorded, by this submission or an earlier one.
     NotAccepted, ///< The job is not recorded, and this submission will not record it later.
+    OfOther, ///< Like NotAccepted, because a job of another organisation has this id.
     OverQuota, ///< Like NotAccepted, because too many tokens wait on the job's route.
     Unknown, ///< The job may be recorded.
 };
@@ -131,13 +134,14 @@
     [[nodiscard]] task<submission_answer> accept(job_submission submission);
 
     /// Returns the results from position @p after onwards; waits up to @p wait for the first of them.
-    [[nodiscard]] task<job_results> results(job_id id, std::uint32_t after, duration wait);
+    /// A job that @p access does not allow is Missing here, and in the calls below.
+    [[nodiscard]] task<job_results> results(job_id id, std::uint32_t after, duration wait, job_access access = {});
 
     /// Returns the request body of the item with id @p item.
-    [[nodiscard]] task<item_lookup> itemBody(job_id id, std::string item);
+    [[nodiscard]] task<item_lookup> itemBody(job_id id, std::string item, job_access access = {});
 
     /// Ends a job: its items without a recorded result need not be run any more.
-    [[nodiscard]] task<lookup_state> end(job_id id);
+    [[nodiscard]] task<lookup_state> end(job_id id, job_access access = {});
 
     /// Releases all jobs together with checkpoints of their items, once the existing results are recorded or @p time is over.
     /// Items in flight are interrupted; the next owner resumes them from their checkpoints.
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -32,6 +32,8 @@
     part_watch &parts;
     node_metrics &metrics;
     stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
+    /// Whether a request under a key may be sent to an upstream now; if empty, every one may.
+    std::function<bool(const key_digest &key, time_point now)> maySend = {};
 };
 
 /// Forwards client requests to upstreams, retries failed attempts and returns the answers. Requests whose content keeps crashing
--- a/io/include/banyan/io/serving/table_follower.h
+++ b/io/include/banyan/io/serving/table_follower.h
@@ -30,6 +30,8 @@
     std::function<void(time_point since)> onChangesRead;
     std::function<void(const table_row &row)> onChange;
     std::function<void()> onChangesApplied; ///< Called after the changes returned by one call have been passed to onChange.
+    /// All changes that were made before @p begunAt have been passed on; @p begunAt is when a successful call began.
+    std::function<void(time_point begunAt)> onRead;
     std::function<void()> onLost; ///< The store has stopped answering: two calls in a row have failed.
     std::function<void()> onRegained; ///< The store answers again; called before onSnapshot.
 };
--- a/io/include/banyan/io/serving/upstream_run.h
+++ b/io/include/banyan/io/serving/upstream_run.h
@@ -22,6 +22,7 @@
     std::string method;
     std::string target; ///< Path and query.
     std::string host;
+    caller_id organisation; ///< Whose request it is; empty if that is not known. The upstream is told.
     std::vector<http_field> fields; ///< Fields sent by the client, without hop-by-hop fields.
     std::string body;
     std::optional<std::uint64_t> resumeAfter; ///< Last stream event already received by the client or this node; the run resumes after it.
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -153,6 +153,7 @@
   complete @6 :Bool;
   itemsInObject @7 :Bool;
   tokensLeft @8 :UInt64;
+  organisation @9 :Text;          # Empty: no key submitted it.
 }
 
 struct QuotaHolding {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -322,7 +322,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ab20fbe5f383a6d2, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ab20fbe5f383a6d2, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2367,6 +2367,9 @@
 
   inline  ::uint64_t getTokensLeft() const;
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2434,6 +2437,13 @@
   inline  ::uint64_t getTokensLeft();
   inline void setTokensLeft( ::uint64_t value);
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5670,6 +5680,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool JobEntry::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobEntry::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobEntry::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobEntry::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void JobEntry::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobEntry::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void JobEntry::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobEntry::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool QuotaHolding::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -11,6 +11,7 @@
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
 #include "banyan/io/platform_error.h"
+#include "banyan/io/serving/caller_admission.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/part_watch.h"
 #include "banyan/io/serving/peer_exchange.h"
@@ -50,6 +51,15 @@
 constexpr std::size_t maximumRemoteLosses = 64; // Bounds the size of reports; the observing node repeats losses that are left out.
 const std::string gatewayTable = "gateways";
 
+/// Longest wait of a call for a new configuration. Where keys can be taken away, several calls begin within the revocation time,
+/// so that one that fails does not end the lease of keys.
+duration configurationWait(duration revocationTime)
+{
+    constexpr int callsWithinRevocation = 5;
+    const duration usual = table_follower_options().wait;
+    return revocationTime > duration(0) ? std::min(usual, revocationTime / callsWithinRevocation) : usual;
+}
+
 node_id newIncarnation(const vm_id &vm)
 {
     std::random_device source;
@@ -102,12 +112,31 @@
                    .hubs = &m_hubs},
                   m_self,
                   settings.domain)
+        , m_callers({.context = context,
+                     .metrics = m_metrics,
+                     .routes =
+                         [this] {
+                             return m_table;
+                         },
+                     .readConfiguration =
+                         [this] {
+                             return m_configurationFollower->refresh();
+                         }},
+                    settings.revocationTime)
         , m_rates({.scheduler = m_scheduler, .slots = m_slots, .metrics = m_metrics, .self = m_self})
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
-        , m_relay(
-              {.context = context, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics, .versions = &m_versions},
-              m_platform.protocol)
+        , m_relay({.context = context,
+                   .slots = m_slots,
+                   .sender = m_sender,
+                   .parts = m_parts,
+                   .metrics = m_metrics,
+                   .versions = &m_versions,
+                   .maySend =
+                       [this](const key_digest &key, time_point now) {
+                           return m_callers.maySend(key, now);
+                       }},
+                  m_platform.protocol)
         , m_quarantine(std::make_shared<content_quarantine>(
               content_quarantine_ports{.context = context,
                                        .store = m_platform.store,
@@ -197,6 +226,7 @@
     scheduler_host m_scheduler;
     stream_versions m_versions;
     slot_broker m_slots;
+    caller_admission m_callers;
     upstream_rates m_rates;
     upstream_sender m_sender;
     part_watch m_parts;
@@ -215,6 +245,8 @@
     std::vector<std::pair<time_point, lost_content>> m_remoteLosses; ///< Losses to forward, with the time of their report.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
+    std::shared_ptr<table_follower> m_configurationFollower;
+    bool m_newestUnreadable = false; ///< Whether the newest configuration is not in force because it cannot be read.
     std::shared_ptr<table_follower> m_replicaFollower;
     bool m_replicasLoaded = false;
     bool m_replicasChanged = false; ///< Whether rows of the current call for changes have changed the registry.
@@ -245,7 +277,9 @@
         m_exchange.requestReport();
     });
     updateSchedulingState();
-    (void)follow({.table = m_platform.configurationTable, .pause = configurationPause}, configurationObserver());
+    m_configurationFollower =
+        follow({.table = m_platform.configurationTable, .pause = configurationPause, .wait = configurationWait(m_settings.revocationTime)},
+               configurationObserver());
     m_replicaFollower = follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     (void)follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
     m_quarantine->start();
@@ -273,6 +307,11 @@
     observer.onChange = [this](const table_row &row) {
         applyConfiguration(row);
     };
+    observer.onRead = [this](time_point begunAt) {
+        if (!m_newestUnreadable) {
+            m_callers.configurationRead(begunAt);
+        }
+    };
     return observer;
 }
 
@@ -282,7 +321,8 @@
     if (row.name.key != m_platform.configurationKey || row.deleted) {
         return;
     }
-    std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row);
+    std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row, m_callers.digester());
+    m_newestUnreadable = !configuration;
     if (!configuration) {
         logEvent(log_level::Error, "configuration_not_readable", {{"row_version", std::to_string(row.version)}});
         return;
@@ -296,7 +336,8 @@
              {{"version", std::to_string(configuration->version)},
               {"before", std::to_string(versionInForce)},
               {"row_version", std::to_string(row.version)},
-              {"routes", std::to_string(configuration->routes.size())}});
+              {"routes", std::to_string(configuration->routes.size())},
+              {"organisations", std::to_string(configuration->organisations.size())}});
     m_metrics.set("configuration_version", static_cast<double>(configuration->version));
     m_table = std::make_shared<const route_table>(std::move(*configuration));
     m_jobs.configure(m_table);
@@ -657,6 +698,7 @@
     m_board.expire(now);
     m_slots.handleLostNodes();
     m_quarantine->housekeep(now);
+    m_callers.housekeep(now);
     m_versions.housekeep();
     if (m_registry.tick(now)) {
         replicasChanged();
@@ -733,6 +775,11 @@
     return m_implementation->m_table;
 }
 
+caller_admission &gateway::callers()
+{
+    return m_implementation->m_callers;
+}
+
 request_relay &gateway::relay()
 {
     return m_implementation->m_relay;
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -10,11 +10,13 @@
 
 constexpr double minimumShutdownSeconds = 1;
 constexpr double maximumShutdownSeconds = 3600;
+constexpr double minimumRevocationSeconds = 1; // Unless it is 0. In less, not every gateway can read the configuration.
+constexpr double maximumRevocationSeconds = 86400;
 constexpr double minimumProcessorShare = 0.01; // In cores.
 constexpr double maximumProcessorShare = 1024; // In cores.
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 11> knownKeys = {"vm",
+constexpr std::array<std::string_view, 12> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -23,6 +25,7 @@
                                                         "store",
                                                         "processor_share",
                                                         "shutdown_seconds",
+                                                        "revocation_seconds",
                                                         "log_level",
                                                         "log_lines_per_second"};
 
@@ -46,6 +49,13 @@
         const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
         settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
     }
+    if (reader.has("revocation_seconds")) {
+        const std::chrono::duration<double> seconds(reader.decimal("revocation_seconds", 0, maximumRevocationSeconds));
+        if (seconds.count() > 0 && seconds.count() < minimumRevocationSeconds) {
+            reader.failAt("revocation_seconds", "0 or a number from 1", reader.text("revocation_seconds"));
+        }
+        settings.revocationTime = std::chrono::duration_cast<duration>(seconds);
+    }
     if (reader.has("log_level")) {
         settings.logLevel = reader.logLevel("log_level");
     }
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -79,6 +79,13 @@
     return {.content = request_relay::fingerprint(item.path, item.body), .parts = m_ports.sender.sharedParts(fieldsOf(item))};
 }
 
+/// The organisation's priority goes before the route's.
+std::uint32_t listed_job_service::implementation::priorityOf(const job_entry &entry, const route &jobRoute) const
+{
+    const organisation *const submitter = m_table ? m_table->findOrganisation(entry.organisation) : nullptr;
+    return submitter == nullptr ? jobRoute.priority : submitter->priority.value_or(jobRoute.priority);
+}
+
 request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
 {
     return runId(job.entry.id.text() + "/" + job.items[index].id, job.serial, job.states[index].runs);
@@ -151,7 +158,7 @@
     slot_request request{.id = id,
                          .service = service,
                          .workClass = work_class::Batch,
-                         .priority = jobRoute.priority,
+                         .priority = priorityOf(job->entry, jobRoute),
                          .arrivedAt = currentTime(),
                          .target = job->entry.submittedAt + jobRoute.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(jobRoute.retention, jobRoute.completionWindow),
@@ -159,7 +166,8 @@
                          .continues = progress.hasOutput(),
                          .version = progress.version(),
                          .excluded = state.unusableUpstreams,
-                         .earlierRunTime = state.earlierRunTime};
+                         .earlierRunTime = state.earlierRunTime,
+                         .caller = callerKeyOf(job->entry.organisation)};
     // Each run has its own stop signal, since an item whose slot was reclaimed runs again later.
     state.stopSignal = stop_signal();
     auto onReclaim = [job, index] {
@@ -224,6 +232,7 @@
                      .method = "POST",
                      .target = item.path,
                      .host = job->entry.host,
+                     .organisation = job->entry.organisation,
                      .fields = fieldsOf(item),
                      .body = item.body,
                      .resumeAfter = progress.resumeAfter(),
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -70,9 +70,9 @@
         m_directory.setOwnState(state);
     }
     task<submission_answer> accept(job_submission submission);
-    task<job_results> results(job_id id, std::uint32_t after, duration wait);
-    task<item_lookup> itemBody(job_id id, std::string item);
-    task<lookup_state> end(job_id id);
+    task<job_results> results(job_id id, std::uint32_t after, duration wait, job_access access);
+    task<item_lookup> itemBody(job_id id, std::string item, job_access access);
+    task<lookup_state> end(job_id id, job_access access);
     task<> handOver(duration time);
     [[nodiscard]] std::size_t running() const
     {
@@ -89,6 +89,7 @@
 
     table_observer observer();
     void entryChanged(const job_entry &entry);
+    [[nodiscard]] static job_acceptance acceptanceOfKnown(const job_submission &submission, const job_entry &known);
     void recordFinishedTokens(const job_entry &entry);
     [[nodiscard]] std::uint64_t quotaOf(const std::string &route) const;
     task<submission_answer> record(job_submission submission, std::uint64_t tokens);
@@ -114,6 +115,7 @@
     task<> handleRowConflict(job_pointer job);
     [[nodiscard]] static std::vector<listed_result> nextResults(const running_job &job);
     task<> sleep(duration time);
+    [[nodiscard]] std::uint32_t priorityOf(const job_entry &entry, const route &jobRoute) const;
     [[nodiscard]] request_id slotId(const running_job &job, std::size_t index) const;
     [[nodiscard]] static std::vector<http_field> fieldsOf(const job_item &item);
     [[nodiscard]] prompt_run promptRunOf(const job_item &item) const;
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -30,6 +30,8 @@
         return "accepted";
     case job_acceptance::NotAccepted:
         return "not_accepted";
+    case job_acceptance::OfOther:
+        return "of_other";
     case job_acceptance::OverQuota:
         return "over_quota";
     case job_acceptance::Unknown:
@@ -137,11 +139,20 @@
     m_running.erase(job->entry.id);
 }
 
+/// The answer to a submission whose job is recorded.
+job_acceptance listed_job_service::implementation::acceptanceOfKnown(const job_submission &submission, const job_entry &known)
+{
+    const bool isOfOther = !submission.organisation.empty() && submission.organisation != known.organisation;
+    return isOfOther ? job_acceptance::OfOther : job_acceptance::Accepted;
+}
+
 /// Reserves a job's tokens if its route has a quota, and records the job.
 task<submission_answer> listed_job_service::implementation::accept(job_submission submission)
 {
-    if (m_running.contains(submission.id) || m_directory.find(submission.id) != nullptr) {
-        co_return submission_answer{.acceptance = job_acceptance::Accepted};
+    const auto running = m_running.find(submission.id);
+    const job_entry *const known = running == m_running.end() ? m_directory.find(submission.id) : &running->second->entry;
+    if (known != nullptr) {
+        co_return submission_answer{.acceptance = acceptanceOfKnown(submission, *known)};
     }
     const std::string route = submission.route;
     const std::uint64_t limit = quotaOf(route);
@@ -182,6 +193,7 @@
     job_entry entry{.id = submission.id,
                     .route = submission.route,
                     .host = submission.host,
+                    .organisation = submission.organisation,
                     .submittedAt = currentTime(),
                     .total = static_cast<std::uint32_t>(submission.items.size()),
                     .tokensLeft = tokens,
@@ -194,6 +206,8 @@
         if (version) {
             entry.version = *version;
             startJob(entry, std::move(submission.items), {}, {});
+        } else if (!submission.organisation.empty()) {
+            answer.acceptance = job_acceptance::Unknown; // Until it is known whose job has this id.
         }
     } catch (const platform_unavailable &error) {
         answer.acceptance = job_acceptance::NotAccepted;
@@ -205,7 +219,7 @@
         // If the row exists now or appears later, the table follower reports it.
         try {
             const std::optional<job_entry> stored = co_await m_records.find(submission.id);
-            answer.acceptance = stored ? job_acceptance::Accepted : job_acceptance::Unknown;
+            answer.acceptance = stored ? acceptanceOfKnown(submission, *stored) : job_acceptance::Unknown;
         } catch (const platform_unavailable &error) {
             reason = error.what();
         }
@@ -230,13 +244,13 @@
     co_return co_await m_records.find(id);
 }
 
-task<job_results> listed_job_service::implementation::results(job_id id, std::uint32_t after, duration wait)
+task<job_results> listed_job_service::implementation::results(job_id id, std::uint32_t after, duration wait, job_access access)
 {
     const time_point until = currentTime() + wait;
     job_results answer;
     try {
         const std::optional<job_entry> entry = co_await lookUp(id);
-        if (!entry) {
+        if (!entry || !access.allows(*entry)) {
             answer.state = lookup_state::Missing;
             co_return answer;
         }
@@ -264,19 +278,19 @@
     co_return answer;
 }
 
-task<item_lookup> listed_job_service::implementation::itemBody(job_id id, std::string item)
+task<item_lookup> listed_job_service::implementation::itemBody(job_id id, std::string item, job_access access)
 {
     item_lookup answer;
     try {
         std::vector<job_item> items;
+        const std::optional<job_entry> entry = co_await lookUp(id);
+        if (!entry || !access.allows(*entry)) {
+            answer.state = lookup_state::Missing;
+            co_return answer;
+        }
         if (const auto running = m_running.find(id); running != m_running.end()) {
             items = running->second->items;
         } else {
-            const std::optional<job_entry> entry = co_await lookUp(id);
-            if (!entry) {
-                answer.state = lookup_state::Missing;
-                co_return answer;
-            }
             items = co_await m_records.items(*entry);
         }
         const auto found = std::find_if(items.begin(), items.end(), [&](const job_item &candidate) {
@@ -290,13 +304,13 @@
     co_return answer;
 }
 
-task<lookup_state> listed_job_service::implementation::end(job_id id)
+task<lookup_state> listed_job_service::implementation::end(job_id id, job_access access)
 {
     std::string reason;
     for (int attempt = 0; attempt < maximumEndAttempts; ++attempt) {
         try {
             std::optional<job_entry> entry = co_await m_records.find(id);
-            if (!entry) {
+            if (!entry || !access.allows(*entry)) {
                 co_return lookup_state::Missing;
             }
             if (!entry->isOpen()) {
@@ -369,19 +383,19 @@
     return m_implementation->accept(std::move(submission));
 }
 
-task<job_results> listed_job_service::results(job_id id, std::uint32_t after, duration wait)
+task<job_results> listed_job_service::results(job_id id, std::uint32_t after, duration wait, job_access access)
 {
-    return m_implementation->results(std::move(id), after, wait);
+    return m_implementation->results(std::move(id), after, wait, std::move(access));
 }
 
-task<item_lookup> listed_job_service::itemBody(job_id id, std::string item)
+task<item_lookup> listed_job_service::itemBody(job_id id, std::string item, job_access access)
 {
-    return m_implementation->itemBody(std::move(id), std::move(item));
+    return m_implementation->itemBody(std::move(id), std::move(item), std::move(access));
 }
 
-task<lookup_state> listed_job_service::end(job_id id)
+task<lookup_state> listed_job_service::end(job_id id, job_access access)
 {
-    return m_implementation->end(std::move(id));
+    return m_implementation->end(std::move(id), std::move(access));
 }
 
 task<> listed_job_service::handOver(duration time)
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -312,6 +312,12 @@
             co_await rejectQuarantined(*until);
             co_return true;
         }
+        if (!hasValidKey(currentTime())) {
+            m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
+            m_relay.m_ports.metrics.count("key_invalid_after_wait");
+            co_await endWithoutAttempt(end_reason::KeyUnproven, notRunRetryAfter);
+            co_return true;
+        }
         if (const std::string_view reason = reasonToDecline(registered, granted); !reason.empty()) {
             // The scheduling node's list of upstreams may be older or newer than this node's.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
@@ -340,6 +346,12 @@
         co_return co_await attemptEnded(sentTo, report);
     }
 
+    /// Whether the request may still run under its key, which may have been taken away while it waited.
+    [[nodiscard]] bool hasValidKey(time_point now) const
+    {
+        return !m_request.key || !m_relay.m_ports.maySend || m_relay.m_ports.maySend(*m_request.key, now);
+    }
+
     /// Whether the stream can go on only at a version of which this node's own list has no upstream that accepts work. The slots
     /// that a node in step would grant at such upstreams would all be declined here.
     [[nodiscard]] bool isOfUnreadVersion() const
@@ -439,6 +451,7 @@
                          .method = m_request.method,
                          .target = m_request.target,
                          .host = m_request.host,
+                         .organisation = m_request.organisation,
                          .fields = m_request.fields,
                          .body = m_request.body,
                          .resumeAfter = m_stream.lastEvent(),
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -435,6 +435,9 @@
     root.setComplete(entry.complete);
     root.setItemsInObject(entry.itemsInObject);
     root.setTokensLeft(entry.tokensLeft);
+    if (!entry.organisation.empty()) {
+        root.setOrganisation(entry.organisation.text());
+    }
     return pack(message);
 }
 
@@ -444,6 +447,7 @@
         return job_entry{.id = id,
                          .route = textOf(root.getRoute()),
                          .host = textOf(root.getHost()),
+                         .organisation = caller_id(textOf(root.getOrganisation())),
                          .submittedAt = time_point(timestampOf(root.getSubmittedAt())),
                          .total = root.getTotal(),
                          .tokensLeft = root.getTokensLeft(),
--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -72,6 +72,9 @@
     m_versionSince = calledAt;
     m_historyLost = false;
     m_observer.onSnapshot(rows);
+    if (m_observer.onRead) {
+        m_observer.onRead(calledAt);
+    }
 }
 
 task<> table_follower::followChanges()
@@ -107,6 +110,9 @@
     if (!changes.rows.empty() && m_observer.onChangesApplied) {
         m_observer.onChangesApplied();
     }
+    if (m_observer.onRead) {
+        m_observer.onRead(calledAt);
+    }
 }
 
 task<bool> table_follower::refresh()
--- a/tests/property/serving/decoders_property_test.cpp
+++ b/tests/property/serving/decoders_property_test.cpp
@@ -1,3 +1,4 @@
+#include "banyan/core/serving/key_digester.h"
 #include "banyan/core/serving/route_table.h"
 #include "banyan/io/serving/serving_codec.h"
 #include "request_codec.h"
@@ -15,6 +16,7 @@
 
 namespace {
 
+const key_digester digester({});
 const time_point now(1000h);
 constexpr duration longestSpan = 24h;
 
@@ -149,7 +151,7 @@
 void decodeAllJson(const std::string &text)
 {
     const table_row row{.name = {.table = "t", .part = "", .key = "i-1"}, .value = text, .version = 3};
-    if (std::optional<serving_configuration> configuration = platform::decodeConfiguration(row)) {
+    if (std::optional<serving_configuration> configuration = platform::decodeConfiguration(row, digester)) {
         const route_table table(std::move(*configuration));
         for (const route &entry : table.configuration().routes) {
             (void)serviceFor(entry, request_id("r"));
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -51,6 +51,32 @@
     CHECK(request.fields.size() == 6);
 }
 
+TEST_CASE("encodeRun names the organisation of the run in place of what the client says, and passes no key on")
+{
+    upstream_run run = runWith({{"authorization", "Bearer k"}, {"TENANT", "another"}, {"Model", "m"}});
+    run.organisation = caller_id("own");
+    const http_request request = protocol.encodeRun(run);
+    CHECK(countOf(request, {"Tenant", "own"}) == 1);
+    CHECK(request.fields.size() == 7);
+}
+
+TEST_CASE("encodeRun passes fields of other deployments on if no organisation is known")
+{
+    const http_request request = protocol.encodeRun(runWith({{"Authorization", "Bearer k"}, {"Tenant", "t"}}));
+    CHECK(countOf(request, {"Authorization", "Bearer k"}) == 1);
+    CHECK(countOf(request, {"Tenant", "t"}) == 1);
+}
+
+TEST_CASE("dropCallerFields removes what a client says of who it is")
+{
+    client_request request{.fields = {{"Authorization", "Bearer k"}, {"tenant", "t"}, {"Model", "m"}, {"AUTHORIZATION", "x"}}};
+    platform::dropCallerFields(request);
+    CHECK(request.fields == std::vector<http_field>{{"Model", "m"}});
+    job_item item{.fields = {{"Tenant", "t"}, {"Model", "m"}, {"authorization", "Bearer k"}}};
+    platform::dropCallerFields(item);
+    CHECK(item.fields == std::vector<std::pair<std::string, std::string>>{{"Model", "m"}});
+}
+
 TEST_CASE("decodeHead takes only the upstream's own proof for not run")
 {
     const http_field id{"Request-Id", "id-1"};
--- a/tests/unit/platform/row_codec_test.cpp
+++ b/tests/unit/platform/row_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "row_codec.h"
 
+#include "banyan/core/serving/key_digester.h"
+
 #include <catch2/catch.hpp>
 
 using namespace banyan;
@@ -7,6 +9,8 @@
 
 namespace {
 
+const key_digester digester({});
+
 table_row rowOf(const std::string &value)
 {
     return {.name = {.table = "t", .part = "", .key = "i-1"}, .value = value, .version = 3};
@@ -27,7 +31,7 @@
 
 TEST_CASE("decodeConfiguration takes routes, services and limits over and leaves out what it cannot read")
 {
-    const std::optional<serving_configuration> configuration = platform::decodeConfiguration(rowOf(configurationText));
+    const std::optional<serving_configuration> configuration = platform::decodeConfiguration(rowOf(configurationText), digester);
     REQUIRE(configuration.has_value());
     CHECK(configuration->version == 7);
     REQUIRE(configuration->routes.size() == 4);
@@ -53,8 +57,39 @@
 TEST_CASE("decodeConfiguration refuses what is no configuration")
 {
     for (const std::string text : {"", "null", "[1]", "{\"version\":\"7\"}", "{\"routes\":[]}", "{\"version\":"}) {
-        CHECK_FALSE(platform::decodeConfiguration(rowOf(text)).has_value());
+        CHECK_FALSE(platform::decodeConfiguration(rowOf(text), digester).has_value());
+    }
+}
+
+TEST_CASE("decodeConfiguration takes organisations over with the digests of their keys, sorted by name")
+{
+    const std::optional<serving_configuration> configuration = platform::decodeConfiguration(
+        rowOf(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"safe","service":"a","public":true}],
+            "tenants":[{"name":"b","api_keys":["k3"],"rate_per_s":2.5,"burst":10},
+                       {"name":"a","api_keys":["k1",7,"","k2"],"priority":1,"rate_per_s":-1,"burst":"many"}]})"),
+        digester);
+    REQUIRE(configuration.has_value());
+    CHECK(configuration->requiresKeys);
+    CHECK(configuration->routes.front().isPublic);
+    const std::vector<organisation> expected = {
+        {.name = caller_id("a"), .keys = {digester.digest("k1"), digester.digest("k2")}, .priority = 1},
+        {.name = caller_id("b"), .keys = {digester.digest("k3")}, .priority = std::nullopt, .requestsPerSecond = 2.5, .burst = 10}};
+    CHECK(configuration->organisations == expected);
+}
+
+TEST_CASE("decodeConfiguration requires keys as soon as organisations are listed, even if none of them can be read")
+{
+    const auto decode = [](const std::string &organisations) {
+        return platform::decodeConfiguration(rowOf(R"({"version":7,"tenants":)" + organisations + "}"), digester);
+    };
+    for (const std::string unreadable :
+         {R"([{"api_keys":["k"]}])", R"([{"name":"","api_keys":["k"]}])", R"([{"name":"a\r\nb"}])", "[1]", "7"}) {
+        CHECK(decode(unreadable)->requiresKeys);
+        CHECK(decode(unreadable)->organisations.empty());
     }
+    CHECK_FALSE(decode("[]")->requiresKeys);
+    CHECK_FALSE(decode("null")->requiresKeys);
+    CHECK_FALSE(platform::decodeConfiguration(rowOf(configurationText), digester)->requiresKeys);
 }
 
 TEST_CASE("decodeReplica reads an upstream's registration")
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -61,11 +61,12 @@
         return result;
     }
 
-    job_acceptance accept(listed_job_service &target, const std::string &id, int items)
+    job_acceptance accept(listed_job_service &target, const std::string &id, int items, const std::string &organisation = {})
     {
         job_acceptance acceptance = job_acceptance::Unknown;
         run([&]() -> task<> {
             job_submission job = submission(id, items);
+            job.organisation = caller_id(organisation);
             const submission_answer answer = co_await target.accept(std::move(job));
             acceptance = answer.acceptance;
         });
@@ -117,11 +118,11 @@
         FAIL("no row of job " << id);
     }
 
-    job_results results(listed_job_service &target, const std::string &id, std::uint32_t after = 0)
+    job_results results(listed_job_service &target, const std::string &id, std::uint32_t after = 0, const job_access &access = {})
     {
         job_results found;
         run([&]() -> task<> {
-            found = co_await target.results(job_id(id), after, 0s);
+            found = co_await target.results(job_id(id), after, 0s, access);
         });
         return found;
     }
@@ -699,3 +700,52 @@
     CHECK(fixture.awaitResults(*fixture.service, "j1", 1).results.front().succeeded);
     CHECK(upstream.requests.size() == 1);
 }
+
+TEST_CASE("listed_job_service runs items as their organisation's, also after a takeover and without the organisation in the configuration")
+{
+    job_fixture fixture;
+    scripted_upstream silent(fixture.context, "u1", [&](http_exchange &) -> task<> {
+        co_await fixture.sleep(generousTime);
+    });
+    fixture.setUpstreams({&silent});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1, "own") == job_acceptance::Accepted);
+    fixture.runFor(50ms);
+    REQUIRE(silent.requests.size() == 1);
+    scripted_upstream fresh(fixture.context, "u2", streamsPieces(1));
+    fixture.setUpstreams({&fresh});
+    const auto other = fixture.makeService(fixture.addNode());
+    other->start();
+    fixture.awaitResults(*other, "j1", 1);
+    REQUIRE(fresh.requests.size() == 1);
+    for (const http_request &request : {silent.requests.front(), fresh.requests.front()}) {
+        const auto named = std::count(request.fields.begin(), request.fields.end(), http_field{"Tenant", "own"});
+        CHECK(named == 1);
+    }
+}
+
+TEST_CASE("listed_job_service tells other organisations nothing of a job, at any node")
+{
+    job_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.setUpstreams({&upstream});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1, "own") == job_acceptance::Accepted);
+    fixture.awaitResults(*fixture.service, "j1", 1);
+    const auto elsewhere = fixture.makeService(fixture.addNode());
+    const job_access other{caller_id("other")};
+    for (listed_job_service *const service : {fixture.service.get(), elsewhere.get()}) {
+        CHECK(fixture.results(*service, "j1", 0, {caller_id("own")}).state == lookup_state::Found);
+        CHECK(fixture.results(*service, "j1", 0, other).state == lookup_state::Missing);
+        CHECK(fixture.results(*service, "j1", 0, {caller_id()}).state == lookup_state::Missing);
+        item_lookup body;
+        lookup_state ended = lookup_state::Unknown;
+        fixture.run([&]() -> task<> {
+            body = co_await service->itemBody(job_id("j1"), "j1-0", other);
+            ended = co_await service->end(job_id("j1"), other);
+        });
+        CHECK(body.state == lookup_state::Missing);
+        CHECK(ended == lookup_state::Missing);
+        CHECK(fixture.accept(*service, "j1", 1, "other") == job_acceptance::OfOther);
+        CHECK(fixture.accept(*service, "j1", 1, "own") == job_acceptance::Accepted);
+    }
+    CHECK(upstream.requests.size() == 1);
+}
--- a/tests/unit/serving/relay_fixture.h
+++ b/tests/unit/serving/relay_fixture.h
@@ -2,6 +2,7 @@
 
 #include "serving_fixture.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 struct relay_fixture : serving_fixture
 {
     std::shared_ptr<const route_table> table;
+    std::function<void(client_request &request)> identify; ///< Says who sent a request; null: nobody.
     http_server front{context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"}};
     http_client caller{context, {}};
 
@@ -34,6 +36,9 @@
         front.routeOthers([this](http_exchange &exchange) -> task<> {
             std::string body = co_await exchange.body(1U << 20U);
             client_request request = platform::decodeRequest(exchange, std::move(body), currentTime());
+            if (identify) {
+                identify(request);
+            }
             const route *const matchedRoute = table->find("h", "/x/");
             co_await nodes.front()->relay.serve(exchange, std::move(request), table, *matchedRoute);
         });
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -564,3 +564,33 @@
     }
     CHECK_FALSE(endless.requests.empty());
 }
+
+TEST_CASE("an upstream is told whose request it runs")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream upstream(fixture.context, "u1", answers(200, "answer"));
+    fixture.setUpstreams({&upstream});
+    fixture.identify = [](client_request &request) {
+        request.organisation = caller_id("own");
+        request.key = key_digest{1};
+    };
+    CHECK(fixture.call("r1", 5s, "question", {{"Authorization", "Bearer k"}, {"Tenant", "another"}}).status == 200);
+    REQUIRE(upstream.requests.size() == 1);
+    CHECK(valueOf(upstream.requests.front(), "Tenant") == "own");
+    CHECK(valueOf(upstream.requests.front(), "Authorization").empty());
+}
+
+TEST_CASE("a request whose key was taken away while it waited is refused and does not run")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    scripted_upstream upstream(fixture.context, "u1", answers(200, "answer"));
+    fixture.setUpstreams({&upstream});
+    fixture.nodes.front()->keysAreValid = false;
+    fixture.identify = [](client_request &request) {
+        request.key = key_digest{1};
+    };
+    CHECK(fixture.call("r1").status == 503);
+    CHECK(upstream.requests.empty());
+    fixture.identify = nullptr;
+    CHECK(fixture.call("r2").status == 200); // Without a key there is nothing to prove, and the slot is free again.
+}
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -78,12 +78,22 @@
         , client(context, {})
         , sender(client, platform::makeProtocol())
         , parts(metrics)
-        , relay({.context = context, .slots = slots, .sender = sender, .parts = parts, .metrics = metrics}, platform::makeProtocol())
+        , relay({.context = context,
+                 .slots = slots,
+                 .sender = sender,
+                 .parts = parts,
+                 .metrics = metrics,
+                 .maySend =
+                     [this](const key_digest &, time_point) {
+                         return keysAreValid;
+                     }},
+                platform::makeProtocol())
     {
     }
 
     node_id id;
     std::function<void(const gateway_message &message)> onSend;
+    bool keysAreValid = true; ///< Whether the relay may send requests under keys.
     std::vector<node_id> sentTo; ///< Receiver of each message.
     load_board board{std::chrono::seconds(2)};
     scheduler_host scheduler;
--- a/tests/unit/serving/table_follower_test.cpp
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -23,6 +23,7 @@
     asio::io_context context;
     memory_store store{context};
     std::vector<std::string> notifications;
+    std::vector<time_point> readings; ///< When the calls that succeeded began.
     int appliedCalls = 0; ///< Number of calls that returned changes.
     time_point changedSince; ///< By the last call.
     table_follower follower;
@@ -47,6 +48,10 @@
                         [this] {
                             ++appliedCalls;
                         },
+                    .onRead =
+                        [this](time_point begunAt) {
+                            readings.push_back(begunAt);
+                        },
                     .onLost =
                         [this] {
                             notifications.emplace_back("lost");
@@ -204,3 +209,31 @@
     });
     CHECK(fixture.changedSince > firstChange);
 }
+
+TEST_CASE("table_follower reports when each successful call began, after its rows, and none that failed")
+{
+    follower_fixture fixture;
+    const time_point begin = currentTime();
+    fixture.runUntil([&] {
+        return fixture.readings.size() == 1;
+    });
+    CHECK(fixture.wasNotified("all 0"));
+    const time_point whileWaiting = currentTime();
+    fixture.runUntil([&] {
+        return fixture.readings.size() == 2; // The call has waited for changes, and proves only what was there when it began.
+    });
+    CHECK(fixture.readings[0] >= begin);
+    CHECK(fixture.readings[1] < whileWaiting + 100ms);
+    CHECK(currentTime() >= whileWaiting + 150ms);
+    fixture.store.down = true;
+    fixture.runUntil([&] {
+        return fixture.wasNotified("lost");
+    });
+    const std::size_t before = fixture.readings.size();
+    const time_point lostAt = currentTime();
+    fixture.store.down = false;
+    fixture.runUntil([&] {
+        return fixture.readings.size() > before;
+    });
+    CHECK(fixture.readings.back() >= lostAt);
+}
