--- a/io/src/serving/caller_admission.cpp
+++ b/io/src/serving/caller_admission.cpp
@@ -64,6 +64,7 @@
     friend class caller_admission;
 
     [[nodiscard]] admission decide(const admission_request &request, const std::optional<key_digest> &digest) const;
+    [[nodiscard]] bool storeSeemsSilent(time_point now) const;
     task<> waitForReading(time_point since);
     static task<> readWhileAwaited(std::shared_ptr<implementation> self);
 
@@ -123,13 +124,20 @@
     co_return result;
 }
 
+/// Whether a reading has failed or takes too long, and no other has succeeded since.
+bool caller_admission::implementation::storeSeemsSilent(time_point now) const
+{
+    const bool hasFailed = m_failedAt && now - *m_failedAt < failureRetention;
+    const bool isOverdue = m_callBegunAt && now - *m_callBegunAt > longestProofWait && !m_lease.knowsAllBefore(*m_callBegunAt);
+    return hasFailed || isOverdue;
+}
+
 /// Returns when the configuration has been read by a call that began after @p since, when that has failed, or after a bounded time.
 task<> caller_admission::implementation::waitForReading(time_point since)
 {
     const time_point begunAt = currentTime();
-    const bool hasFailed = m_failedAt && begunAt - *m_failedAt < failureRetention;
-    if (hasFailed || (m_callBegunAt && begunAt - *m_callBegunAt > longestProofWait)) {
-        co_return; // The store does not answer this node.
+    if (storeSeemsSilent(begunAt)) {
+        co_return;
     }
     ++m_waiting;
     if (!std::exchange(m_reading, true)) {
@@ -155,8 +163,9 @@
 {
     while (self->m_waiting > 0) {
         std::string failure;
+        const time_point begunAt = currentTime();
+        self->m_callBegunAt = begunAt;
         try {
-            self->m_callBegunAt = currentTime();
             const bool succeeded = co_await self->m_ports.readConfiguration();
             failure = succeeded ? "" : "the configuration is being read anew";
         } catch (const platform_unavailable &error) {
@@ -164,8 +173,10 @@
         }
         self->m_callBegunAt.reset();
         if (!failure.empty()) {
-            self->m_failedAt = currentTime();
-            self->m_read.notify();
+            if (!self->m_lease.knowsAllBefore(begunAt)) {
+                self->m_failedAt = currentTime();
+                self->m_read.notify();
+            }
             logEvent(log_level::Info, "configuration_not_proven", {{"reason", failure}});
         }
         asio::steady_timer timer(self->m_ports.context, readingInterval);
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -46,11 +46,13 @@
     : m_route(wanted.route)
     , m_storeRoute(wanted.storeRoute)
     , m_replicaArguments(wanted.replicaArguments)
+    , m_settings(wanted.settings)
+    , m_requiresKeys(!wanted.keys.empty())
 {
     m_store = std::make_unique<child_process>(child_process::options{.program = "tests/store_standin"});
     m_storeAddress = endpoint::parse(m_store->readyValue("address"));
     m_storeForGateways = m_route ? m_route(m_storeAddress) : m_storeAddress;
-    configure(1);
+    configure(1, wanted.keys);
     for (std::size_t index = 0; index < wanted.replicas; ++index) {
         startReplica(index < wanted.versions.size() ? wanted.versions[index] : "");
         if (index + wanted.unregistered < wanted.replicas) {
@@ -96,7 +98,7 @@
 void gateway_fleet::startGateway()
 {
     const std::size_t index = m_gateways.size();
-    writeSettings(index);
+    writeSettings(index, m_settings);
     auto gateway = std::make_unique<gateway_process>();
     gateway->settingsFile = m_directory.file("gateway-" + std::to_string(index) + ".yaml");
     gateway->process = std::make_unique<child_process>(
@@ -185,7 +187,7 @@
     }
 }
 
-void gateway_fleet::configure(int version) const
+void gateway_fleet::configure(int version, const std::vector<std::string> &keys) const
 {
     json::array routes = {
         routeJson("safe", "safe"), routeJson("once", "unsafe"), routeJson("stream", "streaming"), routeJson("jobs", "bulk")};
@@ -195,10 +197,15 @@
     if (version > 1) {
         routes.push_back(routeJson("added", "safe"));
     }
+    json::array organisations;
+    if (m_requiresKeys) {
+        organisations.push_back(json::object{{"name", "own"}, {"api_keys", json::array(keys.begin(), keys.end())}});
+    }
     setRow("op",
            "config",
            json::object{
                {"version", version},
+               {"tenants", organisations},
                {"routes", routes},
                {"services", json::array{json::object{{"name", "s"}, {"max_conns", 100}}}},
                {"limits",
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -32,6 +32,8 @@
         std::function<endpoint(const endpoint &)> route;
         /// Maps the store's address to the one by which one gateway reaches it; empty: as by @ref route.
         std::function<endpoint(std::size_t gateway, const endpoint &)> storeRoute;
+        std::vector<std::string> keys; ///< Of the organisation "own"; without any, no keys are required.
+        std::string settings; ///< Further lines of the gateways' settings files.
         std::size_t unregistered = 0; ///< So many of the replicas, the last ones, are not registered at first.
     };
 
@@ -61,7 +63,8 @@
     [[nodiscard]] bool isReady(std::size_t gateway) const;
 
     /// Puts a configuration with that version; later versions have one more route, "/added/".
-    void configure(int version) const;
+    /// The organisation "own" then has the keys; if there never were any, no keys are required.
+    void configure(int version, const std::vector<std::string> &keys = {}) const;
     /// Writes a replica's registration; another time of start makes it a new start of the replica.
     void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = firstStart) const;
     /// Removes a replica's registration.
@@ -106,6 +109,8 @@
     std::function<endpoint(const endpoint &)> m_route;
     std::function<endpoint(std::size_t gateway, const endpoint &)> m_storeRoute;
     std::vector<std::string> m_replicaArguments;
+    std::string m_settings;
+    bool m_requiresKeys;
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_store;
     endpoint m_storeAddress;
