--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -63,8 +63,8 @@
     /// Open jobs that this node owns according to the store.
     [[nodiscard]] std::vector<job_entry> owned() const;
 
-    /// Tokens of the open jobs' items of a route that have no recorded result.
-    [[nodiscard]] std::uint64_t openTokens(const std::string &route) const;
+    /// Tokens of the open jobs' items without a recorded result that count in a quota, see quotaName().
+    [[nodiscard]] std::uint64_t openTokens(const std::string &quota) const;
 
     /// Jobs that were submitted before @p before.
     [[nodiscard]] std::vector<job_entry> submittedBefore(time_point before) const;
@@ -81,7 +81,7 @@
     job_directory_options m_options;
     std::unordered_map<job_id, job_entry> m_jobs;
     std::set<job_id> m_open; ///< The jobs in m_jobs that have work left.
-    std::map<std::string, std::uint64_t> m_openTokens; ///< Sum of the remaining tokens of the jobs in m_open, by route.
+    std::map<std::string, std::uint64_t> m_openTokens; ///< Sum of the remaining tokens of the jobs in m_open, by quota.
     std::map<node_id, time_point> m_reportedAt; ///< Time of the last report that says that the node can record results.
     std::set<node_id> m_leaving; ///< Nodes that have reported that they are shutting down.
     scheduling_state m_ownState = scheduling_state::Ready;
--- a/core/include/banyan/core/serving/job_entry.h
+++ b/core/include/banyan/core/serving/job_entry.h
@@ -35,4 +35,10 @@
     auto operator<=>(const job_entry &) const = default;
 };
 
+/// Names the quota of waiting tokens of an organisation's jobs on a route; of all jobs there if the organisation is empty.
+[[nodiscard]] inline std::string quotaName(const std::string &route, const caller_id &organisation)
+{
+    return organisation.empty() ? route : route + "@" + organisation.text();
+}
+
 } // namespace banyan
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -35,7 +35,7 @@
     m_jobs.insert_or_assign(entry.id, entry);
     if (entry.isOpen()) {
         m_open.insert(entry.id);
-        m_openTokens[entry.route] += entry.tokensLeft;
+        m_openTokens[quotaName(entry.route, entry.organisation)] += entry.tokensLeft;
     }
 }
 
@@ -43,7 +43,7 @@
 void job_directory::removeFromOpen(const job_entry &entry)
 {
     if (m_open.erase(entry.id) > 0) {
-        m_openTokens[entry.route] -= entry.tokensLeft;
+        m_openTokens[quotaName(entry.route, entry.organisation)] -= entry.tokensLeft;
     }
 }
 
@@ -201,9 +201,9 @@
     return result;
 }
 
-std::uint64_t job_directory::openTokens(const std::string &route) const
+std::uint64_t job_directory::openTokens(const std::string &quota) const
 {
-    const auto tokens = m_openTokens.find(route);
+    const auto tokens = m_openTokens.find(quota);
     return tokens == m_openTokens.end() ? 0 : tokens->second;
 }
 
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -74,7 +74,7 @@
     if (known != nullptr && known->isOpen() && known->version < entry.version) {
         const std::uint64_t left = entry.isOpen() ? entry.tokensLeft : 0;
         if (known->tokensLeft > left) {
-            m_quota->recordFinished(entry.route, known->tokensLeft - left, currentTime());
+            m_quota->recordFinished(quotaName(entry.route, entry.organisation), known->tokensLeft - left, currentTime());
         }
     }
 }
@@ -146,7 +146,7 @@
     return isOfOther ? job_acceptance::OfOther : job_acceptance::Accepted;
 }
 
-/// Reserves a job's tokens if its route has a quota, and records the job.
+/// Reserves a job's tokens if its route has a quota, which each organisation has for itself, and records the job.
 task<submission_answer> listed_job_service::implementation::accept(job_submission submission)
 {
     const auto running = m_running.find(submission.id);
@@ -154,8 +154,8 @@
     if (known != nullptr) {
         co_return submission_answer{.acceptance = acceptanceOfKnown(submission, *known)};
     }
-    const std::string route = submission.route;
-    const std::uint64_t limit = quotaOf(route);
+    const std::string quota = quotaName(submission.route, submission.organisation);
+    const std::uint64_t limit = quotaOf(submission.route);
     quota_reservation wanted{.job = submission.id, .claim = m_quota->newClaim()};
     for (const job_item &item : submission.items) {
         wanted.tokens += item.tokens;
@@ -166,7 +166,7 @@
         co_return answer;
     }
     const time_point startedAt = currentTime();
-    const reservation_outcome reserved = co_await m_quota->reserve(route, limit, wanted);
+    const reservation_outcome reserved = co_await m_quota->reserve(quota, limit, wanted);
     if (reserved.state == reservation_state::OverQuota) {
         answer = {.acceptance = job_acceptance::OverQuota, .retryAfter = reserved.retryAfter};
     } else if (reserved.state == reservation_state::Reserved) {
@@ -175,7 +175,7 @@
             answer = co_await record(std::move(submission), wanted.tokens);
         }
         if (answer.acceptance == job_acceptance::NotAccepted) {
-            m_quota->release(route, wanted);
+            m_quota->release(quota, wanted);
         }
     }
     co_return answer;
--- /dev/null
+++ b/tests/unit/serving/gateway_settings_test.cpp
@@ -0,0 +1,41 @@
+#include "banyan/io/serving/gateway_settings.h"
+
+#include "banyan/io/settings_error.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace banyan;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The settings of a file that has the necessary keys and these lines.
+gateway_settings settingsWith(const std::string &lines)
+{
+    const std::filesystem::path file = std::filesystem::temp_directory_path() / ("gateway-settings-" + std::to_string(getpid()) + ".yaml");
+    std::ofstream(file) << "vm: v\nfailure_domain: d\ncaller_listen: 127.0.0.1:1\nready_listen: 127.0.0.1:2\n"
+                           "peer_listen: 127.0.0.1:3\nmetrics_listen: 127.0.0.1:4\nstore: 127.0.0.1:5\n"
+                        << lines;
+    return readGatewaySettings(file.string());
+}
+
+} // namespace
+
+TEST_CASE("the revocation time is read in seconds, also with an exponent, and there is none by default")
+{
+    CHECK(settingsWith("").revocationTime == duration(0));
+    CHECK(settingsWith("\nrevocation_seconds: 0\n").revocationTime == duration(0));
+    CHECK(settingsWith("\nrevocation_seconds: 5000e-3\n\n").revocationTime == 5s);
+    CHECK(settingsWith("revocation_seconds: 2.5\n").revocationTime == 2500ms);
+}
+
+TEST_CASE("a revocation time in which not every gateway can read the configuration is refused")
+{
+    for (const std::string wrong : {"0.5", "-1", "100000", "soon", "\"\""}) {
+        CHECK_THROWS_AS(settingsWith("revocation_seconds: " + wrong + "\n"), settings_error);
+    }
+}
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -749,3 +749,18 @@
     }
     CHECK(upstream.requests.size() == 1);
 }
+
+TEST_CASE("listed_job_service gives each organisation a quota of its own on a route")
+{
+    job_fixture fixture;
+    const auto other = fixture.makeService(fixture.addNode());
+    for (listed_job_service *const service : {fixture.service.get(), other.get()}) {
+        service->configure(jobRoutes(3 * tokensOfItem));
+        service->start();
+    }
+    fixture.runFor(20ms); // Both have read the table of jobs.
+    CHECK(fixture.accept(*fixture.service, "j1", 3, "a") == job_acceptance::Accepted);
+    CHECK(fixture.accept(*other, "j2", 3, "b") == job_acceptance::Accepted);
+    CHECK(fixture.accept(*other, "j3", 1, "a") == job_acceptance::OverQuota);
+    CHECK(fixture.accept(*fixture.service, "j4", 1, "b") == job_acceptance::OverQuota);
+}
