--- a/core/include/banyan/core/token_bucket.h
+++ b/core/include/banyan/core/token_bucket.h
@@ -83,11 +83,11 @@
         return true;
     }
 
-    /// Takes a token even if there is none; the next ones then come later.
-    void spend(time_point now)
+    /// Takes so many tokens even if there are fewer; the next ones then come later.
+    void spend(time_point now, double tokens = 1)
     {
         refill(now);
-        m_tokens -= 1;
+        m_tokens -= tokens;
     }
 
     /// When the next token becomes available; not after @p now if one is available.
