--- a/core/include/banyan/core/serving/limit_tolerance.h
+++ b/core/include/banyan/core/serving/limit_tolerance.h
@@ -12,8 +12,8 @@
 struct limit_tolerance
 {
     duration window = std::chrono::seconds(5);
-    double overage = 0.1; ///< Part of the limit.
-    double slack = 20; ///< Number of requests.
+    double overage = 0; ///< Part of the limit.
+    double slack = 0; ///< Number of requests.
 
     auto operator<=>(const limit_tolerance &) const = default;
 };
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/limit_pool_report.h"
 #include "banyan/core/serving/part_loss.h"
 #include "banyan/core/serving/reported_limit.h"
 #include "banyan/core/serving/share_lease.h"
@@ -49,6 +50,7 @@
     std::vector<std::uint64_t> provenParts; ///< Hashes of suspected prompt parts that were answered.
     std::vector<reported_limit> limits; ///< Rate limits that upstreams named in answers to the sender lately.
     std::vector<share_lease> leases; ///< The sender's shares of rate limits that other nodes may use.
+    limit_pool_report pools; ///< Of the limits of organisations.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims, at any node, that the sender waits for or holds.
 
     auto operator<=>(const node_load &) const = default;
--- a/core/include/banyan/core/serving/slot_message.h
+++ b/core/include/banyan/core/serving/slot_message.h
@@ -3,6 +3,7 @@
 #include "banyan/core/attempt_result.h"
 #include "banyan/core/final_result.h"
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/credit_message.h"
 #include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/origin_query.h"
 #include "banyan/core/serving/origin_row.h"
@@ -66,7 +67,8 @@
     auto operator<=>(const slot_progress &) const = default;
 };
 
-/// A message between two gateways. An origin_row answers an origin_query.
-using gateway_message = std::variant<node_load, slot_claim, slot_verdict, slot_progress, slot_release, origin_query, origin_row>;
+/// A message between two gateways. An origin_row answers an origin_query, a credit_grant a credit_ask.
+using gateway_message =
+    std::variant<node_load, slot_claim, slot_verdict, slot_progress, slot_release, origin_query, origin_row, credit_ask, credit_grant>;
 
 } // namespace banyan
--- a/core/src/serving/organisation_credits.cpp
+++ b/core/src/serving/organisation_credits.cpp
@@ -97,9 +97,9 @@
 duration organisation_credits::recordRefused(duration longest, time_point now)
 {
     ++m_totals.refused;
-    m_refused.add(now);
-    // Those refused lately come back at the rate at which requests are admitted.
+    // Those refused before come back first, at the rate at which requests are admitted.
     const double queue = m_refused.valueAt(now) / std::max(1.0, m_admitted.valueAt(now)) * memory;
+    m_refused.add(now);
     const duration wait =
         std::max(duration(0), m_dryUntil - now) + std::chrono::duration_cast<duration>(std::chrono::duration<double>(queue));
     return std::min(wait, longest);
--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/endpoint.h"
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/limit_tolerance.h"
 #include "banyan/core/time.h"
 #include "banyan/io/log.h"
 
@@ -21,6 +22,7 @@
     endpoint metricsListen; ///< Key `metrics_listen`: HTTP for metrics.
     endpoint store; ///< Key `store`: the platform's store.
     double processorShare = 1; ///< Key `processor_share`: cores for this process; stronger VMs schedule the requests of others.
+    limit_tolerance organisationLimits; ///< Keys `limit_window_seconds`, `limit_overage`, `limit_slack`.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: time from SIGTERM to the end of the process.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
     std::uint32_t logLinesPerSecond = 200; ///< Key `log_lines_per_second`: limit of the log rate.
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -19,6 +19,7 @@
 class http_exchange;
 class part_watch;
 class node_metrics;
+class organisation_gate;
 class slot_broker;
 class stream_versions;
 class upstream_sender;
@@ -32,6 +33,7 @@
     part_watch &parts;
     node_metrics &metrics;
     stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
+    organisation_gate *limits = nullptr; ///< Keeps the limits of organisations; if null, there are none.
 };
 
 /// Forwards client requests to upstreams, retries failed attempts and returns the answers. Requests whose content keeps crashing
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -40,6 +40,17 @@
   holder @1 :UInt32;              # Key of the node that may use the share.
 }
 
+struct PoolLease {
+  holder @0 :UInt32;
+  heard @1 :UInt16;               # Low bits of the sequence of the holder's report that the lease counts from.
+  pool @2 :UInt8;
+}
+
+struct PoolShare {
+  share @0 :Float32;
+  pool @1 :UInt8;
+}
+
 struct NodeLoad {
   sender @0 :Text;
   sequence @1 :UInt64;
@@ -53,6 +64,9 @@
   provenParts @9 :List(UInt64);
   limits @10 :List(UpstreamLimit);
   leases @11 :List(ShareLease);
+  poolLeases @12 :List(PoolLease);
+  poolShares @13 :List(PoolShare);
+  poolLeaseTime @14 :UInt32;      # Microseconds.
 }
 
 struct SlotClaim {
@@ -107,6 +121,21 @@
   streams @1 :List(UInt64);
 }
 
+struct CreditAsk {
+  sender @0 :Text;
+  id @1 :UInt64;
+  organisation @2 :UInt64;
+  needed @3 :UInt32;
+  spare @4 :UInt32;
+  version @5 :UInt64;             # Of the sender's configuration.
+}
+
+struct CreditGrant {
+  id @0 :UInt64;
+  granted @1 :UInt32;
+  wait @2 :Int64;                 # Microseconds.
+}
+
 struct GatewayMessage {
   union {
     load @0 :NodeLoad;
@@ -116,6 +145,8 @@
     progress @4 :SlotProgress;
     originQuery @5 :OriginQuery;
     origins @6 :OriginRow;
+    creditAsk @7 :CreditAsk;
+    creditGrant @8 :CreditGrant;
   }
 }
 
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -22,12 +22,16 @@
 CAPNP_DECLARE_SCHEMA(aa16eaa51b7eed57);
 CAPNP_DECLARE_SCHEMA(ac85f29b859d28fe);
 CAPNP_DECLARE_SCHEMA(c35aec0cb1e00724);
+CAPNP_DECLARE_SCHEMA(805c01bd2ff1a1f5);
+CAPNP_DECLARE_SCHEMA(b55dc3bf49e78464);
 CAPNP_DECLARE_SCHEMA(db6f9a50147d4dbd);
 CAPNP_DECLARE_SCHEMA(ada66ed97a785ca8);
 CAPNP_DECLARE_SCHEMA(8a72c1d09e774052);
 CAPNP_DECLARE_SCHEMA(99f481792a2e9e20);
 CAPNP_DECLARE_SCHEMA(a28ac355f73eeeb9);
 CAPNP_DECLARE_SCHEMA(f400907bbf7224d9);
+CAPNP_DECLARE_SCHEMA(92606a6ecfb822af);
+CAPNP_DECLARE_SCHEMA(f6dcdaf4cd00b2d4);
 CAPNP_DECLARE_SCHEMA(d314a0d93e704c63);
 CAPNP_DECLARE_SCHEMA(ce39f8408de316ee);
 CAPNP_DECLARE_SCHEMA(a65f32f933ec086f);
@@ -140,6 +144,36 @@
   };
 };
 
+struct PoolLease {
+  PoolLease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(805c01bd2ff1a1f5, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PoolShare {
+  PoolShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b55dc3bf49e78464, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeLoad {
   NodeLoad() = delete;
 
@@ -148,7 +182,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -230,6 +264,36 @@
   };
 };
 
+struct CreditAsk {
+  CreditAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92606a6ecfb822af, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CreditGrant {
+  CreditGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6dcdaf4cd00b2d4, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GatewayMessage {
   GatewayMessage() = delete;
 
@@ -244,6 +308,8 @@
     PROGRESS,
     ORIGIN_QUERY,
     ORIGINS,
+    CREDIT_ASK,
+    CREDIT_GRANT,
   };
 
   struct _capnpPrivate {
@@ -982,6 +1048,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class PoolLease::Reader {
+public:
+  typedef PoolLease Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getHolder() const;
+
+  inline  ::uint16_t getHeard() const;
+
+  inline  ::uint8_t getPool() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolLease::Builder {
+public:
+  typedef PoolLease Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getHolder();
+  inline void setHolder( ::uint32_t value);
+
+  inline  ::uint16_t getHeard();
+  inline void setHeard( ::uint16_t value);
+
+  inline  ::uint8_t getPool();
+  inline void setPool( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolLease::Pipeline {
+public:
+  typedef PoolLease Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PoolShare::Reader {
+public:
+  typedef PoolShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline float getShare() const;
+
+  inline  ::uint8_t getPool() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolShare::Builder {
+public:
+  typedef PoolShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline float getShare();
+  inline void setShare(float value);
+
+  inline  ::uint8_t getPool();
+  inline void setPool( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolShare::Pipeline {
+public:
+  typedef PoolShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeLoad::Reader {
 public:
   typedef NodeLoad Reads;
@@ -1033,6 +1266,14 @@
   inline bool hasLeases() const;
   inline  ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
 
+  inline bool hasPoolLeases() const;
+  inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Reader getPoolLeases() const;
+
+  inline bool hasPoolShares() const;
+  inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Reader getPoolShares() const;
+
+  inline  ::uint32_t getPoolLeaseTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1140,6 +1381,23 @@
   inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::ShareLease,  ::capnp::Kind::STRUCT>> disownLeases();
 
+  inline bool hasPoolLeases();
+  inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Builder getPoolLeases();
+  inline void setPoolLeases( ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Builder initPoolLeases(unsigned int size);
+  inline void adoptPoolLeases(::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>> disownPoolLeases();
+
+  inline bool hasPoolShares();
+  inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Builder getPoolShares();
+  inline void setPoolShares( ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Builder initPoolShares(unsigned int size);
+  inline void adoptPoolShares(::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>> disownPoolShares();
+
+  inline  ::uint32_t getPoolLeaseTime();
+  inline void setPoolLeaseTime( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1783,6 +2041,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class CreditAsk::Reader {
+public:
+  typedef CreditAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getOrganisation() const;
+
+  inline  ::uint32_t getNeeded() const;
+
+  inline  ::uint32_t getSpare() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditAsk::Builder {
+public:
+  typedef CreditAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getOrganisation();
+  inline void setOrganisation( ::uint64_t value);
+
+  inline  ::uint32_t getNeeded();
+  inline void setNeeded( ::uint32_t value);
+
+  inline  ::uint32_t getSpare();
+  inline void setSpare( ::uint32_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditAsk::Pipeline {
+public:
+  typedef CreditAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CreditGrant::Reader {
+public:
+  typedef CreditGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::int64_t getWait() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditGrant::Builder {
+public:
+  typedef CreditGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::int64_t getWait();
+  inline void setWait( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditGrant::Pipeline {
+public:
+  typedef CreditGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GatewayMessage::Reader {
 public:
   typedef GatewayMessage Reads;
@@ -1829,6 +2279,14 @@
   inline bool hasOrigins() const;
   inline  ::banyan::schema::OriginRow::Reader getOrigins() const;
 
+  inline bool isCreditAsk() const;
+  inline bool hasCreditAsk() const;
+  inline  ::banyan::schema::CreditAsk::Reader getCreditAsk() const;
+
+  inline bool isCreditGrant() const;
+  inline bool hasCreditGrant() const;
+  inline  ::banyan::schema::CreditGrant::Reader getCreditGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1914,6 +2372,22 @@
   inline void adoptOrigins(::capnp::Orphan< ::banyan::schema::OriginRow>&& value);
   inline ::capnp::Orphan< ::banyan::schema::OriginRow> disownOrigins();
 
+  inline bool isCreditAsk();
+  inline bool hasCreditAsk();
+  inline  ::banyan::schema::CreditAsk::Builder getCreditAsk();
+  inline void setCreditAsk( ::banyan::schema::CreditAsk::Reader value);
+  inline  ::banyan::schema::CreditAsk::Builder initCreditAsk();
+  inline void adoptCreditAsk(::capnp::Orphan< ::banyan::schema::CreditAsk>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::CreditAsk> disownCreditAsk();
+
+  inline bool isCreditGrant();
+  inline bool hasCreditGrant();
+  inline  ::banyan::schema::CreditGrant::Builder getCreditGrant();
+  inline void setCreditGrant( ::banyan::schema::CreditGrant::Reader value);
+  inline  ::banyan::schema::CreditGrant::Builder initCreditGrant();
+  inline void adoptCreditGrant(::capnp::Orphan< ::banyan::schema::CreditGrant>&& value);
+  inline ::capnp::Orphan< ::banyan::schema::CreditGrant> disownCreditGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3543,6 +4017,76 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PoolLease::Reader::getHolder() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PoolLease::Builder::getHolder() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolLease::Builder::setHolder( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PoolLease::Reader::getHeard() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PoolLease::Builder::getHeard() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PoolLease::Builder::setHeard( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PoolLease::Reader::getPool() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PoolLease::Builder::getPool() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PoolLease::Builder::setPool( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PoolShare::Reader::getShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float PoolShare::Builder::getShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolShare::Builder::setShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PoolShare::Reader::getPool() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PoolShare::Builder::getPool() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PoolShare::Builder::setPool( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeLoad::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3923,6 +4467,88 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool NodeLoad::Reader::hasPoolLeases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasPoolLeases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getPoolLeases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getPoolLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setPoolLeases( ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initPoolLeases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptPoolLeases(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownPoolLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolLease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool NodeLoad::Reader::hasPoolShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasPoolShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Reader NodeLoad::Reader::getPoolShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::getPoolShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setPoolShares( ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>::Builder NodeLoad::Builder::initPoolShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptPoolShares(
+    ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>> NodeLoad::Builder::disownPoolShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::banyan::schema::PoolShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t NodeLoad::Reader::getPoolLeaseTime() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeLoad::Builder::getPoolLeaseTime() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setPoolLeaseTime( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotClaim::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4749,6 +5375,152 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool CreditAsk::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditAsk::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CreditAsk::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CreditAsk::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CreditAsk::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CreditAsk::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CreditAsk::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CreditAsk::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditAsk::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditAsk::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CreditAsk::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditAsk::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setOrganisation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditAsk::Reader::getNeeded() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getNeeded() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setNeeded( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditAsk::Reader::getSpare() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditAsk::Builder::getSpare() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setSpare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CreditAsk::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditAsk::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditAsk::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CreditGrant::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditGrant::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditGrant::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditGrant::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditGrant::Reader::getWait() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditGrant::Builder::getWait() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrant::Builder::setWait( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::banyan::schema::GatewayMessage::Which GatewayMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5136,6 +5908,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GatewayMessage::Reader::isCreditAsk() const {
+  return which() == GatewayMessage::CREDIT_ASK;
+}
+inline bool GatewayMessage::Builder::isCreditAsk() {
+  return which() == GatewayMessage::CREDIT_ASK;
+}
+inline bool GatewayMessage::Reader::hasCreditAsk() const {
+  if (which() != GatewayMessage::CREDIT_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasCreditAsk() {
+  if (which() != GatewayMessage::CREDIT_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::CreditAsk::Reader GatewayMessage::Reader::getCreditAsk() const {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::CreditAsk::Builder GatewayMessage::Builder::getCreditAsk() {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setCreditAsk( ::banyan::schema::CreditAsk::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_ASK);
+  ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::CreditAsk::Builder GatewayMessage::Builder::initCreditAsk() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_ASK);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptCreditAsk(
+    ::capnp::Orphan< ::banyan::schema::CreditAsk>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_ASK);
+  ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::CreditAsk> GatewayMessage::Builder::disownCreditAsk() {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GatewayMessage::Reader::isCreditGrant() const {
+  return which() == GatewayMessage::CREDIT_GRANT;
+}
+inline bool GatewayMessage::Builder::isCreditGrant() {
+  return which() == GatewayMessage::CREDIT_GRANT;
+}
+inline bool GatewayMessage::Reader::hasCreditGrant() const {
+  if (which() != GatewayMessage::CREDIT_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayMessage::Builder::hasCreditGrant() {
+  if (which() != GatewayMessage::CREDIT_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::banyan::schema::CreditGrant::Reader GatewayMessage::Reader::getCreditGrant() const {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::banyan::schema::CreditGrant::Builder GatewayMessage::Builder::getCreditGrant() {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::setCreditGrant( ::banyan::schema::CreditGrant::Reader value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_GRANT);
+  ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::banyan::schema::CreditGrant::Builder GatewayMessage::Builder::initCreditGrant() {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_GRANT);
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GatewayMessage::Builder::adoptCreditGrant(
+    ::capnp::Orphan< ::banyan::schema::CreditGrant>&& value) {
+  _builder.setDataField<GatewayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GatewayMessage::CREDIT_GRANT);
+  ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::banyan::schema::CreditGrant> GatewayMessage::Builder::disownCreditGrant() {
+  KJ_IREQUIRE((which() == GatewayMessage::CREDIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::banyan::schema::CreditGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool GatewayEntry::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -22,6 +22,7 @@
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
+#include "organisation_gate.h"
 #include "upstream_rates.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -103,11 +104,24 @@
                   m_self,
                   settings.domain)
         , m_rates({.scheduler = m_scheduler, .slots = m_slots, .metrics = m_metrics, .self = m_self})
+        , m_limits({.context = context,
+                    .metrics = m_metrics,
+                    .self = m_self,
+                    .send =
+                        [this](const node_id &to, const gateway_message &message) {
+                            return m_exchange.send(to, message);
+                        }},
+                   settings.organisationLimits)
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
-        , m_relay(
-              {.context = context, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics, .versions = &m_versions},
-              m_platform.protocol)
+        , m_relay({.context = context,
+                   .slots = m_slots,
+                   .sender = m_sender,
+                   .parts = m_parts,
+                   .metrics = m_metrics,
+                   .versions = &m_versions,
+                   .limits = &m_limits},
+                  m_platform.protocol)
         , m_quarantine(std::make_shared<content_quarantine>(
               content_quarantine_ports{.context = context,
                                        .store = m_platform.store,
@@ -198,6 +212,7 @@
     stream_versions m_versions;
     slot_broker m_slots;
     upstream_rates m_rates;
+    organisation_gate m_limits;
     upstream_sender m_sender;
     part_watch m_parts;
     request_relay m_relay;
@@ -300,6 +315,7 @@
     m_metrics.set("configuration_version", static_cast<double>(configuration->version));
     m_table = std::make_shared<const route_table>(std::move(*configuration));
     m_jobs.configure(m_table);
+    m_limits.configure(m_table->configuration(), currentTime());
     if (m_configurationHandler) {
         m_configurationHandler(m_table->configuration());
     }
@@ -598,6 +614,7 @@
             .provenParts = m_parts.guard().proofsToReport(now),
             .limits = m_rates.limitsToReport(now),
             .leases = m_rates.leasesToReport(now),
+            .pools = m_limits.report(m_sequence, now),
             .claims = m_slots.claims()};
 }
 
@@ -615,6 +632,10 @@
         m_versions.received(*query);
     } else if (const auto *const origins = std::get_if<origin_row>(&message)) {
         m_versions.received(*origins);
+    } else if (const auto *const ask = std::get_if<credit_ask>(&message)) {
+        m_limits.received(*ask);
+    } else if (const auto *const grant = std::get_if<credit_grant>(&message)) {
+        m_limits.received(*grant);
     } else {
         m_slots.received(std::get<slot_release>(message));
     }
@@ -630,6 +651,7 @@
     m_slots.reported(load);
     recordRemoteLeaving(load, now);
     m_rates.recordReport(load, now);
+    m_limits.recordReport(load, m_hubs.isHub(load.sender), now);
     for (const lost_content &lost : load.lost) {
         m_relay.recordRemoteLoss(lost, load.sender, now);
         if (!m_hubs.isHub(load.sender) && m_remoteLosses.size() < maximumRemoteLosses) {
@@ -662,7 +684,10 @@
         replicasChanged();
     }
     // A node that has just started reports before the others have read its registration.
-    m_rates.setNodes(m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1), m_hubs.reportTimeout());
+    const std::size_t gateways = m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1);
+    m_rates.setNodes(gateways, m_hubs.reportTimeout());
+    m_limits.setNodes(gateways, m_hubs.reportTimeout(), m_hubs.isHub(m_self) && !m_shuttingDown);
+    m_limits.housekeep(now);
     m_rates.apply(now);
     m_metrics.set("stopped_parts", static_cast<double>(m_parts.guard().stopped(now).size()));
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -12,9 +12,13 @@
 constexpr double maximumShutdownSeconds = 3600;
 constexpr double minimumProcessorShare = 0.01; // In cores.
 constexpr double maximumProcessorShare = 1024; // In cores.
+constexpr double minimumWindowSeconds = 0.1;
+constexpr double maximumWindowSeconds = 3600;
+constexpr double maximumOverage = 10; // Times the limit.
+constexpr double maximumSlack = 1e6; // Requests.
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 11> knownKeys = {"vm",
+constexpr std::array<std::string_view, 14> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -23,9 +27,32 @@
                                                         "store",
                                                         "processor_share",
                                                         "shutdown_seconds",
+                                                        "limit_window_seconds",
+                                                        "limit_overage",
+                                                        "limit_slack",
                                                         "log_level",
                                                         "log_lines_per_second"};
 
+duration secondsIn(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+limit_tolerance readTolerance(const settings_reader &reader)
+{
+    limit_tolerance tolerance;
+    if (reader.has("limit_window_seconds")) {
+        tolerance.window = secondsIn(reader.decimal("limit_window_seconds", minimumWindowSeconds, maximumWindowSeconds));
+    }
+    if (reader.has("limit_overage")) {
+        tolerance.overage = reader.decimal("limit_overage", 0, maximumOverage);
+    }
+    if (reader.has("limit_slack")) {
+        tolerance.slack = reader.decimal("limit_slack", 0, maximumSlack);
+    }
+    return tolerance;
+}
+
 } // namespace
 
 gateway_settings readGatewaySettings(const std::string &path)
@@ -43,9 +70,9 @@
         settings.processorShare = reader.decimal("processor_share", minimumProcessorShare, maximumProcessorShare);
     }
     if (reader.has("shutdown_seconds")) {
-        const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
-        settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
+        settings.shutdownTime = secondsIn(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
     }
+    settings.organisationLimits = readTolerance(reader);
     if (reader.has("log_level")) {
         settings.logLevel = reader.logLevel("log_level");
     }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -15,6 +15,7 @@
 #include "banyan/io/serving/stop_signal.h"
 #include "banyan/io/serving/stream_versions.h"
 #include "banyan/io/serving/upstream_sender.h"
+#include "organisation_gate.h"
 #include "relayed_stream.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -215,6 +216,9 @@
             co_await rejectQuarantined(*until);
             co_return;
         }
+        if (!co_await isWithinLimit()) {
+            co_return;
+        }
         try {
             bool hasEnded = false;
             while (!hasEnded) {
@@ -281,6 +285,24 @@
         }
     }
 
+    /// Whether the limit of the request's organisation admits it, counted once for all its attempts; if not, ends the request.
+    task<bool> isWithinLimit()
+    {
+        if (m_relay.m_ports.limits == nullptr || m_request.organisation.empty()) {
+            co_return true;
+        }
+        const limit_decision decision = co_await m_relay.m_ports.limits->admit(m_request.organisation, m_request.id);
+        if (m_stopCause != stop_cause::None) {
+            co_await endStopped();
+            co_return false;
+        }
+        if (decision.verdict != limit_verdict::Admitted) {
+            co_await endWithoutAttempt(end_reason::RateLimited, decision.retryAfter);
+            co_return false;
+        }
+        co_return true;
+    }
+
     /// Makes one attempt, including the wait for a slot. Returns whether the request has ended.
     task<bool> tryOnce()
     {
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -126,6 +126,18 @@
         leases[position].setCell(load.leases[position].cell);
         leases[position].setHolder(load.leases[position].holder);
     }
+    root.setPoolLeaseTime(static_cast<std::uint32_t>(load.pools.leaseTime.count()));
+    auto poolLeases = root.initPoolLeases(static_cast<unsigned>(load.pools.leases.size()));
+    for (unsigned position = 0; position < load.pools.leases.size(); ++position) {
+        poolLeases[position].setHolder(load.pools.leases[position].holder);
+        poolLeases[position].setHeard(load.pools.leases[position].heard);
+        poolLeases[position].setPool(load.pools.leases[position].pool);
+    }
+    auto poolShares = root.initPoolShares(static_cast<unsigned>(load.pools.shares.size()));
+    for (unsigned position = 0; position < load.pools.shares.size(); ++position) {
+        poolShares[position].setPool(load.pools.shares[position].pool);
+        poolShares[position].setShare(load.pools.shares[position].share);
+    }
     auto claims = root.initClaims(static_cast<unsigned>(load.claims.size()));
     for (unsigned position = 0; position < load.claims.size(); ++position) {
         claims.set(position, load.claims[position]);
@@ -201,6 +213,7 @@
                    .provenParts = {},
                    .limits = {},
                    .leases = {},
+                   .pools = {.leaseTime = duration(root.getPoolLeaseTime()), .leases = {}, .shares = {}},
                    .claims = {}};
     for (const auto entry : root.getUsage()) {
         load.usage[entry.getKey()] = {
@@ -234,6 +247,12 @@
     for (const auto entry : root.getLeases()) {
         load.leases.push_back({.cell = entry.getCell(), .holder = entry.getHolder()});
     }
+    for (const auto entry : root.getPoolLeases()) {
+        load.pools.leases.push_back({.pool = entry.getPool(), .heard = entry.getHeard(), .holder = entry.getHolder()});
+    }
+    for (const auto entry : root.getPoolShares()) {
+        load.pools.shares.push_back({.pool = entry.getPool(), .share = entry.getShare()});
+    }
     for (const std::uint64_t claim : root.getClaims()) {
         load.claims.push_back(claim);
     }
@@ -297,6 +316,38 @@
             .hasBegunStream = root.getBegunStream()};
 }
 
+void write(schema::CreditAsk::Builder root, const credit_ask &ask, time_point)
+{
+    root.setSender(ask.sender.text());
+    root.setId(ask.id);
+    root.setOrganisation(ask.organisation);
+    root.setNeeded(ask.needed);
+    root.setSpare(ask.spare);
+    root.setVersion(ask.version);
+}
+
+credit_ask read(schema::CreditAsk::Reader root)
+{
+    return {.sender = node_id(textOf(root.getSender())),
+            .id = root.getId(),
+            .organisation = root.getOrganisation(),
+            .needed = root.getNeeded(),
+            .spare = root.getSpare(),
+            .version = root.getVersion()};
+}
+
+void write(schema::CreditGrant::Builder root, const credit_grant &grant, time_point)
+{
+    root.setId(grant.id);
+    root.setGranted(grant.granted);
+    root.setWait(grant.wait.count());
+}
+
+credit_grant read(schema::CreditGrant::Reader root)
+{
+    return {.id = root.getId(), .granted = root.getGranted(), .wait = spanOf(root.getWait())};
+}
+
 void write(schema::OriginQuery::Builder root, const origin_query &query, time_point)
 {
     root.setSender(query.sender.text());
@@ -373,6 +424,10 @@
         write(root.initOriginQuery(), *query, now);
     } else if (const auto *const origins = std::get_if<origin_row>(&message)) {
         write(root.initOrigins(), *origins, now);
+    } else if (const auto *const ask = std::get_if<credit_ask>(&message)) {
+        write(root.initCreditAsk(), *ask, now);
+    } else if (const auto *const grant = std::get_if<credit_grant>(&message)) {
+        write(root.initCreditGrant(), *grant, now);
     } else {
         write(root.initRelease(), std::get<slot_release>(message), now);
     }
@@ -397,6 +452,10 @@
             return read(root.getOriginQuery());
         case schema::GatewayMessage::ORIGINS:
             return read(root.getOrigins());
+        case schema::GatewayMessage::CREDIT_ASK:
+            return read(root.getCreditAsk());
+        case schema::GatewayMessage::CREDIT_GRANT:
+            return read(root.getCreditGrant());
         }
         throw KJ_EXCEPTION(FAILED, "expected a known kind of message");
     });
--- a/tests/property/serving/organisation_limits_property_test.cpp
+++ b/tests/property/serving/organisation_limits_property_test.cpp
@@ -22,7 +22,7 @@
 constexpr duration longestAnswer = 60ms; // After which a waiting request is given up.
 constexpr duration leaseTime = 600ms;
 constexpr duration configurationTime = 1s; // In which all nodes that run read a change.
-constexpr limit_tolerance usual;
+constexpr limit_tolerance usual{.overage = 0.1, .slack = 20};
 constexpr limit_tolerance strict{.overage = 0.1, .slack = 0}; // Leaves no room for a fault of a part of a second.
 const caller_id name("o1");
 const std::uint8_t pool = poolOf(organisationKey(name));
--- a/tests/unit/serving/organisation_limits_test.cpp
+++ b/tests/unit/serving/organisation_limits_test.cpp
@@ -13,7 +13,7 @@
 const time_point start(1000s);
 const caller_id name("o1");
 const std::uint8_t pool = poolOf(organisationKey(name));
-const limit_tolerance exact{.overage = 0, .slack = 0};
+const limit_tolerance exact;
 
 organisation limitOf(double perSecond, double burst)
 {
@@ -83,7 +83,7 @@
 
 TEST_CASE("pooledRateOf gives a window what is tolerated, with the credits that are out when it begins")
 {
-    for (const auto &tolerance : {limit_tolerance(), exact}) {
+    for (const auto &tolerance : {limit_tolerance{.overage = 0.1, .slack = 20}, exact}) {
         const organisation limit = limitOf(30, 12);
         const pooled_rate pooled = pooledRateOf(limit, tolerance);
         const double time = std::chrono::duration<double>(tolerance.window + creditTimeOf(tolerance)).count();
--- a/tests/unit/serving/relay_fixture.h
+++ b/tests/unit/serving/relay_fixture.h
@@ -12,6 +12,7 @@
 struct relay_fixture : serving_fixture
 {
     std::shared_ptr<const route_table> table;
+    caller_id organisation; ///< Of all requests.
     http_server front{context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"}};
     http_client caller{context, {}};
 
@@ -34,6 +35,7 @@
         front.routeOthers([this](http_exchange &exchange) -> task<> {
             std::string body = co_await exchange.body(1U << 20U);
             client_request request = platform::decodeRequest(exchange, std::move(body), currentTime());
+            request.organisation = organisation;
             const route *const matchedRoute = table->find("h", "/x/");
             co_await nodes.front()->relay.serve(exchange, std::move(request), table, *matchedRoute);
         });
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -23,6 +23,9 @@
                          .leaving = {3, 4},
                          .lostParts = {{.part = 12, .content = 13, .upstream = 14}},
                          .provenParts = {15, 16},
+                         .pools = {.leaseTime = 600ms,
+                                   .leases = {{.pool = 7, .heard = 65535, .holder = 4000000000}},
+                                   .shares = {{.pool = 3, .share = 0.25F}}},
                          .claims = {10, 11}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(load, senderNow), receiverNow);
     REQUIRE(read.has_value());
@@ -57,7 +60,7 @@
     CHECK(*read == gateway_message(claim));
 }
 
-TEST_CASE("serving_codec round-trips verdicts, progress, releases, and what nodes ask each other about streams")
+TEST_CASE("serving_codec round-trips verdicts, progress, releases, credits, and what nodes ask each other about streams")
 {
     const std::vector<gateway_message> messages = {
         slot_verdict{.request = request_id("r"), .state = claim_state::Granted, .upstream = upstream_id("u")},
@@ -65,6 +68,8 @@
         slot_progress{.sender = node_id("n"), .request = request_id("r"), .firstByte = 70ms},
         slot_release{.sender = node_id("n"), .request = request_id("r"), .outcome = attempt_outcome::Lost},
         origin_query{.sender = node_id("n"), .streams = {7, 8}},
+        credit_ask{.sender = node_id("n"), .id = 5, .organisation = std::uint64_t(1) << 63U, .needed = 1, .spare = 4, .version = 3},
+        credit_grant{.id = 5, .granted = 2, .wait = 20ms},
         origin_row{
             .streams = {{7, {.service = service_name("s"), .version = "v1"}}, {8, {.service = service_name("s"), .version = "v2"}}}}};
     for (const gateway_message &message : messages) {
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "memory_store.h"
+#include "serving/organisation_gate.h"
 
 #include "banyan/core/serving/route_table.h"
 #include "banyan/io/clock.h"
@@ -78,7 +79,19 @@
         , client(context, {})
         , sender(client, platform::makeProtocol())
         , parts(metrics)
-        , relay({.context = context, .slots = slots, .sender = sender, .parts = parts, .metrics = metrics}, platform::makeProtocol())
+        , limits({.context = context,
+                  .metrics = metrics,
+                  .self = id,
+                  .send =
+                      [this](const node_id &, const gateway_message &message) {
+                          if (onSend) {
+                              onSend(message);
+                          }
+                          return static_cast<bool>(onSend);
+                      }},
+                 {})
+        , relay({.context = context, .slots = slots, .sender = sender, .parts = parts, .metrics = metrics, .limits = &limits},
+                platform::makeProtocol())
     {
     }
 
@@ -92,6 +105,7 @@
     upstream_sender sender;
     node_metrics metrics;
     part_watch parts;
+    organisation_gate limits;
     request_relay relay;
 };
 
