A gateway whose lease is over sends callers to others at once

Cause: while gateways were without the store, refused requests came back after 0.25 s, too late for their target, though most other gateways could have taken them; and each second some waited 0.25 s for a reading that the follower knew would fail.

Change: Retry-After 0 if most of the gateways heard report that they read the store; no wait and no call while the follower has lost the store.

--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -57,6 +57,9 @@
     /// The nodes whose last report is not older than the node retention.
     [[nodiscard]] std::vector<node_id> nodes() const;
 
+    /// Whether most of these nodes have reported that they read the store and are not shutting down.
+    [[nodiscard]] bool mostAreReady() const;
+
     /// The nodes that schedule requests, including this one if @p ownState allows it: those that are ready, and if they are
     /// outnumbered, also those whose upstream list is uncertain. In that case the store is probably unavailable to all
     /// nodes, and a few nodes cannot schedule the requests of all.
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -113,6 +113,14 @@
     return result;
 }
 
+bool load_board::mostAreReady() const
+{
+    const auto ready = std::count_if(m_reports.begin(), m_reports.end(), [](const auto &entry) {
+        return entry.second.load.schedulingState == scheduling_state::Ready;
+    });
+    return 2 * static_cast<std::size_t>(ready) > m_reports.size();
+}
+
 std::vector<node_id> load_board::schedulingNodes(const node_id &self, scheduling_state ownState) const
 {
     std::vector<node_id> ready;
--- a/io/include/banyan/io/serving/caller_admission.h
+++ b/io/include/banyan/io/serving/caller_admission.h
@@ -27,6 +27,10 @@
     /// Reads the configuration now, and reports the reading by configurationRead(). Returns whether that has succeeded.
     /// @throws platform_unavailable
     std::function<task<bool>()> readConfiguration;
+    /// Whether it is known that the store does not answer this node.
+    std::function<bool()> isStoreLost;
+    /// Whether most other nodes read the store, so that a refused request is probably taken there.
+    std::function<bool()> othersRead;
 };
 
 /// A request or call that asks to be taken.
--- a/io/src/serving/caller_admission.cpp
+++ b/io/src/serving/caller_admission.cpp
@@ -82,7 +82,7 @@
 /// Decides by the configuration that is in force now.
 admission caller_admission::implementation::decide(const admission_request &request, const std::optional<key_digest> &digest) const
 {
-    admission result{.table = m_ports.routes(), .retryAfter = retryDelay};
+    admission result{.table = m_ports.routes(), .retryAfter = m_ports.othersRead() ? duration(0) : retryDelay};
     bool isPublic = false;
     if (request.path.empty()) {
         isPublic = result.table->hasPublicJobs(request.host);
@@ -127,6 +127,9 @@
 /// Whether a reading has failed or takes too long, and no other has succeeded since.
 bool caller_admission::implementation::storeSeemsSilent(time_point now) const
 {
+    if (m_ports.isStoreLost()) {
+        return true;
+    }
     const bool hasFailed = m_failedAt && now - *m_failedAt < failureRetention;
     const bool isOverdue = m_callBegunAt && now - *m_callBegunAt > longestProofWait && !m_lease.knowsAllBefore(*m_callBegunAt);
     return hasFailed || isOverdue;
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -121,6 +121,14 @@
                      .readConfiguration =
                          [this] {
                              return m_configurationFollower->refresh();
+                         },
+                     .isStoreLost =
+                         [this] {
+                             return !m_configurationFollower->available();
+                         },
+                     .othersRead =
+                         [this] {
+                             return m_board.mostAreReady();
                          }},
                     settings.revocationTime)
         , m_rates({.scheduler = m_scheduler, .slots = m_slots, .metrics = m_metrics, .self = m_self})
--- a/tests/unit/serving/caller_admission_test.cpp
+++ b/tests/unit/serving/caller_admission_test.cpp
@@ -25,6 +25,8 @@
     std::vector<std::string> keysInStore = {"k1"};
     duration answerTime = 2ms; ///< Of a reading.
     bool isDown = false;
+    bool isLost = false; ///< By the regular calls.
+    bool othersRead = false;
     int readings = 0;
     caller_admission callers{{.context = context,
                               .metrics = metrics,
@@ -35,6 +37,14 @@
                               .readConfiguration =
                                   [this] {
                                       return read();
+                                  },
+                              .isStoreLost =
+                                  [this] {
+                                      return isLost;
+                                  },
+                              .othersRead =
+                                  [this] {
+                                      return othersRead;
                                   }},
                              1s};
 
@@ -71,6 +81,11 @@
 
     /// Decides on so many requests that arrive now at once; returns the last verdict, after all.
     key_verdict verdictOn(const std::string &key, int count = 1)
+    {
+        return admissionOf(key, count).verdict;
+    }
+
+    admission admissionOf(const std::string &key, int count = 1)
     {
         admission result;
         int left = count;
@@ -85,7 +100,7 @@
         while (left > 0) {
             context.run_one();
         }
-        return result.verdict;
+        return result;
     }
 
     void waitFor(duration time)
@@ -166,3 +181,16 @@
     fixture.apply();
     CHECK_FALSE(fixture.callers.maySend(key, currentTime()));
 }
+
+TEST_CASE("caller_admission refuses at once while the store is lost, and sends callers to other nodes if these read it")
+{
+    admission_fixture fixture;
+    fixture.isLost = true;
+    fixture.othersRead = true;
+    const admission elsewhere = fixture.admissionOf("k2");
+    CHECK(elsewhere.verdict == key_verdict::Unproven);
+    CHECK(elsewhere.retryAfter == duration(0));
+    fixture.othersRead = false;
+    CHECK(fixture.admissionOf("k2").retryAfter > duration(0));
+    CHECK(fixture.readings == 0);
+}
--- a/tests/unit/serving/load_board_test.cpp
+++ b/tests/unit/serving/load_board_test.cpp
@@ -97,3 +97,21 @@
     CHECK(board.usageOf(7).online == 0);
     CHECK(board.nodes().empty());
 }
+
+TEST_CASE("load_board tells whether most nodes are ready by their last reports")
+{
+    load_board board(2s);
+    const time_point now(1h);
+    CHECK_FALSE(board.mostAreReady());
+    const auto report = [&](const std::string &node, std::uint64_t sequence, scheduling_state state) {
+        board.record({.sender = node_id(node), .sequence = sequence, .schedulingState = state}, now);
+    };
+    report("a", 1, scheduling_state::Ready);
+    CHECK(board.mostAreReady());
+    report("b", 1, scheduling_state::UpstreamsUncertain);
+    CHECK_FALSE(board.mostAreReady());
+    report("c", 1, scheduling_state::Ready);
+    CHECK(board.mostAreReady());
+    report("c", 2, scheduling_state::ShuttingDown);
+    CHECK_FALSE(board.mostAreReady());
+}
