--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -41,13 +41,13 @@
 limit_tolerance readTolerance(const settings_reader &reader)
 {
     limit_tolerance tolerance;
-    if (reader.has("limit_window_seconds")) {
+    if (reader.hasValue("limit_window_seconds")) {
         tolerance.window = secondsIn(reader.decimal("limit_window_seconds", minimumWindowSeconds, maximumWindowSeconds));
     }
-    if (reader.has("limit_overage")) {
+    if (reader.hasValue("limit_overage")) {
         tolerance.overage = reader.decimal("limit_overage", 0, maximumOverage);
     }
-    if (reader.has("limit_slack")) {
+    if (reader.hasValue("limit_slack")) {
         tolerance.slack = reader.decimal("limit_slack", 0, maximumSlack);
     }
     return tolerance;
--- a/io/src/serving/organisation_gate.cpp
+++ b/io/src/serving/organisation_gate.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr duration longestAnswer = std::chrono::milliseconds(60); // Several times the usual; a request waits no longer.
+constexpr duration longestAnswer = std::chrono::milliseconds(100); // So long a keeper may pause that has used up its processor share.
 constexpr duration metricsInterval = std::chrono::seconds(1);
 constexpr std::size_t maximumNamed = 128; // Organisations with metrics of their own.
 constexpr double loggedChange = 0.1; // Of a share.
--- a/io/src/settings_reader.cpp
+++ b/io/src/settings_reader.cpp
@@ -42,6 +42,11 @@
     return static_cast<bool>(m_root[key]);
 }
 
+bool settings_reader::hasValue(const char *key) const
+{
+    return has(key) && !m_root[key].IsNull();
+}
+
 endpoint settings_reader::address(const char *key) const
 {
     const std::string value = text(key);
--- a/io/src/settings_reader.h
+++ b/io/src/settings_reader.h
@@ -21,6 +21,8 @@
     settings_reader(std::string path, std::span<const std::string_view> knownKeys);
 
     [[nodiscard]] bool has(const char *key) const;
+    /// Whether the file has the key with a value; templates leave the value out if there is none.
+    [[nodiscard]] bool hasValue(const char *key) const;
     [[nodiscard]] std::string text(const char *key) const;
     [[nodiscard]] endpoint address(const char *key) const;
     [[nodiscard]] std::vector<endpoint> addresses(const char *key) const;
--- a/tests/unit/serving/organisation_limits_test.cpp
+++ b/tests/unit/serving/organisation_limits_test.cpp
@@ -230,6 +230,19 @@
     CHECK(owner.report(3, start + 650ms).shares.size() == limit_pools::poolCount);
 }
 
+TEST_CASE("limit_pools uses or leases a share again only after the lease to a node that keeps no pools any more has run out")
+{
+    limit_pools owner({.self = node_id("n1"), .startedAt = start - 1s});
+    owner.setNodes(2, 600ms);
+    owner.record(node_id("n2"), 1, true, {}, start);
+    REQUIRE(owner.report(1, start).leases.size() == limit_pools::poolCount);
+    owner.record(node_id("n2"), 2, false, {}, start + 100ms);
+    owner.record(node_id("n3"), 1, true, {}, start + 100ms);
+    CHECK(owner.report(2, start + 599ms).leases.empty());
+    CHECK(owner.report(3, start + 600ms).leases.size() == limit_pools::poolCount);
+    CHECK(owner.shareOf(0) == 0);
+}
+
 TEST_CASE("limit_pools leaves its share alone while leases of an earlier process may run")
 {
     limit_pools pools({.self = node_id("n1"), .startedAt = start});
