--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -20,6 +20,7 @@
 class http_exchange;
 class part_watch;
 class node_metrics;
+class organisation_gate;
 class slot_broker;
 class stream_versions;
 class upstream_sender;
@@ -35,6 +36,7 @@
     stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
     /// Whether a request under a key may be sent to an upstream now; if empty, every one may.
     std::function<bool(const key_digest &key, time_point now)> maySend = {};
+    organisation_gate *limits = nullptr; ///< Keeps the limits of organisations; if null, there are none.
 };
 
 /// Forwards client requests to upstreams, retries failed attempts and returns the answers. Requests whose content keeps crashing
--- a/tests/unit/serving/gateway_settings_test.cpp
+++ b/tests/unit/serving/gateway_settings_test.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <string>
 #include <unistd.h>
 
 using namespace banyan;
@@ -39,3 +40,19 @@
         CHECK_THROWS_AS(settingsWith("revocation_seconds: " + wrong + "\n"), settings_error);
     }
 }
+
+TEST_CASE("gateway settings say how far organisations may exceed their limits, and allow nothing beyond them if they do not")
+{
+    for (const std::string absent : {"", "limit_window_seconds: \nlimit_overage: \nlimit_slack: \n"}) {
+        CHECK(settingsWith(absent).organisationLimits == limit_tolerance{.window = 5s, .overage = 0, .slack = 0});
+    }
+    const gateway_settings settings = settingsWith("limit_window_seconds: 2.5\nlimit_overage: 0.1\nlimit_slack: 20\n");
+    CHECK(settings.organisationLimits == limit_tolerance{.window = 2500ms, .overage = 0.1, .slack = 20});
+}
+
+TEST_CASE("gateway settings name the key whose value is out of range")
+{
+    for (const std::string key : {"limit_window_seconds", "limit_overage", "limit_slack"}) {
+        CHECK_THROWS_WITH(settingsWith(key + ": -1\n"), Catch::Contains(key));
+    }
+}
--- a/tests/unit/serving/relay_fixture.h
+++ b/tests/unit/serving/relay_fixture.h
@@ -14,6 +14,7 @@
 {
     std::shared_ptr<const route_table> table;
     std::function<void(client_request &request)> identify; ///< Says who sent a request; null: nobody.
+    caller_id organisation; ///< Of all requests.
     http_server front{context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"}};
     http_client caller{context, {}};
 
@@ -36,6 +37,7 @@
         front.routeOthers([this](http_exchange &exchange) -> task<> {
             std::string body = co_await exchange.body(1U << 20U);
             client_request request = platform::decodeRequest(exchange, std::move(body), currentTime());
+            request.organisation = organisation;
             if (identify) {
                 identify(request);
             }
