--- a/bench/common/site_model.cpp
+++ b/bench/common/site_model.cpp
@@ -12,6 +12,8 @@
 
 constexpr double onlineTokens = 169;
 constexpr double batchTokens = 1162;
+constexpr double clachanOnlineTokens = 207; // 18.8 events of 11 tokens.
+constexpr double clachanBatchTokens = 1419;
 constexpr double firstByteSteps = 14; // 53 ms and the prompt's 4 ms.
 constexpr double wholeAnswerSpread = 0.5;
 constexpr double batchSpread = 0.25;
@@ -70,6 +72,24 @@
     return {.rate = rate, .firstByteSteps = firstByteSteps, .tokens = batchTokens, .tokenSpread = batchSpread, .window = 18s};
 }
 
+site_model clachan()
+{
+    site_model site{.name = "clachan",
+                    .nodes = 81,
+                    .services = {languageModel("drafting-models", 90, 8, {0.6, 1, 1.6}), application("return-records", 4)},
+                    .classes = {streams("line-explain", 340, 1.2, 0.18),
+                                streams("relief-query", 72.4, 1.2, 0.18),
+                                wholeAnswers("receipt-fetch", 128, 15, 300ms, 2s, 0.3)},
+                    .jobs = jobs(5.14),
+                    .shape = burstShape,
+                    .nodeDelay = 1400us};
+    site.services[0].stepTime = 3450us;
+    site.classes[0].tokens = clachanOnlineTokens;
+    site.classes[1].tokens = clachanOnlineTokens;
+    site.jobs->tokens = clachanBatchTokens;
+    return site;
+}
+
 site_model veriga()
 {
     site_model site{.name = "veriga",
@@ -89,6 +109,12 @@
 
 } // namespace
 
+double load_surge::factorAt(time_point when, std::size_t ofKind, std::size_t ofCaller) const
+{
+    const bool applies = when >= from && when < until && kind.value_or(ofKind) == ofKind && caller.value_or(ofCaller) == ofCaller;
+    return applies ? factor : 1;
+}
+
 double job_model::rateAt(time_point when) const
 {
     return when >= burstFrom && when < burstUntil ? rate * burst : rate;
@@ -160,6 +186,9 @@
     if (name == "veriga") {
         return veriga();
     }
+    if (name == "clachan") {
+        return clachan();
+    }
     if (name == "veriga-jobs") {
         site_model site = veriga();
         site.name = name;
@@ -174,7 +203,7 @@
 const std::vector<std::string> &siteNames()
 {
     static const std::vector<std::string> names{
-        "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large", "veriga", "veriga-jobs"};
+        "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large", "veriga", "veriga-jobs", "clachan"};
     return names;
 }
 
--- a/bench/common/site_model.h
+++ b/bench/common/site_model.h
@@ -74,6 +74,19 @@
     [[nodiscard]] bool isBurst(time_point when) const;
 };
 
+/// A time in which more is asked than usual.
+struct load_surge
+{
+    std::optional<std::size_t> kind; ///< Whose rate rises; empty for all kinds.
+    std::optional<std::size_t> caller; ///< Whose rate rises; empty for all callers.
+    time_point from;
+    time_point until;
+    double factor = 1; ///< Times the rate.
+
+    /// Times the rate of requests of @p ofKind by @p ofCaller at @p when.
+    [[nodiscard]] double factorAt(time_point when, std::size_t ofKind, std::size_t ofCaller) const;
+};
+
 /// A fleet and its load.
 struct site_model
 {
@@ -83,12 +96,14 @@
     std::vector<class_model> classes;
     std::optional<job_model> jobs;
     load_shape shape;
+    std::vector<double> callers; ///< The share of each caller in the mean rates; empty if the scheduler does not know callers.
+    std::vector<load_surge> surges;
     duration clientDelay = std::chrono::milliseconds(3); ///< One way.
     duration nodeDelay = std::chrono::microseconds(700); ///< One way, between nodes and to upstreams.
 };
 
 /// The sites of the milestones by name: "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large",
-/// "veriga", and "veriga-jobs" with a burst of jobs up to its quota. The figures are those of
+/// "veriga", "veriga-jobs" with a burst of jobs up to its quota, and "clachan". The figures are those of
 /// the users' sheets. @throws std::invalid_argument for another name
 [[nodiscard]] site_model siteNamed(std::string_view name);
 
--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -3,6 +3,7 @@
 #include "engine_model.h"
 #include "event_loop.h"
 
+#include "banyan/core/serving/cell_choice.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/request_scheduler.h"
 
@@ -10,6 +11,7 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 
 namespace banyan::bench {
@@ -24,24 +26,29 @@
 constexpr double longestTokens = 1.6; ///< Times the mean.
 constexpr double promisedWaitShare = 1.0 / 3; ///< Of the time left: a client comes back no later than that.
 constexpr duration promptRefusal = 75ms; ///< A quarter of the streams' target: a refusal by then counts as prompt.
-constexpr duration crashTime = 4s;
 constexpr duration retryDelay = 2ms; ///< From an attempt that found its upstream full, or was lost, to the next one.
 constexpr std::uint32_t attemptsOfClients = 2;
+constexpr std::uint32_t runsOfAttempt = 2; ///< That may be lost.
+constexpr std::size_t upstreamsOfAttempt = 4; ///< That are tried.
 
 /// A client's request, over its attempts.
 struct client_work
 {
     std::size_t kind = 0;
+    std::size_t caller = 0;
     time_point begun;
+    time_point attemptAt; ///< Arrival of the client's present attempt.
     engine_job job;
     std::uint32_t attempts = 0;
     bool promptlyRefused = false;
-    std::uint32_t runsLost = 0;
+    std::uint32_t runsLost = 0; ///< Of the present attempt, like those tried.
+    std::vector<upstream_id> tried;
 };
 
 /// An item of a batch job.
 struct item_work
 {
+    std::size_t caller = 0;
     time_point due;
     double tokensLeft = 0;
     duration ran{};
@@ -55,6 +62,7 @@
     double speed = 1;
     double noise = 1;
     std::uint32_t inside = 0;
+    bool isListed = true;
 };
 
 /// A run that wants a slot or has one.
@@ -95,11 +103,16 @@
     void scheduleWindows();
     void scheduleCrash();
     [[nodiscard]] double sizeDrawn(double spread);
+    void setKnownUpstreams();
+    [[nodiscard]] std::vector<double> callerRates(std::size_t kind, time_point when) const;
+    [[nodiscard]] double highestFactor(std::size_t kind) const;
     void arrive(std::size_t kind);
+    void attempt(std::uint64_t workKey);
     void submitAttempt(std::uint64_t workKey);
     void submitItem(std::uint64_t itemKey);
     void submitRun(simulated_run run);
-    [[nodiscard]] upstream_cell chooseCell(std::size_t service);
+    [[nodiscard]] upstream_cell cellFor(std::size_t service, work_class workClass);
+    void scheduleUsage();
     [[nodiscard]] std::size_t placerOf(std::size_t service, const upstream_cell &cell, std::size_t node) const;
     void perform(std::size_t placerIndex, const slot_actions &actions);
     void granted(const slot_granted &action);
@@ -132,6 +145,7 @@
     std::vector<std::uint32_t> m_cells; ///< Of each service.
     std::vector<std::unique_ptr<placer>> m_placers;
     std::map<std::pair<std::size_t, std::uint32_t>, std::size_t> m_cellPlacer;
+    std::map<upstream_key, upstream_usage> m_reportedUsage; ///< As all nodes know it, with central scheduling.
     std::map<request_id, simulated_run> m_runs;
     std::map<std::uint64_t, client_work> m_clients;
     std::map<std::uint64_t, item_work> m_items;
@@ -164,6 +178,7 @@
     for (const class_model &kind : site.classes) {
         m_result.classes.push_back({.name = kind.name});
     }
+    m_result.callers.resize(std::max<std::size_t>(1, site.callers.size()));
 }
 
 void site_simulation::makeUpstreams()
@@ -193,10 +208,6 @@
 
 void site_simulation::makePlacers()
 {
-    std::vector<replica> registered;
-    for (const simulated_upstream &upstream : m_upstreams) {
-        registered.push_back(upstream.info);
-    }
     std::size_t count = m_site.nodes;
     if (m_options.way == placing_way::Claims) {
         count = 0;
@@ -211,8 +222,8 @@
         placer &made = *m_placers.back();
         made.scheduler = std::make_unique<request_scheduler>(
             request_scheduler_options{.self = node_id("n" + std::to_string(index)), .seed = m_options.seed + index}, made.board);
-        perform(index, made.scheduler->setUpstreams(registered, m_loop.now()));
     }
+    setKnownUpstreams();
 }
 
 site_result site_simulation::run()
@@ -228,6 +239,8 @@
     }
     if (m_options.way == placing_way::Reports) {
         scheduleReports();
+    } else if (m_options.way == placing_way::Claims) {
+        scheduleUsage();
     }
     scheduleWindows();
     scheduleCrash();
@@ -257,17 +270,42 @@
     return m_result.windows[index];
 }
 
+/// The rate of each caller, in units of the kind's mean rate.
+std::vector<double> site_simulation::callerRates(std::size_t kind, time_point when) const
+{
+    std::vector<double> rates = m_site.callers.empty() ? std::vector<double>{1} : m_site.callers;
+    for (std::size_t caller = 0; caller < rates.size(); ++caller) {
+        for (const load_surge &surge : m_site.surges) {
+            rates[caller] *= surge.factorAt(when, kind, caller);
+        }
+    }
+    return rates;
+}
+
+/// The highest factor over the mean rate that a kind's arrivals reach.
+double site_simulation::highestFactor(std::size_t kind) const
+{
+    double highest = 1;
+    for (const load_surge &surge : m_site.surges) {
+        const std::vector<double> rates = callerRates(kind, surge.from);
+        highest = std::max(highest, std::accumulate(rates.begin(), rates.end(), 0.0));
+    }
+    return highest * std::max(m_site.shape.burst, m_site.shape.low);
+}
+
 void site_simulation::scheduleArrival(std::size_t kind)
 {
     // Thinning: candidates come at the highest rate, and only a share of them is taken while it is lower.
-    const double highest = std::max(m_site.shape.burst, m_site.shape.low);
+    const double highest = highestFactor(kind);
     std::exponential_distribution<double> gap(m_site.classes[kind].rate * highest);
     const time_point next = m_loop.now() + seconds(gap(m_arrivals));
     if (next >= time_point(m_options.length)) {
         return;
     }
     m_loop.at(next, [this, kind, highest] {
-        if (std::uniform_real_distribution<double>()(m_arrivals) * highest < m_site.shape.factorAt(m_loop.now())) {
+        const std::vector<double> rates = callerRates(kind, m_loop.now());
+        const double factor = m_site.shape.factorAt(m_loop.now()) * std::accumulate(rates.begin(), rates.end(), 0.0);
+        if (std::uniform_real_distribution<double>()(m_arrivals) * highest < factor) {
             arrive(kind);
         }
         scheduleArrival(kind);
@@ -292,10 +330,14 @@
         const auto items = std::max<std::int64_t>(
             1, std::lround(std::normal_distribution<double>(m_site.jobs->items, 0.4 * m_site.jobs->items)(m_arrivals)));
         const bool isOwed = counts(m_loop.now());
+        const std::vector<double> shares = m_site.callers.empty() ? std::vector<double>{1} : m_site.callers;
+        const std::size_t caller = std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(m_choices);
+        m_result.callers[caller].itemsOwed += isOwed ? static_cast<std::uint64_t>(items) : 0;
         for (std::int64_t item = 0; item < items; ++item) {
             const std::uint64_t key = ++m_lastWork;
             m_items.emplace(key,
-                            item_work{.due = m_loop.now() + m_site.jobs->window,
+                            item_work{.caller = caller,
+                                      .due = m_loop.now() + m_site.jobs->window,
                                       .tokensLeft = m_site.jobs->tokens * sizeDrawn(m_site.jobs->tokenSpread)});
             m_result.itemsOwed += isOwed ? 1 : 0;
             submitItem(key);
@@ -343,6 +385,23 @@
     });
 }
 
+/// Lets all nodes know what the scheduling nodes have at the upstreams.
+void site_simulation::scheduleUsage()
+{
+    m_loop.after(reportInterval, [this] {
+        m_reportedUsage.clear();
+        for (const auto &from : m_placers) {
+            for (const auto &[key, usage] : from->scheduler->usage(m_loop.now())) {
+                upstream_usage &known = m_reportedUsage[key];
+                known.online += usage.online;
+                known.batch += usage.batch;
+                known.degraded = known.degraded || usage.degraded;
+            }
+        }
+        scheduleUsage();
+    });
+}
+
 void site_simulation::scheduleWindows()
 {
     m_loop.after(m_options.window, [this] {
@@ -354,6 +413,11 @@
         window.batchRunning = static_cast<std::uint32_t>(std::count_if(m_runs.begin(), m_runs.end(), [](const auto &entry) {
             return entry.second.batch && entry.second.upstream;
         }));
+        window.idle = 0;
+        for (const std::size_t index : m_ofService.front()) {
+            const simulated_upstream &upstream = m_upstreams[index];
+            window.idle += upstream.isListed && upstream.inside < upstream.info.slots ? upstream.info.slots - upstream.inside : 0;
+        }
         if (m_loop.now() < time_point(m_options.length)) {
             scheduleWindows();
         }
@@ -366,11 +430,37 @@
     if (count == 0) {
         return;
     }
-    m_loop.at(time_point(m_options.length / 2), [this, count] {
+    const time_point at = m_options.crashAt.value_or(time_point(m_options.length / 2));
+    m_loop.at(at, [this, count] {
         for (std::size_t index = 0; index < count; ++index) {
-            m_upstreams[m_ofService.front()[index]].engine->crash(m_loop.now() + crashTime);
+            m_upstreams[m_ofService.front()[index]].engine->crash(m_loop.now() + m_options.crashTime);
         }
     });
+    if (!m_options.discoveryLag) {
+        return;
+    }
+    for (const bool isLost : {true, false}) {
+        m_loop.at(at + *m_options.discoveryLag + (isLost ? duration(0) : m_options.crashTime), [this, count, isLost] {
+            for (std::size_t index = 0; index < count; ++index) {
+                m_upstreams[m_ofService.front()[index]].isListed = !isLost;
+            }
+            setKnownUpstreams();
+        });
+    }
+}
+
+/// Passes the listed upstreams to the schedulers.
+void site_simulation::setKnownUpstreams()
+{
+    std::vector<replica> listed;
+    for (const simulated_upstream &upstream : m_upstreams) {
+        if (upstream.isListed) {
+            listed.push_back(upstream.info);
+        }
+    }
+    for (std::size_t index = 0; index < m_placers.size(); ++index) {
+        perform(index, m_placers[index]->scheduler->setUpstreams(listed, m_loop.now()));
+    }
 }
 
 /// A request's size over the mean.
@@ -384,11 +474,14 @@
     const class_model &model = m_site.classes[kind];
     const std::uint64_t key = ++m_lastWork;
     const double size = sizeDrawn(model.tokenSpread);
-    client_work work{.kind = kind, .begun = m_loop.now()};
+    const std::vector<double> rates = callerRates(kind, m_loop.now());
+    const std::size_t caller = std::discrete_distribution<std::size_t>(rates.begin(), rates.end())(m_choices);
+    client_work work{.kind = kind, .caller = caller, .begun = m_loop.now()};
     const bool streamed = model.tokens > 0;
     work.job = {.prefillSteps = streamed ? model.firstByteSteps : model.firstByteSteps * size, .tokens = model.tokens * size};
     if (counts(work.begun)) {
         ++m_result.classes[kind].owed;
+        ++m_result.callers[caller].owed;
         window_result &window = windowOf(work.begun);
         ++window.owed;
         m_windowWorth[static_cast<std::size_t>(&window - m_result.windows.data())] += model.worth;
@@ -397,25 +490,37 @@
     }
     m_clients.emplace(key, work);
     m_loop.after(m_site.clientDelay, [this, key] {
-        submitAttempt(key);
+        attempt(key);
     });
 }
 
-void site_simulation::submitAttempt(std::uint64_t workKey)
+/// Begins an attempt of a client.
+void site_simulation::attempt(std::uint64_t workKey)
 {
     client_work &work = m_clients.at(workKey);
-    const class_model &model = m_site.classes[work.kind];
     ++work.attempts;
+    work.attemptAt = m_loop.now();
+    work.runsLost = 0;
+    work.tried.clear();
+    submitAttempt(workKey);
+}
+
+void site_simulation::submitAttempt(std::uint64_t workKey)
+{
+    const client_work &work = m_clients.at(workKey);
+    const class_model &model = m_site.classes[work.kind];
     simulated_run run{.work = workKey};
     run.request = {.service = service_name(m_site.services[model.service].name),
                    .workClass = work_class::Online,
                    .priority = model.priority,
-                   .arrivedAt = m_loop.now(),
-                   .target = m_loop.now() + model.target,
+                   .arrivedAt = work.attemptAt,
+                   .target = work.attemptAt + model.target,
                    .deadline = work.begun + model.deadline,
-                   .cell = chooseCell(model.service),
+                   .cell = cellFor(model.service, work_class::Online),
                    .repeatable = true,
-                   .sentBefore = work.runsLost > 0};
+                   .sentBefore = !work.tried.empty(),
+                   .excluded = work.tried,
+                   .caller = m_site.callers.empty() ? 0 : work.caller + 1};
     submitRun(std::move(run));
 }
 
@@ -429,28 +534,36 @@
                    .arrivedAt = m_loop.now(),
                    .target = item.due,
                    .deadline = item.due + 60s,
-                   .cell = chooseCell(m_site.jobs->service),
+                   .cell = cellFor(m_site.jobs->service, work_class::Batch),
                    .repeatable = true,
-                   .earlierRunTime = item.ran};
+                   .earlierRunTime = item.ran,
+                   .caller = m_site.callers.empty() ? 0 : item.caller + 1};
     submitRun(std::move(run));
 }
 
-upstream_cell site_simulation::chooseCell(std::size_t service)
+/// The cell for a run, by what the scheduling nodes reported last.
+upstream_cell site_simulation::cellFor(std::size_t service, work_class workClass)
 {
-    if (m_options.way != placing_way::Claims || m_cells[service] <= 1) {
+    const std::uint32_t count = m_cells[service];
+    if (m_options.way != placing_way::Claims || count <= 1) {
         return {};
     }
-    std::uniform_int_distribution<std::uint32_t> any(0, m_cells[service] - 1);
-    const upstream_cell first{.index = any(m_choices), .count = m_cells[service]};
-    const upstream_cell second{.index = any(m_choices), .count = m_cells[service]};
-    const auto busy = [&](const upstream_cell &cell) {
-        std::uint32_t sum = 0;
-        for (const std::size_t upstream : m_ofService[service]) {
-            sum += cell.contains(m_upstreams[upstream].info.id) ? m_upstreams[upstream].inside : 0;
+    std::vector<cell_load> loads(count);
+    for (std::uint32_t index = 0; index < count; ++index) {
+        loads[index].cell = {.index = index, .count = count};
+    }
+    for (const std::size_t index : m_ofService[service]) {
+        const simulated_upstream &upstream = m_upstreams[index];
+        const auto reported = m_reportedUsage.find(keyOf(upstream.info.id));
+        const upstream_usage usage = reported == m_reportedUsage.end() ? upstream_usage() : reported->second;
+        if (upstream.isListed && !usage.degraded) {
+            cell_load &load = loads[cellOf(upstream.info.id, count).index];
+            load.slots += upstream.info.slots;
+            load.online += usage.online;
+            load.batch += usage.batch;
         }
-        return sum;
-    };
-    return busy(first) <= busy(second) ? first : second;
+    }
+    return chooseCell(loads, workClass, m_choices);
 }
 
 std::size_t site_simulation::placerOf(std::size_t service, const upstream_cell &cell, std::size_t node) const
@@ -469,6 +582,9 @@
     run.request.id = request_id("r" + std::to_string(++m_lastRun));
     run.node = std::uniform_int_distribution<std::size_t>(0, m_site.nodes - 1)(m_choices);
     run.placer = placerOf(service, run.request.cell, run.node);
+    if (m_options.slowNodeShare > 0) {
+        run.request.holder = node_id("n" + std::to_string(run.node));
+    }
     const request_id id = run.request.id;
     const bool central = m_options.way == placing_way::Claims;
     m_runs.emplace(id, std::move(run));
@@ -529,7 +645,10 @@
 void site_simulation::granted(const slot_granted &action)
 {
     const std::size_t index = m_upstreamIndex.at(action.upstream);
-    m_loop.after(m_site.nodeDelay, [this, index, id = action.request] {
+    const auto run = m_runs.find(action.request);
+    const bool isSlow =
+        run != m_runs.end() && static_cast<double>(run->second.node) < m_options.slowNodeShare * static_cast<double>(m_site.nodes);
+    m_loop.after(m_site.nodeDelay + (isSlow ? m_options.slowNodeDelay : duration(0)), [this, index, id = action.request] {
         startAt(id, index);
     });
 }
@@ -574,6 +693,9 @@
     }
     m_result.rejected += isFull ? 1 : 0;
     run.upstream.reset();
+    if (!run.batch) {
+        m_clients.at(run.work).tried.push_back(upstream.info.id);
+    }
     ended(id, isFull ? attempt_outcome::Refused : attempt_outcome::NotSent);
 }
 
@@ -612,16 +734,25 @@
         m_items.erase(run.work);
         const bool isOwed = counts(item.due - m_site.jobs->window);
         m_result.itemsInTime += isOwed && m_loop.now() <= item.due ? 1 : 0;
+        m_result.callers[item.caller].itemsInTime += isOwed && m_loop.now() <= item.due ? 1 : 0;
         return;
     }
     const auto client = m_clients.find(run.work);
     if (outcome != attempt_outcome::Succeeded && client != m_clients.end()) {
         client_work &work = client->second;
-        work.runsLost += outcome == attempt_outcome::Lost ? 1 : 0;
-        --work.attempts;
-        m_loop.after(retryDelay, [this, key = run.work] {
-            if (m_clients.contains(key)) {
+        if (outcome == attempt_outcome::Lost) {
+            ++work.runsLost;
+            work.tried.push_back(m_upstreams[*run.upstream].info.id);
+        }
+        const bool triesAgain = work.runsLost < runsOfAttempt && work.tried.size() < upstreamsOfAttempt;
+        m_loop.after(retryDelay, [this, key = run.work, triesAgain] {
+            if (!m_clients.contains(key)) {
+                return;
+            }
+            if (triesAgain) {
                 submitAttempt(key);
+            } else {
+                clientRefused(key, duration(0), false);
             }
         });
     }
@@ -692,6 +823,12 @@
     class_result &result = m_result.classes[work.kind];
     const bool isCounted = counts(work.begun);
     const duration taken = m_loop.now() - work.begun;
+    const bool isPrompt = m_loop.now() - work.attemptAt <= model.target;
+    if (model.service == 0) {
+        window_result &window = windowOf(m_loop.now());
+        (isPrompt ? window.onTime : window.late) += 1;
+    }
+    m_result.callers[work.caller].onTime += isCounted && isPrompt ? 1 : 0;
     if (taken <= model.target) {
         result.onTime += isCounted ? 1 : 0;
         credit(work, model.worth);
@@ -724,7 +861,9 @@
     work.promptlyRefused = prompt;
     const duration longest = seconds(std::chrono::duration<double>(left).count() * promisedWaitShare);
     m_loop.after(std::min(retryAfter, longest) + m_site.clientDelay, [this, workKey] {
-        submitAttempt(workKey);
+        if (m_clients.contains(workKey)) {
+            attempt(workKey);
+        }
     });
 }
 
--- a/bench/common/site_run.h
+++ b/bench/common/site_run.h
@@ -5,6 +5,7 @@
 #include "banyan/core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +28,12 @@
     placing_way way = placing_way::Claims;
     duration warmUp = std::chrono::milliseconds(5800); ///< What begins before this does not count.
     duration length = std::chrono::milliseconds(34800); ///< Arrivals end here.
-    double crashShare = 0; ///< Of the first service's upstreams that crash half-way, for 4 s.
+    double crashShare = 0; ///< Of the first service's upstreams that crash.
+    std::optional<time_point> crashAt; ///< Half-way if empty.
+    duration crashTime = std::chrono::seconds(4);
+    std::optional<duration> discoveryLag; ///< After which crashes and returns are in the list of upstreams; never if empty.
+    double slowNodeShare = 0; ///< Of the nodes that send and forward late.
+    duration slowNodeDelay{}; ///< By which a run's first byte at these nodes comes later.
     duration window = std::chrono::milliseconds(200); ///< Of the course over time.
     std::uint64_t seed = 1;
 };
@@ -51,8 +57,20 @@
     std::uint64_t owed = 0; ///< Online requests that began in it.
     double credit = 0; ///< Theirs, over what they could earn.
     std::uint64_t refusals = 0; ///< Of attempts.
+    std::uint64_t onTime = 0; ///< Online requests of the first service that were answered in it within their target.
+    std::uint64_t late = 0; ///< The same, later than that.
     std::uint32_t waiting = 0; ///< Online runs that wait, at its end.
     std::uint32_t batchRunning = 0; ///< At its end.
+    std::uint32_t idle = 0; ///< Slots of the first service's listed upstreams that nothing uses, at its end.
+};
+
+/// What came of one caller's requests.
+struct caller_result
+{
+    std::uint64_t owed = 0;
+    std::uint64_t onTime = 0; ///< Counted from the attempt that was answered.
+    std::uint64_t itemsOwed = 0;
+    std::uint64_t itemsInTime = 0;
 };
 
 /// What a run gave.
@@ -60,6 +78,7 @@
 {
     std::vector<class_result> classes;
     std::vector<window_result> windows;
+    std::vector<caller_result> callers;
     double onlineCredit = 0; ///< Over all kinds, by worth.
     double burstCredit = 0; ///< The same of what began within bursts.
     std::uint64_t itemsOwed = 0; ///< Batch items whose window has ended.
--- a/core/include/banyan/core/serving/slot_action.h
+++ b/core/include/banyan/core/serving/slot_action.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/final_result.h"
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/caller_key.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -33,6 +34,9 @@
     duration firstByte{}; ///< 95th percentile of the time to first byte.
     double startsPerSecond = 0; ///< Runs per second that these upstreams can start, by their slots and rate limits.
     std::uint32_t limited = 0; ///< Number of these upstreams whose rate is limited.
+    caller_key caller = 0;
+    std::uint32_t waitingOfCaller = 0; ///< The caller's runs of this urgency that waited.
+    std::uint32_t waitingCallers = 0; ///< Callers with runs of this urgency that waited; each gets an equal share of the slots.
 
     auto operator<=>(const rejection_basis &) const = default;
 };
--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -162,6 +162,19 @@
     return now < entry->second.ejectedUntil ? upstream_condition::Ejected : upstream_condition::Probing;
 }
 
+bool outlier_detector::isEjectedForFailures(const upstream_id &upstream, time_point now) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && entry->second.outOfRotation && !entry->second.ejectedForSlowness
+           && now < entry->second.ejectedUntil;
+}
+
+bool outlier_detector::isEjectedForSlowness(const upstream_id &upstream) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && entry->second.outOfRotation && entry->second.ejectedForSlowness;
+}
+
 std::optional<time_point> outlier_detector::probingSince(const upstream_id &upstream, time_point now) const
 {
     if (conditionOf(upstream, now) != upstream_condition::Probing) {
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -61,6 +61,12 @@
     /// The upstream's condition: Good, Ejected or Probing.
     [[nodiscard]] upstream_condition conditionOf(const upstream_id &upstream, time_point now) const;
 
+    /// Whether the upstream is ejected because attempts at it failed, not because it was slow.
+    [[nodiscard]] bool isEjectedForFailures(const upstream_id &upstream, time_point now) const;
+
+    /// Whether the upstream was ejected because it was slow and has not returned to rotation.
+    [[nodiscard]] bool isEjectedForSlowness(const upstream_id &upstream) const;
+
     /// Since when the upstream has been in condition Probing; none if it is in another condition.
     [[nodiscard]] std::optional<time_point> probingSince(const upstream_id &upstream, time_point now) const;
 
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -12,6 +12,8 @@
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <tuple>
+#include <utility>
 
 namespace banyan {
 
@@ -22,6 +24,7 @@
 constexpr duration defaultOverdueAfter = std::chrono::milliseconds(400); ///< Used while too few answers have been measured.
 constexpr duration maximumOverdueAfter = std::chrono::seconds(1);
 constexpr duration maximumLateWait = std::chrono::seconds(1); ///< Longest wait for a slot of a run that will be late in any case.
+constexpr int spareTimeDivisor = 4; ///< Runs wait for 1/4 of the time that an average answer leaves if slow ones miss the target anyway.
 constexpr duration longestExpectedWait = std::chrono::hours(1); ///< Also the expected wait where nothing can start.
 constexpr int retryAfterDivisor = 3; ///< Clients retry within 1/3 of their remaining time; later, too little time would be left.
 
@@ -83,10 +86,17 @@
     service_schedule &serviceOf(const service_name &name);
     void applyAllowedRate(scheduled_upstream &upstream, time_point now) const;
     void considerNextStarts(const service_schedule &service, const std::function<void(time_point)> &consider) const;
-    [[nodiscard]] static time_point latestStart(const service_schedule &service, const slot_request &request);
-    [[nodiscard]] duration expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
+    [[nodiscard]] static bool isOutOfReach(const service_schedule &service, const slot_request &request, time_point now);
+    [[nodiscard]] static time_point latestStart(const service_schedule &service, const slot_request &request, time_point now);
+    static void addWaiting(service_schedule &service, cell_schedule &cell, const slot_request &request, bool late, time_point now);
+    [[nodiscard]] static double
+    startsPerSecond(const service_schedule &service, const cell_schedule &cell, const std::string &version, time_point now);
+    [[nodiscard]] duration
+    expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     [[nodiscard]] rejection_basis
-    rejectionBasisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request) const;
+    rejectionBasisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
+    void rejectLessEntitled(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
+    void endExpired(service_schedule &service, cell_schedule &cell, time_point now);
     void rejectIfUnschedulable(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
     void reject(cell_schedule &cell, const slot_request &request, end_reason reason, const rejection_basis &basis, time_point now);
     void grant(service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
@@ -126,6 +136,7 @@
     if (inserted) {
         entry->second.firstByteSeconds = toSeconds(m_options.assumedFirstByte);
         entry->second.runSeconds = toSeconds(m_options.assumedRunTime);
+        entry->second.startTimes = first_byte_estimate(m_options.assumedFirstByte);
     }
     return entry->second;
 }
@@ -188,41 +199,82 @@
     }
 }
 
-/// The latest time at which a run can start and still meet its target. If the target is out of reach: the latest start for its
-/// deadline, at most maximumLateWait after its arrival.
-time_point request_scheduler::implementation::latestStart(const service_schedule &service, const slot_request &request)
+/// Whether a run that would start now is expected to miss its target. A stream that has begun is not late: its client has a part of it.
+bool request_scheduler::implementation::isOutOfReach(const service_schedule &service, const slot_request &request, time_point now)
 {
-    const duration firstByte = fromSeconds(service.tailFirstByteSeconds());
-    const time_point inTime = request.target - firstByte;
-    if (inTime >= request.arrivedAt) {
-        return inTime;
+    const bool isInterrupted = request.sentBefore && request.continues;
+    return !isInterrupted && request.target - service.startTimes.expected(request.holder, now) < std::max(now, request.arrivedAt);
+}
+
+/// The latest time at which a run can start and still meet its target. Where slow answers would miss it however early the run
+/// starts, the run may wait for a part of the time that an average answer leaves. If the target is out of reach: the latest start
+/// for its deadline, at most maximumLateWait after its arrival.
+time_point request_scheduler::implementation::latestStart(const service_schedule &service, const slot_request &request, time_point now)
+{
+    const duration tail = service.startTimes.tail(request.holder, now);
+    const duration spare = request.target - service.startTimes.expected(request.holder, now) - request.arrivedAt;
+    if (spare < duration(0)) {
+        return std::min(request.deadline - tail, request.arrivedAt + maximumLateWait);
+    }
+    return std::max(request.target - tail, request.arrivedAt + spare / spareTimeDivisor);
+}
+
+/// Adds a run to the queue. A run that was sent before waits on when it will be late, behind those that can be in time.
+void request_scheduler::implementation::addWaiting(service_schedule &service,
+                                                   cell_schedule &cell,
+                                                   const slot_request &request,
+                                                   bool late,
+                                                   time_point now)
+{
+    const bool waitsForDeadline = request.sentBefore && (late || request.continues);
+    const time_point expiresAt = waitsForDeadline ? request.deadline : latestStart(service, request, now) + duration(1);
+    cell.online.add(request, late, expiresAt, service.costs.costOf(request));
+}
+
+/// Runs per second that the cell's upstreams can start, without those that are ejected for failures.
+double request_scheduler::implementation::startsPerSecond(const service_schedule &service,
+                                                          const cell_schedule &cell,
+                                                          const std::string &version,
+                                                          time_point now)
+{
+    const double all = cell.startsPerSecond(service.runSeconds, version);
+    double ejected = 0;
+    for (const scheduled_upstream *const upstream : cell.members) {
+        const bool isOut = upstream->info.hasVersion(version) && service.outliers.isEjectedForFailures(upstream->info.id, now);
+        ejected += isOut ? upstream->startsPerSecond(service.runSeconds) : 0;
     }
-    return std::min(request.deadline - firstByte, request.arrivedAt + maximumLateWait);
+    return all > ejected ? all - ejected : all; // If all are ejected, they are all that is left.
 }
 
-/// The expected wait for a slot of the cell of an online run that arrives now: the queue ahead of it, divided by the rate at
+/// The expected wait for a slot of the cell of a waiting online run: the runs that get a slot before it, divided by the rate at
 /// which slots become free. Only a cell that holds all upstreams of its service is queued for at several nodes.
 duration request_scheduler::implementation::expectedWait(const service_schedule &service,
                                                          const cell_schedule &cell,
-                                                         const slot_request &request) const
+                                                         const slot_request &request,
+                                                         time_point now) const
 {
     const std::uint32_t waitingElsewhere = request.cell.count <= 1 ? m_board.waitingOnline(keyOf(request.service)) : 0;
     // Most of the queue does not wait for the upstreams of one version.
-    const double ahead = request.version.empty() ? static_cast<double>(cell.online.onTimeCount()) + waitingElsewhere : 1;
-    const double startsPerSecond = cell.startsPerSecond(service.runSeconds, request.version);
-    return ahead < startsPerSecond * toSeconds(longestExpectedWait) ? fromSeconds(ahead / startsPerSecond) : longestExpectedWait;
+    const double ahead = request.version.empty() ? cell.online.aheadOf(request.id) + waitingElsewhere : 1;
+    const double rate = startsPerSecond(service, cell, request.version, now);
+    return ahead < rate * toSeconds(longestExpectedWait) ? fromSeconds(ahead / rate) : longestExpectedWait;
 }
 
+/// The estimates for a waiting run.
 rejection_basis request_scheduler::implementation::rejectionBasisOf(const service_schedule &service,
                                                                     const cell_schedule &cell,
-                                                                    const slot_request &request) const
+                                                                    const slot_request &request,
+                                                                    time_point now) const
 {
     return {.waiting = static_cast<std::uint32_t>(cell.online.onTimeCount()),
             .slots = cell.slots(request.version),
-            .expectedWait = expectedWait(service, cell, request),
-            .firstByte = fromSeconds(service.tailFirstByteSeconds()),
-            .startsPerSecond = cell.startsPerSecond(service.runSeconds, request.version),
-            .limited = cell.limitedMembers()};
+            .expectedWait = expectedWait(service, cell, request, now),
+            .firstByte = service.startTimes.tail(request.holder, now),
+            .startsPerSecond = startsPerSecond(service, cell, request.version, now),
+            .limited = cell.limitedMembers(),
+            .caller = request.caller,
+            .waitingOfCaller = static_cast<std::uint32_t>(cell.online.waitingOf(request.id)),
+            .waitingCallers = static_cast<std::uint32_t>(cell.online.callersBeside(request.id))};
 }
 
 slot_actions request_scheduler::implementation::submit(const slot_request &request, time_point now)
@@ -237,13 +289,14 @@
         scheduleWaiting(service, now);
         return takeActions();
     }
-    const bool late = request.target - fromSeconds(service.firstByteSeconds) < request.arrivedAt;
-    const time_point expiresAt = request.sentBefore ? request.deadline : latestStart(service, request) + duration(1);
-    cell.online.add(request, late && !request.sentBefore, expiresAt);
+    addWaiting(service, cell, request, isOutOfReach(service, request, now), now);
     scheduleWaiting(service, now);
     if (cell.online.contains(request.id)) {
         rejectIfUnschedulable(service, cell, request, now);
     }
+    if (cell.online.contains(request.id)) {
+        rejectLessEntitled(service, cell, request, now);
+    }
     return takeActions();
 }
 
@@ -253,7 +306,7 @@
                                                               const slot_request &request,
                                                               time_point now)
 {
-    const rejection_basis basis = rejectionBasisOf(service, cell, request);
+    const rejection_basis basis = rejectionBasisOf(service, cell, request, now);
     if (!m_choice.hasCandidate(service, cell, request, now)) {
         cell.online.remove(request.id);
         const bool isBound = !request.version.empty(); // A stream that cannot go on is to begin anew at once.
@@ -261,12 +314,29 @@
                                           .reason = isBound ? end_reason::VersionGone : end_reason::NoUpstream,
                                           .retryAfter = isBound ? duration(0) : jittered(noUpstreamRetryAfter),
                                           .basis = basis});
-    } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request)) {
+    } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request, now)) {
         cell.online.remove(request.id);
         reject(cell, request, end_reason::Overloaded, basis, now);
     }
 }
 
+/// Rejects the runs that a waiting run has pushed beyond their latest start: the newest of less urgent work and of the caller that
+/// has most of the queue.
+void request_scheduler::implementation::rejectLessEntitled(service_schedule &service,
+                                                           cell_schedule &cell,
+                                                           const slot_request &request,
+                                                           time_point now)
+{
+    while (const slot_request *const candidate = cell.online.lessEntitledThan(request.id)) {
+        const rejection_basis basis = rejectionBasisOf(service, cell, *candidate, now);
+        if (candidate->sentBefore || now + basis.expectedWait <= latestStart(service, *candidate, now)) {
+            return;
+        }
+        const slot_request rejected = *cell.online.remove(request_id(candidate->id));
+        reject(cell, rejected, end_reason::Overloaded, basis, now);
+    }
+}
+
 void request_scheduler::implementation::reject(cell_schedule &cell,
                                                const slot_request &request,
                                                end_reason reason,
@@ -390,27 +460,30 @@
 
 void request_scheduler::implementation::scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now)
 {
-    // If one run finds no slot, no other run with the same repeatability, no exclusions and for any version finds one.
-    bool fullForRepeatable = false;
-    bool fullForOthers = false;
-    for (auto entry = cell.online.inOrder().begin(); entry != cell.online.inOrder().end();) {
-        const slot_request request = entry->second;
-        ++entry;
-        bool &full = request.repeatable ? fullForRepeatable : fullForOthers;
-        const bool isTypical = request.excluded.empty() && request.version.empty();
-        if (full && isTypical) {
-            continue;
-        }
-        scheduled_upstream *const upstream = m_choice.selectForOnline(service, cell, request, now);
-        if (upstream != nullptr) {
-            cell.online.remove(request.id);
-            grant(service, request, *upstream, now);
+    std::set<waiting_runs::run_kind> full; // If one run finds no slot, no other run of its kind finds one.
+    while (const slot_request *const first = cell.online.next(full)) {
+        scheduled_upstream *upstream = m_choice.selectForOnline(service, cell, *first, now);
+        upstream = upstream == nullptr ? m_choice.selectAmongSlow(service, cell, *first, now) : upstream;
+        if (upstream == nullptr) {
+            full.insert(waiting_runs::kindOf(*first));
         } else {
-            full = full || isTypical;
+            grant(service, cell.online.take(request_id(first->id)), *upstream, now);
         }
     }
-    while (const std::optional<slot_request> expired = cell.online.takeExpired(now)) {
-        reject(cell, *expired, end_reason::DeadlineUnreachable, rejectionBasisOf(service, cell, *expired), now);
+    endExpired(service, cell, now);
+}
+
+/// Rejects the runs that can no longer start in time. A run that was sent before waits on, but no longer before others.
+void request_scheduler::implementation::endExpired(service_schedule &service, cell_schedule &cell, time_point now)
+{
+    while (const slot_request *const expired = cell.online.firstExpired(now)) {
+        const rejection_basis basis = rejectionBasisOf(service, cell, *expired, now);
+        const slot_request request = *cell.online.remove(request_id(expired->id));
+        if (request.sentBefore && now < request.deadline) {
+            addWaiting(service, cell, request, true, now);
+        } else {
+            reject(cell, request, end_reason::DeadlineUnreachable, basis, now);
+        }
     }
 }
 
@@ -420,12 +493,16 @@
     while (service.waitingOnline() == 0) {
         const slot_request *const first = firstBatchRun(service, cell, fullVersions, now);
         if (first == nullptr) {
+            if (cell.batch.empty()) {
+                cell.batchShares.reset();
+            }
             return;
         }
         const slot_request request = *first;
         scheduled_upstream *const upstream = m_choice.selectForBatch(service, cell, request, m_options.reactionTime, now);
         if (upstream != nullptr) {
             cell.batch.erase(request.id);
+            cell.batchShares.served(request.caller, service.costs.costOf(request));
             grant(service, request, *upstream, now);
         } else if (request.version.empty()) {
             return;
@@ -438,17 +515,25 @@
     }
 }
 
-/// The waiting batch run that comes first, without those that are bound to one of the versions; null if there is none.
+/// The waiting batch run that comes first, without those that are bound to one of the versions; null if there is none. Callers
+/// take turns; those whose work can no longer complete in time come last.
 const slot_request *request_scheduler::implementation::firstBatchRun(const service_schedule &service,
                                                                      const cell_schedule &cell,
                                                                      const std::set<std::string> &excludedVersions,
                                                                      time_point now)
 {
+    using position = std::tuple<bool, std::uint32_t, double, batch_order::rank>;
     const slot_request *first = nullptr;
+    position best;
     for (const auto &[id, request] : cell.batch) {
-        const bool isExcluded = !request.version.empty() && excludedVersions.contains(request.version);
-        if (!isExcluded && (first == nullptr || service.batchOrder.rankOf(request, now) < service.batchOrder.rankOf(*first, now))) {
+        if (!request.version.empty() && excludedVersions.contains(request.version)) {
+            continue;
+        }
+        batch_order::rank rank = service.batchOrder.rankOf(request, now);
+        position candidate(rank.targetUnreachable, rank.priority, cell.batchShares.startOf(request.caller), std::move(rank));
+        if (first == nullptr || candidate < best) {
             first = &request;
+            best = std::move(candidate);
         }
     }
     return first;
@@ -469,7 +554,7 @@
         m_actions.push_back(upstream_ejected{.upstream = run.upstream, .forSlowness = true});
     }
     updateAverage(service.firstByteSeconds, toSeconds(taken));
-    service.firstBytes.add(toSeconds(taken));
+    service.startTimes.record(run.request.holder, taken, now);
     const auto upstream = service.upstreams.find(run.upstream);
     if (upstream != service.upstreams.end()) {
         double &upstreamAverage = upstream->second.firstByteSeconds;
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr double tailQuantile = 0.95; ///< Quantile of the time to first byte that is planned for: the slowest 5 % met a slow upstream.
-constexpr std::size_t minimumFirstBytes = 16; ///< Fewer measurements do not determine the slowest twentieth.
-
 std::vector<scheduled_upstream *> membersOf(const upstream_cell &cell, std::map<upstream_id, scheduled_upstream> &upstreams)
 {
     std::vector<scheduled_upstream *> result;
@@ -45,11 +42,6 @@
     }));
 }
 
-double service_schedule::tailFirstByteSeconds() const
-{
-    return firstBytes.count() < minimumFirstBytes ? firstByteSeconds : std::max(firstByteSeconds, firstBytes.quantile(tailQuantile));
-}
-
 cell_schedule &service_schedule::cell(const upstream_cell &cell)
 {
     const auto [entry, inserted] = cells.try_emplace(cell);
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "../outlier_detector.h"
-#include "../sliding_quantile.h"
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "batch_order.h"
+#include "first_byte_estimate.h"
 #include "retry_after_estimator.h"
+#include "run_cost.h"
 #include "scheduled_upstream.h"
+#include "share_clock.h"
 #include "waiting_runs.h"
 
 #include <cstdint>
@@ -23,6 +25,7 @@
     std::vector<scheduled_upstream *> members; ///< Upstreams of the cell that accept new work.
     waiting_runs online;
     std::map<request_id, slot_request> batch;
+    share_clock batchShares; ///< What each caller's batch work has had while other batch work waited.
     retry_after_estimator retryEstimator;
 
     /// The number of slots of its members, or of those of one software version.
@@ -39,19 +42,15 @@
 /// The scheduling state of a service on one node: upstreams, waiting runs and measurements.
 struct service_schedule
 {
-    static constexpr std::size_t rememberedFirstBytes = 128; ///< A few tenths of a second of a busy service.
-
     std::map<upstream_id, scheduled_upstream> upstreams;
     std::map<upstream_cell, cell_schedule> cells;
     outlier_detector outliers{outlier_detector_options()};
     batch_order batchOrder;
     double firstByteSeconds = 0; ///< Moving average of the time to first byte.
-    sliding_quantile firstBytes{rememberedFirstBytes}; ///< Recent times to first byte, in seconds.
+    first_byte_estimate startTimes{duration(0)}; ///< Times to first byte, by the node that sends the run.
+    stated_cost costs;
     double runSeconds = 0; ///< Moving average of the run time of online runs.
 
-    /// The 95th percentile of the time to first byte, in seconds; the average while there are too few measurements.
-    [[nodiscard]] double tailFirstByteSeconds() const;
-
     /// The schedule of a cell, created if it does not exist.
     cell_schedule &cell(const upstream_cell &cell);
 
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -155,6 +155,26 @@
     return best;
 }
 
+scheduled_upstream *
+upstream_choice::selectAmongSlow(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now)
+{
+    scheduled_upstream *best = nullptr;
+    double bestScore = 0;
+    for (scheduled_upstream *const upstream : cell.members) {
+        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !isDegraded(*upstream, now);
+        const bool isInTarget = now + fromSeconds(upstream->firstByteSeconds) <= request.target;
+        if (!isOnlySlow || !isInTarget || !upstream->info.hasVersion(request.version) || isExcluded(request, upstream->info.id)) {
+            continue;
+        }
+        const std::optional<double> score = onlineScore(service, cell, *upstream, request, now);
+        if (score && (best == nullptr || *score < bestScore)) {
+            best = upstream;
+            bestScore = *score;
+        }
+    }
+    return best;
+}
+
 scheduled_upstream *upstream_choice::selectForBatch(const service_schedule &service,
                                                     const cell_schedule &cell,
                                                     const slot_request &request,
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -37,6 +37,11 @@
     [[nodiscard]] scheduled_upstream *
     selectForOnline(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now);
 
+    /// Selects for an online run that finds no slot elsewhere an upstream that is avoided for its slowness only and is still expected to
+    /// answer within the run's target; null if there is none with a slot.
+    [[nodiscard]] scheduled_upstream *
+    selectAmongSlow(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now);
+
     /// Selects for a batch run an upstream with a free slot; null unless more slots are free than online work will need
     /// within @p reactionTime, the time that other nodes need to preempt batch runs.
     [[nodiscard]] scheduled_upstream *selectForBatch(const service_schedule &service,
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/slot_broker.h"
 
+#include "banyan/core/serving/cell_choice.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
 #include "banyan/core/serving/run_id.h"
@@ -82,6 +83,9 @@
               {"first_byte_us", std::to_string(rejected.basis.firstByte.count())},
               {"starts_per_second", std::to_string(rejected.basis.startsPerSecond)},
               {"limited", std::to_string(rejected.basis.limited)},
+              {"caller", std::to_string(rejected.basis.caller)},
+              {"waiting_of_caller", std::to_string(rejected.basis.waitingOfCaller)},
+              {"waiting_callers", std::to_string(rejected.basis.waitingCallers)},
               {"retry_after_us", std::to_string(rejected.retryAfter.count())}});
 }
 
@@ -133,8 +137,8 @@
     using claim_pointer = std::shared_ptr<outgoing_claim>;
 
     [[nodiscard]] std::vector<node_id> schedulingCandidates(time_point now);
-    [[nodiscard]] upstream_cell chooseCell(const slot_request &request);
-    [[nodiscard]] std::int64_t freeSlots(const slot_request &request, const upstream_cell &cell) const;
+    [[nodiscard]] upstream_cell cellFor(const slot_request &request);
+    [[nodiscard]] std::vector<cell_load> loadsOf(const service_name &service, std::uint32_t count) const;
     task<> waitFor(claim_pointer claim, duration time);
     static std::optional<slot_outcome> outcomeOf(const slot_verdict &verdict);
     [[nodiscard]] request_id schedulerRequestId(const incoming_claim_key &key) const;
@@ -171,30 +175,29 @@
     return nodes;
 }
 
-/// Returns the number of free slots in a cell, by the load board; negative if it is overcommitted.
-std::int64_t slot_broker::implementation::freeSlots(const slot_request &request, const upstream_cell &cell) const
+/// Returns the load of each cell of a service, by the load board.
+std::vector<cell_load> slot_broker::implementation::loadsOf(const service_name &service, std::uint32_t count) const
 {
-    std::int64_t free = 0;
-    for (const replica *const upstream : m_ports.scheduler.upstreamsOf(request.service)) {
-        if (!upstream->draining && cell.contains(upstream->id)) {
-            const load_board::total_usage usage = m_ports.board.usageOf(keyOf(upstream->id));
-            free += static_cast<std::int64_t>(upstream->slots) - usage.online - usage.batch;
+    std::vector<cell_load> loads;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        loads.push_back({.cell = {.index = index, .count = count}});
+    }
+    for (const replica *const upstream : m_ports.scheduler.upstreamsOf(service)) {
+        const load_board::total_usage usage = m_ports.board.usageOf(keyOf(upstream->id));
+        if (!upstream->draining && usage.degradedNodes == 0) {
+            cell_load &load = loads[cellOf(upstream->id, count).index];
+            load.slots += upstream->slots;
+            load.online += usage.online;
+            load.batch += usage.batch;
         }
     }
-    return free;
+    return loads;
 }
 
-/// Picks two cells at random and returns the one with more free slots.
-upstream_cell slot_broker::implementation::chooseCell(const slot_request &request)
+upstream_cell slot_broker::implementation::cellFor(const slot_request &request)
 {
     const std::uint32_t count = cellCountFor(m_ports.scheduler.upstreamsOf(request.service).size());
-    if (count <= 1) {
-        return {};
-    }
-    std::uniform_int_distribution<std::uint32_t> any(0, count - 1);
-    const upstream_cell first{.index = any(m_generator), .count = count};
-    const upstream_cell second{.index = any(m_generator), .count = count};
-    return freeSlots(request, first) >= freeSlots(request, second) ? first : second;
+    return count <= 1 ? upstream_cell() : chooseCell(loadsOf(request.service, count), request.workClass, m_generator);
 }
 
 task<slot_broker::slot_outcome>
@@ -202,7 +205,7 @@
 {
     request.holder = m_self;
     request.domain = m_domain;
-    request.cell = chooseCell(request);
+    request.cell = cellFor(request);
     const bool isBatch = request.workClass == work_class::Batch;
     for (int claims = isBatch ? batchClaims : 1; claims > 0; --claims) {
         const std::vector<node_id> nodes = schedulingCandidates(currentTime());
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -362,3 +362,137 @@
     CHECK(rejected->basis.slots == 4);
     CHECK(rejected->basis.waiting == fixture.scheduler.waitingOnline() + 1);
 }
+
+TEST_CASE("request_scheduler refuses a run that will be late in any case, unless it fits beside those that can be in time")
+{
+    scheduler_fixture fixture(1);
+    fixture.otherNode(4, 0, 1);
+    slot_request late = fixture.online();
+    late.target = start + 10ms; // An answer takes 80 ms.
+    REQUIRE(fixture.scheduler.submit(late, start).empty()); // A slot becomes free every 0.2 s, so it starts within a second.
+    const slot_request inTime = fixture.online();
+    REQUIRE(fixture.scheduler.submit(inTime, start).empty());
+    std::size_t refused = 0;
+    for (int run = 0; run < 10; ++run) {
+        slot_request other = fixture.online();
+        other.target = start + 10ms;
+        refused += countOf<slot_rejected>(fixture.scheduler.submit(other, start));
+    }
+    CHECK(refused >= 7); // At most five slots become free in a second, the first for the run that is in time.
+    node_load load{.sender = node_id("n2"), .sequence = 2, .usage = {{keyOf(upstream_id("u0")), {.online = 3}}}};
+    fixture.board.record(load, start);
+    const slot_actions actions = fixture.scheduler.loadChanged(start + 10ms);
+    REQUIRE(countOf<slot_granted>(actions) == 1);
+    CHECK(std::get<slot_granted>(actions.front()).request == inTime.id);
+}
+
+TEST_CASE("request_scheduler lets a run that was sent before wait behind those that can be in time once it is late")
+{
+    scheduler_fixture fixture(1);
+    fixture.otherNode(4, 0, 1);
+    slot_request sentBefore = fixture.online();
+    sentBefore.sentBefore = true;
+    REQUIRE(fixture.scheduler.submit(sentBefore, start).empty());
+    REQUIRE(fixture.scheduler.tick(start + 300ms).empty());
+    const slot_request fresh = fixture.online(start + 300ms);
+    REQUIRE(fixture.scheduler.submit(fresh, start + 300ms).empty());
+    node_load load{.sender = node_id("n2"), .sequence = 2, .usage = {{keyOf(upstream_id("u0")), {.online = 3}}}};
+    fixture.board.record(load, start);
+    const slot_actions actions = fixture.scheduler.loadChanged(start + 310ms);
+    REQUIRE(countOf<slot_granted>(actions) == 1);
+    CHECK(std::get<slot_granted>(actions.front()).request == fresh.id);
+}
+
+TEST_CASE("request_scheduler does not give up runs of other nodes because the answers of one node come late")
+{
+    scheduler_fixture fixture(16);
+    time_point now = start;
+    const auto answerAfter = [&](const std::string &holder, duration taken) {
+        slot_request request = fixture.online(now);
+        request.holder = node_id(holder);
+        REQUIRE(countOf<slot_granted>(fixture.scheduler.submit(request, now)) == 1);
+        fixture.scheduler.firstByteAfter(request.id, taken, now);
+        (void)fixture.scheduler.released(request.id, {.outcome = attempt_outcome::Succeeded}, now);
+        now += 1ms;
+    };
+    for (int run = 0; run < 100; ++run) {
+        answerAfter("quick", 50ms);
+        answerAfter("slow", 900ms);
+    }
+    fixture.otherNode(4, 0, 1);
+    slot_request quick = fixture.online(now);
+    quick.holder = node_id("quick");
+    CHECK(fixture.scheduler.submit(quick, now).empty());
+    // It gives up in time for an answer within its target, and not after the second that a late run may wait.
+    REQUIRE(fixture.scheduler.nextWakeUp().has_value());
+    CHECK(*fixture.scheduler.nextWakeUp() <= quick.target);
+    CHECK(fixture.scheduler.tick(now + 50ms).empty());
+}
+
+TEST_CASE("request_scheduler refuses the caller that takes more than its share, not the one that comes last")
+{
+    scheduler_fixture fixture(4);
+    fixture.otherNode(4, 0, 1);
+    const auto submitFor = [&](caller_key caller) {
+        slot_request request = fixture.online();
+        request.caller = caller;
+        return std::pair(request.id, fixture.scheduler.submit(request, start));
+    };
+    std::vector<request_id> hot;
+    for (bool isFull = false; !isFull;) {
+        const auto [id, actions] = submitFor(1);
+        isFull = !actions.empty();
+        hot.push_back(id);
+    }
+    hot.pop_back();
+    // A slot becomes free every 0.05 s, and runs must start within 0.22 s.
+    REQUIRE(hot.size() == 4);
+    const auto [other, actions] = submitFor(2);
+    REQUIRE(countOf<slot_rejected>(actions) == 1);
+    const slot_rejected rejected = std::get<slot_rejected>(actions.front());
+    CHECK(rejected.request == hot.back());
+    CHECK(rejected.basis.caller == 1);
+    CHECK(rejected.basis.waitingCallers == 2);
+}
+
+TEST_CASE("request_scheduler refuses a less urgent waiting run rather than a more urgent one that arrives")
+{
+    scheduler_fixture fixture(2);
+    fixture.otherNode(4, 0, 1);
+    std::vector<request_id> less;
+    for (bool isFull = false; !isFull;) {
+        slot_request request = fixture.online();
+        request.priority = 2;
+        less.push_back(request.id);
+        isFull = !fixture.scheduler.submit(request, start).empty();
+    }
+    less.pop_back();
+    REQUIRE(less.size() >= 2);
+    const slot_actions actions = fixture.scheduler.submit(fixture.online(), start);
+    REQUIRE(countOf<slot_rejected>(actions) == 1);
+    CHECK(std::get<slot_rejected>(actions.front()).request == less.back());
+}
+
+TEST_CASE("request_scheduler shares batch slots between callers before it goes by deadline")
+{
+    scheduler_fixture fixture(1);
+    fixture.otherNode(4, 0, 1);
+    std::vector<slot_request> runs;
+    for (const caller_key caller : {1U, 1U, 1U, 2U}) {
+        slot_request request = fixture.batch();
+        request.caller = caller;
+        request.target += static_cast<int>(caller) * 1s; // The work of the second caller is due last.
+        runs.push_back(request);
+        REQUIRE(fixture.scheduler.submit(request, start).empty());
+    }
+    node_load load{.sender = node_id("n2"), .sequence = 2, .usage = {{keyOf(upstream_id("u0")), {.online = 2}}}};
+    fixture.board.record(load, start);
+    const slot_actions actions = fixture.scheduler.loadChanged(start + 1ms);
+    REQUIRE(countOf<slot_granted>(actions) >= 1);
+    node_load idle{.sender = node_id("n2"), .sequence = 3};
+    fixture.board.record(idle, start + 2ms);
+    const slot_actions more = fixture.scheduler.loadChanged(start + 2ms);
+    REQUIRE(countOf<slot_granted>(actions) + countOf<slot_granted>(more) >= 2);
+    const slot_granted second = std::get<slot_granted>(countOf<slot_granted>(actions) >= 2 ? actions[1] : more.front());
+    CHECK(second.request == runs.back().id);
+}
