--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/attempt_result.h"
 #include "banyan/core/serving/allowed_rate.h"
+#include "banyan/core/serving/caller_counts.h"
 #include "banyan/core/serving/node_load.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/request_scheduler_options.h"
@@ -39,7 +40,10 @@
 /// - periods of low online load: batch work fills all slots except those that online work will need before other nodes can
 ///   preempt their batch runs;
 /// - more online work than slots: a run that cannot start in time is rejected at once, and its client is told to retry when
-///   the burst is expected to be over (retry_after_estimator);
+///   the burst is expected to be over (retry_after_estimator); runs that will be late wait behind those that can be in time;
+/// - callers that send many times their usual: callers share the slots within each urgency (waiting_runs), and what exceeds
+///   the slots is rejected from less urgent work and from the caller that has most of the queue;
+/// - nodes that forward late: only their own runs count as late (first_byte_estimate);
 /// - more batch work than slots: items that can still complete in time run first (batch_order);
 /// - upstreams that limit their rate: they are used up to their rates, by online work first, and what exceeds them runs
 ///   elsewhere or is rejected like work that exceeds the slots;
@@ -102,6 +106,9 @@
     /// The number of batch runs waiting for a slot.
     [[nodiscard]] std::uint32_t waitingBatch() const;
 
+    /// What became of the online runs of each caller at this node.
+    [[nodiscard]] const caller_counts &callerCounts() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -81,6 +81,10 @@
     [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
     [[nodiscard]] std::uint32_t waitingOnline() const;
     [[nodiscard]] std::uint32_t waitingBatch() const;
+    [[nodiscard]] const caller_counts &callerCounts() const
+    {
+        return m_callerCounts;
+    }
 
 private:
     service_schedule &serviceOf(const service_name &name);
@@ -125,6 +129,7 @@
     std::map<service_name, service_schedule> m_services;
     std::map<upstream_id, allowed_rate> m_allowedRates;
     std::map<request_id, granted_run> m_runs;
+    caller_counts m_callerCounts;
     std::set<std::pair<time_point, request_id>> m_firstByteDeadlines; ///< Times at which runs without a first byte become overdue.
     slot_actions m_actions;
     time_point m_lastScheduledAt; ///< Last time at which waiting runs were scheduled.
@@ -289,6 +294,7 @@
         scheduleWaiting(service, now);
         return takeActions();
     }
+    m_callerCounts.asked(request.caller);
     addWaiting(service, cell, request, isOutOfReach(service, request, now), now);
     scheduleWaiting(service, now);
     if (cell.online.contains(request.id)) {
@@ -310,10 +316,10 @@
     if (!m_choice.hasCandidate(service, cell, request, now)) {
         cell.online.remove(request.id);
         const bool isBound = !request.version.empty(); // A stream that cannot go on is to begin anew at once.
-        m_actions.push_back(slot_rejected{.request = request.id,
-                                          .reason = isBound ? end_reason::VersionGone : end_reason::NoUpstream,
-                                          .retryAfter = isBound ? duration(0) : jittered(noUpstreamRetryAfter),
-                                          .basis = basis});
+        const end_reason reason = isBound ? end_reason::VersionGone : end_reason::NoUpstream;
+        m_callerCounts.refused(request.caller, reason);
+        m_actions.push_back(slot_rejected{
+            .request = request.id, .reason = reason, .retryAfter = isBound ? duration(0) : jittered(noUpstreamRetryAfter), .basis = basis});
     } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request, now)) {
         cell.online.remove(request.id);
         reject(cell, request, end_reason::Overloaded, basis, now);
@@ -346,6 +352,7 @@
     const retry_after_estimator::load_conditions conditions{.expectedWait = basis.expectedWait,
                                                             .maximumRetryAfter = (request.deadline - now) / retryAfterDivisor,
                                                             .slotsPerSecond = basis.startsPerSecond};
+    m_callerCounts.refused(request.caller, reason);
     const duration retryAfter = cell.retryEstimator.retryAfter(conditions, now, m_generator);
     m_actions.push_back(slot_rejected{.request = request.id, .reason = reason, .retryAfter = retryAfter, .basis = basis});
 }
@@ -467,7 +474,9 @@
         if (upstream == nullptr) {
             full.insert(waiting_runs::kindOf(*first));
         } else {
-            grant(service, cell.online.take(request_id(first->id)), *upstream, now);
+            const slot_request request = cell.online.take(request_id(first->id));
+            m_callerCounts.granted(request.caller, std::max(duration(0), now - request.arrivedAt));
+            grant(service, request, *upstream, now);
         }
     }
     endExpired(service, cell, now);
@@ -845,4 +854,9 @@
     return m_implementation->waitingBatch();
 }
 
+const caller_counts &request_scheduler::callerCounts() const
+{
+    return m_implementation->callerCounts();
+}
+
 } // namespace banyan
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -152,6 +152,7 @@
     void start();
     task<> leave(duration jobTime);
     void housekeep();
+    void setCallerMetrics();
 
     [[nodiscard]] bool isReady() const
     {
@@ -647,6 +648,21 @@
     }
 }
 
+/// Tells by caller what became of the runs that this node schedules.
+void gateway::implementation::setCallerMetrics()
+{
+    for (const auto &[caller, count] : m_scheduler.scheduler().callerCounts().all()) {
+        const std::string prefix = "caller_" + (caller == caller_counts::others ? "others" : std::to_string(caller)) + "_";
+        m_metrics.setTotal(prefix + "asked", count.asked);
+        m_metrics.setTotal(prefix + "granted", count.granted);
+        m_metrics.setTotal(prefix + "waited_ms",
+                           static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(count.waited).count()));
+        for (const auto &[reason, refusals] : count.refused) {
+            m_metrics.setTotal(prefix + "refused_" + std::string(toString(reason)), refusals);
+        }
+    }
+}
+
 void gateway::implementation::housekeep()
 {
     const time_point now = currentTime();
@@ -673,6 +689,7 @@
     }
     m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
     m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
+    setCallerMetrics();
     m_housekeepingTimer.expires_after(housekeepingInterval);
     m_housekeepingTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -86,6 +86,7 @@
               {"caller", std::to_string(rejected.basis.caller)},
               {"waiting_of_caller", std::to_string(rejected.basis.waitingOfCaller)},
               {"waiting_callers", std::to_string(rejected.basis.waitingCallers)},
+              {"share", std::to_string(1.0 / std::max(1U, rejected.basis.waitingCallers))},
               {"retry_after_us", std::to_string(rejected.retryAfter.count())}});
 }
 
