--- a/bench/common/site_model.cpp
+++ b/bench/common/site_model.cpp
@@ -18,6 +18,8 @@
 constexpr double streamSpread = 0.4; // The sheets say 0.57, cut at 1.6 times the mean.
 constexpr double verigaOnlineTokens = 224;
 constexpr double verigaBatchTokens = 1536;
+constexpr double unevenOnlineTokens = 207;
+constexpr double unevenBatchTokens = 1419;
 constexpr load_shape verigaShape{.low = 0.377, .burst = 1.84, .lowTime = 3800ms, .burstTime = 2800ms};
 constexpr load_shape burstShape{.low = 0.383, .burst = 1.87, .lowTime = 3400ms, .burstTime = 2400ms};
 
@@ -87,6 +89,36 @@
     return site;
 }
 
+site_model uneven()
+{
+    site_model site{.name = "uneven",
+                    .nodes = 12,
+                    .services = {languageModel("drafting-models", 30, 8, {0.6, 1, 1.6}), application("records", 3)},
+                    .classes = {streams("line-explain", 113, 1.2, 0.18),
+                                streams("relief-query", 24.1, 1.2, 0.18),
+                                wholeAnswers("receipt-fetch", 42.7, 15, 300ms, 2s, 0.3)},
+                    .jobs = jobs(1.71),
+                    .shape = burstShape};
+    site.services[0].stepTime = 3370us;
+    for (class_model &kind : site.classes) {
+        kind.tokens = kind.tokens > 0 ? unevenOnlineTokens : 0;
+    }
+    site.jobs->tokens = unevenBatchTokens;
+    return site;
+}
+
+site_model unevenTails()
+{
+    site_model site = uneven();
+    site.name = "uneven-tails";
+    for (class_model &kind : site.classes) {
+        kind.longShare = 0.05;
+        kind.longFactor = 5;
+        kind.rate /= 1 + kind.longShare * (kind.longFactor - 1); // The same work a second.
+    }
+    return site;
+}
+
 } // namespace
 
 double job_model::rateAt(time_point when) const
@@ -168,13 +200,19 @@
         site.jobs->burstUntil = time_point(15s);
         return site;
     }
+    if (name == "uneven") {
+        return uneven();
+    }
+    if (name == "uneven-tails") {
+        return unevenTails();
+    }
     throw std::invalid_argument("expected the name of a site, found \"" + std::string(name) + "\"");
 }
 
 const std::vector<std::string> &siteNames()
 {
     static const std::vector<std::string> names{
-        "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large", "veriga", "veriga-jobs"};
+        "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large", "veriga", "veriga-jobs", "uneven", "uneven-tails"};
     return names;
 }
 
--- a/bench/common/site_model.h
+++ b/bench/common/site_model.h
@@ -35,6 +35,8 @@
     double firstByteSteps = 1; ///< Until the first token.
     double tokens = 1; ///< In the mean.
     double tokenSpread = 0; ///< Standard deviation over the mean.
+    double longShare = 0; ///< Of the requests, whose answers are longFactor times as long.
+    double longFactor = 1;
     double worth = 1;
     double lateWorth = 0;
     std::uint32_t priority = 0;
@@ -88,7 +90,8 @@
 };
 
 /// The sites of the milestones by name: "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large",
-/// "veriga", and "veriga-jobs" with a burst of jobs up to its quota. The figures are those of
+/// "veriga", and "veriga-jobs" with a burst of jobs up to its quota; "uneven", whose upstreams have
+/// three speeds, and "uneven-tails", where one answer in twenty is much longer besides. The figures are those of
 /// the users' sheets. @throws std::invalid_argument for another name
 [[nodiscard]] site_model siteNamed(std::string_view name);
 
--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -18,7 +18,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration reportInterval = 30ms;
 constexpr duration loadMemory = 1500ms;
 constexpr std::uint32_t engineQueue = 24; ///< Runs that wait inside an upstream before it rejects others.
 constexpr double longestTokens = 1.6; ///< Times the mean.
@@ -103,7 +102,8 @@
     [[nodiscard]] std::size_t placerOf(std::size_t service, const upstream_cell &cell, std::size_t node) const;
     void perform(std::size_t placerIndex, const slot_actions &actions);
     void granted(const slot_granted &action);
-    void placeAtRandom(const request_id &id);
+    [[nodiscard]] bool isPlacedDirectly() const;
+    void placeDirectly(const request_id &id);
     void refused(const slot_rejected &action);
     void reclaimed(const slot_reclaimed &action);
     void tick(std::size_t placerIndex);
@@ -144,6 +144,9 @@
     double m_burstWorth = 0;
     double m_burstEarned = 0;
     std::vector<double> m_classEarned;
+    double m_itemSeconds = 0; ///< Sum over the items that have ended.
+    std::uint64_t m_itemsEnded = 0;
+    std::vector<double> m_firstBytes; ///< Of the counted streams, in seconds.
 };
 
 duration seconds(double value)
@@ -151,6 +154,12 @@
     return duration(static_cast<std::int64_t>(value * 1e6));
 }
 
+/// All requests of a kind state the same bound, whatever they turn out to need.
+request_size statedSize(double firstByteSteps, double tokens)
+{
+    return {.promptTokens = static_cast<std::uint32_t>(firstByteSteps), .maximumOutputTokens = static_cast<std::uint32_t>(2 * tokens)};
+}
+
 site_simulation::site_simulation(const site_model &site, const site_run_options &options)
     : m_site(site)
     , m_options(options)
@@ -161,9 +170,13 @@
 {
     makeUpstreams();
     makePlacers();
-    for (const class_model &kind : site.classes) {
+    for (class_model &kind : m_site.classes) {
+        kind.rate *= options.load;
         m_result.classes.push_back({.name = kind.name});
     }
+    if (m_site.jobs) {
+        m_site.jobs->rate *= options.load;
+    }
 }
 
 void site_simulation::makeUpstreams()
@@ -209,8 +222,10 @@
     for (std::size_t index = 0; index < count; ++index) {
         m_placers.push_back(std::make_unique<placer>());
         placer &made = *m_placers.back();
-        made.scheduler = std::make_unique<request_scheduler>(
-            request_scheduler_options{.self = node_id("n" + std::to_string(index)), .seed = m_options.seed + index}, made.board);
+        made.scheduler = std::make_unique<request_scheduler>(request_scheduler_options{.self = node_id("n" + std::to_string(index)),
+                                                                                       .placement = m_options.placement,
+                                                                                       .seed = m_options.seed + index},
+                                                             made.board);
         perform(index, made.scheduler->setUpstreams(registered, m_loop.now()));
     }
 }
@@ -234,6 +249,14 @@
     const duration after = m_site.jobs ? m_site.jobs->window : 6s;
     m_loop.runUntil(time_point(m_options.length) + after);
     m_result.onlineCredit = m_worth > 0 ? m_earned / m_worth : 0;
+    std::sort(m_firstBytes.begin(), m_firstBytes.end());
+    const auto quantile = [this](double share) {
+        const auto index = static_cast<std::size_t>(share * static_cast<double>(m_firstBytes.size()));
+        return m_firstBytes.empty() ? 0 : m_firstBytes[std::min(index, m_firstBytes.size() - 1)];
+    };
+    m_result.firstByteMedian = quantile(0.5);
+    m_result.firstByteTail = quantile(0.99);
+    m_result.itemSeconds = m_itemsEnded > 0 ? m_itemSeconds / static_cast<double>(m_itemsEnded) : 0;
     m_result.burstCredit = m_burstWorth > 0 ? m_burstEarned / m_burstWorth : 0;
     for (std::size_t kind = 0; kind < m_site.classes.size(); ++kind) {
         class_result &result = m_result.classes[kind];
@@ -323,7 +346,7 @@
 
 void site_simulation::scheduleReports()
 {
-    m_loop.after(reportInterval, [this] {
+    m_loop.after(m_options.reportInterval, [this] {
         for (std::size_t sender = 0; sender < m_placers.size(); ++sender) {
             placer &from = *m_placers[sender];
             const node_load load{.sender = node_id("n" + std::to_string(sender)),
@@ -383,7 +406,10 @@
 {
     const class_model &model = m_site.classes[kind];
     const std::uint64_t key = ++m_lastWork;
-    const double size = sizeDrawn(model.tokenSpread);
+    double size = sizeDrawn(model.tokenSpread);
+    if (model.longShare > 0 && std::uniform_real_distribution<double>()(m_arrivals) < model.longShare) {
+        size *= model.longFactor;
+    }
     client_work work{.kind = kind, .begun = m_loop.now()};
     const bool streamed = model.tokens > 0;
     work.job = {.prefillSteps = streamed ? model.firstByteSteps : model.firstByteSteps * size, .tokens = model.tokens * size};
@@ -415,7 +441,8 @@
                    .deadline = work.begun + model.deadline,
                    .cell = chooseCell(model.service),
                    .repeatable = true,
-                   .sentBefore = work.runsLost > 0};
+                   .sentBefore = work.runsLost > 0,
+                   .size = statedSize(model.firstByteSteps, model.tokens)};
     submitRun(std::move(run));
 }
 
@@ -431,7 +458,8 @@
                    .deadline = item.due + 60s,
                    .cell = chooseCell(m_site.jobs->service),
                    .repeatable = true,
-                   .earlierRunTime = item.ran};
+                   .earlierRunTime = item.ran,
+                   .size = statedSize(m_site.jobs->firstByteSteps, m_site.jobs->tokens)};
     submitRun(std::move(run));
 }
 
@@ -474,15 +502,20 @@
     m_runs.emplace(id, std::move(run));
     m_loop.after(central ? m_site.nodeDelay : duration(0), [this, id] {
         const simulated_run &submitted = m_runs.at(id);
-        if (m_options.way == placing_way::Random) {
-            placeAtRandom(id);
+        if (isPlacedDirectly()) {
+            placeDirectly(id);
         } else {
             perform(submitted.placer, m_placers[submitted.placer]->scheduler->submit(submitted.request, m_loop.now()));
         }
     });
 }
 
-void site_simulation::placeAtRandom(const request_id &id)
+bool site_simulation::isPlacedDirectly() const
+{
+    return m_options.way == placing_way::Random || m_options.way == placing_way::Fewest;
+}
+
+void site_simulation::placeDirectly(const request_id &id)
 {
     const service_name &service = m_runs.at(id).request.service;
     std::vector<std::size_t> candidates;
@@ -491,7 +524,13 @@
             candidates.push_back(index);
         }
     }
-    startAt(id, candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_choices)]);
+    std::shuffle(candidates.begin(), candidates.end(), m_choices);
+    if (m_options.way == placing_way::Fewest) {
+        std::nth_element(candidates.begin(), candidates.begin(), candidates.end(), [this](std::size_t left, std::size_t right) {
+            return m_upstreams[left].inside < m_upstreams[right].inside;
+        });
+    }
+    startAt(id, candidates.front());
 }
 
 void site_simulation::perform(std::size_t placerIndex, const slot_actions &actions)
@@ -580,7 +619,7 @@
 void site_simulation::firstByte(const request_id &id)
 {
     const simulated_run &run = m_runs.at(id);
-    if (m_options.way != placing_way::Random) {
+    if (!isPlacedDirectly()) {
         m_placers[run.placer]->scheduler->firstByte(id, m_loop.now());
     }
     if (!run.batch) {
@@ -610,7 +649,10 @@
         }
         const item_work item = m_items.at(run.work);
         m_items.erase(run.work);
+        m_result.itemsDone += m_loop.now() < time_point(m_options.length) ? 1 : 0;
         const bool isOwed = counts(item.due - m_site.jobs->window);
+        m_itemSeconds += std::chrono::duration<double>(m_loop.now() - (item.due - m_site.jobs->window)).count();
+        ++m_itemsEnded;
         m_result.itemsInTime += isOwed && m_loop.now() <= item.due ? 1 : 0;
         return;
     }
@@ -629,7 +671,7 @@
 
 void site_simulation::release(const simulated_run &run, attempt_outcome outcome)
 {
-    if (m_options.way == placing_way::Random) {
+    if (isPlacedDirectly()) {
         return;
     }
     m_loop.after(m_site.nodeDelay, [this, placerIndex = run.placer, id = run.request.id, outcome] {
@@ -692,6 +734,9 @@
     class_result &result = m_result.classes[work.kind];
     const bool isCounted = counts(work.begun);
     const duration taken = m_loop.now() - work.begun;
+    if (isCounted && model.tokens > 0) {
+        m_firstBytes.push_back(std::chrono::duration<double>(taken).count());
+    }
     if (taken <= model.target) {
         result.onTime += isCounted ? 1 : 0;
         credit(work, model.worth);
@@ -739,6 +784,8 @@
         return "reports";
     case placing_way::Random:
         return "random";
+    case placing_way::Fewest:
+        return "fewest";
     }
     return "unknown";
 }
--- a/bench/common/site_run.h
+++ b/bench/common/site_run.h
@@ -2,6 +2,7 @@
 
 #include "site_model.h"
 
+#include "banyan/core/serving/placement_policy.h"
 #include "banyan/core/time.h"
 
 #include <cstdint>
@@ -14,8 +15,9 @@
 /// Who decides where a run goes.
 enum class placing_way {
     Claims, ///< One node for each cell of upstreams, with the cell's only queue.
-    Reports, ///< Each node, by what the others report every 30 ms.
+    Reports, ///< Each node, by what the others report.
     Random, ///< Each node, at random: the baseline.
+    Fewest, ///< The upstream with the fewest runs, known exactly, without queues before it.
 };
 
 /// The name in reports and on the command line.
@@ -25,8 +27,11 @@
 struct site_run_options
 {
     placing_way way = placing_way::Claims;
+    placement_policy placement = placement_policy::LeastRuns;
+    duration reportInterval = std::chrono::milliseconds(30); ///< Between two load reports of a node.
     duration warmUp = std::chrono::milliseconds(5800); ///< What begins before this does not count.
     duration length = std::chrono::milliseconds(34800); ///< Arrivals end here.
+    double load = 1; ///< Times the rates of the site.
     double crashShare = 0; ///< Of the first service's upstreams that crash half-way, for 4 s.
     duration window = std::chrono::milliseconds(200); ///< Of the course over time.
     std::uint64_t seed = 1;
@@ -64,6 +69,10 @@
     double burstCredit = 0; ///< The same of what began within bursts.
     std::uint64_t itemsOwed = 0; ///< Batch items whose window has ended.
     std::uint64_t itemsInTime = 0;
+    double firstByteMedian = 0; ///< Of the streamed answers that came, in seconds at the client.
+    double firstByteTail = 0; ///< The slowest hundredth begins with this.
+    double itemSeconds = 0; ///< Mean time from the submission of a batch item to its end.
+    std::uint64_t itemsDone = 0; ///< Of all batch items, up to the last arrival.
     std::uint64_t reclaimed = 0; ///< Batch runs that gave their slot back.
     std::uint64_t rejected = 0; ///< Runs that found their upstream full.
 };
--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/outstanding_work.h"
 #include "banyan/core/serving/upstream_usage.h"
 #include "banyan/core/time.h"
 
@@ -40,6 +41,7 @@
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
         std::uint32_t degradedNodes = 0; ///< Number of nodes that report the upstream as degraded.
+        outstanding_work work; ///< Of the runs whose remaining time is reported; it has passed since the reports arrived.
     };
     [[nodiscard]] total_usage usageOf(upstream_key upstream) const;
 
@@ -70,8 +72,8 @@
         bool isCounted = true; ///< Whether the totals include this report.
     };
 
-    void add(const node_load &load);
-    void subtract(const node_load &load);
+    void add(const report &added);
+    void subtract(const report &removed);
 
     duration m_nodeRetention;
     duration m_usageRetention;
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -3,6 +3,7 @@
 #include "banyan/core/attempt_result.h"
 #include "banyan/core/serving/allowed_rate.h"
 #include "banyan/core/serving/node_load.h"
+#include "banyan/core/serving/placement_report.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/request_scheduler_options.h"
 #include "banyan/core/serving/slot_action.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace banyan {
 
@@ -93,6 +95,9 @@
     /// This node's own work in flight, by upstream, and the upstreams that it sees as degraded.
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
 
+    /// What this node has learned about the speeds of the upstreams of each service, for logs and metrics.
+    [[nodiscard]] std::vector<placement_report> placement(time_point now) const;
+
     /// Online requests waiting for a slot, by service, for this node's load reports. Services without any are omitted.
     [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
 
--- a/core/include/banyan/core/serving/request_scheduler_options.h
+++ b/core/include/banyan/core/serving/request_scheduler_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/placement_policy.h"
 #include "banyan/core/time.h"
 
 #include <cstdint>
@@ -15,6 +16,7 @@
     duration assumedRunTime = std::chrono::milliseconds(800); ///< Initial average run time of its online requests.
     duration reactionTime =
         std::chrono::milliseconds(50); ///< Time other nodes need to preempt; batch leaves slots for its online arrivals.
+    placement_policy placement = placement_policy::Automatic;
     std::uint64_t seed = 1; ///< Random seed for ties between upstreams and for retry jitter.
 };
 
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -4,6 +4,15 @@
 
 namespace banyan {
 
+namespace {
+
+double secondsOf(const upstream_usage &usage)
+{
+    return std::chrono::duration<double>(std::chrono::milliseconds(usage.remainingWork)).count();
+}
+
+} // namespace
+
 load_board::load_board(duration nodeRetention, duration usageRetention)
     : m_nodeRetention(nodeRetention)
     , m_usageRetention(std::min(nodeRetention, usageRetention))
@@ -17,46 +26,52 @@
 
 bool load_board::record(const node_load &load, time_point now)
 {
-    const auto entry = m_reports.find(load.sender);
+    auto entry = m_reports.find(load.sender);
     if (entry == m_reports.end()) {
-        m_reports.emplace(load.sender, report{.load = load, .receivedAt = now});
+        entry = m_reports.emplace(load.sender, report{.load = load, .receivedAt = now}).first;
     } else if (entry->second.load.sequence < load.sequence) {
         if (entry->second.isCounted) {
-            subtract(entry->second.load);
+            subtract(entry->second);
         }
         entry->second = {.load = load, .receivedAt = now};
     } else {
         return false;
     }
-    add(load);
+    add(entry->second);
     return true;
 }
 
-void load_board::add(const node_load &load)
+void load_board::add(const report &added)
 {
-    for (const auto &[key, usage] : load.usage) {
+    for (const auto &[key, usage] : added.load.usage) {
         total_usage &total = m_totals[key];
         total.online += usage.online;
         total.batch += usage.batch;
         total.degradedNodes += usage.degraded ? 1 : 0;
+        if (usage.remainingWork > 0) {
+            total.work.add(usage.online + usage.batch, secondsOf(usage), added.receivedAt);
+        }
     }
-    for (const auto &[service, count] : load.waitingOnline) {
+    for (const auto &[service, count] : added.load.waitingOnline) {
         m_waitingOnline[service] += count;
     }
 }
 
-void load_board::subtract(const node_load &load)
+void load_board::subtract(const report &removed)
 {
-    for (const auto &[key, usage] : load.usage) {
+    for (const auto &[key, usage] : removed.load.usage) {
         total_usage &total = m_totals[key];
         total.online -= usage.online;
         total.batch -= usage.batch;
         total.degradedNodes -= usage.degraded ? 1 : 0;
+        if (usage.remainingWork > 0) {
+            total.work.remove(usage.online + usage.batch, secondsOf(usage), removed.receivedAt);
+        }
         if (total.online + total.batch + total.degradedNodes == 0) {
             m_totals.erase(key);
         }
     }
-    for (const auto &[service, count] : load.waitingOnline) {
+    for (const auto &[service, count] : removed.load.waitingOnline) {
         m_waitingOnline[service] -= count;
     }
 }
@@ -65,7 +80,7 @@
 {
     for (auto &[node, entry] : m_reports) {
         if (entry.isCounted && now - entry.receivedAt > m_usageRetention) {
-            subtract(entry.load);
+            subtract(entry);
             entry.isCounted = false;
         }
     }
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -59,7 +59,7 @@
         : m_options(options)
         , m_board(board)
         , m_generator(options.seed)
-        , m_choice(board, m_generator)
+        , m_choice(board, m_generator, options.placement)
     {
     }
 
@@ -75,6 +75,7 @@
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] duration overdueAfter(const service_name &service) const;
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
+    [[nodiscard]] std::vector<placement_report> placement(time_point now) const;
     [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
     [[nodiscard]] std::uint32_t waitingOnline() const;
     [[nodiscard]] std::uint32_t waitingBatch() const;
@@ -90,7 +91,7 @@
     void rejectIfUnschedulable(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
     void reject(cell_schedule &cell, const slot_request &request, end_reason reason, const rejection_basis &basis, time_point now);
     void grant(service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
-    granted_run &recordGrant(const slot_request &request, scheduled_upstream &upstream, time_point now);
+    granted_run &recordGrant(const service_schedule &service, const slot_request &request, scheduled_upstream &upstream, time_point now);
     void reclaimBatchSlots(const service_schedule &service, scheduled_upstream &upstream, std::uint32_t excess, time_point now);
     void resolveOvercommit(service_schedule &service, time_point now);
     void scheduleWaiting(service_schedule &service, time_point now);
@@ -126,6 +127,8 @@
     if (inserted) {
         entry->second.firstByteSeconds = toSeconds(m_options.assumedFirstByte);
         entry->second.runSeconds = toSeconds(m_options.assumedRunTime);
+        entry->second.work =
+            work_estimator({.firstByteSeconds = toSeconds(m_options.assumedFirstByte), .runSeconds = toSeconds(m_options.assumedRunTime)});
     }
     return entry->second;
 }
@@ -141,6 +144,7 @@
         scheduled_upstream &upstream = serviceOf(info.service).upstreams[info.id];
         if (upstream.info.startedAt != info.startedAt) {
             upstream.starts.reset(); // A limit belongs to the incarnation that named it.
+            upstream.speed = {};
         }
         upstream.info = info;
         upstream.key = keyOf(info.id);
@@ -295,8 +299,8 @@
                                               scheduled_upstream &upstream,
                                               time_point now)
 {
+    const granted_run &run = recordGrant(service, request, upstream, now);
     m_choice.granted(request, upstream.info.id);
-    const granted_run &run = recordGrant(request, upstream, now);
     if (upstream.starts) {
         upstream.starts->recordStart(now);
     }
@@ -309,15 +313,24 @@
 }
 
 /// Records that a run holds a slot.
-granted_run &request_scheduler::implementation::recordGrant(const slot_request &request, scheduled_upstream &upstream, time_point now)
+granted_run &request_scheduler::implementation::recordGrant(const service_schedule &service,
+                                                            const slot_request &request,
+                                                            scheduled_upstream &upstream,
+                                                            time_point now)
 {
     const bool online = request.workClass == work_class::Online;
     (online ? upstream.online : upstream.batch) += 1;
     if (!online) {
         upstream.batchRuns.push_back(request.id);
     }
-    const granted_run run{
-        .request = request, .upstream = upstream.info.id, .grantedAt = now, .overdueAt = now + overdueAfter(request.service)};
+    const double overdueSeconds = toSeconds(overdueAfter(request.service)) * m_choice.usualFactor(service, upstream);
+    granted_run run{.request = request,
+                    .upstream = upstream.info.id,
+                    .grantedAt = now,
+                    .overdueAt = now + std::min(fromSeconds(overdueSeconds), maximumOverdueAfter)};
+    m_choice.recordExpectations(service, upstream, run, now);
+    upstream.outstanding.add(1, run.expectedHere.runSeconds, now);
+    upstream.grantedAt = now;
     return m_runs.emplace(request.id, run).first->second;
 }
 
@@ -331,7 +344,7 @@
     if (found == service.upstreams.end() || m_runs.contains(request.id)) {
         return; // The upstream was removed, so there are no slots to count, or the run is already recorded.
     }
-    granted_run &run = recordGrant(request, found->second, grantedAt);
+    granted_run &run = recordGrant(service, request, found->second, grantedAt);
     run.firstByteSeen = answerHasBegun;
     if (!answerHasBegun) {
         m_firstByteDeadlines.emplace(run.overdueAt, request.id);
@@ -353,7 +366,9 @@
             std::max_element(upstream.batchRuns.begin(), upstream.batchRuns.end(), [&](const request_id &left, const request_id &right) {
                 return std::pair(priorityOf(left), left) < std::pair(priorityOf(right), right);
             });
-        m_runs.at(*first).reclaimed = true;
+        granted_run &run = m_runs.at(*first);
+        run.reclaimed = true;
+        upstream.outstanding.remove(1, run.expectedHere.runSeconds, run.grantedAt);
         m_actions.push_back(slot_reclaimed{.request = *first});
         upstream.batchRuns.erase(first);
         --upstream.batch;
@@ -380,6 +395,7 @@
 void request_scheduler::implementation::scheduleWaiting(service_schedule &service, time_point now)
 {
     m_lastScheduledAt = now;
+    m_choice.reviewSharing(service, now);
     for (auto &[which, cell] : service.cells) {
         scheduleOnline(service, cell, now);
     }
@@ -465,16 +481,18 @@
     m_firstByteDeadlines.erase({run.overdueAt, request});
     service_schedule &service = serviceOf(run.request.service);
     const duration taken = measured.value_or(now - run.grantedAt);
-    if (service.outliers.recordLatency(run.upstream, latency_kind::FirstToken, taken, now)) {
+    const auto upstream = service.upstreams.find(run.upstream);
+    const double usualFactor = upstream == service.upstreams.end() ? 1 : m_choice.usualFactor(service, upstream->second);
+    if (service.outliers.recordLatency(run.upstream, latency_kind::FirstToken, fromSeconds(toSeconds(taken) / usualFactor), now)) {
         m_actions.push_back(upstream_ejected{.upstream = run.upstream, .forSlowness = true});
     }
     updateAverage(service.firstByteSeconds, toSeconds(taken));
     service.firstBytes.add(toSeconds(taken));
-    const auto upstream = service.upstreams.find(run.upstream);
     if (upstream != service.upstreams.end()) {
         double &upstreamAverage = upstream->second.firstByteSeconds;
         upstreamAverage = upstreamAverage > 0 ? upstreamAverage + smoothingFactor * (toSeconds(taken) - upstreamAverage) : toSeconds(taken);
         upstream->second.degradedAt = run.overdue ? upstream->second.degradedAt : std::nullopt;
+        service.recordFirstByte(run, upstream->second, toSeconds(taken), now);
     }
 }
 
@@ -487,6 +505,9 @@
     switch (result.outcome) {
     case attempt_outcome::Succeeded:
     case attempt_outcome::Answered:
+        if (result.outcome == attempt_outcome::Succeeded) {
+            service.recordRun(run, upstream, toSeconds(now - run.grantedAt), now);
+        }
         if (run.request.workClass == work_class::Online) {
             updateAverage(service.runSeconds, toSeconds(now - run.grantedAt));
         } else if (result.outcome == attempt_outcome::Succeeded) {
@@ -523,6 +544,9 @@
     const auto found = service.upstreams.find(run.upstream);
     if (found != service.upstreams.end()) {
         scheduled_upstream &upstream = found->second;
+        if (!run.reclaimed) {
+            upstream.outstanding.remove(1, run.expectedHere.runSeconds, run.grantedAt);
+        }
         if (run.request.workClass == work_class::Online) {
             --upstream.online;
         } else if (!run.reclaimed) {
@@ -624,9 +648,35 @@
             const bool degraded =
                 upstream_choice::isDegraded(upstream, now) || service.outliers.conditionOf(id, now) != upstream_condition::Good;
             if (upstream.online + upstream.batch > 0 || degraded) {
-                result[upstream.key] = {.online = upstream.online, .batch = upstream.batch, .degraded = degraded};
+                result[upstream.key] = {.online = upstream.online,
+                                        .batch = upstream.batch,
+                                        .degraded = degraded,
+                                        .remainingWork = m_choice.reportedWork(service, upstream, now)};
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<placement_report> request_scheduler::implementation::placement(time_point now) const
+{
+    std::vector<placement_report> result;
+    for (const auto &[name, service] : m_services) {
+        result.push_back({.service = name,
+                          .byCost = m_choice.placesByCost(service),
+                          .speedSpread = service.speeds.spread(),
+                          .expectedFirstByte = fromSeconds(service.expectedFirstByte.value()),
+                          .measuredFirstByte = fromSeconds(service.measuredFirstByte.value()),
+                          .firstByteError = fromSeconds(service.firstByteError.value()),
+                          .speeds = {}});
+        for (const auto &[id, upstream] : service.upstreams) {
+            if (upstream.isUsable() && upstream.speed.isKnown(now)) {
+                result.back().speeds.emplace_back(id, upstream.speed.usualFactor());
             }
         }
+        std::sort(result.back().speeds.begin(), result.back().speeds.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        });
     }
     return result;
 }
@@ -745,6 +795,11 @@
     return m_implementation->usage(now);
 }
 
+std::vector<placement_report> request_scheduler::placement(time_point now) const
+{
+    return m_implementation->placement(now);
+}
+
 std::map<service_key, std::uint32_t> request_scheduler::waitingByService() const
 {
     return m_implementation->waitingByService();
--- a/core/src/serving/scheduled_upstream.h
+++ b/core/src/serving/scheduled_upstream.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "banyan/core/serving/outstanding_work.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/core/serving/upstream_usage.h"
 #include "banyan/core/time.h"
 #include "start_budget.h"
+#include "upstream_speed.h"
+#include "work_estimator.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -24,6 +27,9 @@
     std::optional<time_point> degradedAt; ///< Last failed or overdue attempt; empty after an answer that was not overdue.
     double firstByteSeconds = 0; ///< Moving average of the time to first byte; 0 before the first measurement.
     std::vector<request_id> batchRuns; ///< Batch runs that hold a slot.
+    upstream_speed speed;
+    outstanding_work outstanding; ///< Of this node's own runs, as expected when they were granted.
+    std::optional<time_point> grantedAt; ///< Last grant of this node.
     std::optional<start_budget> starts; ///< Limits how often this node starts runs; set while the upstream's rate is limited.
 
     /// Whether the upstream accepts new work.
@@ -53,6 +59,10 @@
     upstream_id upstream;
     time_point grantedAt;
     time_point overdueAt; ///< Time at which the run counts as overdue if it has no first byte.
+    expected_work expected; ///< At an average upstream.
+    expected_work typical; ///< The same without the influence of rare long runs.
+    expected_work expectedHere; ///< At its upstream, as it was at the grant.
+    bool cached = false; ///< Whether the upstream was expected to keep the prompt's shared prefix.
     bool firstByteSeen = false;
     bool overdue = false;
     bool reclaimed = false;
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -1,6 +1,7 @@
 #include "service_schedule.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr double tailQuantile = 0.95; ///< Quantile of the time to first byte that is planned for: the slowest 5 % met a slow upstream.
+constexpr std::uint32_t errorMemory = 128; ///< First bytes over which expected and measured times are compared.
 constexpr std::size_t minimumFirstBytes = 16; ///< Fewer measurements do not determine the slowest twentieth.
 
 std::vector<scheduled_upstream *> membersOf(const upstream_cell &cell, std::map<upstream_id, scheduled_upstream> &upstreams)
@@ -83,6 +85,45 @@
     }
 }
 
+void service_schedule::recordFirstByte(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now)
+{
+    expectedFirstByte.add(run.expectedHere.firstByteSeconds, errorMemory);
+    measuredFirstByte.add(seconds, errorMemory);
+    firstByteError.add(std::abs(seconds - run.expectedHere.firstByteSeconds), errorMemory);
+    upstream.speed.recordFirstByte(seconds / run.typical.firstByteSeconds, now);
+    work.recordTypical(run.request, run.cached, {.firstByteSeconds = seconds / upstream.speed.usualFactor()});
+    // The current factor, so that a disturbance is not taken for more work.
+    work.recordFirstByte(run.request, run.cached, seconds / upstream.speed.currentFactor(now));
+    compareSpeeds(now);
+}
+
+void service_schedule::recordRun(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now)
+{
+    const double usual = upstream.speed.usualFactor();
+    if (run.request.earlierRunTime == duration(0)) {
+        upstream.speed.recordRun(seconds / run.typical.runSeconds, now);
+        work.recordTypical(run.request, run.cached, {.runSeconds = seconds / usual});
+    }
+    work.recordRun(run.request, seconds / usual);
+}
+
+void service_schedule::compareSpeeds(time_point now)
+{
+    if (!speeds.isDue(now)) {
+        return;
+    }
+    std::vector<double> factors;
+    for (const auto &[id, upstream] : upstreams) {
+        if (upstream.isUsable() && upstream.speed.isKnown(now)) {
+            factors.push_back(upstream.speed.usualFactor());
+        }
+    }
+    speeds.update(std::move(factors), now);
+    for (auto &[id, upstream] : upstreams) {
+        upstream.speed.rebase(speeds.mean());
+    }
+}
+
 std::uint32_t service_schedule::waitingOnline() const
 {
     std::size_t count = 0;
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -6,9 +6,12 @@
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "batch_order.h"
+#include "decaying_average.h"
 #include "retry_after_estimator.h"
 #include "scheduled_upstream.h"
+#include "speed_comparison.h"
 #include "waiting_runs.h"
+#include "work_estimator.h"
 
 #include <cstdint>
 #include <map>
@@ -48,6 +51,13 @@
     double firstByteSeconds = 0; ///< Moving average of the time to first byte.
     sliding_quantile firstBytes{rememberedFirstBytes}; ///< Recent times to first byte, in seconds.
     double runSeconds = 0; ///< Moving average of the run time of online runs.
+    work_estimator work;
+    speed_comparison speeds;
+    bool isShared = false; ///< Whether other nodes have more work than this one at the upstreams that it uses.
+    time_point sharingReviewedAt;
+    decaying_average expectedFirstByte; ///< In seconds, of the runs whose first byte was measured last.
+    decaying_average measuredFirstByte; ///< Of the same runs.
+    decaying_average firstByteError; ///< Mean absolute difference of the two, in seconds.
 
     /// The 95th percentile of the time to first byte, in seconds; the average while there are too few measurements.
     [[nodiscard]] double tailFirstByteSeconds() const;
@@ -58,11 +68,20 @@
     /// Updates the members of all cells; removes unregistered upstreams without work, and empty cells of an earlier partition.
     void upstreamsChanged();
 
+    /// Learns from the first byte of a run at @p upstream that came @p seconds after its grant.
+    void recordFirstByte(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now);
+
+    /// Learns from a complete run at @p upstream.
+    void recordRun(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now);
+
     /// The number of online runs waiting for a slot of any cell.
     [[nodiscard]] std::uint32_t waitingOnline() const;
 
     /// The number of batch runs waiting for a slot of any cell.
     [[nodiscard]] std::uint32_t waitingBatch() const;
+
+private:
+    void compareSpeeds(time_point now);
 };
 
 } // namespace banyan
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -11,6 +11,7 @@
 
 constexpr duration degradedPeriod = std::chrono::seconds(2); ///< How long an upstream counts as degraded after a failure.
 constexpr std::uint32_t avoidanceThreshold = 2; ///< An upstream is avoided if this many nodes, this one included, see it as degraded.
+constexpr double millisecondsPerSecond = 1000;
 constexpr double otherDomainScore = 0.06; ///< Penalty for another failure domain, in units of relative load, like the scores below.
 constexpr double affinityScore = 0.12; ///< Bonus for an upstream that recently processed the prompt's shared prefix.
 constexpr double connectionScore = 0.25; ///< Bonus for an idle connection; less than the penalties for failure and slowness.
@@ -18,6 +19,12 @@
 constexpr double degradedScore = 0.5; ///< Penalty of a degraded upstream that is not avoided altogether.
 constexpr double limitedScore = 0.3; ///< Bonus of a rate-limited upstream for work that its rate should be used for, else a penalty.
 constexpr double jitterScore = 0.02; ///< Random part, so that nodes with the same view choose different upstreams.
+constexpr int lateTiers = 3; ///< A free slot at which the first byte would be late is worth less than a slot of this node's batch work.
+constexpr double fastFactor = 0.9; ///< An upstream whose usual factor is lower counts as fast.
+constexpr std::uint32_t roomShare = 4; ///< One of so many slots of a fast upstream is left to online work while there are others.
+constexpr duration relearnInterval = std::chrono::seconds(5); ///< After which an idle upstream gets a run so that its speed is known.
+constexpr duration sharingReviewInterval = std::chrono::milliseconds(100);
+constexpr double assumedRemainder = 0.5; ///< Of a mean run: what is left of a run whose remaining time is not reported.
 constexpr std::size_t rememberedPrefixes = 1024;
 constexpr duration expiryInterval = std::chrono::seconds(1); ///< Interval between two expiry passes over the held connections.
 
@@ -28,9 +35,10 @@
 
 } // namespace
 
-upstream_choice::upstream_choice(const load_board &board, std::mt19937_64 &generator)
+upstream_choice::upstream_choice(const load_board &board, std::mt19937_64 &generator, placement_policy policy)
     : m_board(board)
     , m_generator(generator)
+    , m_policy(policy)
     , m_prefixes(rememberedPrefixes)
 {
 }
@@ -96,18 +104,111 @@
     return !candidates(service, cell, request, now).empty();
 }
 
-double upstream_choice::preference(const service_schedule &service,
-                                   const scheduled_upstream &upstream,
-                                   const slot_request &request,
-                                   time_point now)
+bool upstream_choice::placesByCost(const service_schedule &service) const
+{
+    const bool isWanted =
+        m_policy == placement_policy::ExpectedCost || (m_policy == placement_policy::Automatic && service.speeds.areUneven());
+    return isWanted && !service.isShared;
+}
+
+void upstream_choice::reviewSharing(service_schedule &service, time_point now) const
+{
+    if (now - service.sharingReviewedAt < sharingReviewInterval) {
+        return;
+    }
+    service.sharingReviewedAt = now;
+    std::uint32_t own = 0;
+    std::uint32_t others = 0;
+    for (const auto &[id, upstream] : service.upstreams) {
+        const std::uint32_t ownHere = upstream.online + upstream.batch;
+        const load_board::total_usage othersHere = ownHere > 0 ? m_board.usageOf(upstream.key) : load_board::total_usage();
+        own += ownHere;
+        others += othersHere.online + othersHere.batch;
+    }
+    service.isShared = others > own;
+}
+
+double upstream_choice::usualFactor(const service_schedule &service, const scheduled_upstream &upstream) const
+{
+    return placesByCost(service) ? upstream.speed.usualFactor() : 1;
+}
+
+bool upstream_choice::isCached(const slot_request &request, const upstream_id &upstream) const
 {
     const upstream_id *const cached = m_prefixes.upstreamOf(request.prefixHash);
+    return cached != nullptr && *cached == upstream;
+}
+
+upstream_prospect upstream_choice::prospectOf(const service_schedule &service,
+                                              const scheduled_upstream &upstream,
+                                              const total_work &work,
+                                              time_point now) const
+{
+    const double usual = upstream.speed.usualFactor();
+    const load_board::total_usage others = m_board.usageOf(upstream.key);
+    const std::uint32_t counted = upstream.outstanding.runs() + others.work.runs();
+    const double notReported = (work.all() - std::min(work.all(), counted)) * assumedRemainder * service.runSeconds * usual;
+    return {.usualFactor = usual,
+            .currentFactor = upstream.speed.currentFactor(now),
+            .remainingSeconds = upstream.outstanding.remainingSeconds(now) + others.work.remainingSeconds(now) + notReported,
+            .slots = upstream.info.slots};
+}
+
+void upstream_choice::recordExpectations(const service_schedule &service,
+                                         const scheduled_upstream &upstream,
+                                         granted_run &run,
+                                         time_point now) const
+{
+    run.cached = isCached(run.request, upstream.info.id);
+    run.expected = service.work.expected(run.request, run.cached);
+    run.typical = service.work.typical(run.request, run.cached);
+    const upstream_prospect prospect{.usualFactor = upstream.speed.usualFactor(), .currentFactor = upstream.speed.currentFactor(now)};
+    const expected_times times = expectedTimes(run.expected, prospect);
+    run.expectedHere = {.firstByteSeconds = times.firstByteSeconds, .runSeconds = times.finishSeconds};
+}
+
+std::uint32_t upstream_choice::reportedWork(const service_schedule &service, const scheduled_upstream &upstream, time_point now) const
+{
+    if (!placesByCost(service)) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(upstream.outstanding.remainingSeconds(now) * millisecondsPerSecond);
+}
+
+/// Whether the upstream has been without work for so long that what is known of its speed may not hold any more.
+bool upstream_choice::mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now) const
+{
+    const bool longAgo = !upstream.grantedAt || now - *upstream.grantedAt >= relearnInterval;
+    return longAgo && work.all() == 0 && !isDegraded(upstream, now);
+}
+
+/// What the upstream has to do, in units of relative load: the share of its slots in use and its slowness.
+double upstream_choice::loadScore(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work)
+{
     const double slowness = upstream.firstByteSeconds > 0 ? upstream.firstByteSeconds / service.firstByteSeconds - 1 : 0;
+    return static_cast<double>(work.all()) / std::max(1U, upstream.info.slots) + slowScore * std::clamp(slowness, 0.0, 1.0);
+}
+
+/// What a run is expected to take at the upstream, in mean run times, so that preferences weigh as much as they do against load.
+placement_score upstream_choice::costScore(const service_schedule &service,
+                                           const scheduled_upstream &upstream,
+                                           const slot_request &request,
+                                           const total_work &work,
+                                           time_point now) const
+{
+    const expected_times times =
+        expectedTimes(service.work.expected(request, isCached(request, upstream.info.id)), prospectOf(service, upstream, work, now));
+    const bool late = request.workClass == work_class::Online && now + fromSeconds(times.firstByteSeconds) > request.target;
+    return {.tier = late ? lateTiers : 0, .cost = times.cost() / service.runSeconds};
+}
+
+/// Preferences among upstreams apart from load and speed, in units of relative load.
+double upstream_choice::preference(const scheduled_upstream &upstream, const slot_request &request, time_point now)
+{
     double score = std::uniform_real_distribution<double>(0, jitterScore)(m_generator);
-    score += slowScore * std::clamp(slowness, 0.0, 1.0);
     score += upstream.info.domain == request.domain ? 0 : otherDomainScore;
     score += isDegraded(upstream, now) ? degradedScore : 0;
-    score -= cached != nullptr && *cached == upstream.info.id ? affinityScore : 0;
+    score -= isCached(request, upstream.info.id) ? affinityScore : 0;
     score -= m_connections.hasIdle(request.holder, upstream.info.id, now) ? connectionScore : 0;
     return score;
 }
@@ -115,38 +216,50 @@
 /// Scores an upstream for an online run; the lowest score is best. A free slot comes first, then a slot held by batch work of
 /// this node, then one held by batch work of other nodes. Empty if online work holds all slots: the run then waits on this
 /// node, where it can use any slot that becomes free, and not in the queue of one upstream.
-std::optional<double> upstream_choice::onlineScore(const service_schedule &service,
-                                                   const cell_schedule &cell,
-                                                   const scheduled_upstream &upstream,
-                                                   const slot_request &request,
-                                                   time_point now)
-{
-    constexpr double ownBatchScore = 2; // Greater than any score of an upstream with a free slot.
-    constexpr double otherBatchScore = 4;
-    constexpr double reservedScore = 1; // Greater than any score of an upstream with a free slot and no limit.
+std::optional<placement_score> upstream_choice::onlineScore(const service_schedule &service,
+                                                            const cell_schedule &cell,
+                                                            const scheduled_upstream &upstream,
+                                                            const slot_request &request,
+                                                            time_point now)
+{
+    constexpr int reservedRank = 1; // After the upstreams with a free slot and no limit.
+    constexpr int ownBatchRank = 2; // After all upstreams with a free slot.
+    constexpr int otherBatchRank = 4;
     const total_work work = workAt(upstream);
     const std::uint32_t slots = std::max(1U, upstream.info.slots);
     if (work.online >= slots || !upstream.mayStart(work_class::Online, now)) {
         return std::nullopt;
     }
-    double score = static_cast<double>(work.all()) / slots + preference(service, upstream, request, now);
+    const bool byCost = placesByCost(service);
+    placement_score score =
+        byCost ? costScore(service, upstream, request, work, now) : placement_score{.cost = loadScore(service, upstream, work)};
+    score.cost += preference(upstream, request, now);
+    const auto rankBehind = [&](int rank) {
+        // By number of runs, a cost is below 1 wherever there is a free slot.
+        score.tier += byCost ? rank : 0;
+        score.cost += byCost ? 0 : rank;
+    };
     if (upstream.starts) {
         // A batch run uses a slot for longer, and so makes more of a request that a limited upstream accepts.
-        score += cell.batch.empty() && upstream.starts->isWithinLimit(now) ? -limitedScore : reservedScore;
+        const bool isPreferred = cell.batch.empty() && upstream.starts->isWithinLimit(now);
+        rankBehind(isPreferred ? 0 : reservedRank);
+        score.cost -= isPreferred ? limitedScore : 0;
     }
     if (work.all() < slots) {
+        score.tier -= byCost && score.tier == 0 && mayBeRelearned(upstream, work, now) ? 1 : 0;
         return score;
     }
-    return score + (upstream.batch > 0 ? ownBatchScore : otherBatchScore);
+    rankBehind(upstream.batch > 0 ? ownBatchRank : otherBatchRank);
+    return score;
 }
 
 scheduled_upstream *
 upstream_choice::selectForOnline(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now)
 {
     scheduled_upstream *best = nullptr;
-    double bestScore = 0;
+    placement_score bestScore;
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
-        const std::optional<double> score = onlineScore(service, cell, *upstream, request, now);
+        const std::optional<placement_score> score = onlineScore(service, cell, *upstream, request, now);
         if (score && (best == nullptr || *score < bestScore)) {
             best = upstream;
             bestScore = *score;
@@ -155,6 +268,27 @@
     return best;
 }
 
+/// Scores an upstream for a batch run. Placed by cost, a run leaves some slots of the fast upstreams to online work while there is
+/// another one.
+placement_score upstream_choice::batchScore(const service_schedule &service,
+                                            const scheduled_upstream &upstream,
+                                            const slot_request &request,
+                                            const total_work &work,
+                                            time_point now)
+{
+    const bool byCost = placesByCost(service);
+    placement_score score =
+        byCost ? costScore(service, upstream, request, work, now) : placement_score{.cost = loadScore(service, upstream, work)};
+    score.cost += preference(upstream, request, now) - (upstream.starts ? limitedScore : 0);
+    if (byCost) {
+        const std::uint32_t room = (upstream.info.slots + roomShare - 1) / roomShare;
+        const bool keepsRoom = upstream.speed.usualFactor() < fastFactor && upstream.info.slots - work.all() <= room;
+        score.tier += keepsRoom ? 1 : 0;
+        score.tier -= mayBeRelearned(upstream, work, now) ? 1 : 0;
+    }
+    return score;
+}
+
 scheduled_upstream *upstream_choice::selectForBatch(const service_schedule &service,
                                                     const cell_schedule &cell,
                                                     const slot_request &request,
@@ -162,7 +296,7 @@
                                                     time_point now)
 {
     scheduled_upstream *best = nullptr;
-    double bestScore = 0;
+    placement_score bestScore;
     std::uint32_t free = 0;
     std::uint32_t online = 0;
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
@@ -173,8 +307,7 @@
             continue;
         }
         free += upstream->info.slots - work.all();
-        const double score = static_cast<double>(work.all()) / upstream->info.slots + preference(service, *upstream, request, now)
-                             - (upstream->starts ? limitedScore : 0);
+        const placement_score score = batchScore(service, *upstream, request, work, now);
         if (best == nullptr || score < bestScore) {
             best = upstream;
             bestScore = score;
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -2,9 +2,12 @@
 
 #include "../prefix_affinity.h"
 #include "banyan/core/serving/load_board.h"
+#include "banyan/core/serving/placement_policy.h"
+#include "expected_times.h"
 #include "held_connections.h"
 #include "service_schedule.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -23,15 +26,45 @@
     }
 };
 
+/// Ranks an upstream for a run; the lowest is best.
+struct placement_score
+{
+    int tier = 0; ///< No preference outweighs a difference of tiers.
+    double cost = 0; ///< Within a tier, in mean run times of an online run.
+
+    auto operator<=>(const placement_score &) const = default;
+};
+
 /// Chooses the upstream for a run.
 ///
 /// Prefers upstreams with free slots, without failures or slowness, with an idle connection from the run's node, in the
 /// same failure domain as that node, and with the prompt's shared prefix in their cache.
+///
+/// Load pattern of the placement by cost: upstreams of different speeds, with disturbances, and runs of very different
+/// lengths. Among the upstreams that the rules allow and that have a free slot, a run goes where it is expected to begin its answer
+/// and to finish soonest, and batch work leaves some slots of the fast upstreams to online work.
 class upstream_choice
 {
 public:
     /// @p board and @p generator must outlive this object.
-    upstream_choice(const load_board &board, std::mt19937_64 &generator);
+    upstream_choice(const load_board &board, std::mt19937_64 &generator, placement_policy policy = placement_policy::LeastRuns);
+
+    /// Whether runs of the service are placed by their expected cost.
+    [[nodiscard]] bool placesByCost(const service_schedule &service) const;
+
+    /// The factor by which the upstream's times may exceed those of an average one before it counts as slow; 1 for services that are
+    /// not placed by cost.
+    [[nodiscard]] double usualFactor(const service_schedule &service, const scheduled_upstream &upstream) const;
+
+    /// Finds out whether other nodes have more work in flight than this one at the upstreams that it uses. Nodes that all choose the
+    /// upstream that looks best between two reports would collide there, so the runs of a shared service are not placed by cost.
+    void reviewSharing(service_schedule &service, time_point now) const;
+
+    /// Sets what a run that is granted now is expected to cost; before granted() is called for it.
+    void recordExpectations(const service_schedule &service, const scheduled_upstream &upstream, granted_run &run, time_point now) const;
+
+    /// The remaining time, in milliseconds, of this node's own runs at an upstream that other nodes are told; 0 if they are told none.
+    [[nodiscard]] std::uint32_t reportedWork(const service_schedule &service, const scheduled_upstream &upstream, time_point now) const;
 
     /// Selects for an online run an upstream with a slot that is free or held by batch work; null if online work holds all.
     [[nodiscard]] scheduled_upstream *
@@ -64,16 +97,31 @@
     isAvoided(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now) const;
     [[nodiscard]] std::vector<scheduled_upstream *>
     candidates(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
-    [[nodiscard]] double
-    preference(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now);
-    [[nodiscard]] std::optional<double> onlineScore(const service_schedule &service,
-                                                    const cell_schedule &cell,
-                                                    const scheduled_upstream &upstream,
-                                                    const slot_request &request,
-                                                    time_point now);
+    [[nodiscard]] bool isCached(const slot_request &request, const upstream_id &upstream) const;
+    [[nodiscard]] upstream_prospect
+    prospectOf(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work, time_point now) const;
+    [[nodiscard]] bool mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now) const;
+    [[nodiscard]] double preference(const scheduled_upstream &upstream, const slot_request &request, time_point now);
+    [[nodiscard]] static double loadScore(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] placement_score costScore(const service_schedule &service,
+                                            const scheduled_upstream &upstream,
+                                            const slot_request &request,
+                                            const total_work &work,
+                                            time_point now) const;
+    [[nodiscard]] placement_score batchScore(const service_schedule &service,
+                                             const scheduled_upstream &upstream,
+                                             const slot_request &request,
+                                             const total_work &work,
+                                             time_point now);
+    [[nodiscard]] std::optional<placement_score> onlineScore(const service_schedule &service,
+                                                             const cell_schedule &cell,
+                                                             const scheduled_upstream &upstream,
+                                                             const slot_request &request,
+                                                             time_point now);
 
     const load_board &m_board;
     std::mt19937_64 &m_generator;
+    placement_policy m_policy;
     prefix_affinity m_prefixes;
     held_connections m_connections;
     time_point m_lastExpiryAt;
--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/endpoint.h"
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/placement_policy.h"
 #include "banyan/core/time.h"
 #include "banyan/io/log.h"
 
@@ -21,6 +22,7 @@
     endpoint metricsListen; ///< Key `metrics_listen`: HTTP for metrics.
     endpoint store; ///< Key `store`: the platform's store.
     double processorShare = 1; ///< Key `processor_share`: cores for this process; stronger VMs schedule the requests of others.
+    placement_policy placement = placement_policy::Automatic; ///< Key `placement`: by what the upstream of a run is chosen.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: time from SIGTERM to the end of the process.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
     std::uint32_t logLinesPerSecond = 200; ///< Key `log_lines_per_second`: limit of the log rate.
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -49,6 +49,9 @@
     /// Hashes of the ids of the prompt parts that a request with these fields may share with others.
     [[nodiscard]] std::vector<std::uint64_t> sharedParts(const std::vector<http_field> &fields) const;
 
+    /// The size that a request with these fields states.
+    [[nodiscard]] request_size statedSize(const std::vector<http_field> &fields) const;
+
     /// Calls @p handler for each run whose answer says that its upstream is leaving, as soon as the head of the answer has been
     /// received.
     void onUpstreamLeaves(std::function<void(const upstream_run &run, unsigned status)> handler);
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -45,6 +45,8 @@
 constexpr duration gatewayWait = std::chrono::seconds(4); // The list of gateways rarely changes, and a late update does little harm.
 constexpr duration registrationRetryDelay = std::chrono::milliseconds(500);
 constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // Combines the reports of many gateways into one scheduler update.
+constexpr duration placementReportInterval = std::chrono::seconds(1);
+constexpr std::size_t loggedSpeeds = 5; ///< Upstreams listed from each end.
 constexpr duration housekeepingInterval = std::chrono::milliseconds(100); // Delays the detection of unresponsive nodes by up to this time.
 constexpr duration suspensionThreshold = std::chrono::seconds(1); // A timer that is this late means that the process was suspended.
 constexpr std::size_t maximumRemoteLosses = 64; // Bounds the size of reports; the observing node repeats losses that are left out.
@@ -70,7 +72,7 @@
         , m_hubs({.self = m_self})
         , m_board(reportRetention, m_hubs.reportTimeout())
         , m_registry(registryGrace)
-        , m_scheduler(context, {.self = m_self, .seed = std::random_device{}()}, m_board)
+        , m_scheduler(context, {.self = m_self, .placement = settings.placement, .seed = std::random_device{}()}, m_board)
         , m_versions({.context = context,
                       .store = m_platform.store,
                       .metrics = m_metrics,
@@ -181,6 +183,8 @@
     [[nodiscard]] std::vector<quarantined_fingerprint> quarantined(time_point now) const;
     [[nodiscard]] std::set<std::uint64_t> locallyQuarantined() const;
     void quarantine(std::uint64_t fingerprint, const std::string &text, time_point now);
+    void reportPlacement(time_point now);
+    static void logPlacement(const placement_report &report);
     node_load ownLoad();
     void received(const gateway_message &message);
     void loadReported(const node_load &load);
@@ -191,6 +195,8 @@
     node_id m_self;
     http_client &m_upstreamClient;
     node_metrics m_metrics;
+    time_point m_placementReportedAt;
+    std::map<service_name, bool> m_placedByCost; ///< By service, as last logged.
     report_hubs m_hubs;
     load_board m_board;
     replica_registry m_registry;
@@ -584,6 +590,53 @@
     }
 }
 
+/// Reports by which policy the services are placed, and how well their times are predicted.
+void gateway::implementation::reportPlacement(time_point now)
+{
+    const auto seconds = [](duration value) {
+        return std::chrono::duration<double>(value).count();
+    };
+    std::size_t byCost = 0;
+    std::map<service_name, bool> policies;
+    for (const placement_report &report : m_scheduler.scheduler().placement(now)) {
+        byCost += report.byCost ? 1 : 0;
+        const std::string prefix = "placement_" + report.service.text() + "_";
+        m_metrics.set(prefix + "speed_spread", report.speedSpread);
+        m_metrics.set(prefix + "expected_first_byte_seconds", seconds(report.expectedFirstByte));
+        m_metrics.set(prefix + "measured_first_byte_seconds", seconds(report.measuredFirstByte));
+        m_metrics.set(prefix + "first_byte_error_seconds", seconds(report.firstByteError));
+        policies.emplace(report.service, report.byCost);
+        const auto before = m_placedByCost.find(report.service);
+        if (report.byCost != (before != m_placedByCost.end() && before->second)) {
+            logPlacement(report);
+        }
+    }
+    m_placedByCost = std::move(policies);
+    m_metrics.set("services_placed_by_cost", static_cast<double>(byCost));
+}
+
+/// Logs a change of the policy with the speeds of the fastest and the slowest upstreams.
+void gateway::implementation::logPlacement(const placement_report &report)
+{
+    std::string speeds;
+    for (std::size_t index = 0; index < report.speeds.size(); ++index) {
+        const bool isListed = index < loggedSpeeds || index + loggedSpeeds >= report.speeds.size();
+        if (isListed) {
+            speeds += (speeds.empty() ? "" : " ") + report.speeds[index].first.text() + "=" + std::to_string(report.speeds[index].second);
+        }
+    }
+    logEvent(log_level::Info,
+             "placement_changed",
+             {{"service", report.service.text()},
+              {"policy", report.byCost ? "expected_cost" : "least_runs"},
+              {"speed_spread", std::to_string(report.speedSpread)},
+              {"upstreams_measured", std::to_string(report.speeds.size())},
+              {"time_factors", speeds},
+              {"expected_first_byte_us", std::to_string(report.expectedFirstByte.count())},
+              {"measured_first_byte_us", std::to_string(report.measuredFirstByte.count())},
+              {"first_byte_error_us", std::to_string(report.firstByteError.count())}});
+}
+
 node_load gateway::implementation::ownLoad()
 {
     const time_point now = currentTime();
@@ -671,6 +724,10 @@
         const std::size_t share = idleConnectionShare(m_table->configuration(), std::max(m_board.nodes().size() + 1, m_gateways.size()));
         m_upstreamClient.setIdleConnectionsPerEndpoint(std::min(share, http_client_options().idleConnectionsPerEndpoint));
     }
+    if (now - m_placementReportedAt >= placementReportInterval) {
+        m_placementReportedAt = now;
+        reportPlacement(now);
+    }
     m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
     m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
     m_housekeepingTimer.expires_after(housekeepingInterval);
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -14,7 +14,7 @@
 constexpr double maximumProcessorShare = 1024; // In cores.
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 11> knownKeys = {"vm",
+constexpr std::array<std::string_view, 12> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -22,10 +22,22 @@
                                                         "metrics_listen",
                                                         "store",
                                                         "processor_share",
+                                                        "placement",
                                                         "shutdown_seconds",
                                                         "log_level",
                                                         "log_lines_per_second"};
 
+placement_policy placementOf(const settings_reader &reader)
+{
+    const std::string name = reader.text("placement");
+    for (const placement_policy policy : {placement_policy::Automatic, placement_policy::ExpectedCost, placement_policy::LeastRuns}) {
+        if (name == toString(policy)) {
+            return policy;
+        }
+    }
+    reader.failAt("placement", "automatic, expected_cost or least_runs", name);
+}
+
 } // namespace
 
 gateway_settings readGatewaySettings(const std::string &path)
@@ -42,6 +54,9 @@
     if (reader.has("processor_share")) {
         settings.processorShare = reader.decimal("processor_share", minimumProcessorShare, maximumProcessorShare);
     }
+    if (reader.has("placement")) {
+        settings.placement = placementOf(reader);
+    }
     if (reader.has("shutdown_seconds")) {
         const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
         settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -24,6 +24,7 @@
 constexpr duration defaultRetention = std::chrono::hours(1); // For routes that set no retention.
 constexpr duration stoppedPartDelay = std::chrono::seconds(1); // Between two looks at whether a part of the prompt is still stopped.
 constexpr std::uint32_t eventsOfBegunAnswer = 2; // After which the crash of an upstream is not blamed on the item's prompt.
+constexpr std::uint64_t maximumStatedTokens = 1U << 30U; // Beyond any model, within the range of messages.
 constexpr unsigned failedStatus = 500; // With this status an upstream reports that the item itself has failed.
 
 /// The outcome of an attempt as far as the item is concerned. Only a failure that the upstream itself reports for the item counts
@@ -79,6 +80,16 @@
     return {.content = request_relay::fingerprint(item.path, item.body), .parts = m_ports.sender.sharedParts(fieldsOf(item))};
 }
 
+/// The size that the item's fields state; else all its tokens, which may be of the prompt or of the output.
+request_size listed_job_service::implementation::sizeOf(const job_item &item) const
+{
+    const request_size stated = m_ports.sender.statedSize(fieldsOf(item));
+    if (stated != request_size()) {
+        return stated;
+    }
+    return {.maximumOutputTokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(item.tokens, maximumStatedTokens))};
+}
+
 request_id listed_job_service::implementation::slotId(const running_job &job, std::size_t index) const
 {
     return runId(job.entry.id.text() + "/" + job.items[index].id, job.serial, job.states[index].runs);
@@ -159,7 +170,8 @@
                          .continues = progress.hasOutput(),
                          .version = progress.version(),
                          .excluded = state.unusableUpstreams,
-                         .earlierRunTime = state.earlierRunTime};
+                         .earlierRunTime = state.earlierRunTime,
+                         .size = sizeOf(job->items[index])};
     // Each run has its own stop signal, since an item whose slot was reclaimed runs again later.
     state.stopSignal = stop_signal();
     auto onReclaim = [job, index] {
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -117,6 +117,7 @@
     [[nodiscard]] request_id slotId(const running_job &job, std::size_t index) const;
     [[nodiscard]] static std::vector<http_field> fieldsOf(const job_item &item);
     [[nodiscard]] prompt_run promptRunOf(const job_item &item) const;
+    [[nodiscard]] request_size sizeOf(const job_item &item) const;
     task<std::optional<job_entry>> lookUp(job_id id);
 
     listed_job_ports m_ports;
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -57,6 +57,11 @@
     m_rateStatement = std::move(handler);
 }
 
+request_size upstream_sender::statedSize(const std::vector<http_field> &fields) const
+{
+    return m_protocol.statedSize ? m_protocol.statedSize(fields) : request_size();
+}
+
 std::vector<std::uint64_t> upstream_sender::sharedParts(const std::vector<http_field> &fields) const
 {
     return m_protocol.sharedParts ? m_protocol.sharedParts(fields) : std::vector<std::uint64_t>();
--- a/tests/unit/serving/load_replay_test.cpp
+++ b/tests/unit/serving/load_replay_test.cpp
@@ -101,6 +101,52 @@
     CHECK(reports > random);
 }
 
+TEST_CASE("placement by cost serves upstreams of equal speed exactly as placement by the number of runs")
+{
+    const std::string name = GENERATE("niebla", "niebla-grown", "veriga");
+    const site_model site = siteNamed(name);
+    const site_result byRuns = runSite(site, {.placement = placement_policy::LeastRuns, .seed = 1});
+    const site_result automatic = runSite(site, {.placement = placement_policy::Automatic, .seed = 1});
+    INFO("site=" << name);
+    CHECK(automatic.onlineCredit == byRuns.onlineCredit);
+    CHECK(automatic.firstByteTail == byRuns.firstByteTail);
+    CHECK(automatic.itemSeconds == byRuns.itemSeconds);
+    CHECK(automatic.reclaimed == byRuns.reclaimed);
+}
+
+TEST_CASE("placement by cost serves upstreams of three speeds sooner than placement by the number of runs")
+{
+    const std::string name = GENERATE("uneven", "uneven-tails");
+    const site_model site = siteNamed(name);
+    double byRunsMedian = 0;
+    double automaticMedian = 0;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const site_result byRuns = runSite(site, {.placement = placement_policy::LeastRuns, .seed = seed});
+        const site_result automatic = runSite(site, {.placement = placement_policy::Automatic, .seed = seed});
+        byRunsMedian += byRuns.firstByteMedian;
+        automaticMedian += automatic.firstByteMedian;
+        CHECK(automatic.onlineCredit > 0.99); // The slots suffice on average.
+        CHECK(automatic.itemsInTime >= 0.99 * static_cast<double>(automatic.itemsOwed));
+        CHECK(automatic.firstByteTail < runSite(site, {.way = placing_way::Fewest, .seed = seed}).firstByteTail);
+    }
+    INFO("site=" << name);
+    CHECK(automaticMedian < byRunsMedian);
+}
+
+TEST_CASE("placement by cost loses fewer requests of a burst that upstreams of three speeds can hardly serve")
+{
+    const std::string name = GENERATE("uneven", "uneven-tails");
+    const site_model site = siteNamed(name);
+    double byRuns = 0;
+    double automatic = 0;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        byRuns += runSite(site, {.placement = placement_policy::LeastRuns, .load = 1.4, .seed = seed}).burstCredit;
+        automatic += runSite(site, {.placement = placement_policy::Automatic, .load = 1.4, .seed = seed}).burstCredit;
+    }
+    INFO("site=" << name);
+    CHECK(automatic > byRuns);
+}
+
 TEST_CASE("a run of a site with the same seed gives the same result")
 {
     const site_model site = siteNamed("nekomori");
