--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -46,7 +46,7 @@
 total_work upstream_choice::workAt(const scheduled_upstream &upstream) const
 {
     const load_board::total_usage others = m_board.usageOf(upstream.key);
-    return {.online = upstream.online + others.online, .batch = upstream.batch + others.batch};
+    return {.online = upstream.online + others.online, .batch = upstream.batch + others.batch, .reported = others.work};
 }
 
 bool upstream_choice::isDegraded(const scheduled_upstream &upstream, time_point now)
@@ -139,18 +139,29 @@
     return cached != nullptr && *cached == upstream;
 }
 
-upstream_prospect upstream_choice::prospectOf(const service_schedule &service,
-                                              const scheduled_upstream &upstream,
-                                              const total_work &work,
-                                              time_point now) const
+upstream_choice::decision
+upstream_choice::decide(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const
+{
+    const bool byCost = placesByCost(service);
+    return {.service = service,
+            .cell = cell,
+            .request = request,
+            .now = now,
+            .byCost = byCost,
+            .cached = m_prefixes.upstreamOf(request.prefixHash),
+            .work = byCost ? service.work.expected(request, false) : expected_work(),
+            .workIfCached = byCost ? service.work.expected(request, true) : expected_work()};
+}
+
+upstream_prospect upstream_choice::prospectOf(const decision &context, const scheduled_upstream &upstream, const total_work &work)
 {
     const double usual = upstream.speed.usualFactor();
-    const load_board::total_usage others = m_board.usageOf(upstream.key);
-    const std::uint32_t counted = upstream.outstanding.runs() + others.work.runs();
-    const double notReported = (work.all() - std::min(work.all(), counted)) * assumedRemainder * service.runSeconds * usual;
+    const std::uint32_t counted = upstream.outstanding.runs() + work.reported.runs();
+    const double notReported = (work.all() - std::min(work.all(), counted)) * assumedRemainder * context.service.runSeconds * usual;
     return {.usualFactor = usual,
-            .currentFactor = upstream.speed.currentFactor(now),
-            .remainingSeconds = upstream.outstanding.remainingSeconds(now) + others.work.remainingSeconds(now) + notReported,
+            .currentFactor = upstream.speed.currentFactor(context.now),
+            .remainingSeconds =
+                upstream.outstanding.remainingSeconds(context.now) + work.reported.remainingSeconds(context.now) + notReported,
             .slots = upstream.info.slots};
 }
 
@@ -176,7 +187,7 @@
 }
 
 /// Whether the upstream has been without work for so long that what is known of its speed may not hold any more.
-bool upstream_choice::mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now) const
+bool upstream_choice::mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now)
 {
     const bool longAgo = !upstream.grantedAt || now - *upstream.grantedAt >= relearnInterval;
     return longAgo && work.all() == 0 && !isDegraded(upstream, now);
@@ -190,63 +201,59 @@
 }
 
 /// What a run is expected to take at the upstream, in mean run times, so that preferences weigh as much as they do against load.
-placement_score upstream_choice::costScore(const service_schedule &service,
-                                           const scheduled_upstream &upstream,
-                                           const slot_request &request,
-                                           const total_work &work,
-                                           time_point now) const
+placement_score upstream_choice::costScore(const decision &context, const scheduled_upstream &upstream, const total_work &work)
 {
-    const expected_times times =
-        expectedTimes(service.work.expected(request, isCached(request, upstream.info.id)), prospectOf(service, upstream, work, now));
-    const bool late = request.workClass == work_class::Online && now + fromSeconds(times.firstByteSeconds) > request.target;
-    return {.tier = late ? lateTiers : 0, .cost = times.cost() / service.runSeconds};
+    const expected_times times = expectedTimes(context.isCached(upstream.info.id) ? context.workIfCached : context.work,
+                                               prospectOf(context, upstream, work));
+    const bool late = context.request.workClass == work_class::Online
+                      && context.now + fromSeconds(times.firstByteSeconds) > context.request.target;
+    return {.tier = late ? lateTiers : 0, .cost = times.cost() / context.service.runSeconds};
+}
+
+placement_score upstream_choice::baseScore(const decision &context, const scheduled_upstream &upstream, const total_work &work)
+{
+    return context.byCost ? costScore(context, upstream, work) : placement_score{.cost = loadScore(context.service, upstream, work)};
 }
 
 /// Preferences among upstreams apart from load and speed, in units of relative load.
-double upstream_choice::preference(const scheduled_upstream &upstream, const slot_request &request, time_point now)
+double upstream_choice::preference(const decision &context, const scheduled_upstream &upstream)
 {
     double score = std::uniform_real_distribution<double>(0, jitterScore)(m_generator);
-    score += upstream.info.domain == request.domain ? 0 : otherDomainScore;
-    score += isDegraded(upstream, now) ? degradedScore : 0;
-    score -= isCached(request, upstream.info.id) ? affinityScore : 0;
-    score -= m_connections.hasIdle(request.holder, upstream.info.id, now) ? connectionScore : 0;
+    score += upstream.info.domain == context.request.domain ? 0 : otherDomainScore;
+    score += isDegraded(upstream, context.now) ? degradedScore : 0;
+    score -= context.isCached(upstream.info.id) ? affinityScore : 0;
+    score -= m_connections.hasIdle(context.request.holder, upstream.info.id, context.now) ? connectionScore : 0;
     return score;
 }
 
 /// Scores an upstream for an online run; the lowest score is best. A free slot comes first, then a slot held by batch work of
 /// this node, then one held by batch work of other nodes. Empty if online work holds all slots: the run then waits on this
 /// node, where it can use any slot that becomes free, and not in the queue of one upstream.
-std::optional<placement_score> upstream_choice::onlineScore(const service_schedule &service,
-                                                            const cell_schedule &cell,
-                                                            const scheduled_upstream &upstream,
-                                                            const slot_request &request,
-                                                            time_point now)
+std::optional<placement_score> upstream_choice::onlineScore(const decision &context, const scheduled_upstream &upstream)
 {
     constexpr int reservedRank = 1; // After the upstreams with a free slot and no limit.
     constexpr int ownBatchRank = 2; // After all upstreams with a free slot.
     constexpr int otherBatchRank = 4;
     const total_work work = workAt(upstream);
     const std::uint32_t slots = std::max(1U, upstream.info.slots);
-    if (work.online >= slots || !upstream.mayStart(work_class::Online, now)) {
+    if (work.online >= slots || !upstream.mayStart(work_class::Online, context.now)) {
         return std::nullopt;
     }
-    const bool byCost = placesByCost(service);
-    placement_score score =
-        byCost ? costScore(service, upstream, request, work, now) : placement_score{.cost = loadScore(service, upstream, work)};
-    score.cost += preference(upstream, request, now);
+    placement_score score = baseScore(context, upstream, work);
+    score.cost += preference(context, upstream);
     const auto rankBehind = [&](int rank) {
         // By number of runs, a cost is below 1 wherever there is a free slot.
-        score.tier += byCost ? rank : 0;
-        score.cost += byCost ? 0 : rank;
+        score.tier += context.byCost ? rank : 0;
+        score.cost += context.byCost ? 0 : rank;
     };
     if (upstream.starts) {
         // A batch run uses a slot for longer, and so makes more of a request that a limited upstream accepts.
-        const bool isPreferred = cell.batch.empty() && upstream.starts->isWithinLimit(now);
+        const bool isPreferred = context.cell.batch.empty() && upstream.starts->isWithinLimit(context.now);
         rankBehind(isPreferred ? 0 : reservedRank);
         score.cost -= isPreferred ? limitedScore : 0;
     }
     if (work.all() < slots) {
-        score.tier -= byCost && score.tier == 0 && mayBeRelearned(upstream, work, now) ? 1 : 0;
+        score.tier -= context.byCost && score.tier == 0 && mayBeRelearned(upstream, work, context.now) ? 1 : 0;
         return score;
     }
     rankBehind(upstream.batch > 0 ? ownBatchRank : otherBatchRank);
@@ -256,10 +263,11 @@
 scheduled_upstream *
 upstream_choice::selectForOnline(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now)
 {
+    const decision context = decide(service, cell, request, now);
     scheduled_upstream *best = nullptr;
     placement_score bestScore;
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
-        const std::optional<placement_score> score = onlineScore(service, cell, *upstream, request, now);
+        const std::optional<placement_score> score = onlineScore(context, *upstream);
         if (score && (best == nullptr || *score < bestScore)) {
             best = upstream;
             bestScore = *score;
@@ -270,21 +278,15 @@
 
 /// Scores an upstream for a batch run. Placed by cost, a run leaves some slots of the fast upstreams to online work while there is
 /// another one.
-placement_score upstream_choice::batchScore(const service_schedule &service,
-                                            const scheduled_upstream &upstream,
-                                            const slot_request &request,
-                                            const total_work &work,
-                                            time_point now)
+placement_score upstream_choice::batchScore(const decision &context, const scheduled_upstream &upstream, const total_work &work)
 {
-    const bool byCost = placesByCost(service);
-    placement_score score =
-        byCost ? costScore(service, upstream, request, work, now) : placement_score{.cost = loadScore(service, upstream, work)};
-    score.cost += preference(upstream, request, now) - (upstream.starts ? limitedScore : 0);
-    if (byCost) {
+    placement_score score = baseScore(context, upstream, work);
+    score.cost += preference(context, upstream) - (upstream.starts ? limitedScore : 0);
+    if (context.byCost) {
         const std::uint32_t room = (upstream.info.slots + roomShare - 1) / roomShare;
         const bool keepsRoom = upstream.speed.usualFactor() < fastFactor && upstream.info.slots - work.all() <= room;
         score.tier += keepsRoom ? 1 : 0;
-        score.tier -= mayBeRelearned(upstream, work, now) ? 1 : 0;
+        score.tier -= mayBeRelearned(upstream, work, context.now) ? 1 : 0;
     }
     return score;
 }
@@ -295,6 +297,7 @@
                                                     duration reactionTime,
                                                     time_point now)
 {
+    const decision context = decide(service, cell, request, now);
     scheduled_upstream *best = nullptr;
     placement_score bestScore;
     std::uint32_t free = 0;
@@ -307,7 +310,7 @@
             continue;
         }
         free += upstream->info.slots - work.all();
-        const placement_score score = batchScore(service, *upstream, request, work, now);
+        const placement_score score = batchScore(context, *upstream, work);
         if (best == nullptr || score < bestScore) {
             best = upstream;
             bestScore = score;
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -20,6 +20,8 @@
 {
     std::uint32_t online = 0;
     std::uint32_t batch = 0;
+    outstanding_work reported; ///< Of the other nodes' runs, as far as they report it.
+
     [[nodiscard]] std::uint32_t all() const
     {
         return online + batch;
@@ -93,31 +95,40 @@
     void released(const slot_request &request, const upstream_id &upstream, bool connectionStays, time_point now);
 
 private:
+    /// What is the same for all upstreams of a decision.
+    struct decision
+    {
+        const service_schedule &service;
+        const cell_schedule &cell;
+        const slot_request &request;
+        time_point now;
+        bool byCost = false;
+        const upstream_id *cached = nullptr; ///< The upstream that is expected to keep the prompt's shared prefix.
+        expected_work work;
+        expected_work workIfCached;
+
+        [[nodiscard]] bool isCached(const upstream_id &upstream) const
+        {
+            return cached != nullptr && *cached == upstream;
+        }
+    };
+
     [[nodiscard]] bool
     isAvoided(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now) const;
     [[nodiscard]] std::vector<scheduled_upstream *>
     candidates(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     [[nodiscard]] bool isCached(const slot_request &request, const upstream_id &upstream) const;
-    [[nodiscard]] upstream_prospect
-    prospectOf(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work, time_point now) const;
-    [[nodiscard]] bool mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now) const;
-    [[nodiscard]] double preference(const scheduled_upstream &upstream, const slot_request &request, time_point now);
+    [[nodiscard]] decision
+    decide(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
+    [[nodiscard]] static upstream_prospect
+    prospectOf(const decision &context, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] static bool mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now);
     [[nodiscard]] static double loadScore(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work);
-    [[nodiscard]] placement_score costScore(const service_schedule &service,
-                                            const scheduled_upstream &upstream,
-                                            const slot_request &request,
-                                            const total_work &work,
-                                            time_point now) const;
-    [[nodiscard]] placement_score batchScore(const service_schedule &service,
-                                             const scheduled_upstream &upstream,
-                                             const slot_request &request,
-                                             const total_work &work,
-                                             time_point now);
-    [[nodiscard]] std::optional<placement_score> onlineScore(const service_schedule &service,
-                                                             const cell_schedule &cell,
-                                                             const scheduled_upstream &upstream,
-                                                             const slot_request &request,
-                                                             time_point now);
+    [[nodiscard]] static placement_score costScore(const decision &context, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] static placement_score baseScore(const decision &context, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] double preference(const decision &context, const scheduled_upstream &upstream);
+    [[nodiscard]] placement_score batchScore(const decision &context, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] std::optional<placement_score> onlineScore(const decision &context, const scheduled_upstream &upstream);
 
     const load_board &m_board;
     std::mt19937_64 &m_generator;
--- a/core/src/serving/upstream_speed.cpp
+++ b/core/src/serving/upstream_speed.cpp
@@ -14,6 +14,7 @@
 constexpr double recentSeconds = 0.3; ///< Time constant of the current factor, less than a disturbance lasts.
 constexpr double recentLargestWeight = 0.5; ///< A single first byte does not decide the current factor.
 constexpr double returnSeconds = 0.5; ///< Time constant with which the current factor returns to the usual one without measurements.
+constexpr double longestDisturbance = 5; ///< In seconds without a first byte, after which nothing is left of the difference.
 constexpr double largestFactor = 16;
 constexpr std::uint32_t priorMeasurements = 2; ///< Weight of the assumption that a new upstream is an average one.
 constexpr std::uint32_t unboundedMeasurements = 16; ///< The first ones may move it freely.
@@ -40,6 +41,7 @@
     const double weight = std::min(std::max(byCount, weightAfter(now - m_usualAt, usualSeconds)), 1.0 / priorMeasurements);
     const double bound = m_count < unboundedMeasurements ? logarithmOf(largestFactor) : largestDeviation;
     m_usual += weight * std::clamp(logarithm - m_usual, -bound, bound);
+    m_usualFactor = std::exp(m_usual);
     m_usualAt = now;
 }
 
@@ -58,14 +60,13 @@
     updateUsual(logarithmOf(factor), now);
 }
 
-double upstream_speed::usualFactor() const
-{
-    return std::exp(m_usual);
-}
-
 double upstream_speed::currentFactor(time_point now) const
 {
-    return std::exp(m_usual + (m_recent - m_usual) * std::exp(-toSeconds(now - m_recentAt) / returnSeconds));
+    const double elapsed = toSeconds(now - m_recentAt);
+    if (elapsed >= longestDisturbance) {
+        return m_usualFactor;
+    }
+    return m_usualFactor * std::exp((m_recent - m_usual) * std::exp(-elapsed / returnSeconds));
 }
 
 bool upstream_speed::isKnown(time_point now) const
@@ -79,6 +80,7 @@
     const double logarithm = logarithmOf(factor);
     m_usual -= logarithm;
     m_recent -= logarithm;
+    m_usualFactor = std::exp(m_usual);
 }
 
 } // namespace banyan
--- a/core/src/serving/upstream_speed.h
+++ b/core/src/serving/upstream_speed.h
@@ -22,7 +22,10 @@
     void recordRun(double factor, time_point now);
 
     /// The factor apart from disturbances; 1 before the first measurement.
-    [[nodiscard]] double usualFactor() const;
+    [[nodiscard]] double usualFactor() const
+    {
+        return m_usualFactor;
+    }
 
     /// The factor at @p now.
     [[nodiscard]] double currentFactor(time_point now) const;
@@ -37,6 +40,7 @@
     void updateUsual(double logarithm, time_point now);
 
     double m_usual = 0; ///< Logarithm of the usual factor.
+    double m_usualFactor = 1;
     double m_recent = 0; ///< Logarithm of the factor of the latest first bytes.
     std::uint32_t m_count = 0;
     double m_lately = 0; ///< Measurements, forgotten with the time constant of the usual factor.
