--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -20,7 +20,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration reportInterval = 30ms;
 constexpr duration loadMemory = 1500ms;
 constexpr std::uint32_t engineQueue = 24; ///< Runs that wait inside an upstream before it rejects others.
 constexpr double longestTokens = 1.6; ///< Times the mean.
@@ -116,7 +115,8 @@
     [[nodiscard]] std::size_t placerOf(std::size_t service, const upstream_cell &cell, std::size_t node) const;
     void perform(std::size_t placerIndex, const slot_actions &actions);
     void granted(const slot_granted &action);
-    void placeAtRandom(const request_id &id);
+    [[nodiscard]] bool isPlacedDirectly() const;
+    void placeDirectly(const request_id &id);
     void refused(const slot_rejected &action);
     void reclaimed(const slot_reclaimed &action);
     void tick(std::size_t placerIndex);
@@ -158,6 +158,9 @@
     double m_burstWorth = 0;
     double m_burstEarned = 0;
     std::vector<double> m_classEarned;
+    double m_itemSeconds = 0; ///< Sum over the items that have ended.
+    std::uint64_t m_itemsEnded = 0;
+    std::vector<double> m_firstBytes; ///< Of the counted streams, in seconds.
 };
 
 duration seconds(double value)
@@ -165,6 +168,12 @@
     return duration(static_cast<std::int64_t>(value * 1e6));
 }
 
+/// All requests of a kind state the same bound, whatever they turn out to need.
+request_size statedSize(double firstByteSteps, double tokens)
+{
+    return {.promptTokens = static_cast<std::uint32_t>(firstByteSteps), .maximumOutputTokens = static_cast<std::uint32_t>(2 * tokens)};
+}
+
 site_simulation::site_simulation(const site_model &site, const site_run_options &options)
     : m_site(site)
     , m_options(options)
@@ -175,10 +184,14 @@
 {
     makeUpstreams();
     makePlacers();
-    for (const class_model &kind : site.classes) {
+    for (class_model &kind : m_site.classes) {
+        kind.rate *= options.load;
         m_result.classes.push_back({.name = kind.name});
     }
     m_result.callers.resize(std::max<std::size_t>(1, site.callers.size()));
+    if (m_site.jobs) {
+        m_site.jobs->rate *= options.load;
+    }
 }
 
 void site_simulation::makeUpstreams()
@@ -220,8 +233,10 @@
     for (std::size_t index = 0; index < count; ++index) {
         m_placers.push_back(std::make_unique<placer>());
         placer &made = *m_placers.back();
-        made.scheduler = std::make_unique<request_scheduler>(
-            request_scheduler_options{.self = node_id("n" + std::to_string(index)), .seed = m_options.seed + index}, made.board);
+        made.scheduler = std::make_unique<request_scheduler>(request_scheduler_options{.self = node_id("n" + std::to_string(index)),
+                                                                                       .placement = m_options.placement,
+                                                                                       .seed = m_options.seed + index},
+                                                             made.board);
     }
     setKnownUpstreams();
 }
@@ -247,6 +262,14 @@
     const duration after = m_site.jobs ? m_site.jobs->window : 6s;
     m_loop.runUntil(time_point(m_options.length) + after);
     m_result.onlineCredit = m_worth > 0 ? m_earned / m_worth : 0;
+    std::sort(m_firstBytes.begin(), m_firstBytes.end());
+    const auto quantile = [this](double share) {
+        const auto index = static_cast<std::size_t>(share * static_cast<double>(m_firstBytes.size()));
+        return m_firstBytes.empty() ? 0 : m_firstBytes[std::min(index, m_firstBytes.size() - 1)];
+    };
+    m_result.firstByteMedian = quantile(0.5);
+    m_result.firstByteTail = quantile(0.99);
+    m_result.itemSeconds = m_itemsEnded > 0 ? m_itemSeconds / static_cast<double>(m_itemsEnded) : 0;
     m_result.burstCredit = m_burstWorth > 0 ? m_burstEarned / m_burstWorth : 0;
     for (std::size_t kind = 0; kind < m_site.classes.size(); ++kind) {
         class_result &result = m_result.classes[kind];
@@ -365,7 +388,7 @@
 
 void site_simulation::scheduleReports()
 {
-    m_loop.after(reportInterval, [this] {
+    m_loop.after(m_options.reportInterval, [this] {
         for (std::size_t sender = 0; sender < m_placers.size(); ++sender) {
             placer &from = *m_placers[sender];
             const node_load load{.sender = node_id("n" + std::to_string(sender)),
@@ -388,7 +411,7 @@
 /// Lets all nodes know what the scheduling nodes have at the upstreams.
 void site_simulation::scheduleUsage()
 {
-    m_loop.after(reportInterval, [this] {
+    m_loop.after(m_options.reportInterval, [this] {
         m_reportedUsage.clear();
         for (const auto &from : m_placers) {
             for (const auto &[key, usage] : from->scheduler->usage(m_loop.now())) {
@@ -473,7 +496,10 @@
 {
     const class_model &model = m_site.classes[kind];
     const std::uint64_t key = ++m_lastWork;
-    const double size = sizeDrawn(model.tokenSpread);
+    double size = sizeDrawn(model.tokenSpread);
+    if (model.longShare > 0 && std::uniform_real_distribution<double>()(m_arrivals) < model.longShare) {
+        size *= model.longFactor;
+    }
     const std::vector<double> rates = callerRates(kind, m_loop.now());
     const std::size_t caller = std::discrete_distribution<std::size_t>(rates.begin(), rates.end())(m_choices);
     client_work work{.kind = kind, .caller = caller, .begun = m_loop.now()};
@@ -520,7 +546,8 @@
                    .repeatable = true,
                    .sentBefore = !work.tried.empty(),
                    .excluded = work.tried,
-                   .caller = m_site.callers.empty() ? 0 : work.caller + 1};
+                   .caller = m_site.callers.empty() ? 0 : work.caller + 1,
+                   .size = statedSize(model.firstByteSteps, model.tokens)};
     submitRun(std::move(run));
 }
 
@@ -537,7 +564,8 @@
                    .cell = cellFor(m_site.jobs->service, work_class::Batch),
                    .repeatable = true,
                    .earlierRunTime = item.ran,
-                   .caller = m_site.callers.empty() ? 0 : item.caller + 1};
+                   .caller = m_site.callers.empty() ? 0 : item.caller + 1,
+                   .size = statedSize(m_site.jobs->firstByteSteps, m_site.jobs->tokens)};
     submitRun(std::move(run));
 }
 
@@ -590,15 +618,20 @@
     m_runs.emplace(id, std::move(run));
     m_loop.after(central ? m_site.nodeDelay : duration(0), [this, id] {
         const simulated_run &submitted = m_runs.at(id);
-        if (m_options.way == placing_way::Random) {
-            placeAtRandom(id);
+        if (isPlacedDirectly()) {
+            placeDirectly(id);
         } else {
             perform(submitted.placer, m_placers[submitted.placer]->scheduler->submit(submitted.request, m_loop.now()));
         }
     });
 }
 
-void site_simulation::placeAtRandom(const request_id &id)
+bool site_simulation::isPlacedDirectly() const
+{
+    return m_options.way == placing_way::Random || m_options.way == placing_way::Fewest;
+}
+
+void site_simulation::placeDirectly(const request_id &id)
 {
     const service_name &service = m_runs.at(id).request.service;
     std::vector<std::size_t> candidates;
@@ -607,7 +640,13 @@
             candidates.push_back(index);
         }
     }
-    startAt(id, candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_choices)]);
+    std::shuffle(candidates.begin(), candidates.end(), m_choices);
+    if (m_options.way == placing_way::Fewest) {
+        std::nth_element(candidates.begin(), candidates.begin(), candidates.end(), [this](std::size_t left, std::size_t right) {
+            return m_upstreams[left].inside < m_upstreams[right].inside;
+        });
+    }
+    startAt(id, candidates.front());
 }
 
 void site_simulation::perform(std::size_t placerIndex, const slot_actions &actions)
@@ -702,7 +741,7 @@
 void site_simulation::firstByte(const request_id &id)
 {
     const simulated_run &run = m_runs.at(id);
-    if (m_options.way != placing_way::Random) {
+    if (!isPlacedDirectly()) {
         m_placers[run.placer]->scheduler->firstByte(id, m_loop.now());
     }
     if (!run.batch) {
@@ -732,7 +771,10 @@
         }
         const item_work item = m_items.at(run.work);
         m_items.erase(run.work);
+        m_result.itemsDone += m_loop.now() < time_point(m_options.length) ? 1 : 0;
         const bool isOwed = counts(item.due - m_site.jobs->window);
+        m_itemSeconds += std::chrono::duration<double>(m_loop.now() - (item.due - m_site.jobs->window)).count();
+        ++m_itemsEnded;
         m_result.itemsInTime += isOwed && m_loop.now() <= item.due ? 1 : 0;
         m_result.callers[item.caller].itemsInTime += isOwed && m_loop.now() <= item.due ? 1 : 0;
         return;
@@ -760,7 +802,7 @@
 
 void site_simulation::release(const simulated_run &run, attempt_outcome outcome)
 {
-    if (m_options.way == placing_way::Random) {
+    if (isPlacedDirectly()) {
         return;
     }
     m_loop.after(m_site.nodeDelay, [this, placerIndex = run.placer, id = run.request.id, outcome] {
@@ -829,6 +871,9 @@
         (isPrompt ? window.onTime : window.late) += 1;
     }
     m_result.callers[work.caller].onTime += isCounted && isPrompt ? 1 : 0;
+    if (isCounted && model.tokens > 0) {
+        m_firstBytes.push_back(std::chrono::duration<double>(taken).count());
+    }
     if (taken <= model.target) {
         result.onTime += isCounted ? 1 : 0;
         credit(work, model.worth);
@@ -878,6 +923,8 @@
         return "reports";
     case placing_way::Random:
         return "random";
+    case placing_way::Fewest:
+        return "fewest";
     }
     return "unknown";
 }
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -5,12 +5,15 @@
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "batch_order.h"
+#include "decaying_average.h"
 #include "first_byte_estimate.h"
 #include "retry_after_estimator.h"
 #include "run_cost.h"
 #include "scheduled_upstream.h"
 #include "share_clock.h"
+#include "speed_comparison.h"
 #include "waiting_runs.h"
+#include "work_estimator.h"
 
 #include <cstdint>
 #include <map>
@@ -50,6 +53,13 @@
     first_byte_estimate startTimes{duration(0)}; ///< Times to first byte, by the node that sends the run.
     stated_cost costs;
     double runSeconds = 0; ///< Moving average of the run time of online runs.
+    work_estimator work;
+    speed_comparison speeds;
+    bool isShared = false; ///< Whether other nodes have more work than this one at the upstreams that it uses.
+    time_point sharingReviewedAt;
+    decaying_average expectedFirstByte; ///< In seconds, of the runs whose first byte was measured last.
+    decaying_average measuredFirstByte; ///< Of the same runs.
+    decaying_average firstByteError; ///< Mean absolute difference of the two, in seconds.
 
     /// The schedule of a cell, created if it does not exist.
     cell_schedule &cell(const upstream_cell &cell);
@@ -57,11 +67,20 @@
     /// Updates the members of all cells; removes unregistered upstreams without work, and empty cells of an earlier partition.
     void upstreamsChanged();
 
+    /// Learns from the first byte of a run at @p upstream that came @p seconds after its grant.
+    void recordFirstByte(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now);
+
+    /// Learns from a complete run at @p upstream.
+    void recordRun(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now);
+
     /// The number of online runs waiting for a slot of any cell.
     [[nodiscard]] std::uint32_t waitingOnline() const;
 
     /// The number of batch runs waiting for a slot of any cell.
     [[nodiscard]] std::uint32_t waitingBatch() const;
+
+private:
+    void compareSpeeds(time_point now);
 };
 
 } // namespace banyan
