--- a/tests/unit/serving/organisation_gate_test.cpp
+++ b/tests/unit/serving/organisation_gate_test.cpp
@@ -23,7 +23,9 @@
     gate_fixture(std::size_t count, double perSecond, double burst)
         : relay_fixture(request_kind::Idempotent)
     {
-        organisation = name;
+        identify = [this](client_request &request) {
+            request.organisation = organisation;
+        };
         const serving_configuration configuration{
             .version = 1,
             .routes = {},
@@ -81,6 +83,8 @@
         return verdict;
     }
 
+    caller_id organisation = name; ///< Of all requests.
+
 private:
     std::uint64_t m_sequence = 0;
 };
--- a/tests/unit/serving/relay_fixture.h
+++ b/tests/unit/serving/relay_fixture.h
@@ -12,7 +12,7 @@
 struct relay_fixture : serving_fixture
 {
     std::shared_ptr<const route_table> table;
-    caller_id organisation; ///< Of all requests.
+    std::function<void(client_request &request)> identify; ///< Says who sent a request; null: nobody.
     http_server front{context, {.listen = endpoint::parse("127.0.0.1:0"), .requestIdField = "Request-Id"}};
     http_client caller{context, {}};
 
@@ -35,7 +35,9 @@
         front.routeOthers([this](http_exchange &exchange) -> task<> {
             std::string body = co_await exchange.body(1U << 20U);
             client_request request = platform::decodeRequest(exchange, std::move(body), currentTime());
-            request.organisation = organisation;
+            if (identify) {
+                identify(request);
+            }
             const route *const matchedRoute = table->find("h", "/x/");
             co_await nodes.front()->relay.serve(exchange, std::move(request), table, *matchedRoute);
         });
