--- a/tests/property/serving/organisation_limits_property_test.cpp
+++ b/tests/property/serving/organisation_limits_property_test.cpp
@@ -383,10 +383,12 @@
 
 TEST_CASE("nodes that hear each other refuse an organisation nothing at nineteen twentieths of its limit")
 {
-    const auto [nodes, perSecond] = GENERATE(std::pair<std::size_t, double>{7, 7},
-                                             std::pair<std::size_t, double>{74, 7},
-                                             std::pair<std::size_t, double>{74, 150},
-                                             std::pair<std::size_t, double>{74, 1});
+    const auto sizes = GENERATE(std::pair<std::size_t, double>{7, 7},
+                                std::pair<std::size_t, double>{74, 7},
+                                std::pair<std::size_t, double>{74, 150},
+                                std::pair<std::size_t, double>{74, 1});
+    const std::size_t nodes = sizes.first;
+    const double perSecond = sizes.second;
     limits_simulation simulation(1, nodes, perSecond, perSecond);
     simulation.calm = true;
     std::size_t turn = 0;
@@ -410,8 +412,10 @@
 
 TEST_CASE("nodes that hear each other admit nine tenths of the limit of an organisation that sends seven times as much")
 {
-    const auto [nodes, perSecond] =
+    const auto sizes =
         GENERATE(std::pair<std::size_t, double>{7, 7}, std::pair<std::size_t, double>{74, 7}, std::pair<std::size_t, double>{74, 150});
+    const std::size_t nodes = sizes.first;
+    const double perSecond = sizes.second;
     limits_simulation simulation(1, nodes, perSecond, perSecond);
     simulation.calm = true;
     const auto anywhere = [&] {
