--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -850,7 +850,9 @@
     }
     client_work &work = entry->second;
     if (counts(work.begun)) {
-        ++windowOf(std::min(m_loop.now(), time_point(m_options.length) - duration(1))).refusals;
+        window_result &window = windowOf(std::min(m_loop.now(), time_point(m_options.length) - duration(1)));
+        ++window.refusals;
+        window.heldRefusals += prompt ? 0 : 1;
     }
     const duration left = work.begun + m_site.classes[work.kind].deadline - m_loop.now();
     if (work.attempts >= attemptsOfClients || left <= duration(0)) {
--- a/bench/common/site_run.h
+++ b/bench/common/site_run.h
@@ -57,6 +57,7 @@
     std::uint64_t owed = 0; ///< Online requests that began in it.
     double credit = 0; ///< Theirs, over what they could earn.
     std::uint64_t refusals = 0; ///< Of attempts.
+    std::uint64_t heldRefusals = 0; ///< Refusals of attempts that had waited for more than a quarter of the streams' target.
     std::uint64_t onTime = 0; ///< Online requests of the first service that were answered in it within their target.
     std::uint64_t late = 0; ///< The same, later than that.
     std::uint32_t waiting = 0; ///< Online runs that wait, at its end.
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -99,6 +99,8 @@
     expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     [[nodiscard]] rejection_basis
     rejectionBasisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
+    [[nodiscard]] static duration
+    marginOf(const cell_schedule &cell, const service_schedule &service, const slot_request &request, time_point now);
     void rejectLessEntitled(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
     void endExpired(service_schedule &service, cell_schedule &cell, time_point now);
     void rejectIfUnschedulable(service_schedule &service, cell_schedule &cell, const slot_request &request, time_point now);
@@ -320,12 +322,23 @@
         m_callerCounts.refused(request.caller, reason);
         m_actions.push_back(slot_rejected{
             .request = request.id, .reason = reason, .retryAfter = isBound ? duration(0) : jittered(noUpstreamRetryAfter), .basis = basis});
-    } else if (!request.sentBefore && now + basis.expectedWait > latestStart(service, request, now)) {
+    } else if (!request.sentBefore
+               && now + basis.expectedWait > latestStart(service, request, now) - marginOf(cell, service, request, now)) {
         cell.online.remove(request.id);
         reject(cell, request, end_reason::Overloaded, basis, now);
     }
 }
 
+/// The time that the queue's noise may take of a run's wait: at most half of it.
+duration request_scheduler::implementation::marginOf(const cell_schedule &cell,
+                                                     const service_schedule &service,
+                                                     const slot_request &request,
+                                                     time_point now)
+{
+    const duration allowed = std::max(duration(0), latestStart(service, request, now) - now);
+    return std::min(cell.waitMargin.at(now), allowed / 2);
+}
+
 /// Rejects the runs that a waiting run has pushed beyond their latest start: the newest of less urgent work and of the caller that
 /// has most of the queue.
 void request_scheduler::implementation::rejectLessEntitled(service_schedule &service,
@@ -491,6 +504,7 @@
         if (request.sentBefore && now < request.deadline) {
             addWaiting(service, cell, request, true, now);
         } else {
+            cell.waitMargin.expired(now);
             reject(cell, request, end_reason::DeadlineUnreachable, basis, now);
         }
     }
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -10,6 +10,7 @@
 #include "run_cost.h"
 #include "scheduled_upstream.h"
 #include "share_clock.h"
+#include "wait_margin.h"
 #include "waiting_runs.h"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
     std::map<request_id, slot_request> batch;
     share_clock batchShares; ///< What each caller's batch work has had while other batch work waited.
     retry_after_estimator retryEstimator;
+    wait_margin waitMargin;
 
     /// The number of slots of its members, or of those of one software version.
     [[nodiscard]] std::uint32_t slots(const std::string &version = {}) const;
--- a/tests/unit/serving/load_replay_test.cpp
+++ b/tests/unit/serving/load_replay_test.cpp
@@ -131,6 +131,16 @@
     }
 }
 
+TEST_CASE("the scheduler refuses work that exceeds the slots when it arrives, and not after a wait")
+{
+    const site_result result = runSite(crowdedSite(), crowdedRun);
+    for (const std::size_t second : {5U, 10U, 11U, 22U}) { // Each a second or more after the load has changed.
+        INFO("second=" << second);
+        REQUIRE(result.windows[second].refusals > 0);
+        CHECK(result.windows[second].heldRefusals * 20 <= result.windows[second].refusals);
+    }
+}
+
 TEST_CASE("the scheduler serves the requests of the other nodes in time while some nodes forward late")
 {
     site_model site = siteNamed("clachan");
