--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 using namespace banyan;
 using namespace std::chrono_literals;
@@ -496,3 +497,28 @@
     const slot_granted second = std::get<slot_granted>(countOf<slot_granted>(actions) >= 2 ? actions[1] : more.front());
     CHECK(second.request == runs.back().id);
 }
+
+TEST_CASE("request_scheduler that takes over a cell serves the claims that reach it in fair order at once")
+{
+    scheduler_fixture successor(8);
+    successor.otherNode(4, 0, 1); // What the reports of the holders say is all that it knows.
+    std::map<request_id, caller_key> callerOf;
+    for (const caller_key caller : {1U, 1U, 1U, 1U, 1U, 2U, 2U}) {
+        slot_request request = successor.online();
+        request.caller = caller;
+        callerOf[request.id] = caller;
+        REQUIRE(successor.scheduler.submit(request, start).empty());
+    }
+    node_load load{.sender = node_id("n2"), .sequence = 2};
+    for (const replica &upstream : successor.upstreams) {
+        load.usage[keyOf(upstream.id)] = {.online = upstream.id == upstream_id("u0") ? 0U : 4U};
+    }
+    successor.board.record(load, start);
+    const slot_actions actions = successor.scheduler.loadChanged(start + 10ms);
+    REQUIRE(countOf<slot_granted>(actions) == 4);
+    std::vector<caller_key> order;
+    for (const slot_action &action : actions) {
+        order.push_back(callerOf.at(std::get<slot_granted>(action).request));
+    }
+    CHECK(order == std::vector<caller_key>{1, 2, 1, 2});
+}
