--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -113,12 +113,14 @@
         return;
     }
     std::vector<double> factors;
+    bool settled = true;
     for (const auto &[id, upstream] : upstreams) {
         if (upstream.isUsable() && upstream.speed.isKnown(now)) {
             factors.push_back(upstream.speed.usualFactor());
+            settled = settled && upstream.speed.isSettled(now);
         }
     }
-    speeds.update(std::move(factors), now);
+    speeds.update(std::move(factors), settled, now);
     for (auto &[id, upstream] : upstreams) {
         upstream.speed.rebase(speeds.mean());
     }
--- a/core/src/serving/speed_comparison.cpp
+++ b/core/src/serving/speed_comparison.cpp
@@ -10,6 +10,7 @@
 constexpr duration interval = std::chrono::seconds(1);
 constexpr std::size_t fewest = 3; ///< Upstreams below which a single disturbed one would look like a difference.
 constexpr double unevenSpread = 1.25; ///< More than short disturbances make of equal upstreams.
+constexpr double earlySpread = 1.7; ///< The same of upstreams that have been measured for a few seconds only.
 constexpr double evenSpread = 1.15;
 constexpr std::uint32_t comparisonsInRow = 3; ///< That have to find a difference, since one may have met a disturbance.
 constexpr std::size_t tenth = 10;
@@ -21,7 +22,15 @@
     return now - m_updatedAt >= interval;
 }
 
-void speed_comparison::update(std::vector<double> factors, time_point now)
+double speed_comparison::neededSpread(bool settled) const
+{
+    if (m_uneven) {
+        return evenSpread;
+    }
+    return settled ? unevenSpread : earlySpread;
+}
+
+void speed_comparison::update(std::vector<double> factors, bool settled, time_point now)
 {
     m_updatedAt = now;
     if (factors.size() < fewest) {
@@ -34,7 +43,7 @@
     std::sort(factors.begin(), factors.end());
     const std::size_t outside = factors.size() / tenth;
     m_spread = factors[factors.size() - 1 - outside] / factors[outside];
-    m_unevenInRow = m_spread >= (m_uneven ? evenSpread : unevenSpread) ? std::min(m_unevenInRow + 1, comparisonsInRow) : 0;
+    m_unevenInRow = m_spread >= neededSpread(settled) ? std::min(m_unevenInRow + 1, comparisonsInRow) : 0;
     m_uneven = m_uneven ? m_unevenInRow > 0 : m_unevenInRow == comparisonsInRow;
     double sum = 0;
     for (const double factor : factors) {
--- a/core/src/serving/speed_comparison.h
+++ b/core/src/serving/speed_comparison.h
@@ -14,8 +14,8 @@
     /// Whether the last comparison is old enough for the next one.
     [[nodiscard]] bool isDue(time_point now) const;
 
-    /// Compares the usual factors of the upstreams whose speed is known.
-    void update(std::vector<double> factors, time_point now);
+    /// Compares the usual factors of the upstreams whose speed is known; @p settled if all of them are.
+    void update(std::vector<double> factors, bool settled, time_point now);
 
     /// Whether the upstreams differ. Once they do, a smaller difference suffices, so that the answer does not alternate.
     [[nodiscard]] bool areUneven() const
@@ -36,6 +36,8 @@
     }
 
 private:
+    [[nodiscard]] double neededSpread(bool settled) const;
+
     bool m_uneven = false;
     std::uint32_t m_unevenInRow = 0; ///< Comparisons that found a difference.
     double m_spread = 1;
--- a/core/src/serving/upstream_speed.cpp
+++ b/core/src/serving/upstream_speed.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double usualSeconds = 10; ///< Time constant of the usual factor.
+constexpr duration learningTime = std::chrono::seconds(4); ///< Longer than most disturbances.
 constexpr double recentSeconds = 0.3; ///< Time constant of the current factor, less than a disturbance lasts.
 constexpr double recentLargestWeight = 0.5; ///< A single first byte does not decide the current factor.
 constexpr double returnSeconds = 0.5; ///< Time constant with which the current factor returns to the usual one without measurements.
@@ -71,10 +72,15 @@
 
 bool upstream_speed::isKnown(time_point now) const
 {
-    return now - m_firstAt >= fromSeconds(usualSeconds)
+    return now - m_firstAt >= learningTime
            && m_lately * (1 - weightAfter(now - m_usualAt, usualSeconds)) >= neededMeasurements;
 }
 
+bool upstream_speed::isSettled(time_point now) const
+{
+    return now - m_firstAt >= fromSeconds(usualSeconds);
+}
+
 void upstream_speed::rebase(double factor)
 {
     const double logarithm = logarithmOf(factor);
--- a/core/src/serving/upstream_speed.h
+++ b/core/src/serving/upstream_speed.h
@@ -33,6 +33,9 @@
     /// Whether the upstream has been measured for long enough, and often enough lately, to be compared with others.
     [[nodiscard]] bool isKnown(time_point now) const;
 
+    /// Whether it has been measured over so many disturbances that they hardly change its usual factor.
+    [[nodiscard]] bool isSettled(time_point now) const;
+
     /// Divides all factors by @p factor, when the average upstream of the service has changed.
     void rebase(double factor);
 
--- a/tests/unit/serving/upstream_speed_test.cpp
+++ b/tests/unit/serving/upstream_speed_test.cpp
@@ -61,13 +61,13 @@
 TEST_CASE("speed_comparison finds upstreams uneven only if they differ several times in a row")
 {
     speed_comparison speeds;
-    speeds.update({0.6, 1, 1.6}, start);
+    speeds.update({0.6, 1, 1.6}, true, start);
     CHECK_FALSE(speeds.areUneven());
     CHECK_FALSE(speeds.isDue(start + 500ms));
-    speeds.update({0.6, 1, 1.6}, start + 1s);
-    speeds.update({0.6, 1, 1.6}, start + 2s);
+    speeds.update({0.6, 1, 1.6}, true, start + 1s);
+    speeds.update({0.6, 1, 1.6}, true, start + 2s);
     CHECK(speeds.areUneven());
-    speeds.update({1, 1.02, 1.05}, start + 3s);
+    speeds.update({1, 1.02, 1.05}, true, start + 3s);
     CHECK_FALSE(speeds.areUneven());
 }
 
@@ -77,7 +77,19 @@
     std::vector<double> factors(20, 1);
     factors.back() = 8;
     for (int second = 0; second < 5; ++second) {
-        speeds.update(factors, start + second * 1s);
+        speeds.update(factors, true, start + second * 1s);
     }
     CHECK_FALSE(speeds.areUneven());
 }
+
+TEST_CASE("speed_comparison asks for a greater difference while the upstreams have been measured for a short time")
+{
+    speed_comparison slight;
+    speed_comparison great;
+    for (int second = 0; second < 5; ++second) {
+        slight.update({1, 1, 1.4}, false, start + second * 1s);
+        great.update({0.6, 1, 1.6}, false, start + second * 1s);
+    }
+    CHECK_FALSE(slight.areUneven());
+    CHECK(great.areUneven());
+}
