--- a/core/include/banyan/core/serving/placement_report.h
+++ b/core/include/banyan/core/serving/placement_report.h
@@ -20,7 +20,7 @@
     duration firstByteError{}; ///< Mean absolute difference of the two.
     std::vector<std::pair<upstream_id, double>>
         speeds; ///< Time that work takes at an upstream over the time at an average one, of the upstreams that this node
-        ///< has measured; the fastest first.
+    ///< has measured; the fastest first.
 
     auto operator<=>(const placement_report &) const = default;
 };
--- a/core/src/serving/speed_comparison.h
+++ b/core/src/serving/speed_comparison.h
@@ -36,7 +36,7 @@
     }
 
 private:
-    [[nodiscard]] double neededSpread(bool settled) const;
+    [[nodiscard]] double neededSpread(bool doubtful) const;
 
     bool m_uneven = false;
     std::uint32_t m_unevenInRow = 0; ///< Comparisons that found a difference.
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -203,10 +203,10 @@
 /// What a run is expected to take at the upstream, in mean run times, so that preferences weigh as much as they do against load.
 placement_score upstream_choice::costScore(const decision &context, const scheduled_upstream &upstream, const total_work &work)
 {
-    const expected_times times = expectedTimes(context.isCached(upstream.info.id) ? context.workIfCached : context.work,
-                                               prospectOf(context, upstream, work));
-    const bool late = context.request.workClass == work_class::Online
-                      && context.now + fromSeconds(times.firstByteSeconds) > context.request.target;
+    const expected_times times =
+        expectedTimes(context.isCached(upstream.info.id) ? context.workIfCached : context.work, prospectOf(context, upstream, work));
+    const bool late =
+        context.request.workClass == work_class::Online && context.now + fromSeconds(times.firstByteSeconds) > context.request.target;
     return {.tier = late ? lateTiers : 0, .cost = times.cost() / context.service.runSeconds};
 }
 
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -120,8 +120,7 @@
     [[nodiscard]] bool isCached(const slot_request &request, const upstream_id &upstream) const;
     [[nodiscard]] decision
     decide(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
-    [[nodiscard]] static upstream_prospect
-    prospectOf(const decision &context, const scheduled_upstream &upstream, const total_work &work);
+    [[nodiscard]] static upstream_prospect prospectOf(const decision &context, const scheduled_upstream &upstream, const total_work &work);
     [[nodiscard]] static bool mayBeRelearned(const scheduled_upstream &upstream, const total_work &work, time_point now);
     [[nodiscard]] static double loadScore(const service_schedule &service, const scheduled_upstream &upstream, const total_work &work);
     [[nodiscard]] static placement_score costScore(const decision &context, const scheduled_upstream &upstream, const total_work &work);
--- a/core/src/serving/upstream_speed.cpp
+++ b/core/src/serving/upstream_speed.cpp
@@ -72,8 +72,7 @@
 
 bool upstream_speed::isKnown(time_point now) const
 {
-    return now - m_firstAt >= learningTime
-           && m_lately * (1 - weightAfter(now - m_usualAt, usualSeconds)) >= neededMeasurements;
+    return now - m_firstAt >= learningTime && m_lately * (1 - weightAfter(now - m_usualAt, usualSeconds)) >= neededMeasurements;
 }
 
 bool upstream_speed::isSettled(time_point now) const
--- a/tests/unit/serving/upstream_speed_test.cpp
+++ b/tests/unit/serving/upstream_speed_test.cpp
@@ -82,14 +82,21 @@
     CHECK_FALSE(speeds.areUneven());
 }
 
-TEST_CASE("speed_comparison asks for a greater difference while the upstreams have been measured for a short time")
+TEST_CASE("speed_comparison asks for a greater difference of few upstreams and of ones that have been measured for a short time")
 {
-    speed_comparison slight;
+    const std::vector<double> slight{1, 1, 1, 1, 1, 1, 1, 1.4};
+    speed_comparison settled;
+    speed_comparison early;
+    speed_comparison few;
     speed_comparison great;
     for (int second = 0; second < 5; ++second) {
-        slight.update({1, 1, 1.4}, false, start + second * 1s);
+        settled.update(slight, true, start + second * 1s);
+        early.update(slight, false, start + second * 1s);
+        few.update({1, 1, 1.4}, true, start + second * 1s);
         great.update({0.6, 1, 1.6}, false, start + second * 1s);
     }
-    CHECK_FALSE(slight.areUneven());
+    CHECK(settled.areUneven());
+    CHECK_FALSE(early.areUneven());
+    CHECK_FALSE(few.areUneven());
     CHECK(great.areUneven());
 }
