--- a/bench/serving/main.cpp
+++ b/bench/serving/main.cpp
@@ -114,6 +114,7 @@
         TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "runs of each, with seeds from 1 on", false, 1, "number", command);
         TCLAP::ValueArg<double> crash("c", "crash", "share of the upstreams that crash half-way", false, 0, "share", command);
         std::vector<std::string> placementChoices;
+        placementChoices.reserve(policies.size());
         for (const placement_policy policy : policies) {
             placementChoices.emplace_back(toString(policy));
         }
