--- a/tests/unit/serving/gateway_settings_test.cpp
+++ b/tests/unit/serving/gateway_settings_test.cpp
@@ -56,3 +56,12 @@
         CHECK_THROWS_WITH(settingsWith(key + ": -1\n"), Catch::Contains(key));
     }
 }
+
+TEST_CASE("gateway settings name the placement policy, automatic by default")
+{
+    CHECK(settingsWith("").placement == placement_policy::Automatic);
+    for (const placement_policy policy : {placement_policy::Automatic, placement_policy::ExpectedCost, placement_policy::LeastRuns}) {
+        CHECK(settingsWith("placement: " + std::string(toString(policy)) + "\n").placement == policy);
+    }
+    CHECK_THROWS_AS(settingsWith("placement: cheapest\n"), settings_error);
+}
