--- a/bench/common/site_model.h
+++ b/bench/common/site_model.h
@@ -35,6 +35,8 @@
     double firstByteSteps = 1; ///< Until the first token.
     double tokens = 1; ///< In the mean.
     double tokenSpread = 0; ///< Standard deviation over the mean.
+    double longShare = 0; ///< Of the requests, whose answers are longFactor times as long.
+    double longFactor = 1;
     double worth = 1;
     double lateWorth = 0;
     std::uint32_t priority = 0;
@@ -74,6 +76,19 @@
     [[nodiscard]] bool isBurst(time_point when) const;
 };
 
+/// A time in which more is asked than usual.
+struct load_surge
+{
+    std::optional<std::size_t> kind; ///< Whose rate rises; empty for all kinds.
+    std::optional<std::size_t> caller; ///< Whose rate rises; empty for all callers.
+    time_point from;
+    time_point until;
+    double factor = 1; ///< Times the rate.
+
+    /// Times the rate of requests of @p ofKind by @p ofCaller at @p when.
+    [[nodiscard]] double factorAt(time_point when, std::size_t ofKind, std::size_t ofCaller) const;
+};
+
 /// A fleet and its load.
 struct site_model
 {
@@ -83,12 +98,15 @@
     std::vector<class_model> classes;
     std::optional<job_model> jobs;
     load_shape shape;
+    std::vector<double> callers; ///< The share of each caller in the mean rates; empty if the scheduler does not know callers.
+    std::vector<load_surge> surges;
     duration clientDelay = std::chrono::milliseconds(3); ///< One way.
     duration nodeDelay = std::chrono::microseconds(700); ///< One way, between nodes and to upstreams.
 };
 
 /// The sites of the milestones by name: "niebla", "nekomori", "niebla-grown", "nekomori-grown", "niebla-large",
-/// "veriga", and "veriga-jobs" with a burst of jobs up to its quota. The figures are those of
+/// "veriga", "veriga-jobs" with a burst of jobs up to its quota, and "clachan"; "uneven", whose upstreams have
+/// three speeds, and "uneven-tails", where one answer in twenty is much longer besides. The figures are those of
 /// the users' sheets. @throws std::invalid_argument for another name
 [[nodiscard]] site_model siteNamed(std::string_view name);
 
--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "banyan/core/endpoint.h"
 #include "banyan/core/identifier.h"
 #include "banyan/core/serving/limit_tolerance.h"
+#include "banyan/core/serving/placement_policy.h"
 #include "banyan/core/time.h"
 #include "banyan/io/log.h"
 
@@ -23,6 +24,7 @@
     endpoint store; ///< Key `store`: the platform's store.
     double processorShare = 1; ///< Key `processor_share`: cores for this process; stronger VMs schedule the requests of others.
     limit_tolerance organisationLimits; ///< Keys `limit_window_seconds`, `limit_overage`, `limit_slack`.
+    placement_policy placement = placement_policy::Automatic; ///< Key `placement`: by what the upstream of a run is chosen.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: time from SIGTERM to the end of the process.
     duration revocationTime{}; ///< Key `revocation_seconds`: after which no request under a key that was taken away runs; 0 for no limit.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -20,7 +20,7 @@
 constexpr double maximumSlack = 1e6; // Requests.
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 15> knownKeys = {"vm",
+constexpr std::array<std::string_view, 16> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -28,6 +28,7 @@
                                                         "metrics_listen",
                                                         "store",
                                                         "processor_share",
+                                                        "placement",
                                                         "shutdown_seconds",
                                                         "revocation_seconds",
                                                         "limit_window_seconds",
@@ -56,6 +57,17 @@
     return tolerance;
 }
 
+placement_policy placementOf(const settings_reader &reader)
+{
+    const std::string name = reader.text("placement");
+    for (const placement_policy policy : {placement_policy::Automatic, placement_policy::ExpectedCost, placement_policy::LeastRuns}) {
+        if (name == toString(policy)) {
+            return policy;
+        }
+    }
+    reader.failAt("placement", "automatic, expected_cost or least_runs", name);
+}
+
 } // namespace
 
 gateway_settings readGatewaySettings(const std::string &path)
@@ -72,6 +84,9 @@
     if (reader.has("processor_share")) {
         settings.processorShare = reader.decimal("processor_share", minimumProcessorShare, maximumProcessorShare);
     }
+    if (reader.has("placement")) {
+        settings.placement = placementOf(reader);
+    }
     if (reader.has("shutdown_seconds")) {
         settings.shutdownTime = secondsIn(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
     }
