A reading that may be cut off proves nothing

Cause: the feed of changes does not say whether it leaves rows out; a call that returned a cut answer renewed the lease of keys for versions that it had not brought. Change: an answer of 500 rows or half a megabyte and more is applied, but is no proof. Unit tests pass, table_follower's with the new case.

--- a/io/src/serving/table_follower.cpp
+++ b/io/src/serving/table_follower.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t pageRows = 500; // Maximum of the store.
+constexpr std::size_t wholeAnswerBytes = std::size_t(500) << 10; // Half of the store's limit for an answer.
 constexpr std::uint32_t failuresOfLoss = 2; // Failed calls in a row after which the store counts as lost.
 
 duration jittered(duration value)
@@ -21,6 +22,16 @@
     return value / 2 + duration(std::uniform_int_distribution<duration::rep>(0, value.count())(generator));
 }
 
+/// Whether an answer is so far below the store's limits that it has all changes up to the time of the call.
+bool isWhole(const std::vector<table_row> &rows)
+{
+    std::size_t bytes = 0;
+    for (const table_row &row : rows) {
+        bytes += row.value.size();
+    }
+    return rows.size() < pageRows && bytes < wholeAnswerBytes;
+}
+
 } // namespace
 
 table_follower::table_follower(asio::io_context &context, table_store store, table_follower_options options, table_observer observer)
@@ -110,7 +121,7 @@
     if (!changes.rows.empty() && m_observer.onChangesApplied) {
         m_observer.onChangesApplied();
     }
-    if (m_observer.onRead) {
+    if (m_observer.onRead && isWhole(changes.rows)) {
         m_observer.onRead(calledAt);
     }
 }
--- a/tests/unit/serving/table_follower_test.cpp
+++ b/tests/unit/serving/table_follower_test.cpp
@@ -237,3 +237,21 @@
     });
     CHECK(fixture.readings.back() >= lostAt);
 }
+
+TEST_CASE("table_follower does not report a call whose answer the store may have cut off")
+{
+    follower_fixture fixture;
+    fixture.runUntil([&] {
+        return fixture.readings.size() == 1;
+    });
+    for (int number = 0; number < 500; ++number) {
+        fixture.set("p", "k" + std::to_string(number));
+    }
+    fixture.runUntil([&] {
+        return fixture.wasNotified("set k499");
+    });
+    CHECK(fixture.readings.size() == 1);
+    fixture.runUntil([&] {
+        return fixture.readings.size() == 2;
+    });
+}
