--- a/core/include/banyan/core/serving/job_entry.h
+++ b/core/include/banyan/core/serving/job_entry.h
@@ -16,6 +16,7 @@
     job_id id;
     std::string route; ///< Name of the route that received the job.
     std::string host; ///< Host of the route, sent with each run.
+    caller_id organisation; ///< Whose key submitted the job; empty if none did.
     time_point submittedAt;
     std::uint32_t total = 0; ///< Number of items.
     std::uint64_t tokensLeft = 0; ///< Tokens of the items without a recorded result; updated only while the route has a quota.
@@ -34,4 +35,10 @@
     auto operator<=>(const job_entry &) const = default;
 };
 
+/// Names the quota of waiting tokens of an organisation's jobs on a route; of all jobs there if the organisation is empty.
+[[nodiscard]] inline std::string quotaName(const std::string &route, const caller_id &organisation)
+{
+    return organisation.empty() ? route : route + "@" + organisation.text();
+}
+
 } // namespace banyan
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-constexpr double tailQuantile = 0.95; ///< Quantile of the time to first byte that is planned for: the slowest 5 % met a slow upstream.
 constexpr std::uint32_t errorMemory = 128; ///< First bytes over which expected and measured times are compared.
-constexpr std::size_t minimumFirstBytes = 16; ///< Fewer measurements do not determine the slowest twentieth.
 
 std::vector<scheduled_upstream *> membersOf(const upstream_cell &cell, std::map<upstream_id, scheduled_upstream> &upstreams)
 {
@@ -47,11 +45,6 @@
     }));
 }
 
-double service_schedule::tailFirstByteSeconds() const
-{
-    return firstBytes.count() < minimumFirstBytes ? firstByteSeconds : std::max(firstByteSeconds, firstBytes.quantile(tailQuantile));
-}
-
 cell_schedule &service_schedule::cell(const upstream_cell &cell)
 {
     const auto [entry, inserted] = cells.try_emplace(cell);
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -276,6 +276,27 @@
     return best;
 }
 
+scheduled_upstream *
+upstream_choice::selectAmongSlow(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now)
+{
+    const decision context = decide(service, cell, request, now);
+    scheduled_upstream *best = nullptr;
+    placement_score bestScore;
+    for (scheduled_upstream *const upstream : cell.members) {
+        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !isDegraded(*upstream, now);
+        const bool isInTarget = now + fromSeconds(upstream->firstByteSeconds) <= request.target;
+        if (!isOnlySlow || !isInTarget || !upstream->info.hasVersion(request.version) || isExcluded(request, upstream->info.id)) {
+            continue;
+        }
+        const std::optional<placement_score> score = onlineScore(context, *upstream);
+        if (score && (best == nullptr || *score < bestScore)) {
+            best = upstream;
+            bestScore = *score;
+        }
+    }
+    return best;
+}
+
 /// Scores an upstream for a batch run. Placed by cost, a run leaves some slots of the fast upstreams to online work while there is
 /// another one.
 placement_score upstream_choice::batchScore(const decision &context, const scheduled_upstream &upstream, const total_work &work)
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,7 @@
 class http_exchange;
 class part_watch;
 class node_metrics;
+class organisation_gate;
 class slot_broker;
 class stream_versions;
 class upstream_sender;
@@ -32,6 +34,9 @@
     part_watch &parts;
     node_metrics &metrics;
     stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
+    /// Whether a request under a key may be sent to an upstream now; if empty, every one may.
+    std::function<bool(const key_digest &key, time_point now)> maySend = {};
+    organisation_gate *limits = nullptr; ///< Keeps the limits of organisations; if null, there are none.
 };
 
 /// Forwards client requests to upstreams, retries failed attempts and returns the answers. Requests whose content keeps crashing
@@ -53,6 +58,9 @@
     /// Number of requests in progress.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// When the first caller was answered by an upstream; empty before.
+    [[nodiscard]] std::optional<time_point> firstAnswerAt() const;
+
     /// Ends every request by @p end, with an answer that says what is known, also those in progress. A request that may take
     /// longer is not begun any more: one that must not be repeated from now on, any other from @p lastStart on.
     void beginShutdown(time_point lastStart, time_point end);
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -5,12 +5,14 @@
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
 #include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/start_steps.h"
 #include "banyan/core/serving/upstream_cell.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/log.h"
 #include "banyan/io/node_metrics.h"
 #include "banyan/io/platform_error.h"
+#include "banyan/io/serving/caller_admission.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/part_watch.h"
 #include "banyan/io/serving/peer_exchange.h"
@@ -22,6 +24,7 @@
 #include "banyan/io/serving/table_follower.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
+#include "organisation_gate.h"
 #include "upstream_rates.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,6 +55,15 @@
 constexpr std::size_t maximumRemoteLosses = 64; // Bounds the size of reports; the observing node repeats losses that are left out.
 const std::string gatewayTable = "gateways";
 
+/// Longest wait of a call for a new configuration. Where keys can be taken away, several calls begin within the revocation time,
+/// so that one that fails does not end the lease of keys.
+duration configurationWait(duration revocationTime)
+{
+    constexpr int callsWithinRevocation = 5;
+    const duration usual = table_follower_options().wait;
+    return revocationTime > duration(0) ? std::min(usual, revocationTime / callsWithinRevocation) : usual;
+}
+
 node_id newIncarnation(const vm_id &vm)
 {
     std::random_device source;
@@ -104,12 +116,48 @@
                    .hubs = &m_hubs},
                   m_self,
                   settings.domain)
+        , m_callers({.context = context,
+                     .metrics = m_metrics,
+                     .routes =
+                         [this] {
+                             return m_table;
+                         },
+                     .readConfiguration =
+                         [this] {
+                             return m_configurationFollower->refresh();
+                         },
+                     .isStoreLost =
+                         [this] {
+                             return !m_configurationFollower->available();
+                         },
+                     .othersRead =
+                         [this] {
+                             return m_board.mostAreReady();
+                         }},
+                    settings.revocationTime)
         , m_rates({.scheduler = m_scheduler, .slots = m_slots, .metrics = m_metrics, .self = m_self})
+        , m_limits({.context = context,
+                    .metrics = m_metrics,
+                    .self = m_self,
+                    .send =
+                        [this](const node_id &to, const gateway_message &message) {
+                            return m_exchange.send(to, message);
+                        }},
+                   settings.organisationLimits)
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
-        , m_relay(
-              {.context = context, .slots = m_slots, .sender = m_sender, .parts = m_parts, .metrics = m_metrics, .versions = &m_versions},
-              m_platform.protocol)
+        , m_relay({.context = context,
+                   .slots = m_slots,
+                   .sender = m_sender,
+                   .parts = m_parts,
+                   .metrics = m_metrics,
+                   .versions = &m_versions,
+                   .maySend =
+                       [this](const key_digest &key, time_point now) {
+                           return m_callers.maySend(key, now);
+                       },
+                   .limits = &m_limits},
+                  m_platform.protocol)
         , m_quarantine(std::make_shared<content_quarantine>(
               content_quarantine_ports{.context = context,
                                        .store = m_platform.store,
@@ -130,6 +178,10 @@
                                            [this](std::uint64_t fingerprint, const std::string &text, time_point now) {
                                                quarantine(fingerprint, text, now);
                                            },
+                                       .loaded =
+                                           [this] {
+                                               reachStep(start_step::StoppedContents, currentTime());
+                                           },
                                        .withdraw =
                                            [this](std::uint64_t fingerprint) {
                                                m_relay.withdrawQuarantine(fingerprint);
@@ -154,6 +206,7 @@
     void start();
     task<> leave(duration jobTime);
     void housekeep();
+    void setCallerMetrics();
 
     [[nodiscard]] bool isReady() const
     {
@@ -188,6 +241,7 @@
     node_load ownLoad();
     void received(const gateway_message &message);
     void loadReported(const node_load &load);
+    void reachStep(start_step step, time_point now);
 
     asio::io_context &m_context;
     gateway_settings m_settings;
@@ -203,7 +257,9 @@
     scheduler_host m_scheduler;
     stream_versions m_versions;
     slot_broker m_slots;
+    caller_admission m_callers;
     upstream_rates m_rates;
+    organisation_gate m_limits;
     upstream_sender m_sender;
     part_watch m_parts;
     request_relay m_relay;
@@ -214,6 +270,7 @@
     asio::steady_timer m_loadChangeTimer;
     bool m_loadChangePending = false;
     time_point m_lastHousekeeping;
+    start_steps m_startSteps{currentTime()};
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
     std::map<std::string, gateway_entry> m_gateways; ///< Registered gateways by row key.
@@ -221,6 +278,8 @@
     std::vector<std::pair<time_point, lost_content>> m_remoteLosses; ///< Losses to forward, with the time of their report.
     std::uint64_t m_sequence = 0;
     endpoint m_peerAddress;
+    std::shared_ptr<table_follower> m_configurationFollower;
+    bool m_newestUnreadable = false; ///< Whether the newest configuration is not in force because it cannot be read.
     std::shared_ptr<table_follower> m_replicaFollower;
     bool m_replicasLoaded = false;
     bool m_replicasChanged = false; ///< Whether rows of the current call for changes have changed the registry.
@@ -251,7 +310,9 @@
         m_exchange.requestReport();
     });
     updateSchedulingState();
-    (void)follow({.table = m_platform.configurationTable, .pause = configurationPause}, configurationObserver());
+    m_configurationFollower =
+        follow({.table = m_platform.configurationTable, .pause = configurationPause, .wait = configurationWait(m_settings.revocationTime)},
+               configurationObserver());
     m_replicaFollower = follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
     (void)follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
     m_quarantine->start();
@@ -279,6 +340,11 @@
     observer.onChange = [this](const table_row &row) {
         applyConfiguration(row);
     };
+    observer.onRead = [this](time_point begunAt) {
+        if (!m_newestUnreadable) {
+            m_callers.configurationRead(begunAt);
+        }
+    };
     return observer;
 }
 
@@ -288,7 +354,8 @@
     if (row.name.key != m_platform.configurationKey || row.deleted) {
         return;
     }
-    std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row);
+    std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row, m_callers.digester());
+    m_newestUnreadable = !configuration;
     if (!configuration) {
         logEvent(log_level::Error, "configuration_not_readable", {{"row_version", std::to_string(row.version)}});
         return;
@@ -302,10 +369,13 @@
              {{"version", std::to_string(configuration->version)},
               {"before", std::to_string(versionInForce)},
               {"row_version", std::to_string(row.version)},
-              {"routes", std::to_string(configuration->routes.size())}});
+              {"routes", std::to_string(configuration->routes.size())},
+              {"organisations", std::to_string(configuration->organisations.size())}});
     m_metrics.set("configuration_version", static_cast<double>(configuration->version));
     m_table = std::make_shared<const route_table>(std::move(*configuration));
     m_jobs.configure(m_table);
+    m_limits.configure(m_table->configuration(), currentTime());
+    reachStep(start_step::Configuration, currentTime());
     if (m_configurationHandler) {
         m_configurationHandler(m_table->configuration());
     }
@@ -327,6 +397,7 @@
         m_replicasLoaded = true;
         replicasChanged();
         updateSchedulingState();
+        reachStep(start_step::Upstreams, currentTime());
     };
     observer.onChangesRead = [this](time_point since) {
         m_replicasChangedSince = since;
@@ -469,6 +540,7 @@
             applyGatewayRow(row);
         }
         gatewaysChanged();
+        reachStep(start_step::Gateways, currentTime());
     };
     observer.onChange = [this](const table_row &row) {
         applyGatewayRow(row);
@@ -550,6 +622,7 @@
         }
     }
     logEvent(log_level::Info, "gateway_registered", {{"node", self->m_self.text()}});
+    self->reachStep(start_step::Registered, currentTime());
 }
 
 /// Losses that this node observed itself, and those received from nodes that are not hubs. The latter report to hubs only, so
@@ -651,6 +724,7 @@
             .provenParts = m_parts.guard().proofsToReport(now),
             .limits = m_rates.limitsToReport(now),
             .leases = m_rates.leasesToReport(now),
+            .pools = m_limits.report(m_sequence, now),
             .claims = m_slots.claims()};
 }
 
@@ -668,6 +742,10 @@
         m_versions.received(*query);
     } else if (const auto *const origins = std::get_if<origin_row>(&message)) {
         m_versions.received(*origins);
+    } else if (const auto *const ask = std::get_if<credit_ask>(&message)) {
+        m_limits.received(*ask);
+    } else if (const auto *const grant = std::get_if<credit_grant>(&message)) {
+        m_limits.received(*grant);
     } else {
         m_slots.received(std::get<slot_release>(message));
     }
@@ -683,6 +761,7 @@
     m_slots.reported(load);
     recordRemoteLeaving(load, now);
     m_rates.recordReport(load, now);
+    m_limits.recordReport(load, m_hubs.isHub(load.sender), now);
     for (const lost_content &lost : load.lost) {
         m_relay.recordRemoteLoss(lost, load.sender, now);
         if (!m_hubs.isHub(load.sender) && m_remoteLosses.size() < maximumRemoteLosses) {
@@ -700,9 +779,55 @@
     }
 }
 
+/// Records a step of the start, and that the gateway is ready once nothing is missing any more.
+void gateway::implementation::reachStep(start_step step, time_point now)
+{
+    if (!m_startSteps.reach(step, now)) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(*m_startSteps.taken(step)).count();
+    m_metrics.set("start_" + std::string(toString(step)) + "_seconds", seconds);
+    if (step == start_step::Ready || step == start_step::FirstAnswer) {
+        const auto taken = [this](start_step reached) {
+            const std::optional<duration> time = m_startSteps.taken(reached);
+            return time ? std::to_string(time->count()) : std::string();
+        };
+        logEvent(log_level::Info,
+                 step == start_step::Ready ? "gateway_ready" : "gateway_serves",
+                 {{"configuration_us", taken(start_step::Configuration)},
+                  {"upstreams_us", taken(start_step::Upstreams)},
+                  {"stopped_contents_us", taken(start_step::StoppedContents)},
+                  {"gateways_us", taken(start_step::Gateways)},
+                  {"registered_us", taken(start_step::Registered)},
+                  {"ready_us", taken(start_step::Ready)},
+                  {"first_answer_us", taken(start_step::FirstAnswer)}});
+    }
+    if (isReady()) {
+        reachStep(start_step::Ready, now);
+    }
+}
+
+/// Tells by caller what became of the runs that this node schedules.
+void gateway::implementation::setCallerMetrics()
+{
+    for (const auto &[caller, count] : m_scheduler.scheduler().callerCounts().all()) {
+        const std::string prefix = "caller_" + (caller == caller_counts::others ? "others" : std::to_string(caller)) + "_";
+        m_metrics.setTotal(prefix + "asked", count.asked);
+        m_metrics.setTotal(prefix + "granted", count.granted);
+        m_metrics.setTotal(prefix + "waited_ms",
+                           static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(count.waited).count()));
+        for (const auto &[reason, refusals] : count.refused) {
+            m_metrics.setTotal(prefix + "refused_" + std::string(toString(reason)), refusals);
+        }
+    }
+}
+
 void gateway::implementation::housekeep()
 {
     const time_point now = currentTime();
+    if (const std::optional<time_point> answered = m_relay.firstAnswerAt()) {
+        reachStep(start_step::FirstAnswer, *answered);
+    }
     if (now - m_lastHousekeeping > housekeepingInterval + suspensionThreshold) {
         logEvent(log_level::Warning, "process_was_suspended", {{"for_us", std::to_string((now - m_lastHousekeeping).count())}});
     }
@@ -710,12 +835,16 @@
     m_board.expire(now);
     m_slots.handleLostNodes();
     m_quarantine->housekeep(now);
+    m_callers.housekeep(now);
     m_versions.housekeep();
     if (m_registry.tick(now)) {
         replicasChanged();
     }
     // A node that has just started reports before the others have read its registration.
-    m_rates.setNodes(m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1), m_hubs.reportTimeout());
+    const std::size_t gateways = m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1);
+    m_rates.setNodes(gateways, m_hubs.reportTimeout());
+    m_limits.setNodes(gateways, m_hubs.reportTimeout(), m_hubs.isHub(m_self) && !m_shuttingDown);
+    m_limits.housekeep(now);
     m_rates.apply(now);
     m_metrics.set("stopped_parts", static_cast<double>(m_parts.guard().stopped(now).size()));
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
@@ -730,6 +859,7 @@
     }
     m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
     m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
+    setCallerMetrics();
     m_housekeepingTimer.expires_after(housekeepingInterval);
     m_housekeepingTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
@@ -790,6 +920,11 @@
     return m_implementation->m_table;
 }
 
+caller_admission &gateway::callers()
+{
+    return m_implementation->m_callers;
+}
+
 request_relay &gateway::relay()
 {
     return m_implementation->m_relay;
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -10,11 +10,17 @@
 
 constexpr double minimumShutdownSeconds = 1;
 constexpr double maximumShutdownSeconds = 3600;
+constexpr double minimumRevocationSeconds = 1; // Unless it is 0. In less, not every gateway can read the configuration.
+constexpr double maximumRevocationSeconds = 86400;
 constexpr double minimumProcessorShare = 0.01; // In cores.
 constexpr double maximumProcessorShare = 1024; // In cores.
+constexpr double minimumWindowSeconds = 0.1;
+constexpr double maximumWindowSeconds = 3600;
+constexpr double maximumOverage = 10; // Times the limit.
+constexpr double maximumSlack = 1e6; // Requests.
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 12> knownKeys = {"vm",
+constexpr std::array<std::string_view, 16> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -24,9 +30,33 @@
                                                         "processor_share",
                                                         "placement",
                                                         "shutdown_seconds",
+                                                        "revocation_seconds",
+                                                        "limit_window_seconds",
+                                                        "limit_overage",
+                                                        "limit_slack",
                                                         "log_level",
                                                         "log_lines_per_second"};
 
+duration secondsIn(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+limit_tolerance readTolerance(const settings_reader &reader)
+{
+    limit_tolerance tolerance;
+    if (reader.hasValue("limit_window_seconds")) {
+        tolerance.window = secondsIn(reader.decimal("limit_window_seconds", minimumWindowSeconds, maximumWindowSeconds));
+    }
+    if (reader.hasValue("limit_overage")) {
+        tolerance.overage = reader.decimal("limit_overage", 0, maximumOverage);
+    }
+    if (reader.hasValue("limit_slack")) {
+        tolerance.slack = reader.decimal("limit_slack", 0, maximumSlack);
+    }
+    return tolerance;
+}
+
 placement_policy placementOf(const settings_reader &reader)
 {
     const std::string name = reader.text("placement");
@@ -58,9 +88,16 @@
         settings.placement = placementOf(reader);
     }
     if (reader.has("shutdown_seconds")) {
-        const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
-        settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
+        settings.shutdownTime = secondsIn(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
+    }
+    if (reader.has("revocation_seconds")) {
+        const double seconds = reader.decimal("revocation_seconds", 0, maximumRevocationSeconds);
+        if (seconds > 0 && seconds < minimumRevocationSeconds) {
+            reader.failAt("revocation_seconds", "0 or a number from 1", reader.text("revocation_seconds"));
+        }
+        settings.revocationTime = secondsIn(seconds);
     }
+    settings.organisationLimits = readTolerance(reader);
     if (reader.has("log_level")) {
         settings.logLevel = reader.logLevel("log_level");
     }
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -80,6 +80,13 @@
     return {.content = request_relay::fingerprint(item.path, item.body), .parts = m_ports.sender.sharedParts(fieldsOf(item))};
 }
 
+/// The organisation's priority goes before the route's.
+std::uint32_t listed_job_service::implementation::priorityOf(const job_entry &entry, const route &jobRoute) const
+{
+    const organisation *const submitter = m_table ? m_table->findOrganisation(entry.organisation) : nullptr;
+    return submitter == nullptr ? jobRoute.priority : submitter->priority.value_or(jobRoute.priority);
+}
+
 /// The size that the item's fields state; else all its tokens, which may be of the prompt or of the output.
 request_size listed_job_service::implementation::sizeOf(const job_item &item) const
 {
@@ -162,7 +169,7 @@
     slot_request request{.id = id,
                          .service = service,
                          .workClass = work_class::Batch,
-                         .priority = jobRoute.priority,
+                         .priority = priorityOf(job->entry, jobRoute),
                          .arrivedAt = currentTime(),
                          .target = job->entry.submittedAt + jobRoute.completionWindow,
                          .deadline = job->entry.submittedAt + std::max(jobRoute.retention, jobRoute.completionWindow),
@@ -171,6 +178,7 @@
                          .version = progress.version(),
                          .excluded = state.unusableUpstreams,
                          .earlierRunTime = state.earlierRunTime,
+                         .caller = callerKeyOf(job->entry.organisation),
                          .size = sizeOf(job->items[index])};
     // Each run has its own stop signal, since an item whose slot was reclaimed runs again later.
     state.stopSignal = stop_signal();
@@ -236,6 +244,7 @@
                      .method = "POST",
                      .target = item.path,
                      .host = job->entry.host,
+                     .organisation = job->entry.organisation,
                      .fields = fieldsOf(item),
                      .body = item.body,
                      .resumeAfter = progress.resumeAfter(),
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -15,6 +15,7 @@
 #include "banyan/io/serving/stop_signal.h"
 #include "banyan/io/serving/stream_versions.h"
 #include "banyan/io/serving/upstream_sender.h"
+#include "organisation_gate.h"
 #include "relayed_stream.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -163,6 +164,7 @@
     std::optional<time_point> m_lastStart; ///< Set while the node shuts down; see beginShutdown().
     time_point m_end;
     std::uint64_t m_arrivals = 0;
+    std::optional<time_point> m_firstAnswerAt;
 };
 
 /// State of one request from its arrival to its answer.
@@ -215,6 +217,9 @@
             co_await rejectQuarantined(*until);
             co_return;
         }
+        if (!co_await isWithinLimit()) {
+            co_return;
+        }
         try {
             bool hasEnded = false;
             while (!hasEnded) {
@@ -281,6 +286,24 @@
         }
     }
 
+    /// Whether the limit of the request's organisation admits it, counted once for all its attempts; if not, ends the request.
+    task<bool> isWithinLimit()
+    {
+        if (m_relay.m_ports.limits == nullptr || m_request.organisation.empty()) {
+            co_return true;
+        }
+        const limit_decision decision = co_await m_relay.m_ports.limits->admit(m_request.organisation, m_request.id);
+        if (m_stopCause != stop_cause::None) {
+            co_await endStopped();
+            co_return false;
+        }
+        if (decision.verdict != limit_verdict::Admitted) {
+            co_await endWithoutAttempt(end_reason::RateLimited, decision.retryAfter);
+            co_return false;
+        }
+        co_return true;
+    }
+
     /// Makes one attempt, including the wait for a slot. Returns whether the request has ended.
     task<bool> tryOnce()
     {
@@ -312,6 +335,12 @@
             co_await rejectQuarantined(*until);
             co_return true;
         }
+        if (!hasValidKey(currentTime())) {
+            m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
+            m_relay.m_ports.metrics.count("key_invalid_after_wait");
+            co_await endWithoutAttempt(end_reason::KeyUnproven, notRunRetryAfter);
+            co_return true;
+        }
         if (const std::string_view reason = reasonToDecline(registered, granted); !reason.empty()) {
             // The scheduling node's list of upstreams may be older or newer than this node's.
             m_relay.m_ports.slots.released(m_slotId, {.outcome = attempt_outcome::Cancelled});
@@ -340,6 +369,12 @@
         co_return co_await attemptEnded(sentTo, report);
     }
 
+    /// Whether the request may still run under its key, which may have been taken away while it waited.
+    [[nodiscard]] bool hasValidKey(time_point now) const
+    {
+        return !m_request.key || !m_relay.m_ports.maySend || m_relay.m_ports.maySend(*m_request.key, now);
+    }
+
     /// Whether the stream can go on only at a version of which this node's own list has no upstream that accepts work. The slots
     /// that a node in step would grant at such upstreams would all be declined here.
     [[nodiscard]] bool isOfUnreadVersion() const
@@ -439,6 +474,7 @@
                          .method = m_request.method,
                          .target = m_request.target,
                          .host = m_request.host,
+                         .organisation = m_request.organisation,
                          .fields = m_request.fields,
                          .body = m_request.body,
                          .resumeAfter = m_stream.lastEvent(),
@@ -593,6 +629,9 @@
     /// Forwards a complete answer, or finishes a stream.
     task<> answer(const attempt_report &report)
     {
+        if (!m_relay.m_firstAnswerAt) {
+            m_relay.m_firstAnswerAt = currentTime();
+        }
         m_timer.cancel();
         const final_result result{.what = disposition::Completed};
         if (m_stream.headSent()) {
@@ -771,6 +810,11 @@
     return m_implementation->m_active.size();
 }
 
+std::optional<time_point> request_relay::firstAnswerAt() const
+{
+    return m_implementation->m_firstAnswerAt;
+}
+
 void request_relay::beginShutdown(time_point lastStart, time_point end)
 {
     m_implementation->m_lastStart = lastStart;
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "memory_store.h"
+#include "serving/organisation_gate.h"
 
 #include "banyan/core/serving/route_table.h"
 #include "banyan/io/clock.h"
@@ -78,12 +79,34 @@
         , client(context, {})
         , sender(client, platform::makeProtocol())
         , parts(metrics)
-        , relay({.context = context, .slots = slots, .sender = sender, .parts = parts, .metrics = metrics}, platform::makeProtocol())
+        , limits({.context = context,
+                  .metrics = metrics,
+                  .self = id,
+                  .send =
+                      [this](const node_id &, const gateway_message &message) {
+                          if (onSend) {
+                              onSend(message);
+                          }
+                          return static_cast<bool>(onSend);
+                      }},
+                 {})
+        , relay({.context = context,
+                 .slots = slots,
+                 .sender = sender,
+                 .parts = parts,
+                 .metrics = metrics,
+                 .maySend =
+                     [this](const key_digest &, time_point) {
+                         return keysAreValid;
+                     },
+                 .limits = &limits},
+                platform::makeProtocol())
     {
     }
 
     node_id id;
     std::function<void(const gateway_message &message)> onSend;
+    bool keysAreValid = true; ///< Whether the relay may send requests under keys.
     std::vector<node_id> sentTo; ///< Receiver of each message.
     load_board board{std::chrono::seconds(2)};
     scheduler_host scheduler;
@@ -92,6 +115,7 @@
     upstream_sender sender;
     node_metrics metrics;
     part_watch parts;
+    organisation_gate limits;
     request_relay relay;
 };
 
