Room: no look through all waiting batch runs while no slot is free

Change: the scan only where a slot is free or a run is bound to a version, ranks without ids, the rate of starts is computed once a decision.

--- a/core/src/serving/batch_order.cpp
+++ b/core/src/serving/batch_order.cpp
@@ -41,7 +41,7 @@
 {
     const duration left = request.target - now;
     const duration remaining = remainingRunTime(request.earlierRunTime);
-    rank result{.targetUnreachable = left < remaining, .priority = request.priority, .id = request.id};
+    rank result{.targetUnreachable = left < remaining, .priority = request.priority};
     if (result.targetUnreachable) {
         result.urgency = remaining;
     } else if (request.earlierRunTime > duration(0) && toSeconds(request.earlierRunTime) >= startedShare * m_runSeconds) {
--- a/core/src/serving/batch_order.h
+++ b/core/src/serving/batch_order.h
@@ -19,14 +19,13 @@
 class batch_order
 {
 public:
-    /// The sort key of a waiting run; the least is scheduled first.
+    /// The sort key of a waiting run; the least is scheduled first, and of equal ones that with the least id.
     struct rank
     {
         bool targetUnreachable = false;
         std::uint32_t priority = 0;
         std::uint32_t group = 0;
         duration urgency{};
-        request_id id;
 
         auto operator<=>(const rank &) const = default;
     };
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -95,8 +95,7 @@
     static void addWaiting(service_schedule &service, cell_schedule &cell, const slot_request &request, bool late, time_point now);
     [[nodiscard]] static double
     startsPerSecond(const service_schedule &service, const cell_schedule &cell, const std::string &version, time_point now);
-    [[nodiscard]] duration
-    expectedWait(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
+    [[nodiscard]] duration expectedWait(const cell_schedule &cell, const slot_request &request, double rate) const;
     [[nodiscard]] rejection_basis
     rejectionBasisOf(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     [[nodiscard]] static duration
@@ -111,6 +110,7 @@
     void resolveOvercommit(service_schedule &service, time_point now);
     void scheduleWaiting(service_schedule &service, time_point now);
     void scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now);
+    [[nodiscard]] bool mayDecideBatch(const cell_schedule &cell) const;
     void scheduleBatch(service_schedule &service, cell_schedule &cell, time_point now);
     [[nodiscard]] static const slot_request *firstBatchRun(const service_schedule &service,
                                                            const cell_schedule &cell,
@@ -255,15 +255,11 @@
 
 /// The expected wait for a slot of the cell of a waiting online run: the runs that get a slot before it, divided by the rate at
 /// which slots become free. Only a cell that holds all upstreams of its service is queued for at several nodes.
-duration request_scheduler::implementation::expectedWait(const service_schedule &service,
-                                                         const cell_schedule &cell,
-                                                         const slot_request &request,
-                                                         time_point now) const
+duration request_scheduler::implementation::expectedWait(const cell_schedule &cell, const slot_request &request, double rate) const
 {
     const std::uint32_t waitingElsewhere = request.cell.count <= 1 ? m_board.waitingOnline(keyOf(request.service)) : 0;
     // Most of the queue does not wait for the upstreams of one version.
     const double ahead = request.version.empty() ? cell.online.aheadOf(request.id) + waitingElsewhere : 1;
-    const double rate = startsPerSecond(service, cell, request.version, now);
     return ahead < rate * toSeconds(longestExpectedWait) ? fromSeconds(ahead / rate) : longestExpectedWait;
 }
 
@@ -273,11 +269,12 @@
                                                                     const slot_request &request,
                                                                     time_point now) const
 {
+    const double rate = startsPerSecond(service, cell, request.version, now);
     return {.waiting = static_cast<std::uint32_t>(cell.online.onTimeCount()),
             .slots = cell.slots(request.version),
-            .expectedWait = expectedWait(service, cell, request, now),
+            .expectedWait = expectedWait(cell, request, rate),
             .firstByte = service.startTimes.tail(request.holder, now),
-            .startsPerSecond = startsPerSecond(service, cell, request.version, now),
+            .startsPerSecond = rate,
             .limited = cell.limitedMembers(),
             .caller = request.caller,
             .waitingOfCaller = static_cast<std::uint32_t>(cell.online.waitingOf(request.id)),
@@ -292,7 +289,7 @@
         throw std::invalid_argument("expected a run that is not known yet, found request=" + request.id.text() + " again");
     }
     if (request.workClass == work_class::Batch) {
-        cell.batch.emplace(request.id, request);
+        cell.addBatch(request);
         scheduleWaiting(service, now);
         return takeActions();
     }
@@ -375,7 +372,7 @@
     for (auto &[name, service] : m_services) {
         for (auto &[which, cell] : service.cells) {
             cell.online.remove(request);
-            cell.batch.erase(request);
+            cell.removeBatch(request);
         }
     }
 }
@@ -510,21 +507,33 @@
     }
 }
 
+/// Whether any waiting batch run may start or end now. Spares the look at many waiting runs while all slots are in use.
+bool request_scheduler::implementation::mayDecideBatch(const cell_schedule &cell) const
+{
+    const auto hasFreeSlot = [this](const scheduled_upstream *upstream) {
+        return m_choice.workAt(*upstream).all() < upstream->info.slots;
+    };
+    return cell.boundBatch > 0 || (!cell.batch.empty() && std::any_of(cell.members.begin(), cell.members.end(), hasFreeSlot));
+}
+
 void request_scheduler::implementation::scheduleBatch(service_schedule &service, cell_schedule &cell, time_point now)
 {
+    if (cell.batch.empty()) {
+        cell.batchShares.reset();
+    }
+    if (service.waitingOnline() > 0 || !mayDecideBatch(cell)) {
+        return;
+    }
     std::set<std::string> fullVersions; // Versions whose upstreams have no slot for a batch run that is bound to them.
     while (service.waitingOnline() == 0) {
         const slot_request *const first = firstBatchRun(service, cell, fullVersions, now);
         if (first == nullptr) {
-            if (cell.batch.empty()) {
-                cell.batchShares.reset();
-            }
             return;
         }
         const slot_request request = *first;
         scheduled_upstream *const upstream = m_choice.selectForBatch(service, cell, request, m_options.reactionTime, now);
         if (upstream != nullptr) {
-            cell.batch.erase(request.id);
+            cell.removeBatch(request.id);
             cell.batchShares.served(request.caller, service.costs.costOf(request));
             grant(service, request, *upstream, now);
         } else if (request.version.empty()) {
@@ -532,7 +541,7 @@
         } else if (m_choice.hasCandidate(service, cell, request, now)) {
             fullVersions.insert(request.version);
         } else {
-            cell.batch.erase(request.id);
+            cell.removeBatch(request.id);
             m_actions.push_back(slot_rejected{.request = request.id, .reason = end_reason::VersionGone});
         }
     }
@@ -552,11 +561,11 @@
         if (!request.version.empty() && excludedVersions.contains(request.version)) {
             continue;
         }
-        batch_order::rank rank = service.batchOrder.rankOf(request, now);
-        position candidate(rank.targetUnreachable, rank.priority, cell.batchShares.startOf(request.caller), std::move(rank));
+        const batch_order::rank rank = service.batchOrder.rankOf(request, now);
+        const position candidate(rank.targetUnreachable, rank.priority, cell.batchShares.startOf(request.caller), rank);
         if (first == nullptr || candidate < best) {
             first = &request;
-            best = std::move(candidate);
+            best = candidate;
         }
     }
     return first;
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -21,6 +21,18 @@
 
 } // namespace
 
+void cell_schedule::addBatch(const slot_request &request)
+{
+    const bool inserted = batch.emplace(request.id, request).second;
+    boundBatch += inserted && !request.version.empty() ? 1 : 0;
+}
+
+void cell_schedule::removeBatch(const request_id &id)
+{
+    const auto removed = batch.extract(id);
+    boundBatch -= !removed.empty() && !removed.mapped().version.empty() ? 1 : 0;
+}
+
 std::uint32_t cell_schedule::slots(const std::string &version) const
 {
     return std::accumulate(members.begin(), members.end(), 0U, [&](std::uint32_t sum, const scheduled_upstream *upstream) {
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -26,10 +26,15 @@
     std::vector<scheduled_upstream *> members; ///< Upstreams of the cell that accept new work.
     waiting_runs online;
     std::map<request_id, slot_request> batch;
+    std::size_t boundBatch = 0; ///< Waiting batch runs that are bound to a software version.
     share_clock batchShares; ///< What each caller's batch work has had while other batch work waited.
     retry_after_estimator retryEstimator;
     wait_margin waitMargin;
 
+    /// Adds or removes a waiting batch run.
+    void addBatch(const slot_request &request);
+    void removeBatch(const request_id &id);
+
     /// The number of slots of its members, or of those of one software version.
     [[nodiscard]] std::uint32_t slots(const std::string &version = {}) const;
 
