Tests: crowds of clients that we don't control, with fixed bounds

The bounds are those of the machine as the test's own settings name it (40 MiB, 150 descriptors), fixed here before the product changes. memory_megabytes and maximum_descriptors are read and checked; nothing heeds them yet.

--- a/io/include/banyan/io/serving/gateway_settings.h
+++ b/io/include/banyan/io/serving/gateway_settings.h
@@ -6,6 +6,7 @@
 #include "banyan/io/log.h"
 
 #include <compare>
+#include <cstddef>
 #include <string>
 
 namespace banyan {
@@ -20,6 +21,9 @@
     endpoint peerListen; ///< Key `peer_listen`: UDP between gateways.
     endpoint metricsListen; ///< Key `metrics_listen`: HTTP for metrics.
     endpoint store; ///< Key `store`: the platform's store.
+    std::size_t memoryMegabytes =
+        0; ///< Key `memory_megabytes`: memory of this VM for the process, in MiB; 0: what clients hold is not bounded.
+    std::size_t maximumDescriptors = 0; ///< Key `maximum_descriptors`: open descriptors of the process; 0: clients' are not bounded by it.
     double processorShare = 1; ///< Key `processor_share`: cores for this process; stronger VMs schedule the requests of others.
     duration shutdownTime = std::chrono::seconds(8); ///< Key `shutdown_seconds`: time from SIGTERM to the end of the process.
     log_level logLevel = log_level::Info; ///< Key `log_level`: debug, info, warning or error.
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -12,9 +12,13 @@
 constexpr double maximumShutdownSeconds = 3600;
 constexpr double minimumProcessorShare = 0.01; // In cores.
 constexpr double maximumProcessorShare = 1024; // In cores.
+constexpr std::uint64_t minimumMemory = 32; // MiB; less leaves no room for one long body beside the process itself.
+constexpr std::uint64_t maximumMemory = std::uint64_t(1) << 20; // MiB.
+constexpr std::uint64_t minimumDescriptors = 64;
+constexpr std::uint64_t maximumDescriptors = std::uint64_t(1) << 20;
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 11> knownKeys = {"vm",
+constexpr std::array<std::string_view, 13> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -22,6 +26,8 @@
                                                         "metrics_listen",
                                                         "store",
                                                         "processor_share",
+                                                        "memory_megabytes",
+                                                        "maximum_descriptors",
                                                         "shutdown_seconds",
                                                         "log_level",
                                                         "log_lines_per_second"};
@@ -42,6 +48,12 @@
     if (reader.has("processor_share")) {
         settings.processorShare = reader.decimal("processor_share", minimumProcessorShare, maximumProcessorShare);
     }
+    if (reader.has("memory_megabytes")) {
+        settings.memoryMegabytes = reader.number("memory_megabytes", minimumMemory, maximumMemory);
+    }
+    if (reader.has("maximum_descriptors")) {
+        settings.maximumDescriptors = reader.number("maximum_descriptors", minimumDescriptors, maximumDescriptors);
+    }
     if (reader.has("shutdown_seconds")) {
         const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
         settings.shutdownTime = std::chrono::duration_cast<duration>(seconds);
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -46,6 +46,9 @@
     : m_route(wanted.route)
     , m_storeRoute(wanted.storeRoute)
     , m_replicaArguments(wanted.replicaArguments)
+    , m_settings(wanted.settings)
+    , m_maximumBody(wanted.maximumBody)
+    , m_slots(wanted.slots)
 {
     m_store = std::make_unique<child_process>(child_process::options{.program = "tests/store_standin"});
     m_storeAddress = endpoint::parse(m_store->readyValue("address"));
@@ -68,7 +71,7 @@
 std::size_t gateway_fleet::startReplica(const std::string &version)
 {
     const std::size_t index = m_replicas.size();
-    std::vector<std::string> arguments = {"--id", "replica-" + std::to_string(index)};
+    std::vector<std::string> arguments = {"--id", "replica-" + std::to_string(index), "--slots", std::to_string(m_slots)};
     arguments.insert(arguments.end(), m_replicaArguments.begin(), m_replicaArguments.end());
     if (!version.empty()) {
         arguments.insert(arguments.end(), {"--software", version});
@@ -96,7 +99,7 @@
 void gateway_fleet::startGateway()
 {
     const std::size_t index = m_gateways.size();
-    writeSettings(index);
+    writeSettings(index, m_settings);
     auto gateway = std::make_unique<gateway_process>();
     gateway->settingsFile = m_directory.file("gateway-" + std::to_string(index) + ".yaml");
     gateway->process = std::make_unique<child_process>(
@@ -195,15 +198,16 @@
     if (version > 1) {
         routes.push_back(routeJson("added", "safe"));
     }
-    setRow("op",
-           "config",
-           json::object{
-               {"version", version},
-               {"routes", routes},
-               {"services", json::array{json::object{{"name", "s"}, {"max_conns", 100}}}},
-               {"limits",
-                json::object{
-                    {"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 15000}}}});
+    setRow(
+        "op",
+        "config",
+        json::object{
+            {"version", version},
+            {"routes", routes},
+            {"services", json::array{json::object{{"name", "s"}, {"max_conns", 100}}}},
+            {"limits",
+             json::object{
+                 {"max_header_bytes", 4096}, {"max_body_bytes", m_maximumBody}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 15000}}}});
 }
 
 void gateway_fleet::registerReplica(std::size_t index, const std::string &state, int startedAt) const
@@ -214,7 +218,7 @@
                         {"address", m_replicasForGateways.at(index).toString()},
                         {"zone", "d"},
                         {"version", m_versions.at(index)},
-                        {"slots", 8},
+                        {"slots", m_slots},
                         {"state", state},
                         {"born", startedAt},
                         {"seq", 1}});
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -32,6 +32,9 @@
         std::function<endpoint(const endpoint &)> route;
         /// Maps the store's address to the one by which one gateway reaches it; empty: as by @ref route.
         std::function<endpoint(std::size_t gateway, const endpoint &)> storeRoute;
+        std::string settings; ///< More lines of the gateways' settings files.
+        std::size_t maximumBody = 100000; ///< Of a client's request, in bytes; in the configuration.
+        std::size_t slots = 8; ///< Of each replica.
         std::size_t unregistered = 0; ///< So many of the replicas, the last ones, are not registered at first.
     };
 
@@ -106,6 +109,9 @@
     std::function<endpoint(const endpoint &)> m_route;
     std::function<endpoint(std::size_t gateway, const endpoint &)> m_storeRoute;
     std::vector<std::string> m_replicaArguments;
+    std::string m_settings;
+    std::size_t m_maximumBody;
+    std::size_t m_slots;
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_store;
     endpoint m_storeAddress;
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -10,6 +10,7 @@
 
 constexpr duration hangTime = std::chrono::hours(1);
 constexpr std::string_view crashMark = "crashes replicas"; // A body that holds it ends the connection of its run.
+constexpr std::string_view longMark = "/long"; // A path that holds it is answered at length.
 constexpr std::string_view crashingPart = "dead:"; // A prompt part that does the same.
 
 /// Counts a run while it is in progress.
@@ -97,11 +98,16 @@
     return fields;
 }
 
+std::string replica_standin::paddingOf(const http_exchange &exchange) const
+{
+    return exchange.path().find(longMark) == std::string::npos ? std::string() : std::string(m_options.longBytes, 'x');
+}
+
 task<> replica_standin::answerWhole(http_exchange &exchange)
 {
     co_await sleepFor(m_options.eventTime);
     http_response response{.status = m_mode == "impossible" ? 422U : 200U, .fields = answerFields({{"Response-Stamp", "stamp"}})};
-    response.body = "answer to " + exchange.requestId();
+    response.body = "answer to " + exchange.requestId() + paddingOf(exchange);
     response.framing = m_mode == "unframed" ? answer_framing::ConnectionEnd : answer_framing::Length;
     co_await exchange.respond(std::move(response));
 }
@@ -120,7 +126,14 @@
         const std::string number = std::to_string(id);
         std::string event = "id: ";
         const std::string prefix = m_options.version.empty() ? "" : m_options.version + ":";
-        event.append(number).append("\ndata: ").append(prefix).append(exchange.requestId()).append("-").append(number).append("\n\n");
+        event.append(number)
+            .append("\ndata: ")
+            .append(prefix)
+            .append(exchange.requestId())
+            .append("-")
+            .append(number)
+            .append(paddingOf(exchange))
+            .append("\n\n");
         co_await exchange.write(event);
     }
     co_await exchange.finish();
--- a/tests/standins/replica/replica_standin.h
+++ b/tests/standins/replica/replica_standin.h
@@ -18,6 +18,7 @@
     std::string id; ///< Its id in the store; other ids that a request expects are refused with 421.
     std::string version; ///< Of its software; if set, its events name it.
     std::size_t slots = 8; ///< Requests at once; more are refused as not run.
+    std::size_t longBytes = 0; ///< Added to a whole answer, or to each event of a stream, if the path has "/long".
     std::size_t events = 10; ///< Of a stream.
     duration eventTime = std::chrono::milliseconds(20); ///< From one event to the next.
 };
@@ -38,6 +39,7 @@
 private:
     task<> handle(http_exchange &exchange);
     [[nodiscard]] std::vector<http_field> answerFields(std::vector<http_field> fields) const;
+    [[nodiscard]] std::string paddingOf(const http_exchange &exchange) const;
     task<> answerWhole(http_exchange &exchange);
     task<> answerStream(http_exchange &exchange);
     task<> handleFaults(http_exchange &exchange);
