One account of the bytes held for clients, and who gives way

Cause: http_server limited one body and the number of connections, never the sum; a whole answer was kept three times over for as long as its reader took; connections were accepted until the descriptors ran out.

Change: byte_budget (core) is the process's account, drawn on through byte_share, which gives back on each way out: connections and what is read ahead, bodies (the string's growth and its copies towards the upstream included), answers not yet taken. A fifth is a reserve for small shares. If there is no room, client_ledger (core) chooses who gives way: bodies slower than 16 KiB/s over a second, then readers of answers, of the address that holds most the newest first. Bodies without room get 503 (not run, their request is incomplete) and Connection: close. Collected answers wait for room before more is read, and the upstream is not taken for slow meanwhile. A new connection beyond the callers' part of the descriptors ends one that closes or is outside a request, or is closed at once. Settings memory_megabytes and maximum_descriptors; without them as before. Large blocks are mapped and go back to the system when they are free.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -1,4 +1,6 @@
 #include "adapter.h"
+#include "banyan/core/descriptor_shares.h"
+#include "banyan/io/client_memory.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/http_exchange.h"
@@ -17,6 +19,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tclap/CmdLine.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -32,6 +36,7 @@
 constexpr duration upstreamConnectTimeout =
     std::chrono::milliseconds(200); // Hundred times the usual; a machine that has gone does not answer.
 constexpr duration answerMargin = std::chrono::milliseconds(300); // For the last answers to reach their callers before the process ends.
+constexpr int mappedBlockBytes = 128 << 10; // Larger blocks go back to the system as soon as they are free.
 constexpr duration shutdownPoll = std::chrono::milliseconds(50);
 
 struct command_line
@@ -65,18 +70,26 @@
         , m_storeClient(context, {.idleConnectionsPerEndpoint = 8, .unacknowledgedTimeout = std::chrono::seconds(2)})
         , m_upstreamClient(context, {.connectTimeout = upstreamConnectTimeout, .unacknowledgedTimeout = std::chrono::seconds(2)})
         , m_gateway(context, settings, platform::makeAdapter(m_storeClient, settings.store), m_upstreamClient)
-        , m_callers(context, {.listen = settings.callerListen, .requestIdField = std::string(platform::wire::requestIdField)})
-        , m_healthChecks(context, {.listen = settings.readyListen})
-        , m_metrics(context, {.listen = settings.metricsListen})
+        , m_descriptors(shareDescriptors(settings.maximumDescriptors))
+        , m_memory(byte_budget::optionsFor(settings.memoryMegabytes << 20U))
+        , m_callers(context,
+                    {.listen = settings.callerListen,
+                     .maximumConnections = m_descriptors.callers,
+                     .memory = &m_memory,
+                     .requestIdField = std::string(platform::wire::requestIdField)})
+        , m_healthChecks(context, {.listen = settings.readyListen, .maximumConnections = m_descriptors.others, .memory = &m_memory})
+        , m_metrics(context, {.listen = settings.metricsListen, .maximumConnections = m_descriptors.others, .memory = &m_memory})
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
     }
 
     void start()
     {
+        m_gateway.limitMemory(m_memory);
         platform::serveClients(m_callers, m_gateway);
         platform::serveHealthChecks(m_healthChecks, m_gateway);
         m_metrics.route("GET", "/metrics", [this](http_exchange &exchange) -> task<> {
+            publishHeld();
             http_response response{.fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}},
                                    .body = m_gateway.metrics().text()};
             co_await exchange.respond(std::move(response));
@@ -97,6 +110,14 @@
     }
 
 private:
+    void publishHeld()
+    {
+        m_memory.publish(m_gateway.metrics());
+        m_gateway.metrics().set("caller_connections", static_cast<double>(m_callers.connections()));
+        m_gateway.metrics().set("caller_connections_limit", static_cast<double>(m_descriptors.callers));
+        m_gateway.metrics().setTotal("clients_turned_away", m_callers.turnedAway() + m_healthChecks.turnedAway() + m_metrics.turnedAway());
+    }
+
     void waitForSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int number) {
@@ -179,6 +200,8 @@
     http_client m_storeClient;
     http_client m_upstreamClient;
     gateway m_gateway;
+    descriptor_shares m_descriptors;
+    client_memory m_memory;
     http_server m_callers;
     http_server m_healthChecks;
     http_server m_metrics;
@@ -197,6 +220,9 @@
         if (line.checkOnly) {
             return 0;
         }
+        if (settings.memoryMegabytes != 0) {
+            (void)mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+        }
         asio::io_context context(1);
         gateway_process process(context, line.settingsFile, settings);
         process.start();
--- /dev/null
+++ b/core/src/byte_budget.cpp
@@ -0,0 +1,78 @@
+#include "banyan/core/byte_budget.h"
+
+#include <algorithm>
+
+namespace banyan {
+
+namespace {
+
+constexpr std::size_t smallestCapacity = std::size_t(16) << 20; // Bytes. Leaves room for one long body and its copies.
+constexpr std::size_t partsForClients = 2; // One in so many of the memory; the rest is the process's own.
+constexpr std::size_t partsInReserve = 5; // One in so many of the capacity.
+
+} // namespace
+
+std::string_view toString(memory_holder holder)
+{
+    switch (holder) {
+    case memory_holder::Connections:
+        return "connections";
+    case memory_holder::Bodies:
+        return "bodies";
+    case memory_holder::Answers:
+        break;
+    }
+    return "answers";
+}
+
+byte_budget::byte_budget(const byte_budget_options &options)
+    : m_options(options)
+{
+}
+
+byte_budget_options byte_budget::optionsFor(std::size_t memory)
+{
+    if (memory == 0) {
+        return {};
+    }
+    const std::size_t capacity = std::max(smallestCapacity, memory / partsForClients);
+    return {.capacity = capacity, .reserve = capacity / partsInReserve};
+}
+
+bool byte_budget::isLimited() const
+{
+    return m_options.capacity != 0;
+}
+
+std::size_t byte_budget::capacity() const
+{
+    return m_options.capacity;
+}
+
+std::size_t byte_budget::used() const
+{
+    return m_used;
+}
+
+std::size_t byte_budget::used(memory_holder holder) const
+{
+    return m_usedBy.at(static_cast<std::size_t>(holder));
+}
+
+bool byte_budget::mayResize(std::size_t before, std::size_t after) const
+{
+    if (after <= before || !isLimited()) {
+        return true;
+    }
+    const std::size_t limit = after <= m_options.smallShare ? m_options.capacity : m_options.capacity - m_options.reserve;
+    return m_used + (after - before) <= limit;
+}
+
+void byte_budget::resize(memory_holder holder, std::size_t before, std::size_t after)
+{
+    m_used = m_used - before + after;
+    std::size_t &usedBy = m_usedBy.at(static_cast<std::size_t>(holder));
+    usedBy = usedBy - before + after;
+}
+
+} // namespace banyan
--- a/io/include/banyan/io/http_message.h
+++ b/io/include/banyan/io/http_message.h
@@ -35,6 +35,9 @@
     answer_framing framing = answer_framing::Length;
     bool isFirstOnConnection = true; ///< It cannot be a late copy of an earlier answer.
 
+    /// The value of the first field of that name; empty if there is none.
+    [[nodiscard]] std::string field(const std::string &name) const;
+
     auto operator<=>(const http_response_head &) const = default;
 };
 
--- a/io/include/banyan/io/http_server.h
+++ b/io/include/banyan/io/http_server.h
@@ -6,12 +6,15 @@
 #include "banyan/io/http_exchange.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace banyan {
 
+class client_memory;
+
 /// Options of an http_server.
 struct http_server_options
 {
@@ -20,7 +23,8 @@
     duration headTimeout = std::chrono::seconds(10); ///< For a request's head to arrive.
     duration bodyTimeout = std::chrono::seconds(30); ///< Longest silence within a body.
     std::size_t maximumHead = std::size_t(16) << 10; ///< Bytes; a longer head is answered with 431.
-    std::size_t maximumConnections = 20000;
+    std::size_t maximumConnections = 20000; ///< At most; another one ends one that is outside a request, or is closed at once.
+    client_memory *memory = nullptr; ///< Account of what is held for clients; must outlive the server. If null, nothing bounds the sum.
     std::string requestIdField = "X-Request-Id"; ///< Name of the header field with a request's id; sent back with answers.
 };
 
@@ -46,7 +50,7 @@
     /// Takes the requests that no route matches, with any method; without it they are answered with 404 or 405.
     void routeOthers(http_handler handler);
 
-    /// Replaces the limits of connections from now on; the address and the field's name stay as they are.
+    /// Replaces the time limits and the limit of heads from now on; all else stays as it is.
     void setLimits(const http_server_options &options);
 
     /// Announces with each answer that its connection closes.
@@ -65,6 +69,9 @@
     /// they act on them.
     void refuseUnreadBodies();
 
+    /// Clients that had to give way to others so far, and connections that were closed at once.
+    [[nodiscard]] std::uint64_t turnedAway() const;
+
     /// Open connections.
     [[nodiscard]] std::size_t connections() const;
 
--- a/io/include/banyan/io/serving/gateway.h
+++ b/io/include/banyan/io/serving/gateway.h
@@ -16,6 +16,7 @@
 
 namespace banyan {
 
+class client_memory;
 class http_client;
 class http_exchange;
 class listed_job_service;
@@ -44,6 +45,9 @@
     gateway(asio::io_context &context, const gateway_settings &settings, gateway_platform platform, http_client &upstreamClient);
     ~gateway();
 
+    /// Lets what is held for clients draw on @p memory, which must outlive the gateway. To be called before start().
+    void limitMemory(client_memory &memory);
+
     /// Starts following the store and exchanging messages with the other gateways.
     void start();
 
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/attempt_result.h"
+#include "banyan/core/byte_share.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/serving/answer_head.h"
@@ -16,6 +17,7 @@
 
 namespace banyan {
 
+class client_memory;
 class stop_signal;
 
 /// Result of one attempt at an upstream.
@@ -24,6 +26,7 @@
     attempt_result result;
     std::optional<answer_head> head; ///< Set once the head of an answer has been received.
     std::string body; ///< Body, unless it was passed to attempt_observer::onBody.
+    byte_share held; ///< Of the body.
     bool staleConnection = false; ///< Lost on a reused connection that the upstream may have closed while it was idle.
     std::string error; ///< For logs; empty if the answer is complete.
 };
@@ -33,6 +36,7 @@
 {
     std::function<task<>(const answer_head &head)> onHead;
     std::function<task<>(std::string_view piece)> onBody; ///< If null, the body is collected in attempt_report::body.
+    std::function<void()> onRoomAwaited; ///< Reading stops until there is memory for the answer: from now on the upstream is not slow.
 };
 
 /// Sends attempts to upstreams over pooled connections.
@@ -46,6 +50,9 @@
     [[nodiscard]] task<attempt_report>
     send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
 
+    /// Draws the answers that are collected on @p memory, and reads on only while there is room. @p memory must outlive the sender.
+    void limitMemory(client_memory &memory);
+
     /// Hashes of the ids of the prompt parts that a request with these fields may share with others.
     [[nodiscard]] std::vector<std::uint64_t> sharedParts(const std::vector<http_field> &fields) const;
 
@@ -57,7 +64,12 @@
     void onRateStatement(std::function<void(const upstream_run &run, const answer_head &head)> handler);
 
 private:
+    task<> makeRoom(attempt_report &report, std::size_t bytes, const attempt_observer &observer, stop_signal &stop);
+    task<>
+    collect(attempt_report &report, std::string_view piece, std::size_t announced, const attempt_observer &observer, stop_signal &stop);
+
     http_client &m_client;
+    client_memory *m_memory = nullptr;
     upstream_protocol m_protocol;
     std::function<void(const upstream_run &run, unsigned status)> m_upstreamLeaves;
     std::function<void(const upstream_run &run, const answer_head &head)> m_rateStatement;
--- a/io/src/http_exchange.cpp
+++ b/io/src/http_exchange.cpp
@@ -68,7 +68,7 @@
 
 task<std::string> http_exchange::bodyPiece()
 {
-    return m_implementation.nextPiece();
+    return m_implementation.bodyPiece();
 }
 
 task<> http_exchange::respond(http_response response)
--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "banyan/core/byte_share.h"
+#include "banyan/io/client_memory.h"
 #include "banyan/io/error_answers.h"
 #include "banyan/io/http_body_error.h"
 #include "banyan/io/http_exchange.h"
@@ -8,6 +10,8 @@
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 namespace banyan {
 
 /// A new id for a request that came without an acceptable one.
@@ -30,6 +34,7 @@
         : m_connection(std::move(connection))
         , m_parser(parser)
         , m_options(std::move(settings))
+        , m_body(m_connection->memory != nullptr ? m_connection->memory->share(memory_holder::Bodies) : byte_share())
         , m_method(parser.get().method_string())
         , m_wholeTarget(parser.get().target())
         , m_target(split_target::parse(m_wholeTarget))
@@ -48,13 +53,16 @@
     task<std::string> nextPiece()
     {
         co_await sendContinue();
+        if (!m_parser.is_done()) {
+            co_await makeRoom(m_connection->held, server_connection::ownBytes + m_connection->buffer.capacity() + pieceBytes);
+        }
         std::string piece(pieceBytes, '\0');
         while (!m_parser.is_done()) {
             m_parser.get().body().data = piece.data();
             m_parser.get().body().size = piece.size();
             m_connection->stream.expires_after(m_options.bodyTimeout);
             boost::system::error_code error = asio::error::operation_aborted;
-            if (!m_connection->refusesBody) {
+            if (m_connection->refusal == body_refusal::None) {
                 m_connection->readsBody = true;
                 co_await boost::beast::http::async_read_some(
                     m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
@@ -65,6 +73,7 @@
             }
             const std::size_t length = piece.size() - m_parser.get().body().size;
             if (length != 0) {
+                m_connection->progressed(length);
                 piece.resize(length);
                 co_return piece;
             }
@@ -72,23 +81,39 @@
         co_return std::string();
     }
 
+    task<std::string> bodyPiece()
+    {
+        m_connection->enter(client_phase::Body);
+        std::string piece = co_await nextPiece();
+        m_connection->enter(client_phase::Run);
+        co_return piece;
+    }
+
     task<std::string> wholeBody(std::size_t limit)
     {
         const auto announced = m_parser.content_length();
         if (announced && *announced > limit) {
             co_await refuseLargeBody(limit);
         }
+        m_connection->enter(client_phase::Body);
         std::string result;
         for (;;) {
             const std::string piece = co_await nextPiece();
             if (piece.empty()) {
-                co_return result;
+                break;
             }
             if (result.size() + piece.size() > limit) {
+                result = {};
+                m_body.release();
                 co_await refuseLargeBody(limit);
             }
+            co_await grow(result, result.size() + piece.size(), announced ? *announced : limit);
             result += piece;
         }
+        co_await makeRoom(m_body, copiesOfBody * result.size());
+        m_connection->client.bytes = 0;
+        m_connection->enter(client_phase::Run);
+        co_return result;
     }
 
     task<> sendWhole(http_response response)
@@ -107,11 +132,19 @@
         message.result(response.status);
         message.version(11);
         addFields(message, response.fields);
-        message.body() = std::move(response.body);
+        const bool isLong = response.body.size() > answerPieceBytes;
+        byte_share held = shareOfAnswer(response.body.size());
         message.keep_alive(keepsAlive());
-        message.prepare_payload();
         m_answered = true;
         m_connection->stream.expires_after(writeTimeout);
+        const write_phase writing(*m_connection, response.body.size());
+        if (isLong) {
+            message.content_length(response.body.size());
+            co_await sendLong(message, response.body);
+            co_return;
+        }
+        message.body() = std::move(response.body);
+        message.prepare_payload();
         co_await boost::beast::http::async_write(m_connection->stream, message, asio::use_awaitable);
         m_complete = true;
     }
@@ -132,6 +165,7 @@
         boost::beast::http::response_serializer<boost::beast::http::empty_body> serializer(message);
         m_answered = true;
         m_connection->stream.expires_after(writeTimeout);
+        const write_phase writing(*m_connection, 0);
         co_await boost::beast::http::async_write_header(m_connection->stream, serializer, asio::use_awaitable);
     }
 
@@ -141,6 +175,8 @@
             co_return;
         }
         m_connection->stream.expires_after(writeTimeout);
+        byte_share held = shareOfAnswer(piece.size());
+        const write_phase writing(*m_connection, piece.size());
         const asio::const_buffer bytes(piece.data(), piece.size());
         if (m_isChunked) {
             co_await asio::async_write(m_connection->stream, boost::beast::http::make_chunk(bytes), asio::use_awaitable);
@@ -227,6 +263,81 @@
 
 private:
     static constexpr std::size_t pieceBytes = std::size_t(16) << 10;
+    static constexpr std::size_t answerPieceBytes = std::size_t(64) << 10; ///< Of a long answer, written at once.
+    static constexpr std::size_t copiesOfBody = 3; ///< While it is sent on to an upstream.
+    static constexpr duration roomPatience = std::chrono::milliseconds(200); ///< For clients that give way to a body.
+
+    /// Tells what the connection is busy with while it writes.
+    class write_phase
+    {
+    public:
+        write_phase(server_connection &connection, std::size_t bytes)
+            : m_connection(connection)
+        {
+            m_connection.client.bytes = bytes;
+            m_connection.enter(client_phase::Answer);
+        }
+        ~write_phase()
+        {
+            m_connection.client.bytes = 0;
+            m_connection.enter(client_phase::Run);
+        }
+        write_phase(const write_phase &) = delete;
+        write_phase &operator=(const write_phase &) = delete;
+
+    private:
+        server_connection &m_connection;
+    };
+
+    [[nodiscard]] byte_share shareOfAnswer(std::size_t bytes) const
+    {
+        byte_share share = m_connection->memory != nullptr ? m_connection->memory->share(memory_holder::Answers) : byte_share();
+        share.charge(bytes);
+        return share;
+    }
+
+    /// Writes a head and a body whose progress can be told.
+    template<typename Message>
+    task<> sendLong(Message &message, const std::string &body)
+    {
+        boost::beast::http::response_serializer<boost::beast::http::string_body> serializer(message);
+        co_await boost::beast::http::async_write_header(m_connection->stream, serializer, asio::use_awaitable);
+        for (std::size_t sent = 0; sent < body.size();) {
+            const asio::const_buffer piece(body.data() + sent, std::min(answerPieceBytes, body.size() - sent));
+            sent += co_await asio::async_write(m_connection->stream, piece, asio::use_awaitable);
+            m_connection->progressed(piece.size());
+        }
+        m_complete = true;
+    }
+
+    /// Draws room for @p share, or refuses the request.
+    task<> makeRoom(byte_share &share, std::size_t bytes)
+    {
+        if (share.resize(bytes)) {
+            co_return;
+        }
+        const bool hasRoom = co_await m_connection->memory->resize(share, bytes, roomPatience);
+        if (!hasRoom) {
+            m_connection->refusal = body_refusal::Memory;
+        }
+        if (m_connection->refusal != body_refusal::None) {
+            co_await refuseBody(asio::error::operation_aborted);
+        }
+        m_connection->enter(client_phase::Body); // The client is not slow because it had to wait.
+    }
+
+    /// Lets a body become @p needed bytes long, @p longest at most.
+    task<> grow(std::string &body, std::size_t needed, std::size_t longest)
+    {
+        if (needed <= body.capacity()) {
+            co_return;
+        }
+        const std::size_t next = std::min(std::max(needed, 2 * body.capacity()), std::max(needed, longest));
+        co_await makeRoom(m_body, body.capacity() + next); // Both exist while the bytes are moved.
+        body.reserve(next);
+        co_await makeRoom(m_body, body.capacity());
+        m_connection->client.bytes = m_body.bytes() + m_connection->held.bytes();
+    }
     static constexpr duration writeTimeout = std::chrono::seconds(30); ///< For a slow reader to take one piece.
 
     /// Whether the answer ends with its head.
@@ -277,12 +388,18 @@
     task<> refuseBody(boost::system::error_code error)
     {
         closeAfterwards();
-        if (m_connection->refusesBody && !m_answered) {
+        if (m_connection->refusal != body_refusal::None && !m_answered) {
+            const bool isShutdown = m_connection->refusal == body_refusal::Shutdown;
             http_response answer =
-                errorAnswer(503, "shutting_down", "The server shuts down; send the request to another one.", run_claim::NotRun);
+                isShutdown
+                    ? errorAnswer(503, "shutting_down", "The server shuts down; send the request to another one.", run_claim::NotRun)
+                    : errorAnswer(
+                        503, "overloaded", "The server has no memory for the body; send the request to another one.", run_claim::NotRun);
             answer.fields.push_back({.name = "Retry-After", .value = "0"});
+            m_body.release();
             co_await sendWhole(std::move(answer));
-            throw http_body_error("expected the whole body before the shutdown");
+            throw http_body_error(isShutdown ? "expected the whole body before the shutdown"
+                                             : "expected memory for the whole body, found none");
         }
         if (error == boost::beast::error::timeout) {
             // The timeout has closed the socket: nothing can be answered any more.
@@ -305,6 +422,7 @@
     connection_pointer m_connection;
     boost::beast::http::request_parser<boost::beast::http::buffer_body> &m_parser;
     options m_options;
+    byte_share m_body; ///< Of the request's body and its copies, until the exchange ends.
     std::string m_method;
     std::string m_wholeTarget;
     split_target m_target;
--- a/io/src/http_message.cpp
+++ b/io/src/http_message.cpp
@@ -33,6 +33,11 @@
     return hasBody && valueOf(fields, "Content-Length").empty() ? answer_framing::ConnectionEnd : answer_framing::Length;
 }
 
+std::string http_response_head::field(const std::string &name) const
+{
+    return valueOf(fields, name);
+}
+
 std::string http_response::field(const std::string &name) const
 {
     return valueOf(fields, name);
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -1,5 +1,8 @@
 #include "banyan/io/http_server.h"
 
+#include "banyan/core/client_ledger.h"
+#include "banyan/io/client_memory.h"
+#include "banyan/io/clock.h"
 #include "banyan/io/error_answers.h"
 #include "banyan/io/log.h"
 #include "http_exchange_implementation.h"
@@ -13,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <set>
 #include <stdexcept>
 
@@ -60,7 +64,6 @@
         m_options.headTimeout = options.headTimeout;
         m_options.bodyTimeout = options.bodyTimeout;
         m_options.maximumHead = options.maximumHead;
-        m_options.maximumConnections = options.maximumConnections;
     }
 
     void closeAfterAnswers()
@@ -68,6 +71,11 @@
         m_closing = true;
     }
 
+    [[nodiscard]] std::uint64_t turnedAway() const
+    {
+        return m_turnedAway;
+    }
+
     [[nodiscard]] std::size_t connections() const
     {
         return m_connections.size();
@@ -80,6 +88,12 @@
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(address);
         m_acceptor.listen();
+        if (m_options.memory != nullptr) {
+            m_options.memory->addYielder([weak = weak_from_this()](time_point now) {
+                const auto self = weak.lock();
+                return self && self->yieldMemory(now);
+            });
+        }
         asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
     }
 
@@ -104,7 +118,7 @@
     void refuseUnreadBodies()
     {
         for (const connection_pointer &connection : m_connections) {
-            connection->refusesBody = true;
+            connection->refusal = body_refusal::Shutdown;
             if (connection->readsBody) {
                 connection->stream.cancel();
             }
@@ -121,7 +135,8 @@
     {
         while (!self->m_stopping) {
             boost::system::error_code error;
-            tcp::socket socket = co_await self->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            tcp::endpoint peer;
+            tcp::socket socket = co_await self->m_acceptor.async_accept(peer, asio::redirect_error(asio::use_awaitable, error));
             if (self->m_stopping) {
                 co_return;
             }
@@ -131,23 +146,64 @@
                 co_await self->m_pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
                 continue;
             }
-            self->take(std::move(socket));
+            self->take(std::move(socket), peer.address().to_string());
         }
     }
 
-    void take(tcp::socket socket)
+    void take(tcp::socket socket, std::string address)
     {
-        if (m_connections.size() >= m_options.maximumConnections) {
-            logEvent(log_level::Warning, "connection_refused", {{"reason", "too_many_connections"}});
+        const time_point now = currentTime();
+        byte_share held = m_options.memory != nullptr ? m_options.memory->share(memory_holder::Connections) : byte_share();
+        const bool hasMemory = held.resize(server_connection::ownBytes);
+        if ((m_ledger.size() >= m_options.maximumConnections || !hasMemory) && !yieldConnection(now)) {
+            ++m_turnedAway;
+            logEvent(log_level::Info,
+                     "connection_refused",
+                     {{"reason", hasMemory ? "too_many_connections" : "no_memory"},
+                      {"address", address},
+                      {"connections", std::to_string(m_ledger.size())}});
             return;
         }
+        held.charge(server_connection::ownBytes);
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        auto connection = std::make_shared<server_connection>(std::move(socket));
+        auto connection = std::make_shared<server_connection>(std::move(socket), m_ledger.add(std::move(address), now), m_options.memory);
+        connection->held = std::move(held);
         m_connections.insert(connection);
         asio::co_spawn(m_acceptor.get_executor(), serve(shared_from_this(), connection), asio::detached);
     }
 
+    /// Ends one connection in favour of a new one. Returns whether there was one to end.
+    bool yieldConnection(time_point now)
+    {
+        held_client *const client = m_ledger.chooseForConnection(now);
+        return client != nullptr && yield(*client, "connections");
+    }
+
+    /// Ends what one client is busy with so that memory becomes free. Returns whether there was one to end.
+    bool yieldMemory(time_point now)
+    {
+        held_client *const client = m_ledger.chooseForMemory(now);
+        return client != nullptr && yield(*client, "memory");
+    }
+
+    bool yield(const held_client &client, const char *reason)
+    {
+        const auto found = std::find_if(m_connections.begin(), m_connections.end(), [&](const connection_pointer &connection) {
+            return &connection->client == &client;
+        });
+        ++m_turnedAway;
+        logEvent(log_level::Info,
+                 "client_turned_away",
+                 {{"reason", reason},
+                  {"address", client.address},
+                  {"phase", std::string(toString(client.phase))},
+                  {"bytes", std::to_string(client.bytes)},
+                  {"connections", std::to_string(m_ledger.size())}});
+        (*found)->yield();
+        return true;
+    }
+
     static task<> serve(std::shared_ptr<implementation> self, connection_pointer connection)
     {
         try {
@@ -159,12 +215,14 @@
             logEvent(log_level::Debug, "connection_ended", {{"error", error.what()}});
         }
         reportDisconnect(*connection);
+        connection->enter(client_phase::Closing);
         if (connection->resetsAtEnd) {
             connection->stream.close();
         } else {
             co_await closeGracefully(connection);
         }
         self->m_connections.erase(connection);
+        self->m_ledger.remove(connection->client);
     }
 
     /// Closes a connection without losing the last answer: a socket closed with unread bytes resets the connection, and the
@@ -186,6 +244,8 @@
     task<bool> serveOne(connection_pointer connection)
     {
         connection->idle = true;
+        connection->enter(client_phase::Idle);
+        (void)connection->held.resize(server_connection::ownBytes);
         if (m_stopping && connection->buffer.size() == 0) {
             co_return false;
         }
@@ -205,12 +265,15 @@
             }
         }
         connection->idle = false;
+        connection->enter(client_phase::Head);
         connection->stream.expires_after(m_options.headTimeout);
         co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_await refuseHead(connection, error);
             co_return false;
         }
+        connection->enter(client_phase::Run);
+        connection->client.wasServed = true;
         ++m_inProgress;
         const progress_guard guard(m_inProgress);
         http_exchange::implementation underlying(
@@ -274,16 +337,20 @@
         }
         underlying.pathArguments = match.arguments;
         std::string failure;
+        bool isOfBody = false;
         try {
             co_await (*handler)(exchange);
+        } catch (const http_body_error &error) {
+            failure = error.what();
+            isOfBody = true;
         } catch (const std::exception &error) {
             failure = error.what();
         }
         if (failure.empty()) {
             co_return;
         }
-        logEvent(log_level::Warning,
-                 "handler_failed",
+        logEvent(isOfBody ? log_level::Info : log_level::Warning, // Clients can cause any number of the former.
+                 isOfBody ? "body_refused" : "handler_failed",
                  {{"request_id", underlying.requestId()}, {"path", underlying.target().path}, {"error", failure}});
         if (!underlying.answered()) {
             underlying.closeAfterwards();
@@ -297,6 +364,8 @@
     http_route_table m_routes;
     http_handler m_fallback;
     std::set<connection_pointer> m_connections;
+    client_ledger m_ledger;
+    std::uint64_t m_turnedAway = 0;
     std::size_t m_inProgress = 0;
     bool m_stopping = false;
     bool m_closing = false; ///< No connection stays open after its next answer.
@@ -332,6 +401,11 @@
     m_implementation->closeAfterAnswers();
 }
 
+std::uint64_t http_server::turnedAway() const
+{
+    return m_implementation->turnedAway();
+}
+
 std::size_t http_server::connections() const
 {
     return m_implementation->connections();
--- a/io/src/server_connection.cpp
+++ b/io/src/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.h"
 
+#include "banyan/io/clock.h"
+
 #include <utility>
 
 namespace banyan {
@@ -24,6 +26,31 @@
 
 } // namespace
 
+void server_connection::enter(client_phase phase)
+{
+    client.enter(phase, currentTime());
+}
+
+void server_connection::progressed(std::size_t length)
+{
+    client.progress.record(length, currentTime());
+}
+
+void server_connection::yield()
+{
+    if (client.phase == client_phase::Body) {
+        refusal = body_refusal::Memory;
+        if (readsBody) {
+            stream.cancel();
+        }
+        return;
+    }
+    if (client.phase == client_phase::Answer) {
+        setResetsAtEnd(true);
+    }
+    stream.close();
+}
+
 void server_connection::setResetsAtEnd(bool value)
 {
     resetsAtEnd = value;
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -704,6 +704,11 @@
 
 gateway::~gateway() = default;
 
+void gateway::limitMemory(client_memory &memory)
+{
+    m_implementation->m_sender.limitMemory(memory);
+}
+
 void gateway::start()
 {
     m_implementation->start();
--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -12,10 +12,10 @@
 constexpr double maximumShutdownSeconds = 3600;
 constexpr double minimumProcessorShare = 0.01; // In cores.
 constexpr double maximumProcessorShare = 1024; // In cores.
-constexpr std::uint64_t minimumMemory = 32; // MiB; less leaves no room for one long body beside the process itself.
-constexpr std::uint64_t maximumMemory = std::uint64_t(1) << 20; // MiB.
-constexpr std::uint64_t minimumDescriptors = 64;
-constexpr std::uint64_t maximumDescriptors = std::uint64_t(1) << 20;
+constexpr double minimumMemory = 1; // MiB.
+constexpr double maximumMemory = 1 << 20; // MiB.
+constexpr double minimumDescriptors = 64;
+constexpr double maximumDescriptors = 1 << 20;
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
 constexpr std::array<std::string_view, 13> knownKeys = {"vm",
@@ -49,10 +49,11 @@
         settings.processorShare = reader.decimal("processor_share", minimumProcessorShare, maximumProcessorShare);
     }
     if (reader.has("memory_megabytes")) {
-        settings.memoryMegabytes = reader.number("memory_megabytes", minimumMemory, maximumMemory);
+        settings.memoryMegabytes = static_cast<std::size_t>(reader.decimal("memory_megabytes", minimumMemory, maximumMemory));
     }
     if (reader.has("maximum_descriptors")) {
-        settings.maximumDescriptors = reader.number("maximum_descriptors", minimumDescriptors, maximumDescriptors);
+        settings.maximumDescriptors =
+            static_cast<std::size_t>(reader.decimal("maximum_descriptors", minimumDescriptors, maximumDescriptors));
     }
     if (reader.has("shutdown_seconds")) {
         const std::chrono::duration<double> seconds(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -336,8 +336,8 @@
             m_stream.bind(granted.version);
         }
         const replica sentTo = *registered; // Copied because the list may change during the attempt.
-        const attempt_report report = co_await send(sentTo);
-        co_return co_await attemptEnded(sentTo, report);
+        attempt_report report = co_await send(sentTo);
+        co_return co_await attemptEnded(sentTo, std::move(report));
     }
 
     /// Whether the stream can go on only at a version of which this node's own list has no upstream that accepts work. The slots
@@ -449,6 +449,9 @@
             .silence = m_retries.nextByteTimeout(now)};
         m_stream.beginRun(upstream.softwareVersion);
         attempt_observer observer;
+        observer.onRoomAwaited = [this] {
+            m_relay.m_ports.slots.firstByte(m_slotId);
+        };
         if (m_route.kind == request_kind::Stream) {
             observer.onHead = [this](const answer_head &head) -> task<> {
                 co_await beginStream(head);
@@ -591,7 +594,7 @@
     }
 
     /// Forwards a complete answer, or finishes a stream.
-    task<> answer(const attempt_report &report)
+    task<> answer(attempt_report &report)
     {
         m_timer.cancel();
         const final_result result{.what = disposition::Completed};
@@ -600,14 +603,17 @@
         } else {
             recordFirstByte();
             m_status = report.head->status;
-            http_response response{
-                .status = report.head->status, .fields = report.head->fields, .body = report.body, .framing = report.head->framing};
+            http_response response{.status = report.head->status,
+                                   .fields = report.head->fields,
+                                   .body = std::move(report.body),
+                                   .framing = report.head->framing};
+            report.held.release(); // The server counts what it writes.
             co_await m_exchange.respond(std::move(response));
         }
         recordEnd(result);
     }
 
-    task<> endAfterAttempt(const attempt_report &report, next_step step)
+    task<> endAfterAttempt(attempt_report &report, next_step step)
     {
         const bool isUpstreamFailure =
             report.head && report.head->kind == answer_kind::Failure && report.error.empty() && !m_stream.headSent();
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -1,8 +1,12 @@
 #include "banyan/io/serving/upstream_sender.h"
 
+#include "banyan/io/client_memory.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/serving/stop_signal.h"
 
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
 #include <utility>
 
 namespace banyan {
@@ -11,6 +15,19 @@
 
 constexpr std::size_t maximumCollectedBytes = std::size_t(8) << 20; // Limit for an answer that is collected before it is forwarded.
 
+constexpr duration roomPatience = std::chrono::seconds(30); // For room for an answer, if nothing stops the attempt before.
+
+/// The length that an answer's head announces; 0 if none.
+std::size_t announcedLength(const http_response_head &head)
+{
+    std::size_t length = 0;
+    if (head.framing == answer_framing::Length) {
+        const std::string text = head.field("Content-Length");
+        std::from_chars(text.data(), text.data() + text.size(), length);
+    }
+    return length;
+}
+
 attempt_outcome outcomeOf(const answer_head &head)
 {
     switch (head.kind) {
@@ -62,10 +79,56 @@
     return m_protocol.sharedParts ? m_protocol.sharedParts(fields) : std::vector<std::uint64_t>();
 }
 
+void upstream_sender::limitMemory(client_memory &memory)
+{
+    m_memory = &memory;
+}
+
+task<> upstream_sender::makeRoom(attempt_report &report, std::size_t bytes, const attempt_observer &observer, stop_signal &stop)
+{
+    if (report.held.resize(bytes)) {
+        co_return;
+    }
+    if (observer.onRoomAwaited) {
+        observer.onRoomAwaited();
+    }
+    std::function<bool()> stopped = [&stop] {
+        return stop.stopped();
+    };
+    const bool hasRoom = co_await m_memory->resize(report.held, bytes, roomPatience, std::move(stopped));
+    if (!hasRoom) {
+        throw std::runtime_error("expected memory for the answer, found none");
+    }
+}
+
+/// Adds a piece to the body. While there is no room for it nothing more is read, which slows the upstream down.
+task<> upstream_sender::collect(attempt_report &report,
+                                std::string_view piece,
+                                std::size_t announced,
+                                const attempt_observer &observer,
+                                stop_signal &stop)
+{
+    const std::size_t needed = report.body.size() + piece.size();
+    if (needed > maximumCollectedBytes) {
+        throw http_error(sent_state::MaybeSent, false, "answer is larger than may be collected");
+    }
+    if (needed > report.body.capacity()) {
+        const std::size_t next = std::min(std::max({needed, 2 * report.body.capacity(), announced}), maximumCollectedBytes);
+        co_await makeRoom(report, report.body.capacity() + next, observer, stop); // Both exist while the bytes are moved.
+        report.body.reserve(next);
+        report.held.charge(report.body.capacity());
+    }
+    report.body += piece;
+}
+
 task<attempt_report>
 upstream_sender::send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
 {
     attempt_report report;
+    if (m_memory != nullptr) {
+        report.held = m_memory->share(memory_holder::Answers);
+    }
+    std::size_t announced = 0;
     const auto cancellation = std::make_shared<http_cancellation>();
     stop.onStop([cancellation] {
         cancellation->cancel();
@@ -73,6 +136,7 @@
     http_client::stream_handler handler;
     handler.onHead = [&](const http_response_head &head) -> task<> {
         report.head = m_protocol.decodeHead(head, run);
+        announced = announcedLength(head);
         if (report.head->upstreamLeaves && m_upstreamLeaves) {
             m_upstreamLeaves(run, head.status);
         }
@@ -91,10 +155,7 @@
             co_await observer.onBody(piece);
             co_return;
         }
-        if (report.body.size() + piece.size() > maximumCollectedBytes) {
-            throw http_error(sent_state::MaybeSent, false, "answer is larger than may be collected");
-        }
-        report.body += piece;
+        co_await collect(report, piece, announced, observer, stop);
     };
     const endpoint address = run.address;
     const connection_choice choice = run.onNewConnection ? connection_choice::New : connection_choice::IdleOrNew;
--- a/io/src/settings_reader.cpp
+++ b/io/src/settings_reader.cpp
@@ -39,7 +39,7 @@
 
 bool settings_reader::has(const char *key) const
 {
-    return static_cast<bool>(m_root[key]);
+    return m_root[key] && !m_root[key].IsNull();
 }
 
 endpoint settings_reader::address(const char *key) const
--- a/io/src/settings_reader.h
+++ b/io/src/settings_reader.h
@@ -20,6 +20,7 @@
     /// Reads a file that holds a map with no other keys than @p knownKeys.
     settings_reader(std::string path, std::span<const std::string_view> knownKeys);
 
+    /// Whether the key is there and has a value.
     [[nodiscard]] bool has(const char *key) const;
     [[nodiscard]] std::string text(const char *key) const;
     [[nodiscard]] endpoint address(const char *key) const;
