--- a/core/include/banyan/core/held_client.h
+++ b/core/include/banyan/core/held_client.h
@@ -35,7 +35,10 @@
     bool wasServed = false; ///< It has sent a whole request.
     bool yields = false; ///< Its connection was chosen to end.
 
-    void enter(client_phase next, time_point now);
+    /// Begins a phase in which the client is awaited.
+    void await(client_phase next, time_point now);
+    /// Begins the phase in which it is not.
+    void run();
 };
 
 } // namespace banyan
--- a/core/src/client_ledger.cpp
+++ b/core/src/client_ledger.cpp
@@ -48,13 +48,19 @@
     return "closing";
 }
 
-void held_client::enter(client_phase next, time_point now)
+void held_client::await(client_phase next, time_point now)
 {
     phase = next;
     since = now;
     progress.restart(now);
 }
 
+void held_client::run()
+{
+    phase = client_phase::Run;
+    bytes = 0;
+}
+
 held_client &client_ledger::add(std::string address, time_point now)
 {
     ++m_connectionsOf[address];
--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -83,9 +83,9 @@
 
     task<std::string> bodyPiece()
     {
-        m_connection->enter(client_phase::Body);
+        m_connection->await(client_phase::Body);
         std::string piece = co_await nextPiece();
-        m_connection->enter(client_phase::Run);
+        m_connection->client.run();
         co_return piece;
     }
 
@@ -95,8 +95,11 @@
         if (announced && *announced > limit) {
             co_await refuseLargeBody(limit);
         }
-        m_connection->enter(client_phase::Body);
+        if (m_parser.is_done()) {
+            co_return co_await nextPiece();
+        }
         std::string result;
+        m_connection->await(client_phase::Body);
         for (;;) {
             const std::string piece = co_await nextPiece();
             if (piece.empty()) {
@@ -111,8 +114,7 @@
             result += piece;
         }
         co_await makeRoom(m_body, copiesOfBody * result.size());
-        m_connection->client.bytes = 0;
-        m_connection->enter(client_phase::Run);
+        m_connection->client.run();
         co_return result;
     }
 
@@ -275,12 +277,11 @@
             : m_connection(connection)
         {
             m_connection.client.bytes = bytes;
-            m_connection.enter(client_phase::Answer);
+            m_connection.await(client_phase::Answer);
         }
         ~write_phase()
         {
-            m_connection.client.bytes = 0;
-            m_connection.enter(client_phase::Run);
+            m_connection.client.run();
         }
         write_phase(const write_phase &) = delete;
         write_phase &operator=(const write_phase &) = delete;
@@ -323,7 +324,7 @@
         if (m_connection->refusal != body_refusal::None) {
             co_await refuseBody(asio::error::operation_aborted);
         }
-        m_connection->enter(client_phase::Body); // The client is not slow because it had to wait.
+        m_connection->await(client_phase::Body); // The client is not slow because it had to wait.
     }
 
     /// Lets a body become @p needed bytes long, @p longest at most.
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -215,7 +215,7 @@
             logEvent(log_level::Debug, "connection_ended", {{"error", error.what()}});
         }
         reportDisconnect(*connection);
-        connection->enter(client_phase::Closing);
+        connection->await(client_phase::Closing);
         if (connection->resetsAtEnd) {
             connection->stream.close();
         } else {
@@ -244,7 +244,7 @@
     task<bool> serveOne(connection_pointer connection)
     {
         connection->idle = true;
-        connection->enter(client_phase::Idle);
+        connection->await(client_phase::Idle);
         (void)connection->held.resize(server_connection::ownBytes);
         if (m_stopping && connection->buffer.size() == 0) {
             co_return false;
@@ -265,14 +265,14 @@
             }
         }
         connection->idle = false;
-        connection->enter(client_phase::Head);
+        connection->await(client_phase::Head);
         connection->stream.expires_after(m_options.headTimeout);
         co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_await refuseHead(connection, error);
             co_return false;
         }
-        connection->enter(client_phase::Run);
+        connection->client.run();
         connection->client.wasServed = true;
         ++m_inProgress;
         const progress_guard guard(m_inProgress);
--- a/io/src/server_connection.cpp
+++ b/io/src/server_connection.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-void server_connection::enter(client_phase phase)
+void server_connection::await(client_phase phase)
 {
-    client.enter(phase, currentTime());
+    client.await(phase, currentTime());
 }
 
 void server_connection::progressed(std::size_t length)
--- a/io/src/server_connection.h
+++ b/io/src/server_connection.h
@@ -33,7 +33,8 @@
 
     static constexpr std::size_t ownBytes = std::size_t(12) << 10; ///< Of a connection's objects and its first read.
 
-    void enter(client_phase phase);
+    /// Begins a phase in which the client is awaited.
+    void await(client_phase phase);
     /// Records that the client has sent or taken so many bytes.
     void progressed(std::size_t length);
 
--- a/tests/memory/crowds_test.cpp
+++ b/tests/memory/crowds_test.cpp
@@ -158,6 +158,17 @@
 
 } // namespace
 
+TEST_CASE("a request with the longest body that the pages allow is served in calm on the smallest machine")
+{
+    constexpr std::size_t longestBody = std::size_t(4) << 20;
+    const gateway_fleet fleet({.gateways = 1, .settings = "memory_megabytes: 32\nmaximum_descriptors: 150\n", .maximumBody = longestBody});
+    const http_request request{.method = "POST",
+                               .target = "/once/whole",
+                               .fields = {{"Request-Id", "whole"}, {"Deadline-Ms", "5000"}},
+                               .body = std::string(longestBody, 'x')};
+    CHECK(call(fleet.callers(0), request).status == 200);
+}
+
 TEST_CASE("a crowd whose chunked bodies stop just short of their end, in large chunks, leaves the process within its memory")
 {
     small_machine machine;
--- a/tests/unit/client_ledger_test.cpp
+++ b/tests/unit/client_ledger_test.cpp
@@ -13,7 +13,7 @@
 held_client &add(client_ledger &ledger, const std::string &address, client_phase phase, std::size_t bytes, time_point now = start)
 {
     held_client &client = ledger.add(address, now);
-    client.enter(phase, now);
+    client.await(phase, now);
     client.bytes = bytes;
     return client;
 }
