--- a/io/src/settings_reader.h
+++ b/io/src/settings_reader.h
@@ -20,6 +20,7 @@
     /// Reads a file that holds a map with no other keys than @p knownKeys.
     settings_reader(std::string path, std::span<const std::string_view> knownKeys);
 
+    /// Whether the key is there and has a value.
     [[nodiscard]] bool has(const char *key) const;
     /// Whether the file has the key with a value; templates leave the value out if there is none.
     [[nodiscard]] bool hasValue(const char *key) const;
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -33,7 +33,9 @@
         /// Maps the store's address to the one by which one gateway reaches it; empty: as by @ref route.
         std::function<endpoint(std::size_t gateway, const endpoint &)> storeRoute;
         std::vector<std::string> keys; ///< Of the organisation "own"; without any, no keys are required.
-        std::string settings; ///< Further lines of the gateways' settings files.
+        std::string settings; ///< More lines of the gateways' settings files.
+        std::size_t maximumBody = 100000; ///< Of a client's request, in bytes; in the configuration.
+        std::size_t slots = 8; ///< Of each replica.
         std::size_t unregistered = 0; ///< So many of the replicas, the last ones, are not registered at first.
     };
 
@@ -111,6 +113,8 @@
     std::vector<std::string> m_replicaArguments;
     std::string m_settings;
     bool m_requiresKeys;
+    std::size_t m_maximumBody;
+    std::size_t m_slots;
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_store;
     endpoint m_storeAddress;
