Jobs draw on the account too, and bodies end once they are sent

Cause: a job's items stayed at its node for as long as it ran, whatever their sum; an online request and each run of an item kept two copies of their body until the whole answer had come.

Change: jobs draw on the budget (memory_holder::Jobs), half of it at most, from their submission on; without room 503 overloaded, nothing recorded. A job that is taken over is counted beyond, since it must not be lost. The copy for an upstream ends when it is sent.

--- a/core/include/banyan/core/byte_budget.h
+++ b/core/include/banyan/core/byte_budget.h
@@ -15,7 +15,7 @@
     std::size_t smallShare = std::size_t(64) << 10; ///< Largest size of a small share, in bytes.
 };
 
-/// The account of the bytes that a process holds for its clients. They are drawn and given back through byte_share.
+/// The account of the bytes that a process holds for its clients. Jobs may hold half of them. They are drawn and given back through byte_share.
 class byte_budget
 {
 public:
@@ -33,7 +33,7 @@
     friend class byte_share;
 
     /// Whether a share of @p before bytes may become one of @p after bytes.
-    [[nodiscard]] bool mayResize(std::size_t before, std::size_t after) const;
+    [[nodiscard]] bool mayResize(memory_holder holder, std::size_t before, std::size_t after) const;
     void resize(memory_holder holder, std::size_t before, std::size_t after);
 
     byte_budget_options m_options;
--- a/core/src/byte_budget.cpp
+++ b/core/src/byte_budget.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t smallestCapacity = std::size_t(16) << 20; // Bytes. Leaves room for one long body and its copies.
 constexpr std::size_t partsForClients = 2; // One in so many of the memory; the rest is the process's own.
+constexpr std::size_t partsForJobs = 2; // One in so many of the capacity: jobs stay for long, and requests need the rest.
 constexpr std::size_t partsInReserve = 5; // One in so many of the capacity.
 
 } // namespace
@@ -20,9 +21,11 @@
     case memory_holder::Bodies:
         return "bodies";
     case memory_holder::Answers:
+        return "answers";
+    case memory_holder::Jobs:
         break;
     }
-    return "answers";
+    return "jobs";
 }
 
 byte_budget::byte_budget(const byte_budget_options &options)
@@ -59,11 +62,14 @@
     return m_usedBy.at(static_cast<std::size_t>(holder));
 }
 
-bool byte_budget::mayResize(std::size_t before, std::size_t after) const
+bool byte_budget::mayResize(memory_holder holder, std::size_t before, std::size_t after) const
 {
     if (after <= before || !isLimited()) {
         return true;
     }
+    if (holder == memory_holder::Jobs && used(holder) + (after - before) > m_options.capacity / partsForJobs) {
+        return false;
+    }
     const std::size_t limit = after <= m_options.smallShare ? m_options.capacity : m_options.capacity - m_options.reserve;
     return m_used + (after - before) <= limit;
 }
--- a/core/src/byte_share.cpp
+++ b/core/src/byte_share.cpp
@@ -35,7 +35,7 @@
 
 bool byte_share::resize(std::size_t bytes)
 {
-    if (m_budget != nullptr && !m_budget->mayResize(m_bytes, bytes)) {
+    if (m_budget != nullptr && !m_budget->mayResize(m_holder, m_bytes, bytes)) {
         return false;
     }
     charge(bytes);
--- a/io/include/banyan/io/serving/listed_job_service.h
+++ b/io/include/banyan/io/serving/listed_job_service.h
@@ -20,6 +20,7 @@
 
 namespace banyan {
 
+class client_memory;
 class node_metrics;
 class part_watch;
 class report_hubs;
@@ -39,6 +40,7 @@
 enum class job_acceptance {
     Accepted, ///< The job is recorded, by this submission or an earlier one.
     NotAccepted, ///< The job is not recorded, and this submission will not record it later.
+    NoMemory, ///< Like NotAccepted, because this node holds too much for other jobs; another one may accept it.
     OverQuota, ///< Like NotAccepted, because too many tokens wait on the job's route.
     Unknown, ///< The job may be recorded.
 };
@@ -109,6 +111,9 @@
     listed_job_service(const listed_job_ports &ports, const listed_job_options &options);
     ~listed_job_service();
 
+    /// Accepts jobs only while @p memory has room for them; it must outlive the service. To be called before start().
+    void limitMemory(client_memory &memory);
+
     /// Starts following the jobs of all nodes, taking jobs over and removing expired ones.
     void start();
 
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -84,6 +84,12 @@
     {
     }
 
+    void bodySent(bool whole)
+    {
+        complete = whole;
+        message.body() = std::string(); // The answer may take long.
+    }
+
     http::request<http::string_body> message;
     bool complete = false;
 };
@@ -92,7 +98,7 @@
 {
     boost::system::error_code error;
     co_await http::async_write(connection->stream, pending->message, asio::redirect_error(asio::use_awaitable, error));
-    pending->complete = !error;
+    pending->bodySent(!error);
 }
 
 /// How long the peer keeps an idle connection, less a margin; none if it does not say.
@@ -144,7 +150,7 @@
     if (error) {
         fail(sent_state::MaybeSent, error, "write", connection->reused);
     }
-    pending->complete = true;
+    pending->bodySent(true);
     co_return pending;
 }
 
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -707,6 +707,7 @@
 void gateway::limitMemory(client_memory &memory)
 {
     m_implementation->m_sender.limitMemory(memory);
+    m_implementation->m_jobs.limitMemory(memory);
 }
 
 void gateway::start()
--- a/io/src/serving/job_listing.cpp
+++ b/io/src/serving/job_listing.cpp
@@ -20,7 +20,7 @@
         return;
     }
     job->states[index].hasResult = true;
-    job->results.push_back(std::move(result));
+    job->add(std::move(result));
     job->changed.notify();
 }
 
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -69,6 +69,10 @@
     {
         m_directory.setOwnState(state);
     }
+    void limitMemory(client_memory &memory)
+    {
+        m_memory = &memory;
+    }
     task<submission_answer> accept(job_submission submission);
     task<job_results> results(job_id id, std::uint32_t after, duration wait);
     task<item_lookup> itemBody(job_id id, std::string item);
@@ -92,6 +96,7 @@
     void recordFinishedTokens(const job_entry &entry);
     [[nodiscard]] std::uint64_t quotaOf(const std::string &route) const;
     task<submission_answer> record(job_submission submission, std::uint64_t tokens);
+    [[nodiscard]] byte_share shareOfJob() const;
     void startJob(const job_entry &entry,
                   std::vector<job_item> items,
                   std::vector<listed_result> listed,
@@ -121,6 +126,7 @@
 
     listed_job_ports m_ports;
     listed_job_options m_options;
+    client_memory *m_memory = nullptr;
     job_records m_records;
     job_directory m_directory;
     std::shared_ptr<table_follower> m_jobsFollower;
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/listed_job_service.h"
 
+#include "banyan/io/client_memory.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 #include "banyan/io/platform_error.h"
@@ -30,6 +31,8 @@
         return "accepted";
     case job_acceptance::NotAccepted:
         return "not_accepted";
+    case job_acceptance::NoMemory:
+        return "no_memory";
     case job_acceptance::OverQuota:
         return "over_quota";
     case job_acceptance::Unknown:
@@ -91,6 +94,11 @@
     }
 }
 
+byte_share listed_job_service::implementation::shareOfJob() const
+{
+    return m_memory != nullptr ? m_memory->share(memory_holder::Jobs) : byte_share();
+}
+
 void listed_job_service::implementation::startJob(const job_entry &entry,
                                                   std::vector<job_item> items,
                                                   std::vector<listed_result> listed,
@@ -108,6 +116,11 @@
     }
     job->results = std::move(listed);
     job->recordedCount = job->results.size();
+    job->held = shareOfJob();
+    job->held.charge(heldBytes(job->items)); // Also of a job that is taken over: it must not be lost.
+    for (const listed_result &result : job->results) {
+        job->held.charge(job->held.bytes() + result.output.size());
+    }
     m_running.emplace(entry.id, job);
     logEvent(log_level::Info,
              "job_begun",
@@ -143,6 +156,12 @@
     if (m_running.contains(submission.id) || m_directory.find(submission.id) != nullptr) {
         co_return submission_answer{.acceptance = job_acceptance::Accepted};
     }
+    byte_share room = shareOfJob(); // Until the job is recorded and has its own.
+    if (!room.resize(heldBytes(submission.items))) {
+        logEvent(
+            log_level::Info, "job_without_memory", {{"job", submission.id.text()}, {"bytes", std::to_string(heldBytes(submission.items))}});
+        co_return submission_answer{.acceptance = job_acceptance::NoMemory, .retryAfter = submissionRetryDelay};
+    }
     const std::string route = submission.route;
     const std::uint64_t limit = quotaOf(route);
     quota_reservation wanted{.job = submission.id, .claim = m_quota->newClaim()};
@@ -339,6 +358,11 @@
     m_implementation->start();
 }
 
+void listed_job_service::limitMemory(client_memory &memory)
+{
+    m_implementation->limitMemory(memory);
+}
+
 void listed_job_service::configure(std::shared_ptr<const route_table> table)
 {
     m_implementation->configure(std::move(table));
--- a/io/src/serving/running_job.cpp
+++ b/io/src/serving/running_job.cpp
@@ -6,6 +6,20 @@
 
 namespace banyan {
 
+std::size_t heldBytes(const std::vector<job_item> &items)
+{
+    constexpr std::size_t ownBytes = 1024; // Of an item's state.
+    constexpr std::size_t copies = 2;
+    std::size_t bytes = 0;
+    for (const job_item &item : items) {
+        bytes += ownBytes + copies * item.body.size();
+        for (const auto &[name, value] : item.fields) {
+            bytes += copies * (name.size() + value.size());
+        }
+    }
+    return bytes;
+}
+
 running_job::running_job(asio::io_context &context, job_entry stored, std::vector<job_item> jobItems, std::uint64_t number)
     : entry(std::move(stored))
     , serial(number)
@@ -15,6 +29,12 @@
 {
 }
 
+void running_job::add(listed_result result)
+{
+    held.charge(held.bytes() + result.output.size());
+    results.push_back(std::move(result));
+}
+
 item_state *running_job::find(const std::string &item)
 {
     const auto found = std::find_if(items.begin(), items.end(), [&](const job_item &candidate) {
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "banyan/core/byte_share.h"
 #include "banyan/core/serving/item_checkpoint.h"
 #include "banyan/core/serving/item_progress.h"
 #include "banyan/core/serving/job_entry.h"
@@ -32,6 +33,9 @@
     std::uint64_t checkpointedEvent = 0; ///< Id of the last event in the stored checkpoint; 0 for none.
 };
 
+/// Bytes that items take while their job runs, with their copies on the way to an upstream.
+[[nodiscard]] std::size_t heldBytes(const std::vector<job_item> &items);
+
 /// A job that this node runs, with the state of its items and the results so far.
 struct running_job
 {
@@ -53,6 +57,9 @@
     /// Total tokens of the items that have no result among the first @p count results.
     [[nodiscard]] std::uint64_t tokensLeftAfter(std::size_t count) const;
 
+    /// Appends a result.
+    void add(listed_result result);
+
     /// Stops the job and all its items in flight.
     void stop();
 
@@ -61,6 +68,7 @@
     std::vector<job_item> items;
     std::vector<item_state> states; ///< One element for each item, in the order of @p items.
     std::vector<listed_result> results; ///< In the order of their positions; the first @p recordedCount are recorded.
+    byte_share held; ///< Of the items and results.
     std::size_t recordedCount = 0; ///< Number of results that are recorded in the store, and so listed.
     bool stopped = false; ///< Whether the job was completed, ended, released or taken over by another node.
     async_event changed; ///< Notified when a result is added, a run ends or the job is stopped.
--- a/tests/memory/crowd.cpp
+++ b/tests/memory/crowd.cpp
@@ -2,6 +2,7 @@
 
 #include "banyan/io/asio_types.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,7 @@
 
 namespace {
 
+constexpr std::size_t lowestNumber = 10000; // Its digits but the first are those of client 0.
 constexpr int slowReceiveBuffer = 4096; // Bytes that the system keeps for a client that does not read.
 constexpr std::size_t slowReadBytes = 16;
 constexpr std::chrono::milliseconds slowReadPause(200);
@@ -40,10 +42,12 @@
         batchPieces = piecesAtOnce;
     }
 
-    task<> play(tcp::endpoint to)
+    task<> play(tcp::endpoint to, std::size_t number)
     {
         const auto socket = std::make_shared<tcp::socket>(context);
         boost::system::error_code error;
+        asio::steady_timer start(context, behaviour.stagger * number);
+        co_await start.async_wait(asio::redirect_error(asio::use_awaitable, error));
         socket->open(to.protocol(), error);
         if (behaviour.reads != reading::Everything) {
             socket->set_option(asio::socket_base::receive_buffer_size(slowReceiveBuffer), error);
@@ -55,16 +59,22 @@
         if (behaviour.reads != reading::Nothing) {
             asio::co_spawn(context, read(socket), asio::detached);
         }
-        co_await write(socket, error);
+        co_await write(socket, openingOf(number), error);
         if (!error) { // Stays until the crowd ends.
             asio::steady_timer forever(context, std::chrono::hours(1));
             co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, error));
         }
     }
 
-    task<> write(std::shared_ptr<tcp::socket> socket, boost::system::error_code &error)
+    [[nodiscard]] std::string openingOf(std::size_t number) const
     {
-        moved += co_await asio::async_write(*socket, asio::buffer(behaviour.opening), asio::redirect_error(asio::use_awaitable, error));
+        const std::string digits = std::to_string(lowestNumber + number).substr(1);
+        return boost::algorithm::replace_all_copy(behaviour.opening, "{client}", digits);
+    }
+
+    task<> write(std::shared_ptr<tcp::socket> socket, std::string opening, boost::system::error_code &error)
+    {
+        moved += co_await asio::async_write(*socket, asio::buffer(opening), asio::redirect_error(asio::use_awaitable, error));
         for (std::size_t sent = 0; sent < behaviour.pieces && !error; sent += batchPieces) {
             if (behaviour.pause.count() > 0) {
                 asio::steady_timer timer(context, behaviour.pause);
@@ -102,7 +112,7 @@
 {
     const tcp::endpoint address(asio::ip::make_address(to.address), to.port);
     for (std::size_t client = 0; client < clients; ++client) {
-        asio::co_spawn(m_implementation->context, m_implementation->play(address), asio::detached);
+        asio::co_spawn(m_implementation->context, m_implementation->play(address, client), asio::detached);
     }
     m_implementation->thread = std::thread([this] {
         m_implementation->context.run();
--- a/tests/memory/crowd.h
+++ b/tests/memory/crowd.h
@@ -19,10 +19,11 @@
 /// What each client of a crowd does on its connection: it sends, and stays until the other side closes or the crowd ends.
 struct crowd_behaviour
 {
-    std::string opening; ///< Sent first.
+    std::string opening; ///< Sent first; each "{client}" in it becomes the number of the client, in four digits.
     std::string piece; ///< Sent after it, again and again.
     std::size_t pieces = 0;
     std::chrono::milliseconds pause{0}; ///< Before each piece.
+    std::chrono::milliseconds stagger{0}; ///< From the start of one client to that of the next.
     reading reads = reading::Everything;
 };
 
--- a/tests/memory/crowds_test.cpp
+++ b/tests/memory/crowds_test.cpp
@@ -70,6 +70,17 @@
     return {.opening = "POST /safe/crowd HTTP/1.1\r\nHost: test\r\nX: ", .piece = "x", .pieces = 2000, .pause = 50ms};
 }
 
+/// A job with one long item.
+crowd_behaviour longJob()
+{
+    const std::string body(maximumBody * 7 / 8 / 4 * 4, 'A'); // Of an item, in base64.
+    const std::string job =
+        R"({"items":[{"id":"item-{client}","path":"/jobs/run","headers":{"Model":"m"},"body":")" + body + R"(","tokens":1}]})";
+    const std::size_t length = job.size() - std::string("{client}").size() + std::string("0000").size();
+    const std::string fields = "Request-Id: job-{client}\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(length);
+    return {.opening = headOf("POST", "/jobs/crowd", fields + "\r\n") + job, .stagger = 100ms};
+}
+
 crowd_behaviour idleConnection()
 {
     return {};
@@ -81,7 +92,7 @@
 public:
     small_machine()
         : m_fleet({.gateways = 1,
-                   .replicaArguments = {"--long-bytes", std::to_string(answerBytes)},
+                   .replicaArguments = {"--long-bytes", std::to_string(answerBytes), "--events", "1000"},
                    .settings = "memory_megabytes: " + std::to_string(memoryMegabytes)
                                + "\nmaximum_descriptors: " + std::to_string(maximumDescriptors) + "\n",
                    .maximumBody = maximumBody,
@@ -213,6 +224,13 @@
     machine.check();
 }
 
+TEST_CASE("a crowd that submits long jobs leaves the process within its memory")
+{
+    small_machine machine;
+    machine.add(60, longJob());
+    machine.check();
+}
+
 TEST_CASE("all crowds at once leave the process within its memory and descriptors")
 {
     small_machine machine;
--- a/tests/unit/byte_budget_test.cpp
+++ b/tests/unit/byte_budget_test.cpp
@@ -43,6 +43,16 @@
     CHECK(small.bytes() == 10);
 }
 
+TEST_CASE("byte_budget lets jobs hold half of it")
+{
+    byte_budget budget(options);
+    byte_share jobs(budget, memory_holder::Jobs);
+    CHECK_FALSE(jobs.resize(51));
+    CHECK(jobs.resize(50));
+    byte_share body(budget, memory_holder::Bodies);
+    CHECK(body.resize(30));
+}
+
 TEST_CASE("byte_share may always become smaller, and counts what is held beyond the budget")
 {
     byte_budget budget(options);
