--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -161,7 +161,8 @@
     scheduled_upstream *best = nullptr;
     double bestScore = 0;
     for (scheduled_upstream *const upstream : cell.members) {
-        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !isDegraded(*upstream, now);
+        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !isDegraded(*upstream, now)
+                                && m_board.usageOf(upstream->key).degradedNodes == 0;
         const bool isInTarget = now + fromSeconds(upstream->firstByteSeconds) <= request.target;
         if (!isOnlySlow || !isInTarget || !upstream->info.hasVersion(request.version) || isExcluded(request, upstream->info.id)) {
             continue;
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -522,3 +522,38 @@
     }
     CHECK(order == std::vector<caller_key>{1, 2, 1, 2});
 }
+
+TEST_CASE("request_scheduler uses an upstream that is ejected as slow rather than refuse what it can answer in time")
+{
+    scheduler_fixture fixture(4);
+    std::optional<upstream_id> slow;
+    time_point now = start;
+    for (int run = 0; run < 400 && !slow; ++run) {
+        slot_request request = fixture.online(now);
+        if (run > 100) {
+            request.excluded = {upstream_id("u1"), upstream_id("u2"), upstream_id("u3")};
+        }
+        const slot_actions granted = fixture.scheduler.submit(request, now);
+        REQUIRE(countOf<slot_granted>(granted) == 1);
+        const upstream_id upstream = std::get<slot_granted>(granted.front()).upstream;
+        const bool isSlow = run > 100 && upstream == upstream_id("u0");
+        fixture.scheduler.firstByteAfter(request.id, isSlow ? 200ms : 50ms, now);
+        const slot_actions ended = fixture.scheduler.released(request.id, {.outcome = attempt_outcome::Succeeded}, now);
+        if (countOf<upstream_ejected>(ended) > 0) {
+            slow = std::get<upstream_ejected>(ended.front()).upstream;
+        }
+        now += 1ms;
+    }
+    REQUIRE(slow == upstream_id("u0"));
+    node_load load{.sender = node_id("n2"), .sequence = 1};
+    for (const replica &upstream : fixture.upstreams) {
+        load.usage[keyOf(upstream.id)] = {.online = upstream.id == *slow ? 0U : 4U};
+    }
+    REQUIRE(fixture.board.record(load, now));
+    const slot_actions actions = fixture.scheduler.submit(fixture.online(now), now);
+    REQUIRE(countOf<slot_granted>(actions) == 1);
+    CHECK(std::get<slot_granted>(actions.front()).upstream == *slow);
+    slot_request hurried = fixture.online(now);
+    hurried.target = now + 110ms; // An answer of the others takes 50 ms, one of this upstream longer than the target.
+    CHECK(countOf<slot_granted>(fixture.scheduler.submit(hurried, now)) == 0);
+}
