Property of organisations' limits: nodes that start together know how many they are

Change: the model's nodes begin with their number; the check is as it was, and holds from the first moment.

--- a/tests/property/serving/organisation_limits_property_test.cpp
+++ b/tests/property/serving/organisation_limits_property_test.cpp
@@ -59,6 +59,9 @@
         for (std::size_t index = 0; index < nodes; ++index) {
             add();
         }
+        for (simulated_node &node : m_nodes) {
+            read(node); // The number of all that start together.
+        }
     }
 
     /// Runs with @p demand requests a second, which go to nodes by @p chooseNode.
