--- a/io/src/serving/gateway_settings.cpp
+++ b/io/src/serving/gateway_settings.cpp
@@ -18,9 +18,13 @@
 constexpr double maximumWindowSeconds = 3600;
 constexpr double maximumOverage = 10; // Times the limit.
 constexpr double maximumSlack = 1e6; // Requests.
+constexpr double minimumMemory = 1; // MiB.
+constexpr double maximumMemory = 1 << 20; // MiB.
+constexpr double minimumDescriptors = 64;
+constexpr double maximumDescriptors = 1 << 20;
 constexpr std::uint64_t maximumLogLines = 100000; // Per second.
 
-constexpr std::array<std::string_view, 16> knownKeys = {"vm",
+constexpr std::array<std::string_view, 18> knownKeys = {"vm",
                                                         "failure_domain",
                                                         "caller_listen",
                                                         "ready_listen",
@@ -29,6 +33,8 @@
                                                         "store",
                                                         "processor_share",
                                                         "placement",
+                                                        "memory_megabytes",
+                                                        "maximum_descriptors",
                                                         "shutdown_seconds",
                                                         "revocation_seconds",
                                                         "limit_window_seconds",
@@ -87,6 +93,13 @@
     if (reader.has("placement")) {
         settings.placement = placementOf(reader);
     }
+    if (reader.has("memory_megabytes")) {
+        settings.memoryMegabytes = static_cast<std::size_t>(reader.decimal("memory_megabytes", minimumMemory, maximumMemory));
+    }
+    if (reader.has("maximum_descriptors")) {
+        settings.maximumDescriptors =
+            static_cast<std::size_t>(reader.decimal("maximum_descriptors", minimumDescriptors, maximumDescriptors));
+    }
     if (reader.has("shutdown_seconds")) {
         settings.shutdownTime = secondsIn(reader.decimal("shutdown_seconds", minimumShutdownSeconds, maximumShutdownSeconds));
     }
