Mend what the reviews of the merged parts found

Memory: connections whose requests are not read yet take half of the account at most; a body that stalls before its first byte gives way to a new connection; a connection that was ended between its head and its handler is not served; health checks and metrics do not draw on the callers' account; progress of an answer counts by what the client took; one client in 10 ms gives way, however many wait.

Room: runs that exclude different upstreams do not block each other; a bound stream whose version is gone is refused at once; the turn of the least urgent goes on when it finds no slot; one stated size beyond measure leaves the costs of others alone; only upstreams that answer are taken although slow; the time after which a relay gives up follows the usual speed of the upstream.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -21,6 +21,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -36,6 +37,7 @@
 constexpr duration upstreamConnectTimeout =
     std::chrono::milliseconds(200); // Hundred times the usual; a machine that has gone does not answer.
 constexpr duration answerMargin = std::chrono::milliseconds(300); // For the last answers to reach their callers before the process ends.
+constexpr std::size_t largestUnfinishedHead = std::size_t(48) << 10; // Bytes that a connection holds before its request is read.
 constexpr int mappedBlockBytes = 128 << 10; // Larger blocks go back to the system as soon as they are free.
 constexpr duration shutdownPoll = std::chrono::milliseconds(50);
 
@@ -72,13 +74,14 @@
         , m_gateway(context, settings, platform::makeAdapter(m_storeClient, settings.store), m_upstreamClient)
         , m_descriptors(shareDescriptors(settings.maximumDescriptors))
         , m_memory(byte_budget::optionsFor(settings.memoryMegabytes << 20U))
+        , m_callerConnections(std::min(m_descriptors.callers, m_memory.budget().connectionsWithin(largestUnfinishedHead)))
         , m_callers(context,
                     {.listen = settings.callerListen,
-                     .maximumConnections = m_descriptors.callers,
+                     .maximumConnections = m_callerConnections,
                      .memory = &m_memory,
                      .requestIdField = std::string(platform::wire::requestIdField)})
-        , m_healthChecks(context, {.listen = settings.readyListen, .maximumConnections = m_descriptors.others, .memory = &m_memory})
-        , m_metrics(context, {.listen = settings.metricsListen, .maximumConnections = m_descriptors.others, .memory = &m_memory})
+        , m_healthChecks(context, {.listen = settings.readyListen, .maximumConnections = m_descriptors.others})
+        , m_metrics(context, {.listen = settings.metricsListen, .maximumConnections = m_descriptors.others})
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -114,7 +117,7 @@
     {
         m_memory.publish(m_gateway.metrics());
         m_gateway.metrics().set("caller_connections", static_cast<double>(m_callers.connections()));
-        m_gateway.metrics().set("caller_connections_limit", static_cast<double>(m_descriptors.callers));
+        m_gateway.metrics().set("caller_connections_limit", static_cast<double>(m_callerConnections));
         m_gateway.metrics().setTotal("clients_turned_away", m_callers.turnedAway() + m_healthChecks.turnedAway() + m_metrics.turnedAway());
     }
 
@@ -202,6 +205,7 @@
     gateway m_gateway;
     descriptor_shares m_descriptors;
     client_memory m_memory;
+    std::size_t m_callerConnections; ///< The most that are open at once.
     http_server m_callers;
     http_server m_healthChecks;
     http_server m_metrics;
--- a/core/include/banyan/core/byte_budget.h
+++ b/core/include/banyan/core/byte_budget.h
@@ -26,6 +26,8 @@
 
     [[nodiscard]] bool isLimited() const;
     [[nodiscard]] std::size_t capacity() const;
+    /// How many connections may be open if each holds so many bytes before its request is read; without a limit, any number.
+    [[nodiscard]] std::size_t connectionsWithin(std::size_t bytesOfConnection) const;
     [[nodiscard]] std::size_t used() const;
     [[nodiscard]] std::size_t used(memory_holder holder) const;
 
--- a/core/include/banyan/core/client_ledger.h
+++ b/core/include/banyan/core/client_ledger.h
@@ -32,6 +32,7 @@
 
 private:
     held_client *choose(held_client *client);
+    held_client *chooseSlow(std::size_t leastBytes, time_point now);
 
     std::map<std::uint64_t, held_client> m_clients; ///< By serial.
     std::map<std::string, std::size_t> m_connectionsOf; ///< By address.
--- a/core/include/banyan/core/serving/organisation_limits.h
+++ b/core/include/banyan/core/serving/organisation_limits.h
@@ -24,6 +24,8 @@
     node_id self;
     time_point startedAt;
     limit_tolerance tolerance;
+    std::uint64_t firstAsk =
+        0; ///< Drawn anew by each process, so that a late grant for an earlier one at the address names none of its asks.
 };
 
 /// Whether a request of an organisation may be sent.
@@ -136,7 +138,7 @@
     std::unordered_map<caller_key, limited> m_limited;
     limit_pools m_pools;
     credit_keeper m_keeper;
-    std::uint64_t m_lastAsk = 0;
+    std::uint64_t m_lastAsk = m_options.firstAsk;
     std::unordered_map<std::uint64_t, open_ask> m_asks;
 };
 
--- a/core/include/banyan/core/serving/request_scheduler.h
+++ b/core/include/banyan/core/serving/request_scheduler.h
@@ -96,6 +96,9 @@
     /// The time after its grant at which a run of the service without a first byte counts as overdue.
     [[nodiscard]] duration overdueAfter(const service_name &service) const;
 
+    /// The same for a run at @p upstream, which may usually be slower than the others.
+    [[nodiscard]] duration overdueAfter(const service_name &service, const upstream_id &upstream) const;
+
     /// This node's own work in flight, by upstream, and the upstreams that it sees as degraded.
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
 
--- a/core/src/byte_budget.cpp
+++ b/core/src/byte_budget.cpp
@@ -1,6 +1,7 @@
 #include "banyan/core/byte_budget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace banyan {
 
@@ -9,6 +10,7 @@
 constexpr std::size_t smallestCapacity = std::size_t(16) << 20; // Bytes. Leaves room for one long body and its copies.
 constexpr std::size_t partsForClients = 2; // One in so many of the memory; the rest is the process's own.
 constexpr std::size_t partsForJobs = 2; // One in so many of the capacity: jobs stay for long, and requests need the rest.
+constexpr std::size_t partsForConnections = 2; // One in so many of the capacity, for connections before their requests are read.
 constexpr std::size_t partsInReserve = 5; // One in so many of the capacity.
 
 } // namespace
@@ -52,6 +54,11 @@
     return m_options.capacity;
 }
 
+std::size_t byte_budget::connectionsWithin(std::size_t bytesOfConnection) const
+{
+    return isLimited() ? m_options.capacity / partsForConnections / bytesOfConnection : std::numeric_limits<std::size_t>::max();
+}
+
 std::size_t byte_budget::used() const
 {
     return m_used;
--- a/core/src/client_ledger.cpp
+++ b/core/src/client_ledger.cpp
@@ -93,6 +93,12 @@
 }
 
 held_client *client_ledger::chooseForMemory(time_point now)
+{
+    return chooseSlow(1, now);
+}
+
+/// The slow client that gives way first, of those that hold @p leastBytes or more.
+held_client *client_ledger::chooseSlow(std::size_t leastBytes, time_point now)
 {
     std::map<std::string_view, std::size_t> bytesOf;
     for (const auto &[serial, client] : m_clients) {
@@ -103,7 +109,7 @@
     };
     held_client *chosen = nullptr;
     for (auto &[serial, client] : m_clients) {
-        const bool mayYield = !client.yields && client.bytes > 0 && isSlow(client, now);
+        const bool mayYield = !client.yields && client.bytes >= leastBytes && isSlow(client, now);
         if (mayYield && (chosen == nullptr || orderOf(client) > orderOf(*chosen))) {
             chosen = &client;
         }
@@ -122,7 +128,7 @@
             chosen = &client;
         }
     }
-    return chosen == nullptr ? chooseForMemory(now) : choose(chosen);
+    return chosen == nullptr ? chooseSlow(0, now) : choose(chosen);
 }
 
 } // namespace banyan
--- a/core/src/serving/decaying_average.h
+++ b/core/src/serving/decaying_average.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 
 namespace banyan {
 
@@ -12,7 +13,7 @@
     /// Records a value; after @p memory values each further one has the weight 1 / @p memory.
     void add(double value, std::uint32_t memory)
     {
-        ++m_count;
+        m_count += m_count < std::numeric_limits<std::uint32_t>::max() ? 1 : 0;
         m_value += (value - m_value) / std::min(m_count, memory);
     }
 
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -77,6 +77,7 @@
     slot_actions tick(time_point now);
     [[nodiscard]] std::optional<time_point> nextWakeUp() const;
     [[nodiscard]] duration overdueAfter(const service_name &service) const;
+    [[nodiscard]] duration overdueAfter(const service_name &service, const upstream_id &upstream) const;
     [[nodiscard]] std::map<upstream_key, upstream_usage> usage(time_point now) const;
     [[nodiscard]] std::vector<placement_report> placement(time_point now) const;
     [[nodiscard]] std::map<service_key, std::uint32_t> waitingByService() const;
@@ -497,7 +498,9 @@
     while (const slot_request *const first = cell.online.next(full)) {
         scheduled_upstream *upstream = m_choice.selectForOnline(service, cell, *first, now);
         upstream = upstream == nullptr ? m_choice.selectAmongSlow(service, cell, *first, now) : upstream;
-        if (upstream == nullptr) {
+        if (upstream == nullptr && !first->version.empty() && !m_choice.hasCandidate(service, cell, *first, now)) {
+            rejectIfUnschedulable(service, cell, slot_request(*first), now);
+        } else if (upstream == nullptr) {
             full.insert(waiting_runs::kindOf(*first));
         } else {
             const slot_request request = cell.online.take(request_id(first->id));
@@ -517,7 +520,9 @@
         if (request.sentBefore && now < request.deadline) {
             addWaiting(service, cell, request, true, now);
         } else {
-            cell.waitMargin.expired(now);
+            if (!request.sentBefore) {
+                cell.waitMargin.expired(now);
+            }
             reject(cell, request, end_reason::DeadlineUnreachable, basis, now);
         }
     }
@@ -757,6 +762,19 @@
     return std::min(slow.value_or(defaultOverdueAfter), maximumOverdueAfter);
 }
 
+/// Longer at an upstream that is usually slower than the others.
+duration request_scheduler::implementation::overdueAfter(const service_name &service, const upstream_id &upstream) const
+{
+    const duration usual = overdueAfter(service);
+    const auto schedule = m_services.find(service);
+    if (schedule == m_services.end()) {
+        return usual;
+    }
+    const auto found = schedule->second.upstreams.find(upstream);
+    const double factor = found == schedule->second.upstreams.end() ? 1 : m_choice.usualFactor(schedule->second, found->second);
+    return std::min(fromSeconds(toSeconds(usual) * std::max(1.0, factor)), maximumOverdueAfter);
+}
+
 std::map<upstream_key, upstream_usage> request_scheduler::implementation::usage(time_point now) const
 {
     std::map<upstream_key, upstream_usage> result;
@@ -907,6 +925,11 @@
     return m_implementation->overdueAfter(service);
 }
 
+duration request_scheduler::overdueAfter(const service_name &service, const upstream_id &upstream) const
+{
+    return m_implementation->overdueAfter(service, upstream);
+}
+
 std::map<upstream_key, upstream_usage> request_scheduler::usage(time_point now) const
 {
     return m_implementation->usage(now);
--- a/core/src/serving/run_cost.cpp
+++ b/core/src/serving/run_cost.cpp
@@ -19,7 +19,9 @@
     if (tokens <= 0) {
         return 1;
     }
-    m_averageTokens = m_averageTokens > 0 ? m_averageTokens + smoothingFactor * (tokens - m_averageTokens) : tokens;
+    // One size without measure must not make all others seem small.
+    const double counted = m_averageTokens > 0 ? std::min(tokens, greatestCost * m_averageTokens) : tokens;
+    m_averageTokens = m_averageTokens > 0 ? m_averageTokens + smoothingFactor * (counted - m_averageTokens) : counted;
     return std::clamp(tokens / m_averageTokens, leastCost, greatestCost);
 }
 
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -281,9 +281,10 @@
     scheduled_upstream *best = nullptr;
     placement_score bestScore;
     for (scheduled_upstream *const upstream : cell.members) {
-        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !isDegraded(*upstream, now)
+        // An upstream that has not answered in time since it was ejected may hang.
+        const bool isOnlySlow = service.outliers.isEjectedForSlowness(upstream->info.id) && !upstream->degradedAt
                                 && m_board.usageOf(upstream->key).degradedNodes == 0;
-        const bool isInTarget = now + fromSeconds(upstream->firstByteSeconds) <= request.target;
+        const bool isInTarget = upstream->firstByteSeconds > 0 && now + fromSeconds(upstream->firstByteSeconds) <= request.target;
         if (!isOnlySlow || !isInTarget || !upstream->info.hasVersion(request.version) || isExcluded(request, upstream->info.id)) {
             continue;
         }
--- a/core/src/serving/waiting_runs.cpp
+++ b/core/src/serving/waiting_runs.cpp
@@ -12,7 +12,9 @@
 
 waiting_runs::run_kind waiting_runs::kindOf(const slot_request &request)
 {
-    return {.version = request.version, .repeatable = request.repeatable, .excludes = !request.excluded.empty()};
+    run_kind kind{.version = request.version, .repeatable = request.repeatable, .excluded = request.excluded};
+    std::sort(kind.excluded.begin(), kind.excluded.end());
+    return kind;
 }
 
 void waiting_runs::add(const slot_request &request, bool late, time_point expiresAt, double cost)
@@ -150,7 +152,8 @@
     }
     const bool isLeastUrgent =
         taken.level.late || std::next(m_levels.find(taken.level)) == m_levels.end() || std::next(m_levels.find(taken.level))->first.late;
-    m_grantsPastLeastUrgent = isLeastUrgent ? 0 : m_grantsPastLeastUrgent + 1;
+    const bool isTurnOfLeastUrgent = m_grantsPastLeastUrgent + 1 >= starvationInterval;
+    m_grantsPastLeastUrgent = isLeastUrgent || isTurnOfLeastUrgent ? 0 : m_grantsPastLeastUrgent + 1;
     return *remove(id);
 }
 
--- a/core/src/serving/waiting_runs.h
+++ b/core/src/serving/waiting_runs.h
@@ -35,7 +35,7 @@
     {
         std::string version;
         bool repeatable = false;
-        bool excludes = false; ///< Whether upstreams are excluded for the run.
+        std::vector<upstream_id> excluded; ///< Sorted.
 
         auto operator<=>(const run_kind &) const = default;
     };
--- a/io/include/banyan/io/client_memory.h
+++ b/io/include/banyan/io/client_memory.h
@@ -40,6 +40,7 @@
 
     byte_budget m_budget;
     std::vector<std::function<bool(time_point now)>> m_yielders;
+    time_point m_yieldedAt; ///< When a client was last looked for to give way.
 };
 
 } // namespace banyan
--- a/io/include/banyan/io/serving/caller_admission.h
+++ b/io/include/banyan/io/serving/caller_admission.h
@@ -76,7 +76,7 @@
     [[nodiscard]] task<admission> admit(admission_request request);
 
     /// Whether a request that was admitted under a key may be sent to an upstream now.
-    [[nodiscard]] bool maySend(const key_digest &key, time_point now) const;
+    [[nodiscard]] bool maySend(const key_digest &key, const caller_id &holder, time_point now) const;
 
     /// Updates the gauges.
     void housekeep(time_point now);
--- a/io/include/banyan/io/serving/request_relay.h
+++ b/io/include/banyan/io/serving/request_relay.h
@@ -35,7 +35,7 @@
     node_metrics &metrics;
     stream_versions *versions = nullptr; ///< Knows what began the streams that clients take up; if null, nothing is known.
     /// Whether a request under a key may be sent to an upstream now; if empty, every one may.
-    std::function<bool(const key_digest &key, time_point now)> maySend = {};
+    std::function<bool(const key_digest &key, const caller_id &holder, time_point now)> maySend = {};
     organisation_gate *limits = nullptr; ///< Keeps the limits of organisations; if null, there are none.
 };
 
--- a/io/src/client_memory.cpp
+++ b/io/src/client_memory.cpp
@@ -53,7 +53,10 @@
     const time_point end = currentTime() + patience;
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (currentTime() < end && !(stopped && stopped())) {
-        (void)yieldOne(currentTime());
+        if (const time_point now = currentTime(); now - m_yieldedAt >= roomPoll) {
+            m_yieldedAt = now;
+            (void)yieldOne(now);
+        }
         timer.expires_after(roomPoll);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -305,8 +305,9 @@
         co_await boost::beast::http::async_write_header(m_connection->stream, serializer, asio::use_awaitable);
         for (std::size_t sent = 0; sent < body.size();) {
             const asio::const_buffer piece(body.data() + sent, std::min(answerPieceBytes, body.size() - sent));
-            sent += co_await asio::async_write(m_connection->stream, piece, asio::use_awaitable);
-            m_connection->progressed(piece.size());
+            const std::size_t taken = co_await m_connection->stream.async_write_some(piece, asio::use_awaitable);
+            m_connection->progressed(taken);
+            sent += taken;
         }
         m_complete = true;
     }
--- a/io/src/http_server.cpp
+++ b/io/src/http_server.cpp
@@ -272,6 +272,10 @@
             co_await refuseHead(connection, error);
             co_return false;
         }
+        // A connection that gave way to another one after its head was read must not be served: its answer could not be sent.
+        if (!connection->stream.socket().is_open()) {
+            co_return false;
+        }
         connection->client.run();
         connection->client.wasServed = true;
         ++m_inProgress;
--- a/io/src/serving/caller_admission.cpp
+++ b/io/src/serving/caller_admission.cpp
@@ -45,10 +45,11 @@
 
     task<admission> admit(admission_request request);
 
-    [[nodiscard]] bool maySend(const key_digest &key, time_point now) const
+    [[nodiscard]] bool maySend(const key_digest &key, const caller_id &holder, time_point now) const
     {
         const std::shared_ptr<const route_table> table = m_ports.routes();
-        return table != nullptr && table->keys().find(key) != nullptr && m_lease.isValid(now);
+        const organisation *const found = table == nullptr ? nullptr : table->keys().find(key);
+        return found != nullptr && found->name == holder && m_lease.isValid(now);
     }
 
     void configurationRead(time_point begunAt)
@@ -228,9 +229,9 @@
     return m_implementation->admit(std::move(request));
 }
 
-bool caller_admission::maySend(const key_digest &key, time_point now) const
+bool caller_admission::maySend(const key_digest &key, const caller_id &holder, time_point now) const
 {
-    return m_implementation->maySend(key, now);
+    return m_implementation->maySend(key, holder, now);
 }
 
 void caller_admission::housekeep(time_point now)
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -153,8 +153,8 @@
                    .metrics = m_metrics,
                    .versions = &m_versions,
                    .maySend =
-                       [this](const key_digest &key, time_point now) {
-                           return m_callers.maySend(key, now);
+                       [this](const key_digest &key, const caller_id &holder, time_point now) {
+                           return m_callers.maySend(key, holder, now);
                        },
                    .limits = &m_limits},
                   m_platform.protocol)
@@ -280,6 +280,7 @@
     endpoint m_peerAddress;
     std::shared_ptr<table_follower> m_configurationFollower;
     bool m_newestUnreadable = false; ///< Whether the newest configuration is not in force because it cannot be read.
+    std::uint64_t m_newestRowVersion = 0; ///< Of the configuration's row.
     std::shared_ptr<table_follower> m_replicaFollower;
     bool m_replicasLoaded = false;
     bool m_replicasChanged = false; ///< Whether rows of the current call for changes have changed the registry.
@@ -354,6 +355,10 @@
     if (row.name.key != m_platform.configurationKey || row.deleted) {
         return;
     }
+    if (row.version < m_newestRowVersion) {
+        return; // The answer to a call that another one has overtaken.
+    }
+    m_newestRowVersion = row.version;
     std::optional<serving_configuration> configuration = m_platform.decodeConfiguration(row, m_callers.digester());
     m_newestUnreadable = !configuration;
     if (!configuration) {
--- a/io/src/serving/organisation_gate.cpp
+++ b/io/src/serving/organisation_gate.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -24,6 +25,12 @@
 constexpr std::size_t maximumNamed = 128; // Organisations with metrics of their own.
 constexpr double loggedChange = 0.1; // Of a share.
 
+std::uint64_t drawnNumber()
+{
+    std::random_device source;
+    return (std::uint64_t(source()) << 32U) | source();
+}
+
 } // namespace
 
 /// A request that waits for the answer to an ask.
@@ -40,7 +47,7 @@
 
 organisation_gate::organisation_gate(const organisation_gate_ports &ports, const limit_tolerance &tolerance)
     : m_ports(ports)
-    , m_limits({.self = ports.self, .startedAt = currentTime(), .tolerance = tolerance})
+    , m_limits({.self = ports.self, .startedAt = currentTime(), .tolerance = tolerance, .firstAsk = drawnNumber()})
 {
 }
 
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -372,7 +372,7 @@
     /// Whether the request may still run under its key, which may have been taken away while it waited.
     [[nodiscard]] bool hasValidKey(time_point now) const
     {
-        return !m_request.key || !m_relay.m_ports.maySend || m_relay.m_ports.maySend(*m_request.key, now);
+        return !m_request.key || !m_relay.m_ports.maySend || m_relay.m_ports.maySend(*m_request.key, m_request.organisation, now);
     }
 
     /// Whether the stream can go on only at a version of which this node's own list has no upstream that accepts work. The slots
@@ -481,7 +481,8 @@
                          .timeLeft = std::max(duration(0), m_deadline - now),
                          .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now) || wasTriedAt(upstream.id)};
         const http_client::stream_timeouts timeouts{
-            .firstByte = m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service), now),
+            .firstByte =
+                m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service, upstream.id), now),
             .silence = m_retries.nextByteTimeout(now)};
         m_stream.beginRun(upstream.softwareVersion);
         attempt_observer observer;
--- a/tests/unit/byte_budget_test.cpp
+++ b/tests/unit/byte_budget_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace banyan;
 
 namespace {
@@ -78,3 +80,9 @@
     byte_share share(budget, memory_holder::Bodies);
     CHECK(share.resize(3 * (std::size_t(4) << 20)));
 }
+
+TEST_CASE("byte_budget leaves half of its capacity to others than connections whose requests are not read yet")
+{
+    CHECK(byte_budget({.capacity = 1000, .reserve = 100}).connectionsWithin(50) == 10);
+    CHECK(byte_budget({}).connectionsWithin(50) == std::numeric_limits<std::size_t>::max());
+}
--- a/tests/unit/client_ledger_test.cpp
+++ b/tests/unit/client_ledger_test.cpp
@@ -93,3 +93,13 @@
     held_client &next = add(ledger, "a", client_phase::Idle, 0);
     CHECK(ledger.chooseForConnection(start) == &next);
 }
+
+// Guards against clients that send a head and no body: they hold hardly any memory, and would keep the port closed.
+TEST_CASE("client_ledger ends for a new connection also a body that has stalled before its first byte")
+{
+    client_ledger ledger;
+    held_client &stalled = add(ledger, "a", client_phase::Body, 0);
+    CHECK(ledger.chooseForMemory(start + 1s) == nullptr);
+    CHECK(ledger.chooseForConnection(start + 999ms) == nullptr);
+    CHECK(ledger.chooseForConnection(start + 1s) == &stalled);
+}
--- a/tests/unit/platform/request_codec_test.cpp
+++ b/tests/unit/platform/request_codec_test.cpp
@@ -175,6 +175,22 @@
     }
 }
 
+// Guards against items that begin further fields, or a request of their own, in the head that is sent to an upstream.
+TEST_CASE("decodeJob refuses items whose texts may not stand in a request's head")
+{
+    const auto accepts = [](const std::string &path, const std::string &name, const std::string &value) {
+        return platform::decodeJob(R"({"items":[{"id":"i","path":")" + path + R"(","headers":{")" + name + R"(":")" + value
+                                   + R"("},"body":""}]})")
+            .has_value();
+    };
+    CHECK(accepts("/p/1?q=2", "Model", "m, n"));
+    CHECK_FALSE(accepts("/p/1?q=2", "Model", "m\\r\\nTenant: other"));
+    CHECK_FALSE(accepts("/p/1?q=2", "Model\\r\\nTenant", "other"));
+    CHECK_FALSE(accepts("/p/1?q=2", "Tenant ", "other"));
+    CHECK_FALSE(accepts("/p/1 HTTP/1.1\\r\\nTenant: other", "Model", "m"));
+    CHECK_FALSE(accepts("/p/1", "Model", std::string(20000, 'm')));
+}
+
 TEST_CASE("encodeResults tells where to go on, and leaves the rest of a large page for the next one")
 {
     job_results results{.state = lookup_state::Found, .total = 5};
--- a/tests/unit/serving/caller_admission_test.cpp
+++ b/tests/unit/serving/caller_admission_test.cpp
@@ -170,16 +170,17 @@
     admission_fixture fixture;
     fixture.isDown = true;
     const key_digest key = fixture.callers.digester().digest("k1");
-    CHECK(fixture.callers.maySend(key, currentTime()));
+    CHECK(fixture.callers.maySend(key, caller_id("o"), currentTime()));
+    CHECK_FALSE(fixture.callers.maySend(key, caller_id("earlier holder"), currentTime()));
     fixture.waitFor(1s);
-    CHECK_FALSE(fixture.callers.maySend(key, currentTime()));
+    CHECK_FALSE(fixture.callers.maySend(key, caller_id("o"), currentTime()));
     CHECK(fixture.verdictOn("k1") == key_verdict::LeaseOver);
     fixture.isDown = false;
     fixture.callers.configurationRead(currentTime());
     CHECK(fixture.verdictOn("k1") == key_verdict::Taken);
     fixture.keysInStore.clear();
     fixture.apply();
-    CHECK_FALSE(fixture.callers.maySend(key, currentTime()));
+    CHECK_FALSE(fixture.callers.maySend(key, caller_id("o"), currentTime()));
 }
 
 TEST_CASE("caller_admission refuses at once while the store is lost, and sends callers to other nodes if these read it")
--- a/tests/unit/serving/serving_fixture.h
+++ b/tests/unit/serving/serving_fixture.h
@@ -96,7 +96,7 @@
                  .parts = parts,
                  .metrics = metrics,
                  .maySend =
-                     [this](const key_digest &, time_point) {
+                     [this](const key_digest &, const caller_id &, time_point) {
                          return keysAreValid;
                      },
                  .limits = &limits},
--- a/tests/unit/serving/waiting_runs_test.cpp
+++ b/tests/unit/serving/waiting_runs_test.cpp
@@ -125,3 +125,34 @@
     CHECK(runs.aheadOf(request_id("z")) == waiting_runs::starvationInterval);
     CHECK(drain(runs).find('z') == waiting_runs::starvationInterval - 1);
 }
+
+TEST_CASE("waiting_runs takes runs that exclude different upstreams for runs of different kinds")
+{
+    waiting_runs runs;
+    slot_request first = run("a", 100ms);
+    first.excluded = {upstream_id("u1")};
+    slot_request second = run("b", 200ms);
+    second.excluded = {upstream_id("u2")};
+    runs.add(first, false, start + 1s);
+    runs.add(second, false, start + 1s);
+    CHECK(runs.next({waiting_runs::kindOf(first)})->id == request_id("b"));
+}
+
+TEST_CASE("waiting_runs gives a middle urgency one slot in a turn when the least urgent runs find none")
+{
+    waiting_runs runs;
+    for (int number = 0; number < 40; ++number) {
+        runs.add(run("urgent-" + std::to_string(number), 100ms + number * 1ms), false, start + 1s);
+    }
+    runs.add(run("middle-1", 100ms, 1), false, start + 1s);
+    runs.add(run("middle-2", 110ms, 1), false, start + 1s);
+    slot_request bound = run("bound", 100ms, 2);
+    bound.version = "v1";
+    runs.add(bound, false, start + 1s);
+    int middle = 0;
+    for (std::uint32_t grants = 0; grants < waiting_runs::starvationInterval + 3; ++grants) {
+        const slot_request *const next = runs.next({waiting_runs::kindOf(bound)});
+        middle += runs.take(request_id(next->id)).priority == 1 ? 1 : 0;
+    }
+    CHECK(middle == 1);
+}
