Reproduce TWICE: a copied 421 on a connection to an address that was taken over

One id reaches one connection twice, since the relay compares ids of upstreams and the client keeps connections by endpoint; the copy of the first refusal is then taken for the answer of the request that runs.

--- a/tests/unit/raw_upstream.h
+++ b/tests/unit/raw_upstream.h
@@ -66,6 +66,7 @@
     }
 
     std::vector<std::string> requests;
+    std::vector<std::size_t> connections; ///< For each request the number of its connection, from 0.
 
 private:
     using socket_pointer = std::shared_ptr<asio::ip::tcp::socket>;
@@ -80,10 +81,12 @@
 
     task<> serve(socket_pointer socket)
     {
+        const std::size_t connection = m_accepted++;
         std::string buffer;
         raw_answer answer;
         while (answer.end == connection_end::Kept) {
             co_await readRequest(*socket, buffer);
+            connections.push_back(connection);
             answer = m_answer(requests.back(), requests.size() - 1);
             co_await asio::async_write(*socket, asio::buffer(answer.bytes), asio::use_awaitable);
         }
@@ -115,6 +118,7 @@
 
     asio::ip::tcp::acceptor m_acceptor;
     script m_answer;
+    std::size_t m_accepted = 0; ///< Connections so far.
     std::vector<socket_pointer> m_silent;
 };
 
