Send no request id twice on one connection

What callers saw: an at-most-once request ran twice where another upstream took over an address. Cause: whether a request had been at an upstream was told by the upstream's id, connections are kept by endpoint. So the request went out a second time on the connection of its 421, and a copy of that 421, which bears the same id, was taken for the answer while the request ran.

The connection itself now knows which ids it has carried, and http_client takes none that has carried the id of the request. That covers every sender at one place: relay, items, continued streams, banyand's dispatcher. The comparisons of upstream ids in request_relay and item_runs go. A connection is replaced after 256 requests, which bounds the list to 2 KiB; closing it after each refusal instead would cost a new connection for each refusal of a full upstream.

--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace banyan {
@@ -82,15 +83,22 @@
         duration silence; ///< Without a byte after that.
     };
 
+    /// How stream() sends a request.
+    struct stream_options
+    {
+        stream_timeouts timeouts;
+        std::shared_ptr<http_cancellation> cancellation = nullptr; ///< If null, nothing stops the exchange.
+        connection_choice choice = connection_choice::IdleOrNew;
+        std::string id = {}; ///< Of the request; empty if the peer's answers name none.
+    };
+
     /// Sends @p request and passes its answer on as it comes. An answer that comes before the request's body is sent is taken
     /// as well; the connection is then not used again.
+    ///
+    /// A peer may repeat an earlier answer where the next one is due. No id is sent twice on one connection, so that an answer
+    /// with the request's id is its own.
     /// @throws http_error also if the answer is cut before its end
-    [[nodiscard]] task<> stream(endpoint to,
-                                http_request request,
-                                stream_timeouts timeouts,
-                                stream_handler handler,
-                                std::shared_ptr<http_cancellation> cancellation,
-                                connection_choice choice = connection_choice::IdleOrNew);
+    [[nodiscard]] task<> stream(endpoint to, http_request request, stream_handler handler, stream_options options);
 
 private:
     class implementation;
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -10,9 +10,12 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace banyan {
 
@@ -29,6 +32,7 @@
 constexpr duration keepAliveMargin = std::chrono::seconds(1); // Before the peer's own timeout, so that no request crosses its close.
 constexpr std::string_view keepAliveMark = "timeout=";
 constexpr std::string_view headMethod = "HEAD"; // Its answers have no body, whatever their fields say.
+constexpr std::size_t mostIdsOfConnection = 256; // 2 KiB; a connection that has carried so many is replaced.
 
 /// One connection to an outside system and the bytes read ahead on it.
 struct client_connection
@@ -38,10 +42,30 @@
     {
     }
 
+    /// Whether a request with that id was sent on it. Ids with the same hash only cost a new connection.
+    [[nodiscard]] bool hasCarried(const std::string &id) const
+    {
+        return std::find(ids.begin(), ids.end(), std::hash<std::string>()(id)) != ids.end();
+    }
+
+    /// Records a request that is about to be sent.
+    void carry(const std::string &id)
+    {
+        if (!id.empty()) {
+            ids.push_back(std::hash<std::string>()(id));
+        }
+    }
+
+    [[nodiscard]] bool isWornOut() const
+    {
+        return ids.size() >= mostIdsOfConnection;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer{readAheadBytes};
     bool reused = false; ///< It has served a request before.
     std::optional<duration> idleLimit; ///< What the peer allows, less a margin.
+    std::vector<std::size_t> ids; ///< Hashes of the ids of the requests that were sent on it.
 };
 
 using connection_pointer = std::shared_ptr<client_connection>;
@@ -213,6 +237,14 @@
     return parser.need_eof() ? answer_framing::ConnectionEnd : answer_framing::Length;
 }
 
+http_response_head headOf(const client_connection &connection, const stream_parser &parser)
+{
+    return {.status = std::min(parser.get().result_int(), maximumStatusCode),
+            .fields = fromBeast(parser.get().base()),
+            .framing = framingOf(parser),
+            .isFirstOnConnection = !connection.reused};
+}
+
 } // namespace
 
 void http_cancellation::cancel()
@@ -243,10 +275,10 @@
     }
 
     /// @throws http_error with NotSent
-    task<connection_pointer> connect(endpoint to, connection_choice choice)
+    task<connection_pointer> connect(endpoint to, connection_choice choice, std::string id)
     {
         if (choice == connection_choice::IdleOrNew) {
-            if (connection_pointer reused = takeIdle(to)) {
+            if (connection_pointer reused = takeIdle(to, id)) {
                 co_return reused;
             }
         }
@@ -268,7 +300,8 @@
     {
         auto &idle = m_idle[to];
         closeOld(idle);
-        if (idle.size() < m_options.idleConnectionsPerEndpoint && connection->buffer.size() == 0) {
+        const bool isUsable = connection->buffer.size() == 0 && !connection->isWornOut();
+        if (idle.size() < m_options.idleConnectionsPerEndpoint && isUsable) {
             connection->stream.expires_never();
             connection->reused = true;
             const duration limit = std::min(m_options.idleTimeout, connection->idleLimit.value_or(m_options.idleTimeout));
@@ -297,21 +330,28 @@
         }
     }
 
-    connection_pointer takeIdle(const endpoint &to)
+    /// The idle connection that was used last of those that have not carried @p id.
+    connection_pointer takeIdle(const endpoint &to, const std::string &id)
     {
         const auto found = m_idle.find(to);
         if (found == m_idle.end()) {
             return nullptr;
         }
-        closeOld(found->second);
-        while (!found->second.empty()) {
-            connection_pointer candidate = std::move(found->second.back().connection);
-            found->second.pop_back();
+        std::deque<idle_connection> &idle = found->second;
+        closeOld(idle);
+        for (std::size_t index = idle.size(); index-- > 0;) {
+            if (idle[index].connection->hasCarried(id)) {
+                continue;
+            }
+            connection_pointer candidate = std::move(idle[index].connection);
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
             if (isQuiet(*candidate)) {
                 return candidate;
             }
         }
-        m_idle.erase(found);
+        if (idle.empty()) {
+            m_idle.erase(found);
+        }
         return nullptr;
     }
 
@@ -353,7 +393,7 @@
 
 task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
 {
-    const connection_pointer connection = co_await m_implementation->connect(to, connection_choice::IdleOrNew);
+    const connection_pointer connection = co_await m_implementation->connect(to, connection_choice::IdleOrNew, std::string());
     const bool endsWithHead = request.method == headMethod;
     const auto pending = co_await writeRequest(connection, to, std::move(request), timeout);
     http::response_parser<http::string_body> parser;
@@ -379,15 +419,11 @@
     co_return result;
 }
 
-task<> http_client::stream(endpoint to,
-                           http_request request,
-                           stream_timeouts timeouts,
-                           stream_handler handler,
-                           std::shared_ptr<http_cancellation> cancellation,
-                           connection_choice choice)
+task<> http_client::stream(endpoint to, http_request request, stream_handler handler, stream_options options)
 {
+    const std::shared_ptr<http_cancellation> &cancellation = options.cancellation;
     refuseCancelled(cancellation.get());
-    const connection_pointer connection = co_await m_implementation->connect(to, choice);
+    const connection_pointer connection = co_await m_implementation->connect(to, options.choice, options.id);
     refuseCancelled(cancellation.get());
     if (cancellation) {
         cancellation->m_close = [weak = std::weak_ptr(connection)] {
@@ -396,9 +432,10 @@
             }
         };
     }
-    const auto firstBy = std::chrono::steady_clock::now() + timeouts.firstByte;
+    const auto firstBy = std::chrono::steady_clock::now() + options.timeouts.firstByte;
     const bool endsWithHead = request.method == headMethod;
-    const auto pending = co_await writeRequest(connection, to, std::move(request), timeouts.firstByte);
+    connection->carry(options.id);
+    const auto pending = co_await writeRequest(connection, to, std::move(request), options.timeouts.firstByte);
     stream_parser parser;
     parser.skip(endsWithHead);
     parser.body_limit(boost::none);
@@ -408,12 +445,9 @@
         fail(sent_state::MaybeSent, error, "read head", connection->reused && connection->buffer.size() == 0);
     }
     connection->idleLimit = idleLimitOf(parser.get());
-    const http_response_head head{.status = std::min(parser.get().result_int(), maximumStatusCode),
-                                  .fields = fromBeast(parser.get().base()),
-                                  .framing = framingOf(parser),
-                                  .isFirstOnConnection = !connection->reused};
+    const http_response_head head = headOf(*connection, parser);
     co_await handler.onHead(head);
-    co_await passBodyOn(connection, parser, firstBy, timeouts.silence, handler);
+    co_await passBodyOn(connection, parser, firstBy, options.timeouts.silence, handler);
     if (cancellation) {
         cancellation->m_close = nullptr;
     }
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -45,11 +45,6 @@
     return provesEnd(head.framing) ? std::string() : "nothing marks the end of the stream";
 }
 
-bool contains(const std::vector<upstream_id> &upstreams, const upstream_id &wanted)
-{
-    return std::find(upstreams.begin(), upstreams.end(), wanted) != upstreams.end();
-}
-
 bool isUsable(const replica *upstream)
 {
     return upstream != nullptr && !upstream->draining;
@@ -215,10 +210,6 @@
         m_ports.slots.scheduler().addressReused(upstream);
     }
     const item_step step = progress.finishRun(outcomeOf(report), currentTime());
-    if (report.head && step == item_step::RunAgain && !contains(state.answeredBy, upstream)) {
-        // A copy of that answer, which bears the item's id, may still come on its connection.
-        state.answeredBy.push_back(upstream);
-    }
     if (report.result.outcome != attempt_outcome::Succeeded) {
         logEvent(log_level::Info,
                  "item_run_ended",
@@ -248,8 +239,7 @@
                      .fields = fieldsOf(item),
                      .body = item.body,
                      .resumeAfter = progress.resumeAfter(),
-                     .timeLeft = std::nullopt,
-                     .onNewConnection = contains(job->states[index].answeredBy, upstream.id)};
+                     .timeLeft = std::nullopt};
     const prompt_run prompt = promptRunOf(item);
     const upstream_key incarnation = keyOfStart(upstream);
     std::size_t eventCount = 0;
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -479,7 +479,7 @@
                          .body = m_request.body,
                          .resumeAfter = m_stream.lastEvent(),
                          .timeLeft = std::max(duration(0), m_deadline - now),
-                         .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now) || wasTriedAt(upstream.id)};
+                         .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now)};
         const http_client::stream_timeouts timeouts{
             .firstByte =
                 m_retries.firstByteTimeout(m_relay.m_ports.slots.scheduler().scheduler().overdueAfter(m_service, upstream.id), now),
@@ -502,12 +502,6 @@
         return m_relay.m_ports.sender.send(std::move(run), timeouts, std::move(observer), m_stop);
     }
 
-    /// Whether the upstream has had this request. A copy of its answer, which bears the same id, may still come on that connection.
-    [[nodiscard]] bool wasTriedAt(const upstream_id &upstream) const
-    {
-        return std::find(m_tried.begin(), m_tried.end(), upstream) != m_tried.end();
-    }
-
     task<> beginStream(const answer_head &head)
     {
         if (m_stream.addHead(head)) {
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -23,7 +23,6 @@
 {
     stop_signal stopSignal; ///< Stops the current run.
     std::uint32_t runs = 0; ///< Number of runs so far, including the current one.
-    std::vector<upstream_id> answeredBy; ///< Upstreams that have answered a run of the item without completing it.
     std::vector<upstream_id> unusableUpstreams; ///< Granted before, but unknown to this node or draining; excluded from claims.
     duration earlierRunTime{}; ///< Total time that earlier runs have spent at upstreams.
     std::optional<time_point> sentAt; ///< When the current run was sent to its upstream; empty while there is none.
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -163,11 +163,14 @@
         co_await collect(report, piece, announced, observer, stop);
     };
     const endpoint address = run.address;
-    const connection_choice choice = run.onNewConnection ? connection_choice::New : connection_choice::IdleOrNew;
+    const http_client::stream_options options{.timeouts = timeouts,
+                                              .cancellation = cancellation,
+                                              .choice = run.onNewConnection ? connection_choice::New : connection_choice::IdleOrNew,
+                                              .id = run.id.text()};
     http_request request = m_protocol.encodeRun(run);
     run.body = std::string(); // The request has it.
     try {
-        co_await m_client.stream(address, std::move(request), timeouts, std::move(handler), cancellation, choice);
+        co_await m_client.stream(address, std::move(request), std::move(handler), options);
         report.result.outcome = outcomeOf(*report.head);
     } catch (const http_error &error) {
         report.result.outcome = outcomeOf(error, stop.stopped());
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view usageMark = "\"completion_tokens\":";
 constexpr std::size_t tailBytes = 512; // Of a whole answer, enough for its usage.
 constexpr std::string_view eventMark = "data:";
+constexpr std::string_view requestIdField = "X-Request-Id";
 constexpr duration progressInterval = std::chrono::milliseconds(250);
 constexpr unsigned tooManyRequests = 429;
 constexpr unsigned serviceUnavailable = 503;
@@ -41,6 +42,15 @@
     });
 }
 
+/// The id under which a request is sent; empty if it has none.
+std::string requestIdOf(const http_request &request)
+{
+    const auto found = std::find_if(request.fields.begin(), request.fields.end(), [](const http_field &field) {
+        return field.name == requestIdField;
+    });
+    return found == request.fields.end() ? std::string() : found->value;
+}
+
 /// The number of generated tokens that a chat completion's usage tells; 0 if there is none.
 std::uint32_t tokensInUsage(std::string_view tail)
 {
@@ -161,8 +171,10 @@
     attempt_result result;
     try {
         http_client::stream_handler handler = makeHandler(maximumBuffered, watcher);
-        const http_client::stream_timeouts timeouts{.firstByte = m_order.timeout, .silence = m_order.timeout};
-        co_await client.stream(m_address, std::move(request), timeouts, std::move(handler), m_cancellation);
+        const http_client::stream_options options{.timeouts = {.firstByte = m_order.timeout, .silence = m_order.timeout},
+                                                  .cancellation = m_cancellation,
+                                                  .id = requestIdOf(request)};
+        co_await client.stream(m_address, std::move(request), std::move(handler), options);
         result = resultOfAnswer();
     } catch (const http_error &error) {
         result.outcome = outcomeOf(error);
--- a/tests/unit/endless_bytes_test.cpp
+++ b/tests/unit/endless_bytes_test.cpp
@@ -144,8 +144,8 @@
                 passedOn += piece.size();
                 co_return;
             };
-            const http_client::stream_timeouts timeouts{.firstByte = 3s, .silence = 3s};
-            co_await client.stream(upstream.address(), std::move(request), timeouts, std::move(handler), nullptr);
+            const http_client::stream_options options{.timeouts = {.firstByte = 3s, .silence = 3s}};
+            co_await client.stream(upstream.address(), std::move(request), std::move(handler), options);
         });
         INFO("endless: " << answer.name << ", ended by: " << outcome << ", passed on " << passedOn);
         CHECK(outcome != "an answer");
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -157,7 +157,8 @@
             co_return;
         };
         http_request request{.target = "/stream"};
-        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, nullptr);
+        const http_client::stream_options options{.timeouts = generousTimeouts};
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), handler, options);
     });
     CHECK(text == "one two");
 }
@@ -175,7 +176,8 @@
                 co_return;
             };
             http_request request{.target = "/stream"};
-            co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, nullptr, choice);
+            const http_client::stream_options options{.timeouts = generousTimeouts, .choice = choice};
+            co_await fixture.client.stream(fixture.server.address(), std::move(request), handler, options);
         });
         return fixture.client.connectionsOpened();
     };
@@ -224,7 +226,8 @@
         });
         http_request request{.target = "/wait"};
         http_client::stream_handler handler;
-        co_await fixture.client.stream(fixture.server.address(), std::move(request), generousTimeouts, handler, cancellation);
+        const http_client::stream_options options{.timeouts = generousTimeouts, .cancellation = cancellation};
+        co_await fixture.client.stream(fixture.server.address(), std::move(request), handler, options);
     }),
                     http_error);
     fixture.context.restart();
--- a/tests/unit/serving/answer_framing_test.cpp
+++ b/tests/unit/serving/answer_framing_test.cpp
@@ -192,9 +192,9 @@
                 body += piece;
                 co_return;
             };
-            const http_client::stream_timeouts timeouts{.firstByte = generousTime, .silence = generousTime};
+            const http_client::stream_options options{.timeouts = {.firstByte = generousTime, .silence = generousTime}};
             try {
-                co_await caller.stream(front.address(), std::move(request), timeouts, std::move(handler), nullptr);
+                co_await caller.stream(front.address(), std::move(request), std::move(handler), options);
             } catch (const http_error &) {
                 result.seen = seen_by_caller::Broken;
             }
--- a/tests/unit/serving/copied_answers_test.cpp
+++ b/tests/unit/serving/copied_answers_test.cpp
@@ -24,8 +24,8 @@
 std::string success(const std::string &id)
 {
     const std::string body = "answer to " + id;
-    return "HTTP/1.1 200 OK\r\nResponse-Stamp: stamp\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-           + body;
+    return "HTTP/1.1 200 OK\r\nResponse-Stamp: stamp\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
 }
 
 replica registration(const raw_upstream &upstream, const std::string &id)
