Read past repeated answers to earlier requests of a connection

What callers saw: an at-most-once request ended with 502 because its upstream had repeated the answer to another request where this one's was due. The id tells that it is not the own answer, which follows, and the upstream runs the request meanwhile.

--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -74,6 +74,8 @@
     {
         std::function<task<>(const http_response_head &head)> onHead;
         std::function<task<>(std::string_view piece)> onPiece; ///< Valid until the task ends.
+        /// The id of the request that an answer names; empty if it names none. If null, no answer does.
+        std::function<std::string(const http_response_head &head)> idOf = {};
     };
 
     /// Longest times within a streamed answer.
@@ -96,10 +98,14 @@
     /// as well; the connection is then not used again.
     ///
     /// A peer may repeat an earlier answer where the next one is due. No id is sent twice on one connection, so that an answer
-    /// with the request's id is its own.
+    /// with the request's id is its own. One that names another request of the same connection is read and dropped; the
+    /// connection is then not used again.
     /// @throws http_error also if the answer is cut before its end
     [[nodiscard]] task<> stream(endpoint to, http_request request, stream_handler handler, stream_options options);
 
+    /// Repeated answers to other requests that were dropped so far.
+    [[nodiscard]] std::uint64_t repeatedAnswers() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/io/include/banyan/io/serving/upstream_protocol.h
+++ b/io/include/banyan/io/serving/upstream_protocol.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace banyan {
@@ -17,6 +18,8 @@
 {
     /// Builds the HTTP request that starts @p run at its upstream.
     std::function<http_request(const upstream_run &run)> encodeRun;
+    /// The id of the request that an answer names; empty if it names none.
+    std::function<std::string(const http_response_head &head)> answeredId;
     /// Interprets the head of the answer to @p run.
     std::function<answer_head(const http_response_head &head, const upstream_run &run)> decodeHead;
     /// Hashes of the ids of the prompt parts that a request with these fields may share with others.
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -162,6 +162,7 @@
         }
         co_await collect(report, piece, announced, observer, stop);
     };
+    handler.idOf = m_protocol.answeredId;
     const endpoint address = run.address;
     const http_client::stream_options options{.timeouts = timeouts,
                                               .cancellation = cancellation,
--- a/tests/unit/serving/request_relay_test.cpp
+++ b/tests/unit/serving/request_relay_test.cpp
@@ -196,8 +196,9 @@
     };
     scripted_upstream upstream(fixture.context, "u1", answer, "X-Unused");
     fixture.setUpstreams({&upstream});
-    CHECK(fixture.call("id-2").status == 200);
     CHECK(fixture.call("id-1").status == 502);
+    CHECK(fixture.call("id-2").status == 200);
+    CHECK(fixture.call("id-3", 300ms).status == 504); // The answer is one of its connection, so that the own one may follow.
 }
 
 TEST_CASE("request_relay does not accept an answer with a content encoding, which is not the upstream's original body")
