Keep no connection on which a failure has named no request

What callers of banyand could see: its upstreams name no request in their answers, so that the copy of a refusal was believed on any connection. A recorded request that must run once was then sent to another upstream while it ran.

http_client keeps a connection after a failure only if the failure names its request. Where answers name requests, which is so for banyan-gateway, nothing changes. For banyand each refusal costs a new connection; a copied success can still not be told.

--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -99,7 +99,7 @@
     ///
     /// A peer may repeat an earlier answer where the next one is due. No id is sent twice on one connection, so that an answer
     /// with the request's id is its own. One that names another request of the same connection is read and dropped; the
-    /// connection is then not used again.
+    /// connection is then not used again, and neither is one on which a failure has named no request.
     /// @throws http_error also if the answer is cut before its end
     [[nodiscard]] task<> stream(endpoint to, http_request request, stream_handler handler, stream_options options);
 
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
 constexpr std::size_t readAheadBytes = std::size_t(64) << 10; // Bounds what is kept of an answer whose framing goes on without end.
 constexpr unsigned maximumStatusCode = 999;
+constexpr unsigned firstErrorStatus = 400;
 constexpr std::size_t bodyBesideAnswerBytes = std::size_t(32) << 10; // A longer body is sent while the answer is already read.
 constexpr duration keepAliveMargin = std::chrono::seconds(1); // Before the peer's own timeout, so that no request crosses its close.
 constexpr std::string_view keepAliveMark = "timeout=";
@@ -250,6 +251,12 @@
             .isFirstOnConnection = !connection.reused};
 }
 
+/// Whether nothing in a failure tells to which request it belongs. A copy of it would be taken for the next answer.
+bool isNamelessFailure(const http_response_head &head, const http_client::stream_handler &handler)
+{
+    return head.status >= firstErrorStatus && (!handler.idOf || handler.idOf(head).empty());
+}
+
 /// Whether an answer is a repeated one to an earlier request of the connection, whose end can be found.
 bool isRepeated(const client_connection &connection,
                 const http_response_head &head,
@@ -531,7 +538,7 @@
     if (connection->hasRepeatedAnswer) {
         m_implementation->recordRepeatedAnswer();
     }
-    if (parser->get().keep_alive() && pending->complete) {
+    if (parser->get().keep_alive() && pending->complete && !isNamelessFailure(head, handler)) {
         m_implementation->giveBack(to, connection);
     }
 }
--- a/tests/unit/serving/copied_answers_test.cpp
+++ b/tests/unit/serving/copied_answers_test.cpp
@@ -148,3 +148,30 @@
     CHECK(fixture.call("second").status == 502);
     CHECK(upstream.requests.size() == 2);
 }
+
+// Guards against taking the copy of a refusal for the answer to the next request, where answers name no request.
+TEST_CASE("http_client uses a connection no longer on which a refusal has named no request")
+{
+    relay_fixture fixture(request_kind::AtMostOnce);
+    raw_upstream upstream(fixture.context, [](const std::string &, std::size_t number) -> raw_answer {
+        return {.bytes = number == 0 ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (const unsigned expected : {503U, 200U, 200U}) {
+        unsigned status = 0;
+        fixture.run([&]() -> task<> {
+            http_client::stream_handler handler;
+            handler.onHead = [&](const http_response_head &head) -> task<> {
+                status = head.status;
+                co_return;
+            };
+            handler.onPiece = [](std::string_view) -> task<> {
+                co_return;
+            };
+            http_request request{.method = "POST"};
+            const http_client::stream_options options{.timeouts = {.firstByte = generousTime, .silence = generousTime}};
+            co_await fixture.caller.stream(upstream.address(), std::move(request), std::move(handler), options);
+        });
+        CHECK(status == expected);
+    }
+    CHECK(upstream.connections == std::vector<std::size_t>{0, 1, 1});
+}
