Serve through other gateways what this one cannot reach

Cause: an upstream could be reached by the own connections of a gateway only, each request waited for a connect that timed out, and the failures were counted against sound upstreams where their cells are placed: ejections that double up to 30 s, in which batch runs wait.

Failures on the way are reported as cancelled, so that they eject nothing.

--- a/core/include/banyan/core/serving/load_board.h
+++ b/core/include/banyan/core/serving/load_board.h
@@ -56,6 +56,9 @@
     /// Number of online requests for a service that wait at other nodes.
     [[nodiscard]] std::uint32_t waitingOnline(service_key service) const;
 
+    /// The node's last report, while it is counted; null if there is none.
+    [[nodiscard]] const node_load *reportOf(const node_id &node) const;
+
     /// The nodes whose last report is not older than the node retention.
     [[nodiscard]] std::vector<node_id> nodes() const;
 
--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -51,6 +51,9 @@
     std::vector<reported_limit> limits; ///< Rate limits that upstreams named in answers to the sender lately.
     std::vector<share_lease> leases; ///< The sender's shares of rate limits that other nodes may use.
     limit_pool_report pools; ///< Of the limits of organisations.
+    std::vector<upstream_key> unreachable; ///< Upstreams to which the sender has lost its path; see reachesNone.
+    bool reachesNone = false; ///< The sender has lost its path to most upstreams; not all of them are listed.
+    std::uint32_t forwards = 0; ///< Requests of other nodes that the sender is forwarding.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims, at any node, that the sender waits for or holds.
 
     auto operator<=>(const node_load &) const = default;
--- a/core/include/banyan/core/serving/retry_policy.h
+++ b/core/include/banyan/core/serving/retry_policy.h
@@ -35,6 +35,12 @@
     /// Maximum time to the next byte of a stream that has begun, before it is continued at another upstream.
     [[nodiscard]] duration nextByteTimeout(time_point now) const;
 
+    /// Whether another attempt could follow one that begins now and may have run.
+    [[nodiscard]] bool mayFollow() const
+    {
+        return m_repeatable && m_runs + 1 < m_maximumRuns;
+    }
+
     /// Whether any attempt may have run.
     [[nodiscard]] bool mayHaveRun() const
     {
--- a/core/src/serving/load_board.cpp
+++ b/core/src/serving/load_board.cpp
@@ -95,6 +95,12 @@
     return entry == m_reports.end() || !entry->second.isCounted;
 }
 
+const node_load *load_board::reportOf(const node_id &node) const
+{
+    const auto entry = m_reports.find(node);
+    return entry == m_reports.end() || !entry->second.isCounted ? nullptr : &entry->second.load;
+}
+
 load_board::total_usage load_board::usageOf(upstream_key upstream) const
 {
     const auto total = m_totals.find(upstream);
--- a/core/src/serving/retry_policy.cpp
+++ b/core/src/serving/retry_policy.cpp
@@ -50,14 +50,13 @@
 duration retry_policy::firstByteTimeout(duration overdueAfter, time_point now) const
 {
     const duration remaining = std::max(minimumAttemptTime, m_deadline - now);
-    const bool anotherAttemptAllowed = m_repeatable && m_runs + 1 < m_maximumRuns;
-    return anotherAttemptAllowed ? std::min(remaining, std::max(overdueAfter, minimumAttemptTime)) : remaining;
+    return mayFollow() ? std::min(remaining, std::max(overdueAfter, minimumAttemptTime)) : remaining;
 }
 
 duration retry_policy::nextByteTimeout(time_point now) const
 {
     const duration remaining = std::max(minimumAttemptTime, m_deadline - now);
-    if (!m_repeatable || m_runs + 1 >= m_maximumRuns) {
+    if (!mayFollow()) {
         return remaining;
     }
     const duration nextByteLimit = m_target > duration(0) ? m_target * gapShareNumerator / gapShareDenominator : defaultNextByteTimeout;
--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -66,6 +66,12 @@
     /// Closes the unused connections to an endpoint.
     void closeIdle(const endpoint &to);
 
+    /// Opens a connection within @p timeout and keeps it for the next request. @throws http_error with NotSent
+    [[nodiscard]] task<> openIdle(endpoint to, duration timeout);
+
+    /// Longest time for opening a connection.
+    [[nodiscard]] duration connectTimeout() const;
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
@@ -74,6 +80,7 @@
     {
         std::function<task<>(const http_response_head &head)> onHead;
         std::function<task<>(std::string_view piece)> onPiece; ///< Valid until the task ends.
+        std::function<void(bool isNew)> onConnected = {}; ///< Before the request is sent, on a new or an idle connection.
         /// The id of the request that an answer names; empty if it names none. If null, no answer does.
         std::function<std::string(const http_response_head &head)> idOf = {};
     };
--- a/io/include/banyan/io/serving/peer_exchange.h
+++ b/io/include/banyan/io/serving/peer_exchange.h
@@ -14,7 +14,6 @@
 /// Options of a peer_exchange.
 struct peer_exchange_options
 {
-    endpoint listen; ///< Address to bind; port 0 picks a free port.
     duration heartbeat = std::chrono::milliseconds(250); ///< Interval between reports while nothing changes.
 };
 
@@ -28,11 +27,8 @@
     peer_exchange(asio::io_context &context, const peer_exchange_options &options, report_source source, message_handler handler);
     ~peer_exchange();
 
-    /// Binds the socket and begins to send and receive. @throws std::runtime_error if the address cannot be bound
-    void start();
-
-    /// The bound address, with the actual port.
-    [[nodiscard]] endpoint address() const;
+    /// Binds the socket to @p listen and begins to send and receive. @throws std::runtime_error if the address cannot be bound
+    void start(const endpoint &listen);
 
     /// Replaces the addresses of the other nodes. Until the next call, the source address of a received report replaces the
     /// address of its sender, and removes any other node at that address.
--- a/io/include/banyan/io/serving/upstream_run.h
+++ b/io/include/banyan/io/serving/upstream_run.h
@@ -27,6 +27,7 @@
     std::string body;
     std::optional<std::uint64_t> resumeAfter; ///< Last stream event already received by the client or this node; the run resumes after it.
     std::optional<duration> timeLeft; ///< Time left until the whole answer is due.
+    bool mayRepeat = false; ///< Another attempt may follow one that hangs on a lost path.
     bool onNewConnection = false; ///< Excludes idle connections that the upstream may have closed as the cause of a loss.
 };
 
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/attempt_result.h"
 #include "banyan/core/byte_share.h"
+#include "banyan/core/identifier.h"
 #include "banyan/io/asio_types.h"
 #include "banyan/io/http_client.h"
 #include "banyan/io/serving/answer_head.h"
@@ -19,6 +20,9 @@
 
 class client_memory;
 class stop_signal;
+class upstream_paths;
+struct attempt_route;
+struct forwarder;
 
 /// Result of one attempt at an upstream.
 struct attempt_report
@@ -27,6 +31,9 @@
     std::optional<answer_head> head; ///< Set once the head of an answer has been received.
     std::string body; ///< Body, unless it was passed to attempt_observer::onBody.
     byte_share held; ///< Of the body.
+    node_id forwarder; ///< The node through which the attempt went; empty if it went directly.
+    bool wasNotReached = false; ///< The forwarder could not open a connection to the upstream either.
+    bool isOfPath = false; ///< It failed on the way: that says nothing about the upstream or the content.
     bool staleConnection = false; ///< Lost on a reused connection that the upstream may have closed while it was idle.
     std::string error; ///< For logs; empty if the answer is complete.
 };
@@ -39,13 +46,20 @@
     std::function<void()> onRoomAwaited; ///< Reading stops until there is memory for the answer: from now on the upstream is not slow.
 };
 
-/// Sends attempts to upstreams over pooled connections.
+/// The outcome that the scheduler should hear of: a failure that says nothing about the upstream counts as cancelled.
+[[nodiscard]] attempt_result resultForScheduler(const attempt_report &report);
+
+/// Sends attempts to upstreams over pooled connections, or through another node if this one does not reach the upstream.
 class upstream_sender
 {
 public:
     /// @p client must outlive the sender.
     upstream_sender(http_client &client, upstream_protocol protocol);
 
+    /// Lets attempts go through other nodes where @p paths says that this one does not reach an upstream. @p peerClient opens
+    /// connections to other nodes. Both must outlive the sender. Without this call every attempt goes directly.
+    void usePaths(upstream_paths &paths, http_client &peerClient, node_id self);
+
     /// Sends one attempt and waits for its end. @p stop cancels the attempt and closes its connection.
     [[nodiscard]] task<attempt_report>
     send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
@@ -67,11 +81,20 @@
     void onRateStatement(std::function<void(const upstream_run &run, const answer_head &head)> handler);
 
 private:
+    task<attempt_report>
+    sendDirectly(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
+    task<attempt_report>
+    sendThrough(forwarder through, upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
+    task<attempt_report>
+    exchange(attempt_route by, upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
     task<> makeRoom(attempt_report &report, std::size_t bytes, const attempt_observer &observer, stop_signal &stop);
     task<>
     collect(attempt_report &report, std::string_view piece, std::size_t announced, const attempt_observer &observer, stop_signal &stop);
 
     http_client &m_client;
+    http_client *m_peerClient = nullptr;
+    upstream_paths *m_paths = nullptr; ///< If null, every attempt goes directly.
+    node_id m_self;
     client_memory *m_memory = nullptr;
     upstream_protocol m_protocol;
     std::function<void(const upstream_run &run, unsigned status)> m_upstreamLeaves;
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -67,6 +67,9 @@
   poolLeases @12 :List(PoolLease);
   poolShares @13 :List(PoolShare);
   poolLeaseTime @14 :UInt32;      # Microseconds.
+  unreachable @15 :List(UInt32);  # Keys of upstreams.
+  reachesNone @16 :Bool;
+  forwards @17 :UInt32;
 }
 
 struct SlotClaim {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -182,7 +182,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 2, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(db6f9a50147d4dbd, 3, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1274,6 +1274,13 @@
 
   inline  ::uint32_t getPoolLeaseTime() const;
 
+  inline bool hasUnreachable() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreachable() const;
+
+  inline bool getReachesNone() const;
+
+  inline  ::uint32_t getForwards() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1398,6 +1405,20 @@
   inline  ::uint32_t getPoolLeaseTime();
   inline void setPoolLeaseTime( ::uint32_t value);
 
+  inline bool hasUnreachable();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreachable();
+  inline void setUnreachable( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreachable(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreachable(unsigned int size);
+  inline void adoptUnreachable(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUnreachable();
+
+  inline bool getReachesNone();
+  inline void setReachesNone(bool value);
+
+  inline  ::uint32_t getForwards();
+  inline void setForwards( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4559,6 +4580,72 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeLoad::Reader::hasUnreachable() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeLoad::Builder::hasUnreachable() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeLoad::Reader::getUnreachable() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::getUnreachable() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void NodeLoad::Builder::setUnreachable( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline void NodeLoad::Builder::setUnreachable(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeLoad::Builder::initUnreachable(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void NodeLoad::Builder::adoptUnreachable(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeLoad::Builder::disownUnreachable() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool NodeLoad::Reader::getReachesNone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeLoad::Builder::getReachesNone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setReachesNone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeLoad::Reader::getForwards() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeLoad::Builder::getForwards() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void NodeLoad::Builder::setForwards( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotClaim::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -67,7 +67,8 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{readAheadBytes};
-    bool reused = false; ///< It has served a request before.
+    bool reused = false; ///< It was idle before.
+    std::uint64_t requests = 0; ///< Sent on it.
     std::optional<duration> idleLimit; ///< What the peer allows, less a margin.
     std::vector<std::size_t> ids; ///< Hashes of the ids of the requests that were sent on it.
     bool hasHeadRequest = false; ///< Where the body of a repeated answer ends cannot be told then.
@@ -171,6 +172,7 @@
 {
     auto pending = std::make_shared<pending_write>(toBeast(to, std::move(request)));
     connection->stream.expires_after(timeout);
+    ++connection->requests;
     if (pending->message.body().size() > bodyBesideAnswerBytes) {
         asio::co_spawn(connection->stream.get_executor(), writeBesideAnswer(connection, pending), asio::detached);
         co_return pending;
@@ -248,7 +250,7 @@
     return {.status = std::min(parser.get().result_int(), maximumStatusCode),
             .fields = fromBeast(parser.get().base()),
             .framing = framingOf(parser),
-            .isFirstOnConnection = !connection.reused};
+            .isFirstOnConnection = connection.requests == 1};
 }
 
 /// Whether nothing in a failure tells to which request it belongs. A copy of it would be taken for the next answer.
@@ -348,16 +350,22 @@
         m_options.idleConnectionsPerEndpoint = count;
     }
 
+    /// An idle connection that may carry the request, else null.
+    connection_pointer idleFor(const endpoint &to, connection_choice choice, const std::string &id)
+    {
+        return choice == connection_choice::IdleOrNew ? takeIdle(to, id) : nullptr;
+    }
+
+    /// A connection that is to be opened.
+    [[nodiscard]] connection_pointer makeConnection() const
+    {
+        return std::make_shared<client_connection>(m_context);
+    }
+
     /// @throws http_error with NotSent
-    task<connection_pointer> connect(endpoint to, connection_choice choice, std::string id)
+    task<> open(connection_pointer connection, endpoint to, duration timeout)
     {
-        if (choice == connection_choice::IdleOrNew) {
-            if (connection_pointer reused = takeIdle(to, id)) {
-                co_return reused;
-            }
-        }
-        auto connection = std::make_shared<client_connection>(m_context);
-        connection->stream.expires_after(m_options.connectTimeout);
+        connection->stream.expires_after(timeout);
         boost::system::error_code error;
         co_await connection->stream.async_connect(toAsio(to), asio::redirect_error(asio::use_awaitable, error));
         if (error) {
@@ -366,7 +374,6 @@
         ++m_opened;
         connection->stream.socket().set_option(tcp::no_delay(true), error);
         limitUnacknowledged(connection->stream.socket());
-        co_return connection;
     }
 
     /// Keeps a connection for the next request, unless the peer has sent more than the answer.
@@ -471,6 +478,18 @@
     m_implementation->closeIdle(to);
 }
 
+task<> http_client::openIdle(endpoint to, duration timeout)
+{
+    const connection_pointer connection = m_implementation->makeConnection();
+    co_await m_implementation->open(connection, to, timeout);
+    m_implementation->giveBack(to, connection);
+}
+
+duration http_client::connectTimeout() const
+{
+    return m_implementation->options().connectTimeout;
+}
+
 std::uint64_t http_client::connectionsOpened() const
 {
     return m_implementation->opened();
@@ -483,7 +502,11 @@
 
 task<http_response> http_client::exchange(endpoint to, http_request request, duration timeout)
 {
-    const connection_pointer connection = co_await m_implementation->connect(to, connection_choice::IdleOrNew, std::string());
+    connection_pointer connection = m_implementation->idleFor(to, connection_choice::IdleOrNew, std::string());
+    if (!connection) {
+        connection = m_implementation->makeConnection();
+        co_await m_implementation->open(connection, to, connectTimeout());
+    }
     const bool endsWithHead = request.method == headMethod;
     const auto pending = co_await writeRequest(connection, to, std::move(request), timeout);
     http::response_parser<http::string_body> parser;
@@ -513,8 +536,11 @@
 {
     const std::shared_ptr<http_cancellation> &cancellation = options.cancellation;
     refuseCancelled(cancellation.get());
-    const connection_pointer connection = co_await m_implementation->connect(to, options.choice, options.id);
-    refuseCancelled(cancellation.get());
+    connection_pointer connection = m_implementation->idleFor(to, options.choice, options.id);
+    const bool isNew = !connection;
+    if (isNew) {
+        connection = m_implementation->makeConnection();
+    }
     if (cancellation) {
         cancellation->m_close = [weak = std::weak_ptr(connection)] {
             if (const auto open = weak.lock()) {
@@ -522,6 +548,13 @@
             }
         };
     }
+    if (isNew) {
+        co_await m_implementation->open(connection, to, connectTimeout());
+        refuseCancelled(cancellation.get());
+    }
+    if (handler.onConnected) {
+        handler.onConnected(isNew);
+    }
     const auto firstBy = std::chrono::steady_clock::now() + options.timeouts.firstByte;
     const bool endsWithHead = request.method == headMethod;
     connection->carry(options.id, endsWithHead);
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -1,6 +1,8 @@
 #include "banyan/io/serving/gateway.h"
 
+#include "banyan/core/descriptor_shares.h"
 #include "banyan/core/serving/connection_share.h"
+#include "banyan/core/serving/forwarder.h"
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica_registry.h"
 #include "banyan/core/serving/report_hubs.h"
@@ -13,6 +15,7 @@
 #include "banyan/io/node_metrics.h"
 #include "banyan/io/platform_error.h"
 #include "banyan/io/serving/caller_admission.h"
+#include "banyan/io/serving/forward_service.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/part_watch.h"
 #include "banyan/io/serving/peer_exchange.h"
@@ -22,6 +25,7 @@
 #include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/stream_versions.h"
 #include "banyan/io/serving/table_follower.h"
+#include "banyan/io/serving/upstream_paths.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
 #include "organisation_gate.h"
@@ -53,6 +57,10 @@
 constexpr duration housekeepingInterval = std::chrono::milliseconds(100); // Delays the detection of unresponsive nodes by up to this time.
 constexpr duration suspensionThreshold = std::chrono::seconds(1); // A timer that is this late means that the process was suspended.
 constexpr std::size_t maximumRemoteLosses = 64; // Bounds the size of reports; the observing node repeats losses that are left out.
+constexpr duration peerConnectTimeout = std::chrono::milliseconds(200); // Many round trips between gateways.
+constexpr std::size_t idleConnectionsPerPeer = 8;
+constexpr double forwardsPerCore = 512; // Requests of other gateways in progress; more would delay those of this one's callers.
+constexpr double leastForwards = 32;
 const std::string gatewayTable = "gateways";
 
 /// Longest wait of a call for a new configuration. Where keys can be taken away, several calls begin within the revocation time,
@@ -144,6 +152,19 @@
                             return m_exchange.send(to, message);
                         }},
                    settings.organisationLimits)
+        , m_peerClient(context,
+                       {.connectTimeout = peerConnectTimeout,
+                        .idleConnectionsPerEndpoint = idleConnectionsPerPeer,
+                        .unacknowledgedTimeout = std::chrono::seconds(2)})
+        , m_paths({.context = context,
+                   .client = upstreamClient,
+                   .metrics = m_metrics,
+                   .board = m_board,
+                   .hubs = m_hubs,
+                   .changed =
+                       [this] {
+                           m_exchange.requestReport();
+                       }})
         , m_sender(upstreamClient, m_platform.protocol)
         , m_parts(m_metrics)
         , m_relay({.context = context,
@@ -191,7 +212,7 @@
               {.self = m_self})
         , m_exchange(
               context,
-              {.listen = settings.peerListen},
+              {},
               [this] {
                   return ownLoad();
               },
@@ -204,6 +225,7 @@
     }
 
     void start();
+    void startForwarding();
     task<> leave(duration jobTime);
     void housekeep();
     void setCallerMetrics();
@@ -260,6 +282,10 @@
     caller_admission m_callers;
     upstream_rates m_rates;
     organisation_gate m_limits;
+    http_client m_peerClient;
+    upstream_paths m_paths;
+    std::optional<forward_service> m_forwards; ///< Set by start().
+    client_memory *m_memory = nullptr;
     upstream_sender m_sender;
     part_watch m_parts;
     request_relay m_relay;
@@ -292,8 +318,10 @@
 void gateway::implementation::start()
 {
     m_lastHousekeeping = currentTime();
-    m_exchange.start();
-    m_peerAddress = m_exchange.address();
+    m_sender.usePaths(m_paths, m_peerClient, m_self);
+    startForwarding();
+    m_peerAddress = m_forwards->address(); // The same for requests and, as datagrams, for messages.
+    m_exchange.start(m_peerAddress);
     m_scheduler.onAddressReused([this](const upstream_id &upstream) {
         logEvent(log_level::Info, "upstream_address_reused", {{"upstream", upstream.text()}});
         m_registry.recordAddressReuse(upstream);
@@ -323,6 +351,26 @@
     housekeep();
 }
 
+/// Begins to take requests of other gateways.
+void gateway::implementation::startForwarding()
+{
+    const auto most = static_cast<std::size_t>(leastForwards + forwardsPerCore * m_settings.processorShare);
+    m_forwards.emplace(forward_service_ports{.context = m_context,
+                                             .client = m_upstreamClient,
+                                             .paths = m_paths,
+                                             .metrics = m_metrics,
+                                             .find =
+                                                 [this](const upstream_id &upstream) {
+                                                     return m_scheduler.find(upstream);
+                                                 }},
+                       m_platform.protocol,
+                       forward_service_options{.listen = m_settings.peerListen,
+                                               .maximumRequests = most,
+                                               .maximumConnections = shareDescriptors(m_settings.maximumDescriptors).others,
+                                               .memory = m_memory});
+    m_forwards->start();
+}
+
 std::shared_ptr<table_follower> gateway::implementation::follow(table_follower_options options, table_observer observer)
 {
     auto follower = std::make_shared<table_follower>(m_context, m_platform.store, std::move(options), std::move(observer));
@@ -471,6 +519,7 @@
     }
     m_versions.setUpstreams(replicas);
     m_scheduler.setUpstreams(replicas);
+    m_paths.setUpstreams(replicas);
     m_rates.setUpstreams(replicas, currentTime());
     m_metrics.set("upstreams_leaving", static_cast<double>(m_registry.leavingCount()));
 }
@@ -572,11 +621,13 @@
     std::set<node_id> registered;
     std::map<node_id, endpoint> peers;
     std::map<node_id, double> processorShares;
+    std::vector<forwarder> forwarders;
     for (const auto &[key, entry] : m_gateways) {
         registered.insert(entry.id);
         processorShares.emplace(entry.id, entry.processorShare);
         if (entry.peerAddress != m_peerAddress) {
             peers.emplace(entry.id, entry.peerAddress);
+            forwarders.push_back({.node = entry.id, .address = entry.peerAddress, .processorShare = entry.processorShare});
         }
     }
     m_hubs.setRegistered(processorShares);
@@ -592,6 +643,7 @@
         },
         m_hubs.interval());
     m_exchange.setPeers(peers);
+    m_paths.setNodes(std::move(forwarders));
     m_jobs.setHubs(m_hubs);
     m_jobs.setRegistered(registered);
 }
@@ -730,6 +782,9 @@
             .limits = m_rates.limitsToReport(now),
             .leases = m_rates.leasesToReport(now),
             .pools = m_limits.report(m_sequence, now),
+            .unreachable = m_paths.unreachable(),
+            .reachesNone = m_paths.reachesNone(),
+            .forwards = static_cast<std::uint32_t>(m_forwards->inProgress()),
             .claims = m_slots.claims()};
 }
 
@@ -898,6 +953,7 @@
 
 void gateway::limitMemory(client_memory &memory)
 {
+    m_implementation->m_memory = &memory;
     m_implementation->m_sender.limitMemory(memory);
     m_implementation->m_jobs.limitMemory(memory);
 }
@@ -959,6 +1015,7 @@
 void gateway::beginShutdown()
 {
     m_implementation->m_shuttingDown = true;
+    m_implementation->m_forwards->beginShutdown();
     m_implementation->updateSchedulingState();
 }
 
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -201,11 +201,7 @@
         report = co_await sendItem(job, index, *registered, progress);
         state.earlierRunTime += currentTime() - *std::exchange(state.sentAt, std::nullopt);
     }
-    attempt_result result = report.result;
-    if (report.staleConnection) {
-        result.outcome = attempt_outcome::Cancelled;
-    }
-    m_ports.slots.released(id, result);
+    m_ports.slots.released(id, resultForScheduler(report));
     if (report.head && report.head->kind == answer_kind::WrongUpstream) {
         m_ports.slots.scheduler().addressReused(upstream);
     }
@@ -216,6 +212,7 @@
                  {{"job", job->entry.id.text()},
                   {"item", job->items[index].id},
                   {"upstream", upstream.text()},
+                  {"forwarder", report.forwarder.text()},
                   {"status", std::to_string(report.head ? report.head->status : 0)},
                   {"error", report.error},
                   {"next", step == item_step::RunAgain ? "run_again" : (step == item_step::Errored ? "errored" : "succeeded")}});
@@ -239,7 +236,8 @@
                      .fields = fieldsOf(item),
                      .body = item.body,
                      .resumeAfter = progress.resumeAfter(),
-                     .timeLeft = std::nullopt};
+                     .timeLeft = std::nullopt,
+                     .mayRepeat = true};
     const prompt_run prompt = promptRunOf(item);
     const upstream_key incarnation = keyOfStart(upstream);
     std::size_t eventCount = 0;
@@ -278,7 +276,7 @@
     }
     if (report.result.outcome == attempt_outcome::Succeeded) {
         m_ports.parts.recordProof(prompt, currentTime());
-    } else if (report.result.outcome == attempt_outcome::Lost && eventCount < eventsOfBegunAnswer) {
+    } else if (report.result.outcome == attempt_outcome::Lost && !report.isOfPath && eventCount < eventsOfBegunAnswer) {
         m_ports.parts.recordLoss(prompt, incarnation, currentTime());
     }
     co_return report;
--- a/io/src/serving/peer_exchange.cpp
+++ b/io/src/serving/peer_exchange.cpp
@@ -33,9 +33,9 @@
     {
     }
 
-    void start()
+    void start(const endpoint &listen)
     {
-        const udp::endpoint address(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
+        const udp::endpoint address(asio::ip::make_address(listen.address), listen.port);
         m_socket.open(address.protocol());
         m_socket.bind(address);
         m_socket.non_blocking(true);
@@ -43,12 +43,6 @@
         scheduleReport(duration(0));
     }
 
-    [[nodiscard]] endpoint address() const
-    {
-        const udp::endpoint local = m_socket.local_endpoint();
-        return {.address = local.address().to_string(), .port = local.port()};
-    }
-
     void setPeers(const std::map<node_id, endpoint> &peers)
     {
         m_peers.clear();
@@ -205,14 +199,9 @@
     m_implementation->stop();
 }
 
-void peer_exchange::start()
-{
-    m_implementation->start();
-}
-
-endpoint peer_exchange::address() const
+void peer_exchange::start(const endpoint &listen)
 {
-    return m_implementation->address();
+    m_implementation->start(listen);
 }
 
 void peer_exchange::setPeers(const std::map<node_id, endpoint> &peers)
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -479,6 +479,7 @@
                          .body = m_request.body,
                          .resumeAfter = m_stream.lastEvent(),
                          .timeLeft = std::max(duration(0), m_deadline - now),
+                         .mayRepeat = m_retries.mayFollow(),
                          .onNewConnection = m_relay.m_crashes.isSuspect(m_fingerprint, now)};
         const http_client::stream_timeouts timeouts{
             .firstByte =
@@ -562,6 +563,9 @@
             m_relay.m_ports.slots.firstByte(m_slotId);
         }
         release(upstream, report);
+        if (!report.forwarder.text().empty()) {
+            m_forwarders += (m_forwarders.empty() ? "" : ">") + report.forwarder.text();
+        }
         if (report.head) {
             m_framing = report.head->framing;
         }
@@ -577,7 +581,9 @@
             co_await answer(report);
             co_return true;
         }
-        if (outcome == attempt_outcome::Lost) {
+        if (report.isOfPath) {
+            m_relay.m_ports.metrics.count("attempt_lost_on_path");
+        } else if (outcome == attempt_outcome::Lost) {
             m_relay.recordLostAttempt(m_fingerprint, keyOfStart(sentTo), now);
             if (m_stream.pieces() < piecesOfBegunAnswer) {
                 m_relay.m_ports.parts.recordLoss(m_promptRun, keyOfStart(sentTo), now);
@@ -610,15 +616,11 @@
         }
     }
 
-    /// Frees the slot. A loss on a connection that the upstream may have closed while idle does not count against it.
+    /// Frees the slot. A loss on the way, or on a connection that the upstream may have closed while idle, does not count against it.
     void release(const upstream_id &upstream, const attempt_report &report)
     {
-        attempt_result result = report.result;
-        if (report.staleConnection) {
-            result.outcome = attempt_outcome::Cancelled;
-        }
         m_relay.m_ports.metrics.attemptEnded(toString(report.result.outcome), false);
-        m_relay.m_ports.slots.released(m_slotId, result);
+        m_relay.m_ports.slots.released(m_slotId, resultForScheduler(report));
         if (report.head && report.head->kind == answer_kind::WrongUpstream) {
             m_relay.m_ports.slots.scheduler().addressReused(upstream);
         }
@@ -717,6 +719,7 @@
                   {"service", m_service.text()},
                   {"upstreams", m_upstreams},
                   {"versions", m_versions},
+                  {"forwarders", m_forwarders},
                   {"resumes", m_request.resumes ? m_request.resumes->text() : ""},
                   {"placer", m_schedulingNode.text()},
                   {"waited_us", std::to_string(m_slotWaitTime.count())},
@@ -754,6 +757,8 @@
                   {"fingerprint", std::to_string(m_fingerprint)},
                   {"outcome", std::string(toString(report.result.outcome))},
                   {"idle_connection", report.staleConnection ? "true" : "false"},
+                  {"forwarder", report.forwarder.text()},
+                  {"of_path", report.isOfPath ? "true" : "false"},
                   {"status", std::to_string(report.head ? report.head->status : 0)},
                   {"framing", std::string(report.head ? toString(report.head->framing) : "none")},
                   {"error", report.error},
@@ -783,6 +788,7 @@
     std::vector<upstream_id> m_tried;
     std::string m_upstreams; ///< Upstreams in the order of the attempts, for the log.
     std::string m_versions; ///< Their software versions.
+    std::string m_forwarders; ///< Other nodes through which attempts went, in their order, for the log.
     node_id m_schedulingNode; ///< Node that granted the last slot; empty for this node.
     duration m_slotWaitTime{}; ///< Total time spent waiting for slots.
     std::optional<time_point> m_firstByteAt;
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -138,6 +138,12 @@
         poolShares[position].setPool(load.pools.shares[position].pool);
         poolShares[position].setShare(load.pools.shares[position].share);
     }
+    auto unreachable = root.initUnreachable(static_cast<unsigned>(load.unreachable.size()));
+    for (unsigned position = 0; position < load.unreachable.size(); ++position) {
+        unreachable.set(position, load.unreachable[position]);
+    }
+    root.setReachesNone(load.reachesNone);
+    root.setForwards(load.forwards);
     auto claims = root.initClaims(static_cast<unsigned>(load.claims.size()));
     for (unsigned position = 0; position < load.claims.size(); ++position) {
         claims.set(position, load.claims[position]);
@@ -214,7 +220,13 @@
                    .limits = {},
                    .leases = {},
                    .pools = {.leaseTime = duration(root.getPoolLeaseTime()), .leases = {}, .shares = {}},
+                   .unreachable = {},
+                   .reachesNone = root.getReachesNone(),
+                   .forwards = root.getForwards(),
                    .claims = {}};
+    for (const upstream_key upstream : root.getUnreachable()) {
+        load.unreachable.push_back(upstream);
+    }
     for (const auto entry : root.getUsage()) {
         load.usage[entry.getKey()] = {
             .online = entry.getOnline(), .batch = entry.getBatch(), .degraded = entry.getTroubled(), .remainingWork = entry.getRemaining()};
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -1,11 +1,18 @@
 #include "banyan/io/serving/upstream_sender.h"
 
+#include "banyan/core/serving/forwarder.h"
+#include "banyan/core/serving/request_scheduler.h"
 #include "banyan/io/client_memory.h"
+#include "banyan/io/clock.h"
 #include "banyan/io/http_error.h"
 #include "banyan/io/serving/stop_signal.h"
+#include "banyan/io/serving/upstream_paths.h"
+#include "forward_protocol.h"
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -56,14 +63,86 @@
     return error.timedOut() ? attempt_outcome::TimedOut : attempt_outcome::Lost;
 }
 
+/// An answer of a node that forwards which is not the upstream's.
+class forward_error : public std::runtime_error
+{
+public:
+    explicit forward_error(std::optional<forward_outcome> told)
+        : std::runtime_error(told ? "forwarder: " + std::string(toString(*told)) : "not an answer of a forwarder")
+        , m_told(told)
+    {
+    }
+
+    [[nodiscard]] attempt_outcome outcome() const
+    {
+        if (m_told == forward_outcome::Declined || m_told == forward_outcome::NotReached) {
+            return attempt_outcome::NotSent;
+        }
+        return m_told == forward_outcome::TimedOut ? attempt_outcome::TimedOut : attempt_outcome::Lost;
+    }
+
+    [[nodiscard]] bool notReached() const
+    {
+        return m_told == forward_outcome::NotReached;
+    }
+
+    [[nodiscard]] bool stale() const
+    {
+        return m_told == forward_outcome::Stale;
+    }
+
+private:
+    std::optional<forward_outcome> m_told;
+};
+
+/// The upstream's head in the answer of a node that forwards. @throws forward_error if it is not the upstream's
+http_response_head headThrough(const http_response_head &received)
+{
+    const std::optional<forward_outcome> told = outcomeIn(received);
+    if (told != forward_outcome::Answered) {
+        throw forward_error(told);
+    }
+    return upstreamHead(received);
+}
+
+constexpr std::size_t mostForwarders = 3; // That are asked for one attempt.
+
 } // namespace
 
+/// The way of an attempt, and who is told of its steps.
+struct attempt_route
+{
+    http_client &client;
+    endpoint address;
+    std::optional<forward_order> order = std::nullopt; ///< For the node at the address, unless that is the upstream.
+    std::shared_ptr<http_cancellation> cancellation;
+    std::function<void(bool isNew)> onConnected = {};
+    std::function<void()> onHeard = {}; ///< For each byte of the answer.
+    std::function<void(const http_error &error)> onFailed = {};
+};
+
+attempt_result resultForScheduler(const attempt_report &report)
+{
+    attempt_result result = report.result;
+    if (report.staleConnection || report.isOfPath) {
+        result.outcome = attempt_outcome::Cancelled;
+    }
+    return result;
+}
+
 upstream_sender::upstream_sender(http_client &client, upstream_protocol protocol)
     : m_client(client)
     , m_protocol(std::move(protocol))
 {
 }
 
+void upstream_sender::usePaths(upstream_paths &paths, http_client &peerClient, node_id self)
+{
+    m_paths = &paths;
+    m_peerClient = &peerClient;
+    m_self = std::move(self);
+}
+
 void upstream_sender::onUpstreamLeaves(std::function<void(const upstream_run &run, unsigned status)> handler)
 {
     m_upstreamLeaves = std::move(handler);
@@ -126,22 +205,26 @@
     report.body += piece;
 }
 
-task<attempt_report>
-upstream_sender::send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
+/// Sends one attempt by a route, and waits for its end.
+task<attempt_report> upstream_sender::exchange(attempt_route by,
+                                               upstream_run run,
+                                               http_client::stream_timeouts timeouts,
+                                               attempt_observer observer,
+                                               stop_signal &stop)
 {
     attempt_report report;
     if (m_memory != nullptr) {
         report.held = m_memory->share(memory_holder::Answers);
     }
     std::size_t announced = 0;
-    const auto cancellation = std::make_shared<http_cancellation>();
-    stop.onStop([cancellation] {
-        cancellation->cancel();
-    });
     http_client::stream_handler handler;
-    handler.onHead = [&](const http_response_head &head) -> task<> {
+    handler.onHead = [&](const http_response_head &received) -> task<> {
+        const http_response_head head = by.order ? headThrough(received) : received;
         report.head = m_protocol.decodeHead(head, run);
         announced = announcedLength(head);
+        if (by.onHeard) {
+            by.onHeard();
+        }
         if (report.head->upstreamLeaves && m_upstreamLeaves) {
             m_upstreamLeaves(run, head.status);
         }
@@ -156,33 +239,164 @@
         }
     };
     handler.onPiece = [&](std::string_view piece) -> task<> {
+        if (by.onHeard) {
+            by.onHeard();
+        }
         if (report.head->kind == answer_kind::Success && observer.onBody) {
             co_await observer.onBody(piece);
             co_return;
         }
         co_await collect(report, piece, announced, observer, stop);
     };
+    handler.onConnected = by.onConnected;
     handler.idOf = m_protocol.answeredId;
-    const endpoint address = run.address;
     const http_client::stream_options options{.timeouts = timeouts,
-                                              .cancellation = cancellation,
+                                              .cancellation = by.cancellation,
                                               .choice = run.onNewConnection ? connection_choice::New : connection_choice::IdleOrNew,
                                               .id = run.id.text()};
     http_request request = m_protocol.encodeRun(run);
     run.body = std::string(); // The request has it.
+    if (by.order) {
+        addOrder(request, *by.order);
+    }
     try {
-        co_await m_client.stream(address, std::move(request), std::move(handler), options);
+        co_await by.client.stream(by.address, std::move(request), std::move(handler), options);
         report.result.outcome = outcomeOf(*report.head);
+    } catch (const forward_error &error) {
+        report.result.outcome = error.outcome();
+        report.staleConnection = error.stale();
+        report.wasNotReached = error.notReached();
+        report.error = error.what();
     } catch (const http_error &error) {
         report.result.outcome = outcomeOf(error, stop.stopped());
         report.staleConnection = error.staleConnection();
         report.error = error.what();
+        // Once there was a head, the forwarder ends its connection as well when the upstream ends the other one.
+        report.isOfPath = by.order && !report.head && !error.timedOut();
+        if (by.onFailed) {
+            by.onFailed(error);
+        }
     } catch (const std::exception &error) {
         // Forwarding to the client failed, not the upstream.
         report.result.outcome = attempt_outcome::Cancelled;
         report.error = error.what();
     }
+    co_return report;
+}
+
+task<attempt_report>
+upstream_sender::sendDirectly(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
+{
+    const auto cancellation = std::make_shared<http_cancellation>();
+    stop.onStop([cancellation] {
+        cancellation->cancel();
+    });
+    attempt_route by{.client = m_client, .address = run.address, .cancellation = cancellation};
+    const auto isSent = std::make_shared<bool>(false);
+    const upstream_id upstream = run.upstream;
+    std::optional<upstream_paths::watched_run> watch;
+    if (m_paths != nullptr) {
+        auto hangs = [cancellation, isSent, mayRepeat = run.mayRepeat] {
+            if (mayRepeat || !*isSent) {
+                cancellation->cancel();
+            }
+        };
+        watch.emplace(*m_paths, upstream, std::move(hangs));
+        by.onConnected = [&watch, isSent](bool isNew) {
+            *isSent = true;
+            watch->connected(isNew);
+        };
+        by.onHeard = [&watch] {
+            watch->heard();
+        };
+        by.onFailed = [&watch, cancellation](const http_error &error) {
+            if (!cancellation->cancelled()) { // Else it says nothing about the path.
+                watch->failed(error);
+            }
+        };
+    }
+    attempt_report report = co_await exchange(std::move(by), std::move(run), timeouts, std::move(observer), stop);
     stop.onStop(nullptr);
+    const attempt_outcome outcome = report.result.outcome;
+    const bool isFailure = outcome == attempt_outcome::NotSent || outcome == attempt_outcome::TimedOut || outcome == attempt_outcome::Lost;
+    report.isOfPath = isFailure && m_paths != nullptr && m_paths->isDoubtful(upstream);
+    co_return report;
+}
+
+task<attempt_report> upstream_sender::sendThrough(forwarder through,
+                                                  upstream_run run,
+                                                  http_client::stream_timeouts timeouts,
+                                                  attempt_observer observer,
+                                                  stop_signal &stop)
+{
+    const auto cancellation = std::make_shared<http_cancellation>();
+    stop.onStop([cancellation] {
+        cancellation->cancel();
+    });
+    attempt_route by{.client = *m_peerClient,
+                     .address = through.address,
+                     .order = forward_order{.run = run.id.text(),
+                                            .upstream = run.upstream,
+                                            .startedAt = run.startedAt,
+                                            .sender = m_self,
+                                            .timeouts = timeouts,
+                                            .onNewConnection = run.onNewConnection},
+                     .cancellation = cancellation};
+    run.onNewConnection = false; // That is meant for the connection to the upstream.
+    m_paths->forwarders().begun(through.node);
+    attempt_report report = co_await exchange(std::move(by), std::move(run), timeouts, std::move(observer), stop);
+    m_paths->forwarders().ended(through.node);
+    stop.onStop(nullptr);
+    report.forwarder = through.node;
+    co_return report;
+}
+
+task<attempt_report>
+upstream_sender::send(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
+{
+    const time_point begunAt = currentTime();
+    const upstream_id upstream = run.upstream;
+    const upstream_key key = keyOf(upstream);
+    const auto remaining = [&run, begunAt] {
+        upstream_run again = run;
+        if (again.timeLeft) {
+            again.timeLeft = std::max(duration(0), *again.timeLeft - (currentTime() - begunAt));
+        }
+        return again;
+    };
+    attempt_report report;
+    const bool isLost = m_paths != nullptr && m_paths->isLost(upstream);
+    if (!isLost) {
+        report = co_await sendDirectly(run, timeouts, observer, stop);
+        if (m_paths == nullptr || report.result.outcome != attempt_outcome::NotSent || stop.stopped()) {
+            co_return report;
+        }
+    }
+    std::vector<node_id> asked;
+    while (asked.size() < mostForwarders && !m_paths->forwarders().isDown(key, currentTime())) {
+        const std::optional<forwarder> through = m_paths->chooseForwarder(upstream, asked);
+        if (!through) {
+            break;
+        }
+        asked.push_back(through->node);
+        upstream_run again = remaining();
+        report = co_await sendThrough(*through, std::move(again), timeouts, observer, stop);
+        if (report.wasNotReached) {
+            m_paths->forwarders().notReached(key, currentTime());
+        }
+        if (report.result.outcome != attempt_outcome::NotSent || report.wasNotReached || stop.stopped()) {
+            co_return report;
+        }
+        m_paths->forwarders().failed(through->node, currentTime());
+    }
+    if (isLost && asked.empty() && !m_paths->forwarders().isDown(key, currentTime())) {
+        upstream_run again = remaining();
+        co_return co_await sendDirectly(std::move(again), timeouts, std::move(observer), stop); // Nobody can help.
+    }
+    report.result.outcome = attempt_outcome::NotSent;
+    // Where no other node can be asked, or one has not reached the upstream either, the upstream is to blame.
+    report.isOfPath = !asked.empty();
+    report.error = report.error.empty() ? "not reached, and by no other node lately" : report.error;
     co_return report;
 }
 
