Finish requests of other gateways before a planned stop

A gateway that stops waited for its own callers only, so that requests which it was forwarding could be cut within their answer. It now waits for them as well, to the end of its grace, and declines new ones.

--- a/apps/banyan-gateway/main.cpp
+++ b/apps/banyan-gateway/main.cpp
@@ -180,7 +180,7 @@
         co_await sleepUntil(std::min(end, begun + balancerDelay));
         m_callers.stopAccepting();
         bool refusedUnread = false;
-        while ((m_callers.inProgress() > 0 || !left) && currentTime() < end) {
+        while ((m_callers.inProgress() > 0 || m_gateway.forwardsInProgress() > 0 || !left) && currentTime() < end) {
             if (currentTime() >= lastAnswers && !std::exchange(refusedUnread, true)) {
                 m_callers.refuseUnreadBodies();
             }
--- a/io/include/banyan/io/serving/gateway.h
+++ b/io/include/banyan/io/serving/gateway.h
@@ -9,6 +9,7 @@
 #include "banyan/io/serving/table_store.h"
 #include "banyan/io/serving/upstream_protocol.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -62,6 +63,9 @@
     /// The routes in force; null until a configuration has been read.
     [[nodiscard]] std::shared_ptr<const route_table> routes() const;
 
+    /// Requests of other gateways that this one is forwarding.
+    [[nodiscard]] std::size_t forwardsInProgress() const;
+
     [[nodiscard]] caller_admission &callers();
     [[nodiscard]] request_relay &relay();
     [[nodiscard]] listed_job_service &jobs();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -784,7 +784,7 @@
             .pools = m_limits.report(m_sequence, now),
             .unreachable = m_paths.unreachable(),
             .reachesNone = m_paths.reachesNone(),
-            .forwards = static_cast<std::uint32_t>(m_forwards->inProgress()),
+            .forwards = static_cast<std::uint32_t>(m_forwards ? m_forwards->inProgress() : 0),
             .claims = m_slots.claims()};
 }
 
@@ -987,6 +987,11 @@
     return m_implementation->m_table;
 }
 
+std::size_t gateway::forwardsInProgress() const
+{
+    return m_implementation->m_forwards ? m_implementation->m_forwards->inProgress() : 0;
+}
+
 caller_admission &gateway::callers()
 {
     return m_implementation->m_callers;
@@ -1015,7 +1020,9 @@
 void gateway::beginShutdown()
 {
     m_implementation->m_shuttingDown = true;
-    m_implementation->m_forwards->beginShutdown();
+    if (m_implementation->m_forwards) {
+        m_implementation->m_forwards->beginShutdown();
+    }
     m_implementation->updateSchedulingState();
 }
 
