--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -176,6 +176,9 @@
 std::vector<upstream_id> path_monitor::lost() const
 {
     std::vector<upstream_id> result;
+    if (m_lost == 0) {
+        return result; // Asked for each report.
+    }
     for (const auto &[id, entry] : m_paths) {
         if (entry.lost) {
             result.push_back(id);
--- a/io/include/banyan/io/serving/upstream_paths.h
+++ b/io/include/banyan/io/serving/upstream_paths.h
@@ -103,6 +103,7 @@
 
 private:
     void review();
+    void scheduleReview(time_point now);
     void apply(const path_change &change);
     void log(const path_change &change) const;
     void probe(const upstream_id &upstream);
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -38,7 +38,7 @@
 {
     m_paths.m_runs.emplace(m_number, this);
     m_paths.m_monitor.waits(m_number, m_upstream, m_startedAt);
-    m_paths.review();
+    m_paths.scheduleReview(m_startedAt);
 }
 
 upstream_paths::watched_run::~watched_run()
@@ -141,6 +141,12 @@
     for (const path_change &change : m_monitor.takeChanges()) {
         apply(change);
     }
+    scheduleReview(now);
+}
+
+/// Lets the timer wake up when the monitor wants to be asked next.
+void upstream_paths::scheduleReview(time_point now)
+{
     const std::optional<time_point> next = m_monitor.nextWakeUp(now);
     if (!next || (m_wakeUp && *m_wakeUp <= *next && *m_wakeUp > now)) {
         return;
