Lose no path of a group that is still heard

What callers would see: two upstreams that refuse within 60 ms, as after a crash of both, lost all paths of every gateway that noticed, and cancelled its sound runs. Cause: bytes heard just before the failure were taken for older than it, and bytes afterwards did not open what had only been inferred.

A group is now lost only while nothing is heard from it, bytes open inferred paths, and only runs of the group that is lost are told.

--- a/core/include/banyan/core/serving/path_change.h
+++ b/core/include/banyan/core/serving/path_change.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
-#include "banyan/core/time.h"
 
 #include <compare>
 #include <string>
@@ -14,9 +13,8 @@
 {
     std::vector<upstream_id> upstreams; ///< Whose paths have changed.
     bool isLost = false; ///< Else they are open again.
-    bool isOfGroup = false; ///< Decided for a group of upstreams on the evidence of some of them.
+    bool isOfGroup = false; ///< Decided for a group of upstreams on the evidence of some of them. Lost, none of them is heard.
     std::string evidence;
-    time_point since; ///< With lost paths: runs that have waited since then without a byte hang.
 
     auto operator<=>(const path_change &) const = default;
 };
--- a/core/include/banyan/core/serving/path_monitor.h
+++ b/core/include/banyan/core/serving/path_monitor.h
@@ -83,6 +83,12 @@
     /// When takeProbes() should be called next, if nothing else happens before.
     [[nodiscard]] std::optional<time_point> nextWakeUp(time_point now) const;
 
+    /// Whether takeChanges() has anything to return.
+    [[nodiscard]] bool hasChanges() const
+    {
+        return !m_changes.empty();
+    }
+
     /// What has changed since the last call.
     [[nodiscard]] std::vector<path_change> takeChanges();
 
@@ -111,6 +117,7 @@
     [[nodiscard]] std::optional<upstream_id> nextLost(time_point now) const;
     [[nodiscard]] std::optional<upstream_id> nextWitness(time_point now) const;
     void open(const upstream_id &upstream, path &opened, time_point now);
+    void reopen(const upstream_id &upstream, path &opened, std::string evidence);
     void lose(const upstream_id &upstream, path &failed, time_point startedAt, connect_outcome outcome, time_point now);
     void reviewGroup(const failure_domain *domain, time_point now);
     bool probe(const std::optional<upstream_id> &upstream, time_point now, std::vector<upstream_id> &probes);
--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -51,8 +51,13 @@
     waiting->second.since = now;
     m_heardAt = now;
     const auto entry = m_paths.find(waiting->second.upstream);
-    if (entry != m_paths.end()) {
-        entry->second.heardAt = now;
+    if (entry == m_paths.end()) {
+        return;
+    }
+    path &concerned = entry->second;
+    concerned.heardAt = now;
+    if (concerned.lost && !concerned.failedAt) {
+        reopen(entry->first, concerned, entry->first.text() + " answers");
     }
 }
 
@@ -83,21 +88,26 @@
     }
 }
 
-/// Records an established connection. Paths that were lost on the evidence of others only are open with it.
+/// Records an established connection.
 void path_monitor::open(const upstream_id &upstream, path &opened, time_point now)
 {
     opened.heardAt = now;
     m_heardAt = now;
     opened.failedAt.reset();
     m_witnesses = 0;
-    if (!opened.lost) {
-        return;
+    if (opened.lost) {
+        reopen(upstream, opened, upstream.text() + " connected");
     }
-    path_change change{.evidence = upstream.text() + " connected"};
+}
+
+/// Opens a lost path, and those of its group that were lost on the evidence of others only.
+void path_monitor::reopen(const upstream_id &upstream, path &opened, std::string evidence)
+{
+    path_change change{.evidence = std::move(evidence)};
     const bool allWereLost = m_lost == m_paths.size();
     for (auto &[id, other] : m_paths) {
         const bool wasInferred = other.lost && !other.failedAt;
-        if (&other == &opened || (wasInferred && (allWereLost || other.domain == opened.domain))) {
+        if (id == upstream || (wasInferred && (allWereLost || other.domain == opened.domain))) {
             other.lost = false;
             change.upstreams.push_back(id);
         }
@@ -115,7 +125,7 @@
         failed.lost = true;
         ++m_lost;
         m_witnesses = witnessesOfLoss;
-        m_changes.push_back({.upstreams = {upstream}, .isLost = true, .evidence = failed.evidence, .since = startedAt});
+        m_changes.push_back({.upstreams = {upstream}, .isLost = true, .evidence = failed.evidence});
     }
     if (!failed.failedAt) {
         failed.failedAt = startedAt;
@@ -136,7 +146,7 @@
             heardAt = std::max(heardAt, entry.second.heardAt);
         }
     }
-    path_change change{.isLost = true, .isOfGroup = true, .since = now};
+    path_change change{.isLost = true, .isOfGroup = true};
     std::size_t failures = 0;
     for (const member *const entry : members) {
         const path &candidate = entry->second;
@@ -144,11 +154,12 @@
         const bool isRecent = candidate.failedAt && now - *candidate.failedAt <= m_options.evidenceTime;
         if (isRecent && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
             ++failures;
-            change.since = std::min(change.since, *candidate.failedAt);
             change.evidence.append(change.evidence.empty() ? "" : ", ").append(candidate.evidence);
         }
     }
-    if (failures < m_options.corroboration) {
+    // A group that is heard has no common loss, however many of its upstreams refuse at the same time.
+    const bool isSilent = !heardAt || now - *heardAt >= m_options.generalSilence;
+    if (failures < m_options.corroboration || !isSilent) {
         return;
     }
     std::size_t inferred = 0;
--- a/io/include/banyan/io/serving/upstream_paths.h
+++ b/io/include/banyan/io/serving/upstream_paths.h
@@ -80,7 +80,6 @@
         std::function<void()> m_hangs;
         path_monitor::run_number m_number;
         time_point m_startedAt;
-        time_point m_heardAt; ///< Last byte, or when it began.
     };
 
     /// Whether runs for the upstream should go through another node.
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 namespace banyan {
@@ -19,7 +20,6 @@
 
 constexpr std::size_t mostListed = 64; ///< Unreachable upstreams in a report.
 constexpr std::size_t mostLogged = 8; ///< Upstreams named in a log line.
-constexpr duration recentlyHeard = std::chrono::milliseconds(60); ///< A run that was heard so lately does not hang.
 
 connect_outcome outcomeOf(const http_error &error)
 {
@@ -34,7 +34,6 @@
     , m_hangs(std::move(hangs))
     , m_number(++paths.m_lastRun)
     , m_startedAt(currentTime())
-    , m_heardAt(m_startedAt)
 {
     m_paths.m_runs.emplace(m_number, this);
     m_paths.m_monitor.waits(m_number, m_upstream, m_startedAt);
@@ -56,8 +55,10 @@
 
 void upstream_paths::watched_run::heard()
 {
-    m_heardAt = currentTime();
-    m_paths.m_monitor.heard(m_number, m_heardAt);
+    m_paths.m_monitor.heard(m_number, currentTime());
+    if (m_paths.m_monitor.hasChanges()) {
+        m_paths.review();
+    }
 }
 
 void upstream_paths::watched_run::failed(const http_error &error)
@@ -167,8 +168,9 @@
     m_ports.metrics.set("upstreams_unreachable", static_cast<double>(m_monitor.lost().size()));
     if (change.isLost && change.isOfGroup) {
         std::vector<std::function<void()>> hanging; // Telling a run may end others.
+        const std::set<upstream_id> silent(change.upstreams.begin(), change.upstreams.end());
         for (const auto &[number, run] : m_runs) {
-            if (m_monitor.isLost(run->m_upstream) && run->m_heardAt <= change.since + recentlyHeard && run->m_hangs) {
+            if (silent.contains(run->m_upstream) && run->m_hangs) {
                 hanging.push_back(run->m_hangs);
             }
         }
@@ -217,6 +219,9 @@
         co_await m_ports.client.openIdle(address, allowed);
     } catch (const http_error &error) {
         outcome = outcomeOf(error);
+    } catch (const std::exception &error) {
+        outcome = connect_outcome::Refused;
+        logEvent(log_level::Warning, "path_probe_failed", {{"upstream", upstream.text()}, {"error", error.what()}});
     }
     if (!alive.expired()) {
         connectEnded(upstream, startedAt, allowed, outcome);
