Tell the failures of a forwarder from those of an upstream

A forwarder says "not reached" only if it has heard another upstream since its connection failed, else "unable". The first gateway blames the upstream if such a forwarder or all reports say so, counts every failure of the hop itself as one of the path, and leaves out forwarders only for failures of their own.

--- a/core/include/banyan/core/serving/forwarder_choice.h
+++ b/core/include/banyan/core/serving/forwarder_choice.h
@@ -45,7 +45,7 @@
     /// Records that a forwarder has not reached the upstream either. Its failures are then its own for a while.
     void notReached(upstream_key upstream, time_point now);
 
-    /// Whether the upstream was not reached by a forwarder either, lately.
+    /// Whether the upstream is not reached by nodes that reach others: a forwarder has said so lately, or a report does.
     [[nodiscard]] bool isDown(upstream_key upstream, time_point now) const;
 
 private:
--- a/core/include/banyan/core/serving/path_monitor.h
+++ b/core/include/banyan/core/serving/path_monitor.h
@@ -68,6 +68,9 @@
     /// Whether a failure at the upstream may be the path's: it is lost or being probed.
     [[nodiscard]] bool isDoubtful(const upstream_id &upstream) const;
 
+    /// Whether only this upstream, and not this node's way to all, is the reason: another one was heard after a connection to it had failed.
+    [[nodiscard]] bool isLostAlone(const upstream_id &upstream) const;
+
     /// Upstreams with lost paths.
     [[nodiscard]] std::vector<upstream_id> lost() const;
 
--- a/core/src/serving/forwarder_choice.cpp
+++ b/core/src/serving/forwarder_choice.cpp
@@ -96,7 +96,19 @@
 bool forwarder_choice::isDown(upstream_key upstream, time_point now) const
 {
     const auto down = m_downUntil.find(upstream);
-    return down != m_downUntil.end() && now < down->second;
+    if (down != m_downUntil.end() && now < down->second) {
+        return true;
+    }
+    std::size_t listing = 0;
+    std::size_t reaching = 0;
+    for (const forwarder &candidate : m_nodes) {
+        const node_load *const report = m_board.reportOf(candidate.node);
+        if (report != nullptr && !report->reachesNone) {
+            const bool lists = std::find(report->unreachable.begin(), report->unreachable.end(), upstream) != report->unreachable.end();
+            ++(lists ? listing : reaching);
+        }
+    }
+    return listing > 0 && reaching == 0;
 }
 
 } // namespace banyan
--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -184,6 +184,12 @@
     return entry != m_paths.end() && (entry->second.lost || entry->second.probing);
 }
 
+bool path_monitor::isLostAlone(const upstream_id &upstream) const
+{
+    const auto entry = m_paths.find(upstream);
+    return entry != m_paths.end() && entry->second.failedAt && m_heardAt && *m_heardAt > *entry->second.failedAt;
+}
+
 std::vector<upstream_id> path_monitor::lost() const
 {
     std::vector<upstream_id> result;
--- a/io/include/banyan/io/serving/forward_service.h
+++ b/io/include/banyan/io/serving/forward_service.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace banyan {
 
@@ -19,6 +21,7 @@
 class http_server;
 class node_metrics;
 class upstream_paths;
+enum class forward_outcome;
 struct forward_order;
 struct replica;
 
@@ -73,8 +76,16 @@
 
 private:
     task<> serve(http_exchange &exchange);
-    [[nodiscard]] std::string reasonToDecline(const forward_order &order) const;
-    task<> forward(http_exchange &exchange, forward_order order, endpoint address);
+    /// What the sender of an order is told, and why.
+    struct refusal
+    {
+        forward_outcome outcome;
+        std::string_view reason;
+    };
+    [[nodiscard]] std::optional<refusal> reasonToDecline(const forward_order &order) const;
+    [[nodiscard]] forward_outcome unreachedOutcome(const upstream_id &upstream) const;
+    task<> decline(http_exchange &exchange, const std::optional<forward_order> &order, refusal why);
+    task<> forward(http_exchange &exchange, forward_order order, std::string body, endpoint address);
 
     forward_service_ports m_ports;
     upstream_protocol m_protocol;
--- a/io/include/banyan/io/serving/upstream_paths.h
+++ b/io/include/banyan/io/serving/upstream_paths.h
@@ -88,6 +88,9 @@
     /// Whether a failure at the upstream may be the path's.
     [[nodiscard]] bool isDoubtful(const upstream_id &upstream) const;
 
+    /// Whether this node reaches others, but not this upstream.
+    [[nodiscard]] bool isLostAlone(const upstream_id &upstream) const;
+
     [[nodiscard]] forwarder_choice &forwarders()
     {
         return m_forwarders;
--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -33,6 +33,7 @@
     byte_share held; ///< Of the body.
     node_id forwarder; ///< The node through which the attempt went; empty if it went directly.
     bool wasNotReached = false; ///< The forwarder could not open a connection to the upstream either.
+    bool isOfForwarder = false; ///< The forwarder has failed: others should be asked for a while.
     bool isOfPath = false; ///< It failed on the way: that says nothing about the upstream or the content.
     bool staleConnection = false; ///< Lost on a reused connection that the upstream may have closed while it was idle.
     std::string error; ///< For logs; empty if the answer is complete.
--- a/io/src/serving/forward_protocol.cpp
+++ b/io/src/serving/forward_protocol.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view senderField = "Banyan-Forward-Sender";
 constexpr std::string_view firstByteField = "Banyan-Forward-First-Byte-Us";
 constexpr std::string_view silenceField = "Banyan-Forward-Silence-Us";
+constexpr std::string_view mayRepeatField = "Banyan-Forward-May-Repeat";
 constexpr std::string_view newConnectionField = "Banyan-Forward-New-Connection";
 constexpr std::string_view outcomeField = "Banyan-Forward-Outcome";
 constexpr std::string_view reusedField = "Banyan-Forward-Reused";
@@ -28,7 +29,9 @@
 
 constexpr std::array outcomes = {forward_outcome::Answered,
                                  forward_outcome::Declined,
+                                 forward_outcome::Unable,
                                  forward_outcome::NotReached,
+                                 forward_outcome::PathLost,
                                  forward_outcome::Lost,
                                  forward_outcome::Stale,
                                  forward_outcome::TimedOut};
@@ -80,8 +83,12 @@
         return "answered";
     case forward_outcome::Declined:
         return "declined";
+    case forward_outcome::Unable:
+        return "unable";
     case forward_outcome::NotReached:
         return "not_reached";
+    case forward_outcome::PathLost:
+        return "path_lost";
     case forward_outcome::Lost:
         return "lost";
     case forward_outcome::Stale:
@@ -92,6 +99,11 @@
     return "unknown";
 }
 
+bool provesUnsent(forward_outcome outcome)
+{
+    return outcome == forward_outcome::Declined || outcome == forward_outcome::Unable || outcome == forward_outcome::NotReached;
+}
+
 void addOrder(http_request &request, const forward_order &order)
 {
     std::erase_if(request.fields, isOrderField);
@@ -104,6 +116,9 @@
     add(senderField, order.sender.text());
     add(firstByteField, std::to_string(order.timeouts.firstByte.count()));
     add(silenceField, std::to_string(order.timeouts.silence.count()));
+    if (order.mayRepeat) {
+        add(mayRepeatField, std::string(setMark));
+    }
     if (order.onNewConnection) {
         add(newConnectionField, std::string(setMark));
     }
@@ -125,6 +140,7 @@
                          .startedAt = *startedAt,
                          .sender = node_id(*sender),
                          .timeouts = {.firstByte = *firstByte, .silence = *silence},
+                         .mayRepeat = valueIn(fields, mayRepeatField) != nullptr,
                          .onNewConnection = valueIn(fields, newConnectionField) != nullptr};
 }
 
--- a/io/src/serving/forward_protocol.h
+++ b/io/src/serving/forward_protocol.h
@@ -16,8 +16,10 @@
 /// What a node that forwards says about a request: in each of its answers, and only there.
 enum class forward_outcome {
     Answered, ///< The rest of the answer is the upstream's.
-    Declined, ///< Nothing was sent, and nothing will be.
-    NotReached, ///< The same, since no connection to the upstream could be opened.
+    Declined, ///< Nothing was sent, and nothing will be: this upstream may not get it from there.
+    Unable, ///< The same, since the node forwards nothing now.
+    NotReached, ///< The same, since it does not reach this upstream, though it hears others.
+    PathLost, ///< The upstream may have run it; the node has lost its way to it meanwhile.
     Lost, ///< The upstream may have run it; its answer did not come.
     Stale, ///< Like Lost, on a connection that the upstream may have closed while it was idle.
     TimedOut, ///< Like Lost, for want of time.
@@ -25,6 +27,9 @@
 
 [[nodiscard]] std::string_view toString(forward_outcome outcome);
 
+/// Whether the outcome says that nothing was sent and nothing will be.
+[[nodiscard]] bool provesUnsent(forward_outcome outcome);
+
 /// A request that one node asks another to send to an upstream.
 struct forward_order
 {
@@ -33,6 +38,7 @@
     std::uint64_t startedAt = 0; ///< Start time of the upstream's incarnation.
     node_id sender;
     http_client::stream_timeouts timeouts;
+    bool mayRepeat = false; ///< It may be given up if it hangs on a lost path.
     bool onNewConnection = false;
 };
 
--- a/io/src/serving/forward_service.cpp
+++ b/io/src/serving/forward_service.cpp
@@ -25,11 +25,9 @@
 constexpr unsigned noContent = 204;
 constexpr unsigned notModified = 304;
 
+/// How a request ended without an answer, unless the way to its upstream was lost.
 forward_outcome outcomeOf(const http_error &error)
 {
-    if (error.sent() == sent_state::NotSent) {
-        return forward_outcome::NotReached;
-    }
     if (error.staleConnection()) {
         return forward_outcome::Stale;
     }
@@ -38,8 +36,7 @@
 
 http_response answerWith(forward_outcome outcome)
 {
-    const bool nothingSent = outcome == forward_outcome::Declined || outcome == forward_outcome::NotReached;
-    return {.status = nothingSent ? declinedStatus : lostStatus, .fields = {fieldOf(outcome)}};
+    return {.status = provesUnsent(outcome) ? declinedStatus : lostStatus, .fields = {fieldOf(outcome)}};
 }
 
 /// Counts a request while it is in progress.
@@ -94,57 +91,79 @@
     return m_server->address();
 }
 
-std::string forward_service::reasonToDecline(const forward_order &order) const
+std::optional<forward_service::refusal> forward_service::reasonToDecline(const forward_order &order) const
 {
     const replica *const upstream = m_ports.find(order.upstream);
     if (m_shuttingDown) {
-        return "shutting_down";
+        return refusal{forward_outcome::Unable, "shutting_down"};
     }
     if (upstream == nullptr || upstream->startedAt != order.startedAt) {
-        return "not_registered";
+        return refusal{forward_outcome::Declined, "not_registered"};
     }
     if (upstream->draining) {
-        return "draining";
+        return refusal{forward_outcome::Declined, "draining"};
     }
     if (m_ports.paths.isLost(order.upstream)) {
-        return "unreachable";
+        return refusal{unreachedOutcome(order.upstream), "unreachable"};
+    }
+    if (m_inProgress >= m_options.maximumRequests) {
+        return refusal{forward_outcome::Unable, "too_many"};
     }
-    return m_inProgress >= m_options.maximumRequests ? "too_many" : "";
+    return std::nullopt;
+}
+
+/// Tells an upstream that is down from a way to all upstreams that is lost.
+forward_outcome forward_service::unreachedOutcome(const upstream_id &upstream) const
+{
+    return m_ports.paths.isLostAlone(upstream) ? forward_outcome::NotReached : forward_outcome::Unable;
+}
+
+task<> forward_service::decline(http_exchange &exchange, const std::optional<forward_order> &order, refusal why)
+{
+    m_ports.metrics.count("forward_declined");
+    logEvent(log_level::Info,
+             "forward_declined",
+             {{"request_id", order ? order->run : ""},
+              {"sender", order ? order->sender.text() : ""},
+              {"upstream", order ? order->upstream.text() : ""},
+              {"reason", std::string(why.reason)}});
+    http_response response = answerWith(why.outcome);
+    co_await exchange.respond(std::move(response));
 }
 
 task<> forward_service::serve(http_exchange &exchange)
 {
     const std::optional<forward_order> order = orderOf(exchange.fields());
-    const std::string reason = order ? reasonToDecline(*order) : "no_order";
-    if (!reason.empty()) {
-        m_ports.metrics.count("forward_declined");
-        logEvent(log_level::Info,
-                 "forward_declined",
-                 {{"request_id", order ? order->run : ""},
-                  {"sender", order ? order->sender.text() : ""},
-                  {"upstream", order ? order->upstream.text() : ""},
-                  {"reason", reason}});
-        http_response response = answerWith(forward_outcome::Declined);
-        co_await exchange.respond(std::move(response));
+    std::optional<refusal> why = order ? reasonToDecline(*order) : refusal{forward_outcome::Declined, "no_order"};
+    if (why) {
+        co_await decline(exchange, order, *why);
         co_return;
     }
     const progress_guard guard(m_inProgress);
-    co_await forward(exchange, *order, m_ports.find(order->upstream)->address);
+    std::string body = co_await exchange.body(m_options.maximumBody);
+    why = reasonToDecline(*order); // The body may have taken long.
+    if (why) {
+        co_await decline(exchange, order, *why);
+        co_return;
+    }
+    co_await forward(exchange, *order, std::move(body), m_ports.find(order->upstream)->address);
 }
 
 /// Sends the request to its upstream and passes the answer back.
-task<> forward_service::forward(http_exchange &exchange, forward_order order, endpoint address)
+task<> forward_service::forward(http_exchange &exchange, forward_order order, std::string body, endpoint address)
 {
     const time_point begunAt = currentTime();
     http_request request{.method = exchange.method(), .target = exchange.target(), .fields = fieldsBeyondOrder(exchange.fields())};
-    request.body = co_await exchange.body(m_options.maximumBody);
+    request.body = std::move(body);
     const auto cancellation = std::make_shared<http_cancellation>();
     exchange.onDisconnect([cancellation] {
         cancellation->cancel();
     });
     bool isSent = false;
-    upstream_paths::watched_run watch(m_ports.paths, order.upstream, [&isSent, cancellation] {
-        if (!isSent) {
+    bool hangs = false;
+    upstream_paths::watched_run watch(m_ports.paths, order.upstream, [&isSent, &hangs, cancellation, mayRepeat = order.mayRepeat] {
+        if (!isSent || mayRepeat) {
+            hangs = true;
             cancellation->cancel();
         }
     });
@@ -185,10 +204,14 @@
         co_await m_ports.client.stream(address, std::move(request), std::move(handler), options);
     } catch (const http_error &error) {
         failure = error.what();
-        unanswered = status == 0 ? std::optional(outcomeOf(error)) : std::nullopt;
         if (!cancellation->cancelled()) {
             watch.failed(error);
         }
+        if (error.sent() == sent_state::NotSent) {
+            unanswered = hangs ? forward_outcome::Unable : unreachedOutcome(order.upstream);
+        } else if (status == 0) {
+            unanswered = hangs ? forward_outcome::PathLost : outcomeOf(error);
+        }
     }
     m_ports.metrics.count("forward_ended");
     logEvent(log_level::Info,
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -102,6 +102,11 @@
     return m_monitor.isDoubtful(upstream);
 }
 
+bool upstream_paths::isLostAlone(const upstream_id &upstream) const
+{
+    return m_monitor.isLostAlone(upstream);
+}
+
 std::optional<forwarder> upstream_paths::chooseForwarder(const upstream_id &upstream, std::span<const node_id> tried)
 {
     const std::optional<forwarder> chosen = m_forwarders.choose(keyOf(upstream), tried, m_generator, currentTime());
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -75,7 +75,7 @@
 
     [[nodiscard]] attempt_outcome outcome() const
     {
-        if (m_told == forward_outcome::Declined || m_told == forward_outcome::NotReached) {
+        if (m_told && provesUnsent(*m_told)) {
             return attempt_outcome::NotSent;
         }
         return m_told == forward_outcome::TimedOut ? attempt_outcome::TimedOut : attempt_outcome::Lost;
@@ -86,6 +86,12 @@
         return m_told == forward_outcome::NotReached;
     }
 
+    /// Whether it says something about the forwarder and not about the upstream.
+    [[nodiscard]] bool isOfForwarder() const
+    {
+        return !m_told || m_told == forward_outcome::Unable || m_told == forward_outcome::PathLost;
+    }
+
     [[nodiscard]] bool stale() const
     {
         return m_told == forward_outcome::Stale;
@@ -266,13 +272,16 @@
         report.result.outcome = error.outcome();
         report.staleConnection = error.stale();
         report.wasNotReached = error.notReached();
+        report.isOfPath = error.isOfForwarder();
+        report.isOfForwarder = error.isOfForwarder();
         report.error = error.what();
     } catch (const http_error &error) {
         report.result.outcome = outcomeOf(error, stop.stopped());
         report.staleConnection = error.staleConnection();
         report.error = error.what();
-        // Once there was a head, the forwarder ends its connection as well when the upstream ends the other one.
-        report.isOfPath = by.order && !report.head && !error.timedOut();
+        // Which of the two connections has failed is not known. The content is judged when its upstream turns out to have ended.
+        report.isOfPath = by.order.has_value() && !stop.stopped();
+        report.isOfForwarder = report.isOfPath && !report.head;
         if (by.onFailed) {
             by.onFailed(error);
         }
@@ -340,6 +349,7 @@
                                             .startedAt = run.startedAt,
                                             .sender = m_self,
                                             .timeouts = timeouts,
+                                            .mayRepeat = run.mayRepeat,
                                             .onNewConnection = run.onNewConnection},
                      .cancellation = cancellation};
     run.onNewConnection = false; // That is meant for the connection to the upstream.
@@ -384,18 +394,20 @@
         if (report.wasNotReached) {
             m_paths->forwarders().notReached(key, currentTime());
         }
+        if (report.isOfForwarder) {
+            m_paths->forwarders().failed(through->node, currentTime());
+        }
         if (report.result.outcome != attempt_outcome::NotSent || report.wasNotReached || stop.stopped()) {
             co_return report;
         }
-        m_paths->forwarders().failed(through->node, currentTime());
     }
-    if (isLost && asked.empty() && !m_paths->forwarders().isDown(key, currentTime())) {
+    const bool isDown = m_paths->forwarders().isDown(key, currentTime());
+    if (isLost && asked.empty() && !isDown) {
         upstream_run again = remaining();
         co_return co_await sendDirectly(std::move(again), timeouts, std::move(observer), stop); // Nobody can help.
     }
     report.result.outcome = attempt_outcome::NotSent;
-    // Where no other node can be asked, or one has not reached the upstream either, the upstream is to blame.
-    report.isOfPath = !asked.empty();
+    report.isOfPath = !isDown && !asked.empty(); // Where nobody can be asked, the upstream is to blame as well.
     report.error = report.error.empty() ? "not reached, and by no other node lately" : report.error;
     co_return report;
 }
