Count a run that was lost on its path once its upstream has ended

What callers would see (found by the review, by reading): a content or a prompt part whose upstream goes dark fails the path's probe, so that its loss was counted against nothing, and it could go on to crash other upstreams (BUDGET).

--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -276,8 +276,12 @@
     }
     if (report.result.outcome == attempt_outcome::Succeeded) {
         m_ports.parts.recordProof(prompt, currentTime());
-    } else if (report.result.outcome == attempt_outcome::Lost && !report.isOfPath && eventCount < eventsOfBegunAnswer) {
-        m_ports.parts.recordLoss(prompt, incarnation, currentTime());
+    } else if (report.result.outcome == attempt_outcome::Lost && eventCount < eventsOfBegunAnswer) {
+        if (report.isOfPath) {
+            m_ports.parts.recordUnanswered(prompt, incarnation, currentTime()); // Its upstream may have crashed as well.
+        } else {
+            m_ports.parts.recordLoss(prompt, incarnation, currentTime());
+        }
     }
     co_return report;
 }
--- a/io/src/serving/request_relay.cpp
+++ b/io/src/serving/request_relay.cpp
@@ -583,6 +583,9 @@
         }
         if (report.isOfPath) {
             m_relay.m_ports.metrics.count("attempt_lost_on_path");
+            if (outcome != attempt_outcome::NotSent) { // Its upstream may have crashed as well.
+                recordAbandonedAttempt(report, keyOfStart(sentTo), now);
+            }
         } else if (outcome == attempt_outcome::Lost) {
             m_relay.recordLostAttempt(m_fingerprint, keyOfStart(sentTo), now);
             if (m_stream.pieces() < piecesOfBegunAnswer) {
