Keep no second copy of a body once its request has a connection

Each request in progress held one body more than before, also where no path was lost, beyond the three copies that the account of memory counts. Found by the review, by reading.

--- a/io/include/banyan/io/serving/upstream_sender.h
+++ b/io/include/banyan/io/serving/upstream_sender.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -83,7 +84,7 @@
 
 private:
     task<attempt_report>
-    sendDirectly(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
+    sendDirectly(std::shared_ptr<upstream_run> kept, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
     task<attempt_report>
     sendThrough(forwarder through, upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop);
     task<attempt_report>
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -293,9 +293,12 @@
     co_return report;
 }
 
-task<attempt_report>
-upstream_sender::sendDirectly(upstream_run run, http_client::stream_timeouts timeouts, attempt_observer observer, stop_signal &stop)
+task<attempt_report> upstream_sender::sendDirectly(std::shared_ptr<upstream_run> kept,
+                                                   http_client::stream_timeouts timeouts,
+                                                   attempt_observer observer,
+                                                   stop_signal &stop)
 {
+    upstream_run run = *kept;
     const auto cancellation = std::make_shared<http_cancellation>();
     stop.onStop([cancellation] {
         cancellation->cancel();
@@ -311,8 +314,9 @@
             }
         };
         watch.emplace(*m_paths, upstream, std::move(hangs));
-        by.onConnected = [&watch, isSent](bool isNew) {
+        by.onConnected = [&watch, isSent, kept](bool isNew) {
             *isSent = true;
+            kept->body = std::string(); // From now on no other node will be asked.
             watch->connected(isNew);
         };
         by.onHeard = [&watch] {
@@ -367,17 +371,17 @@
     const time_point begunAt = currentTime();
     const upstream_id upstream = run.upstream;
     const upstream_key key = keyOf(upstream);
-    const auto remaining = [&run, begunAt] {
-        upstream_run again = run;
-        if (again.timeLeft) {
-            again.timeLeft = std::max(duration(0), *again.timeLeft - (currentTime() - begunAt));
+    const std::optional<duration> timeLeft = run.timeLeft;
+    const auto kept = std::make_shared<upstream_run>(std::move(run));
+    const auto updateTimeLeft = [&kept, timeLeft, begunAt] {
+        if (timeLeft) {
+            kept->timeLeft = std::max(duration(0), *timeLeft - (currentTime() - begunAt));
         }
-        return again;
     };
     attempt_report report;
     const bool isLost = m_paths != nullptr && m_paths->isLost(upstream);
     if (!isLost) {
-        report = co_await sendDirectly(run, timeouts, observer, stop);
+        report = co_await sendDirectly(kept, timeouts, observer, stop);
         if (m_paths == nullptr || report.result.outcome != attempt_outcome::NotSent || stop.stopped()) {
             co_return report;
         }
@@ -389,8 +393,8 @@
             break;
         }
         asked.push_back(through->node);
-        upstream_run again = remaining();
-        report = co_await sendThrough(*through, std::move(again), timeouts, observer, stop);
+        updateTimeLeft();
+        report = co_await sendThrough(*through, *kept, timeouts, observer, stop);
         if (report.wasNotReached) {
             m_paths->forwarders().notReached(key, currentTime());
         }
@@ -403,8 +407,8 @@
     }
     const bool isDown = m_paths->forwarders().isDown(key, currentTime());
     if (isLost && asked.empty() && !isDown) {
-        upstream_run again = remaining();
-        co_return co_await sendDirectly(std::move(again), timeouts, std::move(observer), stop); // Nobody can help.
+        updateTimeLeft();
+        co_return co_await sendDirectly(kept, timeouts, std::move(observer), stop); // Nobody can help.
     }
     report.result.outcome = attempt_outcome::NotSent;
     report.isOfPath = !isDown && !asked.empty(); // Where nobody can be asked, the upstream is to blame as well.
