Probe a path less often the longer it is lost

One upstream that was down cost each gateway five connections a second, some 1,475 a second at 295 gateways (calculated by the review).

--- a/core/include/banyan/core/serving/path_monitor.h
+++ b/core/include/banyan/core/serving/path_monitor.h
@@ -102,6 +102,7 @@
         std::optional<time_point> heardAt; ///< Last byte or established connection.
         std::optional<time_point> failedAt; ///< Begin of the first failed attempt to connect since the last established one.
         std::optional<time_point> probedAt; ///< Last probe.
+        duration probePause; ///< Between two probes while it is lost; doubles with each failure.
         std::string evidence; ///< Of the failure.
         bool lost = false;
         bool probing = false;
--- a/core/include/banyan/core/serving/path_options.h
+++ b/core/include/banyan/core/serving/path_options.h
@@ -16,7 +16,8 @@
     duration probeTime = std::chrono::milliseconds(100); ///< For a probe to open its connection.
     duration stall = std::chrono::milliseconds(30); ///< An attempt that ends so long after its time says nothing: this process stood still.
     duration probeSpacing = std::chrono::milliseconds(500); ///< Between two probes while every path is open.
-    duration lostProbeSpacing = std::chrono::milliseconds(200); ///< Between two probes of lost paths.
+    duration lostProbeSpacing = std::chrono::milliseconds(200); ///< Between two probes of lost paths, over all.
+    duration longestPause = std::chrono::seconds(2); ///< Between two probes of one path: at least if it is open, at most if it is lost.
     duration freshness =
         std::chrono::milliseconds(60); ///< Bytes that come within this time after a failure began were on the way before it.
     duration evidenceTime = std::chrono::seconds(2); ///< For which a failure speaks for the other paths of its groups.
--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -23,7 +23,8 @@
     std::set<upstream_id> registered;
     for (const replica &upstream : upstreams) {
         registered.insert(upstream.id);
-        m_paths[upstream.id].domain = upstream.domain;
+        path &entry = m_paths.try_emplace(upstream.id, path{.probePause = m_options.lostProbeSpacing}).first->second;
+        entry.domain = upstream.domain;
     }
     std::erase_if(m_paths, [&](const member &entry) {
         return !registered.contains(entry.first);
@@ -94,6 +95,7 @@
     opened.heardAt = now;
     m_heardAt = now;
     opened.failedAt.reset();
+    opened.probePause = m_options.lostProbeSpacing;
     m_witnesses = 0;
     if (opened.lost) {
         reopen(upstream, opened, upstream.text() + " connected");
@@ -127,6 +129,7 @@
         m_witnesses = witnessesOfLoss;
         m_changes.push_back({.upstreams = {upstream}, .isLost = true, .evidence = failed.evidence});
     }
+    failed.probePause = std::min(2 * failed.probePause, m_options.longestPause);
     if (!failed.failedAt) {
         failed.failedAt = startedAt;
         reviewGroup(nullptr, now);
@@ -215,7 +218,8 @@
     const waiting_run *longest = nullptr;
     for (const auto &[number, run] : m_waiting) {
         const auto entry = m_paths.find(run.upstream);
-        const bool isCandidate = entry != m_paths.end() && !entry->second.lost && !entry->second.probing;
+        const bool isCandidate = entry != m_paths.end() && !entry->second.lost && !entry->second.probing
+                                 && (!entry->second.probedAt || now - *entry->second.probedAt >= m_options.longestPause);
         const time_point silentSince = isCandidate ? std::max(run.since, entry->second.heardAt.value_or(run.since)) : now;
         const bool othersAreHeard = m_heardAt && now - *m_heardAt < m_options.generalSilence;
         const duration enough = othersAreHeard ? m_options.ownSilence : m_options.generalSilence;
@@ -230,9 +234,12 @@
 std::optional<upstream_id> path_monitor::nextLost(time_point now) const
 {
     const member *next = nullptr;
+    if (m_lost == 0) {
+        return std::nullopt;
+    }
     for (const member &entry : m_paths) {
         const path &candidate = entry.second;
-        const bool isDue = !candidate.probedAt || now - *candidate.probedAt >= m_options.lostProbeSpacing;
+        const bool isDue = !candidate.probedAt || now - *candidate.probedAt >= candidate.probePause;
         if (candidate.lost && !candidate.probing && isDue && (next == nullptr || candidate.probedAt < next->second.probedAt)) {
             next = &entry;
         }
