--- /dev/null
+++ b/tests/unit/serving/path_monitor_test.cpp
@@ -0,0 +1,130 @@
+#include "path_network.h"
+
+#include <catch2/catch.hpp>
+
+using namespace banyan;
+using namespace banyan::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Lets time pass, with a byte of a run each few milliseconds.
+void runHearing(path_network &network, path_monitor::run_number run, duration time)
+{
+    for (const time_point until = network.now + time; network.now < until;) {
+        network.monitor.heard(run, network.now);
+        network.run(5ms);
+    }
+}
+
+std::size_t lossesIn(const std::vector<path_change> &changes)
+{
+    return static_cast<std::size_t>(std::count_if(changes.begin(), changes.end(), [](const path_change &change) {
+        return change.isLost;
+    }));
+}
+
+} // namespace
+
+TEST_CASE("path_monitor only probes while a sound upstream is silent, early if nothing else is heard")
+{
+    path_network network(13);
+    const time_point start = network.now;
+    const bool othersAreHeard = GENERATE(false, true);
+    network.monitor.waits(1, network.idOf(0), network.now);
+    if (othersAreHeard) {
+        network.monitor.waits(2, network.idOf(1), network.now);
+        runHearing(network, 2, 1s);
+    } else {
+        network.run(1s);
+    }
+    REQUIRE_FALSE(network.probedAt.empty());
+    const duration first = network.probedAt.front() - start;
+    CHECK((othersAreHeard ? first >= 500ms && first <= 600ms : first >= 80ms && first <= 120ms));
+    CHECK(network.probedAt.size() <= 4);
+    CHECK(network.changes.empty());
+    CHECK_FALSE(network.monitor.isDoubtful(network.idOf(0)));
+    CHECK(network.wokenAtOnce == 0);
+}
+
+TEST_CASE("path_monitor loses one path by a failed connection, and no other on an idle gateway")
+{
+    path_network network(13);
+    const way cut = GENERATE(way::Hangs, way::Refuses);
+    network.cut({network.idOf(4)}, cut);
+    network.connect(network.idOf(4));
+    network.run(10s);
+    CHECK(network.monitor.lost() == std::vector{network.idOf(4)});
+    REQUIRE(network.changes.size() == 1);
+    CHECK_FALSE(network.changes.front().isOfGroup);
+    CHECK(network.mostProbesWithin(1s, time_point()) <= 3 + 6);
+    CHECK(network.wokenAtOnce == 0);
+}
+
+TEST_CASE("path_monitor learns nothing from an attempt that ends late, or during which its upstream was heard")
+{
+    path_network network(3);
+    path_monitor &monitor = network.monitor;
+    const time_point start = network.now;
+    monitor.waits(1, network.idOf(1), start);
+    monitor.heard(1, start + 61ms);
+    monitor.connected(network.idOf(1), start, 100ms, connect_outcome::TimedOut, start + 100ms);
+    monitor.connected(network.idOf(0), start, 100ms, connect_outcome::TimedOut, start + 131ms);
+    CHECK(monitor.lost().empty());
+    monitor.connected(network.idOf(0), start, 100ms, connect_outcome::TimedOut, start + 130ms);
+    CHECK(monitor.lost() == std::vector{network.idOf(0)});
+}
+
+TEST_CASE("path_monitor loses and regains all paths within a bound, with few probes and without flapping")
+{
+    const std::size_t count = GENERATE(13, 81, 295);
+    const way cut = GENERATE(way::Hangs, way::Refuses);
+    const duration cutTime = GENERATE(1s, 30s);
+    path_network network(count);
+    network.monitor.waits(1, network.idOf(5), network.now);
+    network.run(5s);
+    CHECK(network.mostProbesWithin(1s, time_point()) <= 4);
+    CHECK(network.changes.empty());
+
+    network.cut(network.membersOf(), cut);
+    const time_point cutAt = network.now;
+    network.run(1s);
+    CHECK(network.monitor.lost().size() == count);
+    network.run(cutTime);
+    CHECK(network.mostProbesWithin(1s, cutAt) <= 2 + 3 + 5);
+    CHECK(network.mostProbesWithin(1s, cutAt + 1s) <= 6);
+
+    network.ways.clear();
+    network.changes.clear();
+    network.run(500ms); // A probe each 200 ms; one that began before may hang 100 ms longer.
+    CHECK(network.monitor.lost().empty());
+    network.run(5s);
+    CHECK(network.monitor.lost().empty());
+    CHECK(lossesIn(network.changes) == 0);
+    CHECK(network.givenTwice == 0);
+    CHECK(network.wokenAtOnce == 0);
+}
+
+TEST_CASE("path_monitor forgets removed upstreams and keeps the state of those that stay")
+{
+    path_network network(4);
+    network.cut(network.membersOf(), way::Hangs);
+    network.connect(network.idOf(0));
+    network.monitor.waits(1, network.idOf(0), network.now);
+    network.run(1s);
+    CHECK(network.monitor.lost().size() == 4);
+    std::vector<replica> registered = network.upstreams;
+    registered.erase(registered.begin());
+    network.monitor.setUpstreams(registered);
+    CHECK(network.monitor.lost().size() == 3);
+    network.monitor.connected(network.idOf(0), network.now, 100ms, connect_outcome::Refused, network.now);
+    CHECK_FALSE(network.monitor.isLost(network.idOf(0)));
+    network.monitor.setUpstreams(network.upstreams);
+    CHECK(network.monitor.lost().size() == 3);
+    network.monitor.setUpstreams({});
+    network.run(1s); // The run still waits.
+    CHECK(network.monitor.size() == 0);
+    CHECK(network.wokenAtOnce == 0);
+    network.monitor.ended(1);
+    CHECK_FALSE(network.monitor.nextWakeUp(network.now).has_value());
+}
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -26,6 +26,9 @@
                          .pools = {.leaseTime = 600ms,
                                    .leases = {{.pool = 7, .heard = 65535, .holder = 4000000000}},
                                    .shares = {{.pool = 3, .share = 0.25F}}},
+                         .unreachable = {17, 18},
+                         .reachesNone = true,
+                         .forwards = 19,
                          .claims = {10, 11}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(load, senderNow), receiverNow);
     REQUIRE(read.has_value());
