Probe lost paths also beside runs that stay silent

Cause: while a path is lost, takeProbes() has one slot each 200 ms, and a run that had been silent for 80 ms took each of them for its own open path. One run that computes on a quiet gateway so kept every lost path from being probed for as long as it was silent.

A lost path is now probed in the same slot beside the silent ones, at most three each 200 ms in all.

Measured: in path_network, four upstreams, three lost, a run that waits on the fourth: 5 probes of the fourth and none of the lost in the second after the way is back, all three still lost; now all open within it.

--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -264,7 +264,7 @@
             break;
         }
     }
-    if (isDue && probes.empty() && m_probing < probesAtOnce) {
+    if (isDue && m_probing < probesAtOnce) { // Also beside silent ones, or a run that stays silent would keep all others from it.
         (void)probe(nextLost(now), now, probes);
     }
     return probes;
--- a/tests/unit/serving/path_monitor_test.cpp
+++ b/tests/unit/serving/path_monitor_test.cpp
@@ -121,8 +121,11 @@
     CHECK_FALSE(network.monitor.isLost(network.idOf(0)));
     network.monitor.setUpstreams(network.upstreams);
     CHECK(network.monitor.lost().size() == 3);
+    network.ways.clear();
+    network.run(1s); // The run still waits, for the upstream whose path is open.
+    CHECK(network.monitor.lost().empty());
     network.monitor.setUpstreams({});
-    network.run(1s); // The run still waits.
+    network.run(1s);
     CHECK(network.monitor.size() == 0);
     CHECK(network.wokenAtOnce == 0);
     network.monitor.ended(1);
