Let two failures of one failure domain speak for that domain only

Cause: reviewGroup() counted failures for the group of all upstreams whatever their domains, so that two failed paths of one domain lost every path when nothing else was heard, and the group of the domain was never asked.

The group of all needs failures of two domains; the domain is reviewed first. Paths that a group has lost let three others be probed, as one lost path does, since the first three may all have been of that domain.

--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -119,8 +119,8 @@
     }
     if (!failed.failedAt) {
         failed.failedAt = startedAt;
-        reviewGroup(nullptr, now);
         reviewGroup(&failed.domain, now);
+        reviewGroup(nullptr, now);
     }
 }
 
@@ -138,17 +138,20 @@
     }
     path_change change{.isLost = true, .isOfGroup = true, .since = now};
     std::size_t failures = 0;
+    std::set<failure_domain> failedDomains;
     for (const member *const entry : members) {
         const path &candidate = entry->second;
         change.upstreams.push_back(entry->first);
         const bool isRecent = candidate.failedAt && now - *candidate.failedAt <= m_options.evidenceTime;
         if (isRecent && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
             ++failures;
+            failedDomains.insert(candidate.domain);
             change.since = std::min(change.since, *candidate.failedAt);
             change.evidence.append(change.evidence.empty() ? "" : ", ").append(candidate.evidence);
         }
     }
-    if (failures < m_options.corroboration) {
+    const bool isOfOneDomain = domain == nullptr && failedDomains.size() < 2; // Speaks for that domain only.
+    if (failures < m_options.corroboration || isOfOneDomain) {
         return;
     }
     std::size_t inferred = 0;
@@ -156,6 +159,7 @@
         inferred += std::exchange(entry->second.lost, true) ? 0 : 1;
     }
     m_lost += inferred;
+    m_witnesses = inferred > 0 ? witnessesOfLoss : m_witnesses;
     if (inferred > 0 || failures == m_options.corroboration) {
         m_changes.push_back(std::move(change));
     }
--- a/tests/unit/serving/path_monitor_test.cpp
+++ b/tests/unit/serving/path_monitor_test.cpp
@@ -61,6 +61,21 @@
     CHECK(network.wokenAtOnce == 0);
 }
 
+TEST_CASE("path_monitor loses a failure domain by two failures in it, and all paths only by failures of two domains")
+{
+    const connect_outcome outcome = GENERATE(connect_outcome::TimedOut, connect_outcome::Refused);
+    path_network network(13);
+    const time_point start = network.now;
+    const time_point end = start + 100ms;
+    network.monitor.connected(network.idOf(0), start, 100ms, outcome, end);
+    CHECK(network.monitor.lost().size() == 1);
+    network.monitor.connected(network.idOf(3), start, 100ms, outcome, end);
+    CHECK(network.monitor.lost() == network.membersOf("d0"));
+    network.monitor.connected(network.idOf(1), start, 100ms, outcome, end);
+    CHECK(network.monitor.lost() == network.membersOf());
+    REQUIRE(network.monitor.takeChanges().back().isOfGroup);
+}
+
 TEST_CASE("path_monitor learns nothing from an attempt that ends late, or during which its upstream was heard")
 {
     path_network network(3);
