Infer no lost paths while the group is heard or connections open

Cause: bytes that come up to 60 ms after a failure began may have been on the way, but a refused attempt ends at once, so that bytes heard at that very moment did not count either, nor did connections opened after the failure. Two upstreams that refused, for example two processes of one machine that end, lost all paths of a gateway under traffic and told its silent runs to go again.

A group is inferred only after 60 ms without a byte of it, and not if a connection was opened that began after the failure. Since a refusal may now come too early to tell, each failed attempt reviews the groups, and a path is told as lost by a group once.

--- a/core/include/banyan/core/serving/path_monitor.h
+++ b/core/include/banyan/core/serving/path_monitor.h
@@ -94,7 +94,9 @@
         std::optional<time_point> failedAt; ///< Begin of the first failed attempt to connect since the last established one.
         std::optional<time_point> probedAt; ///< Last probe.
         std::string evidence; ///< Of the failure.
+        std::optional<time_point> provenAt; ///< Begin of the last established attempt.
         bool lost = false;
+        bool lostByGroup = false; ///< Lost, and told as part of a group.
         bool probing = false;
     };
 
@@ -110,7 +112,7 @@
     [[nodiscard]] std::optional<upstream_id> silentUpstream(time_point now) const;
     [[nodiscard]] std::optional<upstream_id> nextLost(time_point now) const;
     [[nodiscard]] std::optional<upstream_id> nextWitness(time_point now) const;
-    void open(const upstream_id &upstream, path &opened, time_point now);
+    void open(const upstream_id &upstream, path &opened, time_point startedAt, time_point now);
     void lose(const upstream_id &upstream, path &failed, time_point startedAt, connect_outcome outcome, time_point now);
     void reviewGroup(const failure_domain *domain, time_point now);
     bool probe(const std::optional<upstream_id> &upstream, time_point now, std::vector<upstream_id> &probes);
--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -72,7 +72,7 @@
         --m_probing;
     }
     if (outcome == connect_outcome::Established) {
-        open(upstream, concerned, now);
+        open(upstream, concerned, startedAt, now);
         return;
     }
     const bool timedOut = outcome == connect_outcome::TimedOut;
@@ -84,8 +84,9 @@
 }
 
 /// Records an established connection. Paths that were lost on the evidence of others only are open with it.
-void path_monitor::open(const upstream_id &upstream, path &opened, time_point now)
+void path_monitor::open(const upstream_id &upstream, path &opened, time_point startedAt, time_point now)
 {
+    opened.provenAt = std::max(opened.provenAt, std::optional(startedAt));
     opened.heardAt = now;
     m_heardAt = now;
     opened.failedAt.reset();
@@ -99,6 +100,7 @@
         const bool wasInferred = other.lost && !other.failedAt;
         if (&other == &opened || (wasInferred && (allWereLost || other.domain == opened.domain))) {
             other.lost = false;
+            other.lostByGroup = false;
             change.upstreams.push_back(id);
         }
     }
@@ -119,9 +121,9 @@
     }
     if (!failed.failedAt) {
         failed.failedAt = startedAt;
-        reviewGroup(&failed.domain, now);
-        reviewGroup(nullptr, now);
     }
+    reviewGroup(&failed.domain, now);
+    reviewGroup(nullptr, now);
 }
 
 /// Counts the silent paths of a group (all paths if @p domain is null) as lost if enough of its paths have failed and nothing was
@@ -130,12 +132,17 @@
 {
     std::vector<member *> members;
     std::optional<time_point> heardAt;
+    std::optional<time_point> provenAt;
     for (member &entry : m_paths) {
         if (domain == nullptr || entry.second.domain == *domain) {
             members.push_back(&entry);
             heardAt = std::max(heardAt, entry.second.heardAt);
+            provenAt = std::max(provenAt, entry.second.provenAt);
         }
     }
+    if (heardAt && now - *heardAt < m_options.freshness) {
+        return; // Only silence tells whether the last bytes were on the way before the failures; refused attempts end at once.
+    }
     path_change change{.isLost = true, .isOfGroup = true, .since = now};
     std::size_t failures = 0;
     std::set<failure_domain> failedDomains;
@@ -143,7 +150,8 @@
         const path &candidate = entry->second;
         change.upstreams.push_back(entry->first);
         const bool isRecent = candidate.failedAt && now - *candidate.failedAt <= m_options.evidenceTime;
-        if (isRecent && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
+        const bool isRefuted = provenAt && candidate.failedAt && *provenAt >= *candidate.failedAt;
+        if (isRecent && !isRefuted && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
             ++failures;
             failedDomains.insert(candidate.domain);
             change.since = std::min(change.since, *candidate.failedAt);
@@ -155,12 +163,14 @@
         return;
     }
     std::size_t inferred = 0;
+    bool isNews = false;
     for (member *const entry : members) {
+        isNews = !std::exchange(entry->second.lostByGroup, true) || isNews;
         inferred += std::exchange(entry->second.lost, true) ? 0 : 1;
     }
     m_lost += inferred;
     m_witnesses = inferred > 0 ? witnessesOfLoss : m_witnesses;
-    if (inferred > 0 || failures == m_options.corroboration) {
+    if (isNews) {
         m_changes.push_back(std::move(change));
     }
 }
--- a/tests/unit/serving/path_monitor_test.cpp
+++ b/tests/unit/serving/path_monitor_test.cpp
@@ -76,6 +76,69 @@
     REQUIRE(network.monitor.takeChanges().back().isOfGroup);
 }
 
+TEST_CASE("path_monitor keeps the paths of upstreams that are heard when others hang or refuse")
+{
+    const way cut = GENERATE(way::Hangs, way::Refuses);
+    path_network network(13);
+    network.monitor.waits(1, network.idOf(1), network.now); // Domain d1; its old connection lives.
+    runHearing(network, 1, 100ms);
+    SECTION("two of different domains")
+    {
+        network.cut({network.idOf(0), network.idOf(2)}, cut);
+        network.connect(network.idOf(0));
+        network.connect(network.idOf(2));
+        runHearing(network, 1, 3s);
+        CHECK(network.monitor.lost() == std::vector{network.idOf(0), network.idOf(2)});
+        CHECK(network.changes.size() == 2);
+    }
+    SECTION("a failure domain")
+    {
+        network.cut(network.membersOf("d0"), cut);
+        network.connect(network.idOf(0));
+        network.connect(network.idOf(3));
+        runHearing(network, 1, 3s);
+        CHECK(network.monitor.lost() == network.membersOf("d0"));
+    }
+    SECTION("all but what is heard over an old connection")
+    {
+        network.cut(network.membersOf(), cut);
+        network.connect(network.idOf(0));
+        runHearing(network, 1, 3s);
+        const bool isRefused = cut == way::Refuses; // An attempt that hangs is refuted by the bytes, a refused one is not.
+        CHECK(network.monitor.isLost(network.idOf(0)));
+        CHECK((isRefused || !network.monitor.isLost(network.idOf(1))));
+    }
+    CHECK(network.givenTwice == 0);
+    CHECK(network.wokenAtOnce == 0);
+}
+
+TEST_CASE("path_monitor keeps all paths when two upstreams refuse and the attempts that this causes succeed")
+{
+    path_network network(13);
+    network.cut({network.idOf(0), network.idOf(2)}, way::Refuses);
+    network.connect(network.idOf(0));
+    network.run(100ms);
+    network.connect(network.idOf(2));
+    network.run(10s);
+    CHECK(network.monitor.lost() == std::vector{network.idOf(0), network.idOf(2)});
+    CHECK(network.changes.size() == 2);
+}
+
+TEST_CASE("path_monitor tells of a lost group once, also if each of its paths was refused before the last bytes had aged")
+{
+    path_network network(2);
+    network.monitor.waits(1, network.idOf(1), network.now);
+    network.monitor.heard(1, network.now);
+    const time_point cutAt = network.now;
+    network.cut(network.membersOf(), way::Refuses);
+    network.connect(network.idOf(0));
+    network.connect(network.idOf(1));
+    network.run(5s);
+    REQUIRE(network.changes.size() == 3);
+    CHECK((network.changes.back().isOfGroup && network.changes.back().since == cutAt));
+    CHECK(network.changes.back().upstreams == network.membersOf());
+}
+
 TEST_CASE("path_monitor learns nothing from an attempt that ends late, or during which its upstream was heard")
 {
     path_network network(3);
