Probe paths first that were lost on the evidence of others only

Cause: nextLost() took the path that was probed longest ago, and paths that requests had just found lost counted as never probed. A sound upstream of a domain of which many refuse is lost by inference and waited behind all of them, 200 ms each: up to 59 s for 295 by the spacing (argued).

Paths that have not failed themselves come first; each is probed once before it has failed or is open, so that the others wait no longer than a round.

Measured: 30 upstreams of a domain, 29 refuse: the sound one is not open after 500 ms before, and is now.

--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -220,14 +220,18 @@
     return longest == nullptr ? std::nullopt : std::optional(longest->upstream);
 }
 
-/// The lost path that was probed longest ago, once its time has come.
+/// The lost path that was probed longest ago, once its time has come. Paths that were lost on the evidence of others only come first:
+/// they are the likeliest to work, and each is probed once before it has either failed itself or is open.
 std::optional<upstream_id> path_monitor::nextLost(time_point now) const
 {
+    const auto rankOf = [](const path &lost) {
+        return std::pair(lost.failedAt.has_value(), lost.probedAt);
+    };
     const member *next = nullptr;
     for (const member &entry : m_paths) {
         const path &candidate = entry.second;
         const bool isDue = !candidate.probedAt || now - *candidate.probedAt >= m_options.lostProbeSpacing;
-        if (candidate.lost && !candidate.probing && isDue && (next == nullptr || candidate.probedAt < next->second.probedAt)) {
+        if (candidate.lost && !candidate.probing && isDue && (next == nullptr || rankOf(candidate) < rankOf(next->second))) {
             next = &entry;
         }
     }
--- a/tests/unit/serving/path_monitor_test.cpp
+++ b/tests/unit/serving/path_monitor_test.cpp
@@ -139,6 +139,21 @@
     CHECK(network.changes.back().upstreams == network.membersOf());
 }
 
+TEST_CASE("path_monitor probes a path that was lost on the evidence of others before those that requests have just found lost")
+{
+    path_network network(30, 1);
+    std::vector<upstream_id> cut = network.membersOf();
+    cut.pop_back(); // The last one works.
+    network.cut(cut, way::Refuses);
+    for (const upstream_id &upstream : cut) {
+        network.connect(upstream);
+    }
+    network.run(2ms);
+    CHECK(network.monitor.lost() == network.membersOf());
+    network.run(500ms);
+    CHECK(network.monitor.lost() == cut);
+}
+
 TEST_CASE("path_monitor learns nothing from an attempt that ends late, or during which its upstream was heard")
 {
     path_network network(3);
