--- a/core/include/banyan/core/serving/path_monitor.h
+++ b/core/include/banyan/core/serving/path_monitor.h
@@ -86,12 +86,6 @@
     /// When takeProbes() should be called next, if nothing else happens before.
     [[nodiscard]] std::optional<time_point> nextWakeUp(time_point now) const;
 
-    /// Whether takeChanges() has anything to return.
-    [[nodiscard]] bool hasChanges() const
-    {
-        return !m_changes.empty();
-    }
-
     /// What has changed since the last call.
     [[nodiscard]] std::vector<path_change> takeChanges();
 
@@ -104,7 +98,9 @@
         std::optional<time_point> probedAt; ///< Last probe.
         duration probePause; ///< Between two probes while it is lost; doubles with each failure.
         std::string evidence; ///< Of the failure.
+        std::optional<time_point> provenAt; ///< Begin of the last established attempt.
         bool lost = false;
+        bool lostByGroup = false; ///< Lost, and told as part of a group.
         bool probing = false;
     };
 
@@ -118,10 +114,9 @@
 
     [[nodiscard]] duration spacing() const;
     [[nodiscard]] std::optional<upstream_id> silentUpstream(time_point now) const;
-    [[nodiscard]] std::optional<upstream_id> nextLost(time_point now) const;
+    [[nodiscard]] std::optional<upstream_id> nextLost(bool isRecheck, time_point now) const;
     [[nodiscard]] std::optional<upstream_id> nextWitness(time_point now) const;
-    void open(const upstream_id &upstream, path &opened, time_point now);
-    void reopen(const upstream_id &upstream, path &opened, std::string evidence);
+    void open(const upstream_id &upstream, path &opened, time_point startedAt, time_point now);
     void lose(const upstream_id &upstream, path &failed, time_point startedAt, connect_outcome outcome, time_point now);
     void reviewGroup(const failure_domain *domain, time_point now);
     bool probe(const std::optional<upstream_id> &upstream, time_point now, std::vector<upstream_id> &probes);
--- a/core/include/banyan/core/serving/path_options.h
+++ b/core/include/banyan/core/serving/path_options.h
@@ -17,7 +17,8 @@
     duration stall = std::chrono::milliseconds(30); ///< An attempt that ends so long after its time says nothing: this process stood still.
     duration probeSpacing = std::chrono::milliseconds(500); ///< Between two probes while every path is open.
     duration lostProbeSpacing = std::chrono::milliseconds(200); ///< Between two probes of lost paths, over all.
-    duration longestPause = std::chrono::seconds(2); ///< Between two probes of one path: at least if it is open, at most if it is lost.
+    duration longestPause = std::chrono::seconds(1); ///< Between two probes of one lost path, at most.
+    duration ownPause = std::chrono::seconds(2); ///< Between two probes of one open path while others are heard, at least.
     duration freshness =
         std::chrono::milliseconds(60); ///< Bytes that come within this time after a failure began were on the way before it.
     duration evidenceTime = std::chrono::seconds(2); ///< For which a failure speaks for the other paths of its groups.
--- a/core/src/serving/path_monitor.cpp
+++ b/core/src/serving/path_monitor.cpp
@@ -52,13 +52,8 @@
     waiting->second.since = now;
     m_heardAt = now;
     const auto entry = m_paths.find(waiting->second.upstream);
-    if (entry == m_paths.end()) {
-        return;
-    }
-    path &concerned = entry->second;
-    concerned.heardAt = now;
-    if (concerned.lost && !concerned.failedAt) {
-        reopen(entry->first, concerned, entry->first.text() + " answers");
+    if (entry != m_paths.end()) {
+        entry->second.heardAt = now;
     }
 }
 
@@ -78,7 +73,7 @@
         --m_probing;
     }
     if (outcome == connect_outcome::Established) {
-        open(upstream, concerned, now);
+        open(upstream, concerned, startedAt, now);
         return;
     }
     const bool timedOut = outcome == connect_outcome::TimedOut;
@@ -89,28 +84,25 @@
     }
 }
 
-/// Records an established connection.
-void path_monitor::open(const upstream_id &upstream, path &opened, time_point now)
+/// Records an established connection. Paths that were lost on the evidence of others only are open with it.
+void path_monitor::open(const upstream_id &upstream, path &opened, time_point startedAt, time_point now)
 {
+    opened.provenAt = std::max(opened.provenAt, std::optional(startedAt));
     opened.heardAt = now;
     m_heardAt = now;
     opened.failedAt.reset();
     opened.probePause = m_options.lostProbeSpacing;
     m_witnesses = 0;
-    if (opened.lost) {
-        reopen(upstream, opened, upstream.text() + " connected");
+    if (!opened.lost) {
+        return;
     }
-}
-
-/// Opens a lost path, and those of its group that were lost on the evidence of others only.
-void path_monitor::reopen(const upstream_id &upstream, path &opened, std::string evidence)
-{
-    path_change change{.evidence = std::move(evidence)};
+    path_change change{.evidence = upstream.text() + " connected"};
     const bool allWereLost = m_lost == m_paths.size();
     for (auto &[id, other] : m_paths) {
         const bool wasInferred = other.lost && !other.failedAt;
         if (id == upstream || (wasInferred && (allWereLost || other.domain == opened.domain))) {
             other.lost = false;
+            other.lostByGroup = false;
             change.upstreams.push_back(id);
         }
     }
@@ -132,9 +124,9 @@
     failed.probePause = std::min(2 * failed.probePause, m_options.longestPause);
     if (!failed.failedAt) {
         failed.failedAt = startedAt;
-        reviewGroup(nullptr, now);
-        reviewGroup(&failed.domain, now);
     }
+    reviewGroup(&failed.domain, now);
+    reviewGroup(nullptr, now);
 }
 
 /// Counts the silent paths of a group (all paths if @p domain is null) as lost if enough of its paths have failed and nothing was
@@ -143,34 +135,45 @@
 {
     std::vector<member *> members;
     std::optional<time_point> heardAt;
+    std::optional<time_point> provenAt;
     for (member &entry : m_paths) {
         if (domain == nullptr || entry.second.domain == *domain) {
             members.push_back(&entry);
             heardAt = std::max(heardAt, entry.second.heardAt);
+            provenAt = std::max(provenAt, entry.second.provenAt);
         }
     }
+    // A group that is heard has no common loss, however many of its upstreams refuse at the same time.
+    if (heardAt && now - *heardAt < m_options.generalSilence) {
+        return;
+    }
     path_change change{.isLost = true, .isOfGroup = true};
     std::size_t failures = 0;
+    std::set<failure_domain> failedDomains;
     for (const member *const entry : members) {
         const path &candidate = entry->second;
         change.upstreams.push_back(entry->first);
         const bool isRecent = candidate.failedAt && now - *candidate.failedAt <= m_options.evidenceTime;
-        if (isRecent && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
+        const bool isRefuted = provenAt && candidate.failedAt && *provenAt >= *candidate.failedAt;
+        if (isRecent && !isRefuted && (!heardAt || *heardAt <= *candidate.failedAt + m_options.freshness)) {
             ++failures;
+            failedDomains.insert(candidate.domain);
             change.evidence.append(change.evidence.empty() ? "" : ", ").append(candidate.evidence);
         }
     }
-    // A group that is heard has no common loss, however many of its upstreams refuse at the same time.
-    const bool isSilent = !heardAt || now - *heardAt >= m_options.generalSilence;
-    if (failures < m_options.corroboration || !isSilent) {
+    const bool isOfOneDomain = domain == nullptr && failedDomains.size() < 2; // Speaks for that domain only.
+    if (failures < m_options.corroboration || isOfOneDomain) {
         return;
     }
     std::size_t inferred = 0;
+    bool isNews = false;
     for (member *const entry : members) {
+        isNews = !std::exchange(entry->second.lostByGroup, true) || isNews;
         inferred += std::exchange(entry->second.lost, true) ? 0 : 1;
     }
     m_lost += inferred;
-    if (inferred > 0 || failures == m_options.corroboration) {
+    m_witnesses = inferred > 0 ? witnessesOfLoss : m_witnesses;
+    if (isNews) {
         m_changes.push_back(std::move(change));
     }
 }
@@ -218,10 +221,10 @@
     const waiting_run *longest = nullptr;
     for (const auto &[number, run] : m_waiting) {
         const auto entry = m_paths.find(run.upstream);
-        const bool isCandidate = entry != m_paths.end() && !entry->second.lost && !entry->second.probing
-                                 && (!entry->second.probedAt || now - *entry->second.probedAt >= m_options.longestPause);
-        const time_point silentSince = isCandidate ? std::max(run.since, entry->second.heardAt.value_or(run.since)) : now;
         const bool othersAreHeard = m_heardAt && now - *m_heardAt < m_options.generalSilence;
+        const bool wasProbed = entry != m_paths.end() && entry->second.probedAt && now - *entry->second.probedAt < m_options.ownPause;
+        const bool isCandidate = entry != m_paths.end() && !entry->second.lost && !entry->second.probing && !(othersAreHeard && wasProbed);
+        const time_point silentSince = isCandidate ? std::max(run.since, entry->second.heardAt.value_or(run.since)) : now;
         const duration enough = othersAreHeard ? m_options.ownSilence : m_options.generalSilence;
         if (isCandidate && now - silentSince >= enough && (longest == nullptr || run.since < longest->since)) {
             longest = &run;
@@ -230,17 +233,22 @@
     return longest == nullptr ? std::nullopt : std::optional(longest->upstream);
 }
 
-/// The lost path that was probed longest ago, once its time has come.
-std::optional<upstream_id> path_monitor::nextLost(time_point now) const
+/// The lost path that was probed longest ago, once its time has come. Paths that were lost on the evidence of others only come first:
+/// they are the likeliest to work, and each is probed once before it has either failed itself or is open.
+std::optional<upstream_id> path_monitor::nextLost(bool isRecheck, time_point now) const
 {
+    const auto rankOf = [](const path &lost) {
+        return std::pair(lost.failedAt.has_value(), lost.probedAt);
+    };
     const member *next = nullptr;
     if (m_lost == 0) {
         return std::nullopt;
     }
     for (const member &entry : m_paths) {
         const path &candidate = entry.second;
-        const bool isDue = !candidate.probedAt || now - *candidate.probedAt >= candidate.probePause;
-        if (candidate.lost && !candidate.probing && isDue && (next == nullptr || candidate.probedAt < next->second.probedAt)) {
+        const bool isDue =
+            !candidate.probedAt || now - *candidate.probedAt >= (isRecheck ? m_options.lostProbeSpacing : candidate.probePause);
+        if (candidate.lost && !candidate.probing && isDue && (next == nullptr || rankOf(candidate) < rankOf(next->second))) {
             next = &entry;
         }
     }
@@ -284,15 +292,15 @@
         m_witnesses = probe(nextWitness(now), now, probes) ? m_witnesses - 1 : 0;
     }
     while (m_rechecks > 0 && m_probing < probesAtOnce) {
-        m_rechecks = probe(nextLost(now), now, probes) ? m_rechecks - 1 : 0;
+        m_rechecks = probe(nextLost(true, now), now, probes) ? m_rechecks - 1 : 0;
     }
     for (std::size_t silent = 0; isDue && silent < m_options.corroboration && m_probing < probesAtOnce; ++silent) {
         if (!probe(silentUpstream(now), now, probes)) {
             break;
         }
     }
-    if (isDue && probes.empty() && m_probing < probesAtOnce) {
-        (void)probe(nextLost(now), now, probes);
+    if (isDue && m_probing < probesAtOnce) { // Also beside silent ones, or a run that stays silent would keep all others from it.
+        (void)probe(nextLost(false, now), now, probes);
     }
     return probes;
 }
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -56,9 +56,6 @@
 void upstream_paths::watched_run::heard()
 {
     m_paths.m_monitor.heard(m_number, currentTime());
-    if (m_paths.m_monitor.hasChanges()) {
-        m_paths.review();
-    }
 }
 
 void upstream_paths::watched_run::failed(const http_error &error)
