--- a/tests/unit/serving/forwarding_fixture.h
+++ b/tests/unit/serving/forwarding_fixture.h
@@ -62,6 +62,15 @@
         nodes.front()->board.record(load, currentTime());
     }
 
+    /// Lets what nobody waits for any more end, since the nodes must outlive it.
+    void settle()
+    {
+        context.restart();
+        while (helper->inProgress() + nodes.front()->relay.inProgress() > 0) {
+            context.run_one();
+        }
+    }
+
     /// Registers upstreams with their true addresses at the helper, and with @p seen at the node that callers reach.
     void registerUpstreams(const std::vector<replica> &registered, const std::function<endpoint(const replica &upstream)> &seen)
     {
@@ -77,11 +86,12 @@
     }
 };
 
-/// An address at which connections are refused.
-inline endpoint closedPort(asio::io_context &context)
+/// An address at which connections are refused. It stays bound, so that no other test can listen there.
+inline endpoint closedPort()
 {
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+    static asio::io_context context;
+    static asio::ip::tcp::socket bound(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return {.address = "127.0.0.1", .port = bound.local_endpoint().port()};
 }
 
 } // namespace banyan::tests
--- a/tests/unit/serving/forwarding_test.cpp
+++ b/tests/unit/serving/forwarding_test.cpp
@@ -15,7 +15,7 @@
         scripted_upstream upstream(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
             co_await exchange.respond(upstreamAnswer(200, "whole answer"));
         });
-        const endpoint closed = closedPort(fixture.context);
+        const endpoint closed = closedPort();
         fixture.registerUpstreams({upstream.info("s")}, [&](const replica &) {
             return closed;
         });
@@ -39,7 +39,7 @@
 TEST_CASE("request_relay says that a request was not run if no gateway reaches its upstream")
 {
     forwarding_fixture fixture(request_kind::AtMostOnce);
-    const endpoint closed = closedPort(fixture.context);
+    const endpoint closed = closedPort();
     const replica gone{.id = upstream_id("u1"), .service = service_name("s"), .address = closed, .softwareVersion = "v1", .slots = 4};
     fixture.registerUpstreams({gone}, [&](const replica &) {
         return closed;
@@ -53,7 +53,7 @@
     scripted_upstream upstream(fixture.context, "u1", [](http_exchange &exchange) -> task<> {
         co_await exchange.respond(upstreamAnswer(200, "whole answer"));
     });
-    const endpoint closed = closedPort(fixture.context);
+    const endpoint closed = closedPort();
     const auto unreachable = [&](const replica &) {
         return closed;
     };
