Test gateways that lose their ways to upstreams, and upstreams that repeat answers

Gateways of a fleet can have ways of their own to the replicas: the store stand-in names a reader 127.0.1.N that address for all replicas, where proxies listen. fault_proxy can refuse or hang new connections and repeat whole answers; the soak plays both. Programs that tests start no longer inherit the tests' sockets, which kept closed listeners open.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -54,6 +54,8 @@
     if (!wanted.errorFile.empty()) {
         posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, wanted.errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     }
+    // Sockets of the tests' own proxies must not live on in programs that are started later.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const std::string path = tests::binaryDirectory() + "/" + m_program;
     std::vector<std::string> texts = {path};
     texts.insert(texts.end(), wanted.arguments.begin(), wanted.arguments.end());
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -14,7 +14,7 @@
 
 const std::string host = "test"; // As the test connection names it.
 
-json::object routeJson(const std::string &name, const std::string &kind)
+json::object routeJson(const std::string &name, const std::string &kind, std::chrono::milliseconds gapTarget)
 {
     return {{"name", name},
             {"host", host},
@@ -22,7 +22,7 @@
             {"kind", kind},
             {"timeout_ms", 5000},
             {"target_latency_ms", 500},
-            {"gap_target_ms", 400},
+            {"gap_target_ms", gapTarget.count()},
             {"priority", 0},
             {"service", "s"},
             {"max_attempts", 3},
@@ -50,6 +50,7 @@
     , m_requiresKeys(!wanted.keys.empty())
     , m_maximumBody(wanted.maximumBody)
     , m_slots(wanted.slots)
+    , m_gapTarget(wanted.gapTarget)
 {
     m_store = std::make_unique<child_process>(child_process::options{.program = "tests/store_standin"});
     m_storeAddress = endpoint::parse(m_store->readyValue("address"));
@@ -191,13 +192,15 @@
 
 void gateway_fleet::configure(int version, const std::vector<std::string> &keys) const
 {
-    json::array routes = {
-        routeJson("safe", "safe"), routeJson("once", "unsafe"), routeJson("stream", "streaming"), routeJson("jobs", "bulk")};
-    json::object limited = routeJson("limited", "bulk");
+    json::array routes = {routeJson("safe", "safe", m_gapTarget),
+                          routeJson("once", "unsafe", m_gapTarget),
+                          routeJson("stream", "streaming", m_gapTarget),
+                          routeJson("jobs", "bulk", m_gapTarget)};
+    json::object limited = routeJson("limited", "bulk", m_gapTarget);
     limited["cap"] = limitedTokens;
     routes.push_back(std::move(limited));
     if (version > 1) {
-        routes.push_back(routeJson("added", "safe"));
+        routes.push_back(routeJson("added", "safe", m_gapTarget));
     }
     json::array organisations;
     if (m_requiresKeys) {
@@ -314,9 +317,18 @@
 }
 
 double gateway_fleet::metricOf(std::size_t gateway, const std::string &state) const
+{
+    return valueOf(gateway, "banyan_state{name=\"" + state + "\"} ");
+}
+
+double gateway_fleet::eventsOf(std::size_t gateway, const std::string &event) const
+{
+    return valueOf(gateway, "banyan_events_total{event=\"" + event + "\"} ");
+}
+
+double gateway_fleet::valueOf(std::size_t gateway, const std::string &name) const
 {
     const std::string text = call(metrics(gateway), {.target = "/metrics"}).body;
-    const std::string name = "banyan_state{name=\"" + state + "\"} ";
     const std::size_t found = text.find(name);
     return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size()));
 }
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -8,6 +8,7 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -36,6 +37,7 @@
         std::string settings; ///< More lines of the gateways' settings files.
         std::size_t maximumBody = 100000; ///< Of a client's request, in bytes; in the configuration.
         std::size_t slots = 8; ///< Of each replica.
+        std::chrono::milliseconds gapTarget{400}; ///< Of the configuration's routes: between the events of a stream.
         std::size_t unregistered = 0; ///< So many of the replicas, the last ones, are not registered at first.
     };
 
@@ -97,6 +99,8 @@
     [[nodiscard]] int runsOf(const std::string &id) const;
     /// A gauge of banyan_state; 0 if there is none.
     [[nodiscard]] double metricOf(std::size_t gateway, const std::string &state) const;
+    /// How often the gateway has counted an event in banyan_events_total.
+    [[nodiscard]] double eventsOf(std::size_t gateway, const std::string &event) const;
     /// How many rows the store holds in a table; 0 if it does not say.
     [[nodiscard]] std::size_t rowsOf(const std::string &table) const;
     /// Whether the store holds a row in a table whose value in base64 begins so.
@@ -107,6 +111,7 @@
 
     void setRow(const std::string &table, const std::string &key, const boost::json::value &value) const;
     void sendRow(const boost::json::object &row) const;
+    [[nodiscard]] double valueOf(std::size_t gateway, const std::string &name) const;
 
     std::function<endpoint(const endpoint &)> m_route;
     std::function<endpoint(std::size_t gateway, const endpoint &)> m_storeRoute;
@@ -115,6 +120,7 @@
     bool m_requiresKeys;
     std::size_t m_maximumBody;
     std::size_t m_slots;
+    std::chrono::milliseconds m_gapTarget;
     temporary_directory m_directory;
     std::unique_ptr<child_process> m_store;
     endpoint m_storeAddress;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -14,13 +14,16 @@
     Reset, ///< Open connections are reset, and new ones at once.
     SilentAnswers, ///< What the server sends is dropped.
     Silent, ///< What either side sends is dropped.
+    Refuse, ///< New connections are refused, open ones live on.
+    Hang, ///< What either side sends is dropped, and new connections get no answer.
+    Repeat, ///< Each whole answer comes once more, later.
 };
 
 /// Forwards TCP connections on loopback, in a thread of its own, and spoils them on demand.
 class fault_proxy
 {
 public:
-    explicit fault_proxy(const endpoint &target);
+    explicit fault_proxy(const endpoint &target, const endpoint &listen = {.address = "127.0.0.1", .port = 0});
     ~fault_proxy();
     fault_proxy(const fault_proxy &) = delete;
     fault_proxy &operator=(const fault_proxy &) = delete;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "fault_proxy.h"
+#include "gateway_ways.h"
 #include "process/eventually.h"
 #include "process/gateway_fleet.h"
 #include "process/test_connection.h"
@@ -318,15 +319,11 @@
                    .route =
                        [this](const endpoint &target) {
                            m_proxies.push_back(std::make_unique<fault_proxy>(target));
-                           return m_proxies.back()->address();
+                           return m_ways.add(m_proxies.back()->address());
                        },
                    .storeRoute =
                        [this](std::size_t gateway, const endpoint &target) {
-                           auto &proxy = m_storeProxies[gateway];
-                           if (!proxy) {
-                               proxy = std::make_unique<fault_proxy>(target);
-                           }
-                           return proxy->address();
+                           return m_ways.store(gateway, target);
                        }})
     {
         for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
@@ -382,7 +379,7 @@
     {
         const auto slot = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
         const auto proxy = static_cast<std::size_t>(pick(0, static_cast<int>(m_proxies.size()) - 1));
-        switch (pick(0, 10)) {
+        switch (pick(0, 13)) {
         case 0:
             note("kill gateway " + std::to_string(slot));
             gatewayAt(slot).signal(SIGKILL);
@@ -424,6 +421,13 @@
         case 9:
             release(slot);
             break;
+        case 10:
+        case 11:
+            loseWays(slot);
+            break;
+        case 12:
+            repeatAnswers(*m_proxies[static_cast<std::size_t>(pick(1, static_cast<int>(m_proxies.size()) - 1))]);
+            break;
         default:
             spoil(*m_proxies[proxy]);
         }
@@ -448,11 +452,11 @@
         const int way = pick(0, 2);
         const std::string version = "v" + std::to_string(++m_lastVersion);
         note("release of " + version + ", gateway " + std::to_string(slot) + " out of step, way " + std::to_string(way));
-        fault_proxy &store = *m_storeProxies.at(m_slots[slot]);
+        const std::size_t outOfStep = m_slots[slot];
         if (way == 0) {
             gatewayAt(slot).signal(SIGSTOP);
         } else {
-            store.setMode(proxy_mode::Silent);
+            m_ways.setStoreMode(outOfStep, proxy_mode::Silent);
         }
         m_replicas.push_back(m_fleet.startReplica(version));
         m_fleet.registerReplica(m_replicas.back());
@@ -471,7 +475,7 @@
         m_fleet.unregisterReplica(m_replicas.front()); // It serves on for a while.
         m_replicas.erase(m_replicas.begin());
         gatewayAt(slot).signal(SIGCONT);
-        store.setMode(proxy_mode::Pass);
+        m_ways.setStoreMode(outOfStep, proxy_mode::Pass);
     }
 
     /// Begins streams at one gateway.
@@ -566,6 +570,48 @@
         return json::parse(call(m_fleet.replica(index), {.target = "/standin/runs"}).body).as_object().size();
     }
 
+    /// Some gateways lose their ways to all replicas. Any gateway may be killed or paused meanwhile.
+    void loseWays(std::size_t first)
+    {
+        const auto count = static_cast<std::size_t>(pick(1, static_cast<int>(gatewayCount)));
+        const int manner = pick(0, 2);
+        note("gateways " + std::to_string(first) + " and " + std::to_string(count - 1) + " more lose their ways, manner "
+             + std::to_string(manner));
+        std::vector<std::size_t> lost;
+        for (std::size_t number = 0; number < count; ++number) {
+            lost.push_back(m_slots[(first + number) % gatewayCount]);
+            if (manner == 0) {
+                m_ways.resetAndRefuse(lost.back());
+            } else {
+                m_ways.setMode(lost.back(), manner == 1 ? proxy_mode::Refuse : proxy_mode::Hang);
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(250, 1500)));
+        const auto other = static_cast<std::size_t>(pick(0, static_cast<int>(gatewayCount) - 1));
+        const int more = pick(0, 2);
+        if (more == 1) {
+            note("kill gateway " + std::to_string(other));
+            gatewayAt(other).signal(SIGKILL);
+            restart(other);
+        } else if (more == 2) {
+            note("pause gateway " + std::to_string(other));
+            gatewayAt(other).signal(SIGSTOP);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(250, 1500)));
+        for (const std::size_t gateway : lost) {
+            m_ways.setMode(gateway, proxy_mode::Pass);
+        }
+        gatewayAt(other).signal(SIGCONT);
+    }
+
+    void repeatAnswers(fault_proxy &proxy)
+    {
+        note("an upstream repeats its answers");
+        proxy.setMode(proxy_mode::Repeat, std::chrono::milliseconds(pick(0, 50)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(pick(300, 2000)));
+        proxy.setMode(proxy_mode::Pass);
+    }
+
     void spoil(fault_proxy &proxy)
     {
         const auto mode = static_cast<proxy_mode>(pick(1, 4));
@@ -672,7 +718,7 @@
 
     std::mt19937 m_generator;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
-    std::map<std::size_t, std::unique_ptr<fault_proxy>> m_storeProxies; ///< By gateway, before the store's common one.
+    gateway_ways m_ways; ///< Of each gateway, before the common proxies.
     gateway_fleet m_fleet;
     live_gateways m_gateways;
     promises m_told;
--- a/tests/standins/store/store_standin.cpp
+++ b/tests/standins/store/store_standin.cpp
@@ -15,6 +15,8 @@
 
 constexpr duration pollInterval = std::chrono::milliseconds(5); ///< Of calls that wait for changes.
 constexpr duration silence = std::chrono::hours(1);
+constexpr std::string_view replicaTable = "servers";
+constexpr std::string_view ownWays = "127.0.1."; // Begins the addresses of readers that reach replicas by ways of their own.
 
 std::string encoded(const std::string &bytes)
 {
@@ -48,22 +50,37 @@
     return {.table = textOf(object, "table"), .part = textOf(object, "part"), .key = textOf(object, "key")};
 }
 
-json::object rowJson(const table_row &row)
+/// A replica's registration as the reader of the host is to see it: one that has ways of its own finds the replica there.
+std::string valueFor(const std::string &host, const table_row &row)
+{
+    boost::system::error_code error;
+    json::value value = row.name.table == replicaTable && host.starts_with(ownWays) ? json::parse(row.value, error) : json::value();
+    const json::string *const address =
+        !error && value.is_object() && value.as_object().contains("address") ? value.as_object().at("address").if_string() : nullptr;
+    if (address == nullptr) {
+        return row.value;
+    }
+    const std::string registered(*address);
+    value.as_object()["address"] = host.substr(0, host.find(':')) + registered.substr(std::min(registered.rfind(':'), registered.size()));
+    return json::serialize(value);
+}
+
+json::object rowJson(const std::string &host, const table_row &row)
 {
     json::object object = {{"table", row.name.table}, {"part", row.name.part}, {"key", row.name.key}, {"ver", row.version}};
     if (row.deleted) {
         object["deleted"] = true;
     } else {
-        object["value"] = encoded(row.value);
+        object["value"] = encoded(valueFor(host, row));
     }
     return object;
 }
 
-json::array rowsJson(const std::vector<table_row> &rows)
+json::array rowsJson(const std::string &host, const std::vector<table_row> &rows)
 {
     json::array array;
     for (const table_row &row : rows) {
-        array.push_back(rowJson(row));
+        array.push_back(rowJson(host, row));
     }
     return array;
 }
@@ -160,8 +177,11 @@
                                            .from = exchange.query("from").value_or(""),
                                            .to = exchange.query("to").value_or(""),
                                            .limit = numberOf(exchange, "limit", 500)});
-    http_response response = jsonResponse(
-        200, json::object{{"rows", rowsJson(page.rows)}, {"has_more", page.more}, {"ver", page.version}, {"now_ms", nowMilliseconds()}});
+    http_response response = jsonResponse(200,
+                                          json::object{{"rows", rowsJson(exchange.field("Host"), page.rows)},
+                                                       {"has_more", page.more},
+                                                       {"ver", page.version},
+                                                       {"now_ms", nowMilliseconds()}});
     co_await exchange.respond(std::move(response));
 }
 
@@ -175,9 +195,9 @@
         co_await sleepFor(pollInterval);
         changes = m_tables.changes(table, after);
     }
-    http_response response =
-        jsonResponse(changes.historyLost ? 410 : 200,
-                     json::object{{"rows", rowsJson(changes.rows)}, {"ver", changes.version}, {"now_ms", nowMilliseconds()}});
+    http_response response = jsonResponse(
+        changes.historyLost ? 410 : 200,
+        json::object{{"rows", rowsJson(exchange.field("Host"), changes.rows)}, {"ver", changes.version}, {"now_ms", nowMilliseconds()}});
     co_await exchange.respond(std::move(response));
 }
 
--- a/tests/standins/store/store_standin.h
+++ b/tests/standins/store/store_standin.h
@@ -14,7 +14,8 @@
 ///
 /// POST /standin/faults takes "mode" (up, busy: 503, reset: closes without an answer, silent: no answer), "delay_ms" and
 /// "lose_answers" (so many changes take effect without an answer); POST /standin/rows sets a row in any table
-/// to a JSON "value" or to any "text"; POST /standin/forget drops the history.
+/// to a JSON "value" or to any "text"; POST /standin/forget drops the history. A reader that names the store 127.0.1.N is told
+/// that address, with their ports, as that of all replicas.
 class store_standin
 {
 public:
