--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -232,6 +233,7 @@
     }
 
     asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()}; ///< Also while nothing is open.
     tcp::endpoint m_target;
     tcp::acceptor m_acceptor;
     tcp::endpoint m_address;
