Use no connection again that was kept through a lost path

Cause: idle connections from before the loss were taken again, and what was sent on them was dropped on the way. Change: idle connections to an upstream are closed when its path is open again.

--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -159,6 +159,12 @@
 {
     log(change);
     m_ports.metrics.set("upstreams_unreachable", static_cast<double>(m_monitor.lost().size()));
+    for (const upstream_id &upstream : change.upstreams) {
+        const auto address = m_addresses.find(upstream);
+        if (!change.isLost && address != m_addresses.end()) {
+            m_ports.client.closeIdle(address->second); // What was kept through the loss may have been forgotten on the way.
+        }
+    }
     if (change.isLost && change.isOfGroup) {
         std::vector<std::function<void()>> hanging; // Telling a run may end others.
         for (const auto &[number, run] : m_runs) {
