Believe that an upstream has ended only when two forwarders do not reach it

Cause: the first forwarder asked was cut off as well and did not know yet. What it said, not reached, was taken as that the upstream has ended, which is remembered for a second; in a cut of a failure domain any of its gateways may be asked first. Change: the next forwarder is asked. An upstream is down once two have not reached it, or the only one that could be asked.

--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -106,6 +106,7 @@
 }
 
 constexpr std::size_t mostForwarders = 3; // That are asked for one attempt.
+constexpr std::size_t forwardersToBelieve = 2; // That do not reach an upstream either: one may be cut off as this node is.
 
 } // namespace
 
@@ -373,6 +374,7 @@
         }
     }
     std::vector<node_id> asked;
+    std::size_t notReached = 0;
     while (asked.size() < mostForwarders && !m_paths->forwarders().isDown(key, currentTime())) {
         const std::optional<forwarder> through = m_paths->chooseForwarder(upstream, asked);
         if (!through) {
@@ -381,13 +383,19 @@
         asked.push_back(through->node);
         upstream_run again = remaining();
         report = co_await sendThrough(*through, std::move(again), timeouts, observer, stop);
-        if (report.wasNotReached) {
-            m_paths->forwarders().notReached(key, currentTime());
+        if (report.result.outcome != attempt_outcome::NotSent || stop.stopped()) {
+            co_return report;
         }
-        if (report.result.outcome != attempt_outcome::NotSent || report.wasNotReached || stop.stopped()) {
+        if (!report.wasNotReached) {
+            m_paths->forwarders().failed(through->node, currentTime());
+        } else if (++notReached == forwardersToBelieve) {
+            m_paths->forwarders().notReached(key, currentTime());
             co_return report;
         }
-        m_paths->forwarders().failed(through->node, currentTime());
+    }
+    if (notReached > 0 && notReached == asked.size()) { // There was no other to ask.
+        m_paths->forwarders().notReached(key, currentTime());
+        co_return report;
     }
     if (isLost && asked.empty() && !m_paths->forwarders().isDown(key, currentTime())) {
         upstream_run again = remaining();
