--- a/core/include/banyan/core/serving/forwarder_choice.h
+++ b/core/include/banyan/core/serving/forwarder_choice.h
@@ -39,7 +39,7 @@
     void begun(const node_id &node);
     void ended(const node_id &node);
 
-    /// Records that a node could not be asked, or declined: others are asked for a while.
+    /// Records that a node has not helped for a reason of its own: others are asked for a while, if there are any.
     void failed(const node_id &node, time_point now);
 
     /// Records that a forwarder has not reached the upstream either. Its failures are then its own for a while.
@@ -49,7 +49,8 @@
     [[nodiscard]] bool isDown(upstream_key upstream, time_point now) const;
 
 private:
-    [[nodiscard]] double weightOf(const forwarder &candidate, upstream_key upstream, time_point now) const;
+    [[nodiscard]] double weightOf(const forwarder &candidate, upstream_key upstream) const;
+    [[nodiscard]] bool isAvoided(const node_id &node, time_point now) const;
 
     const load_board &m_board;
     const report_hubs &m_hubs;
--- a/core/src/serving/forwarder_choice.cpp
+++ b/core/src/serving/forwarder_choice.cpp
@@ -27,12 +27,8 @@
 }
 
 /// How much a node should be preferred; 0 if it cannot help.
-double forwarder_choice::weightOf(const forwarder &candidate, upstream_key upstream, time_point now) const
+double forwarder_choice::weightOf(const forwarder &candidate, upstream_key upstream) const
 {
-    const auto avoided = m_avoidedUntil.find(candidate.node);
-    if (avoided != m_avoidedUntil.end() && now < avoided->second) {
-        return 0;
-    }
     const auto given = m_given.find(candidate.node);
     std::size_t load = given == m_given.end() ? 0 : given->second;
     if (const node_load *const report = m_board.reportOf(candidate.node)) {
@@ -47,21 +43,31 @@
     return candidate.processorShare / static_cast<double>(1 + load);
 }
 
+/// Whether a node has not helped lately. It is still better than none: what failed may have been one request only.
+bool forwarder_choice::isAvoided(const node_id &node, time_point now) const
+{
+    const auto avoided = m_avoidedUntil.find(node);
+    return avoided != m_avoidedUntil.end() && now < avoided->second;
+}
+
 std::optional<forwarder>
 forwarder_choice::choose(upstream_key upstream, std::span<const node_id> tried, std::mt19937_64 &generator, time_point now) const
 {
-    std::vector<double> weights;
-    weights.reserve(m_nodes.size());
-    double sum = 0;
-    for (const forwarder &candidate : m_nodes) {
-        const bool wasTried = std::find(tried.begin(), tried.end(), candidate.node) != tried.end();
-        weights.push_back(wasTried ? 0 : weightOf(candidate, upstream, now));
-        sum += weights.back();
-    }
-    if (sum <= 0) {
-        return std::nullopt;
+    for (const bool withAvoided : {false, true}) {
+        std::vector<double> weights;
+        weights.reserve(m_nodes.size());
+        double sum = 0;
+        for (const forwarder &candidate : m_nodes) {
+            const bool wasTried = std::find(tried.begin(), tried.end(), candidate.node) != tried.end();
+            const bool isLeftOut = wasTried || (!withAvoided && isAvoided(candidate.node, now));
+            weights.push_back(isLeftOut ? 0 : weightOf(candidate, upstream));
+            sum += weights.back();
+        }
+        if (sum > 0) {
+            return m_nodes[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(generator)];
+        }
     }
-    return m_nodes[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(generator)];
+    return std::nullopt;
 }
 
 void forwarder_choice::begun(const node_id &node)
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -168,6 +168,12 @@
 {
     log(change);
     m_ports.metrics.set("upstreams_unreachable", static_cast<double>(m_monitor.lost().size()));
+    for (const upstream_id &upstream : change.upstreams) {
+        const auto address = m_addresses.find(upstream);
+        if (change.isLost && address != m_addresses.end()) {
+            m_ports.client.closeIdle(address->second); // They may have been forgotten on the way when the path is open again.
+        }
+    }
     if (change.isLost && change.isOfGroup) {
         std::vector<std::function<void()>> hanging; // Telling a run may end others.
         const std::set<upstream_id> silent(change.upstreams.begin(), change.upstreams.end());
--- a/io/src/serving/upstream_sender.cpp
+++ b/io/src/serving/upstream_sender.cpp
@@ -112,6 +112,7 @@
 }
 
 constexpr std::size_t mostForwarders = 3; // That are asked for one attempt.
+constexpr std::size_t forwardersToBelieve = 2; // That do not reach an upstream either: one may be cut off as this node is.
 
 } // namespace
 
@@ -387,6 +388,7 @@
         }
     }
     std::vector<node_id> asked;
+    std::size_t notReached = 0;
     while (asked.size() < mostForwarders && !m_paths->forwarders().isDown(key, currentTime())) {
         const std::optional<forwarder> through = m_paths->chooseForwarder(upstream, asked);
         if (!through) {
@@ -395,15 +397,19 @@
         asked.push_back(through->node);
         updateTimeLeft();
         report = co_await sendThrough(*through, *kept, timeouts, observer, stop);
-        if (report.wasNotReached) {
-            m_paths->forwarders().notReached(key, currentTime());
-        }
         if (report.isOfForwarder) {
             m_paths->forwarders().failed(through->node, currentTime());
         }
-        if (report.result.outcome != attempt_outcome::NotSent || report.wasNotReached || stop.stopped()) {
+        if (report.result.outcome != attempt_outcome::NotSent || stop.stopped()) {
             co_return report;
         }
+        notReached += report.wasNotReached ? 1 : 0;
+        if (notReached == forwardersToBelieve) {
+            break;
+        }
+    }
+    if (notReached == forwardersToBelieve || (notReached > 0 && notReached == asked.size())) { // In the latter case, all that there were.
+        m_paths->forwarders().notReached(key, currentTime());
     }
     const bool isDown = m_paths->forwarders().isDown(key, currentTime());
     if (isLost && asked.empty() && !isDown) {
