Take no report as evidence against an upstream if its sender hears nobody

What callers would see: a gateway that had lost two of three paths, and not noticed the third, was counted as one that reaches others, so that the upstreams it listed counted as down elsewhere and were ejected while all were sound. reachesNone now says that none was heard since the connections failed.

--- a/core/include/banyan/core/serving/node_load.h
+++ b/core/include/banyan/core/serving/node_load.h
@@ -52,7 +52,7 @@
     std::vector<share_lease> leases; ///< The sender's shares of rate limits that other nodes may use.
     limit_pool_report pools; ///< Of the limits of organisations.
     std::vector<upstream_key> unreachable; ///< Upstreams to which the sender has lost its path; see reachesNone.
-    bool reachesNone = false; ///< The sender has lost its path to most upstreams; not all of them are listed.
+    bool reachesNone = false; ///< The sender may have lost its way to all upstreams: what it lists says nothing about them.
     std::uint32_t forwards = 0; ///< Requests of other nodes that the sender is forwarding.
     std::vector<std::uint64_t> claims; ///< Hashes of the ids of all claims, at any node, that the sender waits for or holds.
 
--- a/io/include/banyan/io/serving/upstream_paths.h
+++ b/io/include/banyan/io/serving/upstream_paths.h
@@ -99,7 +99,7 @@
     /// The node to ask next to forward to the upstream, if there is one.
     [[nodiscard]] std::optional<forwarder> chooseForwarder(const upstream_id &upstream, std::span<const node_id> tried);
 
-    /// For load reports: upstreams with lost paths, and whether these are most.
+    /// For load reports: upstreams with lost paths, and whether this node may have lost its way to all: none was heard since.
     [[nodiscard]] std::vector<upstream_key> unreachable() const;
     [[nodiscard]] bool reachesNone() const;
 
--- a/io/src/serving/upstream_paths.cpp
+++ b/io/src/serving/upstream_paths.cpp
@@ -106,7 +106,7 @@
 
 std::optional<forwarder> upstream_paths::chooseForwarder(const upstream_id &upstream, std::span<const node_id> tried)
 {
-    const std::optional<forwarder> chosen = m_forwarders.choose(keyOf(upstream), tried, m_generator, currentTime());
+    std::optional<forwarder> chosen = m_forwarders.choose(keyOf(upstream), tried, m_generator, currentTime());
     m_ports.metrics.count(chosen ? "forwarder_asked" : "forwarder_missing");
     return chosen;
 }
@@ -124,8 +124,11 @@
 
 bool upstream_paths::reachesNone() const
 {
-    const std::size_t lost = m_monitor.lost().size();
-    return lost > mostListed || (lost > 1 && lost == m_monitor.size());
+    const std::vector<upstream_id> lost = m_monitor.lost();
+    const bool hearsOthers = std::any_of(lost.begin(), lost.end(), [this](const upstream_id &upstream) {
+        return m_monitor.isLostAlone(upstream);
+    });
+    return lost.size() > mostListed || (!lost.empty() && !hearsOthers);
 }
 
 void upstream_paths::connectEnded(const upstream_id &upstream, time_point startedAt, duration allowed, connect_outcome outcome)
--- a/tests/process/forwarding_test.cpp
+++ b/tests/process/forwarding_test.cpp
@@ -276,7 +276,7 @@
     ways_fixture fixture(2, "200", 32, 4s); // Of which three quarters are waited for.
     const std::vector<std::size_t> silent = GENERATE(std::vector<std::size_t>{0}, std::vector<std::size_t>{0, 1});
     std::vector<std::future<sent_request>> pending;
-    pending.reserve(2 * atOnce);
+    pending.reserve(static_cast<std::size_t>(2) * atOnce);
     for (int number = 0; number < 2 * atOnce; ++number) {
         pending.push_back(std::async(std::launch::async, [&fixture, number] {
             return fixture.send(0, "stream", "running-" + std::to_string(number));
