--- a/tests/unit/serving/path_refusals_test.cpp
+++ b/tests/unit/serving/path_refusals_test.cpp
@@ -14,6 +14,7 @@
     for (const duration gap : {duration(1ms), duration(30ms), duration(59ms), duration(200ms)}) {
         path_monitor monitor;
         std::vector<replica> upstreams;
+        upstreams.reserve(9);
         for (int number = 0; number < 9; ++number) {
             upstreams.push_back({.id = upstream_id("u" + std::to_string(number)), .domain = failure_domain(number % 2 == 0 ? "a" : "b")});
         }
