Review case 6: items that always fail stop all batch work

Seen: 20 batch submissions within 3 s, one of them (24 items) can never be done: each run of its items gets 500. From then on no replica gets an item but one probe at a time in growing pauses, and 18 s after the end of the traffic about 180 of 190 sound items are not listed, with all slots empty. Rule LOST of batch submissions.

Why: a 500 for an item counts as a failure of its upstream; three in a row eject it, for up to 30 s, and batch runs are never placed at ejected upstreams.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,40 @@
+"""Items that can never be done take every replica out of rotation for the sound items of other batch submissions."""
+
+import asyncio
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
+import fleet as fleets  # noqa: E402
+import lost  # noqa: E402
+
+SUBMISSIONS = 20  # Within WINDOW_S; one of them, 5 in 100, can never be done.
+WINDOW_S = 3.0
+ITEMS = 10
+FAILING_ITEMS = 24
+
+
+async def case(fleet):
+    fleet.configure([fleets.bulk_route("plans")])
+    await fleet.add_replicas(3, events=10, event_s=0.03)
+    await fleet.add_gateways(2)
+
+    batches = {}
+    begun = time.monotonic()
+    for number in range(SUBMISSIONS):
+        fails = number == 2
+        if not fails or fleets.trouble():
+            count = FAILING_ITEMS if fails else ITEMS
+            bodies = [(b"fails %d" if fails else b"plan %d") % n for n in range(count)]
+            submission, items, status = await fleet.submit(fleet.gateways[number % 2], "plans", bodies)
+            if status != 202:
+                raise fleets.CannotRun("a batch submission was answered %d" % status)
+            batches[submission] = items
+        await asyncio.sleep(max(0.0, begun + (number + 1) * WINDOW_S / SUBMISSIONS - time.monotonic()))
+    fleet.log("traffic has ended")
+
+    return await lost.holds_after_finish(fleet, fleet.gateways[0], batches, time.monotonic())
+
+
+fleets.play(case)
