--- a/review/6/case.py
+++ b/review/6/case.py
@@ -34,7 +34,12 @@
         await asyncio.sleep(max(0.0, begun + (number + 1) * WINDOW_S / SUBMISSIONS - time.monotonic()))
     fleet.log("traffic has ended")
 
-    return await lost.holds_after_finish(fleet, fleet.gateways[0], batches, time.monotonic())
+    held = await lost.holds_after_finish(fleet, fleet.gateways[0], batches, time.monotonic())
+    failed = sorted(run.ended for replica in fleet.replicas for run in replica.runs if run.status == 500)
+    if failed:
+        first = sum(at < failed[0] + 1 for at in failed)
+        fleet.log("runs answered 500: %d within a second, %d later, in all at three replicas" % (first, len(failed) - first))
+    return held
 
 
 fleets.play(case)
