--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,8 +9,9 @@
 import fleet as fleets  # noqa: E402
 import lost  # noqa: E402
 
-SUBMISSIONS = 20  # Within WINDOW_S; one of them, 5 in 100, can never be done.
-WINDOW_S = 3.0
+SUBMISSIONS = 20  # One of them, 5 in 100, can never be done.
+USUAL_S = 1 / 0.514  # Between two submissions at the site's usual rate.
+BURST = 9  # The last submissions come at six times that rate, for 3 s: the site's `burst` of this kind of request.
 ITEMS = 10
 FAILING_ITEMS = 24
 
@@ -21,9 +22,9 @@
     await fleet.add_gateways(2)
 
     batches = {}
-    begun = time.monotonic()
+    due = time.monotonic()
     for number in range(SUBMISSIONS):
-        fails = number == 2
+        fails = number == SUBMISSIONS - BURST
         if not fails or fleets.trouble():
             count = FAILING_ITEMS if fails else ITEMS
             bodies = [(b"fails %d" if fails else b"plan %d") % n for n in range(count)]
@@ -31,7 +32,8 @@
             if status != 202:
                 raise fleets.CannotRun("a batch submission was answered %d" % status)
             batches[submission] = items
-        await asyncio.sleep(max(0.0, begun + (number + 1) * WINDOW_S / SUBMISSIONS - time.monotonic()))
+        due += USUAL_S if number < SUBMISSIONS - BURST else USUAL_S / 6
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
     fleet.log("traffic has ended")
 
     held = await lost.holds_after_finish(fleet, fleet.gateways[0], batches, time.monotonic())
