Items that fail at every upstream no longer stop the batch work of others

Cause: a failed answer counted against the upstream, whoever was at fault. Three of them ejected every upstream, batch work uses none that is ejected, and the probes went to the oldest waiting run, a failing one, each of which doubled the ejection up to 30 s.

Evidence: 3 upstream_ejected within 0.1 s in the log of the gateway that schedules the cell, then one for each probe; 12 later runs, all failed.

Change: failures are compared. A job that fails at several upstreams, one of which has answered another job since, is blamed, and its failures count against no upstream until one of its items succeeds (failing_origins). Runs that may fail by themselves wait behind others and do not probe while anything is in rotation. With nothing in rotation, upstreams are probed every second, by the runs without doubt first. Claims name the job and the item's failures; old gateways read past both, and for their claims the job is derived from the run's id.

--- a/core/include/banyan/core/serving/item_progress.h
+++ b/core/include/banyan/core/serving/item_progress.h
@@ -76,6 +76,12 @@
     /// How long to wait before the next run.
     [[nodiscard]] duration retryDelay() const;
 
+    /// Number of runs that upstreams reported as failed.
+    [[nodiscard]] std::uint32_t failures() const
+    {
+        return m_failures;
+    }
+
     /// The data of all events so far, joined by line feeds.
     [[nodiscard]] const std::string &output() const
     {
--- a/core/include/banyan/core/serving/run_id.h
+++ b/core/include/banyan/core/serving/run_id.h
@@ -16,4 +16,8 @@
 /// The id of the request or item that the run with id @p run belongs to.
 [[nodiscard]] request_id requestOf(const request_id &run);
 
+/// A key of the job that the batch run with id @p run of the node @p holder belongs to; never 0. For claims that do not state the
+/// origin of their run: gateways before this field was added do not.
+[[nodiscard]] std::uint64_t originOfRun(const node_id &holder, const request_id &run);
+
 } // namespace banyan
--- a/core/include/banyan/core/serving/slot_action.h
+++ b/core/include/banyan/core/serving/slot_action.h
@@ -52,6 +52,15 @@
     auto operator<=>(const slot_rejected &) const = default;
 };
 
+/// From here on the failures of the run's job no longer count against upstreams, since they answer others.
+struct origin_blamed
+{
+    request_id request; ///< The run whose failure is the first that does not count.
+    upstream_id upstream;
+
+    auto operator<=>(const origin_blamed &) const = default;
+};
+
 /// An upstream gets no new work for some time because it failed or was much slower than the others.
 struct upstream_ejected
 {
@@ -70,7 +79,7 @@
 };
 
 /// An action that the host of a request_scheduler must carry out; a list is carried out in order.
-using slot_action = std::variant<slot_granted, slot_rejected, slot_reclaimed, upstream_ejected>;
+using slot_action = std::variant<slot_granted, slot_rejected, slot_reclaimed, upstream_ejected, origin_blamed>;
 using slot_actions = std::vector<slot_action>;
 
 } // namespace banyan
--- a/core/include/banyan/core/serving/slot_request.h
+++ b/core/include/banyan/core/serving/slot_request.h
@@ -36,6 +36,8 @@
     node_id holder; ///< The node that sends the run over its own connections.
     failure_domain domain; ///< Failure domain of the holder.
     duration earlierRunTime{}; ///< For a batch run: time that earlier runs of the item, which this run continues, spent at upstreams.
+    std::uint64_t origin = 0; ///< Hash of the job of a batch run, whose items may all fail for the same reason; 0 if there is none.
+    std::uint32_t earlierFailures = 0; ///< For a batch run: earlier runs of the item that upstreams reported as failed.
     caller_key caller = 0; ///< Whose share of the upstreams the run uses.
     request_size size; ///< As the caller states it.
 
--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -122,6 +122,7 @@
 {
     const duration longer = first * (1U << std::min(record.ejectionsInRow, maximumDoublings));
     record.ejectedUntil = now + std::min(longer, m_options.longestEjection);
+    record.probedAt = now;
     record.outOfRotation = true;
     record.ejectedForSlowness = forSlowness;
     record.slow = 0;
@@ -175,6 +176,38 @@
     return entry != m_upstreams.end() && entry->second.outOfRotation && entry->second.ejectedForSlowness;
 }
 
+/// After a good answer the next probe follows at once.
+time_point outlier_detector::earlyProbeAt(const upstream_record &record) const
+{
+    return record.goodProbes > 0 ? record.probedAt : record.probedAt + m_options.earlyProbeInterval;
+}
+
+bool outlier_detector::mayProbeEarly(const upstream_id &upstream, time_point now) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && entry->second.outOfRotation && now >= earlyProbeAt(entry->second);
+}
+
+void outlier_detector::recordProbe(const upstream_id &upstream, time_point now)
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry != m_upstreams.end() && entry->second.outOfRotation) {
+        entry->second.probedAt = now;
+    }
+}
+
+std::optional<time_point> outlier_detector::nextEarlyProbe(time_point now) const
+{
+    std::optional<time_point> next;
+    for (const auto &[id, record] : m_upstreams) {
+        const time_point at = earlyProbeAt(record);
+        if (record.outOfRotation && at > now && (!next || at < *next)) {
+            next = at;
+        }
+    }
+    return next;
+}
+
 std::optional<time_point> outlier_detector::probingSince(const upstream_id &upstream, time_point now) const
 {
     if (conditionOf(upstream, now) != upstream_condition::Probing) {
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -27,6 +27,7 @@
     duration failureEjection = std::chrono::milliseconds(500); ///< First ejection for failures; doubles likewise.
     duration longestEjection = std::chrono::seconds(30);
     std::uint32_t probesToReturn = 2; ///< Consecutive good answers that end the probing of an upstream.
+    duration earlyProbeInterval = std::chrono::seconds(1); ///< Time between two probes of an upstream during its ejection.
 };
 
 /// The interval that a latency measures. Only latencies of the same kind are compared.
@@ -67,6 +68,13 @@
     /// Whether the upstream was ejected because it was slow and has not returned to rotation.
     [[nodiscard]] bool isEjectedForSlowness(const upstream_id &upstream) const;
 
+    /// Whether the upstream may be probed although its ejection has not ended. For callers that have no upstream in rotation: an
+    /// upstream that is sound again is then found within earlyProbeInterval, however long its ejection is.
+    [[nodiscard]] bool mayProbeEarly(const upstream_id &upstream, time_point now) const;
+
+    /// Records that a probe is sent to an upstream that is out of rotation; no effect on others.
+    void recordProbe(const upstream_id &upstream, time_point now);
+
     /// Since when the upstream has been in condition Probing; none if it is in another condition.
     [[nodiscard]] std::optional<time_point> probingSince(const upstream_id &upstream, time_point now) const;
 
@@ -76,6 +84,9 @@
     /// The earliest end of an ejection after @p now, if any.
     [[nodiscard]] std::optional<time_point> nextEjectionEnd(time_point now) const;
 
+    /// The earliest time after @p now at which an upstream may be probed early, if any.
+    [[nodiscard]] std::optional<time_point> nextEarlyProbe(time_point now) const;
+
     /// Moving average of an upstream's time to the first byte.
     [[nodiscard]] duration averageLatency(const upstream_id &upstream) const;
 
@@ -97,6 +108,7 @@
         bool outOfRotation = false; ///< Ejected, or being probed before it returns to rotation.
         bool ejectedForSlowness = false;
         time_point ejectedUntil;
+        time_point probedAt; ///< Time of the ejection or of the last probe after it.
     };
     struct latency_reference
     {
@@ -105,6 +117,7 @@
         std::uint32_t sinceUpdate = 0;
     };
 
+    [[nodiscard]] time_point earlyProbeAt(const upstream_record &record) const;
     [[nodiscard]] const latency_reference &referenceOf(latency_kind kind) const;
     void addToReference(latency_kind kind, duration latency);
     bool handleSlow(upstream_record &record, time_point now);
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -112,12 +112,17 @@
     void resolveOvercommit(service_schedule &service, time_point now);
     void scheduleWaiting(service_schedule &service, time_point now);
     void scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now);
+    /// The waiting batch runs that are considered.
+    struct batch_filter
+    {
+        std::set<std::string> fullVersions; ///< Versions whose upstreams have no slot for a batch run that is bound to them.
+        bool soundOnly = false; ///< Leaves out runs that may fail by themselves.
+        bool soundFirst = false; ///< Puts these behind all others, however late those are.
+    };
     [[nodiscard]] bool mayDecideBatch(const cell_schedule &cell) const;
     void scheduleBatch(service_schedule &service, cell_schedule &cell, time_point now);
-    [[nodiscard]] static const slot_request *firstBatchRun(const service_schedule &service,
-                                                           const cell_schedule &cell,
-                                                           const std::set<std::string> &excludedVersions,
-                                                           time_point now);
+    [[nodiscard]] static const slot_request *
+    firstBatchRun(const service_schedule &service, const cell_schedule &cell, const batch_filter &filter, time_point now);
     void recordResult(service_schedule &service,
                       scheduled_upstream &upstream,
                       const granted_run &run,
@@ -388,6 +393,7 @@
                                               time_point now)
 {
     const granted_run &run = recordGrant(service, request, upstream, now);
+    service.outliers.recordProbe(upstream.info.id, now);
     m_choice.granted(request, upstream.info.id);
     if (upstream.starts) {
         upstream.starts->recordStart(now);
@@ -545,9 +551,9 @@
     if (service.waitingOnline() > 0 || !mayDecideBatch(cell)) {
         return;
     }
-    std::set<std::string> fullVersions; // Versions whose upstreams have no slot for a batch run that is bound to them.
+    batch_filter filter{.fullVersions = {}, .soundFirst = !m_choice.hasRotation(service, cell, {}, now)};
     while (service.waitingOnline() == 0) {
-        const slot_request *const first = firstBatchRun(service, cell, fullVersions, now);
+        const slot_request *const first = firstBatchRun(service, cell, filter, now);
         if (first == nullptr) {
             return;
         }
@@ -557,33 +563,37 @@
             cell.removeBatch(request.id);
             cell.batchShares.served(request.caller, service.costs.costOf(request));
             grant(service, request, *upstream, now);
-        } else if (request.version.empty()) {
-            return;
-        } else if (m_choice.hasCandidate(service, cell, request, now)) {
-            fullVersions.insert(request.version);
-        } else {
+        } else if (!request.version.empty() && !m_choice.hasCandidate(service, cell, request, now)) {
             cell.removeBatch(request.id);
             m_actions.push_back(slot_rejected{.request = request.id, .reason = end_reason::VersionGone});
+        } else if (!request.version.empty()) {
+            filter.fullVersions.insert(request.version);
+        } else if (!filter.soundOnly && service.doubtOf(request, now) > 0) {
+            filter.soundOnly = true; // Sound runs may use upstreams that are being probed.
+        } else {
+            return;
         }
     }
 }
 
-/// The waiting batch run that comes first, without those that are bound to one of the versions; null if there is none. Callers
-/// take turns; those whose work can no longer complete in time come last.
+/// The waiting batch run that comes first of those that @p filter admits; null if there is none. Runs that may fail by themselves
+/// wait behind the others. Callers take turns; those whose work can no longer complete in time come last.
 const slot_request *request_scheduler::implementation::firstBatchRun(const service_schedule &service,
                                                                      const cell_schedule &cell,
-                                                                     const std::set<std::string> &excludedVersions,
+                                                                     const batch_filter &filter,
                                                                      time_point now)
 {
-    using position = std::tuple<bool, std::uint32_t, double, batch_order::rank>;
+    using position = std::tuple<std::uint32_t, bool, std::uint32_t, std::uint32_t, double, batch_order::rank>;
     const slot_request *first = nullptr;
     position best;
     for (const auto &[id, request] : cell.batch) {
-        if (!request.version.empty() && excludedVersions.contains(request.version)) {
+        const std::uint32_t doubt = service.doubtOf(request, now);
+        if ((!request.version.empty() && filter.fullVersions.contains(request.version)) || (filter.soundOnly && doubt > 0)) {
             continue;
         }
         const batch_order::rank rank = service.batchOrder.rankOf(request, now);
-        const position candidate(rank.targetUnreachable, rank.priority, cell.batchShares.startOf(request.caller), rank);
+        const position candidate(
+            filter.soundFirst ? doubt : 0, rank.targetUnreachable, rank.priority, doubt, cell.batchShares.startOf(request.caller), rank);
         if (first == nullptr || candidate < best) {
             first = &request;
             best = candidate;
@@ -602,6 +612,7 @@
     run.firstByteSeen = true;
     m_firstByteDeadlines.erase({run.overdueAt, request});
     service_schedule &service = serviceOf(run.request.service);
+    service.failing.recordAnswer(run.request.origin, run.upstream, run.grantedAt);
     const duration taken = measured.value_or(now - run.grantedAt);
     const auto upstream = service.upstreams.find(run.upstream);
     const double usualFactor = upstream == service.upstreams.end() ? 1 : m_choice.usualFactor(service, upstream->second);
@@ -629,6 +640,7 @@
     case attempt_outcome::Answered:
         if (result.outcome == attempt_outcome::Succeeded) {
             service.recordRun(run, upstream, toSeconds(now - run.grantedAt), now);
+            service.failing.recordSuccess(run.request.origin);
         }
         if (run.request.workClass == work_class::Online) {
             updateAverage(service.runSeconds, toSeconds(now - run.grantedAt));
@@ -639,10 +651,18 @@
     case attempt_outcome::Refused:
     case attempt_outcome::Cancelled:
         return;
-    case attempt_outcome::NotSent:
     case attempt_outcome::Failed:
     case attempt_outcome::Lost:
     case attempt_outcome::TimedOut:
+        service.failing.recordFailure(run.request.origin, run.upstream, service.upstreams.size(), now);
+        if (service.failing.isBlamed(run.request.origin, now)) {
+            if (service.failing.reportBlame(run.request.origin)) {
+                m_actions.push_back(origin_blamed{.request = run.request.id, .upstream = run.upstream});
+            }
+            return;
+        }
+        [[fallthrough]];
+    case attempt_outcome::NotSent:
         if (service.outliers.recordFailure(run.upstream, result.outcome, now)) {
             m_actions.push_back(upstream_ejected{.upstream = run.upstream});
         }
@@ -700,7 +720,7 @@
         m_firstByteDeadlines.erase(m_firstByteDeadlines.begin());
         service_schedule &service = serviceOf(run.request.service);
         const auto upstream = service.upstreams.find(run.upstream);
-        if (upstream != service.upstreams.end()) {
+        if (upstream != service.upstreams.end() && !service.failing.isBlamed(run.request.origin, now)) {
             run.overdue = true;
             if (service.outliers.recordOverdue(run.upstream, now)) {
                 m_actions.push_back(upstream_ejected{.upstream = run.upstream, .forSlowness = true});
@@ -733,6 +753,7 @@
         }
         if (hasWaiting) {
             consider(service.outliers.nextEjectionEnd(m_lastScheduledAt));
+            consider(service.outliers.nextEarlyProbe(m_lastScheduledAt));
             considerNextStarts(service, consider);
         }
     }
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -131,6 +131,11 @@
     }
 }
 
+std::uint32_t service_schedule::doubtOf(const slot_request &request, time_point now) const
+{
+    return request.earlierFailures + (failing.isFailing(request.origin, now) ? 1 : 0);
+}
+
 std::uint32_t service_schedule::waitingOnline() const
 {
     std::size_t count = 0;
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -6,6 +6,7 @@
 #include "banyan/core/serving/upstream_cell.h"
 #include "batch_order.h"
 #include "decaying_average.h"
+#include "failing_origins.h"
 #include "first_byte_estimate.h"
 #include "retry_after_estimator.h"
 #include "run_cost.h"
@@ -55,6 +56,7 @@
     std::map<upstream_id, scheduled_upstream> upstreams;
     std::map<upstream_cell, cell_schedule> cells;
     outlier_detector outliers{outlier_detector_options()};
+    failing_origins failing;
     batch_order batchOrder;
     double firstByteSeconds = 0; ///< Moving average of the time to first byte.
     first_byte_estimate startTimes{duration(0)}; ///< Times to first byte, by the node that sends the run.
@@ -80,6 +82,9 @@
     /// Learns from a complete run at @p upstream.
     void recordRun(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now);
 
+    /// How likely a batch run is to fail by itself: its item's failures, and one if its job has lately failed wherever it ran.
+    [[nodiscard]] std::uint32_t doubtOf(const slot_request &request, time_point now) const;
+
     /// The number of online runs waiting for a slot of any cell.
     [[nodiscard]] std::uint32_t waitingOnline() const;
 
--- a/core/src/serving/upstream_choice.cpp
+++ b/core/src/serving/upstream_choice.cpp
@@ -53,7 +53,7 @@
 }
 
 /// Whether the upstream should get the request only if there is no other, by the observations of this node and the others.
-/// An ejected upstream that may have recovered is probed by one repeatable run at a time.
+/// An ejected upstream that may have recovered is probed by one repeatable run at a time, and by none that may fail by itself.
 bool upstream_choice::isAvoided(const service_schedule &service,
                                 const scheduled_upstream &upstream,
                                 const slot_request &request,
@@ -61,7 +61,7 @@
 {
     const upstream_condition condition = service.outliers.conditionOf(upstream.info.id, now);
     if (condition == upstream_condition::Probing) {
-        return !request.repeatable || upstream.online + upstream.batch > 0;
+        return !request.repeatable || upstream.online + upstream.batch > 0 || service.doubtOf(request, now) > 0;
     }
     if (condition == upstream_condition::Ejected) {
         return true;
@@ -69,6 +69,32 @@
     return m_board.usageOf(upstream.key).degradedNodes + (isDegraded(upstream, now) ? 1 : 0) >= avoidanceThreshold;
 }
 
+bool upstream_choice::hasRotation(const service_schedule &service,
+                                  const cell_schedule &cell,
+                                  const slot_request &request,
+                                  time_point now) const
+{
+    return std::any_of(cell.members.begin(), cell.members.end(), [&](const scheduled_upstream *upstream) {
+        const bool isOut = service.outliers.conditionOf(upstream->info.id, now) != upstream_condition::Good;
+        return upstream->info.hasVersion(request.version) && !isOut && !isAvoided(service, *upstream, request, now);
+    });
+}
+
+/// Whether a batch run may probe an upstream of a cell that has none in rotation. One that only other nodes see as degraded may take
+/// any number of runs: this node ejects it if they fail.
+bool upstream_choice::mayProbe(const service_schedule &service,
+                               const scheduled_upstream &upstream,
+                               const slot_request &request,
+                               time_point now) const
+{
+    const upstream_condition condition = service.outliers.conditionOf(upstream.info.id, now);
+    if (condition == upstream_condition::Good) {
+        return true;
+    }
+    const bool isDue = condition == upstream_condition::Probing || service.outliers.mayProbeEarly(upstream.info.id, now);
+    return isDue && request.repeatable && upstream.online + upstream.batch == 0;
+}
+
 /// The upstreams for a request, of the version that it needs: those that are not avoided; if none, the avoided ones; if none, the excluded ones.
 std::vector<scheduled_upstream *>
 upstream_choice::candidates(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const
@@ -315,6 +341,7 @@
                                                     time_point now)
 {
     const decision context = decide(service, cell, request, now);
+    const bool inRotation = hasRotation(service, cell, request, now);
     scheduled_upstream *best = nullptr;
     placement_score bestScore;
     std::uint32_t free = 0;
@@ -322,8 +349,8 @@
     for (scheduled_upstream *const upstream : candidates(service, cell, request, now)) {
         const total_work work = workAt(*upstream);
         online += work.online;
-        if (work.all() >= upstream->info.slots || !upstream->mayStart(work_class::Batch, now)
-            || isAvoided(service, *upstream, request, now)) {
+        const bool isAllowed = !isAvoided(service, *upstream, request, now) || (!inRotation && mayProbe(service, *upstream, request, now));
+        if (work.all() >= upstream->info.slots || !upstream->mayStart(work_class::Batch, now) || !isAllowed) {
             continue;
         }
         free += upstream->info.slots - work.all();
--- a/core/src/serving/upstream_choice.h
+++ b/core/src/serving/upstream_choice.h
@@ -78,13 +78,18 @@
     selectAmongSlow(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now);
 
     /// Selects for a batch run an upstream with a free slot; null unless more slots are free than online work will need
-    /// within @p reactionTime, the time that other nodes need to preempt batch runs.
+    /// within @p reactionTime, the time that other nodes need to preempt batch runs. Where no upstream is in rotation, the run may
+    /// probe one before its ejection ends.
     [[nodiscard]] scheduled_upstream *selectForBatch(const service_schedule &service,
                                                      const cell_schedule &cell,
                                                      const slot_request &request,
                                                      duration reactionTime,
                                                      time_point now);
 
+    /// Whether an upstream of the cell, busy or not, is neither ejected nor known to be degraded, for runs of the request's version.
+    [[nodiscard]] bool
+    hasRotation(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
+
     /// Whether the cell has any upstream for a run, busy or not.
     [[nodiscard]] bool
     hasCandidate(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
@@ -118,6 +123,8 @@
         }
     };
 
+    [[nodiscard]] bool
+    mayProbe(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now) const;
     [[nodiscard]] bool
     isAvoided(const service_schedule &service, const scheduled_upstream &upstream, const slot_request &request, time_point now) const;
     [[nodiscard]] std::vector<scheduled_upstream *>
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -95,6 +95,8 @@
   caller @19 :UInt64;             # Whose share of the upstreams it uses.
   promptTokens @20 :UInt32;       # As the caller states it, like the one after it.
   outputTokens @21 :UInt32;
+  origin @22 :UInt64;             # Whose runs may fail for the same reason; 0 if not known.
+  failures @23 :UInt32;           # Earlier runs of the item that upstreams reported as failed.
 }
 
 struct SlotVerdict {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -197,7 +197,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 10, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ada66ed97a785ca8, 12, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1512,6 +1512,10 @@
 
   inline  ::uint32_t getOutputTokens() const;
 
+  inline  ::uint64_t getOrigin() const;
+
+  inline  ::uint32_t getFailures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1631,6 +1635,12 @@
   inline  ::uint32_t getOutputTokens();
   inline void setOutputTokens( ::uint32_t value);
 
+  inline  ::uint64_t getOrigin();
+  inline void setOrigin( ::uint64_t value);
+
+  inline  ::uint32_t getFailures();
+  inline void setFailures( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5078,6 +5088,34 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SlotClaim::Reader::getOrigin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotClaim::Builder::getOrigin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setOrigin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotClaim::Reader::getFailures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotClaim::Builder::getFailures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+}
+inline void SlotClaim::Builder::setFailures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotVerdict::Reader::hasRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -11,6 +11,8 @@
 #include "banyan/io/serving/slot_broker.h"
 #include "banyan/io/serving/upstream_sender.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +47,12 @@
     return provesEnd(head.framing) ? std::string() : "nothing marks the end of the stream";
 }
 
+/// The key of a job in claims for slots; never 0.
+std::uint64_t originOf(const job_id &job)
+{
+    return std::max<std::uint64_t>(1, XXH3_64bits(job.text().data(), job.text().size()));
+}
+
 bool isUsable(const replica *upstream)
 {
     return upstream != nullptr && !upstream->draining;
@@ -173,6 +181,8 @@
                          .version = progress.version(),
                          .excluded = state.unusableUpstreams,
                          .earlierRunTime = state.earlierRunTime,
+                         .origin = originOf(job->entry.id),
+                         .earlierFailures = progress.failures(),
                          .caller = callerKeyOf(job->entry.organisation),
                          .size = sizeOf(job->items[index])};
     // Each run has its own stop signal, since an item whose slot was reclaimed runs again later.
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/serving/scheduler_host.h"
 
+#include "banyan/core/serving/run_id.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/log.h"
 
@@ -134,6 +135,9 @@
             logEvent(log_level::Info,
                      "upstream_ejected",
                      {{"upstream", ejected->upstream.text()}, {"reason", ejected->forSlowness ? "slow" : "failed"}});
+        } else if (const auto *const blamed = std::get_if<origin_blamed>(&action)) {
+            logEvent(
+                log_level::Info, "job_blamed", {{"request_id", requestOf(blamed->request).text()}, {"upstream", blamed->upstream.text()}});
         } else {
             const auto handler = m_reclaimHandlers.extract(std::get<slot_reclaimed>(action).request);
             if (!handler.empty()) {
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -174,6 +174,8 @@
     root.setCaller(request.caller);
     root.setPromptTokens(request.size.promptTokens);
     root.setOutputTokens(request.size.maximumOutputTokens);
+    root.setOrigin(request.origin);
+    root.setFailures(request.earlierFailures);
     auto excluded = root.initExcluded(static_cast<unsigned>(request.excluded.size()));
     for (unsigned index = 0; index < request.excluded.size(); ++index) {
         excluded.set(index, request.excluded[index].text().c_str());
@@ -292,6 +294,8 @@
                                  .holder = node_id(textOf(root.getSender())),
                                  .domain = failure_domain(textOf(root.getDomain())),
                                  .earlierRunTime = spanOf(root.getRanBefore()),
+                                 .origin = root.getOrigin(),
+                                 .earlierFailures = root.getFailures(),
                                  .caller = root.getCaller(),
                                  .size = {.promptTokens = root.getPromptTokens(), .maximumOutputTokens = root.getOutputTokens()}}};
     for (const auto upstream : root.getExcluded()) {
--- a/io/src/serving/slot_broker.cpp
+++ b/io/src/serving/slot_broker.cpp
@@ -431,6 +431,9 @@
         return;
     }
     m_incomingClaims.emplace(key, incoming_claim{.holder = claim.sender, .request = request, .since = currentTime()});
+    if (request.workClass == work_class::Batch && request.origin == 0) {
+        request.origin = originOfRun(claim.sender, request.id);
+    }
     request.id = schedulerRequestId(key);
     auto onDecision = [this, key](const slot_outcome &outcome) {
         decided(key, outcome);
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -139,6 +139,31 @@
     CHECK(items.size() == 12);
 }
 
+// Guards against batch work that stops at all gateways because every item of one job fails at every upstream.
+TEST_CASE("the jobs of other clients are run while one job's items fail at every upstream")
+{
+    constexpr int failingItems = 24;
+    constexpr int soundItems = 10;
+    gateway_fleet fleet({.gateways = 2, .replicas = 3, .replicaArguments = {"--event-ms", "30"}});
+    REQUIRE(fleet.submitJob(0, "failing", failingItems, "/jobs/fails/").status == 202);
+    REQUIRE(eventually([&] {
+        return fleet.runsOf("failing-0") > 0;
+    }));
+    for (int job = 0; job < 4; ++job) {
+        REQUIRE(fleet.submitJob(job % 2, "sound-" + std::to_string(job), soundItems).status == 202);
+    }
+    for (int job = 0; job < 4; ++job) {
+        const std::string id = "sound-" + std::to_string(job);
+        CHECK(eventually([&] {
+            return resultsOf(fleet.readJob(0, id)) == soundItems;
+        }));
+    }
+    CHECK(eventually([&] {
+        return resultsOf(fleet.readJob(0, "failing")) == failingItems;
+    }));
+    CHECK(fleet.runsOf("failing-0") == 3);
+}
+
 TEST_CASE("online requests go on while the store is away, and jobs are neither accepted nor called unknown")
 {
     gateway_fleet fleet({});
--- a/tests/standins/replica/replica_standin.cpp
+++ b/tests/standins/replica/replica_standin.cpp
@@ -11,6 +11,7 @@
 constexpr duration hangTime = std::chrono::hours(1);
 constexpr std::string_view crashMark = "crashes replicas"; // A body that holds it ends the connection of its run.
 constexpr std::string_view longMark = "/long"; // A path that holds it is answered at length.
+constexpr std::string_view failingMark = "/fails/"; // A path that holds it is answered with status 500.
 constexpr std::string_view crashingPart = "dead:"; // A prompt part that does the same.
 
 /// Counts a run while it is in progress.
@@ -80,7 +81,11 @@
     if (m_mode == "reset" || m_mode == "hang" || crashes) {
         co_return;
     }
-    if (exchange.field("Model").empty()) {
+    if (exchange.path().find(failingMark) != std::string::npos) {
+        co_await sleepFor(m_options.eventTime);
+        http_response response{.status = 500, .fields = answerFields({{"Response-Stamp", "stamp"}})};
+        co_await exchange.respond(std::move(response));
+    } else if (exchange.field("Model").empty()) {
         co_await answerWhole(exchange);
     } else {
         co_await answerStream(exchange);
--- a/tests/unit/serving/serving_codec_test.cpp
+++ b/tests/unit/serving/serving_codec_test.cpp
@@ -53,6 +53,8 @@
                                  .holder = node_id("n"),
                                  .domain = failure_domain("d"),
                                  .earlierRunTime = 3s,
+                                 .origin = 79,
+                                 .earlierFailures = 2,
                                  .caller = 78,
                                  .size = {.promptTokens = 1460, .maximumOutputTokens = 80}}};
     const std::optional<gateway_message> read = decodeGatewayMessage(encode(claim, senderNow), receiverNow);
