Gateways stop to report an upstream as degraded that they no longer use

What callers would see: batch work that never runs although its upstreams are sound. An upstream that two gateways report as degraded is avoided by all.

Cause: a gateway reports an upstream until it has returned to rotation there. One that no longer schedules the cell sends no probe, so it never learns that the upstream answers again, and reports it for as long as it lives.

Not seen with processes.

Change: an ejection is reported until 5 s after its end at most. Old gateways read the reports as before; their own go on as they did.

--- a/core/src/outlier_detector.cpp
+++ b/core/src/outlier_detector.cpp
@@ -196,6 +196,12 @@
     }
 }
 
+bool outlier_detector::wasRecentlyEjected(const upstream_id &upstream, duration memory, time_point now) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && entry->second.outOfRotation && now < entry->second.ejectedUntil + memory;
+}
+
 std::optional<time_point> outlier_detector::nextEarlyProbe(time_point now) const
 {
     std::optional<time_point> next;
--- a/core/src/outlier_detector.h
+++ b/core/src/outlier_detector.h
@@ -75,6 +75,9 @@
     /// Records that a probe is sent to an upstream that is out of rotation; no effect on others.
     void recordProbe(const upstream_id &upstream, time_point now);
 
+    /// Whether the upstream is ejected, or its ejection ended less than @p memory ago and it has not returned to rotation.
+    [[nodiscard]] bool wasRecentlyEjected(const upstream_id &upstream, duration memory, time_point now) const;
+
     /// Since when the upstream has been in condition Probing; none if it is in another condition.
     [[nodiscard]] std::optional<time_point> probingSince(const upstream_id &upstream, time_point now) const;
 
--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -24,6 +24,7 @@
 constexpr duration defaultOverdueAfter = std::chrono::milliseconds(400); ///< Used while too few answers have been measured.
 constexpr duration maximumOverdueAfter = std::chrono::seconds(1);
 constexpr duration maximumLateWait = std::chrono::seconds(1); ///< Longest wait for a slot of a run that will be late in any case.
+constexpr duration staleEjectionTime = std::chrono::seconds(5); ///< After the end of an ejection, when others are no longer told of it.
 constexpr int spareTimeDivisor = 4; ///< Runs wait for 1/4 of the time that an average answer leaves if slow ones miss the target anyway.
 constexpr duration longestExpectedWait = std::chrono::hours(1); ///< Also the expected wait where nothing can start.
 constexpr int retryAfterDivisor = 3; ///< Clients retry within 1/3 of their remaining time; later, too little time would be left.
@@ -801,8 +802,9 @@
     std::map<upstream_key, upstream_usage> result;
     for (const auto &[name, service] : m_services) {
         for (const auto &[id, upstream] : service.upstreams) {
+            // A node that no longer sends runs there never learns that the upstream has recovered.
             const bool degraded =
-                upstream_choice::isDegraded(upstream, now) || service.outliers.conditionOf(id, now) != upstream_condition::Good;
+                upstream_choice::isDegraded(upstream, now) || service.outliers.wasRecentlyEjected(id, staleEjectionTime, now);
             if (upstream.online + upstream.batch > 0 || degraded) {
                 result[upstream.key] = {.online = upstream.online,
                                         .batch = upstream.batch,
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -557,3 +557,22 @@
     hurried.target = now + 110ms; // An answer of the others takes 50 ms, one of this upstream longer than the target.
     CHECK(countOf<slot_granted>(fixture.scheduler.submit(hurried, now)) == 0);
 }
+
+// Guards against batch work that avoids sound upstreams for good, because nodes that once ejected them get no run to learn better.
+TEST_CASE("request_scheduler stops to report an upstream as degraded some seconds after its ejection has ended")
+{
+    scheduler_fixture fixture(1);
+    for (int failure = 0; failure < 3; ++failure) {
+        const slot_request request = fixture.batch();
+        REQUIRE(countOf<slot_granted>(fixture.scheduler.submit(request, start)) == 1);
+        (void)fixture.scheduler.released(request.id, {.outcome = attempt_outcome::Failed}, start);
+    }
+    const auto isReported = [&](time_point now) {
+        const auto usage = fixture.scheduler.usage(now);
+        const auto entry = usage.find(keyOf(upstream_id("u0")));
+        return entry != usage.end() && entry->second.degraded;
+    };
+    CHECK(isReported(start));
+    CHECK(isReported(start + 3s));
+    CHECK_FALSE(isReported(start + 10s));
+}
