banyand: ejected upstreams are probed every second while there is no other

What callers saw: after all upstreams had failed, refusals (no upstream) for up to 30 s although they answered again.

Change: with no upstream in rotation, one repeatable request a second probes each ejected one. Requests that must not be repeated are rejected at once, as before. Which job a request belongs to is not known here: a failing job still has its upstreams ejected, for a second at a time.

--- a/core/src/dispatcher.cpp
+++ b/core/src/dispatcher.cpp
@@ -188,7 +188,7 @@
     m_crashGuard.setUpstreamCount(static_cast<std::size_t>(std::count_if(upstreams.begin(), upstreams.end(), [](const upstream_info &info) {
         return !info.leaving;
     })));
-    if (!m_upstreams.hasUsable(now)) {
+    if (!m_upstreams.hasUsable(true, now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startQueued(now);
@@ -214,7 +214,7 @@
         finish(state, {.what = disposition::NotRun, .reason = end_reason::Draining, .retryAfter = drainRetryAfter});
     } else if (request.deadline <= now) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::DeadlineUnreachable});
-    } else if (!m_upstreams.hasUsable(now)) {
+    } else if (!m_upstreams.hasUsable(request.repeatable, now)) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::NoUpstream, .retryAfter = noUpstreamRetryAfter});
     } else if (const auto stoppedUntil = m_crashGuard.quarantinedUntil(request.fingerprint, now); online && stoppedUntil) {
         finish(state, {.what = disposition::NotRun, .reason = end_reason::CrashesUpstreams, .retryAfter = *stoppedUntil - now});
@@ -409,7 +409,7 @@
                            .streamed = request.request.streamed};
     request.attempts.push_back(attempt);
     request.phase = request_phase::InFlight;
-    m_upstreams.occupy(upstream.info.id, request);
+    m_upstreams.occupy(upstream.info.id, request, now);
     armLongRunTimer(request, now);
     m_actions.emplace_back(start_attempt{
         .request = request.request.id,
@@ -650,7 +650,7 @@
         finishWithoutAnswer(request, end_reason::AnswerLost, std::nullopt);
     } else if (!request.attempts.empty()) {
         return;
-    } else if (!m_upstreams.hasUsable(now)) {
+    } else if (!m_upstreams.hasUsable(request.request.repeatable, now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
     } else if (attemptsExhausted(request)) {
         finishWithoutAnswer(request, end_reason::RetriesExhausted, result.retryAfter.value_or(overloadRetryAfter));
@@ -671,7 +671,7 @@
 void dispatcher::implementation::handleRetryDue(request_state &request, time_point now)
 {
     request.retryAt.reset();
-    if (!m_upstreams.hasUsable(now)) {
+    if (!m_upstreams.hasUsable(request.request.repeatable, now)) {
         finishWithoutAnswer(request, end_reason::NoUpstream, noUpstreamRetryAfter);
         return;
     }
@@ -713,7 +713,7 @@
     while (const auto timer = m_timers.takeDue(now)) {
         timerDue(*timer, now);
     }
-    if (!m_upstreams.hasUsable(now)) {
+    if (!m_upstreams.hasUsable(true, now)) {
         finishQueued(end_reason::NoUpstream, noUpstreamRetryAfter);
     }
     startQueued(now);
--- a/core/src/upstream_pool.cpp
+++ b/core/src/upstream_pool.cpp
@@ -73,7 +73,15 @@
     m_outliers.setUpstreams(staying);
 }
 
-bool upstream_pool::hasUsable(time_point now) const
+bool upstream_pool::hasUsable(bool repeatable, time_point now) const
+{
+    return hasRotation(now) || (repeatable && std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+                                    return !entry.second.info.leaving && m_outliers.mayProbeEarly(entry.first, now);
+                                }));
+}
+
+/// Whether any upstream is not ejected.
+bool upstream_pool::hasRotation(time_point now) const
 {
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
         const upstream_condition condition = conditionOf(entry.second, now);
@@ -152,6 +160,9 @@
     if (condition == upstream_condition::Probing) {
         return upstream.inFlight() == 0;
     }
+    if (condition == upstream_condition::Ejected && upstream.inFlight() == 0 && m_outliers.mayProbeEarly(upstream.info.id, now)) {
+        return request.request.repeatable && !hasRotation(now);
+    }
     if (condition != upstream_condition::Good || (request.suspect && upstream.suspectsInFlight > 0)) {
         return false;
     }
@@ -197,8 +208,9 @@
     return best;
 }
 
-void upstream_pool::occupy(const upstream_id &upstream, const request_state &request)
+void upstream_pool::occupy(const upstream_id &upstream, const request_state &request, time_point now)
 {
+    m_outliers.recordProbe(upstream, now);
     m_prefixes.recordRun(request.request.prefixHash, upstream);
     changeInFlight(m_upstreams.at(upstream), request, +1);
 }
--- a/core/src/upstream_pool.h
+++ b/core/src/upstream_pool.h
@@ -34,14 +34,15 @@
     /// Replaces the upstreams. A removed one stays as leaving until its attempts in flight have ended.
     void set(std::span<const upstream_info> upstreams);
 
-    /// Whether any upstream is in condition Good or Probing, so that it accepts work now or soon.
-    [[nodiscard]] bool hasUsable(time_point now) const;
+    /// Whether any upstream accepts work now or soon: one in condition Good or Probing or, for a repeatable request, an ejected one
+    /// that may be probed early.
+    [[nodiscard]] bool hasUsable(bool repeatable, time_point now) const;
 
     /// The upstream for a request; null if none has a slot for it.
     [[nodiscard]] const upstream_state *choose(const request_state &request, time_point now) const;
 
     /// Adds an attempt of @p request to the counts of @p upstream.
-    void occupy(const upstream_id &upstream, const request_state &request);
+    void occupy(const upstream_id &upstream, const request_state &request, time_point now);
 
     /// Removes an attempt that was added by occupy().
     void release(const upstream_id &upstream, const request_state &request);
@@ -85,6 +86,7 @@
 
 private:
     [[nodiscard]] upstream_condition conditionOf(const upstream_state &upstream, time_point now) const;
+    [[nodiscard]] bool hasRotation(time_point now) const;
     [[nodiscard]] std::uint32_t onlineLimitOf(const upstream_state &upstream) const;
     [[nodiscard]] std::uint32_t batchLimitOf(const upstream_state &upstream, time_point now) const;
     [[nodiscard]] std::uint32_t headroomOf(time_point now) const;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -225,3 +225,41 @@
     request.id = request_id("the same content again");
     CHECK(only<finish_request>(cell.submit(request, start)).empty());
 }
+
+// Guards against minutes of refusals after all upstreams have failed, and against requests that may not be repeated among the probes.
+TEST_CASE("dispatcher probes ejected upstreams every second while it has no other, and uses them again as soon as they answer")
+{
+    dispatcher cell = makeCell({.maximumAttempts = 1});
+    int lastId = 0;
+    const auto failsAt = [&](time_point now) {
+        const auto started = only<start_attempt>(cell.submit(requestNamed("r" + std::to_string(++lastId), work_class::Batch), now));
+        for (const start_attempt &attempt : started) {
+            (void)cell.attemptEnded(attempt.attempt, {.outcome = attempt_outcome::Failed}, now);
+        }
+        return !started.empty();
+    };
+    time_point now = start;
+    for (; now < start + std::chrono::seconds(20); now += std::chrono::milliseconds(100)) {
+        (void)failsAt(now);
+    }
+    dispatch_request unrepeatable = requestNamed("once");
+    unrepeatable.repeatable = false;
+    const auto rejected = only<finish_request>(cell.submit(unrepeatable, now));
+    REQUIRE(rejected.size() == 1);
+    CHECK(rejected[0].result.reason == end_reason::NoUpstream);
+    int probes = 0;
+    for (const time_point end = now + std::chrono::seconds(2); now < end; now += std::chrono::milliseconds(100)) {
+        probes += failsAt(now) ? 1 : 0;
+    }
+    CHECK(probes >= 2);
+    CHECK(probes <= 6);
+    std::vector<start_attempt> recovered;
+    for (const time_point end = now + std::chrono::seconds(2); now < end && recovered.size() < 4; now += std::chrono::milliseconds(50)) {
+        for (const start_attempt &attempt : only<start_attempt>(cell.submit(requestNamed("s" + std::to_string(++lastId)), now))) {
+            recovered.push_back(attempt);
+            (void)cell.firstByte(attempt.attempt, now);
+            (void)cell.attemptEnded(attempt.attempt, {}, now);
+        }
+    }
+    CHECK(recovered.size() == 4);
+}
