gateway_soak serves with two builds side by side

--other-gateway PATH: a run begins with another build's gateways and replaces them one by one under load and faults, back, and once more.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -56,7 +56,7 @@
     }
     // Sockets of the tests' own proxies must not live on in programs that are started later.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const std::string path = tests::binaryDirectory() + "/" + m_program;
+    const std::string path = m_program.starts_with('/') ? m_program : tests::binaryDirectory() + "/" + m_program;
     std::vector<std::string> texts = {path};
     texts.insert(texts.end(), wanted.arguments.begin(), wanted.arguments.end());
     const int error = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argumentVector(texts).data(), environ);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -16,7 +16,7 @@
     /// What to start.
     struct options
     {
-        std::string program; ///< Path below the build directory, for example "apps/banyand".
+        std::string program; ///< Absolute, or below the build directory, for example "apps/banyand".
         std::vector<std::string> arguments;
         std::string errorFile; ///< Standard error is appended here.
     };
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -45,6 +45,7 @@
 gateway_fleet::gateway_fleet(const options &wanted)
     : m_route(wanted.route)
     , m_storeRoute(wanted.storeRoute)
+    , m_program(wanted.program)
     , m_replicaArguments(wanted.replicaArguments)
     , m_settings(wanted.settings)
     , m_requiresKeys(!wanted.keys.empty())
@@ -105,7 +106,7 @@
     auto gateway = std::make_unique<gateway_process>();
     gateway->settingsFile = m_directory.file("gateway-" + std::to_string(index) + ".yaml");
     gateway->process = std::make_unique<child_process>(
-        child_process::options{.program = "banyan-gateway", .arguments = {"--settings", gateway->settingsFile}});
+        child_process::options{.program = m_program ? m_program() : "banyan-gateway", .arguments = {"--settings", gateway->settingsFile}});
     gateway->callers = endpoint::parse(gateway->process->readyValue("caller_address"));
     gateway->readiness = endpoint::parse(gateway->process->readyValue("ready_address"));
     gateway->metrics = endpoint::parse(gateway->process->readyValue("metrics_address"));
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -33,6 +33,8 @@
         std::function<endpoint(const endpoint &)> route;
         /// Maps the store's address to the one by which one gateway reaches it; empty: as by @ref route.
         std::function<endpoint(std::size_t gateway, const endpoint &)> storeRoute;
+        /// The program of the gateway that is started next, as of a child_process; empty: the one of this build.
+        std::function<std::string()> program;
         std::vector<std::string> keys; ///< Of the organisation "own"; without any, no keys are required.
         std::string settings; ///< More lines of the gateways' settings files.
         std::size_t maximumBody = 100000; ///< Of a client's request, in bytes; in the configuration.
@@ -115,6 +117,7 @@
 
     std::function<endpoint(const endpoint &)> m_route;
     std::function<endpoint(std::size_t gateway, const endpoint &)> m_storeRoute;
+    std::function<std::string()> m_program;
     std::vector<std::string> m_replicaArguments;
     std::string m_settings;
     bool m_requiresKeys;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -313,8 +313,11 @@
 class soak_run
 {
 public:
-    explicit soak_run(unsigned seed)
+    /// With the path of another build's gateway, a run begins with it and replaces the gateways one by one, back, and once more.
+    soak_run(unsigned seed, std::string otherGateway)
         : m_generator(seed)
+        , m_otherGateway(std::move(otherGateway))
+        , m_startsOther(!m_otherGateway.empty())
         , m_fleet({.gateways = gatewayCount,
                    .replicas = 3,
                    .replicaArguments = {},
@@ -327,6 +330,10 @@
                    .storeRoute =
                        [this](std::size_t gateway, const endpoint &target) {
                            return m_ways.store(gateway, target);
+                       },
+                   .program =
+                       [this] {
+                           return m_startsOther ? m_otherGateway : "banyan-gateway";
                        }})
     {
         for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
@@ -341,8 +348,13 @@
         {
             const client_threads clients(m_gateways, m_told, seed);
             const auto end = std::chrono::steady_clock::now() + time;
+            auto nextReplacement = end - 3 * time / 4;
             releaseFirst();
             while (std::chrono::steady_clock::now() < end) {
+                if (!m_otherGateway.empty() && std::chrono::steady_clock::now() >= nextReplacement) {
+                    nextReplacement += time / 4;
+                    replaceBuild();
+                }
                 std::this_thread::sleep_for(std::chrono::milliseconds(pick(50, 600)));
                 fault();
                 noteStop();
@@ -634,6 +646,18 @@
         }
     }
 
+    /// Replaces all gateways by those of the other build, one after the other, with faults between.
+    void replaceBuild()
+    {
+        m_startsOther = !m_startsOther;
+        for (std::size_t slot = 0; slot < gatewayCount; ++slot) {
+            note("gateway " + std::to_string(slot) + " is replaced by " + (m_startsOther ? "the other" : "this") + " build");
+            gatewayAt(slot).signal(SIGTERM);
+            restart(slot);
+            fault();
+        }
+    }
+
     /// Starts another gateway in place of one; the old one goes on until its process has ended.
     void restart(std::size_t slot)
     {
@@ -720,6 +744,8 @@
     }
 
     std::mt19937 m_generator;
+    std::string m_otherGateway; ///< Path of another build's gateway; empty without one.
+    bool m_startsOther; ///< Whether the gateways that are started now are of the other build.
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
     gateway_ways m_ways; ///< Of each gateway, before the common proxies.
     gateway_fleet m_fleet;
@@ -743,12 +769,14 @@
         TCLAP::ValueArg<unsigned> seed("", "seed", "Of the first run.", false, 1, "N", line);
         TCLAP::ValueArg<unsigned> runs("", "runs", "Runs, each with the next seed.", false, 1, "N", line);
         TCLAP::ValueArg<unsigned> seconds("", "seconds", "Time of faults in each run.", false, 10, "S", line);
+        TCLAP::ValueArg<std::string> other(
+            "", "other-gateway", "Absolute path of another build's gateway, which serves beside this one.", false, "", "PATH", line);
         line.parse(argc, argv);
         std::signal(SIGPIPE, SIG_IGN);
         std::setvbuf(stdout, nullptr, _IOLBF, 0); // What was found is seen also if a run is ended from outside.
         bool good = true;
         for (unsigned run = 0; run < runs.getValue(); ++run) {
-            soak_run soak(seed.getValue() + run);
+            soak_run soak(seed.getValue() + run, other.getValue());
             good = soak.run(seed.getValue() + run, std::chrono::seconds(seconds.getValue())) && good;
         }
         return good ? 0 : 1;
