Gateways that are lost for good are found through the store and removed

Cause: hubs are chosen from the rows of gateways, nobody removes the row of a gateway that is gone, and only hubs notice owners that are silent. With all hubs dead, every registered owner counted as alive for ever. A row was taken as evidence that its node lives.

Change: a node whose reports are missing is called by a mark in its row, which one that lives answers by writing the row anew. After 3 s without an answer the row is removed if it has not changed (registration_monitor, gateway_registry). A gateway that hears no hub and got no answer calls everyone, so that one round finds any number. A gateway that finds its row gone registers again. Jobs: reports of an owner are expected only since this node is to get them, also after a suspension. Shares of limits of removed gateways stay reserved for a minute. Which nodes are hubs is computed as before, so old builds agree; they read past the two new fields, and are removed only by two newer gateways that both miss them.

--- a/core/include/banyan/core/serving/job_directory.h
+++ b/core/include/banyan/core/serving/job_directory.h
@@ -21,7 +21,7 @@
 struct job_directory_options
 {
     node_id self;
-    duration ownerTimeout = std::chrono::seconds(2); ///< Time without a report after which the jobs of a node are taken over.
+    duration ownerTimeout = std::chrono::seconds(2); ///< Time without an expected report after which the jobs of a node are taken over.
     duration fallbackDelay = std::chrono::seconds(2); ///< Further delay after which any node may take a job over.
     duration nodeRetention = std::chrono::minutes(1); ///< How long nodes are kept that are not registered and send no reports.
 };
@@ -57,6 +57,9 @@
     /// Sets the nodes that receive the reports of all others; the rest rely on registrations alone.
     void setHubs(const report_hubs &hubs);
 
+    /// Records that this node could not observe others for a while, because it was suspended. All get the time of a new one to report.
+    void resumed(time_point now);
+
     /// Open jobs that this node should take over now, the oldest first.
     [[nodiscard]] std::vector<job_entry> dueForTakeover(time_point now);
 
@@ -71,8 +74,9 @@
 
 private:
     [[nodiscard]] bool isAlive(const node_id &owner, time_point now) const;
-    [[nodiscard]] duration gracePeriod(const node_id &owner) const;
     [[nodiscard]] bool receivesAllReports() const;
+    [[nodiscard]] bool receivesReportsOf(const node_id &node) const;
+    void expectReports(time_point now);
     [[nodiscard]] bool isCandidate(const node_id &node, const job_entry &job, time_point now) const;
     [[nodiscard]] bool isFirstChoice(const job_entry &job, time_point now) const;
     void forgetGoneNodes(time_point now);
@@ -87,6 +91,8 @@
     scheduling_state m_ownState = scheduling_state::Ready;
     std::set<node_id> m_registered;
     std::optional<std::set<node_id>> m_hubs; ///< None while every node receives the reports of all others.
+    std::map<node_id, time_point> m_expectedSince; ///< Since when this node should receive the reports of a registered node.
+    bool m_expectationsChanged = false; ///< Whether m_expectedSince has to follow new registrations or hubs.
     std::set<node_id> m_deregistered; ///< Nodes that were registered and no longer are.
     std::map<job_id, time_point> m_orphanedAt; ///< When this node first found the job without a live owner.
 };
--- a/core/src/serving/job_directory.cpp
+++ b/core/src/serving/job_directory.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace banyan {
 
@@ -89,11 +90,20 @@
         m_deregistered.erase(node);
     }
     m_registered = nodes;
+    m_expectationsChanged = true;
 }
 
 void job_directory::setHubs(const report_hubs &hubs)
 {
     m_hubs = hubs.isMesh() ? std::nullopt : std::optional(hubs.hubs());
+    m_expectationsChanged = true;
+}
+
+void job_directory::resumed(time_point now)
+{
+    for (auto &[node, since] : m_expectedSince) {
+        since = now;
+    }
 }
 
 /// Whether this node receives the reports of all nodes, so that a missing report means that the sender is lost.
@@ -102,23 +112,43 @@
     return !m_hubs || m_hubs->contains(m_options.self);
 }
 
+bool job_directory::receivesReportsOf(const node_id &node) const
+{
+    return receivesAllReports() || m_hubs->contains(node);
+}
+
+/// A node that has become a hub, or whose hubs have changed, has not missed the reports that were sent elsewhere before.
+void job_directory::expectReports(time_point now)
+{
+    if (!std::exchange(m_expectationsChanged, false)) {
+        return;
+    }
+    std::erase_if(m_expectedSince, [this](const auto &expected) {
+        return !m_registered.contains(expected.first) || !receivesReportsOf(expected.first);
+    });
+    for (const node_id &node : m_registered) {
+        if (receivesReportsOf(node)) {
+            m_expectedSince.try_emplace(node, now);
+        }
+    }
+}
+
 bool job_directory::isAlive(const node_id &owner, time_point now) const
 {
     if (owner == m_options.self) {
         return true;
     }
-    if (!receivesAllReports() && !m_hubs->contains(owner)) {
+    if (!receivesReportsOf(owner)) {
         return m_registered.contains(owner);
     }
-    const auto reportedAt = m_reportedAt.find(owner);
-    return !m_deregistered.contains(owner) && reportedAt != m_reportedAt.end() && now - reportedAt->second < m_options.ownerTimeout;
-}
-
-/// How long to wait for a report of an owner that does not seem alive. An owner that is registered and has never reported may
-/// only be new to this node.
-duration job_directory::gracePeriod(const node_id &owner) const
-{
-    return m_registered.contains(owner) && !m_reportedAt.contains(owner) ? m_options.ownerTimeout : duration(0);
+    if (m_deregistered.contains(owner)) {
+        return false;
+    }
+    const auto isRecent = [&](const std::map<node_id, time_point> &times) {
+        const auto found = times.find(owner);
+        return found != times.end() && now - found->second < m_options.ownerTimeout;
+    };
+    return isRecent(m_reportedAt) || isRecent(m_expectedSince);
 }
 
 /// Whether a node may be the first to take over a job without a live owner. Only hubs can detect an unresponsive owner.
@@ -165,6 +195,7 @@
 std::vector<job_entry> job_directory::dueForTakeover(time_point now)
 {
     forgetGoneNodes(now);
+    expectReports(now);
     std::erase_if(m_orphanedAt, [&](const auto &orphan) {
         return !m_open.contains(orphan.first);
     });
@@ -176,10 +207,8 @@
             continue;
         }
         const time_point since = m_orphanedAt.try_emplace(id, now).first->second;
-        const duration grace = gracePeriod(entry.owner);
-        const bool isDue = now - since >= grace;
-        const bool isFallbackDue = receivesAllReports() && now - since >= grace + m_options.fallbackDelay;
-        if (isDue && (isFallbackDue || isFirstChoice(entry, now))) {
+        const bool isFallbackDue = receivesAllReports() && now - since >= m_options.fallbackDelay;
+        if (isFallbackDue || isFirstChoice(entry, now)) {
             result.push_back(entry);
         }
     }
--- a/io/include/banyan/io/serving/serving_codec.h
+++ b/io/include/banyan/io/serving/serving_codec.h
@@ -23,6 +23,8 @@
     node_id id; ///< Identifies one incarnation of the process.
     endpoint peerAddress;
     double processorShare = 1; ///< Share of a processor core.
+    bool answersCalls = false; ///< Whether it answers calls, see registration_monitor.
+    node_id calledBy; ///< The gateway that has called it; empty if no call is unanswered.
 
     auto operator<=>(const gateway_entry &) const = default;
 };
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -160,6 +160,8 @@
   address @1 :Text;
   port @2 :UInt16;
   processorShare @3 :Float64 = 1;
+  answersCalls @4 :Bool;          # The gateway answers a call by writing its row without one.
+  calledBy @5 :Text;              # Id of the gateway that asks whether this one lives.
 }
 
 struct ItemField {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -328,7 +328,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce39f8408de316ee, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce39f8408de316ee, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2472,6 +2472,11 @@
 
   inline double getProcessorShare() const;
 
+  inline bool getAnswersCalls() const;
+
+  inline bool hasCalledBy() const;
+  inline  ::capnp::Text::Reader getCalledBy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2520,6 +2525,16 @@
   inline double getProcessorShare();
   inline void setProcessorShare(double value);
 
+  inline bool getAnswersCalls();
+  inline void setAnswersCalls(bool value);
+
+  inline bool hasCalledBy();
+  inline  ::capnp::Text::Builder getCalledBy();
+  inline void setCalledBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCalledBy(unsigned int size);
+  inline void adoptCalledBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCalledBy();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6247,6 +6262,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, 4607182418800017408ull);
 }
 
+inline bool GatewayEntry::Reader::getAnswersCalls() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool GatewayEntry::Builder::getAnswersCalls() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void GatewayEntry::Builder::setAnswersCalls(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GatewayEntry::Reader::hasCalledBy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GatewayEntry::Builder::hasCalledBy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GatewayEntry::Reader::getCalledBy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GatewayEntry::Builder::getCalledBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GatewayEntry::Builder::setCalledBy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GatewayEntry::Builder::initCalledBy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GatewayEntry::Builder::adoptCalledBy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GatewayEntry::Builder::disownCalledBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool ItemField::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/gateway.cpp
+++ b/io/src/serving/gateway.cpp
@@ -28,6 +28,7 @@
 #include "banyan/io/serving/upstream_paths.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "content_quarantine.h"
+#include "gateway_registry.h"
 #include "organisation_gate.h"
 #include "upstream_rates.h"
 
@@ -48,9 +49,6 @@
 constexpr duration registryGrace = std::chrono::seconds(2); // Live upstreams register again within this time of the store's return.
 constexpr duration configurationPause = std::chrono::milliseconds(100);
 constexpr duration replicaPause = std::chrono::milliseconds(200);
-constexpr duration gatewayPause = std::chrono::seconds(1);
-constexpr duration gatewayWait = std::chrono::seconds(4); // The list of gateways rarely changes, and a late update does little harm.
-constexpr duration registrationRetryDelay = std::chrono::milliseconds(500);
 constexpr duration loadChangeDelay = std::chrono::milliseconds(5); // Combines the reports of many gateways into one scheduler update.
 constexpr duration placementReportInterval = std::chrono::seconds(1);
 constexpr std::size_t loggedSpeeds = 5; ///< Upstreams listed from each end.
@@ -61,7 +59,6 @@
 constexpr std::size_t idleConnectionsPerPeer = 8;
 constexpr double forwardsPerCore = 512; // Requests of other gateways in progress; more would delay those of this one's callers.
 constexpr double leastForwards = 32;
-const std::string gatewayTable = "gateways";
 
 /// Longest wait of a call for a new configuration. Where keys can be taken away, several calls begin within the revocation time,
 /// so that one that fails does not end the lease of keys.
@@ -219,6 +216,21 @@
               [this](const gateway_message &message) {
                   received(message);
               })
+        , m_gateways(std::make_shared<gateway_registry>(gateway_registry_ports{.context = context,
+                                                                               .store = m_platform.store,
+                                                                               .self = m_self,
+                                                                               .loaded =
+                                                                                   [this] {
+                                                                                       reachStep(start_step::Gateways, currentTime());
+                                                                                   },
+                                                                               .changed =
+                                                                                   [this] {
+                                                                                       gatewaysChanged();
+                                                                                   },
+                                                                               .registered =
+                                                                                   [this] {
+                                                                                       reachStep(start_step::Registered, currentTime());
+                                                                                   }}))
         , m_housekeepingTimer(context)
         , m_loadChangeTimer(context)
     {
@@ -241,7 +253,6 @@
     std::shared_ptr<table_follower> follow(table_follower_options options, table_observer observer);
     [[nodiscard]] table_observer configurationObserver();
     [[nodiscard]] table_observer replicaObserver();
-    [[nodiscard]] table_observer gatewayObserver();
     void applyConfiguration(const table_row &row);
     void replicaChanged(const table_row &row);
     void recordHeartbeat(const replica &entry);
@@ -250,10 +261,7 @@
     void recordRemoteLeaving(const node_load &load, time_point now);
     [[nodiscard]] upstream_cell firstCellOf(const service_name &service) const;
     void updateSchedulingState();
-    void applyGatewayRow(const table_row &row);
     void gatewaysChanged();
-    static task<> registerSelf(std::shared_ptr<implementation> self);
-    [[nodiscard]] table_key ownRow() const;
     std::vector<lost_content> lossesToReport(time_point now);
     [[nodiscard]] std::vector<quarantined_fingerprint> quarantined(time_point now) const;
     [[nodiscard]] std::set<std::uint64_t> locallyQuarantined() const;
@@ -292,6 +300,7 @@
     std::shared_ptr<content_quarantine> m_quarantine;
     listed_job_service m_jobs;
     peer_exchange m_exchange;
+    std::shared_ptr<gateway_registry> m_gateways;
     asio::steady_timer m_housekeepingTimer;
     asio::steady_timer m_loadChangeTimer;
     bool m_loadChangePending = false;
@@ -299,7 +308,6 @@
     start_steps m_startSteps{currentTime()};
     std::shared_ptr<const route_table> m_table;
     std::function<void(const serving_configuration &)> m_configurationHandler;
-    std::map<std::string, gateway_entry> m_gateways; ///< Registered gateways by row key.
     std::set<upstream_key> m_registeredIncarnations; ///< Incarnations of upstreams.
     std::vector<std::pair<time_point, lost_content>> m_remoteLosses; ///< Losses to forward, with the time of their report.
     std::uint64_t m_sequence = 0;
@@ -343,11 +351,10 @@
         follow({.table = m_platform.configurationTable, .pause = configurationPause, .wait = configurationWait(m_settings.revocationTime)},
                configurationObserver());
     m_replicaFollower = follow({.table = m_platform.replicaTable, .pause = replicaPause}, replicaObserver());
-    (void)follow({.table = gatewayTable, .pause = gatewayPause, .wait = gatewayWait}, gatewayObserver());
     m_quarantine->start();
     m_versions.start();
     m_jobs.start();
-    asio::co_spawn(m_context, registerSelf(shared_from_this()), asio::detached);
+    m_gateways->start({.id = m_self, .peerAddress = m_peerAddress, .processorShare = m_settings.processorShare});
     housekeep();
 }
 
@@ -585,44 +592,13 @@
     }
 }
 
-table_observer gateway::implementation::gatewayObserver()
-{
-    table_observer observer;
-    observer.onSnapshot = [this](const std::vector<table_row> &rows) {
-        m_gateways.clear();
-        for (const table_row &row : rows) {
-            applyGatewayRow(row);
-        }
-        gatewaysChanged();
-        reachStep(start_step::Gateways, currentTime());
-    };
-    observer.onChange = [this](const table_row &row) {
-        applyGatewayRow(row);
-    };
-    observer.onChangesApplied = [this] {
-        gatewaysChanged();
-    };
-    return observer;
-}
-
-void gateway::implementation::applyGatewayRow(const table_row &row)
-{
-    m_gateways.erase(row.name.key);
-    const std::optional<gateway_entry> entry = row.deleted ? std::nullopt : decodeGatewayEntry(row.value);
-    if (entry) {
-        m_gateways.emplace(row.name.key, *entry);
-    } else if (!row.deleted) {
-        logEvent(log_level::Warning, "gateway_row_malformed", {{"row", row.name.key}, {"version", std::to_string(row.version)}});
-    }
-}
-
 void gateway::implementation::gatewaysChanged()
 {
     std::set<node_id> registered;
     std::map<node_id, endpoint> peers;
     std::map<node_id, double> processorShares;
     std::vector<forwarder> forwarders;
-    for (const auto &[key, entry] : m_gateways) {
+    for (const auto &[key, entry] : m_gateways->gateways()) {
         registered.insert(entry.id);
         processorShares.emplace(entry.id, entry.processorShare);
         if (entry.peerAddress != m_peerAddress) {
@@ -646,40 +622,7 @@
     m_paths.setNodes(std::move(forwarders));
     m_jobs.setHubs(m_hubs);
     m_jobs.setRegistered(registered);
-}
-
-table_key gateway::implementation::ownRow() const
-{
-    return {.table = gatewayTable, .part = {}, .key = m_peerAddress.toString()};
-}
-
-/// Registers this gateway under its address, replacing an earlier incarnation. Retries until it succeeds or is shut down.
-task<> gateway::implementation::registerSelf(std::shared_ptr<implementation> self)
-{
-    for (bool registered = false; !registered && !self->m_shuttingDown;) {
-        table_transaction change;
-        change.writes.push_back(
-            {.name = self->ownRow(),
-             .value = encode(gateway_entry{
-                 .id = self->m_self, .peerAddress = self->m_peerAddress, .processorShare = self->m_settings.processorShare})});
-        std::string failure;
-        try {
-            co_await self->m_platform.store.commit(std::move(change));
-            registered = true;
-        } catch (const platform_unavailable &error) {
-            failure = error.what();
-        } catch (const platform_outcome_unknown &error) {
-            failure = error.what();
-        }
-        if (!registered) {
-            logEvent(log_level::Warning, "gateway_not_registered", {{"reason", failure}});
-            asio::steady_timer timer(self->m_context, registrationRetryDelay);
-            boost::system::error_code ignored;
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
-    }
-    logEvent(log_level::Info, "gateway_registered", {{"node", self->m_self.text()}});
-    self->reachStep(start_step::Registered, currentTime());
+    m_gateways->setHubs(m_hubs, currentTime());
 }
 
 /// Losses that this node observed itself, and those received from nodes that are not hubs. The latter report to hubs only, so
@@ -818,6 +761,7 @@
         return;
     }
     m_jobs.recordReport(load.sender, now, load.schedulingState);
+    m_gateways->recordReport(load.sender, now);
     m_slots.reported(load);
     recordRemoteLeaving(load, now);
     m_rates.recordReport(load, now);
@@ -890,10 +834,12 @@
     }
     if (now - m_lastHousekeeping > housekeepingInterval + suspensionThreshold) {
         logEvent(log_level::Warning, "process_was_suspended", {{"for_us", std::to_string((now - m_lastHousekeeping).count())}});
+        m_gateways->resumed(now);
     }
     m_lastHousekeeping = now;
     m_board.expire(now);
     m_slots.handleLostNodes();
+    m_gateways->housekeep(now);
     m_quarantine->housekeep(now);
     m_callers.housekeep(now);
     m_versions.housekeep();
@@ -901,7 +847,8 @@
         replicasChanged();
     }
     // A node that has just started reports before the others have read its registration.
-    const std::size_t gateways = m_gateways.empty() ? 0 : std::max(m_gateways.size(), m_board.nodes().size() + 1);
+    const std::size_t live = m_board.nodes().size() + 1;
+    const std::size_t gateways = m_gateways->gateways().empty() ? 0 : std::max(m_gateways->sharing(now), live);
     m_rates.setNodes(gateways, m_hubs.reportTimeout());
     m_limits.setNodes(gateways, m_hubs.reportTimeout(), m_hubs.isHub(m_self) && !m_shuttingDown);
     m_limits.housekeep(now);
@@ -910,14 +857,15 @@
     m_metrics.set("requests_in_progress", static_cast<double>(m_relay.inProgress()));
     m_metrics.set("jobs_coordinated", static_cast<double>(m_jobs.running()));
     if (m_table) {
-        const std::size_t share = idleConnectionShare(m_table->configuration(), std::max(m_board.nodes().size() + 1, m_gateways.size()));
+        const std::size_t share = idleConnectionShare(m_table->configuration(), std::max(live, m_gateways->gateways().size()));
         m_upstreamClient.setIdleConnectionsPerEndpoint(std::min(share, http_client_options().idleConnectionsPerEndpoint));
     }
     if (now - m_placementReportedAt >= placementReportInterval) {
         m_placementReportedAt = now;
         reportPlacement(now);
     }
-    m_metrics.set("live_nodes", static_cast<double>(m_board.nodes().size() + 1));
+    m_metrics.set("live_nodes", static_cast<double>(live));
+    m_metrics.set("registered_gateways", static_cast<double>(m_gateways->gateways().size()));
     m_metrics.setTotal("upstream_connections_opened", m_upstreamClient.connectionsOpened());
     setCallerMetrics();
     m_housekeepingTimer.expires_after(housekeepingInterval);
@@ -931,17 +879,7 @@
 task<> gateway::implementation::leave(duration jobTime)
 {
     co_await m_jobs.handOver(jobTime);
-    table_transaction change;
-    change.removals.push_back(ownRow());
-    std::string failure;
-    try {
-        co_await m_platform.store.commit(std::move(change));
-    } catch (const platform_unavailable &error) {
-        failure = error.what();
-    } catch (const platform_outcome_unknown &error) {
-        failure = error.what();
-    }
-    logEvent(log_level::Info, "gateway_left", {{"node", m_self.text()}, {"failure", failure}});
+    co_await m_gateways->leave();
 }
 
 gateway::gateway(asio::io_context &context, const gateway_settings &settings, gateway_platform platform, http_client &upstreamClient)
@@ -1020,6 +958,7 @@
 void gateway::beginShutdown()
 {
     m_implementation->m_shuttingDown = true;
+    m_implementation->m_gateways->beginShutdown();
     if (m_implementation->m_forwards) {
         m_implementation->m_forwards->beginShutdown();
     }
--- a/io/src/serving/job_takeover.cpp
+++ b/io/src/serving/job_takeover.cpp
@@ -8,12 +8,14 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace banyan {
 
 namespace {
 
 constexpr duration takeoverInterval = std::chrono::milliseconds(250); // Between two checks for jobs to take over.
+constexpr duration suspensionThreshold = std::chrono::seconds(1); // A check that is this late means that the process was suspended.
 constexpr std::size_t maximumConcurrentTakeovers = 4; // Limits how many jobs a node reads into memory at the same time.
 constexpr int maximumReleaseAttempts = 3; // A results transaction in progress can change the job's row, so that the release fails.
 constexpr duration handOverPollInterval = std::chrono::milliseconds(50); // Between two checks whether all results are recorded.
@@ -32,6 +34,9 @@
 task<> listed_job_service::implementation::startTakeovers()
 {
     const time_point now = currentTime();
+    if (now - std::exchange(m_takeoversCheckedAt, now) > takeoverInterval + suspensionThreshold) {
+        m_directory.resumed(now);
+    }
     std::vector<job_entry> candidates = m_directory.owned();
     std::erase_if(candidates, [&](const job_entry &entry) {
         return m_running.contains(entry.id);
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/serving/job_directory.h"
 #include "banyan/core/serving/prompt_run.h"
+#include "banyan/io/clock.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/upstream_sender.h"
 #include "job_records.h"
@@ -137,6 +138,7 @@
     std::shared_ptr<const route_table> m_table;
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
+    time_point m_takeoversCheckedAt = currentTime();
     bool m_handingOver = false;
     std::uint64_t m_startedJobs = 0; ///< Number of jobs started so far; gives each running_job its serial number.
 };
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -485,6 +485,8 @@
     root.setAddress(entry.peerAddress.address);
     root.setPort(entry.peerAddress.port);
     root.setProcessorShare(entry.processorShare);
+    root.setAnswersCalls(entry.answersCalls);
+    root.setCalledBy(entry.calledBy.text());
     return pack(message);
 }
 
@@ -493,7 +495,9 @@
     return unpack<schema::GatewayEntry>(bytes, [](schema::GatewayEntry::Reader root) {
         return gateway_entry{.id = node_id(textOf(root.getId())),
                              .peerAddress = {.address = textOf(root.getAddress()), .port = root.getPort()},
-                             .processorShare = root.getProcessorShare()};
+                             .processorShare = root.getProcessorShare(),
+                             .answersCalls = root.getAnswersCalls(),
+                             .calledBy = node_id(textOf(root.getCalledBy()))};
     });
 }
 
