Test programs never wait for a reader of their log

Cause: a stand-in that logs waits when its pipe is full, and child_process reads nothing after the ready line. From then on the replica (or store) stands still. Gateways write without waiting, so the product is not concerned. Evidence: a stand-in that had stopped to answer was in anon_pipe_write, called from logEvent, in each of three looks with a debugger.

Change: child_process reads and drops what comes after the ready line.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -75,6 +75,9 @@
         signal(SIGKILL);
         waitpid(m_pid, nullptr, 0);
     }
+    if (m_outputReader.joinable()) {
+        m_outputReader.join();
+    }
     close(m_outputPipe);
 }
 
@@ -85,6 +88,9 @@
             throw std::runtime_error(m_program + ": expected a ready line, found: " + m_output);
         }
     }
+    if (!m_outputReader.joinable()) {
+        m_outputReader = std::thread(&child_process::dropOutput, this);
+    }
     const std::string line = m_output.substr(0, m_output.find('\n'));
     std::string value = valueIn(line, name);
     if (value.empty()) {
@@ -116,6 +122,13 @@
     return true;
 }
 
+void child_process::dropOutput()
+{
+    char buffer[4096];
+    while (read(m_outputPipe, buffer, sizeof(buffer)) > 0) {
+    }
+}
+
 void child_process::signal(int number) const
 {
     kill(m_pid, number);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 namespace banyan::process_tests {
@@ -27,11 +28,12 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
-    /// Reads the ready line and returns the value of @p name in it.
+    /// Reads the ready line and returns the value of @p name in it. What the program prints later is read and dropped, so that it
+    /// never waits for a reader of its log.
     /// @throws std::runtime_error if the program ends or stays silent
     [[nodiscard]] std::string readyValue(const std::string &name);
 
-    /// Reads all standard output until the program closes it.
+    /// Reads all standard output until the program closes it. Not after readyValue().
     [[nodiscard]] std::string readOutput();
 
     void signal(int number) const;
@@ -50,12 +52,14 @@
 private:
     /// Appends what the program printed to m_output. Returns false at the end of its output.
     bool readSome();
+    void dropOutput();
     void poll();
 
     std::string m_program;
     pid_t m_pid = -1;
     int m_outputPipe = -1;
     std::string m_output;
+    std::thread m_outputReader; ///< Runs from the ready line to the end of the output.
     int m_exitCode = -1;
     bool m_ended = false;
 };
--- a/tests/process/standins_test.cpp
+++ b/tests/process/standins_test.cpp
@@ -76,3 +76,15 @@
     CHECK(call(running.service(0), order).status == 200);
     CHECK(fleet::log(running.service(0)).at("keys").at("k") == 2);
 }
+
+// Guards against runs that hang because a program waits for a reader of its log.
+TEST_CASE("a stand-in goes on however much it logs after its ready line")
+{
+    child_process process({.program = "tests/replica_standin", .arguments = {"--id", "r", "--slots", "100000", "--event-ms", "1"}});
+    const endpoint address = endpoint::parse(process.readyValue("address"));
+    for (int request = 0; request < 2000; ++request) {
+        test_connection connection(address); // Closed before its answer, which is logged.
+        connection.send({.method = "POST", .target = "/stream/1", .fields = {{"Request-Id", std::to_string(request)}, {"Model", "m"}}});
+    }
+    CHECK(call(address, {.target = "/standin/runs"}).status == 200);
+}
