Rows of gateways that were heard once more after their call are removed too

What callers would see: the row of a lost gateway stays for good, so that it takes the place of a hub as before: if the gateway was heard after its call and lost before its answer, or if whoever called an old build was lost as well.

Cause: any report after the call excluded the removal, and a call that had expired could not be repeated, since only rows without one were called.

Evidence: found by reading the fix again. Not seen with processes.

Change: a node is gone if it has given no sign of life for the time of an answer since its call or its last report, whichever came later. What is called is decided by the review alone.

--- a/core/include/banyan/core/serving/registration_monitor.h
+++ b/core/include/banyan/core/serving/registration_monitor.h
@@ -21,7 +21,7 @@
         std::chrono::seconds(2); ///< Time without a report after which a node is called; report_hubs::reportTimeout() if longer.
     duration answerTime = std::chrono::seconds(3); ///< For a call to be read and answered through the store.
     duration spread = std::chrono::milliseconds(500); ///< Nodes act up to this much later, by their id, so that one acts for all.
-    duration callLifetime = std::chrono::seconds(10); ///< After which a call that was not answered says nothing any more.
+    duration callLifetime = std::chrono::seconds(10); ///< After which a call of a node that cannot answer is repeated.
     duration pauseAfterAnswer = std::chrono::seconds(10); ///< In which a node that has answered is not called again by this one.
 };
 
--- a/core/src/serving/registration_monitor.cpp
+++ b/core/src/serving/registration_monitor.cpp
@@ -90,23 +90,22 @@
     return row.expectedSince && now - std::max(*row.expectedSince, heardAt(row).value_or(*row.expectedSince)) >= m_silence;
 }
 
+/// A call that an old build cannot answer says nothing any more after some time.
 bool registration_monitor::hasOpenCall(const observed_row &row, time_point now) const
 {
-    return row.calledAt && now - *row.calledAt < m_options.callLifetime;
+    return row.calledAt && (row.gateway.answersCalls || now - *row.calledAt < m_options.callLifetime);
 }
 
 /// Whether the node has been called in vain.
 bool registration_monitor::isGone(const observed_row &row, time_point now) const
 {
-    const bool isCaller = row.gateway.calledBy == m_options.self;
-    if (!hasOpenCall(row, now) || now - *row.calledAt < m_options.answerTime + (isCaller ? duration(0) : m_delay)) {
+    if (!hasOpenCall(row, now)) {
         return false;
     }
-    if (row.gateway.answersCalls) {
-        const std::optional<time_point> heard = heardAt(row);
-        return !heard || *heard < *row.calledAt;
-    }
-    return !isCaller && isSilent(row, now);
+    const bool isCaller = row.gateway.calledBy == m_options.self;
+    const time_point lastSign = std::max(*row.calledAt, heardAt(row).value_or(*row.calledAt));
+    const bool isOverdue = now - lastSign >= m_options.answerTime + (isCaller ? duration(0) : m_delay);
+    return isOverdue && (row.gateway.answersCalls || (!isCaller && isSilent(row, now)));
 }
 
 bool registration_monitor::mayCall(const observed_row &row, time_point now) const
--- a/io/src/serving/gateway_registry.cpp
+++ b/io/src/serving/gateway_registry.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace banyan {
@@ -224,7 +225,8 @@
             const auto end = next + std::min<std::ptrdiff_t>(rowsPerTransaction, review.calls.end() - next);
             const std::vector<std::string> keys(next, end);
             if (!co_await self->call(keys) && co_await self->refresh()) {
-                (void)co_await self->call(keys);
+                const std::vector<std::string> rest = self->stillDue(keys);
+                (void)co_await self->call(rest);
             }
             next = end;
         }
@@ -271,14 +273,25 @@
     co_return true;
 }
 
-/// Marks those rows as called that are not yet. Returns false if one of them has changed meanwhile.
+/// Those of the rows that are to be called by what is known now.
+std::vector<std::string> gateway_registry::stillDue(const std::vector<std::string> &keys) const
+{
+    const std::vector<std::string> due = m_monitor.review(currentTime()).calls;
+    std::vector<std::string> result;
+    std::copy_if(keys.begin(), keys.end(), std::back_inserter(result), [&](const std::string &key) {
+        return std::find(due.begin(), due.end(), key) != due.end();
+    });
+    return result;
+}
+
+/// Marks rows as called. Returns false if one of them has changed meanwhile.
 task<bool> gateway_registry::call(std::vector<std::string> keys)
 {
     table_transaction change;
     std::string nodes;
     for (const std::string &key : keys) {
         const auto found = m_gateways.find(key);
-        if (found != m_gateways.end() && found->second.calledBy.text().empty()) {
+        if (found != m_gateways.end()) {
             gateway_entry entry = found->second;
             entry.calledBy = m_ports.self;
             nodes.append(nodes.empty() ? "" : ",").append(entry.id.text());
--- a/io/src/serving/gateway_registry.h
+++ b/io/src/serving/gateway_registry.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace banyan {
 
@@ -80,6 +81,7 @@
     static task<> carryOutReview(pointer self);
     [[nodiscard]] task<bool> refresh();
     [[nodiscard]] task<bool> remove(std::vector<std::string> keys);
+    [[nodiscard]] std::vector<std::string> stillDue(const std::vector<std::string> &keys) const;
     [[nodiscard]] task<bool> call(std::vector<std::string> keys);
 
     /// The outcome of a change: the version of its rows, or why it was not made or may not have been.
--- a/tests/unit/serving/failing_items_test.cpp
+++ b/tests/unit/serving/failing_items_test.cpp
@@ -47,6 +47,7 @@
         : m_fails(std::move(fails))
     {
         std::vector<replica> registered;
+        registered.reserve(static_cast<std::size_t>(upstreams));
         for (int number = 0; number < upstreams; ++number) {
             registered.push_back({.id = upstream_id("u" + std::to_string(number)), .service = service_name("s"), .slots = slotCount});
         }
--- a/tests/unit/serving/lost_gateways_test.cpp
+++ b/tests/unit/serving/lost_gateways_test.cpp
@@ -388,6 +388,29 @@
     CHECK(fleet.wrongRows() == 0);
 }
 
+// Guards against rows that stay for good: of a node that is lost between a sign of life and its answer, and of an old build whose first
+// call came to nothing.
+TEST_CASE("registration_monitor removes a node that was heard after its call, and calls an old build again")
+{
+    const bool answersCalls = GENERATE(true, false);
+    report_hubs hubs({.self = node_id("a")});
+    hubs.setRegistered({{node_id("a"), 1}, {node_id("b"), 1}, {node_id("c"), 1}});
+    registration_monitor monitor({.self = node_id("a")});
+    registered_gateway row{.node = node_id("b"), .version = 1, .answersCalls = answersCalls};
+    monitor.setRegistered({{"b", row}}, hubs, start);
+    row.calledBy = node_id("c");
+    row.version = 2;
+    monitor.setRegistered({{"b", row}}, hubs, start + 1s);
+    monitor.recordReport(node_id("b"), start + 3500ms);
+    CHECK(monitor.review(start + 5s).isEmpty());
+    CHECK(monitor.review(start + 8s).removals == std::vector<std::string>{"b"});
+    monitor.recordReport(node_id("b"), start + 20s);
+    CHECK(monitor.review(start + 22s).removals.empty());
+    const registration_review later = monitor.review(start + 24s);
+    CHECK(later.removals.size() == (answersCalls ? 1 : 0));
+    CHECK(later.calls.size() == (answersCalls ? 0 : 1));
+}
+
 TEST_CASE("gateways write nothing to the store while all are well")
 {
     fleet_model fleet(16, 91);
