A status that is none of HTTP's is no answer

Cause: the parser takes any three digits for a status, and nobody after it asked whether HTTP has such a status. The codec of the platform called what is neither 2xx nor a refusal a failure that may be passed on, banyand's attempts called everything below 500 an answer for the caller, banyanctl everything below 300 a success. Only what needs one certain status, such as a commit, refused it.

Evidence: with a replica that sends 000, 001, 099, 600 and 999, the test by processes failed on for each of them on the safe, the unsafe and the stream route, on new and reused connections; the table of outcomes failed for an upstream behind a forwarder and for a forwarder that plays it.

Change: flawOf() says of a received head why it is no answer. http_client, which reads all answers (direct runs, items, both sides of the hop, the store, banyand, banyanctl), judges each head by it, before anybody looks at what else it says, and ends the exchange with http_error and the reason. So it is an attempt without an answer, as after a reset: counted against the upstream, logged with its reason, run again only where that is allowed, unknown for a change of the store, no failure of an item (max_attempts), and the connection is closed, with whatever waits on it. banyand's attempts keep the reason for the log.

Handled before, and tested now: status lines without three digits, field names with blanks, control bytes or none, a blank before the first field, items (run again, not counted as failed). Sound: statuses without a reason, rare 2xx, 4xx and 5xx.

--- a/io/src/cell_host.cpp
+++ b/io/src/cell_host.cpp
@@ -418,7 +418,10 @@
         m_metrics.attemptEnded(outcome, attempt.order().hedge);
         logEvent(log_level::Debug,
                  "attempt_ended",
-                 {{"request_id", active.request.dispatch.id.text()}, {"upstream", attempt.order().upstream.text()}, {"outcome", outcome}});
+                 {{"request_id", active.request.dispatch.id.text()},
+                  {"upstream", attempt.order().upstream.text()},
+                  {"outcome", outcome},
+                  {"error", attempt.error()}});
         perform(cell, cell->decisions.attemptEnded(attempt.order().attempt, result, currentTime()));
     }
 
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -27,7 +27,6 @@
 
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
 constexpr std::size_t readAheadBytes = std::size_t(64) << 10; // Bounds what is kept of an answer whose framing goes on without end.
-constexpr unsigned maximumStatusCode = 999;
 constexpr unsigned firstErrorStatus = 400;
 constexpr std::size_t bodyBesideAnswerBytes = std::size_t(32) << 10; // A longer body is sent while the answer is already read.
 constexpr duration keepAliveMargin = std::chrono::seconds(1); // Before the peer's own timeout, so that no request crosses its close.
@@ -245,12 +244,18 @@
     return parser.need_eof() ? answer_framing::ConnectionEnd : answer_framing::Length;
 }
 
-http_response_head headOf(const client_connection &connection, const stream_parser &parser)
+/// The head that was read. @throws http_error with MaybeSent if it is not that of an answer
+template<typename Parser>
+http_response_head headOf(const client_connection &connection, const Parser &parser)
 {
-    return {.status = std::min(parser.get().result_int(), maximumStatusCode),
-            .fields = fromBeast(parser.get().base()),
-            .framing = framingOf(parser),
-            .isFirstOnConnection = connection.requests == 1};
+    http_response_head head{.status = parser.get().result_int(),
+                            .fields = fromBeast(parser.get().base()),
+                            .framing = framingOf(parser),
+                            .isFirstOnConnection = connection.requests == 1};
+    if (const std::string flaw = flawOf(head); !flaw.empty()) {
+        throw http_error(sent_state::MaybeSent, false, "not an answer: " + flaw);
+    }
+    return head;
 }
 
 /// Whether nothing in a failure tells to which request it belongs. A copy of it would be taken for the next answer.
@@ -295,11 +300,11 @@
 
 /// Reads the head of the request's own answer into @p parser, past repeated answers to earlier requests of the connection.
 /// @throws http_error with MaybeSent
-task<> readOwnHead(connection_pointer connection,
-                   std::optional<stream_parser> &parser,
-                   bool endsWithHead,
-                   const http_client::stream_handler &handler,
-                   const std::string &id)
+task<http_response_head> readOwnHead(connection_pointer connection,
+                                     std::optional<stream_parser> &parser,
+                                     bool endsWithHead,
+                                     const http_client::stream_handler &handler,
+                                     const std::string &id)
 {
     for (int repeated = 0; repeated <= mostRepeatedAnswers; ++repeated) {
         parser.emplace();
@@ -311,9 +316,9 @@
             const bool wasIdle = connection->reused && !connection->hasRepeatedAnswer;
             fail(sent_state::MaybeSent, error, "read head", wasIdle && connection->buffer.size() == 0);
         }
-        const http_response_head head = headOf(*connection, *parser);
+        http_response_head head = headOf(*connection, *parser);
         if (!isRepeated(*connection, head, handler, id)) {
-            co_return;
+            co_return head;
         }
         connection->hasRepeatedAnswer = true;
         co_await dropBody(connection, *parser);
@@ -521,11 +526,11 @@
     if (error) {
         fail(sent_state::MaybeSent, error, "read", connection->reused && connection->buffer.size() == 0);
     }
+    http_response_head head = headOf(*connection, parser);
     connection->idleLimit = idleLimitOf(parser.get());
-    const answer_framing framing = framingOf(parser);
     auto answer = parser.release();
     http_response result{
-        .status = answer.result_int(), .fields = fromBeast(answer.base()), .body = std::move(answer.body()), .framing = framing};
+        .status = head.status, .fields = std::move(head.fields), .body = std::move(answer.body()), .framing = head.framing};
     if (answer.keep_alive() && pending->complete) {
         m_implementation->giveBack(to, connection);
     }
@@ -560,9 +565,8 @@
     connection->carry(options.id, endsWithHead);
     const auto pending = co_await writeRequest(connection, to, std::move(request), options.timeouts.firstByte);
     std::optional<stream_parser> parser;
-    co_await readOwnHead(connection, parser, endsWithHead, handler, options.id);
+    const http_response_head head = co_await readOwnHead(connection, parser, endsWithHead, handler, options.id);
     connection->idleLimit = idleLimitOf(parser->get());
-    const http_response_head head = headOf(*connection, *parser);
     co_await handler.onHead(head);
     co_await passBodyOn(connection, *parser, firstBy, options.timeouts.silence, handler);
     if (cancellation) {
--- a/io/src/upstream_attempt.cpp
+++ b/io/src/upstream_attempt.cpp
@@ -178,8 +178,10 @@
         result = resultOfAnswer();
     } catch (const http_error &error) {
         result.outcome = outcomeOf(error);
-    } catch (const std::exception &) {
+        m_error = error.what();
+    } catch (const std::exception &error) {
         result.outcome = attempt_outcome::Lost;
+        m_error = error.what();
     }
     if (m_cancelled && result.outcome == attempt_outcome::Lost) {
         result.outcome = attempt_outcome::Cancelled;
--- a/io/src/upstream_attempt.h
+++ b/io/src/upstream_attempt.h
@@ -69,6 +69,12 @@
         return m_fields;
     }
 
+    /// Why there is no whole answer, for logs; empty if there is one.
+    [[nodiscard]] const std::string &error() const
+    {
+        return m_error;
+    }
+
     [[nodiscard]] const start_attempt &order() const
     {
         return m_order;
@@ -89,6 +95,7 @@
     bool m_headSeen = false;
     unsigned m_status = 0;
     std::vector<http_field> m_fields;
+    std::string m_error;
     std::string m_pieces;
     bool m_isEventStream = false;
     event_boundary m_boundary; ///< Of an event stream.
--- /dev/null
+++ b/tests/process/broken_answers_test.cpp
@@ -0,0 +1,177 @@
+#include "eventually.h"
+#include "gateway_fleet.h"
+#include "raw_upstream_thread.h"
+#include "test_connection.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace banyan;
+using namespace banyan::process_tests;
+using banyan::tests::connection_end;
+using banyan::tests::raw_answer;
+
+namespace {
+
+const std::string streamBody = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// A route of a gateway_fleet.
+struct route_form
+{
+    std::string path;
+    bool isStream = false;
+    bool isRepeatable = true;
+};
+
+const std::vector<route_form> routeForms = {{.path = "/safe/1"},
+                                            {.path = "/once/1", .isRepeatable = false},
+                                            {.path = "/stream/1", .isStream = true}};
+
+/// The status line and fields of an answer to the request with that id, without the empty line at their end.
+std::string headOf(const std::string &id, const std::string &status, bool isStream)
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nResponse-Stamp: s\r\n"
+           + (isStream ? "Content-Type: text/event-stream\r\n" : "");
+}
+
+/// A whole answer with a length.
+std::string answerOf(const std::string &id, const std::string &status, bool isStream)
+{
+    const std::string body = isStream ? streamBody : "whole";
+    return headOf(id, status, isStream) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A gateway whose only replica is a raw_upstream_thread.
+class broken_replica_fixture
+{
+public:
+    broken_replica_fixture()
+    {
+        m_fleet.registerText("broken", m_upstream.registration());
+        REQUIRE(eventually([&] {
+            return m_fleet.send(0, "/safe/1", "warm").status == 200;
+        }));
+    }
+
+    /// Sends a request that the replica answers with what @p answer makes of its id, on a new connection to the replica or on a reused one.
+    http_response send(const route_form &route, bool isReused, const std::function<raw_answer(const std::string &id)> &answer)
+    {
+        m_upstream.setScript([](const std::string &id, int) {
+            return raw_answer{.bytes = answerOf(id, "200 OK", false)};
+        });
+        if (isReused) {
+            REQUIRE(m_fleet.send(0, "/safe/1", "before-" + std::to_string(m_number)).status == 200);
+        }
+        m_upstream.setScript([answer](const std::string &id, int) {
+            return answer(id);
+        });
+        m_lastId = "id-" + std::to_string(m_number++);
+        std::vector<http_field> fields;
+        if (route.isStream) {
+            fields.push_back({"Model", "m"});
+        }
+        return m_fleet.send(0, route.path, m_lastId, fields);
+    }
+
+    /// How often the replica got the last request.
+    [[nodiscard]] int runs()
+    {
+        return m_upstream.runsOf(m_lastId);
+    }
+
+    /// Checks that no route takes an answer for one, and that requests which may not be repeated run once.
+    void checkRefused(const std::function<std::string(const std::string &id, bool isStream)> &bytes,
+                      connection_end end = connection_end::Kept)
+    {
+        for (const route_form &route : routeForms) {
+            for (const bool isReused : {false, true}) {
+                INFO(route.path << (isReused ? ", reused connection" : ""));
+                const http_response answer = send(route, isReused, [&](const std::string &id) {
+                    return raw_answer{.bytes = bytes(id, route.isStream), .end = end};
+                });
+                CHECK(answer.status == 502);
+                CHECK((route.isRepeatable || runs() == 1));
+            }
+        }
+    }
+
+private:
+    raw_upstream_thread m_upstream{[](const std::string &id, int) {
+        return raw_answer{.bytes = answerOf(id, "200 OK", false)};
+    }};
+    gateway_fleet m_fleet{{.gateways = 1, .replicas = 0}};
+    std::string m_lastId;
+    int m_number = 0;
+};
+
+} // namespace
+
+TEST_CASE("an answer whose status is none of HTTP's reaches no caller, and its connection is not used again")
+{
+    broken_replica_fixture fixture;
+    for (const std::string status : {"000 No", "001 No", "099 No", "600 No", "999 No"}) {
+        INFO(status);
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            // A second answer waits on the connection, which the next request would get there.
+            return answerOf(id, status, isStream) + answerOf("other", "200 OK", isStream);
+        });
+    }
+}
+
+TEST_CASE("an answer with a status line that is none of HTTP's reaches no caller")
+{
+    broken_replica_fixture fixture;
+    for (const std::string status : {"20 OK", "2000 OK", "OK", "+20 OK", "-20 OK", "2x0 OK"}) {
+        INFO(status);
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            return answerOf(id, status, isStream);
+        });
+    }
+}
+
+TEST_CASE("an answer with a field name that is none of HTTP's reaches no caller")
+{
+    const std::string control(1, '\x01');
+    const std::string nul(1, '\0');
+    broken_replica_fixture fixture;
+    for (const std::string &name : {std::string("Two Words"),
+                                    std::string("Blank "),
+                                    std::string("Tab\tbed"),
+                                    "Con" + control + "trol",
+                                    "N" + nul + "ul",
+                                    std::string("Delete\x7f"),
+                                    std::string("Colon\xc3\xa9"),
+                                    std::string()}) {
+        INFO("field name \"" << name << "\"");
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            const std::string whole = answerOf(id, "200 OK", isStream);
+            return whole.substr(0, whole.find("\r\n") + 2) + name + ": v\r\n" + whole.substr(whole.find("\r\n") + 2);
+        });
+    }
+}
+
+TEST_CASE("an answer whose first field line begins with a blank reaches no caller")
+{
+    broken_replica_fixture fixture;
+    for (const std::string blank : {" ", "\t"}) {
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            const std::string whole = answerOf(id, "200 OK", isStream);
+            return whole.substr(0, whole.find("\r\n") + 2) + blank + "Name: v\r\n" + whole.substr(whole.find("\r\n") + 2);
+        });
+    }
+}
+
+TEST_CASE("sound answers with a rare status, or without a reason, reach the caller whole")
+{
+    broken_replica_fixture fixture;
+    for (const std::string status : {"200 ", "226 IM Used", "299 Own", "404 Not Found", "418 Teapot", "599 Own"}) {
+        INFO(status);
+        const http_response answer = fixture.send({.path = "/once/1"}, false, [&](const std::string &id) {
+            return raw_answer{.bytes = answerOf(id, status, false)};
+        });
+        CHECK(answer.status == static_cast<unsigned>(std::stoi(status)));
+        CHECK(answer.body == "whole");
+    }
+}
--- a/tests/unit/serving/forwarding_outcomes_test.cpp
+++ b/tests/unit/serving/forwarding_outcomes_test.cpp
@@ -125,6 +125,16 @@
     return {.name = name, .when = when, .runs = true, .play = play, .framing = framing};
 }
 
+/// An answer that is whole but for the status line that it begins with.
+fault beginning(const std::string &statusLine, const std::string &fields)
+{
+    const auto play = [=](const std::string &request) -> raw_answer {
+        const std::string whole = answerTo(request, fields);
+        return {.bytes = statusLine + whole.substr(whole.find("\r\n"))};
+    };
+    return {.name = statusLine, .when = moment::Sent, .runs = true, .play = play};
+}
+
 /// Faults that a peer with these fields in its answers can play, be it a forwarder or an upstream.
 std::vector<fault> faultsOfConnection(const std::string &fields)
 {
@@ -136,6 +146,9 @@
         faults.push_back(saying("silent" + suffix, moment::Sent, runs, "", connection_end::Silent));
     }
     faults.push_back(saying("cut within the head", moment::Sent, true, "HTTP/1.1 200 OK\r\n" + fields, connection_end::Closed));
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        faults.push_back(beginning("HTTP/1.1 " + status + " No", fields));
+    }
     for (const answer_framing framing : {answer_framing::Length, answer_framing::Chunks, answer_framing::ConnectionEnd}) {
         for (const std::size_t length : {std::size_t(3), eventText(1).size()}) {
             faults.push_back(answering("cut after " + std::to_string(length) + ", " + std::string(toString(framing)),
--- a/tests/unit/serving/listed_job_service_test.cpp
+++ b/tests/unit/serving/listed_job_service_test.cpp
@@ -3,6 +3,7 @@
 #include "banyan/core/serving/job_entry.h"
 #include "banyan/io/serving/serving_codec.h"
 #include "serving_fixture.h"
+#include "unit/raw_upstream.h"
 
 #include <catch2/catch.hpp>
 
@@ -300,6 +301,24 @@
     CHECK(fixture.awaitResults(*fixture.service, "j1", 1).results.front().succeeded);
 }
 
+TEST_CASE("listed_job_service runs an item again after a status that is none of HTTP's, which is no failure of the item")
+{
+    constexpr std::size_t brokenRuns = 4; // More than the failures that the route allows.
+    job_fixture fixture;
+    raw_upstream upstream(fixture.context, [](const std::string &request, std::size_t number) -> raw_answer {
+        const std::string status = number < brokenRuns ? "000 No" : "200 OK";
+        const std::string event = eventText(1);
+        return {.bytes = "HTTP/1.1 " + status + "\r\nResponse-Stamp: stamp\r\nRequest-Id: " + valueIn(request, "Request-Id")
+                         + "\r\nContent-Length: " + std::to_string(event.size()) + "\r\n\r\n" + event};
+    });
+    fixture.nodes.front()->scheduler.setUpstreams(upstream.registeredAs({"u1", "u2"}));
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    const job_results found = fixture.awaitResults(*fixture.service, "j1", 1);
+    CHECK(found.results.front().succeeded);
+    CHECK(found.results.front().output == "piece-1");
+    CHECK(upstream.requests.size() == brokenRuns + 1);
+}
+
 TEST_CASE("listed_job_service stops a job that its client has ended, wherever the end was recorded")
 {
     job_fixture fixture;
