Interim answers are skipped, and a change of protocols is no answer

What callers saw: where a replica sent an interim answer (100, 102, 103) before its sound 200, the caller got 502 although the request had run. Where it sent a 101, the caller got that 101.

Cause: the first head was taken for that of the answer. HTTP lets a server send any number of 1xx before the answer without having been asked to; only 101, which ends HTTP on the connection, needs a request with Upgrade, and we send none.

Change: http_client reads on past interim answers, 16 at most, within the time of the answer, and refuses 101 as no answer. The bytes of an interim answer are evidence that the request has arrived: the loss of an idle connection after one is not laid to the peer having closed it before, so that a request which must not be repeated is not (the test counts its runs). exchange() reads head and body in two steps as stream() does, so that calls to the store, banyand's platform client and banyanctl skip them as well. The judgement of heads moves to a file of its own, received_head, since only http_client makes it.

Why it works: what the caller gets is the first final answer, as without interim ones; an endless row of them, or one without a final answer, ends as any answer that does not come.

--- a/io/include/banyan/io/http_message.h
+++ b/io/include/banyan/io/http_message.h
@@ -41,9 +41,6 @@
     auto operator<=>(const http_response_head &) const = default;
 };
 
-/// Why a received head is not that of an HTTP answer; empty if it is one.
-[[nodiscard]] std::string flawOf(const http_response_head &head);
-
 /// The framing of an answer with these fields, as its sender gave them.
 [[nodiscard]] answer_framing framingOf(unsigned status, const std::vector<http_field> &fields);
 
--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "banyan/io/http_client.h"
 
 #include "banyan/io/http_error.h"
+#include "received_head.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,6 +34,7 @@
 constexpr std::string_view keepAliveMark = "timeout=";
 constexpr std::string_view headMethod = "HEAD"; // Its answers have no body, whatever their fields say.
 constexpr std::size_t mostIdsOfConnection = 256; // 2 KiB; a connection that has carried so many is replaced.
+constexpr int mostInterimAnswers = 16; // Before one answer; each is as short as any head, and all share the answer's time.
 constexpr int mostRepeatedAnswers = 4; // Before one answer; a peer that sends more is not worth waiting for.
 constexpr std::size_t mostRepeatedBytes = std::size_t(256) << 10; // Of one repeated answer, which may have no end.
 
@@ -298,25 +300,49 @@
     }
 }
 
-/// Reads the head of the request's own answer into @p parser, past repeated answers to earlier requests of the connection.
-/// @throws http_error with MaybeSent
-task<http_response_head> readOwnHead(connection_pointer connection,
-                                     std::optional<stream_parser> &parser,
-                                     bool endsWithHead,
-                                     const http_client::stream_handler &handler,
-                                     const std::string &id)
+/// Reads the rest of an answer that is kept as a whole. @throws http_error with MaybeSent
+task<> readBody(connection_pointer connection, http::response_parser<http::string_body> &parser)
 {
-    for (int repeated = 0; repeated <= mostRepeatedAnswers; ++repeated) {
+    boost::system::error_code error;
+    co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        fail(sent_state::MaybeSent, error, "read body");
+    }
+}
+
+/// Reads the next head that is not of an interim answer into @p parser. @throws http_error with MaybeSent
+template<typename Parser>
+task<http_response_head>
+readFinalHead(connection_pointer connection, std::optional<Parser> &parser, bool endsWithHead, boost::optional<std::uint64_t> bodyLimit)
+{
+    for (int interim = 0; interim <= mostInterimAnswers; ++interim) {
         parser.emplace();
         parser->skip(endsWithHead);
-        parser->body_limit(boost::none);
+        parser->body_limit(bodyLimit);
         boost::system::error_code error;
         co_await http::async_read_header(connection->stream, connection->buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            const bool wasIdle = connection->reused && !connection->hasRepeatedAnswer;
+            const bool wasIdle = connection->reused && !connection->hasRepeatedAnswer && interim == 0;
             fail(sent_state::MaybeSent, error, "read head", wasIdle && connection->buffer.size() == 0);
         }
         http_response_head head = headOf(*connection, *parser);
+        if (!isInterim(head.status)) {
+            co_return head;
+        }
+    }
+    throw http_error(sent_state::MaybeSent, false, "too many interim answers");
+}
+
+/// Reads the head of the request's own answer into @p parser, past repeated answers to earlier requests of the connection.
+/// @throws http_error with MaybeSent
+task<http_response_head> readOwnHead(connection_pointer connection,
+                                     std::optional<stream_parser> &parser,
+                                     bool endsWithHead,
+                                     const http_client::stream_handler &handler,
+                                     const std::string &id)
+{
+    for (int repeated = 0; repeated <= mostRepeatedAnswers; ++repeated) {
+        http_response_head head = co_await readFinalHead(connection, parser, endsWithHead, boost::none);
         if (!isRepeated(*connection, head, handler, id)) {
             co_return head;
         }
@@ -514,21 +540,20 @@
     }
     const bool endsWithHead = request.method == headMethod;
     const auto pending = co_await writeRequest(connection, to, std::move(request), timeout);
-    http::response_parser<http::string_body> parser;
-    parser.skip(endsWithHead);
-    parser.body_limit(m_implementation->options().maximumBody);
-    boost::system::error_code error;
-    co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::error::timeout) {
-        // Connections may go silent together, without being closed.
-        m_implementation->closeIdle(to);
-    }
-    if (error) {
-        fail(sent_state::MaybeSent, error, "read", connection->reused && connection->buffer.size() == 0);
+    std::optional<http::response_parser<http::string_body>> parser;
+    http_response_head head;
+    try {
+        head = co_await readFinalHead(connection, parser, endsWithHead, m_implementation->options().maximumBody);
+        co_await readBody(connection, *parser);
+    } catch (const http_error &error) {
+        if (error.timedOut()) {
+            // Connections may go silent together, without being closed.
+            m_implementation->closeIdle(to);
+        }
+        throw;
     }
-    http_response_head head = headOf(*connection, parser);
-    connection->idleLimit = idleLimitOf(parser.get());
-    auto answer = parser.release();
+    connection->idleLimit = idleLimitOf(parser->get());
+    auto answer = parser->release();
     http_response result{
         .status = head.status, .fields = std::move(head.fields), .body = std::move(answer.body()), .framing = head.framing};
     if (answer.keep_alive() && pending->complete) {
--- a/io/src/http_message.cpp
+++ b/io/src/http_message.cpp
@@ -5,14 +5,11 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
-#include <cstdio>
 
 namespace banyan {
 
 namespace {
 
-constexpr unsigned firstStatus = 100;
-constexpr unsigned lastStatus = 599;
 constexpr unsigned firstStatusWithBody = 200;
 constexpr unsigned noContent = 204;
 constexpr unsigned notModified = 304;
@@ -27,16 +24,6 @@
 
 } // namespace
 
-std::string flawOf(const http_response_head &head)
-{
-    if (head.status < firstStatus || head.status > lastStatus) {
-        char text[64];
-        std::snprintf(text, sizeof text, "expected a status from %u to %u, found %03u", firstStatus, lastStatus, head.status);
-        return text;
-    }
-    return {};
-}
-
 answer_framing framingOf(unsigned status, const std::vector<http_field> &fields)
 {
     if (boost::beast::http::token_list(valueOf(fields, "Transfer-Encoding")).exists("chunked")) {
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -175,3 +175,56 @@
         CHECK(answer.body == "whole");
     }
 }
+
+TEST_CASE("interim answers before a sound one are skipped, whatever they say")
+{
+    const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string processing = "HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nRequest-Id: other\r\nLink: </a>\r\n\r\n";
+    broken_replica_fixture fixture;
+    for (const std::string &interim : {proceed, processing, hints, std::string("HTTP/1.1 199 Own\r\n\r\n"), proceed + processing + hints}) {
+        for (const route_form &route : routeForms) {
+            for (const bool isReused : {false, true}) {
+                INFO(interim << route.path << (isReused ? ", reused connection" : ""));
+                const http_response answer = fixture.send(route, isReused, [&](const std::string &id) {
+                    return raw_answer{.bytes = interim + answerOf(id, "200 OK", route.isStream)};
+                });
+                CHECK(answer.status == 200);
+                CHECK(answer.body == (route.isStream ? streamBody : "whole"));
+                CHECK(answer.field("Link").empty());
+                CHECK(fixture.runs() == 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("a change of protocols that nobody asked for reaches no caller")
+{
+    broken_replica_fixture fixture;
+    fixture.checkRefused([](const std::string &id, bool isStream) {
+        return headOf(id, "101 Switching Protocols", isStream) + "Upgrade: other\r\nConnection: Upgrade\r\n\r\nother bytes";
+    });
+}
+
+TEST_CASE("interim answers without a final one, or without end, reach no caller, and run no request again that may not be")
+{
+    const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string many;
+    for (int number = 0; number < 1000; ++number) {
+        many += proceed;
+    }
+    broken_replica_fixture fixture;
+    fixture.checkRefused([&](const std::string &id, bool isStream) {
+        return many + answerOf(id, "200 OK", isStream);
+    });
+    fixture.checkRefused([&](const std::string &id, bool isStream) {
+        return proceed + answerOf(id, "000 No", isStream);
+    });
+    for (const connection_end end : {connection_end::Closed, connection_end::Reset}) {
+        fixture.checkRefused(
+            [&](const std::string &, bool) {
+                return proceed;
+            },
+            end);
+    }
+}
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -95,6 +95,22 @@
     }
 }
 
+TEST_CASE("the store's client reads past interim answers, and takes none for the outcome of a change")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string body = R"({"ver":7})";
+    const std::string committed = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    store_fixture sound(interim + interim + committed, connection_end::Kept);
+    CHECK(sound.run(sound.port.commit({})).committed);
+    CHECK(sound.run(sound.port.commit({})).committed);
+    CHECK(sound.client.connectionsOpened() == 1);
+    const std::string other = "HTTP/1.1 101 Other\r\n\r\n";
+    for (const std::string &bytes : {interim, other, interim + other}) {
+        store_fixture fixture(bytes, connection_end::Closed);
+        CHECK_THROWS_AS(fixture.run(fixture.port.commit({})), platform_outcome_unknown);
+    }
+}
+
 TEST_CASE("the client of the platform's objects takes one only if the answer's frame proves that it is whole")
 {
     for (const std::string &cut : {std::string(framedHead) + "obj", std::string(unframedHead) + "obj"}) {
--- a/tests/unit/serving/forwarding_outcomes_test.cpp
+++ b/tests/unit/serving/forwarding_outcomes_test.cpp
@@ -149,6 +149,8 @@
     for (const std::string status : {"000", "099", "600", "999"}) {
         faults.push_back(beginning("HTTP/1.1 " + status + " No", fields));
     }
+    faults.push_back(beginning("HTTP/1.1 101 Other", fields));
+    faults.push_back(saying("only an interim answer", moment::Sent, true, "HTTP/1.1 100 Continue\r\n\r\n", connection_end::Closed));
     for (const answer_framing framing : {answer_framing::Length, answer_framing::Chunks, answer_framing::ConnectionEnd}) {
         for (const std::size_t length : {std::size_t(3), eventText(1).size()}) {
             faults.push_back(answering("cut after " + std::to_string(length) + ", " + std::string(toString(framing)),
--- a/tests/unit/upstream_attempt_test.cpp
+++ b/tests/unit/upstream_attempt_test.cpp
@@ -64,3 +64,14 @@
     CHECK(sound.body == "whole");
     CHECK(sound.error.empty());
 }
+
+TEST_CASE("upstream_attempt reads past interim answers, and counts a change of protocols as lost")
+{
+    const ended_attempt ended = attemptAnsweredWith("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    CHECK(ended.result.outcome == attempt_outcome::Succeeded);
+    CHECK(ended.status == 200);
+    CHECK(ended.body == "whole");
+    const ended_attempt changed = attemptAnsweredWith("HTTP/1.1 101 Other\r\n\r\n");
+    CHECK(changed.result.outcome == attempt_outcome::Lost);
+    CHECK_FALSE(changed.headSeen);
+}
