An unframed answer is not complete if its connection was reset under the upload

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a long body is written beside the reading of the answer, so that two operations share a connection. The kernel reports a reset to one of them. If that is the write, the read finds an end of the stream, which is what marks the end of an answer without a frame; the failure of the write only kept the connection from being used again.

Evidence: a stand-in that answers after the head of the request, on connections with small segments and a small receive buffer; the tests first measure that it takes less than half of the upload.

Change: an answer without a frame whose request is not written yet is complete only if one of these proves that the peer ended its direction in order: the socket has got the peer's end and nothing else (CLOSE_WAIT); or the connection has gone, and the write ended with a broken pipe, as Linux reports a reset that came after that end; or the write ended whole, since then no reset was reported to it. Otherwise the exchange fails like a cut one: run again, continued, broken off, 502, an unknown outcome of a change of the store.

Why it works: the judgement does not rest on which of the two operations was told first, but on what the kernel saw. Where the connection has gone and the write is not told yet, its end is awaited; it comes at once, and cannot be mistaken.

Sound early answers stay whole: with a length or chunks, ended in order with the rest of the upload read, or reset a moment later, also to a slow reader. One place, http_client, covers direct runs, items, the hop, the store and banyand.

--- a/io/src/http_client.cpp
+++ b/io/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "banyan/io/http_client.h"
 
+#include "banyan/io/async_event.h"
 #include "banyan/io/http_error.h"
 #include "received_head.h"
 
@@ -43,6 +44,7 @@
 {
     explicit client_connection(asio::io_context &context)
         : stream(context)
+        , writeEnded(context)
     {
     }
 
@@ -67,6 +69,7 @@
     }
 
     beast::tcp_stream stream;
+    async_event writeEnded; ///< A request that was sent beside its answer has been sent, or cannot be.
     beast::flat_buffer buffer{readAheadBytes};
     bool reused = false; ///< It was idle before.
     std::uint64_t requests = 0; ///< Sent on it.
@@ -116,21 +119,52 @@
     {
     }
 
-    void bodySent(bool whole)
+    void end(const boost::system::error_code &error)
     {
-        complete = whole;
+        result = error;
         message.body() = std::string(); // The answer may take long.
     }
 
+    [[nodiscard]] bool isComplete() const
+    {
+        return result && !*result;
+    }
+
     http::request<http::string_body> message;
-    bool complete = false;
+    std::optional<boost::system::error_code> result; ///< Empty while the request is being sent.
 };
 
 task<> writeBesideAnswer(connection_pointer connection, std::shared_ptr<pending_write> pending)
 {
     boost::system::error_code error;
     co_await http::async_write(connection->stream, pending->message, asio::redirect_error(asio::use_awaitable, error));
-    pending->bodySent(!error);
+    pending->end(error);
+    connection->writeEnded.notify();
+}
+
+/// Whether the peer has ended its direction of a connection, and nothing else has ended it.
+bool isEndedByPeerOnly(tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
+/// Makes sure that the end of the stream was the peer's end of its direction. The system reports a reset once: if it has told the write
+/// beside the answer, the read finds an end of the stream.
+/// @throws http_error with MaybeSent if the connection was reset before
+task<> requireOrderlyEnd(connection_pointer connection, std::shared_ptr<pending_write> pending)
+{
+    if (pending->isComplete() || isEndedByPeerOnly(connection->stream.socket())) {
+        co_return;
+    }
+    while (!pending->result) { // The connection has gone, so that the write ends at once.
+        co_await connection->writeEnded.wait();
+    }
+    // Linux calls a reset a broken pipe if the peer had ended its direction before.
+    if (*pending->result && *pending->result != asio::error::broken_pipe) {
+        fail(sent_state::MaybeSent, *pending->result, "read body, while the request was being written");
+    }
 }
 
 /// How long the peer keeps an idle connection, less a margin; none if it does not say.
@@ -183,7 +217,7 @@
     if (error) {
         fail(sent_state::MaybeSent, error, "write", connection->reused);
     }
-    pending->bodySent(true);
+    pending->end({});
     co_return pending;
 }
 
@@ -545,6 +579,9 @@
     try {
         head = co_await readFinalHead(connection, parser, endsWithHead, m_implementation->options().maximumBody);
         co_await readBody(connection, *parser);
+        if (!provesEnd(head.framing)) {
+            co_await requireOrderlyEnd(connection, pending);
+        }
     } catch (const http_error &error) {
         if (error.timedOut()) {
             // Connections may go silent together, without being closed.
@@ -556,7 +593,7 @@
     auto answer = parser->release();
     http_response result{
         .status = head.status, .fields = std::move(head.fields), .body = std::move(answer.body()), .framing = head.framing};
-    if (answer.keep_alive() && pending->complete) {
+    if (answer.keep_alive() && pending->isComplete()) {
         m_implementation->giveBack(to, connection);
     }
     co_return result;
@@ -594,13 +631,16 @@
     connection->idleLimit = idleLimitOf(parser->get());
     co_await handler.onHead(head);
     co_await passBodyOn(connection, *parser, firstBy, options.timeouts.silence, handler);
+    if (!provesEnd(head.framing)) {
+        co_await requireOrderlyEnd(connection, pending);
+    }
     if (cancellation) {
         cancellation->m_close = nullptr;
     }
     if (connection->hasRepeatedAnswer) {
         m_implementation->recordRepeatedAnswer();
     }
-    if (parser->get().keep_alive() && pending->complete && !isNamelessFailure(head, handler)) {
+    if (parser->get().keep_alive() && pending->isComplete() && !isNamelessFailure(head, handler)) {
         m_implementation->giveBack(to, connection);
     }
 }
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -2,16 +2,22 @@
 #include "gateway_fleet.h"
 #include "raw_upstream_thread.h"
 #include "test_connection.h"
+#include "unit/early_upstream.h"
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
 using namespace banyan;
 using namespace banyan::process_tests;
 using banyan::tests::connection_end;
+using banyan::tests::early_answer;
+using banyan::tests::early_end;
+using banyan::tests::early_upstream;
 using banyan::tests::raw_answer;
+using banyan::tests::valueIn;
 
 namespace {
 
@@ -43,13 +49,19 @@
     return headOf(id, status, isStream) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// A registration of an upstream at that address.
+std::string registrationOf(const endpoint &address)
+{
+    return R"({"service":"s","address":")" + address.toString() + R"(","zone":"d","version":"v1","slots":8,"state":"ready","seq":1})";
+}
+
 /// A gateway whose only replica is a raw_upstream_thread.
 class broken_replica_fixture
 {
 public:
     broken_replica_fixture()
     {
-        m_fleet.registerText("broken", m_upstream.registration());
+        m_fleet.registerText("broken", registrationOf(m_upstream.address()));
         REQUIRE(eventually([&] {
             return m_fleet.send(0, "/safe/1", "warm").status == 200;
         }));
@@ -106,6 +118,61 @@
     int m_number = 0;
 };
 
+/// A gateway whose only replica is an early_upstream, at which uploads wait.
+class early_replica_fixture
+{
+public:
+    early_replica_fixture()
+    {
+        REQUIRE(m_upstream.bytesHeldUnread() < upload.size() / 2); // Else the upload ends before the answer does.
+        m_fleet.registerText("early", registrationOf(m_upstream.address()));
+        play(early_end::Kept, [](const std::string &id) {
+            return answerOf(id, "200 OK", false);
+        });
+        REQUIRE(eventually([&] {
+            return m_fleet.send(0, "/safe/1", "warm").status == 200;
+        }));
+    }
+
+    /// What the replica answers to the following requests, before it reads their bodies.
+    void play(early_end end, const std::function<std::string(const std::string &id)> &bytes)
+    {
+        m_upstream.setScript([=](const std::string &head) {
+            return early_answer{.bytes = bytes(valueIn(head, "Request-Id")), .end = end};
+        });
+    }
+
+    /// The answer to a long upload; nothing if it is broken off.
+    std::optional<http_response> send(const route_form &route)
+    {
+        http_request request{.method = "POST",
+                             .target = route.path,
+                             .fields = {{"Request-Id", "id-" + std::to_string(m_number++)}, {"Deadline-Ms", "5000"}},
+                             .body = upload};
+        if (route.isStream) {
+            request.fields.push_back({"Model", "m"});
+        }
+        try {
+            return call(m_fleet.callers(0), request);
+        } catch (const call_failure &) {
+            return std::nullopt;
+        }
+    }
+
+    /// Requests that the replica got so far.
+    [[nodiscard]] int requests() const
+    {
+        return m_upstream.requests();
+    }
+
+private:
+    static inline const std::string upload = std::string(1000000, 'u');
+
+    early_upstream m_upstream{nullptr};
+    gateway_fleet m_fleet{{.gateways = 1, .replicas = 0, .maximumBody = 2 * upload.size()}};
+    int m_number = 0;
+};
+
 } // namespace
 
 TEST_CASE("an answer whose status is none of HTTP's reaches no caller, and its connection is not used again")
@@ -228,3 +295,41 @@
             end);
     }
 }
+
+TEST_CASE("an unframed answer that is reset while its request is being written reaches no caller as complete")
+{
+    early_replica_fixture fixture;
+    for (const route_form &route : routeForms) {
+        const std::string body = route.isStream ? "id: 1\ndata: a\n\n" : "who";
+        for (const std::string &sent : {std::string(), body}) {
+            INFO(route.path << " after " << sent.size() << " bytes");
+            fixture.play(early_end::Reset, [&](const std::string &id) {
+                return headOf(id, "200 OK", route.isStream) + "\r\n" + sent;
+            });
+            const int before = fixture.requests();
+            const std::optional<http_response> answer = fixture.send(route);
+            CHECK((answer ? answer->status == 502 : route.isStream));
+            CHECK((route.isRepeatable || fixture.requests() == before + 1));
+        }
+    }
+}
+
+TEST_CASE("a whole answer that ends in order, or has a frame, reaches the caller while its request is being written")
+{
+    const std::string unframed = "\r\n";
+    early_replica_fixture fixture;
+    for (const route_form &route : routeForms) {
+        const std::string body = route.isStream ? streamBody : "whole";
+        for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndResets, early_end::Kept}) {
+            INFO(route.path << ", end " << static_cast<int>(end));
+            fixture.play(end, [&](const std::string &id) {
+                return end == early_end::Kept ? answerOf(id, "200 OK", route.isStream)
+                                              : headOf(id, "200 OK", route.isStream) + unframed + body;
+            });
+            const std::optional<http_response> answer = fixture.send(route);
+            REQUIRE(answer.has_value());
+            CHECK(answer->status == 200);
+            CHECK(answer->body == body);
+        }
+    }
+}
--- a/tests/process/raw_upstream_thread.h
+++ b/tests/process/raw_upstream_thread.h
@@ -39,11 +39,9 @@
     raw_upstream_thread(const raw_upstream_thread &) = delete;
     raw_upstream_thread &operator=(const raw_upstream_thread &) = delete;
 
-    /// A registration of the upstream with the service of a gateway_fleet.
-    [[nodiscard]] std::string registration() const
+    [[nodiscard]] endpoint address() const
     {
-        return R"({"service":"s","address":")" + m_upstream.address().toString()
-               + R"(","zone":"d","version":"v1","slots":8,"state":"ready","seq":1})";
+        return m_upstream.address();
     }
 
     void setScript(script answer)
