An answer whose body is coded for its transfer is no answer

Cause: the parser knows one transfer coding, chunks, and only where "chunked" is the last word of one field. It reads a body with any other list as if it had none, and the field goes no further than its connection. So the coded bytes, or the chunks' own marks ("chunked, identity"), were taken for the body.

Evidence: the test by processes failed on on the safe, the unsafe and the stream route; the store's client took such bytes for an object.

No request of ours allows others (TE), so no sound server sends them. It is an attempt without an answer, as for a status that is none.

Still whole: chunks in any case of the word, and the old "identity".

--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -333,3 +333,37 @@
         }
     }
 }
+
+TEST_CASE("an answer whose body is coded for its transfer in a way that nobody asked for reaches no caller")
+{
+    broken_replica_fixture fixture;
+    for (const std::string fields : {"Transfer-Encoding: gzip\r\nContent-Length: 5\r\n",
+                                     "Transfer-Encoding: gzip\r\n",
+                                     "Transfer-Encoding: gzip, chunked\r\n",
+                                     "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                     "Transfer-Encoding: chunked, gzip\r\n",
+                                     "Transfer-Encoding: chunked, identity\r\n",
+                                     "Transfer-Encoding: chunked, chunked\r\n",
+                                     "Transfer-Encoding: chunked;q=1\r\n"}) {
+        INFO(fields);
+        fixture.checkRefused(
+            [&](const std::string &id, bool isStream) {
+                return headOf(id, "200 OK", isStream) + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n";
+            },
+            connection_end::Closed);
+    }
+}
+
+TEST_CASE("an answer whose body is in chunks, or explicitly not coded, reaches the caller whole")
+{
+    broken_replica_fixture fixture;
+    for (const std::string rest :
+         {"Transfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nwhole"}) {
+        INFO(rest);
+        const http_response answer = fixture.send({.path = "/once/1"}, false, [&](const std::string &id) {
+            return raw_answer{.bytes = headOf(id, "200 OK", false) + rest};
+        });
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "whole");
+    }
+}
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -111,6 +111,14 @@
     }
 }
 
+TEST_CASE("the store's client takes no object that is coded for its transfer")
+{
+    for (const std::string fields : {"Transfer-Encoding: gzip\r\nContent-Length: 5\r\n", "Transfer-Encoding: gzip, chunked\r\n"}) {
+        store_fixture fixture("HTTP/1.1 200 OK\r\n" + fields + "\r\n5\r\ncoded\r\n0\r\n\r\n", connection_end::Closed);
+        CHECK_THROWS_AS(fixture.run(fixture.port.getObject("o")), platform_unavailable);
+    }
+}
+
 TEST_CASE("the client of the platform's objects takes one only if the answer's frame proves that it is whole")
 {
     for (const std::string &cut : {std::string(framedHead) + "obj", std::string(unframedHead) + "obj"}) {
--- a/tests/unit/upstream_attempt_test.cpp
+++ b/tests/unit/upstream_attempt_test.cpp
@@ -75,3 +75,11 @@
     CHECK(changed.result.outcome == attempt_outcome::Lost);
     CHECK_FALSE(changed.headSeen);
 }
+
+TEST_CASE("upstream_attempt counts an answer as lost whose body is coded for its transfer in a way that nobody asked for")
+{
+    const ended_attempt ended = attemptAnsweredWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\ncoded");
+    CHECK(ended.result.outcome == attempt_outcome::Lost);
+    CHECK(ended.body.empty());
+    CHECK(ended.error == "not an answer: expected a body in chunks or not coded, found codings gzip");
+}
