Answers with 204 and 304 end with their head towards callers too

What callers saw: where a replica answered a request on a stream route with 204, the gateway wrote the end of chunks after the head. A caller that keeps its connection reads that for the head of its next answer, and loses that one. Answers with 204 and 304 on other routes carried a length of 0, which 204 must not and which for 304 says that the whole answer would be empty.

Cause: the server side framed every answer by whether its end is proved, and left only HEAD out; that a status has no body was known to the reading side alone, and to forward_service, which went round it for its own answers.

What the replica sends after such a head, with a length, in chunks or without a frame, reached no caller before either.

Change: http_exchange ends an answer with such a status with its head, begun in pieces or whole, without a frame. All who answer through it do.

--- a/io/src/http_exchange_implementation.h
+++ b/io/src/http_exchange_implementation.h
@@ -120,7 +120,10 @@
 
     task<> sendWhole(http_response response)
     {
-        if (isHeadRequest()) {
+        if (hasNoBody(response.status)) {
+            response.body.clear();
+        }
+        if (isHeadRequest() || hasNoBody(response.status)) {
             co_await sendHeadOnly(std::move(response));
             co_return;
         }
@@ -153,7 +156,8 @@
 
     task<> sendHead(unsigned status, std::vector<http_field> fields, answer_framing framing)
     {
-        m_isChunked = provesEnd(framing) || isHeadRequest();
+        m_endsWithHead = isHeadRequest() || hasNoBody(status);
+        m_isChunked = provesEnd(framing) || m_endsWithHead;
         if (!m_isChunked) {
             closeAfterwards();
             m_connection->setResetsAtEnd(true);
@@ -162,7 +166,7 @@
         message.result(status);
         message.version(11);
         addFields(message, fields);
-        message.chunked(m_isChunked);
+        message.chunked(m_isChunked && !hasNoBody(status));
         message.keep_alive(keepsAlive());
         boost::beast::http::response_serializer<boost::beast::http::empty_body> serializer(message);
         m_answered = true;
@@ -173,7 +177,7 @@
 
     task<> sendPiece(std::string_view piece)
     {
-        if (piece.empty() || isHeadRequest()) {
+        if (piece.empty() || m_endsWithHead) {
             co_return;
         }
         m_connection->stream.expires_after(writeTimeout);
@@ -194,7 +198,7 @@
             m_complete = true;
             co_return;
         }
-        if (!isHeadRequest()) {
+        if (!m_endsWithHead) {
             m_connection->stream.expires_after(writeTimeout);
             co_await asio::async_write(m_connection->stream, boost::beast::http::make_chunk_last(), asio::use_awaitable);
         }
@@ -342,12 +346,18 @@
     }
     static constexpr duration writeTimeout = std::chrono::seconds(30); ///< For a slow reader to take one piece.
 
-    /// Whether the answer ends with its head.
     [[nodiscard]] bool isHeadRequest() const
     {
         return m_method == "HEAD";
     }
 
+    /// Whether an answer with this status ends with its head. The end of a frame would be taken for the next answer.
+    [[nodiscard]] static bool hasNoBody(unsigned status)
+    {
+        const auto known = static_cast<boost::beast::http::status>(status);
+        return known == boost::beast::http::status::no_content || known == boost::beast::http::status::not_modified;
+    }
+
     task<> sendHeadOnly(http_response response)
     {
         boost::beast::http::response<boost::beast::http::empty_body> message;
@@ -431,6 +441,7 @@
     std::string m_requestId;
     bool m_continueHandled = false;
     bool m_isChunked = true; ///< Whether pieces are sent in chunks.
+    bool m_endsWithHead = false; ///< Whether the answer that was begun has no body.
     bool m_answered = false;
     bool m_complete = false;
     bool m_closing = false;
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -35,6 +35,15 @@
                                             {.path = "/once/1", .isRepeatable = false},
                                             {.path = "/stream/1", .isStream = true}};
 
+http_request requestTo(const route_form &route, const std::string &id, const std::string &body = "question")
+{
+    http_request request{.method = "POST", .target = route.path, .fields = {{"Request-Id", id}, {"Deadline-Ms", "5000"}}, .body = body};
+    if (route.isStream) {
+        request.fields.push_back({"Model", "m"});
+    }
+    return request;
+}
+
 /// The status line and fields of an answer to the request with that id, without the empty line at their end.
 std::string headOf(const std::string &id, const std::string &status, bool isStream)
 {
@@ -80,11 +89,21 @@
             return answer(id);
         });
         m_lastId = "id-" + std::to_string(m_number++);
-        std::vector<http_field> fields;
-        if (route.isStream) {
-            fields.push_back({"Model", "m"});
-        }
-        return m_fleet.send(0, route.path, m_lastId, fields);
+        return call(m_fleet.callers(0), requestTo(route, m_lastId));
+    }
+
+    /// Lets the replica answer all requests so.
+    void answerWith(const std::function<std::string(const std::string &id)> &bytes)
+    {
+        m_upstream.setScript([bytes](const std::string &id, int) {
+            return raw_answer{.bytes = bytes(id)};
+        });
+    }
+
+    /// A caller's connection of its own.
+    [[nodiscard]] test_connection connect() const
+    {
+        return test_connection(m_fleet.callers(0));
     }
 
     /// How often the replica got the last request.
@@ -145,15 +164,8 @@
     /// The answer to a long upload; nothing if it is broken off.
     std::optional<http_response> send(const route_form &route)
     {
-        http_request request{.method = "POST",
-                             .target = route.path,
-                             .fields = {{"Request-Id", "id-" + std::to_string(m_number++)}, {"Deadline-Ms", "5000"}},
-                             .body = upload};
-        if (route.isStream) {
-            request.fields.push_back({"Model", "m"});
-        }
         try {
-            return call(m_fleet.callers(0), request);
+            return call(m_fleet.callers(0), requestTo(route, "id-" + std::to_string(m_number++), upload));
         } catch (const call_failure &) {
             return std::nullopt;
         }
@@ -367,3 +379,34 @@
         CHECK(answer.body == "whole");
     }
 }
+
+TEST_CASE("an answer that has no body by its status ends with its head, on every route, whatever its replica sends after it")
+{
+    int number = 0;
+    broken_replica_fixture fixture;
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+        for (const std::string rest :
+             {"\r\n", "Content-Length: 5\r\n\r\nbody!", "Transfer-Encoding: chunked\r\n\r\n5\r\nbody!\r\n0\r\n\r\n"}) {
+            for (const route_form &route : routeForms) {
+                INFO(status << ", " << rest << ", " << route.path);
+                test_connection caller = fixture.connect();
+                fixture.answerWith([&](const std::string &id) {
+                    return headOf(id, status, route.isStream) + rest;
+                });
+                caller.send(requestTo(route, "id-" + std::to_string(number++)));
+                const http_response answer = caller.receive();
+                CHECK(status.starts_with(std::to_string(answer.status)));
+                CHECK(answer.field("Content-Length").empty());
+                CHECK(answer.body.empty());
+                // The next answer on the caller's connection is its own.
+                fixture.answerWith([&](const std::string &id) {
+                    return answerOf(id, "200 OK", route.isStream);
+                });
+                caller.send(requestTo(route, "id-" + std::to_string(number++)));
+                const http_response next = caller.receive();
+                CHECK(next.status == 200);
+                CHECK(next.body == (route.isStream ? streamBody : "whole"));
+            }
+        }
+    }
+}
