Guards of the judgement of answers, and early answers whose upstream reads no more

An upstream may end its answer in order and leave the upload unread; the write then never ends, and the answer must not wait for it. The tests play it too.

--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -332,7 +332,7 @@
     early_replica_fixture fixture;
     for (const route_form &route : routeForms) {
         const std::string body = route.isStream ? streamBody : "whole";
-        for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndResets, early_end::Kept}) {
+        for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndIgnores, early_end::EndsAndResets, early_end::Kept}) {
             INFO(route.path << ", end " << static_cast<int>(end));
             fixture.play(end, [&](const std::string &id) {
                 return end == early_end::Kept ? answerOf(id, "200 OK", route.isStream)
--- a/tests/unit/early_upstream.h
+++ b/tests/unit/early_upstream.h
@@ -29,6 +29,7 @@
 enum class early_end {
     Reset, ///< Resets the connection without having ended its own direction.
     EndsAndReads, ///< Ends its own direction, and reads the request to its end.
+    EndsAndIgnores, ///< Ends its own direction, leaves the connection open, and reads nothing more.
     EndsAndResets, ///< Ends its own direction, and resets the connection a moment later.
     Kept, ///< Leaves the connection open, and reads the request to its end.
     Ignored, ///< Leaves the connection open, and reads nothing.
@@ -168,7 +169,7 @@
 
     task<> finish(socket_pointer socket, early_end end)
     {
-        if (end == early_end::EndsAndReads || end == early_end::EndsAndResets) {
+        if (end == early_end::EndsAndReads || end == early_end::EndsAndIgnores || end == early_end::EndsAndResets) {
             socket->shutdown(asio::ip::tcp::socket::shutdown_send);
         }
         if (end == early_end::Reset || end == early_end::EndsAndResets) {
@@ -178,7 +179,7 @@
             socket->close(); // The destructor would switch the option off.
             co_return;
         }
-        if (end == early_end::Ignored) {
+        if (end == early_end::Ignored || end == early_end::EndsAndIgnores) {
             m_ignored.push_back(std::move(socket));
             co_return;
         }
--- a/tests/unit/serving/early_answers_test.cpp
+++ b/tests/unit/serving/early_answers_test.cpp
@@ -41,7 +41,7 @@
 
 std::string describe(answer_framing framing, std::size_t sent, early_end end)
 {
-    static constexpr std::array ends = {"reset", "ends and reads on", "ends and resets", "kept", "ignored"};
+    static constexpr std::array ends = {"reset", "ends and reads on", "ends and ignores", "ends and resets", "kept", "ignored"};
     return std::string(toString(framing)) + ", " + std::to_string(sent) + " bytes, " + ends.at(static_cast<std::size_t>(end));
 }
 
@@ -115,7 +115,7 @@
     requireThatUploadsWait(upstream);
     for (const answer_framing framing : {answer_framing::Length, answer_framing::Chunks, answer_framing::ConnectionEnd}) {
         for (const std::size_t sent : {std::size_t(0), std::size_t(5), body.size()}) {
-            for (const early_end end : {early_end::Reset, early_end::EndsAndReads, early_end::EndsAndResets}) {
+            for (const early_end end : {early_end::Reset, early_end::EndsAndReads, early_end::EndsAndIgnores, early_end::EndsAndResets}) {
                 for (const bool isStreamed : {true, false}) {
                     INFO(describe(framing, sent, end) << (isStreamed ? ", streamed" : ""));
                     upstream.setScript([&](const std::string &head) {
@@ -211,7 +211,7 @@
 TEST_CASE("request_relay passes a whole early answer on, whose upstream ends in order while the request is written")
 {
     for (const request_kind kind : {request_kind::Idempotent, request_kind::AtMostOnce, request_kind::Stream}) {
-        for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndResets}) {
+        for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndIgnores, early_end::EndsAndResets}) {
             INFO("kind " << static_cast<int>(kind) << ", " << describe(answer_framing::ConnectionEnd, events.size(), end));
             relay_fixture fixture(kind);
             early_upstream upstream(nullptr);
