--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -242,6 +242,30 @@
     }
 }
 
+TEST_CASE("an answer whose head contradicts itself, or holds what no head may, reaches no caller")
+{
+    const std::string nul(1, '\0');
+    broken_replica_fixture fixture;
+    for (const std::string &fields : {std::string("Content-Length: 5\r\nContent-Length: 6\r\n"),
+                                      std::string("Content-Length: +5\r\n"),
+                                      std::string("Content-Length: -5\r\n"),
+                                      std::string("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+                                      std::string("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"),
+                                      "Content-Length: 5\r\nOwn: n" + nul + "ul\r\n",
+                                      std::string("Content-Length: 5\r\nOwn: re\rturn\r\n")}) {
+        INFO(fields);
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            return headOf(id, "200 OK", isStream) + fields + "\r\nwhole";
+        });
+    }
+    for (const std::string version : {"HTTP/1.2", "HTTP/2.0", "HTTP/11", "HTTQ/1.1"}) {
+        INFO(version);
+        fixture.checkRefused([&](const std::string &id, bool isStream) {
+            return version + answerOf(id, "200 OK", isStream).substr(version.size());
+        });
+    }
+}
+
 TEST_CASE("sound answers with a rare status, or without a reason, reach the caller whole")
 {
     broken_replica_fixture fixture;
