--- a/io/src/received_head.cpp
+++ b/io/src/received_head.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned switchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned lastStatus = 599;
+constexpr std::size_t mostQuotedBytes = 64; // Of a field, in a message.
 
 /// The transfer codings of a body, in their order, as one list.
 std::string codingsIn(const std::vector<http_field> &fields)
@@ -56,7 +57,7 @@
         return "found a change of protocols that was not asked for";
     }
     if (const std::string codings = codingsIn(head.fields); !codings.empty() && !isReadable(codings)) {
-        return "expected a body in chunks or not coded, found codings " + codings;
+        return "expected a body in chunks or not coded, found codings " + codings.substr(0, mostQuotedBytes);
     }
     return {};
 }
