--- a/tests/process/cut_heads_test.cpp
+++ b/tests/process/cut_heads_test.cpp
@@ -1,101 +1,36 @@
 #include "eventually.h"
 #include "gateway_fleet.h"
+#include "raw_upstream_thread.h"
 #include "test_connection.h"
-#include "unit/raw_upstream.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 using namespace banyan;
 using namespace banyan::process_tests;
 using banyan::tests::connection_end;
 using banyan::tests::raw_answer;
-using banyan::tests::raw_upstream;
 
 namespace {
 
-std::string fieldOf(const std::string &request, const std::string &name)
-{
-    const std::string mark = "\r\n" + name + ": ";
-    const std::size_t begin = request.find(mark);
-    return begin == std::string::npos ? "" : request.substr(begin + mark.size(), request.find("\r\n", begin + 2) - begin - mark.size());
-}
-
 std::string headFor(const std::string &id, bool chunked)
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: s\r\n"
            + (chunked ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" : "Content-Length: 5\r\n\r\n");
 }
 
-/// An upstream whose answers to requests with ids "cut…" end within their heads, and whose other answers are whole.
-class head_cutter
+/// Answers to requests with ids "cut…" end after so many bytes of their heads; the others are whole.
+raw_upstream_thread::script cutAt(std::size_t bytes, connection_end end, bool chunked)
 {
-public:
-    head_cutter()
-        : m_upstream(m_context,
-                     [this](const std::string &request, std::size_t) {
-                         return answer(request);
-                     })
-        , m_thread([this] {
-            m_context.run();
-        })
-    {
-    }
-
-    ~head_cutter()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    head_cutter(const head_cutter &) = delete;
-    head_cutter &operator=(const head_cutter &) = delete;
-
-    [[nodiscard]] endpoint address() const
-    {
-        return m_upstream.address();
-    }
-
-    /// The following answers end after so many bytes.
-    void cutAt(std::size_t bytes, connection_end end)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_bytes = bytes;
-        m_end = end;
-    }
-
-    int runsOf(const std::string &id)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_runs[id];
-    }
-
-private:
-    raw_answer answer(const std::string &request)
-    {
-        const std::lock_guard lock(m_mutex);
-        const std::string id = fieldOf(request, "Request-Id");
-        ++m_runs[id];
-        const std::string head = headFor(id, !fieldOf(request, "Model").empty());
+    return [=](const std::string &id, int) -> raw_answer {
         if (id.starts_with("cut")) {
-            return {.bytes = head.substr(0, m_bytes), .end = m_end};
+            return {.bytes = headFor(id, chunked).substr(0, bytes), .end = end};
         }
         return {.bytes = headFor(id, false) + "whole", .end = connection_end::Kept};
-    }
-
-    asio::io_context m_context;
-    std::mutex m_mutex;
-    std::size_t m_bytes = 0;
-    connection_end m_end = connection_end::Closed;
-    std::map<std::string, int> m_runs;
-    raw_upstream m_upstream;
-    std::thread m_thread;
-};
+    };
+}
 
 struct request_form
 {
@@ -108,7 +43,7 @@
 
 TEST_CASE("an answer that ends within its head reaches no caller as an answer, wherever it is cut")
 {
-    head_cutter upstream;
+    raw_upstream_thread upstream(cutAt(0, connection_end::Closed, false));
     gateway_fleet fleet({.gateways = 1, .replicas = 0});
     fleet.registerText("cutter",
                        R"({"service":"s","address":")" + upstream.address().toString()
@@ -130,7 +65,7 @@
                         continue;
                     }
                     const std::string id = "cut" + std::to_string(1000 + number++);
-                    upstream.cutAt(bytes, end);
+                    upstream.setScript(cutAt(bytes, end, !form.fields.empty()));
                     if (reused) {
                         REQUIRE(fleet.send(0, "/safe/1", "warm" + id).status == 200);
                     }
