--- a/io/include/banyan/io/http_client.h
+++ b/io/include/banyan/io/http_client.h
@@ -49,10 +49,6 @@
 };
 
 /// HTTP/1.1 towards outside systems, with reused connections.
-///
-/// What is no HTTP answer ends an exchange with http_error, and its connection is closed: a status below 100 or from 600 on, a change of
-/// protocols, transfer codings other than chunks. Interim answers (1xx) are skipped. An answer without a frame is whole only if its
-/// connection ended in order, also where the request is still being sent then.
 class http_client
 {
 public:
--- a/tests/process/broken_answers_test.cpp
+++ b/tests/process/broken_answers_test.cpp
@@ -284,8 +284,10 @@
     const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
     const std::string processing = "HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\n";
     const std::string hints = "HTTP/1.1 103 Early Hints\r\nRequest-Id: other\r\nLink: </a>\r\n\r\n";
+    std::string all = proceed;
+    all.append(processing).append(hints);
     broken_replica_fixture fixture;
-    for (const std::string &interim : {proceed, processing, hints, std::string("HTTP/1.1 199 Own\r\n\r\n"), proceed + processing + hints}) {
+    for (const std::string &interim : {proceed, processing, hints, std::string("HTTP/1.1 199 Own\r\n\r\n"), all}) {
         for (const route_form &route : routeForms) {
             for (const bool isReused : {false, true}) {
                 INFO(interim << route.path << (isReused ? ", reused connection" : ""));
@@ -326,7 +328,7 @@
     for (const connection_end end : {connection_end::Closed, connection_end::Reset}) {
         fixture.checkRefused(
             [&](const std::string &, bool) {
-                return proceed;
+                return std::string(proceed);
             },
             end);
     }
@@ -352,15 +354,14 @@
 
 TEST_CASE("a whole answer that ends in order, or has a frame, reaches the caller while its request is being written")
 {
-    const std::string unframed = "\r\n";
     early_replica_fixture fixture;
     for (const route_form &route : routeForms) {
         const std::string body = route.isStream ? streamBody : "whole";
+        const std::string unframed = "\r\n" + body;
         for (const early_end end : {early_end::EndsAndReads, early_end::EndsAndIgnores, early_end::EndsAndResets, early_end::Kept}) {
             INFO(route.path << ", end " << static_cast<int>(end));
             fixture.play(end, [&](const std::string &id) {
-                return end == early_end::Kept ? answerOf(id, "200 OK", route.isStream)
-                                              : headOf(id, "200 OK", route.isStream) + unframed + body;
+                return end == early_end::Kept ? answerOf(id, "200 OK", route.isStream) : headOf(id, "200 OK", route.isStream) + unframed;
             });
             const std::optional<http_response> answer = fixture.send(route);
             REQUIRE(answer.has_value());
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -83,10 +83,10 @@
 TEST_CASE("the store's client does not know the outcome of a change whose answer has a status that is none of HTTP's")
 {
     const std::string body = R"({"rows":[],"ver":7,"now_ms":1})";
+    const std::string rest = " No\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     for (const std::string status : {"000", "099", "600", "999"}) {
         INFO(status);
-        store_fixture fixture("HTTP/1.1 " + status + " No\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-                              connection_end::Kept);
+        store_fixture fixture(std::string("HTTP/1.1 ").append(status).append(rest), connection_end::Kept);
         CHECK_THROWS_WITH(fixture.run(fixture.port.commit({})), Catch::Contains("not an answer"));
         CHECK_THROWS_AS(fixture.run(fixture.port.commit({})), platform_outcome_unknown);
         CHECK_THROWS_AS(fixture.run(fixture.port.read({})), platform_unavailable);
