--- a/review/11/case.py
+++ b/review/11/case.py
@@ -91,7 +91,7 @@
         old.register(store, OLD, state="draining")
         record("the replica of the old service is draining")
         await asyncio.sleep(DRAIN_S + 1)
-        store.drop("servers", "i-old")
+        old.leave(store)
         record("the replica of the old service has left")
     ended_at = time.monotonic()
     record("traffic has ended")
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -31,6 +31,8 @@
 BLOB_SECONDS = 0.025
 BLOB_BYTES_A_SECOND = 80 * MEGABYTE
 BLOB_PIECE = 65536
+HEARTBEAT_SECONDS = 1.2  # heartbeat_ms
+QUEUE = 24  # Requests that a replica keeps waiting.
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -306,16 +308,39 @@
     def __init__(self, record, identity, slots=8):
         super().__init__()
         self.record, self.identity, self.slots = record, identity, slots
-        self.running = 0
+        self.running = self.waiting = 0
+        self._free = asyncio.Semaphore(slots)
+        self._heartbeat = None
         self.runs = []  # (time, Request-Id)
         self.born = int(time.time() * 1000)
         self.seq = 0
 
     def register(self, store, service, state="ready", zone="fukuoka"):
+        """Writes the entry, and again every heartbeat_ms until leave()."""
+        self.stop_checking_in()
+        self._check_in(store, service, state, zone)
+
+        async def check_in():
+            while True:
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+                self._check_in(store, service, state, zone)
+
+        self._heartbeat = asyncio.create_task(check_in())
+
+    def _check_in(self, store, service, state, zone):
         self.seq += 1
         store.set("servers", self.identity, {"service": service, "address": self.address, "zone": zone, "version": "v1",
                                              "slots": self.slots, "state": state, "cold_left_ms": 0, "seq": self.seq, "born": self.born})
 
+    def stop_checking_in(self):
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+            self._heartbeat = None
+
+    def leave(self, store):
+        self.stop_checking_in()
+        store.drop("servers", self.identity)
+
     async def handle(self, request, writer):
         identity = request.field("Request-Id")
         fields = {"Request-Id": identity, "Instance-Id": self.identity}
@@ -325,7 +350,7 @@
         if request.field("Expect-Instance") not in ("", self.identity):
             await self.answer(writer, 421, b"", fields)
             return None
-        if self.running >= self.slots:
+        if not await self._begin(request):
             await self.answer(writer, 503, b"", {**fields, "Not-Executed": "1"})
             return None
         self.running += 1
@@ -334,6 +359,21 @@
             return await self.run(request, writer, {**fields, "Response-Stamp": "3e1b.07.5a2.600.0.c9f2a4d1"})
         finally:
             self.running -= 1
+            self._free.release()
+
+    async def _begin(self, request):
+        """Waits for a slot, in a queue of a few requests. False if the queue is full, or the request's time is over before."""
+        if self._free.locked() and self.waiting >= QUEUE:
+            return False
+        limit = request.field("Deadline-Ms")
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self._free.acquire(), int(limit) / 1000 if limit else None)
+            return True
+        except asyncio.TimeoutError:
+            return False
+        finally:
+            self.waiting -= 1
 
     async def run(self, request, writer, fields):
         """Answers with a small body after 15 ms, the work of the sheets' application services."""
