--- a/review/common-3/beyond/json_tree.py
+++ b/review/common-3/beyond/json_tree.py
@@ -23,10 +23,9 @@
 
 async def case(record, folder, gateways, trouble):
     store = await h.Store().start()
-    desk = await h.SlowDesk(record, "i-1", slots=ORDINARY).start()
     store.set("op", "config", h.configuration([h.route("plan", "bulk", "rota-writer", completion_window_ms=18000, retention_s=60),
                                                h.desk_route()], ["rota-writer", h.DESK_SERVICE]))
-    desk.register(store, h.DESK_SERVICE)
+    desks = await h.start_desks(record, store)
     gateway = h.Gateway(folder, record, "front-1", store, MEMORY_MB)
     gateways.append(gateway)
     gateway.start()
@@ -34,7 +33,7 @@
     limit = h.MemoryLimit(record, gateways)
     record(f"memory in calm: {gateway.status('VmHWM')} KiB")
 
-    ordinary = h.OrdinaryRequests(record, desk)
+    ordinary = h.OrdinaryRequests(record, desks)
     await ordinary.send(gateway, ORDINARY)
     bodies = [b'{"items":[0]}'] * 2
     if trouble:
--- a/review/common-3/beyond/slow_results.py
+++ b/review/common-3/beyond/slow_results.py
@@ -58,8 +58,7 @@
     replicas = [await Writer(record, f"i-{number + 2}").start() for number in range(2)]
     store.set("op", "config", h.configuration([h.route("plan", "bulk", "rota-writer", completion_window_ms=18000, retention_s=60),
                                                h.desk_route()], ["rota-writer", h.DESK_SERVICE]))
-    desk = await h.SlowDesk(record, "i-1", slots=ORDINARY).start()
-    desk.register(store, h.DESK_SERVICE)
+    desks = await h.start_desks(record, store)
     for replica in replicas:
         replica.register(store, "rota-writer")
     gateway = h.Gateway(folder, record, "front-1", store, MEMORY_MB)
@@ -83,7 +82,7 @@
     limit.check(gateway)
     record(f"{count} results listed, the last item runs; peak of front-1: {limit.peaks[('front-1', 1)]} KiB")
 
-    ordinary = h.OrdinaryRequests(record, desk)
+    ordinary = h.OrdinaryRequests(record, desks)
     await ordinary.send(gateway, ORDINARY)
     readers = []
     for number in range(READERS):
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -355,6 +355,7 @@
             return None
         self.running += 1
         self.runs.append((time.monotonic(), identity))
+        self.record(f"{self.identity} runs {identity}, {request.method} {request.path}")
         try:
             return await self.run(request, writer, {**fields, "Response-Stamp": "3e1b.07.5a2.600.0.c9f2a4d1"})
         finally:
@@ -644,6 +645,15 @@
 
 
 DESK_SERVICE = "visit-desk"
+DESKS, DESK_SLOTS = 4, 6  # As on the sheet of Nekomori.
+
+
+async def start_desks(record, store, kind=SlowDesk):
+    """Starts and registers the replicas of the application service."""
+    desks = [await kind(record, f"i-desk-{number}", DESK_SLOTS).start() for number in range(DESKS)]
+    for desk in desks:
+        desk.register(store, DESK_SERVICE)
+    return desks
 
 
 def desk_route():
@@ -659,8 +669,8 @@
 
     ALLOWED = 3
 
-    def __init__(self, record, replica):
-        self._record, self._replica = record, replica
+    def __init__(self, record, replicas):
+        self._record, self._replicas = record, replicas
         self._tasks = []
         self._begun = 0
 
@@ -678,9 +688,9 @@
             await connection.send("POST", "/desk/slow", {"Request-Id": identity, "Deadline-Ms": "8000"}, b"visit")
             self._tasks.append(asyncio.create_task(self._receive(gateway.name, identity, connection)))
         for _ in range(300):
-            run = {known for _, known in self._replica.runs}
+            run = {known for replica in self._replicas for _, known in replica.runs}
             if run.issuperset(identities):
-                self._record(f"{count} requests on kept channels of {gateway.name} run at the replica")
+                self._record(f"{count} requests on kept channels of {gateway.name} run at replicas")
                 return
             await asyncio.sleep(0.01)
         raise CouldNotRun("ordinary requests do not reach the replica")
