Gauges and a log line say what the items of a job wait for

Nothing in logs or metrics told why: whether they wait in another gateway's queue, for a rate limit, for their route or for a service.

Gauges count the waiting items and the age of the oldest by route and service, and those whose service has no upstream that accepts work; job_waits says it for each job, with the version of the configuration by which the service was chosen.

--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -136,7 +136,7 @@
             co_await self->sleep(stoppedPartDelay);
             continue;
         }
-        const item_step step = co_await self->runOnce(job, index, *jobRoute, *state.progress);
+        const item_step step = co_await self->runOnce(job, index, *jobRoute, table->configuration().version, *state.progress);
         if (step != item_step::RunAgain) {
             const bool succeeded = step == item_step::Succeeded;
             self->finish(job, index, {.item = job->items[index].id, .succeeded = succeeded, .output = state.progress->output()});
@@ -150,8 +150,11 @@
 
 /// One run of an item, from the claim of a slot to the end of the attempt. Each run has its own slot id, since the release of
 /// one run may arrive after the claim of the next.
-task<item_step>
-listed_job_service::implementation::runOnce(job_pointer job, std::size_t index, const route &jobRoute, item_progress &progress)
+task<item_step> listed_job_service::implementation::runOnce(job_pointer job,
+                                                            std::size_t index,
+                                                            const route &jobRoute,
+                                                            std::uint64_t configurationVersion,
+                                                            item_progress &progress)
 {
     item_state &state = job->states[index];
     ++state.runs;
@@ -190,7 +193,9 @@
     auto onReclaim = [job, index] {
         job->states[index].stopSignal.stop();
     };
+    state.wait = {.service = service, .since = currentTime(), .configurationVersion = configurationVersion};
     const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), state.stopSignal, std::move(onReclaim));
+    state.wait.reset();
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     if (granted == nullptr) {
         if (std::holds_alternative<slot_rejected>(outcome)) {
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -19,8 +19,9 @@
 
 struct replica;
 
-/// Implementation of listed_job_service, in four source files: submissions and queries (listed_job_service.cpp), ownership of
-/// jobs (job_takeover.cpp), runs of items (item_runs.cpp), and the recording of results and checkpoints (job_listing.cpp).
+/// Implementation of listed_job_service, in five source files: submissions and queries (listed_job_service.cpp), ownership of
+/// jobs (job_takeover.cpp), runs of items (item_runs.cpp), their waits for slots (item_waits.cpp), and the recording of results and
+/// checkpoints (job_listing.cpp).
 class listed_job_service::implementation : public std::enable_shared_from_this<listed_job_service::implementation>
 {
 public:
@@ -111,7 +112,7 @@
     task<std::string> releaseOwnership(job_entry entry, std::vector<item_checkpoint> checkpoints);
     static task<> sweepLoop(self_pointer self);
     static task<> runItem(self_pointer self, job_pointer job, std::size_t index);
-    task<item_step> runOnce(job_pointer job, std::size_t index, const route &jobRoute, item_progress &progress);
+    task<item_step> runOnce(job_pointer job, std::size_t index, const route &jobRoute, std::uint64_t configurationVersion, item_progress &progress);
     task<attempt_report> sendItem(job_pointer job, std::size_t index, const replica &upstream, item_progress &progress);
     void finish(const job_pointer &job, std::size_t index, listed_result result);
     static task<> recordResultsLoop(self_pointer self, job_pointer job);
@@ -120,6 +121,10 @@
     task<bool> recordNextResults(job_pointer job);
     task<> handleRowConflict(job_pointer job);
     [[nodiscard]] static std::vector<listed_result> nextResults(const running_job &job);
+    static task<> reviewWaitsLoop(self_pointer self);
+    void reviewWaits(time_point now);
+    void reportWaits(time_point now);
+    void logWaits(time_point now);
     task<> sleep(duration time);
     [[nodiscard]] std::uint32_t priorityOf(const job_entry &entry, const route &jobRoute) const;
     [[nodiscard]] request_id slotId(const running_job &job, std::size_t index) const;
@@ -139,6 +144,10 @@
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
     time_point m_takeoversCheckedAt = currentTime();
+    std::set<std::string> m_waitGauges; ///< Names of the gauges of waiting items that are not 0.
+    time_point m_waitsReportedAt;
+    time_point m_waitsLoggedAt;
+    bool m_reviewsWaits = false; ///< Whether reviewWaitsLoop() runs.
     bool m_handingOver = false;
     std::uint64_t m_startedJobs = 0; ///< Number of jobs started so far; gives each running_job its serial number.
 };
--- a/io/src/serving/listed_job_service.cpp
+++ b/io/src/serving/listed_job_service.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace banyan {
 
@@ -138,6 +139,9 @@
     }
     asio::co_spawn(m_ports.context, recordResultsLoop(shared_from_this(), job), asio::detached);
     asio::co_spawn(m_ports.context, checkpointLoop(shared_from_this(), job), asio::detached);
+    if (!std::exchange(m_reviewsWaits, true)) {
+        asio::co_spawn(m_ports.context, reviewWaitsLoop(shared_from_this()), asio::detached);
+    }
 }
 
 void listed_job_service::implementation::stopJob(const job_pointer &job, std::string_view how)
