Items that wait for a slot follow their route and its services

Cause: a run chose its service by the route when it claimed a slot, and the claim then waited as long as it took. A batch claim ends by a grant, by the end of its job, or by a change of the job's owner; neither a new configuration nor the loss of the service's upstreams reached it, nor did the item's retention.

Change: what a claim asks for (service, software version, priority, target, deadline) follows from the configuration and the upstreams by one function, claimTermsFor(). The node that runs the job compares each waiting claim with it after a change of either, withdraws those that differ, and the item claims anew. An item whose route is removed is listed as errored, one that still waits at its retention too. It works because nothing is decided at the begin of a wait any more that is not looked at again: every input of the decision is one of the two that end it, or the time.

A withdrawn claim is no run: no attempt is counted and no delay follows. A grant that crosses with it starts no run and is given back. Claims are made anew in portions of 200 each 100 ms.

--- a/core/include/banyan/core/serving/item_progress.h
+++ b/core/include/banyan/core/serving/item_progress.h
@@ -33,6 +33,9 @@
 public:
     explicit item_progress(const item_progress_options &options);
 
+    /// Replaces the options, after a change of the configuration.
+    void setOptions(const item_progress_options &options);
+
     /// Resumes from the checkpoint stored by an earlier owner of the job.
     void restore(const item_checkpoint &checkpoint);
 
@@ -73,6 +76,10 @@
         return m_options.expiresAt;
     }
 
+    /// When an item that waits for a slot since @p since is given up: when it expires, but not before it has waited for some seconds,
+    /// since its job may have changed hands meanwhile.
+    [[nodiscard]] time_point waitEndsAt(time_point since) const;
+
     /// How long to wait before the next run.
     [[nodiscard]] duration retryDelay() const;
 
--- a/core/include/banyan/core/serving/route.h
+++ b/core/include/banyan/core/serving/route.h
@@ -12,6 +12,8 @@
 
 namespace banyan {
 
+class service_availability;
+
 /// The requests of one host and path prefix: the services that run them, their latency targets and their limits.
 struct route
 {
@@ -44,4 +46,8 @@
 /// @throws std::invalid_argument if the route has no service
 [[nodiscard]] const service_name &serviceFor(const route &requestRoute, const request_id &request);
 
+/// The same, but if that service is not served, one of those that are, chosen by weight as well. If none is, the one above.
+[[nodiscard]] const service_name &
+serviceFor(const route &requestRoute, const request_id &request, const service_availability &availability);
+
 } // namespace banyan
--- a/core/src/serving/item_progress.cpp
+++ b/core/src/serving/item_progress.cpp
@@ -11,6 +11,7 @@
 constexpr duration initialDelay = std::chrono::milliseconds(50); ///< Doubled after each run without progress.
 constexpr duration maximumDelay = std::chrono::seconds(1);
 constexpr std::uint32_t maximumDoublings = 6;
+constexpr duration minimumWait = std::chrono::seconds(5); ///< For a slot, also of an item that has expired.
 
 } // namespace
 
@@ -19,6 +20,11 @@
 {
 }
 
+void item_progress::setOptions(const item_progress_options &options)
+{
+    m_options = options;
+}
+
 void item_progress::restore(const item_checkpoint &checkpoint)
 {
     m_position = stream_position(checkpoint.lastEvent);
@@ -88,6 +94,11 @@
     return item_step::RunAgain;
 }
 
+time_point item_progress::waitEndsAt(time_point since) const
+{
+    return std::max(m_options.expiresAt, since + minimumWait);
+}
+
 duration item_progress::retryDelay() const
 {
     if (m_runsWithoutProgress == 0) {
--- a/io/include/banyan/io/serving/scheduler_host.h
+++ b/io/include/banyan/io/serving/scheduler_host.h
@@ -3,6 +3,7 @@
 #include "banyan/core/serving/load_board.h"
 #include "banyan/core/serving/replica.h"
 #include "banyan/core/serving/request_scheduler.h"
+#include "banyan/core/serving/service_availability.h"
 #include "banyan/core/serving/slot_action.h"
 #include "banyan/core/serving/slot_request.h"
 #include "banyan/io/asio_types.h"
@@ -66,6 +67,12 @@
         return m_upstreams.size();
     }
 
+    /// Which services have an upstream that accepts work.
+    [[nodiscard]] const service_availability &availability() const
+    {
+        return m_availability;
+    }
+
     /// The registered upstreams of a service.
     [[nodiscard]] const std::vector<const replica *> &upstreamsOf(const service_name &service) const;
 
@@ -94,6 +101,7 @@
     request_scheduler m_scheduler;
     std::map<upstream_id, replica> m_upstreams;
     std::map<service_name, std::vector<const replica *>> m_byService;
+    service_availability m_availability;
     std::map<request_id, std::function<void(const slot_outcome &)>> m_decisionHandlers;
     std::map<request_id, std::function<void()>> m_reclaimHandlers;
     std::function<void()> m_usageChanged;
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -58,14 +58,6 @@
     return upstream != nullptr && !upstream->draining;
 }
 
-/// Whether an upstream of the service can continue the output so far.
-bool canBeContinued(const item_progress &progress, const std::vector<const replica *> &upstreams)
-{
-    return !progress.version().empty() && std::any_of(upstreams.begin(), upstreams.end(), [&](const replica *upstream) {
-        return isUsable(upstream) && upstream->softwareVersion == progress.version();
-    });
-}
-
 } // namespace
 
 std::vector<http_field> listed_job_service::implementation::fieldsOf(const job_item &item)
@@ -120,10 +112,12 @@
             co_await self->sleep(storeRetryDelay);
             continue;
         }
-        if (!state.progress) {
-            const duration retention = jobRoute->retention > duration(0) ? jobRoute->retention : defaultRetention;
-            state.progress.emplace(
-                item_progress_options{.maximumFailures = jobRoute->maximumAttempts, .expiresAt = job->entry.submittedAt + retention});
+        const duration retention = jobRoute->retention > duration(0) ? jobRoute->retention : defaultRetention;
+        const item_progress_options options{.maximumFailures = jobRoute->maximumAttempts, .expiresAt = job->entry.submittedAt + retention};
+        if (state.progress) {
+            state.progress->setOptions(options);
+        } else {
+            state.progress.emplace(options);
             if (state.restored) {
                 state.progress->restore(*state.restored);
             }
@@ -136,13 +130,18 @@
             co_await self->sleep(stoppedPartDelay);
             continue;
         }
+        if (state.wait && currentTime() >= state.progress->waitEndsAt(state.wait->since)) {
+            logItemWait("item_given_up", *job, index, currentTime());
+            self->finish(job, index, {.item = job->items[index].id, .succeeded = false, .output = state.progress->output()});
+            co_return;
+        }
         const item_step step = co_await self->runOnce(job, index, *jobRoute, table->configuration().version, *state.progress);
         if (step != item_step::RunAgain) {
             const bool succeeded = step == item_step::Succeeded;
             self->finish(job, index, {.item = job->items[index].id, .succeeded = succeeded, .output = state.progress->output()});
             co_return;
         }
-        if (state.progress->retryDelay() > duration(0)) {
+        if (!state.wait && state.progress->retryDelay() > duration(0)) {
             co_await self->sleep(state.progress->retryDelay());
         }
     }
@@ -162,8 +161,8 @@
     std::erase_if(state.unusableUpstreams, [this](const upstream_id &upstream) {
         return isUsable(m_ports.slots.scheduler().find(upstream));
     });
-    const service_name &service = serviceFor(jobRoute, request_id(job->items[index].id));
-    if (progress.hasOutput() && !canBeContinued(progress, m_ports.slots.scheduler().upstreamsOf(service))) {
+    const claim_terms terms = termsOf(*job, index, jobRoute);
+    if (progress.hasOutput() && terms.version.empty()) {
         logEvent(log_level::Info,
                  "item_restarted",
                  {{"job", job->entry.id.text()}, {"item", job->items[index].id}, {"version", progress.version()}});
@@ -173,15 +172,15 @@
         state.checkpointedEvent = 0;
     }
     slot_request request{.id = id,
-                         .service = service,
+                         .service = terms.service,
                          .workClass = work_class::Batch,
-                         .priority = priorityOf(job->entry, jobRoute),
+                         .priority = terms.priority,
                          .arrivedAt = currentTime(),
-                         .target = job->entry.submittedAt + jobRoute.completionWindow,
-                         .deadline = job->entry.submittedAt + std::max(jobRoute.retention, jobRoute.completionWindow),
+                         .target = terms.target,
+                         .deadline = terms.deadline,
                          .repeatable = true,
                          .continues = progress.hasOutput(),
-                         .version = progress.version(),
+                         .version = terms.version,
                          .excluded = state.unusableUpstreams,
                          .earlierRunTime = state.earlierRunTime,
                          .origin = originOf(job->entry.id),
@@ -193,9 +192,11 @@
     auto onReclaim = [job, index] {
         job->states[index].stopSignal.stop();
     };
-    state.wait = {.service = service, .since = currentTime(), .configurationVersion = configurationVersion};
+    const time_point since = state.wait ? state.wait->since : currentTime();
+    state.wait = {.terms = terms, .since = since, .configurationVersion = configurationVersion};
+    state.isClaiming = true;
     const slot_broker::slot_outcome outcome = co_await m_ports.slots.acquire(std::move(request), state.stopSignal, std::move(onReclaim));
-    state.wait.reset();
+    state.isClaiming = false;
     const auto *const granted = std::get_if<slot_granted>(&outcome);
     if (granted == nullptr) {
         if (std::holds_alternative<slot_rejected>(outcome)) {
@@ -203,10 +204,11 @@
         }
         co_return item_step::RunAgain;
     }
+    state.wait.reset();
     const upstream_id upstream = granted->upstream;
     const replica *const registered = m_ports.slots.scheduler().find(upstream);
     attempt_report report{.result = {.outcome = attempt_outcome::Cancelled}};
-    const bool usable = isUsable(registered) && registered->hasVersion(progress.version());
+    const bool usable = isUsable(registered) && registered->service == terms.service && registered->hasVersion(terms.version);
     if (!usable) {
         state.unusableUpstreams.push_back(upstream);
         report.error = "granted, but not known here or draining";
--- a/io/src/serving/item_wait.h
+++ b/io/src/serving/item_wait.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "banyan/core/identifier.h"
+#include "banyan/core/serving/claim_terms.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -11,9 +11,9 @@
 /// The wait of an item for a slot.
 struct item_wait
 {
-    service_name service; ///< Whose slot the item waits for.
-    time_point since; ///< Begin of the wait, which may have begun for another service.
-    std::uint64_t configurationVersion = 0; ///< By which the service was chosen.
+    claim_terms terms; ///< Of the claim that waits.
+    time_point since; ///< Begin of the wait, which may have begun with another claim.
+    std::uint64_t configurationVersion = 0; ///< From which the terms follow.
 
     auto operator<=>(const item_wait &) const = default;
 };
--- a/io/src/serving/item_waits.cpp
+++ b/io/src/serving/item_waits.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration reviewInterval = std::chrono::milliseconds(100);
+constexpr std::size_t withdrawalsPerReview = 200; // As many claims as the items of one job make at once.
 constexpr duration waitReportInterval = std::chrono::seconds(1);
 constexpr duration longWait = std::chrono::seconds(5); // From which on a wait is logged.
 constexpr duration waitLogInterval = std::chrono::seconds(10);
@@ -42,8 +43,8 @@
     auto last = summaries.end(); // Most items of a job wait for the same service.
     for (std::size_t index = 0; index < job.items.size(); ++index) {
         if (const std::optional<item_wait> &wait = job.states[index].wait) {
-            if (last == summaries.end() || last->first.second != wait->service) {
-                last = summaries.try_emplace({name, wait->service}).first;
+            if (last == summaries.end() || last->first.second != wait->terms.service) {
+                last = summaries.try_emplace({name, wait->terms.service}).first;
             }
             last->second.add(*wait, job.items[index].id);
         }
@@ -57,6 +58,11 @@
     }));
 }
 
+bool isWaitOver(const item_state &state, time_point now)
+{
+    return now >= state.progress->waitEndsAt(state.wait->since);
+}
+
 } // namespace
 
 /// Runs while this node runs jobs.
@@ -72,6 +78,7 @@
 
 void listed_job_service::implementation::reviewWaits(time_point now)
 {
+    endOutdatedWaits(now);
     if (now - m_waitsReportedAt >= waitReportInterval) {
         m_waitsReportedAt = now;
         reportWaits(now);
@@ -82,6 +89,73 @@
     }
 }
 
+/// Withdraws the claims that wait under terms that no longer hold, so that their items claim anew or are given up. They all are looked
+/// at after a change of the configuration or of the upstreams, and those of expired jobs each second.
+void listed_job_service::implementation::endOutdatedWaits(time_point now)
+{
+    const service_availability &availability = m_ports.slots.scheduler().availability();
+    const bool haveTermsChanged = m_table != m_reviewedTable || availability != m_reviewedAvailability;
+    const bool isExpiryDue = now - m_waitsReportedAt >= waitReportInterval;
+    if (haveTermsChanged || (isExpiryDue && m_waitsToReview.empty())) {
+        m_reviewedTable = m_table;
+        m_reviewedAvailability = availability;
+        m_waitsToReview.clear();
+        for (const auto &[id, job] : m_running) {
+            for (std::size_t index = 0; index < job->items.size(); ++index) {
+                if (job->states[index].isClaiming && (haveTermsChanged || isWaitOver(job->states[index], now))) {
+                    m_waitsToReview.push_back({.job = job, .index = index});
+                }
+            }
+        }
+    }
+    std::size_t withdrawn = 0;
+    while (!m_waitsToReview.empty() && withdrawn < withdrawalsPerReview) {
+        const reviewed_item next = m_waitsToReview.front();
+        m_waitsToReview.pop_front();
+        item_state &state = next.job->states[next.index];
+        if (state.isClaiming && !next.job->stopped && isOutdated(*next.job, next.index, now)) {
+            ++withdrawn;
+            logItemWait("item_claim_withdrawn", *next.job, next.index, now);
+            m_ports.metrics.count("item_claim_withdrawn");
+            state.stopSignal.stop();
+        }
+    }
+}
+
+/// Whether a claim that waits has to be made anew or given up.
+bool listed_job_service::implementation::isOutdated(const running_job &job, std::size_t index, time_point now) const
+{
+    const item_state &state = job.states[index];
+    const route *const jobRoute = m_table ? m_table->findByName(job.entry.route) : nullptr;
+    if (jobRoute == nullptr) {
+        return m_table != nullptr; // The route was removed.
+    }
+    return isWaitOver(state, now) || termsOf(job, index, *jobRoute) != state.wait->terms;
+}
+
+claim_terms listed_job_service::implementation::termsOf(const running_job &job, std::size_t index, const route &jobRoute) const
+{
+    const std::optional<item_progress> &progress = job.states[index].progress;
+    return claimTermsFor({.job = job.entry,
+                          .jobRoute = jobRoute,
+                          .item = request_id(job.items[index].id),
+                          .priority = priorityOf(job.entry, jobRoute),
+                          .outputVersion = progress && progress->hasOutput() ? progress->version() : std::string()},
+                         m_ports.slots.scheduler().availability());
+}
+
+void listed_job_service::implementation::logItemWait(std::string_view event, const running_job &job, std::size_t index, time_point now)
+{
+    const item_wait &wait = *job.states[index].wait;
+    logEvent(log_level::Info,
+             event,
+             {{"job", job.entry.id.text()},
+              {"item", job.items[index].id},
+              {"service", wait.terms.service.text()},
+              {"waited_us", std::to_string((now - wait.since).count())},
+              {"configuration_version", std::to_string(wait.configurationVersion)}});
+}
+
 /// Sets the gauges of waiting items.
 void listed_job_service::implementation::reportWaits(time_point now)
 {
--- a/io/src/serving/job_listing.cpp
+++ b/io/src/serving/job_listing.cpp
@@ -20,6 +20,7 @@
         return;
     }
     job->states[index].hasResult = true;
+    job->states[index].wait.reset();
     job->add(std::move(result));
     job->changed.notify();
 }
--- a/io/src/serving/listed_job_implementation.h
+++ b/io/src/serving/listed_job_implementation.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/serving/job_directory.h"
 #include "banyan/core/serving/prompt_run.h"
+#include "banyan/core/serving/service_availability.h"
 #include "banyan/io/clock.h"
 #include "banyan/io/serving/listed_job_service.h"
 #include "banyan/io/serving/upstream_sender.h"
@@ -9,6 +10,7 @@
 #include "quota_reservations.h"
 #include "running_job.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -112,7 +114,8 @@
     task<std::string> releaseOwnership(job_entry entry, std::vector<item_checkpoint> checkpoints);
     static task<> sweepLoop(self_pointer self);
     static task<> runItem(self_pointer self, job_pointer job, std::size_t index);
-    task<item_step> runOnce(job_pointer job, std::size_t index, const route &jobRoute, std::uint64_t configurationVersion, item_progress &progress);
+    task<item_step>
+    runOnce(job_pointer job, std::size_t index, const route &jobRoute, std::uint64_t configurationVersion, item_progress &progress);
     task<attempt_report> sendItem(job_pointer job, std::size_t index, const replica &upstream, item_progress &progress);
     void finish(const job_pointer &job, std::size_t index, listed_result result);
     static task<> recordResultsLoop(self_pointer self, job_pointer job);
@@ -123,6 +126,10 @@
     [[nodiscard]] static std::vector<listed_result> nextResults(const running_job &job);
     static task<> reviewWaitsLoop(self_pointer self);
     void reviewWaits(time_point now);
+    void endOutdatedWaits(time_point now);
+    [[nodiscard]] bool isOutdated(const running_job &job, std::size_t index, time_point now) const;
+    [[nodiscard]] claim_terms termsOf(const running_job &job, std::size_t index, const route &jobRoute) const;
+    static void logItemWait(std::string_view event, const running_job &job, std::size_t index, time_point now);
     void reportWaits(time_point now);
     void logWaits(time_point now);
     task<> sleep(duration time);
@@ -144,6 +151,15 @@
     std::map<job_id, job_pointer> m_running;
     std::set<job_id> m_takingOver;
     time_point m_takeoversCheckedAt = currentTime();
+    /// A waiting item whose claim may be out of date.
+    struct reviewed_item
+    {
+        job_pointer job;
+        std::size_t index = 0;
+    };
+    std::deque<reviewed_item> m_waitsToReview;
+    std::shared_ptr<const route_table> m_reviewedTable; ///< By which all waits were reviewed, or are in m_waitsToReview.
+    service_availability m_reviewedAvailability; ///< The same.
     std::set<std::string> m_waitGauges; ///< Names of the gauges of waiting items that are not 0.
     time_point m_waitsReportedAt;
     time_point m_waitsLoggedAt;
--- a/io/src/serving/running_job.h
+++ b/io/src/serving/running_job.h
@@ -29,7 +29,8 @@
     std::optional<time_point> sentAt; ///< When the current run was sent to its upstream; empty while there is none.
     std::optional<item_progress> progress; ///< Set when the item is run for the first time.
     std::optional<item_checkpoint> restored; ///< Checkpoint stored by an earlier owner of the job.
-    std::optional<item_wait> wait; ///< Empty while the item does not wait for a slot.
+    std::optional<item_wait> wait; ///< Empty while the item has a slot, and before its first claim.
+    bool isClaiming = false; ///< Whether a claim waits for a slot.
     bool hasResult = false;
     std::uint64_t checkpointedEvent = 0; ///< Id of the last event in the stored checkpoint; 0 for none.
 };
--- a/io/src/serving/scheduler_host.cpp
+++ b/io/src/serving/scheduler_host.cpp
@@ -77,6 +77,7 @@
         const auto entry = m_upstreams.emplace(upstream.id, upstream).first;
         m_byService[upstream.service].push_back(&entry->second);
     }
+    m_availability = service_availability(upstreams);
     perform(m_scheduler.setUpstreams(upstreams, currentTime()));
 }
 
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -80,6 +80,7 @@
         arguments.insert(arguments.end(), {"--software", version});
     }
     m_versions.push_back(version.empty() ? "v1" : version);
+    m_services.emplace_back("s");
     m_replicas.push_back(
         std::make_unique<child_process>(child_process::options{.program = "tests/replica_standin", .arguments = arguments}));
     m_replicaAddresses.push_back(endpoint::parse(m_replicas.back()->readyValue("address")));
@@ -175,7 +176,12 @@
 
 void gateway_fleet::unregisterReplica(std::size_t index) const
 {
-    sendRow({{"table", "servers"}, {"key", "replica-" + std::to_string(index)}, {"deleted", true}});
+    removeUpstream("replica-" + std::to_string(index));
+}
+
+void gateway_fleet::removeUpstream(const std::string &id) const
+{
+    sendRow({{"table", "servers"}, {"key", id}, {"deleted", true}});
 }
 
 void gateway_fleet::registerText(const std::string &id, const std::string &text) const
@@ -193,10 +199,22 @@
 
 void gateway_fleet::configure(int version, const std::vector<std::string> &keys) const
 {
-    json::array routes = {routeJson("safe", "safe", m_gapTarget),
-                          routeJson("once", "unsafe", m_gapTarget),
-                          routeJson("stream", "streaming", m_gapTarget),
-                          routeJson("jobs", "bulk", m_gapTarget)};
+    json::array routes = {
+        routeJson("safe", "safe", m_gapTarget), routeJson("once", "unsafe", m_gapTarget), routeJson("stream", "streaming", m_gapTarget)};
+    json::array services = {json::object{{"name", "s"}, {"max_conns", 100}}};
+    if (!m_jobServices.empty()) {
+        json::object jobs = routeJson("jobs", "bulk", m_gapTarget);
+        jobs.erase("service");
+        json::array split;
+        for (const auto &[service, weight] : m_jobServices) {
+            split.push_back(json::object{{"service", service}, {"weight", weight}});
+            if (service != "s") {
+                services.push_back(json::object{{"name", service}, {"max_conns", 100}});
+            }
+        }
+        jobs["traffic_split"] = split;
+        routes.push_back(std::move(jobs));
+    }
     json::object limited = routeJson("limited", "bulk", m_gapTarget);
     limited["cap"] = limitedTokens;
     routes.push_back(std::move(limited));
@@ -214,20 +232,41 @@
             {"version", version},
             {"tenants", organisations},
             {"routes", routes},
-            {"services", json::array{json::object{{"name", "s"}, {"max_conns", 100}}}},
+            {"services", services},
             {"limits",
              json::object{
                  {"max_header_bytes", 4096}, {"max_body_bytes", m_maximumBody}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 15000}}}});
 }
 
 void gateway_fleet::registerReplica(std::size_t index, const std::string &state, int startedAt) const
+{
+    registerUpstream(
+        "replica-" + std::to_string(index), m_replicasForGateways.at(index), m_services.at(index), m_versions.at(index), state, startedAt);
+}
+
+void gateway_fleet::setJobServices(std::vector<std::pair<std::string, int>> services)
+{
+    m_jobServices = std::move(services);
+}
+
+void gateway_fleet::setServiceOf(std::size_t index, const std::string &service)
+{
+    m_services.at(index) = service;
+}
+
+void gateway_fleet::registerUpstream(const std::string &id,
+                                     const endpoint &address,
+                                     const std::string &service,
+                                     const std::string &version,
+                                     const std::string &state,
+                                     int startedAt) const
 {
     setRow("servers",
-           "replica-" + std::to_string(index),
-           json::object{{"service", "s"},
-                        {"address", m_replicasForGateways.at(index).toString()},
+           id,
+           json::object{{"service", service},
+                        {"address", address.toString()},
                         {"zone", "d"},
-                        {"version", m_versions.at(index)},
+                        {"version", version},
                         {"slots", m_slots},
                         {"state", state},
                         {"born", startedAt},
--- a/tests/process/gateway_fleet.h
+++ b/tests/process/gateway_fleet.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace banyan::process_tests {
@@ -71,10 +72,22 @@
     /// Puts a configuration with that version; later versions have one more route, "/added/".
     /// The organisation "own" then has the keys; if there never were any, no keys are required.
     void configure(int version, const std::vector<std::string> &keys = {}) const;
+    /// The services of the route "/jobs/" with their weights, in the configurations from now on; none removes the route.
+    void setJobServices(std::vector<std::pair<std::string, int>> services);
+    /// The service for which a replica registers from now on; "s" at first.
+    void setServiceOf(std::size_t index, const std::string &service);
+    /// Writes the registration of any replica.
+    void registerUpstream(const std::string &id,
+                          const endpoint &address,
+                          const std::string &service,
+                          const std::string &version,
+                          const std::string &state = "ready",
+                          int startedAt = firstStart) const;
     /// Writes a replica's registration; another time of start makes it a new start of the replica.
     void registerReplica(std::size_t index, const std::string &state = "ready", int startedAt = firstStart) const;
     /// Removes a replica's registration.
     void unregisterReplica(std::size_t index) const;
+    void removeUpstream(const std::string &id) const;
     /// Writes any text as a registration, as another writer might.
     void registerText(const std::string &id, const std::string &text) const;
     void setStoreFaults(const boost::json::object &faults) const;
@@ -131,6 +144,8 @@
     std::vector<std::unique_ptr<child_process>> m_replicas;
     std::vector<endpoint> m_replicaAddresses;
     std::vector<std::string> m_versions;
+    std::vector<std::string> m_services; ///< Of each replica.
+    std::vector<std::pair<std::string, int>> m_jobServices{{"s", 1}};
     std::vector<endpoint> m_replicasForGateways;
     std::vector<std::unique_ptr<gateway_process>> m_gateways;
 };
