The output of an item is not continued by another service

Callers would see: an item whose text is joined from the events of two services. A run ends with a part of its output (its upstream is lost, its slot is reclaimed, its gateway dies) after the route has moved; the next run asks the new service to go on after the last event.

Cause: an output was known by the software version that made it. Two services may have upstreams of the same version name; the checks by version at the claim, at the grant and after a takeover then let the other one continue.

Change: the output is known by its origin, service and version, as streams are. While the route has the service and it can go on, the item stays there, also in a split; else it begins anew. The checkpoint's row says the service in a new field.

Old and new builds: an old gateway does not read the field and continues by version, as before. A row of an old one names no service; a new gateway then continues by version at the service that the item would get, so that takeovers during an upgrade do not run begun items anew.

--- a/core/include/banyan/core/serving/claim_terms.h
+++ b/core/include/banyan/core/serving/claim_terms.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "banyan/core/identifier.h"
+#include "banyan/core/serving/stream_origin.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -33,10 +34,10 @@
     const route &jobRoute; ///< By the configuration in force.
     request_id item;
     std::uint32_t priority = 0; ///< Of the job.
-    std::string outputVersion; ///< Software version that made the item's output so far; empty if there is none or it is not known.
+    stream_origin output; ///< What made the item's output so far; empty if there is none.
 };
 
-/// The service that the route's weights give the item if it is served; else a service of the route that is, by their weights. If none is
+/// The service that made the item's output, while the route has it and it can continue the output; else the service that the route's weights give the item if it is served; else a service of the route that is, by their weights. If none is
 /// served, the item waits for the first.
 [[nodiscard]] claim_terms claimTermsFor(const claim_basis &basis, const service_availability &availability);
 
--- a/core/include/banyan/core/serving/item_checkpoint.h
+++ b/core/include/banyan/core/serving/item_checkpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "banyan/core/serving/stream_origin.h"
 #include "banyan/core/time.h"
 
 #include <compare>
@@ -15,7 +16,7 @@
     std::uint64_t lastEvent = 0; ///< Id of the last event in the output.
     std::string output; ///< The data of all events so far, joined by line feeds.
     duration ranBefore{}; ///< Time that its runs have spent at upstreams.
-    std::string version; ///< Software version of the upstreams that made the output; empty if it is not known.
+    stream_origin origin; ///< What made the output; the service is empty in rows of earlier builds, the version if it is not known.
 
     auto operator<=>(const item_checkpoint &) const = default;
 };
--- a/core/include/banyan/core/serving/item_progress.h
+++ b/core/include/banyan/core/serving/item_progress.h
@@ -2,6 +2,7 @@
 
 #include "banyan/core/attempt_result.h"
 #include "banyan/core/serving/stream_event.h"
+#include "banyan/core/serving/stream_origin.h"
 #include "banyan/core/serving/stream_position.h"
 #include "banyan/core/time.h"
 
@@ -39,10 +40,10 @@
     /// Resumes from the checkpoint stored by an earlier owner of the job.
     void restore(const item_checkpoint &checkpoint);
 
-    /// Begins a run at an upstream of @p version, which must be version() if there is one.
-    void beginRun(const std::string &version);
+    /// Begins a run at an upstream of this service and software version, which must be origin() if that is known.
+    void beginRun(const stream_origin &origin);
 
-    /// Drops the output, so that the next run begins at the start. The events of two software versions do not fit together.
+    /// Drops the output, so that the next run begins at the start. The events of two services or software versions do not fit together.
     void restart();
 
     /// Whether there is output that a run has to continue.
@@ -51,10 +52,10 @@
         return m_hasOutput;
     }
 
-    /// The software version that made the output; empty if there is none or its version is not known.
-    [[nodiscard]] const std::string &version() const
+    /// What made the output; empty as far as it is not known, or if there is none.
+    [[nodiscard]] const stream_origin &origin() const
     {
-        return m_version;
+        return m_origin;
     }
 
     /// Adds an event of the current run. Returns false if events before it are missing, so that the run cannot be used.
@@ -99,8 +100,8 @@
     item_progress_options m_options;
     stream_position m_position;
     std::string m_output;
-    std::string m_version; ///< Of the upstreams that made the output.
-    std::string m_runVersion; ///< Of the current run's upstream.
+    stream_origin m_origin; ///< Of the output.
+    stream_origin m_runOrigin; ///< Of the current run's events.
     bool m_hasOutput = false;
     std::uint32_t m_failures = 0; ///< Failures reported by upstreams.
     std::uint32_t m_runsWithoutProgress = 0; ///< Consecutive runs without progress that ended for other reasons.
--- a/core/src/serving/item_progress.cpp
+++ b/core/src/serving/item_progress.cpp
@@ -29,20 +29,20 @@
 {
     m_position = stream_position(checkpoint.lastEvent);
     m_output = checkpoint.output;
-    m_version = checkpoint.version;
+    m_origin = checkpoint.origin;
     m_hasOutput = true;
 }
 
-void item_progress::beginRun(const std::string &version)
+void item_progress::beginRun(const stream_origin &origin)
 {
-    m_runVersion = version;
+    m_runOrigin = origin;
 }
 
 void item_progress::restart()
 {
     m_position = stream_position();
     m_output.clear();
-    m_version.clear();
+    m_origin = {};
     m_hasOutput = false;
 }
 
@@ -58,7 +58,7 @@
     }
     m_output.append(m_hasOutput ? "\n" : "").append(event.data);
     m_hasOutput = true;
-    m_version = m_runVersion; // The same as before if there was output.
+    m_origin = m_runOrigin; // The same as before if there was output.
     m_runsWithoutProgress = 0;
     return true;
 }
--- a/io/schema/serving.capnp
+++ b/io/schema/serving.capnp
@@ -211,6 +211,7 @@
   output @2 :Data;
   ranBefore @3 :Int64;            # Microseconds.
   version @4 :Text;
+  service @5 :Text;               # Empty in rows of earlier builds.
 }
 
 struct ServedVersion {
--- a/io/schema/serving.capnp.h
+++ b/io/schema/serving.capnp.h
@@ -433,7 +433,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff37c36633272a23, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ff37c36633272a23, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3197,6 +3197,9 @@
   inline bool hasVersion() const;
   inline  ::capnp::Text::Reader getVersion() const;
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3252,6 +3255,13 @@
   inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7022,6 +7032,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ItemCheckpoint::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ItemCheckpoint::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ItemCheckpoint::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ItemCheckpoint::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ItemCheckpoint::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ItemCheckpoint::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ItemCheckpoint::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ServedVersion::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -165,7 +165,10 @@
     if (progress.hasOutput() && terms.version.empty()) {
         logEvent(log_level::Info,
                  "item_restarted",
-                 {{"job", job->entry.id.text()}, {"item", job->items[index].id}, {"version", progress.version()}});
+                 {{"job", job->entry.id.text()},
+                  {"item", job->items[index].id},
+                  {"service", progress.origin().service.text()},
+                  {"version", progress.origin().version}});
         m_ports.metrics.count("item_restarted");
         progress.restart();
         state.earlierRunTime = duration(0);
@@ -260,7 +263,7 @@
     std::size_t eventCount = 0;
     const request_id slot = slotId(*job, index);
     event_splitter splitter;
-    progress.beginRun(upstream.softwareVersion);
+    progress.beginRun({.service = upstream.service, .version = upstream.softwareVersion});
     attempt_observer observer;
     time_point lastEventAt = currentTime();
     observer.onBody = [&](std::string_view piece) -> task<> {
--- a/io/src/serving/item_waits.cpp
+++ b/io/src/serving/item_waits.cpp
@@ -140,7 +140,7 @@
                           .jobRoute = jobRoute,
                           .item = request_id(job.items[index].id),
                           .priority = priorityOf(job.entry, jobRoute),
-                          .outputVersion = progress && progress->hasOutput() ? progress->version() : std::string()},
+                          .output = progress && progress->hasOutput() ? progress->origin() : stream_origin()},
                          m_ports.slots.scheduler().availability());
 }
 
--- a/io/src/serving/running_job.cpp
+++ b/io/src/serving/running_job.cpp
@@ -66,7 +66,7 @@
                               .lastEvent = *last,
                               .output = state.progress->output(),
                               .ranBefore = state.earlierRunTime + running,
-                              .version = state.progress->version()});
+                              .origin = state.progress->origin()});
         }
     }
     return result;
--- a/io/src/serving/serving_codec.cpp
+++ b/io/src/serving/serving_codec.cpp
@@ -611,7 +611,8 @@
     root.setLastEvent(checkpoint.lastEvent);
     root.setOutput(dataOf(checkpoint.output));
     root.setRanBefore(checkpoint.ranBefore.count());
-    root.setVersion(checkpoint.version);
+    root.setVersion(checkpoint.origin.version);
+    root.setService(checkpoint.origin.service.text());
     return pack(message);
 }
 
@@ -622,7 +623,7 @@
                                .lastEvent = root.getLastEvent(),
                                .output = bytesOf(root.getOutput()),
                                .ranBefore = spanOf(root.getRanBefore()),
-                               .version = textOf(root.getVersion())};
+                               .origin = {.service = service_name(textOf(root.getService())), .version = textOf(root.getVersion())}};
     });
 }
 
--- a/tests/unit/serving/item_waits_test.cpp
+++ b/tests/unit/serving/item_waits_test.cpp
@@ -337,3 +337,68 @@
     }
     CHECK(most <= portion);
 }
+
+// Guards against outputs joined from the events of two services whose upstreams have the same software version.
+TEST_CASE("an item whose route has moved begins anew at the new service after its run at the old one is lost")
+{
+    wait_fixture fixture;
+    bool isLost = false;
+    scripted_upstream old(fixture.context, "u1", [&](http_exchange &exchange) -> task<> {
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1) + eventText(2));
+        while (!isLost) {
+            co_await fixture.sleep(5ms);
+        }
+    });
+    scripted_upstream fresh(fixture.context, "u2", streamsPieces(4));
+    fixture.service->configure(routesTo(1, {part("old")}));
+    fixture.provide({{&old, "old"}, {&fresh, "new"}});
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    fixture.awaitFirstEvents(old);
+    fixture.service->configure(routesTo(2, {part("new")}));
+    isLost = true;
+    REQUIRE(fixture.lists("j1", 1));
+    REQUIRE(fresh.requests.size() == 1);
+    const auto resumed =
+        std::count_if(fresh.requests.front().fields.begin(), fresh.requests.front().fields.end(), [](const http_field &field) {
+            return field.name == "Last-Event-Id";
+        });
+    CHECK(resumed == 0);
+    CHECK(fixture.results(*fixture.service, "j1").results.front().output == "piece-1\npiece-2\npiece-3\npiece-4");
+}
+
+// Guards against the same where another gateway takes the job over with the checkpoint of the output.
+TEST_CASE("an item whose route has moved begins anew at the new service when another node takes its job over")
+{
+    const bool hasMoved = GENERATE(true, false);
+    wait_fixture fixture;
+    scripted_upstream old(fixture.context, "u1", [&, pieces = streamsPieces(4)](http_exchange &exchange) -> task<> {
+        if (old.requests.size() > 1) {
+            co_await pieces(exchange);
+            co_return;
+        }
+        std::vector<http_field> fields{{"Response-Stamp", "stamp"}};
+        co_await exchange.begin(200, std::move(fields));
+        co_await exchange.write(eventText(1) + eventText(2));
+        co_await fixture.sleep(generousTime);
+    });
+    scripted_upstream fresh(fixture.context, "u2", streamsPieces(4));
+    fixture.provide({{&old, "old"}, {&fresh, "new"}});
+    fixture.service = fixture.makeService(*fixture.nodes.front(), 10ms);
+    fixture.service->configure(routesTo(1, {part("old")}));
+    REQUIRE(fixture.accept(*fixture.service, "j1", 1) == job_acceptance::Accepted);
+    while (fixture.checkpoints() == 0) {
+        fixture.runFor(1ms);
+    }
+    fixture.changeEntry("j1", [](job_entry &entry) {
+        entry.owner = node_id();
+    });
+    const auto other = fixture.makeService(fixture.addNode());
+    other->configure(hasMoved ? routesTo(2, {part("new")}) : routesTo(1, {part("old")}));
+    other->start();
+    CHECK(fixture.awaitResults(*other, "j1", 1).results.front().output == "piece-1\npiece-2\npiece-3\npiece-4");
+    const http_request &last = hasMoved ? fresh.requests.back() : old.requests.back();
+    const auto resumed = std::count(last.fields.begin(), last.fields.end(), http_field{"Last-Event-Id", "2"});
+    CHECK(resumed == (hasMoved ? 0 : 1));
+}
