An item whose prompt part is stopped while it waits is not sent

Callers would see: upstreams that crash under a part of a prompt after that part has been stopped, and sound requests lost with them: each item that waited for a slot when the part was stopped was still sent once.

Cause: an item looked whether a part of its prompt is stopped before it claimed a slot, and not again. A wait takes as long as the slots are in use; online requests look after their wait, too.

The test failed on: the upstream got the item.

Change: looked at again after the grant. The slot is given back, which is no attempt, and the item is held back like those that have not claimed.

--- a/io/src/serving/item_runs.cpp
+++ b/io/src/serving/item_runs.cpp
@@ -216,7 +216,11 @@
         state.unusableUpstreams.push_back(upstream);
         report.error = "granted, but not known here or draining";
     }
-    if (usable && !job->stopped) {
+    const bool isPartStopped = m_ports.parts.stoppedUntil(promptRunOf(job->items[index]), currentTime()).has_value();
+    if (usable && isPartStopped) {
+        report.error = "a part of its prompt was stopped while it waited";
+    }
+    if (usable && !isPartStopped && !job->stopped) {
         state.sentAt = currentTime();
         report = co_await sendItem(job, index, *registered, progress);
         state.earlierRunTime += currentTime() - *std::exchange(state.sentAt, std::nullopt);
--- a/tests/unit/serving/item_waits_test.cpp
+++ b/tests/unit/serving/item_waits_test.cpp
@@ -402,3 +402,32 @@
     const auto resumed = std::count(last.fields.begin(), last.fields.end(), http_field{"Last-Event-Id", "2"});
     CHECK(resumed == (hasMoved ? 0 : 1));
 }
+
+// Guards against items that crash one more upstream because a part of their prompt was stopped only while they waited.
+TEST_CASE("an item whose prompt part is stopped while it waits for a slot is not sent, and runs once the part is proven sound")
+{
+    claiming_fixture fixture;
+    scripted_upstream upstream(fixture.context, "u1", streamsPieces(1));
+    fixture.provide({{&upstream, "s"}});
+    serving_node &node = *fixture.nodes.front();
+    fixture.run([&]() -> task<> {
+        job_submission job = fixture.submission("j1", 1);
+        job.items.front().fields.emplace_back("Prompt-Prefix", "p:1,own:2");
+        (void)co_await fixture.service->accept(std::move(job));
+    });
+    fixture.runFor(20ms);
+    REQUIRE(fixture.claims.size() == 1);
+    const std::vector<std::uint64_t> parts = node.sender.sharedParts({{"Prompt-Prefix", "p:1,own:2"}});
+    node.parts.guard().stop(parts.front(), {}, currentTime());
+    fixture.grant(fixture.claims.front().id, "u1");
+    fixture.runFor(100ms);
+    CHECK(upstream.requests.empty());
+    CHECK(std::count(fixture.releases.begin(), fixture.releases.end(), fixture.claims.front().id) == 1);
+    node.parts.recordReport({}, parts, "other", false, currentTime());
+    while (fixture.claims.size() < 2) {
+        fixture.runFor(10ms);
+    }
+    fixture.grant(fixture.claims.back().id, "u1");
+    CHECK(fixture.lists("j1", 1));
+    CHECK(fixture.succeeded("j1") == 1);
+}
