Batch runs of a cell that has lost its upstreams run at others

Callers would see: accepted items that are never run although their service has free slots, after a service of more than 32 upstreams has shrunk so that one of its former cells is empty.

Cause: a run is bound to a cell when it claims a slot, by the number of upstreams at that time. The scheduling node keeps the cell of an earlier partition while runs wait in it; if all its upstreams leave, no slot of it becomes free, and the holder renews the claim.

Change: a batch run whose cell has no upstream may use any upstream of its service, at the node where it waits. Its version still binds it: one of a version that is gone is rejected.

--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -295,11 +295,12 @@
 slot_actions request_scheduler::implementation::submit(const slot_request &request, time_point now)
 {
     service_schedule &service = serviceOf(request.service);
-    cell_schedule &cell = service.cell(request.cell);
+    const bool isBatch = request.workClass == work_class::Batch;
+    cell_schedule &cell = isBatch ? service.cellForBatch(request) : service.cell(request.cell);
     if (m_runs.contains(request.id) || cell.online.contains(request.id) || cell.batch.contains(request.id)) {
         throw std::invalid_argument("expected a run that is not known yet, found request=" + request.id.text() + " again");
     }
-    if (request.workClass == work_class::Batch) {
+    if (isBatch) {
         cell.addBatch(request);
         scheduleWaiting(service, now);
         return takeActions();
--- a/core/src/serving/service_schedule.cpp
+++ b/core/src/serving/service_schedule.cpp
@@ -66,6 +66,29 @@
     return entry->second;
 }
 
+cell_schedule &service_schedule::cellForBatch(const slot_request &request)
+{
+    cell_schedule &wanted = cell(request.cell);
+    return wanted.members.empty() ? cell(upstream_cell()) : wanted;
+}
+
+/// Nothing else would end the wait of these runs: no slot of their cells becomes free, and their holders renew the claims.
+void service_schedule::moveStrandedBatch()
+{
+    std::vector<slot_request> stranded;
+    for (auto &[which, schedule] : cells) {
+        if (which.count > 1 && schedule.members.empty()) {
+            for (const auto &[id, request] : schedule.batch) {
+                stranded.push_back(request);
+            }
+        }
+    }
+    for (const slot_request &request : stranded) {
+        cell(request.cell).removeBatch(request.id);
+        cellForBatch(request).addBatch(request);
+    }
+}
+
 void service_schedule::upstreamsChanged()
 {
     std::erase_if(upstreams, [](const auto &entry) {
@@ -88,6 +111,7 @@
             }
         }
     }
+    moveStrandedBatch();
 }
 
 void service_schedule::recordFirstByte(const granted_run &run, scheduled_upstream &upstream, double seconds, time_point now)
--- a/core/src/serving/service_schedule.h
+++ b/core/src/serving/service_schedule.h
@@ -73,7 +73,11 @@
     /// The schedule of a cell, created if it does not exist.
     cell_schedule &cell(const upstream_cell &cell);
 
-    /// Updates the members of all cells; removes unregistered upstreams without work, and empty cells of an earlier partition.
+    /// The cell whose upstreams a waiting batch run may use: the one that it asks for, or that of all upstreams while that one has none.
+    cell_schedule &cellForBatch(const slot_request &request);
+
+    /// Updates the members of all cells; removes unregistered upstreams without work, and empty cells of an earlier partition. Batch runs
+    /// of cells that have lost all upstreams may use any upstream from now on.
     void upstreamsChanged();
 
     /// Learns from the first byte of a run at @p upstream that came @p seconds after its grant.
@@ -93,6 +97,7 @@
 
 private:
     void compareSpeeds(time_point now);
+    void moveStrandedBatch();
 };
 
 } // namespace banyan
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -576,3 +576,44 @@
     CHECK(isReported(start + 3s));
     CHECK_FALSE(isReported(start + 10s));
 }
+
+// Guards against batch runs that wait for good in a cell whose upstreams have all left, while other cells have free slots.
+TEST_CASE("request_scheduler runs batch work of a cell that has lost its upstreams at other upstreams of the service")
+{
+    scheduler_fixture fixture(40);
+    constexpr std::uint32_t slots = 4;
+    const upstream_cell cell{.index = 1, .count = 2};
+    const bool isLate = GENERATE(false, true); // Whether the run comes after the loss.
+    std::vector<replica> others;
+    std::size_t members = 0;
+    for (const replica &upstream : fixture.upstreams) {
+        if (cell.contains(upstream.id)) {
+            ++members;
+        } else {
+            others.push_back(upstream);
+        }
+    }
+    REQUIRE(others.size() < fixture.upstreams.size());
+    const auto ofCell = [&] {
+        slot_request request = fixture.batch();
+        request.cell = cell;
+        return request;
+    };
+    for (std::size_t run = 0; run < members * slots; ++run) {
+        REQUIRE(countOf<slot_granted>(fixture.scheduler.submit(ofCell(), start)) == 1);
+    }
+    slot_request bound = ofCell();
+    bound.version = "v2"; // Of no upstream.
+    slot_actions actions;
+    if (isLate) {
+        REQUIRE(fixture.scheduler.setUpstreams(others, start + 1s).empty());
+        actions = fixture.scheduler.submit(ofCell(), start + 1s);
+    } else {
+        REQUIRE(fixture.scheduler.submit(ofCell(), start).empty());
+        actions = fixture.scheduler.setUpstreams(others, start + 1s);
+    }
+    REQUIRE(countOf<slot_granted>(actions) == 1);
+    CHECK_FALSE(cell.contains(std::get<slot_granted>(actions.front()).upstream));
+    CHECK(fixture.scheduler.waitingBatch() == 0);
+    CHECK(countOf<slot_rejected>(fixture.scheduler.submit(bound, start + 1s)) == 1);
+}
