Waiting online requests are rejected at once when their last upstream leaves

Callers saw: an online request that waited for a slot of a service that lost its last upstream was held until it could no longer be in time, and then refused; one that arrived a moment later was refused at once.

Cause: whether a service has an upstream was looked at when the request arrived. Only streams bound to a version were looked at again.

The test failed on, for a first attempt and for a repeated one: no decision when the upstream drained.

Change: a waiting run of a cell without upstreams is rejected as on arrival, with the same reason and Retry-After. Its caller comes back and is routed by the configuration in force then.

--- a/core/src/serving/request_scheduler.cpp
+++ b/core/src/serving/request_scheduler.cpp
@@ -112,6 +112,8 @@
     void reclaimBatchSlots(const service_schedule &service, scheduled_upstream &upstream, std::uint32_t excess, time_point now);
     void resolveOvercommit(service_schedule &service, time_point now);
     void scheduleWaiting(service_schedule &service, time_point now);
+    [[nodiscard]] bool
+    lacksUpstream(const service_schedule &service, const cell_schedule &cell, const slot_request &request, time_point now) const;
     void scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now);
     /// The waiting batch runs that are considered.
     struct batch_filter
@@ -500,13 +502,22 @@
     }
 }
 
+/// Whether a waiting run has no upstream that could ever take it, by what is known now.
+bool request_scheduler::implementation::lacksUpstream(const service_schedule &service,
+                                                      const cell_schedule &cell,
+                                                      const slot_request &request,
+                                                      time_point now) const
+{
+    return cell.members.empty() || (!request.version.empty() && !m_choice.hasCandidate(service, cell, request, now));
+}
+
 void request_scheduler::implementation::scheduleOnline(service_schedule &service, cell_schedule &cell, time_point now)
 {
     std::set<waiting_runs::run_kind> full; // If one run finds no slot, no other run of its kind finds one.
     while (const slot_request *const first = cell.online.next(full)) {
         scheduled_upstream *upstream = m_choice.selectForOnline(service, cell, *first, now);
         upstream = upstream == nullptr ? m_choice.selectAmongSlow(service, cell, *first, now) : upstream;
-        if (upstream == nullptr && !first->version.empty() && !m_choice.hasCandidate(service, cell, *first, now)) {
+        if (upstream == nullptr && lacksUpstream(service, cell, *first, now)) {
             rejectIfUnschedulable(service, cell, slot_request(*first), now);
         } else if (upstream == nullptr) {
             full.insert(waiting_runs::kindOf(*first));
--- a/tests/unit/serving/request_scheduler_test.cpp
+++ b/tests/unit/serving/request_scheduler_test.cpp
@@ -617,3 +617,22 @@
     CHECK(fixture.scheduler.waitingBatch() == 0);
     CHECK(countOf<slot_rejected>(fixture.scheduler.submit(bound, start + 1s)) == 1);
 }
+
+// Guards against online requests that are held until their time is over, although their service has lost its last upstream.
+TEST_CASE("request_scheduler rejects waiting online runs at once when their last upstream leaves")
+{
+    scheduler_fixture fixture(1);
+    for (int run = 0; run < 4; ++run) {
+        REQUIRE(countOf<slot_granted>(fixture.scheduler.submit(fixture.online(), start)) == 1);
+    }
+    slot_request waiting = fixture.online();
+    waiting.sentBefore = GENERATE(false, true);
+    REQUIRE(fixture.scheduler.submit(waiting, start).empty());
+    fixture.upstreams.front().draining = true;
+    const slot_actions actions = fixture.scheduler.setUpstreams(fixture.upstreams, start + 1ms);
+    REQUIRE(countOf<slot_rejected>(actions) == 1);
+    const slot_rejected rejected = std::get<slot_rejected>(actions.front());
+    CHECK(rejected.request == waiting.id);
+    CHECK(rejected.reason == end_reason::NoUpstream);
+    CHECK(rejected.retryAfter >= 500ms);
+}
