gateway_soak moves and splits the route of jobs beside its other faults

A series of its own now moves and splits the route of jobs between two services, while the only replica of one of them comes, drains and leaves. It has random numbers of its own, so that the faults of a seed are the same as before.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "fault_proxy.h"
 #include "gateway_ways.h"
+#include "operator_changes.h"
 #include "process/eventually.h"
 #include "process/gateway_fleet.h"
 #include "process/test_connection.h"
@@ -345,11 +346,19 @@
     /// Returns whether all promises were kept.
     bool run(unsigned seed, std::chrono::seconds time)
     {
+        std::optional<operator_changes> changes; // Until the end, since jobs may need its replica.
         {
             const client_threads clients(m_gateways, m_told, seed);
             const auto end = std::chrono::steady_clock::now() + time;
             auto nextReplacement = end - 3 * time / 4;
             releaseFirst();
+            // With random numbers of its own, so that the faults of a seed stay the same.
+            changes.emplace(
+                m_fleet,
+                [this](const endpoint &target) {
+                    return m_ways.add(target);
+                },
+                ~seed);
             while (std::chrono::steady_clock::now() < end) {
                 if (!m_otherGateway.empty() && std::chrono::steady_clock::now() >= nextReplacement) {
                     nextReplacement += time / 4;
@@ -360,6 +369,7 @@
                 noteStop();
             }
             calm();
+            changes->end();
         }
         check();
         std::printf("seed=%u served=%zu resumed=%zu not_resumed=%zu jobs=%zu broken=%zu\n",
