The soak's operator leaves the other service without its replica

Now the route moves to the other service last, that service loses its replica, and the route moves back.

--- a/tests/soak/operator_changes.cpp
+++ b/tests/soak/operator_changes.cpp
@@ -17,6 +17,7 @@
 const std::string otherVersion = "t1"; // Differs from all of the fleet's, so that outputs of two services are noticed.
 const std::string replicaId = "operator-replica";
 constexpr std::chrono::milliseconds step(20);
+constexpr std::chrono::milliseconds timeToWait(500); // For items to claim slots of the other service.
 
 } // namespace
 
@@ -51,8 +52,10 @@
             pause(100, 1200);
             change();
         }
-        registerReplica("ready");
-        configure({{usualService, 1}, {otherService, 1}});
+        configure({{otherService, 1}});
+        std::this_thread::sleep_for(timeToWait);
+        removeReplica();
+        configure({{usualService, 1}});
     } catch (const std::exception &error) {
         std::printf("operator=failed error=\"%s\"\n", error.what());
     }
--- a/tests/soak/operator_changes.h
+++ b/tests/soak/operator_changes.h
@@ -29,7 +29,7 @@
     operator_changes(const operator_changes &) = delete;
     operator_changes &operator=(const operator_changes &) = delete;
 
-    /// Ends the series and leaves the route split, with both services served.
+    /// Ends the series. The route of jobs is left at the fleet's service, and the other one, to which it had moved before, without its replica.
     void end();
 
 private:
