An output of unknown service is continued only where its earlier build made it

Found on reading the fix: a checkpoint of an earlier build names no service. With the usual service of its item without an upstream, the item would have gone on at another one of the split, from events of the usual one, if both have the same software version. Earlier builds used the usual service only, so that is taken for its origin. The added check of claimTermsFor failed before. Also, waits that were to be reviewed no longer hold the jobs after the last of them has ended.

--- a/core/src/serving/claim_terms.cpp
+++ b/core/src/serving/claim_terms.cpp
@@ -31,7 +31,7 @@
                       .deadline = basis.job.submittedAt + std::max(jobRoute.retention, jobRoute.completionWindow)};
     claim_basis known = basis;
     if (known.output.service.text().empty()) {
-        known.output.service = terms.service; // Checkpoints of earlier builds do not name it.
+        known.output.service = serviceFor(jobRoute, basis.item); // Checkpoints of earlier builds, which used no other, do not name it.
     }
     if (canContinue(known, availability)) {
         terms.service = known.output.service;
--- a/io/src/serving/item_waits.cpp
+++ b/io/src/serving/item_waits.cpp
@@ -72,6 +72,7 @@
         co_await self->sleep(reviewInterval);
         self->reviewWaits(currentTime());
     }
+    self->m_waitsToReview.clear(); // It holds the jobs.
     self->reportWaits(currentTime());
     self->m_reviewsWaits = false;
 }
--- a/tests/unit/serving/claim_terms_test.cpp
+++ b/tests/unit/serving/claim_terms_test.cpp
@@ -129,6 +129,13 @@
     const claim_terms terms = termsWithOutput(splitRoute({part("a", 1)}), output, availabilityOf({upstreamOf("a")}));
     CHECK(terms.service == service_name("a"));
     CHECK(terms.version == "v1");
+    // Not at the other service of a split, which the earlier build would not have used.
+    const route split = splitRoute({part("a", 1), part("b", 1)});
+    const service_name usual = serviceFor(split, request_id("item"));
+    const std::string other = usual == service_name("a") ? "b" : "a";
+    const claim_terms moved = termsWithOutput(split, output, availabilityOf({upstreamOf(other)}));
+    CHECK(moved.service == service_name(other));
+    CHECK(moved.version.empty());
 }
 
 TEST_CASE("an item_checkpoint keeps the service and the version that made its output")
