--- a/tests/process/moved_routes_test.cpp
+++ b/tests/process/moved_routes_test.cpp
@@ -5,6 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace banyan;
 using namespace banyan::process_tests;
@@ -34,9 +37,11 @@
         }));
     }
 
-    /// Drains the replica of service "s" and takes it away.
-    void removeOldReplica()
+    /// Gives the route other services, none to remove it, and then drains the replica of service "s" and takes it away.
+    void changeRoute(std::vector<std::pair<std::string, int>> services)
     {
+        fleet.setJobServices(std::move(services));
+        fleet.configure(2);
         fleet.registerReplica(oldReplica, "draining");
         fleet.unregisterReplica(oldReplica);
     }
@@ -65,9 +70,7 @@
 TEST_CASE("accepted items run at the service that their route has moved to, also when the replica of the old one leaves")
 {
     moved_route_fixture moved;
-    moved.fleet.setJobServices({{"t", 1}});
-    moved.fleet.configure(2);
-    moved.removeOldReplica();
+    moved.changeRoute({{"t", 1}});
     CHECK(eventually([&] {
         return moved.listAll(0, "succeeded");
     }));
@@ -77,9 +80,7 @@
 TEST_CASE("items of a moved route run on when the gateway that runs their job is killed")
 {
     moved_route_fixture moved;
-    moved.fleet.setJobServices({{"t", 1}});
-    moved.fleet.configure(2);
-    moved.removeOldReplica();
+    moved.changeRoute({{"t", 1}});
     moved.fleet.gatewayProcess(0).signal(SIGKILL);
     CHECK(eventually([&] {
         return moved.listAll(1, "succeeded");
@@ -90,9 +91,7 @@
 TEST_CASE("items of a split route run at its other service when the only replica of theirs leaves")
 {
     moved_route_fixture moved;
-    moved.fleet.setJobServices({{"s", 50}, {"t", 50}});
-    moved.fleet.configure(2);
-    moved.removeOldReplica();
+    moved.changeRoute({{"s", 50}, {"t", 50}});
     CHECK(eventually([&] {
         return moved.listAll(0, "succeeded");
     }));
@@ -102,9 +101,7 @@
 TEST_CASE("items that wait are listed when their route is removed and its replica leaves")
 {
     moved_route_fixture moved;
-    moved.fleet.setJobServices({});
-    moved.fleet.configure(2);
-    moved.removeOldReplica();
+    moved.changeRoute({});
     CHECK(eventually([&] {
         return moved.listAll(1, "");
     }));
