--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -368,6 +368,9 @@
                 fault();
                 noteStop();
             }
+            if (m_startsOther) {
+                replaceBuild(); // Jobs of the other build's gateways are left to its own faults.
+            }
             calm();
             changes->end();
         }
