--- a/tests/unit/serving/item_waits_test.cpp
+++ b/tests/unit/serving/item_waits_test.cpp
@@ -398,6 +398,7 @@
     other->configure(hasMoved ? routesTo(2, {part("new")}) : routesTo(1, {part("old")}));
     other->start();
     CHECK(fixture.awaitResults(*other, "j1", 1).results.front().output == "piece-1\npiece-2\npiece-3\npiece-4");
+    REQUIRE(fresh.requests.empty() != hasMoved);
     const http_request &last = hasMoved ? fresh.requests.back() : old.requests.back();
     const auto resumed = std::count(last.fields.begin(), last.fields.end(), http_field{"Last-Event-Id", "2"});
     CHECK(resumed == (hasMoved ? 0 : 1));
