Tests of claims at another node end the waits that they leave

Under the sanitizers four tests failed after all their checks had passed: LeakSanitizer found the claims that still waited at the end of the test. A waiting claim and its job hold each other, through the stop signal and the handler for a reclaim, until the wait ends; a process ends it when the job is given back. The fixture does so now.

--- a/tests/unit/serving/item_waits_test.cpp
+++ b/tests/unit/serving/item_waits_test.cpp
@@ -104,6 +104,18 @@
         recordOtherNodes(node);
     }
 
+    /// Ends the waits that are left: a claim and its job hold each other until then.
+    ~claiming_fixture()
+    {
+        run([this]() -> task<> {
+            co_await service->handOver(0s);
+        });
+        runFor(20ms);
+    }
+
+    claiming_fixture(const claiming_fixture &) = delete;
+    claiming_fixture &operator=(const claiming_fixture &) = delete;
+
     void grant(const request_id &id, const std::string &upstream)
     {
         nodes.front()->slots.received(slot_verdict{.request = id, .state = claim_state::Granted, .upstream = upstream_id(upstream)});
