An accepted order follows its service to another pool

Callers saw: an order that banyand had accepted was not run for up to an hour, and then given up as not run, if its service was moved to another pool while no upstream of the first one could take it, beside idle upstreams of the new pool.

The pool was looked up when the order arrived, stored with it, and used for all of its runs, also after a takeover. Items of banyand's jobs look it up before each run, and the dispatcher's queue ends when the last upstream of its cell leaves; only records kept it.

Evidence: the process test failed before the change: accepted with its service in a pool without upstreams, the order was not run within 30 s of the patch that gave the service its old pool back.

Change: each run of a record asks for the pool that its service has under the configuration in force. Without the service or a configuration it keeps the one stored.

--- a/io/include/banyan/io/record_service_options.h
+++ b/io/include/banyan/io/record_service_options.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace banyan {
@@ -27,6 +28,8 @@
     std::size_t keptCopyBytes = std::size_t(16) << 20; ///< Copies of other nodes' results held while the store is down.
     duration copyDelay = std::chrono::seconds(1); ///< How long a result waits for the store before copies are made.
 
+    /// The pool that a service has now; none if the service does not exist. If unset, requests keep the pool that they were accepted with.
+    std::function<std::optional<pool_name>(const service_name &service)> poolOf;
     /// Asks other VMs to hold a result that the store does not take (RPC keepResult); may be unset.
     std::function<task<>(std::string recordKey, std::string result)> keepCopy;
     /// Tells them that the store has it (RPC forgetResult); may be unset.
--- a/io/src/banyan_node.cpp
+++ b/io/src/banyan_node.cpp
@@ -230,12 +230,26 @@
         options.forgetCopy = [this](std::string key) {
             return forgetCopies(std::move(key));
         };
+        options.poolOf = [this](const service_name &service) {
+            return currentPoolOf(service);
+        };
         m_records.emplace(m_context, m_platform, m_router->runner(), std::move(options));
         const store_port port = platformPort(m_context, m_platform);
         m_files.emplace(port, file_service_options());
         m_jobs.emplace(m_context, port, *m_files, jobHooks(), job_service_options{.seed = randomNumber()});
     }
 
+    /// The pool of a service under the configuration in force; none without the service, or without a configuration.
+    [[nodiscard]] std::optional<pool_name> currentPoolOf(const service_name &service) const
+    {
+        const std::shared_ptr<const configuration> current = m_configurations->current();
+        if (!current) {
+            return std::nullopt;
+        }
+        const auto found = current->services.find(service);
+        return found == current->services.end() ? std::nullopt : std::optional(found->second.pool);
+    }
+
     job_service_hooks jobHooks()
     {
         job_service_hooks hooks;
--- a/io/src/record_executor.cpp
+++ b/io/src/record_executor.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace banyan {
@@ -77,6 +78,9 @@
     request.recordKey = active.key;
     request.fencingNumber = active.record.fencingNumber;
     request.dispatch.deadline = std::max(request.dispatch.deadline, m_records->store().now() + active.timeToRun);
+    // The service may have moved since the request was accepted.
+    const std::optional<pool_name> pool = m_options.poolOf ? m_options.poolOf(request.dispatch.service) : std::nullopt;
+    request.pool = pool.value_or(request.pool);
     return request;
 }
 
--- a/tests/process/durable_orders_test.cpp
+++ b/tests/process/durable_orders_test.cpp
@@ -311,3 +311,16 @@
     CHECK(running.order(1, order).status == 422);
     CHECK(runsOf(fleet::log(running.service(0)), "k") == 1);
 }
+
+// Guards against accepted orders that are tried for an hour at the upstreams that their service had, beside idle ones of its new pool.
+TEST_CASE("an accepted order runs once its service is given a pool with upstreams")
+{
+    fleet running({.entries = 2});
+    running.patch(json::parse(R"({"services":{"orders":{"pool":"empty"}}})"));
+    REQUIRE(isAccepted(running.order(0, orderRequest("k"))));
+    CHECK(runsOf(fleet::log(running.service(0)), "k") == 0);
+    running.patch(json::parse(R"({"services":{"orders":{"pool":"orders"}}})"));
+    CHECK(eventually([&] {
+        return runsOf(fleet::log(running.service(0)), "k") == 1;
+    }));
+}
