Counter-cases of waits: late upstreams of a new service, one run an item, the end of a late wait

No product change. Items wait for the new service of their route even beside sound upstreams of the old one, and run when its upstreams come; each item of a split runs once; an item that is taken over after its retention is not given up before it has waited for five seconds, and its options follow the configuration.

Tried and left out: a check of the property test that no item runs at two upstreams at a time.

--- a/tests/unit/serving/item_progress_test.cpp
+++ b/tests/unit/serving/item_progress_test.cpp
@@ -83,3 +83,20 @@
     CHECK(progress.finishRun(attempt_outcome::Succeeded, start) == item_step::Succeeded);
     CHECK(progress.output() == "a\nb");
 }
+
+TEST_CASE("item_progress gives a waiting item up when it expires, but not before it has waited for some seconds")
+{
+    const item_progress progress = progressWith(3);
+    CHECK(progress.waitEndsAt(start) == start + 60s);
+    CHECK(progress.waitEndsAt(start + 58s) == start + 63s);
+    CHECK(progress.waitEndsAt(start + 90s) == start + 95s); // Of a job that was taken over late.
+}
+
+TEST_CASE("item_progress takes its options from the configuration in force")
+{
+    item_progress progress = progressWith(3);
+    CHECK(progress.finishRun(attempt_outcome::Failed, start) == item_step::RunAgain);
+    progress.setOptions({.maximumFailures = 2, .expiresAt = start + 10s});
+    CHECK(progress.waitEndsAt(start) == start + 10s);
+    CHECK(progress.finishRun(attempt_outcome::Failed, start) == item_step::Errored);
+}
--- a/tests/unit/serving/item_waits_test.cpp
+++ b/tests/unit/serving/item_waits_test.cpp
@@ -186,6 +186,7 @@
     });
     REQUIRE(ofSecond > 0);
     CHECK(second.requests.size() == (isServed ? static_cast<std::size_t>(ofSecond) : 0));
+    CHECK(first.requests.size() + second.requests.size() == 30); // Each item has run once.
 }
 
 // Guards against items that stay with the other service of a split, or wait for good, when their service loses its upstream as they wait.
@@ -248,6 +249,27 @@
     CHECK(fixture.succeeded("j1") == 5);
 }
 
+// Guards against items that run at a service that their route has left, or are given up, while the new one has no upstream yet.
+TEST_CASE("items wait for the upstreams of their route's new service, also beside sound ones of the old service")
+{
+    wait_fixture fixture;
+    scripted_upstream old(fixture.context, "u1", streamsPieces(1));
+    scripted_upstream fresh(fixture.context, "u2", streamsPieces(1));
+    fixture.service->configure(routesTo(1, {part("old")}));
+    REQUIRE(fixture.accept(*fixture.service, "j1", 5) == job_acceptance::Accepted);
+    fixture.runFor(20ms);
+    fixture.service->configure(routesTo(2, {part("new")}));
+    fixture.runFor(200ms);
+    fixture.provide({{&old, "old"}});
+    fixture.runFor(400ms);
+    CHECK(old.requests.empty());
+    CHECK(fixture.results(*fixture.service, "j1").results.empty());
+    fixture.provide({{&old, "old"}, {&fresh, "new"}});
+    CHECK(fixture.lists("j1", 5));
+    CHECK(fixture.succeeded("j1") == 5);
+    CHECK(fresh.requests.size() == 5);
+}
+
 // Guards against items that wait in another gateway's queue for a service that their route has left.
 TEST_CASE("a claim at another node is withdrawn when its route moves, and made anew under another id")
 {
